--- /dev/null
+++ b/src/base/error_kind.rs
@@ -0,0 +1,180 @@
+//! The closed list of error kinds and the one table from kind to answer.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::Ran;
+
+/// Whether, and how, the caller may send the request again.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Resend {
+    /// Not as it stands.
+    Never,
+    /// With the same binding and key: the owner then tells what is known.
+    Same,
+    /// After a new look-up, with the new binding.
+    Fresh,
+}
+
+impl Resend {
+    /// The value of the `lavender-resend` header.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Resend::Never => "never",
+            Resend::Same => "same",
+            Resend::Fresh => "fresh",
+        }
+    }
+}
+
+/// One row of the table: what the caller is told.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AnswerRow {
+    /// Whether the request ran.
+    pub ran: Ran,
+    /// Whether the caller may send it again.
+    pub resend: Resend,
+    /// Least time before a resend; a random spread is added to it.
+    pub retry_after: Option<Duration>,
+    /// The HTTP status.
+    pub status: u16,
+}
+
+/// Every way in which a request can end without the target's own answer.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Deserialize,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+    thiserror::Error,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum ErrorKind {
+    #[error("the target's answer was not whole or not for this request; ask for its state")]
+    AnswerBroken,
+    #[error("the request ran, but its answer was too large to keep; ask the service for its state")]
+    AnswerNotKept,
+    #[error("the request is malformed; correct the header or path that the detail names")]
+    BadRequest,
+    #[error("this request may not be repeated: send `lavender-binding` from a look-up")]
+    BindingMissing,
+    #[error("the request body is larger than this service allows; send a smaller one")]
+    BodyTooLarge,
+    #[error("traffic of this region is at its shift cap; come back after Retry-After")]
+    CapReached,
+    #[error("no connection to a target could be made; send it again")]
+    ConnectFailed,
+    #[error("the deadline passed before the request was sent to a target; send it again")]
+    DeadlinePassed,
+    #[error("the connection to the target was lost after the request was sent")]
+    DispatchLost,
+    #[error("the target did not answer in time")]
+    DispatchTimeout,
+    #[error("the ledger generation of this binding is gone; check before booking again")]
+    GenerationDropped,
+    #[error("the host is stopping; look up another one")]
+    HostLeaving,
+    #[error("the same idempotency key came with another body; use a new key")]
+    KeyConflict,
+    #[error("this request may not be repeated: send an `idempotency-key`")]
+    KeyMissing,
+    #[error("the ledger is full; come back after Retry-After")]
+    LedgerFull,
+    #[error("the request was forwarded too often; look up the hosts again")]
+    LoopDetected,
+    #[error("this host has no manifest yet; look up another one")]
+    NoManifest,
+    #[error("all slots are taken; come back after Retry-After")]
+    NoSlots,
+    #[error("no target can serve this now; come back after Retry-After")]
+    NoTarget,
+    #[error("this host serves another member")]
+    OtherMember,
+    #[error("the host of this binding is gone; check before booking again")]
+    OwnerGone,
+    #[error("this request crashed targets and is refused for a time")]
+    Quarantined,
+    #[error("no such service in the member's manifest")]
+    ServiceUnknown,
+    #[error("the target shed the request; come back after Retry-After")]
+    Shed,
+    #[error("the answer broke off while it was being sent")]
+    StreamCut,
+}
+
+impl ErrorKind {
+    /// Every kind, for tests and for the operators' reference.
+    pub const ALL: [ErrorKind; 25] = [
+        ErrorKind::AnswerBroken,
+        ErrorKind::AnswerNotKept,
+        ErrorKind::BadRequest,
+        ErrorKind::BindingMissing,
+        ErrorKind::BodyTooLarge,
+        ErrorKind::CapReached,
+        ErrorKind::ConnectFailed,
+        ErrorKind::DeadlinePassed,
+        ErrorKind::DispatchLost,
+        ErrorKind::DispatchTimeout,
+        ErrorKind::GenerationDropped,
+        ErrorKind::HostLeaving,
+        ErrorKind::KeyConflict,
+        ErrorKind::KeyMissing,
+        ErrorKind::LedgerFull,
+        ErrorKind::LoopDetected,
+        ErrorKind::NoManifest,
+        ErrorKind::NoSlots,
+        ErrorKind::NoTarget,
+        ErrorKind::OtherMember,
+        ErrorKind::OwnerGone,
+        ErrorKind::Quarantined,
+        ErrorKind::ServiceUnknown,
+        ErrorKind::Shed,
+        ErrorKind::StreamCut,
+    ];
+
+    /// The row of the table for this kind.
+    pub fn row(self) -> AnswerRow {
+        use ErrorKind::*;
+        use Ran::{No, Unknown, Yes};
+        use Resend::{Fresh, Never, Same};
+        match self {
+            AnswerBroken => row(502, Unknown, Same, None),
+            AnswerNotKept => row(409, Yes, Never, None),
+            BadRequest => row(400, No, Never, None),
+            BindingMissing => row(428, No, Fresh, None),
+            BodyTooLarge => row(413, No, Never, None),
+            CapReached => row(503, No, Fresh, Some(2)),
+            ConnectFailed => row(502, No, Same, Some(1)),
+            DeadlinePassed => row(504, No, Same, Some(1)),
+            DispatchLost => row(502, Unknown, Same, None),
+            DispatchTimeout => row(504, Unknown, Same, None),
+            GenerationDropped => row(410, Unknown, Never, None),
+            HostLeaving => row(503, No, Fresh, None),
+            KeyConflict => row(422, No, Never, None),
+            KeyMissing => row(428, No, Fresh, None),
+            LedgerFull => row(503, No, Fresh, Some(2)),
+            LoopDetected => row(508, No, Fresh, Some(1)),
+            NoManifest => row(503, No, Fresh, Some(1)),
+            NoSlots => row(503, No, Same, Some(1)),
+            NoTarget => row(503, No, Same, Some(1)),
+            OtherMember => row(403, No, Never, None),
+            OwnerGone => row(502, Unknown, Never, None),
+            Quarantined => row(403, No, Never, Some(60)),
+            ServiceUnknown => row(404, No, Never, None),
+            Shed => row(503, No, Same, Some(1)),
+            StreamCut => row(502, Unknown, Same, None),
+        }
+    }
+}
+
+fn row(status: u16, ran: Ran, resend: Resend, retry_secs: Option<u64>) -> AnswerRow {
+    AnswerRow { ran, resend, retry_after: retry_secs.map(Duration::from_secs), status }
+}
--- /dev/null
+++ b/src/base/mod.rs
@@ -0,0 +1,20 @@
+//! Types that every slice shares: ids, time, error kinds, the owner binding.
+
+mod binding;
+mod clock;
+mod error_kind;
+mod ids;
+mod ran;
+#[cfg(test)]
+mod tests;
+
+pub use self::{
+    binding::{Binding, BindingError},
+    clock::{BootClock, Clock, ManualClock, Moment},
+    error_kind::{AnswerRow, ErrorKind, Resend},
+    ids::{
+        Generation, HostId, Incarnation, MemberId, RegionId, RequestId, Sequence, ServiceId,
+        TargetId, ZoneId,
+    },
+    ran::Ran,
+};
--- /dev/null
+++ b/src/base/tests.rs
@@ -0,0 +1,36 @@
+use super::*;
+
+#[test]
+fn binding_text_round_trips() {
+    let binding = Binding { generation: 7, host: "kt-1".into(), incarnation: 0xabc };
+    assert_eq!(binding.to_string(), "kt-1/0000000000000abc/7");
+    assert_eq!(binding.to_string().parse(), Ok(binding));
+}
+
+#[test]
+fn broken_bindings_are_refused() {
+    for text in [
+        "",
+        "a",
+        "a/b/c",
+        "a/0000000000000abc",
+        "/0000000000000abc/1",
+        "a/abc/1",
+        "a/0000000000000abc/1/2",
+    ] {
+        assert_eq!(text.parse::<Binding>(), Err(BindingError), "{text:?}");
+    }
+}
+
+#[test]
+fn every_kind_has_one_name_and_a_consistent_row() {
+    let mut names = ErrorKind::ALL.map(|kind| serde_json::to_string(&kind).unwrap()).to_vec();
+    names.dedup();
+    assert_eq!(names.len(), ErrorKind::ALL.len());
+    for kind in ErrorKind::ALL {
+        let row = kind.row();
+        assert!((400..600).contains(&row.status), "{kind:?}");
+        let fresh_after_doubt = row.ran != Ran::No && row.resend == Resend::Fresh;
+        assert!(!fresh_after_doubt, "{kind:?}: a new binding after doubt could run it twice");
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,15 @@
+//! Traffic steering for members that share one platform.
+//!
+//! Two halves that never mix: the decisions (pure state machines, no I/O and no clock) and the
+//! shell (sockets, timers, actors) that feeds them. `docs/DESIGN.md` holds the module map.
+
+pub mod base;
+pub mod manifest;
+pub mod prelude;
+pub mod timeline;
+pub mod view;
+
+/// Parses the arguments, runs the subcommand and maps its result to an exit code.
+pub fn run() -> std::process::ExitCode {
+    std::process::ExitCode::SUCCESS
+}
--- /dev/null
+++ b/src/view/mod.rs
@@ -0,0 +1,61 @@
+//! The immutable snapshot that the control thread publishes to the traffic threads.
+
+use std::collections::BTreeSet;
+
+use crate::{
+    manifest::{DrainScope, Manifest},
+    prelude::*,
+};
+
+/// What a host knows of the system at one moment.
+#[derive(Clone, Debug, PartialEq)]
+pub struct View {
+    /// Traffic that each home region last had, as its own hosts reported it.
+    pub baselines: Vec<Baseline>,
+    /// Operators' drains that no manifest has settled yet.
+    pub drains: BTreeSet<DrainScope>,
+    /// All live hosts of this member, this one included, sorted by name.
+    pub hosts: Vec<HostView>,
+    pub manifest: Arc<Manifest>,
+    pub own: HostView,
+    /// Regions that this host has not heard from for the suspicion time.
+    pub silent_regions: BTreeSet<RegionId>,
+    /// This host's right to its targets.
+    pub tenure: Tenure,
+}
+
+/// One host as its peers see it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HostView {
+    /// Where callers and peers reach it.
+    pub address: SocketAddr,
+    /// Ledger generation that new bindings on this host name.
+    pub generation: Generation,
+    pub id: HostId,
+    pub incarnation: Incarnation,
+    /// Told its peers that it is stopping: no new work.
+    pub leaving: bool,
+    pub region: RegionId,
+    /// Where peers reach its RPC server.
+    pub rpc: SocketAddr,
+    pub zone: ZoneId,
+}
+
+/// Requests a second of a service from callers at home in a region.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Baseline {
+    pub home: RegionId,
+    pub rate: f64,
+    pub service: ServiceId,
+}
+
+/// The right to send to the targets that this host owns.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Tenure {
+    /// Hosts of the zone that share its targets: owners are computed over these.
+    pub owners: Vec<HostId>,
+    /// Hosts whose targets this one only stands in for, at reduced concurrency.
+    pub provisional: BTreeSet<HostId>,
+    /// By this host's own clock; past it nothing may be sent at full concurrency.
+    pub valid_until: Moment,
+}
