--- /dev/null
+++ b/src/base/invariant.rs
@@ -0,0 +1,32 @@
+//! Invariants that are checked in release builds too.
+//!
+//! A decision records a broken invariant instead of panicking: a panic would cut off every request
+//! of the host. Whoever drives the decision calls `take` after each step, on the same thread, and
+//! turns what it finds into an event of the time line and a failed run.
+
+use std::{cell::RefCell, sync::Arc};
+
+/// One invariant that did not hold.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Broken {
+    pub detail: Arc<str>,
+    pub name: &'static str,
+}
+
+thread_local! {
+    static BROKEN: RefCell<Vec<Broken>> = const { RefCell::new(Vec::new()) };
+}
+
+/// Records `name` as broken unless `held`.
+pub fn hold(held: bool, name: &'static str, detail: impl FnOnce() -> String) {
+    if held {
+        return;
+    }
+    let broken = Broken { detail: detail().into(), name };
+    BROKEN.with_borrow_mut(|list| list.push(broken));
+}
+
+/// Takes what this thread has recorded since the last call.
+pub fn take() -> Vec<Broken> {
+    BROKEN.with_borrow_mut(std::mem::take)
+}
--- a/src/base/mod.rs
+++ b/src/base/mod.rs
@@ -4,6 +4,7 @@
 mod clock;
 mod error_kind;
 mod ids;
+pub mod invariant;
 mod ran;
 #[cfg(test)]
 mod tests;
