Read settings and manifests, sign, verify and keep the highest

Each mistake in a file is told with file, line, field and remedy. A store verifies for itself and only moves up: a rival's, an older, or an equal sequence with other content is refused and nothing changes. Client blocks too large for one object stand in parts named by content hash.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,8 +6,10 @@
 pub mod base;
 pub mod manifest;
 pub mod prelude;
+pub mod settings;
 pub mod timeline;
 pub mod view;
+pub mod yaml;
 
 /// Parses the arguments, runs the subcommand and maps its result to an exit code.
 pub fn run() -> std::process::ExitCode {
--- a/src/manifest/mod.rs
+++ b/src/manifest/mod.rs
@@ -1,7 +1,23 @@
 //! A member's declared intent: services, targets, limits, caps, client blocks, drains.
+//!
+//! The member's pipeline writes and signs it; every host verifies it for itself, and moves from one
+//! manifest to another only upwards. See `docs/design/control.md`.
 
+mod check;
 mod model;
+mod part;
+mod read;
+mod signed;
+mod store;
+#[cfg(test)]
+mod tests;
 
-pub use self::model::{
-    ClientBlock, DrainScope, Manifest, Region, Service, ServiceKind, Share, Target, Weighing,
+pub use self::{
+    model::{
+        ClientBlock, DrainScope, Manifest, Region, Service, ServiceKind, Share, Target, Weighing,
+    },
+    part::{MAX_PART, Part, PartError, PartId, parse_blocks, split},
+    signed::{MAX_BODY, SignError, SignedManifest, sign, sign_split},
+    store::{Offer, Reason, Store},
 };
+pub use crate::yaml::Problem;
--- a/src/manifest/model.rs
+++ b/src/manifest/model.rs
@@ -44,7 +44,7 @@
     #[serde(default)]
     pub client_blocks: Vec<ClientBlock>,
     /// What is being retired.
-    #[serde(default)]
+    #[serde(default, with = "serde_norway::with::singleton_map_recursive")]
     pub drains: Vec<DrainScope>,
     pub member: MemberId,
     pub regions: Vec<Region>,
--- /dev/null
+++ b/src/manifest/part.rs
@@ -0,0 +1,92 @@
+//! Client blocks of a large manifest, cut into objects that the platform can hold.
+//!
+//! A part is named by the hash of its content. The cuts depend on the blocks themselves, not on
+//! their position, so that one added block changes one part and hosts fetch only that one.
+
+use sha2::{Digest, Sha256};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::ClientBlock;
+use crate::prelude::*;
+
+/// Largest part, in bytes; the platform holds values up to a megabyte.
+pub const MAX_PART: usize = 900_000;
+
+/// Mean number of blocks between two cuts.
+const MEAN_BLOCKS: u64 = 8192;
+
+/// SHA-256 of a part's bytes, as 64 hex digits.
+pub type PartId = Arc<str>;
+
+/// A run of client blocks, sorted, one `BLOCK HOME` a line.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Part {
+    pub text: Arc<str>,
+}
+
+/// A part that can't be used.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum PartError {
+    #[error(
+        "line {line} of the client blocks must read `BLOCK REGION`, such as `10.1.0.0/16 east`"
+    )]
+    Line { line: usize },
+    #[error("the part is larger than {MAX_PART} bytes; split the blocks with `sign --blocks`")]
+    TooLarge,
+}
+
+impl Part {
+    /// The name of this part.
+    pub fn id(&self) -> PartId {
+        hex::encode(Sha256::digest(self.text.as_bytes())).into()
+    }
+
+    /// The blocks in it.
+    pub fn blocks(&self) -> Result<Vec<ClientBlock>, PartError> {
+        if MAX_PART < self.text.len() {
+            return Err(PartError::TooLarge);
+        }
+        parse_blocks(&self.text)
+    }
+}
+
+/// Reads `BLOCK REGION` lines; empty lines and lines that begin with `#` are skipped.
+pub fn parse_blocks(text: &str) -> Result<Vec<ClientBlock>, PartError> {
+    let mut blocks = Vec::new();
+    // Few regions, many blocks: one allocation for each region's name.
+    let mut homes: BTreeMap<&str, RegionId> = BTreeMap::new();
+    for (index, line) in text.lines().enumerate() {
+        let line = line.trim();
+        if line.is_empty() || line.starts_with('#') {
+            continue;
+        }
+        let wrong = PartError::Line { line: index + 1 };
+        let (block, home) = line.split_once(' ').ok_or(wrong.clone())?;
+        let block = block.parse().map_err(|_| wrong)?;
+        let home = homes.entry(home.trim()).or_insert_with_key(|home| (*home).into()).clone();
+        blocks.push(ClientBlock { block, home });
+    }
+    Ok(blocks)
+}
+
+/// Sorts `blocks` and cuts them into parts.
+pub fn split(blocks: &[ClientBlock]) -> Vec<Part> {
+    let mut sorted: Vec<&ClientBlock> = blocks.iter().collect();
+    sorted.sort_by_key(|block| block.block);
+    let mut parts = Vec::new();
+    let mut text = String::new();
+    for block in sorted {
+        let line = format!("{} {}\n", block.block, block.home);
+        if MAX_PART < text.len() + line.len() {
+            parts.push(Part { text: std::mem::take(&mut text).into() });
+        }
+        text.push_str(&line);
+        if xxh3_64(line.as_bytes()) % MEAN_BLOCKS == 0 {
+            parts.push(Part { text: std::mem::take(&mut text).into() });
+        }
+    }
+    if !text.is_empty() {
+        parts.push(Part { text: text.into() });
+    }
+    parts
+}
--- /dev/null
+++ b/src/manifest/signed.rs
@@ -0,0 +1,124 @@
+//! A manifest with its pipeline's signature, as it is stored and passed between hosts.
+
+use ed25519_dalek::{Signature, Signer, SigningKey, VerifyingKey};
+use sha2::{Digest, Sha256};
+
+use super::{ClientBlock, Manifest, Part, PartId, Reason, split};
+use crate::prelude::*;
+
+/// Largest signed text, in bytes: head, part names and signature stay under the platform's limit.
+pub const MAX_BODY: usize = 900_000;
+
+/// Most parts that one manifest names.
+const MAX_PARTS: usize = 1024;
+
+/// Keeps a signature of a manifest from standing for anything else that the key may sign.
+const DOMAIN: &[u8] = b"lavenderplank manifest 1\n";
+
+/// The signed text and what it names. Member and sequence stand inside the text.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct SignedManifest {
+    /// The manifest's YAML.
+    pub body: Arc<str>,
+    /// Client blocks that stand outside `body`, in order.
+    #[serde(default)]
+    pub parts: Vec<PartId>,
+    /// Ed25519 signature over body and part names, 128 hex digits.
+    pub signature: Arc<str>,
+}
+
+/// Why a text was not signed.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum SignError {
+    #[error("the manifest is larger than {MAX_BODY} bytes; give its client blocks with `--blocks`")]
+    BodyTooLarge,
+    #[error("{} of the manifest's fields are wrong", .0.len())]
+    Problems(Vec<super::Problem>),
+    #[error("the client blocks make more than {MAX_PARTS} parts; merge neighbouring blocks")]
+    TooManyParts,
+}
+
+/// Signs a manifest that holds all its client blocks. `file` names it in problems.
+pub fn sign(text: &str, key: &SigningKey) -> Result<SignedManifest, SignError> {
+    sign_split(text, &[], key).map(|(signed, _)| signed)
+}
+
+/// Signs a manifest whose further client blocks are kept in parts.
+pub fn sign_split(
+    text: &str,
+    blocks: &[ClientBlock],
+    key: &SigningKey,
+) -> Result<(SignedManifest, Vec<Part>), SignError> {
+    if MAX_BODY < text.len() {
+        return Err(SignError::BodyTooLarge);
+    }
+    let mut manifest = Manifest::parse(text, "manifest").map_err(SignError::Problems)?;
+    manifest.client_blocks.extend_from_slice(blocks);
+    let problems = manifest.check();
+    if !problems.is_empty() {
+        return Err(SignError::Problems(problems));
+    }
+    let parts = split(blocks);
+    if MAX_PARTS < parts.len() {
+        return Err(SignError::TooManyParts);
+    }
+    let ids: Vec<PartId> = parts.iter().map(Part::id).collect();
+    let signature = key.sign(&message(text, &ids));
+    let signature = hex::encode(signature.to_bytes()).into();
+    Ok((SignedManifest { body: text.into(), parts: ids, signature }, parts))
+}
+
+impl SignedManifest {
+    /// Verifies the signature before anything else is read, then decodes and checks the text.
+    /// Client blocks in parts are not in the result: see `assemble`.
+    pub fn verify(&self, member: &MemberId, key: &VerifyingKey) -> Result<Manifest, Reason> {
+        if MAX_BODY < self.body.len() || MAX_PARTS < self.parts.len() {
+            return Err(Reason::TooLarge);
+        }
+        let signature: [u8; 64] = hex::decode(&*self.signature)
+            .ok()
+            .and_then(|bytes| bytes.try_into().ok())
+            .ok_or(Reason::Signature)?;
+        key.verify_strict(&message(&self.body, &self.parts), &Signature::from_bytes(&signature))
+            .map_err(|_| Reason::Signature)?;
+        let manifest = Manifest::parse(&self.body, "manifest")
+            .map_err(|problems| Reason::Invalid(problems[0].to_string().into()))?;
+        if manifest.member != *member {
+            return Err(Reason::OtherMember(manifest.member));
+        }
+        Ok(manifest)
+    }
+
+    /// Adds the client blocks of `parts` to a verified manifest and checks the whole again.
+    pub fn assemble(&self, mut manifest: Manifest, parts: &[Part]) -> Result<Manifest, Reason> {
+        if !parts.iter().map(Part::id).eq(self.parts.iter().cloned()) {
+            return Err(Reason::Parts);
+        }
+        for part in parts {
+            let blocks = part.blocks().map_err(|err| Reason::Invalid(err.to_string().into()))?;
+            manifest.client_blocks.extend(blocks);
+        }
+        match manifest.check().first() {
+            Some(problem) => Err(Reason::Invalid(problem.to_string().into())),
+            None => Ok(manifest),
+        }
+    }
+
+    /// SHA-256 of all that is signed, as hex: two manifests with one digest are the same.
+    pub fn digest(&self) -> Arc<str> {
+        hex::encode(Sha256::digest(message(&self.body, &self.parts))).into()
+    }
+}
+
+/// What is signed: the lengths keep text and part names apart.
+fn message(body: &str, parts: &[PartId]) -> Vec<u8> {
+    let mut buf = DOMAIN.to_vec();
+    buf.extend_from_slice(&(body.len() as u64).to_be_bytes());
+    buf.extend_from_slice(body.as_bytes());
+    for part in parts {
+        buf.extend_from_slice(&(part.len() as u64).to_be_bytes());
+        buf.extend_from_slice(part.as_bytes());
+    }
+    buf
+}
--- /dev/null
+++ b/src/manifest/store.rs
@@ -0,0 +1,138 @@
+//! The highest manifest that a host has verified.
+
+use ed25519_dalek::VerifyingKey;
+
+use super::{Manifest, Part, PartId, SignedManifest};
+use crate::{base::invariant, prelude::*};
+
+/// Why a manifest was not taken.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Reason {
+    #[error(
+        "sequence {sequence} is in force with other content; give the new one a higher sequence"
+    )]
+    Conflict { sequence: Sequence },
+    #[error("the manifest is not valid: {0}")]
+    Invalid(Arc<str>),
+    #[error("the manifest is of member {0}")]
+    OtherMember(MemberId),
+    #[error("the client blocks are not those that the manifest names")]
+    Parts,
+    #[error("the signature does not match the member's key")]
+    Signature,
+    #[error("the manifest is larger than allowed")]
+    TooLarge,
+}
+
+/// What became of an offered manifest.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Offer {
+    /// Its client blocks are needed first: `add_part`, then offer it again.
+    Missing(Vec<PartId>),
+    /// Now in force.
+    Newer(Arc<Manifest>),
+    /// A higher one is in force.
+    Older,
+    Refused(Reason),
+    /// It is the one in force.
+    Same,
+}
+
+/// Verifies what it is offered and only ever moves up. Holds the member's public key, so that
+/// neither the platform nor a peer can put another member's or an older manifest in force.
+#[derive(Debug)]
+pub struct Store {
+    current: Option<Current>,
+    key: VerifyingKey,
+    member: MemberId,
+    /// Parts of the manifest in force and of the one that is being fetched.
+    parts: BTreeMap<PartId, Part>,
+    /// Digest and parts of the manifest that waits for parts.
+    waiting: Vec<PartId>,
+}
+
+#[derive(Debug)]
+struct Current {
+    manifest: Arc<Manifest>,
+    signed: Arc<SignedManifest>,
+}
+
+impl Store {
+    /// An empty store of one member.
+    pub fn open(member: MemberId, key: VerifyingKey) -> Self {
+        Self { current: None, key, member, parts: BTreeMap::new(), waiting: Vec::new() }
+    }
+
+    /// Puts `signed` in force if it is this member's, valid and higher than the one in force.
+    pub fn offer(&mut self, signed: SignedManifest) -> Offer {
+        // Peers offer the one in force all the time: no signature check for it.
+        if self.current.as_ref().is_some_and(|current| *current.signed == signed) {
+            return Offer::Same;
+        }
+        let head = match signed.verify(&self.member, &self.key) {
+            Ok(head) => head,
+            Err(reason) => return Offer::Refused(reason),
+        };
+        if let Some(current) = &self.current {
+            let held = current.manifest.sequence;
+            if head.sequence < held {
+                return Offer::Older;
+            }
+            if head.sequence == held && signed.digest() == current.signed.digest() {
+                return Offer::Same;
+            }
+            if head.sequence == held {
+                return Offer::Refused(Reason::Conflict { sequence: held });
+            }
+        }
+        self.take(head, signed)
+    }
+
+    /// Keeps a part that a waiting manifest names. Others are refused: `false`.
+    pub fn add_part(&mut self, part: Part) -> bool {
+        let id = part.id();
+        if !self.waiting.contains(&id) {
+            return false;
+        }
+        self.parts.insert(id, part);
+        true
+    }
+
+    /// A part of the manifest in force, for peers that lack it.
+    pub fn part(&self, id: &str) -> Option<&Part> {
+        self.parts.get(id)
+    }
+
+    /// The manifest in force, decoded and as signed.
+    pub fn current(&self) -> Option<(Arc<Manifest>, Arc<SignedManifest>)> {
+        let current = self.current.as_ref()?;
+        Some((current.manifest.clone(), current.signed.clone()))
+    }
+
+    /// Sequence of the manifest in force.
+    pub fn sequence(&self) -> Option<Sequence> {
+        self.current.as_ref().map(|current| current.manifest.sequence)
+    }
+
+    fn take(&mut self, head: Manifest, signed: SignedManifest) -> Offer {
+        let lacking = |id: &&PartId| !self.parts.contains_key(*id);
+        let missing: Vec<PartId> = signed.parts.iter().filter(lacking).cloned().collect();
+        if !missing.is_empty() {
+            self.waiting = signed.parts;
+            return Offer::Missing(missing);
+        }
+        let parts: Vec<Part> = signed.parts.iter().map(|id| self.parts[id].clone()).collect();
+        let manifest = match signed.assemble(head, &parts) {
+            Ok(manifest) => Arc::new(manifest),
+            Err(reason) => return Offer::Refused(reason),
+        };
+        let before = self.sequence();
+        invariant::hold(before < Some(manifest.sequence), "manifest-only-moves-up", || {
+            format!("from {before:?} to {}", manifest.sequence)
+        });
+        self.parts.retain(|id, _| signed.parts.contains(id));
+        self.waiting.clear();
+        self.current = Some(Current { manifest: manifest.clone(), signed: Arc::new(signed) });
+        Offer::Newer(manifest)
+    }
+}
--- /dev/null
+++ b/src/manifest/tests.rs
@@ -0,0 +1,128 @@
+use assert_matches::assert_matches;
+use ed25519_dalek::SigningKey;
+
+use super::*;
+
+const TEXT: &str = "\
+member: himalaya-tara
+sequence: 7
+weighing: headroom
+regions:
+  - name: bagmati
+    reserve: 0.2
+    zones: [bagmati-a, bagmati-b]
+services:
+  - name: bookings
+    kind: booking
+    shift_cap: 0.2
+    connections: 400
+    max_body: 65536
+    timeout_ms: 2000
+    targets:
+      - { name: b1, zone: bagmati-a, address: 127.0.0.1:7001, slots: 3 }
+client_blocks:
+  - { block: 10.1.0.0/16, home: bagmati }
+drains:
+  - zone: bagmati-b
+";
+
+fn key(seed: u8) -> SigningKey {
+    SigningKey::from_bytes(&[seed; 32])
+}
+
+fn numbered(sequence: u64) -> String {
+    TEXT.replace("sequence: 7", &format!("sequence: {sequence}"))
+}
+
+fn store() -> Store {
+    Store::open("himalaya-tara".into(), key(1).verifying_key())
+}
+
+#[test]
+fn a_manifest_round_trips() {
+    let manifest = Manifest::parse(TEXT, "m.yaml").unwrap();
+    assert_eq!(manifest.drains, [DrainScope::Zone("bagmati-b".into())]);
+    let text = serde_norway::to_string(&manifest).unwrap();
+    assert_eq!(Manifest::parse(&text, "m.yaml").unwrap(), manifest);
+}
+
+#[test]
+fn each_mistake_names_line_field_and_remedy() {
+    let table = [
+        ("[bagmati-a, bagmati-b]", "[bagmati-a, bagmati-a]", "m.yaml:7: regions[0].zones[1]: zone"),
+        ("reserve: 0.2", "reserve: 1.2", "m.yaml:6: regions[0].reserve: is 1.2; give a share"),
+        ("shift_cap: 0.2", "shift_cap: 120", "m.yaml:11: services[0].shift_cap: is 120; give"),
+        ("shift_cap: 0.2", "shift_cap: .nan", "m.yaml:11: services[0].shift_cap: is NaN; give"),
+        ("slots: 3", "slots: 0", "m.yaml:16: services[0].targets[0].slots: is 0; give 1 to"),
+        ("7001", "0", "m.yaml:16: services[0].targets[0].address: has port 0; give a port"),
+        ("timeout_ms: 2000", "timeout_ms: 0", "m.yaml:14: services[0].timeout_ms: is 0; give 1"),
+        (
+            "home: bagmati",
+            "home: east",
+            "m.yaml:18: client_blocks[0].home: there is no region east",
+        ),
+        ("zone: bagmati-a,", "zone: east,", "m.yaml:16: services[0].targets[0].zone: there is no"),
+        ("- zone: bagmati-b", "- zone: east", "m.yaml:20: drains[0]: there is no zone east; name"),
+        ("weighing:", "colour:", "m.yaml:3: colour: unknown field `colour`; expected one of"),
+    ];
+    for (from, to, expected) in table {
+        let text = TEXT.replacen(from, to, 1);
+        let problems = Manifest::parse(&text, "m.yaml").unwrap_err();
+        assert!(problems[0].to_string().starts_with(expected), "{}", problems[0]);
+    }
+}
+
+#[test]
+fn every_problem_is_listed_in_the_order_of_lines() {
+    let text = TEXT.replace("slots: 3", "slots: 0").replace("reserve: 0.2", "reserve: -1");
+    let lines: Vec<_> = Manifest::parse(&text, "").unwrap_err().iter().map(|p| p.line).collect();
+    assert_eq!(lines, [6, 16]);
+}
+
+#[test]
+fn a_store_only_moves_up() {
+    // A host is offered manifests by the platform and by peers in any order. Callers of a region
+    // that fell back to an older one would meet caps and targets that were withdrawn.
+    let mut store = store();
+    let seven = sign(&numbered(7), &key(1)).unwrap();
+    assert_matches!(store.offer(seven.clone()), Offer::Newer(_));
+    assert_eq!(store.offer(seven), Offer::Same);
+    assert_eq!(store.offer(sign(&numbered(6), &key(1)).unwrap()), Offer::Older);
+    let other = sign(&numbered(7).replace("slots: 3", "slots: 4"), &key(1)).unwrap();
+    assert_eq!(store.offer(other), Offer::Refused(Reason::Conflict { sequence: 7 }));
+    assert_matches!(store.offer(sign(&numbered(9), &key(1)).unwrap()), Offer::Newer(_));
+    assert_eq!(store.sequence(), Some(9));
+}
+
+#[test]
+fn what_the_member_did_not_sign_is_refused() {
+    // A rival with write access to the platform stores its own manifest, one signed by itself for
+    // this member, or this member's text with a changed line. Nothing in force may change.
+    let mut store = store();
+    store.offer(sign(TEXT, &key(1)).unwrap());
+    let held = store.current();
+    let rival = sign(&numbered(8), &key(2)).unwrap();
+    assert_eq!(store.offer(rival), Offer::Refused(Reason::Signature));
+    let other = numbered(8).replace("himalaya-tara", "gradski-servis");
+    let other = sign(&other, &key(1)).unwrap();
+    assert_matches!(store.offer(other), Offer::Refused(Reason::OtherMember(_)));
+    let mut altered = sign(&numbered(8), &key(1)).unwrap();
+    altered.body = altered.body.replace("slots: 3", "slots: 9").into();
+    assert_eq!(store.offer(altered), Offer::Refused(Reason::Signature));
+    assert_eq!(store.current(), held);
+}
+
+#[test]
+fn blocks_in_parts_are_awaited_and_checked() {
+    let blocks = parse_blocks("10.2.0.0/16 bagmati\n# more\n2001:db8::/32 bagmati\n").unwrap();
+    let (signed, parts) = sign_split(TEXT, &blocks, &key(1)).unwrap();
+    let mut store = store();
+    let missing = assert_matches!(store.offer(signed.clone()), Offer::Missing(ids) => ids);
+    assert_eq!(missing, signed.parts);
+    assert!(!store.add_part(Part { text: "10.9.0.0/16 bagmati\n".into() }));
+    for part in parts {
+        assert!(store.add_part(part));
+    }
+    let manifest = assert_matches!(store.offer(signed), Offer::Newer(manifest) => manifest);
+    assert_eq!(manifest.client_blocks.len(), 3);
+}
--- /dev/null
+++ b/src/yaml/problem.rs
@@ -0,0 +1,48 @@
+//! One mistake in a file.
+
+use std::{fmt, sync::Arc};
+
+use serde::Serialize;
+
+/// What is wrong at one place of a file, and what would be right.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, thiserror::Error)]
+pub struct Problem {
+    /// From 1; 0 when the place is not known.
+    pub column: usize,
+    /// Path of the field, such as `regions[0].reserve`; empty for the whole file.
+    pub field: Arc<str>,
+    pub file: Arc<str>,
+    /// What would be right.
+    pub fix: Arc<str>,
+    /// From 1; 0 when the place is not known.
+    pub line: usize,
+    pub wrong: Arc<str>,
+}
+
+impl Problem {
+    /// A problem of the file as a whole.
+    pub fn whole(file: &str, wrong: impl Into<Arc<str>>, fix: impl Into<Arc<str>>) -> Self {
+        Self {
+            column: 0,
+            field: "".into(),
+            file: file.into(),
+            fix: fix.into(),
+            line: 0,
+            wrong: wrong.into(),
+        }
+    }
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.file)?;
+        if self.line != 0 {
+            write!(f, ":{}", self.line)?;
+        }
+        f.write_str(": ")?;
+        if !self.field.is_empty() {
+            write!(f, "{}: ", self.field)?;
+        }
+        write!(f, "{}; {}", self.wrong, self.fix)
+    }
+}
--- /dev/null
+++ b/src/yaml/read.rs
@@ -0,0 +1,76 @@
+//! From a file to decoded data, or to one clear problem.
+
+use std::{fs::File, io::Read, path::Path, sync::Arc};
+
+use serde::de::DeserializeOwned;
+
+use super::{Problem, Result};
+
+/// Largest YAML file, in bytes. Lists longer than that do not belong into one (see `sign --blocks`).
+pub const MAX_FILE: u64 = 4 * 1024 * 1024;
+
+/// Reads a text file of at most `limit` bytes.
+pub fn read_file(path: &Path, limit: u64) -> Result<String> {
+    let name = path.display().to_string();
+    let unreadable = |err: std::io::Error| {
+        Problem::whole(&name, format!("cannot be read: {err}"), "give the path of a readable file")
+    };
+    let file = File::open(path).map_err(unreadable)?;
+    let mut buf = Vec::new();
+    // One byte past the limit tells a file that is too large from one that just fits.
+    file.take(limit + 1).read_to_end(&mut buf).map_err(unreadable)?;
+    if limit < buf.len() as u64 {
+        let fix = format!("keep it to {limit} bytes");
+        return Err(Problem::whole(&name, format!("is larger than {limit} bytes"), fix));
+    }
+    String::from_utf8(buf).map_err(|err| {
+        let valid = err.utf8_error().valid_up_to();
+        let line = 1 + err.as_bytes()[..valid].iter().filter(|byte| **byte == b'\n').count();
+        Problem { line, ..Problem::whole(&name, "is not UTF-8 text", "save it as UTF-8") }
+    })
+}
+
+/// Decodes one YAML document.
+pub fn decode<T: DeserializeOwned>(text: &str, file: &str) -> Result<T> {
+    if MAX_FILE < text.len() as u64 {
+        let fix = format!("keep it to {MAX_FILE} bytes");
+        return Err(Problem::whole(file, format!("is larger than {MAX_FILE} bytes"), fix));
+    }
+    let is_comment = |line: &str| line.trim().is_empty() || line.trim_start().starts_with('#');
+    if text.lines().all(is_comment) {
+        return Err(Problem::whole(file, "is empty", "give the fields in docs/REFERENCE.md"));
+    }
+    match serde_norway::from_str(text) {
+        Ok(data) => Ok(data),
+        Err(err) => Err(explain::<T>(&err, text, file)),
+    }
+}
+
+/// Reads the text again, now with the path tracked, to name the field.
+fn explain<T: DeserializeOwned>(err: &serde_norway::Error, text: &str, file: &str) -> Problem {
+    let decoder = serde_norway::Deserializer::from_str(text);
+    let path =
+        serde_path_to_error::deserialize::<_, T>(decoder).err().map(|err| err.path().to_string());
+    let field = path.filter(|path| path != ".").unwrap_or_default();
+    let (line, column) = err.location().map_or((0, 0), |place| (place.line(), place.column()));
+    let message = err.to_string();
+    let message =
+        message.strip_suffix(&format!(" at line {line} column {column}")).unwrap_or(&message);
+    let message = message.strip_prefix(&format!("{field}: ")).unwrap_or(message);
+    let (wrong, fix) = split_message(message);
+    Problem { column, field: field.into(), file: file.into(), fix, line, wrong }
+}
+
+/// Parts the decoder's sentence into what is wrong and what would be right.
+fn split_message(message: &str) -> (Arc<str>, Arc<str>) {
+    if let Some((wrong, expected)) = message.split_once(", expected ") {
+        return (wrong.into(), format!("expected {expected}").into());
+    }
+    if let Some(name) = message.strip_prefix("missing field ") {
+        return (message.into(), format!("add {name}").into());
+    }
+    if message.starts_with("duplicate ") {
+        return (message.into(), "give it once".into());
+    }
+    (message.into(), "see docs/REFERENCE.md".into())
+}
