Record events in a bounded ring with hybrid logical time

Every process needs to keep what it did, in an order that holds across hosts. A ring bounds the memory, the hybrid clock keeps causes before effects even where wall clocks differ, and one look-up in 256 is kept so that look-ups don't push all else out.

--- a/src/timeline/mod.rs
+++ b/src/timeline/mod.rs
@@ -1,5 +1,19 @@
 //! The time line: typed events of every process, in one causal order.
 
 mod event;
+mod filter;
+mod hybrid_clock;
+mod merge;
+mod recorder;
+mod ring;
+#[cfg(test)]
+mod tests;
 
-pub use self::event::{Event, EventKind, HybridTime};
+pub use self::{
+    event::{Event, EventKind, HybridTime},
+    filter::{Filter, MAX_EVENTS},
+    hybrid_clock::{HybridClock, MAX_SKEW},
+    merge::merge,
+    recorder::{EventSink, LOOKUP_SAMPLING, NullSink, Recorder},
+    ring::{Entry, Ring},
+};
