--- a/src/view/mod.rs
+++ b/src/view/mod.rs
@@ -8,7 +8,7 @@
 };
 
 /// What a host knows of the system at one moment.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct View {
     /// Traffic that each home region last had, as its own hosts reported it.
     pub baselines: Vec<Baseline>,
@@ -29,6 +29,9 @@
 pub struct HostView {
     /// Where callers and peers reach it.
     pub address: SocketAddr,
+    /// Stopped incarnations whose sealed ledgers it took over, and for which it answers.
+    #[serde(default)]
+    pub adopted: Vec<Incarnation>,
     /// Ledger generation that new bindings on this host name.
     pub generation: Generation,
     pub id: HostId,
@@ -50,7 +53,7 @@
 }
 
 /// The right to send to the targets that this host owns.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Tenure {
     /// Hosts of the zone that share its targets: owners are computed over these.
     pub owners: Vec<HostId>,
