--- a/src/manifest/part.rs
+++ b/src/manifest/part.rs
@@ -81,7 +81,7 @@
             parts.push(Part { text: std::mem::take(&mut text).into() });
         }
         text.push_str(&line);
-        if xxh3_64(line.as_bytes()) % MEAN_BLOCKS == 0 {
+        if xxh3_64(line.as_bytes()).is_multiple_of(MEAN_BLOCKS) {
             parts.push(Part { text: std::mem::take(&mut text).into() });
         }
     }
