Write the time line as text, JSON lines, Chrome trace and HTML; add metrics and the log

Operators need to read the merged events with and without a browser. Metrics are one closed list; events are counted on their way to the time line, so that the decisions need no second call.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,9 @@
 //! shell (sockets, timers, actors) that feeds them. `docs/DESIGN.md` holds the module map.
 
 pub mod base;
+pub mod logging;
 pub mod manifest;
+pub mod metrics;
 pub mod prelude;
 pub mod timeline;
 pub mod view;
--- /dev/null
+++ b/src/logging.rs
@@ -0,0 +1,39 @@
+//! Logs to standard error; hosts have no disk.
+
+use flexi_logger::{Logger, LoggerHandle};
+
+/// Result of starting the log.
+pub type Result<T> = std::result::Result<T, LogError>;
+
+/// The log could not be started.
+#[derive(Debug, thiserror::Error)]
+#[error("log level `{level}`: {detail}; use error, warn, info, debug or trace")]
+pub struct LogError {
+    pub detail: String,
+    pub level: String,
+}
+
+/// How a line of the log is written.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LineFormat {
+    /// One JSON object a line, for programs.
+    Json,
+    /// Aligned text, for people.
+    Text,
+}
+
+/// Starts the log; it ends when the handle is dropped. `level` may also name modules, such as
+/// `info, lavenderplank::ledger=debug`.
+pub fn start(level: &str, format: LineFormat) -> Result<LoggerHandle> {
+    let fail = |detail: String| LogError { detail, level: level.to_owned() };
+    let line = match format {
+        LineFormat::Json => flexi_logger::json_format,
+        LineFormat::Text => flexi_logger::opt_format,
+    };
+    Logger::try_with_str(level)
+        .map_err(|error| fail(error.to_string()))?
+        .log_to_stderr()
+        .format(line)
+        .start()
+        .map_err(|error| fail(error.to_string()))
+}
--- /dev/null
+++ b/src/metrics/metered_sink.rs
@@ -0,0 +1,72 @@
+//! Counts events on their way to the time line.
+
+use super::{Metric, Metrics};
+use crate::{
+    prelude::*,
+    timeline::{EventKind, EventSink},
+};
+
+/// Passes events on and turns each into the counters it stands for, so that the decisions need no
+/// second call for metrics.
+pub struct MeteredSink {
+    metrics: Arc<dyn Metrics>,
+    next: Arc<dyn EventSink>,
+}
+
+impl MeteredSink {
+    /// Counts into `metrics` what goes to `next`.
+    pub fn new(next: Arc<dyn EventSink>, metrics: Arc<dyn Metrics>) -> Self {
+        Self { metrics, next }
+    }
+
+    fn meter(&self, kind: &EventKind) {
+        let metrics = &*self.metrics;
+        metrics.count(Metric::Events, 1, Some(kind.name()));
+        match kind {
+            EventKind::Answered { ran, .. } => {
+                metrics.count(Metric::Requests, 1, Some(ran.as_str()));
+            }
+            EventKind::BreakerMoved { open } => {
+                metrics.gauge(Metric::BreakerOpen, f64::from(u8::from(*open)), None);
+            }
+            EventKind::Ended { error: Some(error), .. } => {
+                metrics.count(Metric::TargetErrors, 1, Some(&error_name(*error)));
+            }
+            EventKind::HandoverDone { entries, .. } => {
+                metrics.count(Metric::HandoverEntries, *entries, Some("done"));
+            }
+            EventKind::HandoverLost { entries } => {
+                metrics.count(Metric::HandoverEntries, *entries, Some("lost"));
+            }
+            EventKind::InvariantBroken { name, .. } => {
+                metrics.count(Metric::InvariantsBroken, 1, Some(name));
+            }
+            EventKind::ManifestInForce { sequence } => {
+                metrics.gauge(Metric::ManifestSequence, *sequence as f64, None);
+            }
+            EventKind::Refused { error } => {
+                metrics.count(Metric::Refused, 1, Some(&error_name(*error)));
+            }
+            _ => {}
+        }
+    }
+}
+
+impl EventSink for MeteredSink {
+    fn record(&self, request: Option<&RequestId>, kind: EventKind) {
+        self.meter(&kind);
+        self.next.record(request, kind);
+    }
+
+    fn is_on(&self) -> bool {
+        true
+    }
+}
+
+/// The kind's name as callers see it, such as `cap-reached`.
+fn error_name(error: ErrorKind) -> String {
+    match serde_json::to_value(error) {
+        Ok(serde_json::Value::String(name)) => name,
+        _ => format!("{error:?}"),
+    }
+}
--- a/src/timeline/mod.rs
+++ b/src/timeline/mod.rs
@@ -8,6 +8,7 @@
 mod ring;
 #[cfg(test)]
 mod tests;
+mod write;
 
 pub use self::{
     event::{Event, EventKind, HybridTime},
@@ -16,4 +17,5 @@
     merge::merge,
     recorder::{EventSink, LOOKUP_SAMPLING, NullSink, Recorder},
     ring::{Entry, Ring},
+    write::{Format, ReadError, read_lines, write},
 };
