--- /dev/null
+++ b/src/steer/action.rs
@@ -0,0 +1,52 @@
+//! What the shell is told to do.
+
+use super::{AttemptId, CallId, Via};
+use crate::{ledger::KeptAnswer, prelude::*, timeline::EventKind};
+
+/// The final word on a request.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", tag = "answer")]
+pub enum Answer {
+    Error {
+        error: ErrorKind,
+        retry_after: Option<Duration>,
+    },
+    /// The answer of an earlier request with the same binding and key.
+    Kept {
+        kept: Arc<KeptAnswer>,
+    },
+    /// The answer of the attempt that has just ended.
+    Pass,
+}
+
+/// One order to the shell.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", tag = "action")]
+pub enum Action {
+    Answer {
+        answer: Answer,
+        call: CallId,
+    },
+    Cancel {
+        attempt: AttemptId,
+    },
+    Dispatch {
+        address: SocketAddr,
+        attempt: AttemptId,
+        call: CallId,
+        target: TargetId,
+        timeout: Duration,
+    },
+    Forward {
+        address: SocketAddr,
+        attempt: AttemptId,
+        call: CallId,
+        host: HostId,
+        timeout: Duration,
+        via: Via,
+    },
+    Note {
+        kind: EventKind,
+        request: Option<RequestId>,
+    },
+}
--- /dev/null
+++ b/src/steer/event.rs
@@ -0,0 +1,82 @@
+//! What the decisions are told.
+
+use std::net::IpAddr;
+
+use super::{AttemptId, CallId};
+use crate::{
+    ledger::{BodyDigest, KeptAnswer, Key},
+    prelude::*,
+    quarantine::{Fingerprint, Mark},
+    selection::LoadReport,
+    view::View,
+};
+
+/// How a request reached this host.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Via {
+    /// From the caller itself.
+    Caller,
+    /// From a host that was not the owner of the binding.
+    LedgerHop,
+    /// From a host that wants one of this host's targets to serve it.
+    SlotHop,
+}
+
+/// A request that reached this host.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Arrival {
+    pub binding: Option<Binding>,
+    pub body_len: u64,
+    pub call: CallId,
+    pub client: IpAddr,
+    /// By this host's clock.
+    pub deadline: Moment,
+    pub digest: BodyDigest,
+    pub fingerprint: Fingerprint,
+    pub key: Option<Key>,
+    pub member: MemberId,
+    pub request: RequestId,
+    pub service: ServiceId,
+    pub via: Via,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", tag = "outcome")]
+pub enum Outcome {
+    /// With the target's whole answer; `kept` holds it where the request must run at most once.
+    Answered { kept: Option<Arc<KeptAnswer>>, latency: Duration, status: u16 },
+    /// Without one.
+    Failed { error: ErrorKind, latency: Duration },
+}
+
+/// One input of the decisions.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", tag = "event")]
+pub enum Event {
+    Arrived(Arrival),
+    /// The caller is gone.
+    Cancelled {
+        call: CallId,
+    },
+    Ended {
+        attempt: AttemptId,
+        outcome: Outcome,
+    },
+    /// A planned stop has begun.
+    Leave,
+    /// Peers told of requests that crash targets.
+    Marked {
+        marks: Vec<Mark>,
+    },
+    /// A target's own word on its load.
+    Reported {
+        report: LoadReport,
+        target: TargetId,
+    },
+    Tick,
+    Viewed {
+        view: Arc<View>,
+    },
+}
--- /dev/null
+++ b/src/steer/machine.rs
@@ -0,0 +1,251 @@
+//! The machine: its state and the distribution of events.
+
+use rand::Rng;
+
+use super::{
+    Action, Answer, AttemptId, CallId, Event,
+    call::{Attempt, Call},
+};
+use crate::{
+    admission::{OwnedTarget, Queue, RetryBudget, Slots},
+    base::invariant,
+    ledger::{Ledger, LedgerLimits, SealedLedger},
+    lookup::{BlockTable, owner_of},
+    manifest::{DrainScope, Service, Target},
+    prelude::*,
+    quarantine::{Mark, Quarantine, QuarantineLimits},
+    selection::{Policy, Selector},
+    shift::ShiftCaps,
+    timeline::EventKind,
+    view::{Baseline, View},
+};
+
+/// Bounds of the machine's state.
+#[derive(Clone, Debug, Default)]
+pub struct SteerLimits {
+    pub ledger: LedgerLimits,
+    pub quarantine: QuarantineLimits,
+}
+
+/// The decisions of one incarnation of one host.
+pub struct Steer {
+    pub(super) attempts: BTreeMap<AttemptId, Attempt>,
+    pub(super) blocks: BlockTable,
+    pub(super) calls: BTreeMap<CallId, Call>,
+    pub(super) caps: ShiftCaps,
+    pub(super) leaving: bool,
+    pub(super) ledger: Ledger,
+    pub(super) next_attempt: AttemptId,
+    pub(super) out: Vec<Action>,
+    pub(super) quarantine: Quarantine,
+    pub(super) queues: BTreeMap<ServiceId, Queue>,
+    pub(super) retries: RetryBudget,
+    pub(super) selector: Selector,
+    pub(super) slots: Slots,
+    pub(super) view: Option<Arc<View>>,
+}
+
+impl Steer {
+    /// A machine that knows nothing yet: it answers `NoManifest` until it is shown a view.
+    pub fn new(host: HostId, incarnation: Incarnation, limits: SteerLimits) -> Self {
+        Self {
+            attempts: BTreeMap::new(),
+            blocks: BlockTable::build(&[]),
+            calls: BTreeMap::new(),
+            caps: ShiftCaps::default(),
+            leaving: false,
+            ledger: Ledger::new(host, incarnation, limits.ledger),
+            next_attempt: 0,
+            out: Vec::new(),
+            quarantine: Quarantine::new(limits.quarantine),
+            queues: BTreeMap::new(),
+            retries: RetryBudget::default(),
+            selector: Selector::new(Policy::default()),
+            slots: Slots::default(),
+            view: None,
+        }
+    }
+
+    /// Takes one event and returns what is to be done, in order.
+    pub fn on(&mut self, event: Event, now: Moment, rng: &mut impl Rng) -> Vec<Action> {
+        match event {
+            Event::Arrived(arrival) => self.arrived(arrival, now, rng),
+            Event::Cancelled { call } => self.cancelled(call, now, rng),
+            Event::Ended { attempt, outcome } => self.ended(attempt, outcome, now, rng),
+            Event::Leave => self.leaving = true,
+            Event::Marked { marks } => marks.iter().for_each(|mark| self.quarantine.learn(mark, now)),
+            Event::Reported { report, target } => {
+                self.slots.report(&target, &report, now);
+                self.selector.report(&target, report, now);
+                self.drain_queues(now, rng);
+            }
+            Event::Tick => self.ticked(now, rng),
+            Event::Viewed { view } => self.viewed(view, now, rng),
+        }
+        self.note_broken();
+        std::mem::take(&mut self.out)
+    }
+
+    /// The binding that look-ups on this host give out.
+    pub fn binding(&self) -> Binding {
+        self.ledger.binding()
+    }
+
+    /// The table from client address to home region.
+    pub fn blocks(&self) -> &BlockTable {
+        &self.blocks
+    }
+
+    /// Requests that have no final answer yet.
+    pub fn busy(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Traffic by service at home here, for the regions that may have to stand in.
+    pub fn baselines(&self, now: Moment) -> Vec<Baseline> {
+        self.caps.rates(now)
+    }
+
+    /// Requests that crash targets, for the peers.
+    pub fn marks(&self, now: Moment) -> Vec<Mark> {
+        self.quarantine.marks(now)
+    }
+
+    /// Closes the ledger for a successor; every later request of this binding is `not run`.
+    pub fn seal(&mut self, now: Moment) -> SealedLedger {
+        self.leaving = true;
+        self.ledger.seal(now)
+    }
+
+    /// Takes over the sealed ledger of a host that stops.
+    pub fn adopt(&mut self, sealed: SealedLedger, now: Moment) -> crate::ledger::Result<()> {
+        self.ledger.adopt(sealed, now)
+    }
+
+    /// Stopped incarnations that this host answers for.
+    pub fn adopted(&self) -> Vec<Incarnation> {
+        self.ledger.adopted()
+    }
+
+    /// Slots in use and slots in all at the targets that this host owns, by service.
+    pub fn usage(&self) -> Vec<Usage> {
+        let Some(view) = &self.view else { return Vec::new() };
+        view.manifest
+            .services
+            .iter()
+            .map(|service| {
+                let owned = service.targets.iter().filter(|target| self.slots.owns(&target.name));
+                let (busy, slots) = owned.fold((0, 0), |(busy, slots), target| {
+                    (busy + self.slots.in_flight(&target.name), slots + target.slots)
+                });
+                Usage { busy, service: service.name.clone(), slots }
+            })
+            .collect()
+    }
+
+    pub(super) fn answer(&mut self, call: CallId, answer: Answer) {
+        let Some(call_state) = self.calls.remove(&call) else { return };
+        let kind = match &answer {
+            Answer::Error { error, .. } => EventKind::Refused { error: *error },
+            Answer::Kept { kept } => EventKind::Answered { ran: Ran::Yes, status: kept.status },
+            Answer::Pass => EventKind::Answered { ran: Ran::Yes, status: 0 },
+        };
+        self.note(Some(&call_state.arrival.request), kind);
+        self.out.push(Action::Answer { answer, call });
+    }
+
+    pub(super) fn note(&mut self, request: Option<&RequestId>, kind: EventKind) {
+        self.out.push(Action::Note { kind, request: request.cloned() });
+    }
+
+    /// Whether the drains of the manifest or of operators take `target` out of use.
+    pub(super) fn is_draining(&self, view: &View, target: &Target) -> bool {
+        if self.selector.draining(&target.name) {
+            return true;
+        }
+        let region = view.manifest.region_of(&target.zone).map(|region| &region.name);
+        view.manifest.drains.iter().chain(&view.drains).any(|scope| match scope {
+            DrainScope::Host(_) => false,
+            DrainScope::Region(name) => Some(name) == region,
+            DrainScope::Target(name) => *name == target.name,
+            DrainScope::Zone(name) => *name == target.zone,
+        })
+    }
+
+    /// What is spare for the service among the targets of this host: free slots and all slots.
+    pub(super) fn spare(&self, service: &Service, now: Moment) -> (u32, u32) {
+        let owned = service.targets.iter().filter(|target| self.slots.owns(&target.name));
+        owned.fold((0, 0), |(free, slots), target| {
+            let limit = self.selector.limit(&target.name, target.slots, now);
+            (free + self.slots.free(&target.name, limit, now), slots + target.slots)
+        })
+    }
+
+    fn viewed(&mut self, view: Arc<View>, now: Moment, rng: &mut impl Rng) {
+        let same_manifest =
+            self.view.as_ref().is_some_and(|old| Arc::ptr_eq(&old.manifest, &view.manifest));
+        if let Some(old) = &self.view {
+            invariant::hold(
+                old.manifest.sequence <= view.manifest.sequence,
+                "manifest-moves-up",
+                || format!("{} after {}", view.manifest.sequence, old.manifest.sequence),
+            );
+        }
+        if !same_manifest {
+            self.blocks = BlockTable::build(&view.manifest.client_blocks);
+            self.selector.set_policy(Policy::Weighed(view.manifest.weighing));
+            self.note(None, EventKind::ManifestInForce { sequence: view.manifest.sequence });
+        }
+        let owned = self.owned_targets(&view);
+        self.slots.set_owned(&owned, now);
+        self.view = Some(view);
+        self.drain_queues(now, rng);
+    }
+
+    /// The targets of this zone that fall to this host. One gained after the first view comes
+    /// from another host, whose requests may still be running on it.
+    fn owned_targets(&self, view: &View) -> Vec<OwnedTarget> {
+        let mut owned = Vec::new();
+        for target in view.manifest.services.iter().flat_map(|service| &service.targets) {
+            if target.zone != view.own.zone {
+                continue;
+            }
+            let owner = owner_of(&target.name, &view.tenure.owners);
+            if owner != Some(&view.own.id) {
+                continue;
+            }
+            let before = self.view.as_ref().map_or(&[][..], |old| &old.tenure.owners);
+            let provisional = owner_of(&target.name, before)
+                .is_some_and(|old| view.tenure.provisional.contains(old));
+            owned.push(OwnedTarget {
+                inherited: !self.slots.owns(&target.name),
+                provisional,
+                slots: target.slots,
+                target: target.name.clone(),
+            });
+        }
+        owned
+    }
+
+    fn ticked(&mut self, now: Moment, rng: &mut impl Rng) {
+        self.ledger.rotate(now);
+        self.expire_calls(now);
+        self.drain_queues(now, rng);
+    }
+
+    fn note_broken(&mut self) {
+        for broken in invariant::take() {
+            let kind =
+                EventKind::InvariantBroken { detail: broken.detail, name: broken.name.into() };
+            self.note(None, kind);
+        }
+    }
+}
+
+/// Use of the slots of one service at this host's own targets.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Usage {
+    pub busy: u32,
+    pub service: ServiceId,
+    pub slots: u32,
+}
--- /dev/null
+++ b/src/steer/place.rs
@@ -0,0 +1,354 @@
+//! Where a request goes: the candidates, the choice, the dispatch.
+
+use rand::Rng;
+
+use super::{
+    Action, CallId, Steer, Via,
+    call::{Call, Place},
+};
+use crate::{
+    admission::Queue,
+    base::invariant,
+    lookup::owner_of,
+    manifest::{Service, Target},
+    prelude::*,
+    quarantine::Standing,
+    selection::{Candidate, Tier},
+    shift::{ShiftAsk, accept_foreign},
+    timeline::EventKind,
+    view::View,
+};
+
+/// Most attempts at one request, the first included.
+const MAX_ATTEMPTS: u32 = 3;
+
+/// A candidate and how to reach it.
+struct Option_ {
+    address: SocketAddr,
+    candidate: Candidate,
+    /// The host that owns the target, where it is not this one.
+    peer: Option<HostId>,
+}
+
+impl Steer {
+    /// Sends the request somewhere, queues it, or refuses it.
+    pub(super) fn place(&mut self, call: CallId, now: Moment, rng: &mut impl Rng) {
+        let Some(view) = self.view.clone() else { return };
+        let state = &self.calls[&call];
+        let Some(service) = view.manifest.service(&state.arrival.service) else {
+            return self.fail(call, ErrorKind::ServiceUnknown, now, rng);
+        };
+        if state.arrival.deadline <= now {
+            return self.fail(call, ErrorKind::DeadlinePassed, now, rng);
+        }
+        if MAX_ATTEMPTS <= state.attempts {
+            let error = state.last_error.unwrap_or(ErrorKind::NoSlots);
+            return self.fail(call, error, now, rng);
+        }
+        let home = self.home_of(&state.arrival, &view);
+        if state.arrival.via == Via::SlotHop && home != view.own.region {
+            let (free, slots) = self.spare(service, now);
+            let reserve =
+                view.manifest.region_of(&view.own.zone).map_or(0.0, |region| region.reserve);
+            if !accept_foreign(free, slots, reserve) {
+                return self.fail(call, ErrorKind::NoSlots, now, rng);
+            }
+        }
+        self.choose(call, &view, service, &home, now, rng);
+    }
+
+    fn choose(
+        &mut self,
+        call: CallId,
+        view: &View,
+        service: &Service,
+        home: &RegionId,
+        now: Moment,
+        rng: &mut impl Rng,
+    ) {
+        let mut options = self.options(call, view, service, home, now);
+        let mut error = if options.is_empty() { ErrorKind::NoTarget } else { ErrorKind::NoSlots };
+        loop {
+            let candidates: Vec<Candidate> =
+                options.iter().map(|option| option.candidate.clone()).collect();
+            let Some(chosen) = self.selector.pick(&service.name, &candidates, now, rng) else {
+                break;
+            };
+            let foreign = candidates[chosen].tier == Tier::Foreign;
+            if foreign && !self.may_shift(call, view, home, now) {
+                error = ErrorKind::CapReached;
+                options.retain(|option| option.candidate.tier != Tier::Foreign);
+                continue;
+            }
+            let option = options.swap_remove(chosen);
+            if self.send(call, view, option, now) {
+                return;
+            }
+            self.unshift(call, now);
+        }
+        self.enqueue(call, service, error, now, rng);
+    }
+
+    /// Every target that may serve the request now, with the room that is known of.
+    fn options(
+        &self,
+        call: CallId,
+        view: &View,
+        service: &Service,
+        home: &RegionId,
+        now: Moment,
+    ) -> Vec<Option_> {
+        let state = &self.calls[&call];
+        let usable = service
+            .targets
+            .iter()
+            .filter(|target| !state.tried.contains(&target.name))
+            .filter(|target| !self.is_draining(view, target));
+        usable.filter_map(|target| self.option(state, view, target, home, now)).collect()
+    }
+
+    fn option(
+        &self,
+        call: &Call,
+        view: &View,
+        target: &Target,
+        home: &RegionId,
+        now: Moment,
+    ) -> Option<Option_> {
+        let region = &view.manifest.region_of(&target.zone)?.name;
+        let own = self.slots.owns(&target.name);
+        if call.arrival.via == Via::SlotHop && !own {
+            return None;
+        }
+        let home_lives = view.hosts.iter().any(|host| host.region == *home && !host.leaving);
+        let is_guest = *home != view.own.region && call.arrival.via != Via::SlotHop;
+        if is_guest && home_lives && region != home {
+            return None;
+        }
+        let tier = if target.zone == view.own.zone {
+            Tier::Zone
+        } else if *region == view.own.region || region == home {
+            Tier::Region
+        } else {
+            Tier::Foreign
+        };
+        if own {
+            let limit = self.selector.limit(&target.name, target.slots, now);
+            let free = self.slots.free(&target.name, limit, now);
+            let candidate = Candidate {
+                in_flight: limit.saturating_sub(free),
+                limit,
+                target: target.name.clone(),
+                tier,
+            };
+            return Some(Option_ { address: target.address, candidate, peer: None });
+        }
+        let (peer, address) = owner_host(view, target)?;
+        let candidate = Candidate {
+            in_flight: self.forwarded_to(&target.name),
+            limit: target.slots,
+            target: target.name.clone(),
+            tier,
+        };
+        Some(Option_ { address, candidate, peer: Some(peer) })
+    }
+
+    fn forwarded_to(&self, target: &TargetId) -> u32 {
+        let count = self
+            .attempts
+            .values()
+            .filter(|attempt| matches!(&attempt.place, Place::Peer { target: to } if to == target))
+            .count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    fn may_shift(&mut self, call: CallId, view: &View, home: &RegionId, now: Moment) -> bool {
+        let state = &self.calls[&call];
+        // A caller from elsewhere was already counted by `count_home` when it came directly.
+        if *home != view.own.region {
+            return true;
+        }
+        let ask = ShiftAsk {
+            cap: state.shift_cap,
+            home: home.clone(),
+            regions_silent: !view.silent_regions.is_empty(),
+            service: state.arrival.service.clone(),
+        };
+        if !self.caps.allow(&ask, now) {
+            return false;
+        }
+        let request = state.arrival.request.clone();
+        let kind = EventKind::Shifted { home: home.clone(), service: ask.service };
+        self.state(call).shifted = true;
+        self.note(Some(&request), kind);
+        true
+    }
+
+    /// Takes back a counted shift that did not come about.
+    pub(super) fn unshift(&mut self, call: CallId, now: Moment) {
+        let Some(view) = self.view.clone() else { return };
+        let state = self.state(call);
+        if !std::mem::take(&mut state.shifted) {
+            return;
+        }
+        let service = state.arrival.service.clone();
+        self.caps.undo(&service, &view.own.region, now);
+    }
+
+    fn send(&mut self, call: CallId, view: &View, option: Option_, now: Moment) -> bool {
+        let target = option.candidate.target.clone();
+        if let Some(peer) = option.peer {
+            self.state(call).tried.push(target.clone());
+            self.forward(call, peer, option.address, Place::Peer { target }, now);
+            return true;
+        }
+        if !self.has_right(view, now) || !self.suspect_may_run(call, &target, now) {
+            return false;
+        }
+        let Some(slot) = self.slots.acquire(&target, option.candidate.limit, now) else {
+            return false;
+        };
+        self.dispatch(call, target, option.address, slot, now);
+        true
+    }
+
+    /// A host that was paused past its lease may no longer own its targets: without this check
+    /// it would send to a target that its successor has already filled, and the target would
+    /// run more requests than it has slots. The lease is counted by this host's own boot clock,
+    /// so that no message has to reach it first.
+    fn has_right(&self, view: &View, now: Moment) -> bool {
+        now < view.tenure.valid_until
+    }
+
+    /// A suspect in company would take innocent requests down with the target.
+    fn suspect_may_run(&self, call: CallId, target: &TargetId, now: Moment) -> bool {
+        let fingerprint = self.calls[&call].arrival.fingerprint;
+        match self.quarantine.standing(fingerprint, now) {
+            Standing::Alone => self.slots.in_flight(target) == 0,
+            Standing::Clear => !self.runs_suspect(target, now),
+            Standing::Refused { .. } => false,
+        }
+    }
+
+    fn runs_suspect(&self, target: &TargetId, now: Moment) -> bool {
+        let on_target = self.attempts.values().filter(
+            |attempt| matches!(&attempt.place, Place::Own { target: on, .. } if on == target),
+        );
+        on_target
+            .filter_map(|attempt| self.calls.get(&attempt.call))
+            .any(|call| self.quarantine.standing(call.arrival.fingerprint, now) != Standing::Clear)
+    }
+
+    fn dispatch(
+        &mut self,
+        call: CallId,
+        target: TargetId,
+        address: SocketAddr,
+        slot: crate::admission::SlotId,
+        now: Moment,
+    ) {
+        let attempt = self.new_attempt(call, Place::Own { slot, target: target.clone() });
+        let state = self.state(call);
+        state.tried.push(target.clone());
+        let left = state.arrival.deadline.saturating_sub(now);
+        let timeout = left.min(state.timeout);
+        let arrival = state.arrival.clone();
+        let protected = state.is_booking() && arrival.via != Via::SlotHop;
+        let entered = state.in_ledger;
+        invariant::hold(!protected || entered, "entry-before-dispatch", || {
+            format!("request {} has no ledger entry", arrival.request)
+        });
+        self.quarantine.started(arrival.fingerprint, &target, now);
+        self.selector.started(&target, now);
+        self.note(Some(&arrival.request), EventKind::Dispatched { target: target.clone() });
+        self.out.push(Action::Dispatch { address, attempt, call, target, timeout });
+    }
+
+    /// Waits for a slot of this host's own targets, or gets its final answer at once.
+    fn enqueue(
+        &mut self,
+        call: CallId,
+        service: &Service,
+        error: ErrorKind,
+        now: Moment,
+        rng: &mut impl Rng,
+    ) {
+        let state = &self.calls[&call];
+        let has_own = service.targets.iter().any(|target| {
+            self.slots.owns(&target.name)
+                && !state.tried.contains(&target.name)
+                && self.view.as_ref().is_some_and(|view| !self.is_draining(view, target))
+        });
+        if !has_own {
+            let error = state.last_error.unwrap_or(error);
+            return self.fail(call, error, now, rng);
+        }
+        let id = queue_id(call);
+        let deadline = state.arrival.deadline;
+        let queue = self.queues.entry(service.name.clone()).or_insert_with(Queue::default);
+        let pushed = queue.push(id, deadline, now);
+        let expired = queue.expire(now);
+        if pushed.is_err() {
+            return self.fail(call, error, now, rng);
+        }
+        self.state(call).queued = true;
+        for id in expired {
+            self.fail_queued(&id, ErrorKind::DeadlinePassed, now, rng);
+        }
+    }
+
+    pub(super) fn fail_queued(
+        &mut self,
+        id: &RequestId,
+        error: ErrorKind,
+        now: Moment,
+        rng: &mut impl Rng,
+    ) {
+        let Ok(call) = id.parse::<CallId>() else { return };
+        self.fail(call, error, now, rng);
+    }
+
+    /// Offers freed slots to the requests that wait for one.
+    pub(super) fn drain_queues(&mut self, now: Moment, rng: &mut impl Rng) {
+        let Some(view) = self.view.clone() else { return };
+        for service in &view.manifest.services {
+            self.drain_queue(service, now, rng);
+        }
+    }
+
+    fn drain_queue(&mut self, service: &Service, now: Moment, rng: &mut impl Rng) {
+        let expired =
+            self.queues.get_mut(&service.name).map(|queue| queue.expire(now)).unwrap_or_default();
+        for id in expired {
+            self.fail_queued(&id, ErrorKind::DeadlinePassed, now, rng);
+        }
+        let (mut free, _) = self.spare(service, now);
+        while 0 < free {
+            free -= 1;
+            let next = self.queues.get_mut(&service.name).and_then(|queue| queue.pop(now));
+            let Some(call) = next.and_then(|id| id.parse::<CallId>().ok()) else { return };
+            if self.calls.contains_key(&call) {
+                self.state(call).queued = false;
+                self.place(call, now, rng);
+            }
+        }
+    }
+}
+
+/// Requests wait under their call number: the ids that callers choose may come twice.
+pub(super) fn queue_id(call: CallId) -> RequestId {
+    call.to_string().into()
+}
+
+/// The live host that owns a target of another host, and its address.
+fn owner_host(view: &View, target: &Target) -> Option<(HostId, SocketAddr)> {
+    let zone_hosts: Vec<HostId> = if target.zone == view.own.zone {
+        view.tenure.owners.clone()
+    } else {
+        let live = view.hosts.iter().filter(|host| host.zone == target.zone && !host.leaving);
+        live.map(|host| host.id.clone()).collect()
+    };
+    let owner = owner_of(&target.name, &zone_hosts)?;
+    let host = view.hosts.iter().find(|host| host.id == *owner && host.id != view.own.id)?;
+    Some((host.id.clone(), host.address))
+}
--- /dev/null
+++ b/src/steer/settle.rs
@@ -0,0 +1,168 @@
+//! An attempt ends: the slot is released, the caller answered, or another attempt made.
+
+use rand::Rng;
+
+use super::{
+    Action, Answer, AttemptId, CallId, Outcome, Steer, Via,
+    call::{Attempt, Place},
+    place::queue_id,
+};
+use crate::{
+    ledger::{End, KeptAnswer},
+    prelude::*,
+    selection::Signal,
+    timeline::EventKind,
+};
+
+impl Steer {
+    pub(super) fn ended(
+        &mut self,
+        attempt: AttemptId,
+        outcome: Outcome,
+        now: Moment,
+        rng: &mut impl Rng,
+    ) {
+        let Some(Attempt { call, place }) = self.attempts.remove(&attempt) else { return };
+        self.release(call, &place, &outcome, now);
+        if self.calls.get(&call).is_some_and(|state| state.current == Some(attempt)) {
+            self.state(call).current = None;
+            match outcome {
+                Outcome::Answered { kept, .. } => self.answered(call, &place, kept, now, rng),
+                Outcome::Failed { error, .. } => self.failed(call, &place, error, now, rng),
+            }
+        }
+        self.drain_queues(now, rng);
+    }
+
+    /// Gives the slot back and tells the slices what the attempt showed.
+    fn release(&mut self, call: CallId, place: &Place, outcome: &Outcome, now: Moment) {
+        let Some(target) = place.target() else { return };
+        let (signal, latency, error) = match outcome {
+            Outcome::Answered { latency, .. } => (Signal::Succeeded, *latency, None),
+            Outcome::Failed { error, latency } => (signal_of(*error), *latency, Some(*error)),
+        };
+        self.selector.ended(target, signal, latency, now);
+        let Some(state) = self.calls.get(&call) else {
+            if let Place::Own { slot, target } = place {
+                self.slots.release(target, *slot, now);
+            }
+            return;
+        };
+        let arrival = state.arrival.clone();
+        if state.shifted {
+            self.caps.feedback(&arrival.service, &home(self, &arrival), error.is_none(), now);
+        }
+        let Place::Own { slot, target } = place else { return };
+        self.slots.release(target, *slot, now);
+        let crashed = error == Some(ErrorKind::DispatchLost);
+        if let Some(mark) = self.quarantine.ended(arrival.fingerprint, target, crashed, now) {
+            let fingerprint = format!("{:032x}", mark.fingerprint).into();
+            self.note(Some(&arrival.request), EventKind::Quarantined { fingerprint });
+        }
+        self.note(Some(&arrival.request), EventKind::Ended { error, target: target.clone() });
+    }
+
+    fn answered(
+        &mut self,
+        call: CallId,
+        place: &Place,
+        kept: Option<Arc<KeptAnswer>>,
+        now: Moment,
+        rng: &mut impl Rng,
+    ) {
+        let entered = self.state(call).in_ledger;
+        if entered {
+            let end = kept.map_or(End::Unknown, End::Answered);
+            self.close_entry(call, end, now, rng);
+        }
+        debug_assert!(!entered || !matches!(place, Place::Owner));
+        self.answer(call, Answer::Pass);
+    }
+
+    fn failed(
+        &mut self,
+        call: CallId,
+        place: &Place,
+        error: ErrorKind,
+        now: Moment,
+        rng: &mut impl Rng,
+    ) {
+        if matches!(place, Place::Owner) {
+            // No connection to the owner says nothing about earlier deliveries of this key.
+            let error =
+                if error == ErrorKind::ConnectFailed { ErrorKind::OwnerGone } else { error };
+            return self.fail(call, error, now, rng);
+        }
+        let not_run = error.row().ran == Ran::No;
+        if not_run {
+            self.unshift(call, now);
+        }
+        let state = self.state(call);
+        state.last_error = Some(error);
+        let hopeless = matches!(error, ErrorKind::Quarantined | ErrorKind::BodyTooLarge);
+        let may_repeat = not_run || !state.is_booking();
+        if hopeless || !may_repeat || !self.retries.take(now) {
+            return self.fail(call, error, now, rng);
+        }
+        self.place(call, now, rng);
+    }
+
+    /// The caller is gone. A read is stopped where it is. A booking that was sent goes on: only
+    /// its end tells the ledger what to answer when the caller sends it again.
+    pub(super) fn cancelled(&mut self, call: CallId, now: Moment, rng: &mut impl Rng) {
+        let Some(state) = self.calls.get(&call) else { return };
+        let current = state.current;
+        if state.queued {
+            let service = state.arrival.service.clone();
+            if let Some(queue) = self.queues.get_mut(&service) {
+                queue.remove(&queue_id(call));
+            }
+        }
+        if state.is_booking() && current.is_some() {
+            return;
+        }
+        if let Some(attempt) = current {
+            self.out.push(Action::Cancel { attempt });
+            let error = ErrorKind::StreamCut;
+            self.attempts.remove(&attempt).into_iter().for_each(|ended| {
+                self.give_back(&ended.place, now);
+            });
+            return self.fail(call, error, now, rng);
+        }
+        self.fail(call, ErrorKind::DeadlinePassed, now, rng);
+    }
+
+    fn give_back(&mut self, place: &Place, now: Moment) {
+        if let Place::Own { slot, target } = place {
+            self.slots.release(target, *slot, now);
+        }
+    }
+
+    /// Answers the calls whose time is over while they wait for another call's end.
+    pub(super) fn expire_calls(&mut self, now: Moment) {
+        let over: Vec<CallId> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| call.waiting && call.arrival.deadline <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        for call in over {
+            let error = ErrorKind::DispatchTimeout;
+            self.answer(call, Answer::Error { error, retry_after: None });
+        }
+    }
+}
+
+fn home(steer: &Steer, arrival: &super::Arrival) -> RegionId {
+    let own = steer.view.as_ref().map(|view| view.own.region.clone());
+    steer.blocks.home(arrival.client).cloned().or(own).unwrap_or_else(|| "".into())
+}
+
+fn signal_of(error: ErrorKind) -> Signal {
+    match error {
+        ErrorKind::Shed | ErrorKind::NoSlots | ErrorKind::NoTarget | ErrorKind::HostLeaving => {
+            Signal::Shed
+        }
+        _ => Signal::Failed,
+    }
+}
