--- /dev/null
+++ b/src/daemon/incoming.rs
@@ -0,0 +1,174 @@
+//! A request as the HTTP server got it, and its way to an `Arrival`.
+
+use std::net::{IpAddr, Ipv4Addr};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+
+use super::headers;
+use crate::{
+    base::HeaderLine,
+    ledger::body_digest,
+    prelude::*,
+    quarantine::fingerprint,
+    settings::Secret,
+    steer::{Arrival, CallId, Via},
+};
+
+/// Time limit of a request whose caller names none.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
+
+/// Longest time limit that a caller may ask for.
+const MAX_DEADLINE: Duration = Duration::from_secs(120);
+
+/// Longest id or key, in bytes.
+const MAX_TEXT: usize = 128;
+
+/// A header that cannot be read, and what it should hold.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("header `{header}` must be {expected}")]
+pub struct BadHeader {
+    pub expected: &'static str,
+    pub header: &'static str,
+}
+
+/// Result of reading the head of a request.
+pub type Result<T> = std::result::Result<T, BadHeader>;
+
+/// One request for a service, read and whole.
+#[derive(Clone, Debug)]
+pub struct Incoming {
+    pub body: Bytes,
+    pub headers: HeaderMap,
+    pub method: Method,
+    /// Path and query behind the service's name, with the leading slash.
+    pub path: Arc<str>,
+    pub remote: Option<SocketAddr>,
+    pub service: ServiceId,
+}
+
+impl Incoming {
+    /// What the decisions need to know of it.
+    pub fn arrival(&self, call: CallId, member: &MemberId, key: &Secret, now: Moment) -> Result<Arrival> {
+        let via = self.via(key)?;
+        let method = self.method.as_str();
+        let asked = self.text(headers::MEMBER)?.unwrap_or_else(|| member.clone());
+        Ok(Arrival {
+            binding: self.binding()?,
+            body_len: self.body.len() as u64,
+            call,
+            client: self.client()?,
+            deadline: now + self.deadline()?,
+            digest: body_digest(method, &self.path, &self.body),
+            fingerprint: fingerprint(&asked, &self.service, method, &self.path, &self.body),
+            key: self.text(headers::IDEMPOTENCY_KEY)?,
+            member: asked,
+            request: self.request_id()?,
+            service: self.service.clone(),
+            via,
+        })
+    }
+
+    /// The headers that a target gets: all that are neither ours nor of one connection only.
+    pub fn passed_headers(&self) -> Vec<HeaderLine> {
+        let names = self.headers.iter().filter(|(name, _)| {
+            !name.as_str().starts_with(headers::PREFIX) && !is_hop_by_hop(name.as_str())
+        });
+        names.filter_map(|(name, value)| line(name.as_str(), value)).collect()
+    }
+
+    /// The headers of ours that another host needs to see as the caller sent them.
+    pub fn own_headers(&self) -> Vec<HeaderLine> {
+        let kept = [headers::BINDING, headers::CLIENT, headers::MEMBER];
+        let lines = kept.iter().filter_map(|name| line(name, self.headers.get(*name)?));
+        lines.collect()
+    }
+
+    /// The caller's address: as a gateway names it, else the connection's.
+    pub fn client(&self) -> Result<IpAddr> {
+        let bad = BadHeader { expected: "an IP address", header: headers::CLIENT };
+        match self.text(headers::CLIENT)? {
+            Some(text) => text.parse().map_err(|_| bad),
+            None => Ok(self.remote.map_or(IpAddr::V4(Ipv4Addr::LOCALHOST), |addr| addr.ip())),
+        }
+    }
+
+    /// The id that the caller gave, or a new one.
+    pub fn request_id(&self) -> Result<RequestId> {
+        let given = self.text(headers::REQUEST)?;
+        Ok(given.unwrap_or_else(|| uuid::Uuid::new_v4().simple().to_string().into()))
+    }
+
+    fn binding(&self) -> Result<Option<Binding>> {
+        let bad = BadHeader { expected: "a binding from a look-up", header: headers::BINDING };
+        self.text(headers::BINDING)?.map(|text| text.parse().map_err(|_| bad.clone())).transpose()
+    }
+
+    fn deadline(&self) -> Result<Duration> {
+        let bad = BadHeader { expected: "whole milliseconds above 0", header: headers::DEADLINE };
+        let Some(text) = self.text(headers::DEADLINE)? else { return Ok(DEFAULT_DEADLINE) };
+        let millis: u64 = text.parse().map_err(|_| bad.clone())?;
+        if millis == 0 {
+            return Err(bad);
+        }
+        Ok(Duration::from_millis(millis).min(MAX_DEADLINE))
+    }
+
+    /// A caller that called itself a host could pass by the ledger and have a booking run twice;
+    /// so a hop counts only with the member's secret.
+    fn via(&self, key: &Secret) -> Result<Via> {
+        let Some(text) = self.text(headers::VIA)? else { return Ok(Via::Caller) };
+        let proof = self.text(headers::PEER_AUTH)?.unwrap_or_else(|| "".into());
+        if !key.matches(&proof) {
+            return Err(BadHeader { expected: "the member's secret", header: headers::PEER_AUTH });
+        }
+        match &*text {
+            "ledger-hop" => Ok(Via::LedgerHop),
+            "slot-hop" => Ok(Via::SlotHop),
+            _ => Err(BadHeader { expected: "ledger-hop or slot-hop", header: headers::VIA }),
+        }
+    }
+
+    fn text(&self, header: &'static str) -> Result<Option<Arc<str>>> {
+        let expected = "1 to 128 visible ASCII characters, given once";
+        let bad = BadHeader { expected, header };
+        let mut values = self.headers.get_all(header).iter();
+        let Some(value) = values.next() else { return Ok(None) };
+        let text = value.to_str().map_err(|_| bad.clone())?;
+        if values.next().is_some() || text.is_empty() || MAX_TEXT < text.len() {
+            return Err(bad);
+        }
+        Ok(Some(text.into()))
+    }
+}
+
+/// The value of the `lavender-via` header.
+pub fn via_text(via: Via) -> &'static str {
+    match via {
+        Via::Caller => "caller",
+        Via::LedgerHop => "ledger-hop",
+        Via::SlotHop => "slot-hop",
+    }
+}
+
+fn line(name: &str, value: &http::HeaderValue) -> Option<HeaderLine> {
+    Some(HeaderLine { name: name.into(), value: value.to_str().ok()?.into() })
+}
+
+fn is_hop_by_hop(name: &str) -> bool {
+    matches!(
+        name,
+        "connection"
+            | "content-length"
+            | "expect"
+            | "host"
+            | "keep-alive"
+            | "proxy-authenticate"
+            | "proxy-authorization"
+            | "proxy-connection"
+            | "te"
+            | "trailer"
+            | "transfer-encoding"
+            | "upgrade"
+    )
+}
--- /dev/null
+++ b/src/daemon/traffic.rs
@@ -0,0 +1,410 @@
+//! The traffic threads' side: feeds the decisions and carries out what they order.
+
+use std::{
+    collections::HashMap,
+    net::IpAddr,
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use arc_swap::ArcSwapOption;
+use futures::{SinkExt, StreamExt};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::{sync::oneshot, task::AbortHandle};
+use warp::reply::Response;
+
+use super::{
+    headers,
+    incoming::{Incoming, via_text},
+    outgoing,
+};
+use crate::{
+    base::HeaderLine,
+    forward::{Attempt, Failure, Reply, ReplyBody, Upstream},
+    ledger::KeptAnswer,
+    lookup::{Lookup, LookupAsk, rank},
+    prelude::*,
+    settings::Secret,
+    steer::{Action, Answer, AttemptId, CallId, Event, Outcome, Steer, Via},
+    timeline::{EventKind, EventSink},
+    trace::Tape,
+    view::View,
+};
+
+/// Chunks of a streamed answer that may wait for a slow caller.
+const STREAM_CHUNKS: usize = 4;
+
+/// What the traffic side is built from.
+pub struct TrafficParts {
+    pub clock: Arc<dyn Clock>,
+    pub member: MemberId,
+    pub peer_key: Secret,
+    /// The way to other hosts.
+    pub peers: Arc<dyn Upstream>,
+    pub seed: u64,
+    pub sink: Arc<dyn EventSink>,
+    pub steer: Steer,
+    pub tape: Arc<dyn Tape>,
+    /// The way to targets.
+    pub targets: Arc<dyn Upstream>,
+}
+
+/// The requests of one host.
+pub struct Traffic {
+    attempts: Mutex<HashMap<AttemptId, AbortHandle>>,
+    core: Mutex<Core>,
+    next_call: AtomicU64,
+    parts: Parts,
+    pending: Mutex<HashMap<CallId, Pending>>,
+    runtime: tokio::runtime::Handle,
+    view: ArcSwapOption<View>,
+}
+
+struct Parts {
+    clock: Arc<dyn Clock>,
+    member: MemberId,
+    peer_key: Secret,
+    peers: Arc<dyn Upstream>,
+    sink: Arc<dyn EventSink>,
+    tape: Arc<dyn Tape>,
+    targets: Arc<dyn Upstream>,
+}
+
+struct Core {
+    rng: ChaCha8Rng,
+    steer: Steer,
+}
+
+/// A request whose caller waits.
+struct Pending {
+    incoming: Arc<Incoming>,
+    /// Moment until which the caller waits.
+    reply: Option<Arc<KeptAnswer>>,
+    request: RequestId,
+    tx: oneshot::Sender<Response>,
+}
+
+impl Traffic {
+    /// Starts with no view: every request is refused until the control side publishes one.
+    pub fn new(parts: TrafficParts) -> Arc<Self> {
+        let core = Core { rng: ChaCha8Rng::seed_from_u64(parts.seed), steer: parts.steer };
+        Arc::new(Self {
+            attempts: Mutex::default(),
+            core: Mutex::new(core),
+            next_call: AtomicU64::new(1),
+            parts: Parts {
+                clock: parts.clock,
+                member: parts.member,
+                peer_key: parts.peer_key,
+                peers: parts.peers,
+                sink: parts.sink,
+                tape: parts.tape,
+                targets: parts.targets,
+            },
+            pending: Mutex::default(),
+            runtime: tokio::runtime::Handle::current(),
+            view: ArcSwapOption::empty(),
+        })
+    }
+
+    /// Serves one request to its final answer.
+    pub async fn serve(self: &Arc<Self>, incoming: Incoming) -> Response {
+        let call = self.next_call.fetch_add(1, Ordering::Relaxed);
+        let now = self.parts.clock.now();
+        let arrival =
+            match incoming.arrival(call, &self.parts.member, &self.parts.peer_key, now) {
+                Ok(arrival) => arrival,
+                Err(bad) => {
+                    let request = incoming.request_id().unwrap_or_else(|_| "-".into());
+                    let detail = bad.to_string();
+                    return outgoing::error(ErrorKind::BadRequest, &request, Some(&detail), None);
+                }
+            };
+        let request = arrival.request.clone();
+        let (tx, rx) = oneshot::channel();
+        let pending =
+            Pending { incoming: Arc::new(incoming), reply: None, request: request.clone(), tx };
+        lock(&self.pending).insert(call, pending);
+        let guard = CallGuard { call, traffic: self.clone() };
+        self.feed(Event::Arrived(arrival));
+        let answer = rx.await;
+        drop(guard);
+        // The sender is dropped without an answer only if the host is torn down around the call.
+        answer.unwrap_or_else(|_| {
+            outgoing::error(ErrorKind::DispatchLost, &request, None, None)
+        })
+    }
+
+    /// Ranked hosts for a caller; `None` until a manifest is in force.
+    pub fn look_up(&self, client: IpAddr, service: &ServiceId) -> Option<Lookup> {
+        let view = self.view.load_full()?;
+        view.manifest.service(service)?;
+        let ask = LookupAsk { client, service: service.clone() };
+        let now = self.parts.clock.now();
+        let lookup = rank(&view, lock(&self.core).steer.blocks(), &ask, now);
+        if self.parts.sink.is_on() {
+            self.parts.sink.record(None, EventKind::LookedUp { service: service.clone() });
+        }
+        Some(lookup)
+    }
+
+    /// The view in force.
+    pub fn view(&self) -> Option<Arc<View>> {
+        self.view.load_full()
+    }
+
+    /// Puts a new view in force.
+    pub fn show(self: &Arc<Self>, view: Arc<View>) {
+        self.view.store(Some(view.clone()));
+        self.feed(Event::Viewed { view });
+    }
+
+    /// Reads or changes the decisions directly, for the control side.
+    pub fn with_steer<T>(&self, f: impl FnOnce(&mut Steer, Moment) -> T) -> T {
+        let now = self.parts.clock.now();
+        f(&mut lock(&self.core).steer, now)
+    }
+
+    /// Gives one event to the decisions and carries out what they order.
+    pub fn feed(self: &Arc<Self>, event: Event) {
+        let actions = self.decide(event);
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn decide(&self, event: Event) -> Vec<Action> {
+        let mut core = lock(&self.core);
+        let core = &mut *core;
+        let now = self.parts.clock.now();
+        if !self.parts.tape.is_on() {
+            return core.steer.on(event, now, &mut core.rng);
+        }
+        let actions = core.steer.on(event.clone(), now, &mut core.rng);
+        self.parts.tape.record(now, &event, &actions);
+        actions
+    }
+
+    fn carry_out(self: &Arc<Self>, action: Action) {
+        match action {
+            Action::Answer { answer, call } => self.answer(call, answer),
+            Action::Cancel { attempt } => {
+                if let Some(task) = lock(&self.attempts).remove(&attempt) {
+                    task.abort();
+                }
+            }
+            Action::Dispatch { address, attempt, call, timeout, .. } => {
+                self.start(call, attempt, address, timeout, None);
+            }
+            Action::Forward { address, attempt, call, timeout, via, .. } => {
+                self.start(call, attempt, address, timeout, Some(via));
+            }
+            Action::Note { kind, request } => self.parts.sink.record(request.as_ref(), kind),
+        }
+    }
+
+    fn answer(&self, call: CallId, answer: Answer) {
+        let Some(pending) = lock(&self.pending).remove(&call) else { return };
+        let res = match answer {
+            Answer::Error { error, retry_after } => {
+                outgoing::error(error, &pending.request, None, retry_after)
+            }
+            Answer::Kept { kept } => outgoing::whole(&kept, &pending.request),
+            Answer::Pass => match &pending.reply {
+                Some(reply) => outgoing::whole(reply, &pending.request),
+                None => outgoing::error(ErrorKind::AnswerNotKept, &pending.request, None, None),
+            },
+        };
+        // A failed send means that the caller is gone; the ledger keeps what it has to.
+        let _ = pending.tx.send(res);
+    }
+
+    fn start(
+        self: &Arc<Self>,
+        call: CallId,
+        attempt: AttemptId,
+        address: SocketAddr,
+        timeout: Duration,
+        hop: Option<Via>,
+    ) {
+        let pending = lock(&self.pending);
+        let Some(entry) = pending.get(&call) else {
+            drop(pending);
+            let outcome = failed(ErrorKind::DeadlinePassed, Duration::ZERO);
+            return self.feed(Event::Ended { attempt, outcome });
+        };
+        let (incoming, request) = (entry.incoming.clone(), entry.request.clone());
+        drop(pending);
+        let order = Order { address, attempt, call, hop, incoming, request, timeout };
+        let traffic = self.clone();
+        let mut attempts = lock(&self.attempts);
+        let task = self.runtime.spawn(async move { traffic.run(order).await });
+        attempts.insert(attempt, task.abort_handle());
+    }
+
+    async fn run(self: Arc<Self>, order: Order) {
+        let started = self.parts.clock.now();
+        let attempt = order.attempt;
+        let sent = self.send(&order).await;
+        let latency = self.parts.clock.now().saturating_sub(started);
+        match sent {
+            Ok(reply) => self.reply(order, reply, latency).await,
+            Err(failure) => self.end(attempt, failed(failure.kind(), latency)),
+        }
+    }
+
+    async fn send(&self, order: &Order) -> crate::forward::Result<Reply> {
+        let view = self.view.load_full();
+        let service = view.as_ref().and_then(|view| view.manifest.service(&order.incoming.service));
+        let repeatable = service.is_some_and(|service| service.kind.is_repeatable());
+        let streams = service
+            .is_some_and(|service| service.kind == crate::manifest::ServiceKind::File);
+        let attempt = Attempt {
+            address: order.address,
+            body: order.incoming.body.clone(),
+            connections: service.map_or(1, |service| service.connections),
+            deadline: order.timeout,
+            headers: self.lines(order),
+            method: order.incoming.method.clone(),
+            path: order.path(),
+            repeatable,
+            request: order.request.clone(),
+            whole: !streams,
+        };
+        match order.hop {
+            Some(_) => self.parts.peers.send(attempt).await,
+            None => self.parts.targets.send(attempt).await,
+        }
+    }
+
+    fn lines(&self, order: &Order) -> Vec<HeaderLine> {
+        let mut lines = order.incoming.passed_headers();
+        let Some(via) = order.hop else { return lines };
+        lines.extend(order.incoming.own_headers());
+        let has_client = lines.iter().any(|line| &*line.name == headers::CLIENT);
+        if let (false, Ok(client)) = (has_client, order.incoming.client()) {
+            let value = client.to_string().into();
+            lines.push(HeaderLine { name: headers::CLIENT.into(), value });
+        }
+        let auth = self.parts.peer_key.expose().into();
+        lines.push(HeaderLine { name: headers::PEER_AUTH.into(), value: auth });
+        lines.push(HeaderLine { name: headers::VIA.into(), value: via_text(via).into() });
+        lines
+    }
+
+    async fn reply(self: &Arc<Self>, order: Order, reply: Reply, latency: Duration) {
+        if let Some(error) = refusal(&order, &reply) {
+            return self.end(order.attempt, failed(error, latency));
+        }
+        match reply.body {
+            ReplyBody::Stream(body) => {
+                let head = Head { headers: reply.headers, status: reply.status };
+                self.stream(order, head, body, latency).await;
+            }
+            ReplyBody::Whole(body) => {
+                let status = reply.status;
+                let kept = Arc::new(KeptAnswer { body, headers: reply.headers, status });
+                if let Some(pending) = lock(&self.pending).get_mut(&order.call) {
+                    pending.reply = Some(kept.clone());
+                }
+                let outcome = Outcome::Answered { kept: Some(kept), latency, status };
+                self.end(order.attempt, outcome);
+            }
+        }
+    }
+
+    /// Gives the head to the caller at once and the body as it comes. The attempt ends with the
+    /// body; until then its slot is in use.
+    async fn stream(
+        self: &Arc<Self>,
+        order: Order,
+        head: Head,
+        mut body: futures::stream::BoxStream<'static, crate::forward::Result<bytes::Bytes>>,
+        latency: Duration,
+    ) {
+        let status = head.status;
+        let (mut tx, rx) = futures::channel::mpsc::channel(STREAM_CHUNKS);
+        if let Some(pending) = lock(&self.pending).remove(&order.call) {
+            let res = outgoing::streamed(status, &head.headers, rx, &pending.request);
+            let _ = pending.tx.send(res);
+        }
+        while let Some(chunk) = body.next().await {
+            let broke = chunk.as_ref().err().copied();
+            let sent = tx.send(chunk.map_err(std::io::Error::other)).await;
+            if let Some(failure) = broke {
+                let error = if sent.is_ok() { failure.kind() } else { ErrorKind::StreamCut };
+                return self.end(order.attempt, failed(error, latency));
+            }
+            if sent.is_err() {
+                return self.end(order.attempt, failed(ErrorKind::StreamCut, latency));
+            }
+        }
+        self.end(order.attempt, Outcome::Answered { kept: None, latency, status });
+    }
+
+    fn end(self: &Arc<Self>, attempt: AttemptId, outcome: Outcome) {
+        lock(&self.attempts).remove(&attempt);
+        self.feed(Event::Ended { attempt, outcome });
+    }
+}
+
+/// One attempt to be carried out.
+struct Order {
+    address: SocketAddr,
+    attempt: AttemptId,
+    call: CallId,
+    hop: Option<Via>,
+    incoming: Arc<Incoming>,
+    request: RequestId,
+    timeout: Duration,
+}
+
+impl Order {
+    fn path(&self) -> Arc<str> {
+        match self.hop {
+            Some(_) => {
+                format!("/v1/services/{}{}", self.incoming.service, self.incoming.path).into()
+            }
+            None => self.incoming.path.clone(),
+        }
+    }
+}
+
+struct Head {
+    headers: Vec<HeaderLine>,
+    status: u16,
+}
+
+/// Tells the decisions when the caller leaves before its answer.
+struct CallGuard {
+    call: CallId,
+    traffic: Arc<Traffic>,
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        if lock(&self.traffic.pending).remove(&self.call).is_some() {
+            self.traffic.feed(Event::Cancelled { call: self.call });
+        }
+    }
+}
+
+/// The error kind that another host answered with, if it did.
+fn refusal(order: &Order, reply: &Reply) -> Option<ErrorKind> {
+    order.hop?;
+    let line = reply.headers.iter().find(|line| &*line.name == headers::ERROR)?;
+    let name = serde_json::Value::String(line.value.to_string());
+    Some(serde_json::from_value(name).unwrap_or(ErrorKind::AnswerBroken))
+}
+
+fn failed(error: ErrorKind, latency: Duration) -> Outcome {
+    Outcome::Failed { error, latency }
+}
+
+/// A panic while a lock is held must not take the host's other requests with it.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
