Add first bodies of the decision slices

Selection, admission, shift caps, quarantine and look-ups as pure state machines with the signatures that the host composes.

--- /dev/null
+++ b/src/admission/queue.rs
@@ -0,0 +1,103 @@
+//! Requests of one service that wait for a slot.
+
+use std::collections::VecDeque;
+
+use crate::{base::invariant, prelude::*};
+
+/// The queue is full of requests that can still be served in time.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("the queue is full; come back after Retry-After")]
+pub struct Full;
+
+/// First in, first out, bounded; hopeless requests never leave it towards a target.
+///
+/// A request is hopeless when its deadline leaves less than the service's expected time: a target
+/// would work for nobody while others miss their deadlines behind it.
+#[derive(Debug)]
+pub struct Queue {
+    capacity: usize,
+    /// Hopeless ones that made room for newcomers, until `expire` hands them out.
+    evicted: Vec<RequestId>,
+    expected: Duration,
+    waiting: VecDeque<Waiting>,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    deadline: Moment,
+    request: RequestId,
+}
+
+impl Queue {
+    /// A queue of at most `capacity` requests that take about `expected` each.
+    pub fn new(capacity: usize, expected: Duration) -> Self {
+        Self { capacity, evicted: Vec::new(), expected, waiting: VecDeque::new() }
+    }
+
+    /// Takes up a new estimate of the service's time.
+    pub fn set_expected(&mut self, expected: Duration) {
+        self.expected = expected;
+    }
+
+    /// Adds a request. When full, the oldest hopeless one goes (see `expire`), else the newcomer.
+    pub fn push(&mut self, request: RequestId, deadline: Moment, now: Moment) -> Result<(), Full> {
+        if self.capacity <= self.waiting.len() {
+            let hopeless = self.waiting.iter().position(|waiting| self.is_hopeless(waiting, now));
+            let evicted = hopeless.and_then(|index| self.waiting.remove(index)).ok_or(Full)?;
+            self.evicted.push(evicted.request);
+        }
+        self.waiting.push_back(Waiting { deadline, request });
+        let len = self.waiting.len();
+        invariant::hold(len <= self.capacity, "queue-bounded", || format!("{len} waiting"));
+        Ok(())
+    }
+
+    /// The oldest request that can still be served in time; hopeless ones wait for `expire`.
+    pub fn pop(&mut self, now: Moment) -> Option<RequestId> {
+        let index = self.waiting.iter().position(|waiting| !self.is_hopeless(waiting, now))?;
+        self.waiting.remove(index).map(|waiting| waiting.request)
+    }
+
+    /// Takes out every hopeless request, oldest first.
+    pub fn expire(&mut self, now: Moment) -> Vec<RequestId> {
+        let mut expired = std::mem::take(&mut self.evicted);
+        let latest = now + self.expected;
+        self.waiting.retain(|waiting| {
+            let hopeless = waiting.deadline < latest;
+            if hopeless {
+                expired.push(waiting.request.clone());
+            }
+            !hopeless
+        });
+        expired
+    }
+
+    /// Takes out a request whose caller left; false if it is not here.
+    pub fn remove(&mut self, request: &RequestId) -> bool {
+        let Some(index) = self.waiting.iter().position(|waiting| waiting.request == *request)
+        else {
+            return false;
+        };
+        self.waiting.remove(index).is_some()
+    }
+
+    /// When the next waiting request turns hopeless.
+    pub fn next_expiry(&self) -> Option<Moment> {
+        let deadline = self.waiting.iter().map(|waiting| waiting.deadline).min()?;
+        Some(deadline.saturating_sub(self.expected))
+    }
+
+    /// Requests that wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    fn is_hopeless(&self, waiting: &Waiting, now: Moment) -> bool {
+        waiting.deadline < now + self.expected
+    }
+}
--- /dev/null
+++ b/src/admission/retry_budget.rs
@@ -0,0 +1,71 @@
+//! Retries as a share of the traffic.
+
+use crate::{base::invariant, prelude::*};
+
+/// Length of the sliding window, in buckets of one second.
+const BUCKETS: usize = 10;
+/// Retries that a window allows on top of the share, so that a quiet service can retry at all.
+const FLOOR: u32 = 3;
+/// Retries as a share of first attempts.
+const SHARE: f64 = 0.1;
+
+/// Allows retries up to a tenth of the first attempts of the last ten seconds.
+///
+/// Without it an outage multiplies its own load: each failure sends another request, the targets
+/// that are left get twice the traffic and fail too.
+#[derive(Debug, Default)]
+pub struct RetryBudget {
+    buckets: [Bucket; BUCKETS],
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Bucket {
+    first: u32,
+    retries: u32,
+    second: u64,
+}
+
+impl RetryBudget {
+    /// An empty window.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts a first attempt.
+    pub fn noted(&mut self, now: Moment) {
+        let bucket = self.bucket(now);
+        bucket.first = bucket.first.saturating_add(1);
+    }
+
+    /// Takes one retry out of the budget; false when it is used up.
+    pub fn take(&mut self, now: Moment) -> bool {
+        let (first, retries) = self.sums(now);
+        let allowed = f64::from(first) * SHARE + f64::from(FLOOR);
+        if allowed < f64::from(retries + 1) {
+            return false;
+        }
+        self.bucket(now).retries += 1;
+        let (_, retries) = self.sums(now);
+        invariant::hold(f64::from(retries) <= allowed, "retry-budget", || {
+            format!("{retries} retries of {first}")
+        });
+        true
+    }
+
+    fn bucket(&mut self, now: Moment) -> &mut Bucket {
+        let second = now.as_secs();
+        let bucket = &mut self.buckets[(second % BUCKETS as u64) as usize];
+        if bucket.second != second {
+            *bucket = Bucket { second, ..Bucket::default() };
+        }
+        bucket
+    }
+
+    fn sums(&self, now: Moment) -> (u32, u32) {
+        let oldest = (now.as_secs() + 1).saturating_sub(BUCKETS as u64);
+        let live = self.buckets.iter().filter(|bucket| oldest <= bucket.second);
+        live.fold((0, 0), |(first, retries), bucket| {
+            (first + bucket.first, retries + bucket.retries)
+        })
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,9 +3,14 @@
 //! Two halves that never mix: the decisions (pure state machines, no I/O and no clock) and the
 //! shell (sockets, timers, actors) that feeds them. `docs/DESIGN.md` holds the module map.
 
+pub mod admission;
 pub mod base;
+pub mod lookup;
 pub mod manifest;
 pub mod prelude;
+pub mod quarantine;
+pub mod selection;
+pub mod shift;
 pub mod timeline;
 pub mod view;
 
--- /dev/null
+++ b/src/lookup/tests.rs
@@ -0,0 +1,106 @@
+use std::{collections::BTreeSet, net::IpAddr};
+
+use super::*;
+use crate::{
+    manifest::{ClientBlock, DrainScope, Manifest, Weighing},
+    prelude::*,
+    view::{HostView, Tenure, View},
+};
+
+fn host(id: &str, region: &str) -> HostView {
+    HostView {
+        address: "127.0.0.1:80".parse().unwrap(),
+        generation: 1,
+        id: id.into(),
+        incarnation: 1,
+        leaving: false,
+        region: region.into(),
+        rpc: "127.0.0.1:81".parse().unwrap(),
+        zone: format!("{region}-1").into(),
+    }
+}
+
+fn view() -> View {
+    let hosts: Vec<HostView> = ["a", "b", "c", "d"]
+        .iter()
+        .flat_map(|name| {
+            ["split", "zagreb"].map(|region| host(&format!("{region}-{name}"), region))
+        })
+        .collect();
+    View {
+        baselines: Vec::new(),
+        drains: BTreeSet::new(),
+        manifest: Arc::new(Manifest {
+            client_blocks: Vec::new(),
+            drains: Vec::new(),
+            member: "agency".into(),
+            regions: Vec::new(),
+            sequence: 1,
+            services: Vec::new(),
+            weighing: Weighing::Latency,
+        }),
+        own: hosts[0].clone(),
+        hosts,
+        silent_regions: BTreeSet::new(),
+        tenure: Tenure {
+            owners: Vec::new(),
+            provisional: BTreeSet::new(),
+            valid_until: Moment::ZERO,
+        },
+    }
+}
+
+fn table() -> BlockTable {
+    let block =
+        |block: &str, home: &str| ClientBlock { block: block.parse().unwrap(), home: home.into() };
+    BlockTable::build(&[
+        block("10.0.0.0/8", "zagreb"),
+        block("10.1.0.0/16", "split"),
+        block("2001:db8::/32", "split"),
+    ])
+}
+
+fn first(view: &View, client: u32) -> Lookup {
+    let client = IpAddr::from((0x0a00_0000 + client).to_be_bytes());
+    rank(view, &table(), &LookupAsk { client, service: "status".into() }, Moment::ZERO)
+}
+
+#[test]
+fn longest_prefix_is_home() {
+    let home = |ip: &str| table().home(ip.parse().unwrap()).cloned();
+    assert_eq!(home("10.2.0.1").as_deref(), Some("zagreb"));
+    assert_eq!(home("10.1.0.1").as_deref(), Some("split"));
+    assert_eq!(home("::ffff:10.1.0.1").as_deref(), Some("split"));
+    assert_eq!(home("2001:db8::1").as_deref(), Some("split"));
+    assert_eq!(home("192.0.2.1"), None);
+}
+
+#[test]
+fn lost_host_moves_only_its_own_callers() {
+    let before = view();
+    let mut after = view();
+    after.hosts.retain(|host| &*host.id != "zagreb-b");
+    let mut moved = 0;
+    for client in 0..400 {
+        let (old, new) = (first(&before, client), first(&after, client));
+        assert_eq!(&*new.hosts[0].region, "zagreb");
+        if &*old.hosts[0].host == "zagreb-b" {
+            moved += 1;
+        } else {
+            assert_eq!(old.hosts[0], new.hosts[0]);
+        }
+    }
+    assert!((60..140).contains(&moved), "{moved} of 400 callers of four hosts");
+}
+
+#[test]
+fn leaving_and_drained_hosts_are_out_at_once() {
+    let mut view = view();
+    view.hosts.iter_mut().for_each(|host| host.leaving = &*host.id == "zagreb-a");
+    view.drains.insert(DrainScope::Host("zagreb-b".into()));
+    for client in 0..50 {
+        let lookup = first(&view, client);
+        assert!(lookup.hosts.iter().all(|host| !["zagreb-a", "zagreb-b"].contains(&&*host.host)));
+        assert_eq!(lookup.max_age, Duration::from_secs(1));
+    }
+}
--- /dev/null
+++ b/src/quarantine/mark.rs
@@ -0,0 +1,46 @@
+//! What hosts tell each other about a fingerprint.
+
+use super::Fingerprint;
+use crate::prelude::*;
+
+/// How far the suspicion goes.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Verdict {
+    /// In flight at a crash: runs alone.
+    Suspect,
+    /// Crashed a target while it ran alone: refused.
+    Refused,
+}
+
+/// A fingerprint and how long it still stands; clocks of hosts don't compare, time left does.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Mark {
+    #[serde(with = "hex_text")]
+    pub fingerprint: Fingerprint,
+    pub left: Duration,
+    pub verdict: Verdict,
+}
+
+/// JSON numbers lose digits beyond 64 bits in many readers, so the hash travels as text.
+mod hex_text {
+    use std::borrow::Cow;
+
+    use serde::{Deserialize, Deserializer, Serializer, de::Error};
+
+    use super::Fingerprint;
+
+    pub(super) fn serialize<S: Serializer>(
+        value: &Fingerprint,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(&format!("{value:032x}"))
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Fingerprint, D::Error> {
+        let text = Cow::<str>::deserialize(deserializer)?;
+        Fingerprint::from_str_radix(&text, 16).map_err(D::Error::custom)
+    }
+}
--- /dev/null
+++ b/src/quarantine/suspects.rs
@@ -0,0 +1,235 @@
+//! The quarantine of one host.
+
+use super::{Fingerprint, Mark, Verdict};
+use crate::{base::invariant, prelude::*};
+
+/// Longest refusal, as a multiple of the first.
+const MAX_DOUBLING: u32 = 8;
+
+/// Bounds of a quarantine.
+#[derive(Clone, Copy, Debug)]
+pub struct QuarantineLimits {
+    /// Most fingerprints that are remembered.
+    pub records: usize,
+    /// First time that a guilty request is refused for; doubles each time, up to eightfold.
+    pub refused: Duration,
+    /// Time that an unproven suspicion stands.
+    pub suspect: Duration,
+}
+
+impl Default for QuarantineLimits {
+    fn default() -> Self {
+        Self { records: 4096, refused: Duration::from_secs(60), suspect: Duration::from_secs(60) }
+    }
+}
+
+/// How a request may run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Standing {
+    /// Only with nothing else on its target.
+    Alone,
+    /// Like any other.
+    Clear,
+    /// Not at all until then.
+    Refused { until: Moment },
+}
+
+/// Fingerprints under suspicion and what runs where.
+#[derive(Debug)]
+pub struct Quarantine {
+    limits: QuarantineLimits,
+    records: BTreeMap<Fingerprint, Record>,
+    running: BTreeMap<TargetId, Vec<Run>>,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum State {
+    /// Gave a whole answer: a peer's older suspicion is not believed.
+    Cleared,
+    Suspect,
+    Refused,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    /// Times that it was refused.
+    refusals: u32,
+    state: State,
+    until: Moment,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Run {
+    fingerprint: Fingerprint,
+    /// Another request ran on the target at the same time, so a crash proves nothing.
+    shared: bool,
+}
+
+impl Quarantine {
+    /// An empty quarantine.
+    pub fn new(limits: QuarantineLimits) -> Self {
+        Self { limits, records: BTreeMap::new(), running: BTreeMap::new() }
+    }
+
+    /// A request was sent to `target`.
+    pub fn started(&mut self, fingerprint: Fingerprint, target: &TargetId, now: Moment) {
+        let standing = self.standing(fingerprint, now);
+        let runs = self.running.entry(target.clone()).or_default();
+        let shared = !runs.is_empty();
+        runs.iter_mut().for_each(|run| run.shared = true);
+        runs.push(Run { fingerprint, shared });
+        let refused = matches!(standing, Standing::Refused { .. });
+        invariant::hold(!refused, "quarantine-not-run", || format!("{fingerprint:032x}"));
+        let alone = standing != Standing::Alone || !shared;
+        invariant::hold(alone, "suspect-runs-alone", || format!("{fingerprint:032x}"));
+    }
+
+    /// A request that was sent to `target` ended; `crashed` when the target went down under it.
+    /// Returns what peers should learn at once.
+    pub fn ended(
+        &mut self,
+        fingerprint: Fingerprint,
+        target: &TargetId,
+        crashed: bool,
+        now: Moment,
+    ) -> Option<Mark> {
+        let run = self.take_run(fingerprint, target)?;
+        if !crashed {
+            self.clear(fingerprint);
+            return None;
+        }
+        let others: Vec<Fingerprint> = self
+            .running
+            .get(target)
+            .map(|runs| runs.iter().map(|run| run.fingerprint).collect())
+            .unwrap_or_default();
+        for other in others {
+            self.suspect(other, now);
+        }
+        let proven = !run.shared && self.is_suspect(fingerprint, now);
+        if proven {
+            self.refuse(fingerprint, now)
+        } else {
+            self.suspect(fingerprint, now)
+        }
+        self.mark(fingerprint, now)
+    }
+
+    /// A request ended in a way that proves nothing: shed, timed out, cancelled.
+    pub fn abandoned(&mut self, fingerprint: Fingerprint, target: &TargetId) {
+        self.take_run(fingerprint, target);
+    }
+
+    /// How a request of this fingerprint may run now.
+    pub fn standing(&self, fingerprint: Fingerprint, now: Moment) -> Standing {
+        let Some(record) = self.records.get(&fingerprint) else { return Standing::Clear };
+        match record.state {
+            State::Refused if now < record.until => Standing::Refused { until: record.until },
+            // Past its time a guilty request is tried again, but alone.
+            State::Refused => Standing::Alone,
+            State::Suspect if now < record.until => Standing::Alone,
+            State::Cleared | State::Suspect => Standing::Clear,
+        }
+    }
+
+    /// Everything that peers should know.
+    pub fn marks(&self, now: Moment) -> Vec<Mark> {
+        self.records.keys().filter_map(|&fingerprint| self.mark(fingerprint, now)).collect()
+    }
+
+    /// Takes in what a peer knows. It never extends what is known here by more than a fresh
+    /// verdict would: two hosts that repeat each other must not keep a suspicion alive.
+    pub fn learn(&mut self, mark: &Mark, now: Moment) {
+        let (state, longest) = match mark.verdict {
+            Verdict::Refused => (State::Refused, self.limits.refused * MAX_DOUBLING),
+            Verdict::Suspect => (State::Suspect, self.limits.suspect),
+        };
+        let left = mark.left.min(longest);
+        if let Some(known) = self.records.get(&mark.fingerprint) {
+            let refutes = state == State::Suspect && known.state != State::Suspect;
+            let repeats = state == known.state && now + left < known.until + longest / 4;
+            if now < known.until && (refutes || repeats) {
+                return;
+            }
+        }
+        let refusals = self.records.get(&mark.fingerprint).map_or(0, |known| known.refusals);
+        let refusals = if state == State::Refused { refusals.max(1) } else { refusals };
+        self.put(mark.fingerprint, Record { refusals, state, until: now + left }, now);
+    }
+
+    /// Fingerprints that are remembered.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether none is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    fn take_run(&mut self, fingerprint: Fingerprint, target: &TargetId) -> Option<Run> {
+        let runs = self.running.get_mut(target)?;
+        let index = runs.iter().position(|run| run.fingerprint == fingerprint)?;
+        let run = runs.swap_remove(index);
+        if runs.is_empty() {
+            self.running.remove(target);
+        }
+        Some(run)
+    }
+
+    fn is_suspect(&self, fingerprint: Fingerprint, now: Moment) -> bool {
+        self.standing(fingerprint, now) != Standing::Clear
+    }
+
+    fn clear(&mut self, fingerprint: Fingerprint) {
+        if let Some(record) = self.records.get_mut(&fingerprint) {
+            record.state = State::Cleared;
+        }
+    }
+
+    fn suspect(&mut self, fingerprint: Fingerprint, now: Moment) {
+        let known = self.records.get(&fingerprint).copied();
+        if known.is_some_and(|record| record.state == State::Refused) {
+            return;
+        }
+        let until = now + self.limits.suspect;
+        let refusals = known.map_or(0, |record| record.refusals);
+        self.put(fingerprint, Record { refusals, state: State::Suspect, until }, now);
+    }
+
+    fn refuse(&mut self, fingerprint: Fingerprint, now: Moment) {
+        let refusals = self.records.get(&fingerprint).map_or(0, |record| record.refusals);
+        let doubling = 1_u32.checked_shl(refusals).unwrap_or(MAX_DOUBLING).min(MAX_DOUBLING);
+        let until = now + self.limits.refused * doubling;
+        let record = Record { refusals: refusals + 1, state: State::Refused, until };
+        self.put(fingerprint, record, now);
+    }
+
+    fn mark(&self, fingerprint: Fingerprint, now: Moment) -> Option<Mark> {
+        let record = self.records.get(&fingerprint)?;
+        let left = record.until.checked_sub(now).filter(|left| !left.is_zero())?;
+        let verdict = match record.state {
+            State::Cleared => return None,
+            State::Refused => Verdict::Refused,
+            State::Suspect => Verdict::Suspect,
+        };
+        Some(Mark { fingerprint, left, verdict })
+    }
+
+    /// Keeps a record within the bound: past ones go first, then suspicions, then what ends first.
+    fn put(&mut self, fingerprint: Fingerprint, record: Record, now: Moment) {
+        if self.limits.records <= self.records.len() && !self.records.contains_key(&fingerprint) {
+            let rank = |record: &Record| {
+                (now < record.until, record.state == State::Refused, record.until)
+            };
+            let first = self.records.iter().min_by_key(|(_, record)| rank(record));
+            if let Some(first) = first.map(|(&first, _)| first) {
+                self.records.remove(&first);
+            }
+        }
+        self.records.insert(fingerprint, record);
+        let len = self.records.len();
+        let bounded = len <= self.limits.records.max(1);
+        invariant::hold(bounded, "quarantine-bounded", || format!("{len} records"));
+    }
+}
--- /dev/null
+++ b/src/selection/selector.rs
@@ -0,0 +1,190 @@
+//! The selector: one for a host, over the targets of all its services.
+
+use rand::Rng;
+
+use super::{Candidate, LoadReport, Policy, Signal, health::Health};
+use crate::{base::invariant, manifest::Weighing, prelude::*};
+
+/// Above this many candidates only a random sample is weighed, so that a choice stays cheap.
+const SAMPLE: usize = 16;
+
+/// A target left or joined the pool because of its failures.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// Out for a time after repeated failures.
+    Ejected(TargetId),
+    /// Back, at a concurrency of one.
+    Returned(TargetId),
+}
+
+/// Chooses targets and keeps what is known of their condition.
+#[derive(Debug)]
+pub struct Selector {
+    changes: Vec<Change>,
+    policy: Policy,
+    targets: BTreeMap<TargetId, Health>,
+    turns: BTreeMap<ServiceId, usize>,
+}
+
+impl Selector {
+    /// A selector that knows no target yet.
+    pub fn new(policy: Policy) -> Self {
+        Self { changes: Vec::new(), policy, targets: BTreeMap::new(), turns: BTreeMap::new() }
+    }
+
+    /// Takes up a changed weighing; what is known of the targets stays.
+    pub fn set_policy(&mut self, policy: Policy) {
+        self.policy = policy;
+    }
+
+    /// Index of the target to use, or `None` when none has room. Ejected targets are used only
+    /// where no other candidate exists: ejection never empties a pool.
+    pub fn pick(
+        &mut self,
+        service: &ServiceId,
+        candidates: &[Candidate],
+        now: Moment,
+        rng: &mut impl Rng,
+    ) -> Option<usize> {
+        self.readmit(now);
+        let usable = self.usable(candidates, now);
+        let nearest = usable.iter().map(|&index| candidates[index].tier).min()?;
+        let tier: Vec<usize> =
+            usable.into_iter().filter(|&index| candidates[index].tier == nearest).collect();
+        let index = match self.policy {
+            Policy::LeastInFlight => {
+                lowest(&tier, rng, |index| f64::from(candidates[index].in_flight))
+            }
+            Policy::Random => tier[rng.random_range(0..tier.len())],
+            Policy::ReportedLoad => {
+                lowest(&tier, rng, |index| self.reported_share(&candidates[index].target))
+            }
+            Policy::RoundRobin => self.next_turn(service, &tier),
+            Policy::TwoChoices => {
+                let two = [0; 2].map(|_| tier[rng.random_range(0..tier.len())]);
+                lowest(&two, rng, |index| self.cost(&candidates[index], Weighing::Latency, now))
+            }
+            Policy::Weighed(weighing) => {
+                let sample = sample(tier, rng);
+                lowest(&sample, rng, |index| self.cost(&candidates[index], weighing, now))
+            }
+        };
+        let chosen = &candidates[index];
+        invariant::hold(chosen.has_room(), "selection-has-room", || format!("{chosen:?}"));
+        Some(index)
+    }
+
+    /// A request was sent to `target`.
+    pub fn started(&mut self, target: &TargetId, now: Moment) {
+        self.health(target, now);
+    }
+
+    /// A request to `target` ended after `latency`.
+    pub fn ended(&mut self, target: &TargetId, signal: Signal, latency: Duration, now: Moment) {
+        if self.health(target, now).ended(signal, latency, now) {
+            self.changes.push(Change::Ejected(target.clone()));
+        }
+    }
+
+    /// A load report of `target` came in.
+    pub fn report(&mut self, target: &TargetId, report: LoadReport, now: Moment) {
+        self.health(target, now).report(report, now);
+    }
+
+    /// Requests that may run on `target` at a time: from 1 when cold to `slots`, 0 when draining.
+    pub fn limit(&self, target: &TargetId, slots: u32, now: Moment) -> u32 {
+        match self.targets.get(target) {
+            Some(health) => health.limit(slots, now),
+            None => slots.min(1),
+        }
+    }
+
+    /// Whether the target itself said that it retires.
+    pub fn draining(&self, target: &TargetId) -> bool {
+        self.targets.get(target).is_some_and(Health::is_draining)
+    }
+
+    /// Whether the target is out because of its failures.
+    pub fn ejected(&self, target: &TargetId, now: Moment) -> bool {
+        self.targets.get(target).is_some_and(|health| health.is_ejected(now))
+    }
+
+    /// Forgets targets that are no longer in the manifest.
+    pub fn retain(&mut self, is_known: impl Fn(&TargetId) -> bool) {
+        self.targets.retain(|target, _| is_known(target));
+    }
+
+    /// Ejections and returns since the last call.
+    pub fn take_changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+
+    fn health(&mut self, target: &TargetId, now: Moment) -> &mut Health {
+        self.targets.entry(target.clone()).or_insert_with(|| Health::new(now))
+    }
+
+    fn readmit(&mut self, now: Moment) {
+        for (target, health) in &mut self.targets {
+            if health.try_return(now) {
+                self.changes.push(Change::Returned(target.clone()));
+            }
+        }
+    }
+
+    fn usable(&self, candidates: &[Candidate], now: Moment) -> Vec<usize> {
+        let in_use = |candidate: &Candidate| candidate.limit != 0;
+        let is_sound =
+            |candidate: &Candidate| in_use(candidate) && !self.ejected(&candidate.target, now);
+        let any_sound = candidates.iter().any(is_sound);
+        let has_room =
+            |candidate: &Candidate| candidate.has_room() && (!any_sound || is_sound(candidate));
+        (0..candidates.len()).filter(|&index| has_room(&candidates[index])).collect()
+    }
+
+    fn reported_share(&self, target: &TargetId) -> f64 {
+        self.targets.get(target).map_or(0.5, Health::reported_share)
+    }
+
+    /// Expected cost of one more request; lower is better.
+    fn cost(&self, candidate: &Candidate, weighing: Weighing, now: Moment) -> f64 {
+        let load = f64::from(candidate.in_flight + 1) / f64::from(candidate.limit.max(1));
+        let Some(health) = self.targets.get(&candidate.target) else { return load };
+        let latency = match weighing {
+            Weighing::Headroom => health.latency().sqrt(),
+            Weighing::Latency => health.latency(),
+        };
+        load * latency / health.trust(now)
+    }
+
+    fn next_turn(&mut self, service: &ServiceId, tier: &[usize]) -> usize {
+        let turn = self.turns.entry(service.clone()).or_default();
+        *turn = turn.wrapping_add(1);
+        tier[*turn % tier.len()]
+    }
+}
+
+/// The index of least cost; ties fall evenly.
+fn lowest(indices: &[usize], rng: &mut impl Rng, cost: impl Fn(usize) -> f64) -> usize {
+    let mut best = indices[0];
+    let mut best_cost = cost(best);
+    let mut ties = 1_u32;
+    for &index in &indices[1..] {
+        let cost = cost(index);
+        if cost < best_cost {
+            (best, best_cost, ties) = (index, cost, 1);
+        } else if cost == best_cost {
+            ties += 1;
+            if rng.random_range(0..ties) == 0 {
+                best = index;
+            }
+        }
+    }
+    best
+}
+
+fn sample(tier: Vec<usize>, rng: &mut impl Rng) -> Vec<usize> {
+    if tier.len() <= SAMPLE {
+        return tier;
+    }
+    (0..SAMPLE).map(|_| tier[rng.random_range(0..tier.len())]).collect()
+}
--- /dev/null
+++ b/src/shift/caps.rs
@@ -0,0 +1,183 @@
+//! The caps themselves, kept by each host for its own part of the traffic.
+
+use rand::Rng;
+
+use super::{
+    DirectAsk, ShiftAsk,
+    meter::{Meter, WINDOW},
+    ramp::Ramp,
+};
+use crate::{base::invariant, manifest::Share, prelude::*, view::Baseline};
+
+/// Part of a cap that each side takes while the two sides can't agree: the home region's hosts
+/// shift half, and hosts that its callers reach directly serve half, so the sum stays under it.
+const SPLIT: Share = 0.5;
+/// Least spread of a Retry-After.
+const SPREAD_MIN: Duration = Duration::from_secs(1);
+/// Widest spread of a Retry-After.
+const SPREAD_MAX: Duration = Duration::from_secs(15);
+/// Most arrivals whose credit is kept.
+const MAX_EARNED: f64 = 1.0e3;
+
+/// Shift caps of this host, by service and home region.
+#[derive(Debug)]
+pub struct ShiftCaps {
+    flows: BTreeMap<FlowId, Flow>,
+    started_at: Moment,
+}
+
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct FlowId {
+    home: RegionId,
+    service: ServiceId,
+}
+
+#[derive(Debug)]
+struct Flow {
+    /// Credit for direct callers, in requests; at most one, so that no burst passes.
+    direct: f64,
+    direct_at: Moment,
+    /// Credit for shifts, in requests. Each arrival earns the cap's share of one. With the window
+    /// alone, old traffic could pay for a burst of shifts after the traffic itself is gone.
+    earned: f64,
+    meter: Meter,
+    /// What the last shift cost, for `undo`.
+    price: f64,
+    ramp: Ramp,
+}
+
+impl ShiftCaps {
+    /// Caps with empty windows at `now`: a restarted host starts without credit.
+    pub fn new(now: Moment) -> Self {
+        Self { flows: BTreeMap::new(), started_at: now }
+    }
+
+    /// Counts a request of a caller at home in `home`, before any `allow` for it.
+    pub fn arrived(&mut self, service: &ServiceId, home: &RegionId, now: Moment) {
+        let flow = self.flow(service, home, now);
+        flow.meter.change(now, |bucket| bucket.total += 1);
+        flow.earned = (flow.earned + 1.0).min(MAX_EARNED);
+    }
+
+    /// Whether this home host may send one more request to another region.
+    pub fn allow(&mut self, ask: &ShiftAsk, now: Moment) -> bool {
+        let cap = if ask.regions_silent { ask.cap * SPLIT } else { ask.cap };
+        let flow = self.flow(&ask.service, &ask.home, now);
+        flow.allow(cap, now)
+    }
+
+    /// Whether this host may serve one more caller whose home hosts are gone.
+    pub fn allow_direct(&mut self, ask: &DirectAsk, now: Moment) -> bool {
+        let rate = ask.cap * SPLIT * ask.baseline / f64::from(ask.receivers.max(1));
+        let flow = self.flow(&ask.service, &ask.home, now);
+        flow.allow_direct(rate, now)
+    }
+
+    /// Takes back an allowed shift that was then not run.
+    pub fn undo(&mut self, service: &ServiceId, home: &RegionId, now: Moment) {
+        let flow = self.flow(service, home, now);
+        if flow.meter.take_back(now) {
+            flow.earned += flow.price;
+        }
+    }
+
+    /// A shifted request ended: `good` when neither slow nor shed.
+    pub fn feedback(&mut self, service: &ServiceId, home: &RegionId, good: bool, now: Moment) {
+        self.flow(service, home, now).ramp.feedback(good, now);
+    }
+
+    /// Requests a second by service and home region, over the window.
+    pub fn rates(&self, now: Moment) -> Vec<Baseline> {
+        let rate = |(id, flow): (&FlowId, &Flow)| Baseline {
+            home: id.home.clone(),
+            rate: f64::from(flow.meter.peek(now).total) / flow.meter.span(now).as_secs_f64(),
+            service: id.service.clone(),
+        };
+        self.flows.iter().map(rate).collect()
+    }
+
+    /// When a refused caller should come back: the more were refused, the wider the spread.
+    pub fn retry_after(
+        &self,
+        service: &ServiceId,
+        home: &RegionId,
+        now: Moment,
+        rng: &mut impl Rng,
+    ) -> Duration {
+        let id = FlowId { home: home.clone(), service: service.clone() };
+        let sums = self.flows.get(&id).map(|flow| flow.meter.peek(now)).unwrap_or_default();
+        let pressure = f64::from(sums.refused) / f64::from(sums.shifted.max(1));
+        let spread = SPREAD_MIN.mul_f64(pressure.max(1.0)).min(SPREAD_MAX);
+        SPREAD_MIN + spread.mul_f64(rng.random_range(0.0..1.0))
+    }
+
+    /// Changes of direction of a flow's ramp within the counted span.
+    pub fn reversals(&self, service: &ServiceId, home: &RegionId) -> usize {
+        let id = FlowId { home: home.clone(), service: service.clone() };
+        self.flows.get(&id).map_or(0, |flow| flow.ramp.reversals())
+    }
+
+    fn flow(&mut self, service: &ServiceId, home: &RegionId, now: Moment) -> &mut Flow {
+        let id = FlowId { home: home.clone(), service: service.clone() };
+        let started_at = self.started_at;
+        self.flows.entry(id).or_insert_with(|| Flow::new(started_at, now))
+    }
+}
+
+impl Flow {
+    fn new(started_at: Moment, now: Moment) -> Self {
+        Self {
+            direct: 0.0,
+            direct_at: started_at,
+            earned: 0.0,
+            meter: Meter::new(now),
+            price: 0.0,
+            ramp: Ramp::new(now),
+        }
+    }
+
+    fn allow(&mut self, cap: Share, now: Moment) -> bool {
+        let cap_now = cap * self.ramp.share(now);
+        let sums = self.meter.sums(now);
+        let within = f64::from(sums.shifted + 1) <= cap_now * f64::from(sums.total);
+        // One shift costs the arrivals that it takes to earn it; kept credit is two shifts' worth.
+        let price = 1.0 / cap_now.max(f64::EPSILON);
+        self.earned = self.earned.min(price * 2.0);
+        if !within || self.earned < price {
+            self.meter.change(now, |bucket| bucket.refused += 1);
+            return false;
+        }
+        self.earned -= price;
+        self.price = price;
+        self.ramp.used(now);
+        self.meter.change(now, |bucket| bucket.shifted += 1);
+        self.check_cap(cap, now);
+        true
+    }
+
+    fn allow_direct(&mut self, rate: f64, now: Moment) -> bool {
+        let earned = now.saturating_sub(self.direct_at).as_secs_f64() * rate;
+        self.direct = (self.direct + earned).min(1.0);
+        self.direct_at = now;
+        if self.direct < 1.0 {
+            self.meter.change(now, |bucket| bucket.refused += 1);
+            return false;
+        }
+        self.direct -= 1.0;
+        self.meter.change(now, |bucket| bucket.shifted += 1);
+        let shifted = f64::from(self.meter.sums(now).shifted);
+        let most = rate * WINDOW.as_secs_f64() + 1.0;
+        invariant::hold(shifted <= most, "direct-shift-under-cap", || {
+            format!("{shifted} served directly, {most:.1} allowed")
+        });
+        true
+    }
+
+    fn check_cap(&mut self, cap: Share, now: Moment) {
+        let sums = self.meter.sums(now);
+        let most = cap * f64::from(sums.total);
+        invariant::hold(f64::from(sums.shifted) <= most, "shift-under-cap", || {
+            format!("{} shifted of {}, cap {cap}", sums.shifted, sums.total)
+        });
+    }
+}
--- /dev/null
+++ b/src/shift/ramp.rs
@@ -0,0 +1,130 @@
+//! How much of a cap is in use: a shift starts small and grows while it goes well.
+
+use std::collections::VecDeque;
+
+use crate::{base::invariant, manifest::Share, prelude::*};
+
+/// First step, as a share of the cap.
+const FIRST_STEP: Share = 0.1;
+/// Least time between two steps up, and between two steps down.
+const STEP_TIME: Duration = Duration::from_secs(1);
+/// Good answers that a step up needs.
+const STEP_GOOD: u32 = 3;
+/// Bad answers, as a share of a step's answers, that make it back off.
+const BAD_SHARE: Share = 0.2;
+/// Without shifts for this long the caches of the receiving region count as cold again.
+const COLD_AFTER: Duration = Duration::from_secs(30);
+/// First pause after backing off; doubles with every reversal of the last minutes.
+const PAUSE_BASE: Duration = Duration::from_secs(4);
+/// Longest pause.
+const PAUSE_MAX: Duration = Duration::from_secs(64);
+/// Span over which reversals are counted.
+const REVERSAL_SPAN: Duration = Duration::from_secs(300);
+/// Most reversals that the pauses allow within the span.
+const REVERSAL_MAX: usize = 16;
+
+/// The share of a cap that may be used now.
+///
+/// A large shift at once meets cold caches: answers slow down, slots fill and the receiving region
+/// tips over. Growing on good answers and halving on bad ones finds what it can bear. A pause that
+/// doubles with each reversal keeps the share from swinging.
+#[derive(Clone, Debug)]
+pub(super) struct Ramp {
+    bad: u32,
+    good: u32,
+    last_shift: Moment,
+    last_step: Moment,
+    paused_until: Moment,
+    reversals: VecDeque<Moment>,
+    rising: bool,
+    share: Share,
+}
+
+impl Ramp {
+    pub(super) fn new(now: Moment) -> Self {
+        Self {
+            bad: 0,
+            good: 0,
+            last_shift: now,
+            last_step: now,
+            paused_until: now,
+            reversals: VecDeque::new(),
+            rising: true,
+            share: FIRST_STEP,
+        }
+    }
+
+    /// Share of the cap that may be used now.
+    pub(super) fn share(&self, now: Moment) -> Share {
+        if COLD_AFTER < now.saturating_sub(self.last_shift) { FIRST_STEP } else { self.share }
+    }
+
+    /// A shift was allowed.
+    pub(super) fn used(&mut self, now: Moment) {
+        if COLD_AFTER < now.saturating_sub(self.last_shift) {
+            self.share = FIRST_STEP;
+            self.last_step = now;
+            (self.good, self.bad) = (0, 0);
+        }
+        self.last_shift = now;
+    }
+
+    /// A shifted request ended.
+    pub(super) fn feedback(&mut self, good: bool, now: Moment) {
+        if good {
+            self.good += 1;
+        } else {
+            self.bad += 1;
+        }
+        if now.saturating_sub(self.last_step) < STEP_TIME {
+            return;
+        }
+        let answers = self.good + self.bad;
+        if f64::from(answers) * BAD_SHARE < f64::from(self.bad) {
+            self.step_down(now);
+        } else if STEP_GOOD <= self.good && self.paused_until <= now {
+            self.step_up(now);
+        }
+    }
+
+    /// Changes of direction within the counted span.
+    pub(super) fn reversals(&self) -> usize {
+        self.reversals.len()
+    }
+
+    fn step_down(&mut self, now: Moment) {
+        self.turn(false, now);
+        let doublings = u32::try_from(self.reversals.len() / 2).unwrap_or(u32::MAX).min(8);
+        let pause = PAUSE_BASE.saturating_mul(1 << doublings).min(PAUSE_MAX);
+        self.paused_until = now + pause;
+        self.step_to((self.share / 2.0).max(FIRST_STEP / 4.0), now);
+    }
+
+    fn step_up(&mut self, now: Moment) {
+        if self.share < 1.0 {
+            self.turn(true, now);
+        }
+        self.step_to((self.share * 2.0).min(1.0), now);
+    }
+
+    fn step_to(&mut self, share: Share, now: Moment) {
+        self.share = share;
+        self.last_step = now;
+        (self.good, self.bad) = (0, 0);
+    }
+
+    fn turn(&mut self, rising: bool, now: Moment) {
+        while self.reversals.front().is_some_and(|&at| at + REVERSAL_SPAN < now) {
+            self.reversals.pop_front();
+        }
+        if self.rising == rising {
+            return;
+        }
+        self.rising = rising;
+        self.reversals.push_back(now);
+        let count = self.reversals.len();
+        invariant::hold(count <= REVERSAL_MAX, "shift-reversals-bounded", || {
+            format!("{count} reversals within {REVERSAL_SPAN:?}")
+        });
+    }
+}
