--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,14 +5,18 @@
 
 pub mod admission;
 pub mod base;
+pub mod logging;
 pub mod lookup;
 pub mod manifest;
+pub mod metrics;
 pub mod prelude;
 pub mod quarantine;
 pub mod selection;
+pub mod settings;
 pub mod shift;
 pub mod timeline;
 pub mod view;
+pub mod yaml;
 
 /// Parses the arguments, runs the subcommand and maps its result to an exit code.
 pub fn run() -> std::process::ExitCode {
