--- a/src/lookup/tests.rs
+++ b/src/lookup/tests.rs
@@ -9,6 +9,7 @@
 
 fn host(id: &str, region: &str) -> HostView {
     HostView {
+        adopted: Vec::new(),
         address: "127.0.0.1:80".parse().unwrap(),
         generation: 1,
         id: id.into(),
