--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod base;
+pub mod cmd;
 pub mod logging;
 pub mod lookup;
 pub mod manifest;
@@ -20,5 +21,15 @@
 
 /// Parses the arguments, runs the subcommand and maps its result to an exit code.
 pub fn run() -> std::process::ExitCode {
-    std::process::ExitCode::SUCCESS
+    let cli = match <cmd::Cli as clap::Parser>::try_parse() {
+        Ok(cli) => cli,
+        Err(error) => error.exit(),
+    };
+    match cli.run() {
+        Ok(exit) => exit.into(),
+        Err(report) => {
+            eprintln!("error: {report:#}");
+            cmd::Exit::Failed.into()
+        }
+    }
 }
