Add the trace format: writer, strict reader, replay with the first difference in context

A recorded run proves something only if a cut, damaged or foreign file can't pass for one that replays.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod metrics;
 pub mod prelude;
 pub mod timeline;
+pub mod trace;
 pub mod view;
 
 /// Parses the arguments, runs the subcommand and maps its result to an exit code.
