Add the ledger and the HTTP client to targets

A booking must run at most once without a shared store: the ledger of the incarnation that a binding names writes the entry before the request goes out, and a planned stop hands the sealed ledger to a successor, which never lets a new key of an adopted binding run (two successors may hold it).

The client says Connect only when its connector failed: a layer around the connector notes whether a connection was made for the exchange, so that a timeout can be told from proof that nothing was sent. Bookings get a connection of their own.

--- a/src/base/mod.rs
+++ b/src/base/mod.rs
@@ -3,6 +3,7 @@
 mod binding;
 mod clock;
 mod error_kind;
+mod header_line;
 mod ids;
 pub mod invariant;
 mod ran;
@@ -13,6 +14,7 @@
     binding::{Binding, BindingError},
     clock::{BootClock, Clock, ManualClock, Moment},
     error_kind::{AnswerRow, ErrorKind, Resend},
+    header_line::{HeaderLine, header},
     ids::{
         Generation, HostId, Incarnation, MemberId, RegionId, RequestId, Sequence, ServiceId,
         TargetId, ZoneId,
--- /dev/null
+++ b/src/ledger/begin.rs
@@ -0,0 +1,40 @@
+//! What the ledger says when a request begins, and what it is told when the request ends.
+
+use super::KeptAnswer;
+use crate::prelude::*;
+
+/// Whether a request may run. Only `Fresh` lets it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Begin {
+    /// The key came with another body before: this one was not run.
+    Conflict,
+    /// The generation is gone: whether the request ran is unknown.
+    Dropped,
+    /// The entry is made; the request may be sent, once, and `end` must be called once.
+    Fresh,
+    /// No room for another entry: not run.
+    Full,
+    /// It ran; this is its answer.
+    Kept(Arc<KeptAnswer>),
+    /// It ran and was answered with this status; the answer was not kept.
+    KeptFact { status: u16 },
+    /// It is running: wait for it.
+    Running,
+    /// This ledger takes no new keys any more, and knows all that it ever took: not run.
+    Sealed,
+    /// The binding is not of this ledger: whether the request ran is unknown here.
+    Stranger,
+    /// It was sent, and how it ended is not known.
+    Unknown,
+}
+
+/// How a request ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum End {
+    /// The target ran it and answered.
+    Answered(Arc<KeptAnswer>),
+    /// Proven not to have run: the next `begin` with the same body may run it.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
--- /dev/null
+++ b/src/ledger/digest.rs
@@ -0,0 +1,38 @@
+//! Digests that stand for keys and bodies.
+
+use sha2::{Digest, Sha256};
+
+use crate::prelude::*;
+
+/// A caller's idempotency key.
+pub type Key = Arc<str>;
+
+/// First 16 bytes of the SHA-256 of a request.
+pub type BodyDigest = [u8; 16];
+
+/// First 16 bytes of the SHA-256 of a key.
+pub(super) type KeyDigest = [u8; 16];
+
+/// Digest of what a request asks for. Two requests with the same key must agree in it.
+pub fn body_digest(method: &str, path: &str, body: &[u8]) -> BodyDigest {
+    let mut hash = Sha256::new();
+    for part in [method.as_bytes(), path.as_bytes()] {
+        hash.update((part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    hash.update(body);
+    short(hash)
+}
+
+pub(super) fn key_digest(key: &str) -> KeyDigest {
+    let mut hash = Sha256::new();
+    hash.update(key.as_bytes());
+    short(hash)
+}
+
+fn short(hash: Sha256) -> [u8; 16] {
+    let whole = hash.finalize();
+    let mut first = [0; 16];
+    first.copy_from_slice(&whole[..16]);
+    first
+}
--- /dev/null
+++ b/src/ledger/generation.rs
@@ -0,0 +1,72 @@
+//! The entries of one generation.
+
+use super::{
+    Begin, BodyDigest, KeptAnswer,
+    digest::KeyDigest,
+    sealed::{SealedEntry, SealedState},
+};
+use crate::prelude::*;
+
+/// What is known of one key.
+#[derive(Clone, Debug)]
+pub(super) struct Entry {
+    pub(super) body: BodyDigest,
+    pub(super) state: State,
+}
+
+/// How far a request has come.
+#[derive(Clone, Debug)]
+pub(super) enum State {
+    Answered(Arc<KeptAnswer>),
+    Fact(u16),
+    NotRun,
+    Running,
+    Unknown,
+}
+
+impl State {
+    /// What a resend is told; `None` when it may run again.
+    pub(super) fn begin(&self) -> Option<Begin> {
+        match self {
+            State::Answered(answer) => Some(Begin::Kept(answer.clone())),
+            State::Fact(status) => Some(Begin::KeptFact { status: *status }),
+            State::NotRun => None,
+            State::Running => Some(Begin::Running),
+            State::Unknown => Some(Begin::Unknown),
+        }
+    }
+}
+
+/// Entries of one generation.
+#[derive(Clone, Debug)]
+pub(super) struct GenerationTable {
+    pub(super) entries: BTreeMap<KeyDigest, Entry>,
+    /// From then on its whole content is dropped, but for what is still running.
+    pub(super) expires: Moment,
+    /// Cleared when dropped: a key that is not found is then unknown.
+    pub(super) open: bool,
+}
+
+impl GenerationTable {
+    pub(super) fn new(expires: Moment) -> Self {
+        Self { entries: BTreeMap::new(), expires, open: true }
+    }
+
+    /// Drops all but what is still running: those requests may yet be asked for, and a second
+    /// `begin` of one of them must not find its key gone.
+    pub(super) fn drop_settled(&mut self) {
+        self.open = false;
+        self.entries.retain(|_, entry| matches!(entry.state, State::Running));
+    }
+
+    pub(super) fn seal(&self) -> Vec<SealedEntry> {
+        let entries = self.entries.iter();
+        entries
+            .map(|(key, entry)| SealedEntry {
+                body: entry.body,
+                key: *key,
+                state: SealedState::from(&entry.state),
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/ledger/mod.rs
@@ -0,0 +1,37 @@
+//! Runs a request that may not be repeated at most once, without asking anybody else.
+//!
+//! A look-up gives the caller a binding: host, random incarnation, generation. Only the ledger of
+//! that incarnation may let a request of that binding run, and it writes the entry before the
+//! request is sent. A resend finds the entry, and so never runs a second time:
+//!
+//! - the host was replaced: another incarnation, so the resend is a stranger there;
+//! - the generation was dropped to bound memory: what it held is unknown, never "not run";
+//! - the host stopped as planned: the sealed ledger answers at a successor, which never lets a
+//!   new key of an adopted binding run. Two successors may hold the same sealed ledger (the first
+//!   acknowledgement was lost), and would each let the key run once.
+//!
+//! Pure: no clock, no I/O. Keys and bodies are held as digests, so that an entry has a fixed size.
+
+mod answer;
+mod begin;
+mod budget;
+mod digest;
+mod error;
+mod generation;
+mod history;
+#[expect(clippy::module_inception, reason = "the type that the slice is named after")]
+mod ledger;
+mod limits;
+mod sealed;
+#[cfg(test)]
+mod tests;
+
+pub use self::{
+    answer::KeptAnswer,
+    begin::{Begin, End},
+    digest::{BodyDigest, Key, body_digest},
+    error::{Error, Result},
+    ledger::Ledger,
+    limits::LedgerLimits,
+    sealed::{SealedLedger, SealedPart},
+};
--- /dev/null
+++ b/src/ledger/tests.rs
@@ -0,0 +1,185 @@
+use assert_matches::assert_matches;
+use bytes::Bytes;
+
+use super::*;
+use crate::prelude::*;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn limits() -> LedgerLimits {
+    LedgerLimits {
+        adopted_entries: 8,
+        answer_bytes: 1_000,
+        entries: 4,
+        generation_age: 10 * SECOND,
+        generations: 2,
+    }
+}
+
+struct Bench {
+    ledger: Ledger,
+    now: Moment,
+}
+
+impl Bench {
+    fn new(host: &str, incarnation: Incarnation) -> Self {
+        Self { ledger: Ledger::new(host.into(), incarnation, limits()), now: Moment::ZERO }
+    }
+
+    fn begin(&mut self, binding: &Binding, key: &str, body: &str) -> Begin {
+        let digest = body_digest("POST", "/seats", body.as_bytes());
+        self.ledger.begin(binding, &key.into(), digest, &"r".into(), self.now)
+    }
+
+    fn end(&mut self, binding: &Binding, key: &str, end: End) {
+        self.ledger.end(binding, &key.into(), end, self.now);
+    }
+
+    fn fresh(&mut self, key: &str) -> Binding {
+        let binding = self.ledger.binding();
+        assert_eq!(self.begin(&binding, key, "body"), Begin::Fresh);
+        binding
+    }
+}
+
+fn answer(bytes: usize) -> Arc<KeptAnswer> {
+    Arc::new(KeptAnswer { body: Bytes::from(vec![b'x'; bytes]), headers: Vec::new(), status: 201 })
+}
+
+#[test]
+fn a_resend_is_told_what_is_known_and_never_runs_again() {
+    for (end, told) in [
+        (None, Begin::Running),
+        (Some(End::Answered(answer(10))), Begin::Kept(answer(10))),
+        (Some(End::Answered(answer(5_000))), Begin::KeptFact { status: 201 }),
+        (Some(End::NotRun), Begin::Fresh),
+        (Some(End::Unknown), Begin::Unknown),
+    ] {
+        let mut bench = Bench::new("a", 1);
+        let binding = bench.fresh("k");
+        if let Some(end) = end {
+            bench.end(&binding, "k", end);
+        }
+        assert_eq!(bench.begin(&binding, "k", "other body"), Begin::Conflict);
+        assert_eq!(bench.begin(&binding, "k", "body"), told);
+    }
+}
+
+#[test]
+fn strange_bindings_never_run() {
+    let mut bench = Bench::new("a", 1);
+    let own = bench.ledger.binding();
+    let strange = [
+        Binding { incarnation: 2, ..own.clone() },
+        Binding { host: "b".into(), ..own.clone() },
+        Binding { generation: 1, ..own },
+    ];
+    for binding in strange {
+        assert_eq!(bench.begin(&binding, "k", "body"), Begin::Stranger, "{binding}");
+    }
+}
+
+/// The caller resends a booking long after its binding was given out. The generation has been
+/// dropped to bound memory, so the ledger can't know, and must not run it. A request that runs
+/// across the drop is still found.
+#[test]
+fn a_dropped_generation_is_unknown_but_what_runs_is_found() {
+    let mut bench = Bench::new("a", 1);
+    let old = bench.fresh("done");
+    bench.end(&old, "done", End::Answered(answer(10)));
+    bench.fresh("running");
+    bench.now = 10 * SECOND;
+    assert_matches!(bench.begin(&old, "done", "body"), Begin::Kept(_));
+    assert_eq!(bench.begin(&old, "late", "body"), Begin::Fresh);
+    bench.now = 20 * SECOND;
+    assert_eq!(bench.begin(&old, "done", "body"), Begin::Dropped);
+    assert_eq!(bench.begin(&old, "new", "body"), Begin::Dropped);
+    assert_eq!(bench.begin(&old, "running", "body"), Begin::Running);
+    assert_eq!(bench.ledger.answer_bytes(), 0);
+    bench.end(&old, "running", End::NotRun);
+    bench.end(&old, "late", End::Unknown);
+    bench.now = 30 * SECOND;
+    assert_eq!(bench.begin(&old, "running", "body"), Begin::Dropped);
+    assert!(bench.ledger.is_empty());
+}
+
+#[test]
+fn a_full_ledger_refuses_new_keys_and_keeps_the_old() {
+    let mut bench = Bench::new("a", 1);
+    let binding = bench.ledger.binding();
+    for key in ["1", "2", "3", "4"] {
+        bench.fresh(key);
+    }
+    assert_eq!(bench.begin(&binding, "5", "body"), Begin::Full);
+    assert_eq!(bench.begin(&binding, "1", "body"), Begin::Running);
+    bench.end(&binding, "1", End::NotRun);
+    assert_eq!(bench.begin(&binding, "1", "body"), Begin::Fresh);
+}
+
+#[test]
+fn past_the_byte_limit_the_oldest_answers_become_facts() {
+    let mut bench = Bench::new("a", 1);
+    let binding = bench.ledger.binding();
+    for key in ["1", "2", "3"] {
+        bench.fresh(key);
+        bench.end(&binding, key, End::Answered(answer(300)));
+    }
+    assert_eq!(bench.begin(&binding, "1", "body"), Begin::KeptFact { status: 201 });
+    assert_eq!(bench.begin(&binding, "2", "body"), Begin::Kept(answer(300)));
+    assert!(bench.ledger.answer_bytes() <= limits().answer_bytes);
+}
+
+/// A host stops as planned while callers still resend to it. Its sealed ledger goes to two
+/// successors, since the first acknowledgement was lost. Both tell the same, and neither runs a
+/// key that the stopped host had not taken: the other one might run it as well.
+#[test]
+fn successors_answer_for_a_stopped_host_and_run_nothing_of_it() {
+    let mut old = Bench::new("a", 1);
+    let binding = old.fresh("answered");
+    old.end(&binding, "answered", End::Answered(answer(10)));
+    old.fresh("running");
+    old.fresh("not-run");
+    old.end(&binding, "not-run", End::NotRun);
+    let sealed = old.ledger.seal(old.now);
+    assert_eq!(old.begin(&binding, "new", "body"), Begin::Sealed);
+    assert_eq!(old.begin(&binding, "not-run", "body"), Begin::Sealed);
+    old.end(&binding, "running", End::Unknown);
+    for mut heir in [Bench::new("b", 2), Bench::new("c", 3)] {
+        heir.ledger.adopt(sealed.clone(), heir.now).unwrap();
+        heir.ledger.adopt(sealed.clone(), heir.now).unwrap();
+        assert_eq!(heir.ledger.adopted(), [1]);
+        assert_matches!(heir.begin(&binding, "answered", "body"), Begin::Kept(_));
+        assert_eq!(heir.begin(&binding, "answered", "other"), Begin::Conflict);
+        assert_eq!(heir.begin(&binding, "running", "body"), Begin::Unknown);
+        assert_eq!(heir.begin(&binding, "not-run", "body"), Begin::Sealed);
+        assert_eq!(heir.begin(&binding, "new", "body"), Begin::Sealed);
+        heir.now = 20 * SECOND;
+        assert_eq!(heir.begin(&binding, "answered", "body"), Begin::Stranger);
+        assert_eq!(heir.ledger.answer_bytes(), 0);
+    }
+}
+
+#[test]
+fn a_sealed_ledger_passes_whole_or_not_at_all() {
+    let mut old = Bench::new("a", 1);
+    let binding = old.fresh("k");
+    old.end(&binding, "k", End::Answered(answer(200)));
+    let sealed = old.ledger.seal(old.now);
+    let parts = sealed.split(100);
+    assert!(3 < parts.len());
+    let shuffled = parts.iter().rev().chain(&parts[..2]).cloned();
+    assert_eq!(SealedLedger::join(shuffled), Ok(sealed.clone()));
+
+    let mut damaged = parts.clone();
+    damaged[1].data = parts[2].data.clone();
+    assert_matches!(SealedLedger::join(damaged), Err(Error::Damaged(_)));
+    assert_matches!(SealedLedger::join(parts[1..].to_vec()), Err(Error::Damaged(_)));
+    assert_matches!(SealedLedger::join([]), Err(Error::Damaged(_)));
+
+    let mut full = Ledger::new("b".into(), 2, LedgerLimits { adopted_entries: 0, ..limits() });
+    assert_eq!(full.adopt(sealed.clone(), old.now), Err(Error::NoRoom(1)));
+    assert_eq!(old.ledger.adopt(sealed.clone(), old.now), Err(Error::Sealed));
+    let mut own = Bench::new("a", 1);
+    assert_eq!(own.ledger.adopt(sealed, own.now), Err(Error::Own(1)));
+    assert!(own.ledger.is_empty() && full.adopted().is_empty());
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,8 @@
 //! shell (sockets, timers, actors) that feeds them. `docs/DESIGN.md` holds the module map.
 
 pub mod base;
+pub mod forward;
+pub mod ledger;
 pub mod manifest;
 pub mod prelude;
 pub mod timeline;
