--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,13 +3,22 @@
 //! Two halves that never mix: the decisions (pure state machines, no I/O and no clock) and the
 //! shell (sockets, timers, actors) that feeds them. `docs/DESIGN.md` holds the module map.
 
+pub mod admission;
 pub mod base;
 pub mod forward;
 pub mod ledger;
+pub mod logging;
+pub mod lookup;
 pub mod manifest;
+pub mod metrics;
 pub mod prelude;
+pub mod quarantine;
+pub mod selection;
+pub mod settings;
+pub mod shift;
 pub mod timeline;
 pub mod view;
+pub mod yaml;
 
 /// Parses the arguments, runs the subcommand and maps its result to an exit code.
 pub fn run() -> std::process::ExitCode {
