--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod admission;
 pub mod base;
 pub mod cmd;
+pub mod forward;
+pub mod ledger;
 pub mod logging;
 pub mod lookup;
 pub mod manifest;
@@ -16,6 +18,7 @@
 pub mod settings;
 pub mod shift;
 pub mod timeline;
+pub mod trace;
 pub mod view;
 pub mod yaml;
 
