Accept manifests by one conditional update, held against caps and headroom

Parts are written before the head that names them; the head keeps a history of acceptances, so that a writer whose answer was lost is told the truth even when another manifest was accepted on top. Parts older than the replaced head are collected: their writers can only fail.

--- /dev/null
+++ b/src/manifest/accept.rs
@@ -0,0 +1,233 @@
+//! Accepting a manifest: one conditional update of the member's head decides.
+
+use ed25519_dalek::VerifyingKey;
+
+use super::{
+    Acceptance, Change, Head, Loads, Manifest, Part, PartId, Reason, SignedManifest, diff_at,
+    fetch::fetch_parts,
+};
+use crate::{
+    platform::{
+        Expect, OperationId, Platform, PlatformError, Settled, Version, Versioned, new_operation,
+        put_settled,
+    },
+    prelude::*,
+};
+
+/// Result of an attempt at acceptance.
+pub type Result<T> = std::result::Result<T, AcceptError>;
+
+/// A signed manifest and the parts that it names.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Proposal {
+    pub member: MemberId,
+    #[serde(default)]
+    pub parts: Vec<Part>,
+    pub signed: SignedManifest,
+}
+
+/// How an attempt ended well.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Accepted {
+    /// It is the accepted one now.
+    Now { change: Change, version: Version },
+    /// It was the accepted one already: nothing was changed.
+    Same,
+    /// It was accepted, and a later one has replaced it since.
+    Superseded { by: Sequence },
+}
+
+/// Why a manifest was not accepted. Nothing in force changed.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum AcceptError {
+    #[error("it would break {} limits: {}", .0.breaches.len(), breaches(.0))]
+    Breaks(Change),
+    #[error(
+        "another pipeline was faster: sequence {held} is accepted now; build on it and try again"
+    )]
+    Conflict { held: Sequence },
+    #[error("sequence {held} is accepted already; give this one a higher sequence")]
+    Older { held: Sequence },
+    #[error(transparent)]
+    Platform(#[from] PlatformError),
+    #[error(transparent)]
+    Refused(#[from] Reason),
+    #[error("the manifest is larger than one object; give its client blocks with `sign --blocks`")]
+    TooLarge,
+    #[error("no answer came and it can't be told whether it was accepted; apply it again")]
+    Unsettled,
+}
+
+/// The accepted manifest, as found on the platform.
+struct Held {
+    head: Option<Head>,
+    manifest: Option<Manifest>,
+    object: Option<Versioned>,
+}
+
+/// Verifies, compares and, unless a limit breaks, writes parts first and the head last.
+pub async fn accept(
+    platform: &dyn Platform,
+    proposal: &Proposal,
+    key: &VerifyingKey,
+    loads: &Loads,
+) -> Result<Accepted> {
+    let manifest = verified(proposal, key)?;
+    let held = held(platform, &proposal.member, key).await?;
+    if is_same(&held, &proposal.signed) {
+        return Ok(Accepted::Same);
+    }
+    let change = judge(&held, &manifest, loads)?;
+    let operation = new_operation();
+    let done = Acceptance {
+        digest: proposal.signed.digest(),
+        operation: operation.clone(),
+        sequence: manifest.sequence,
+    };
+    let head = Head::next(held.head.as_ref(), proposal.signed.clone(), done);
+    let value = head.encode().ok_or(AcceptError::TooLarge)?;
+    write_parts(platform, proposal, &held).await?;
+    let head_key = Head::key(&proposal.member);
+    let expect = Expect::unchanged(held.object.as_ref());
+    match put_settled(platform, &head_key, expect, value, operation.clone()).await {
+        Ok(Settled::Written(version)) => {
+            // What is left over costs room only: a failure here is made good by the next one.
+            let _ = collect(platform, &proposal.member, &head, &held).await;
+            Ok(Accepted::Now { change, version })
+        }
+        Ok(Settled::Conflict { current, uncertain }) => {
+            replaced(current, uncertain, &operation, &proposal.member, key)
+        }
+        Err(PlatformError::Unavailable { maybe_done: true, .. }) => Err(AcceptError::Unsettled),
+        Err(err) => Err(err.into()),
+    }
+}
+
+/// What `accept` would change; writes nothing.
+pub async fn preview(
+    platform: &dyn Platform,
+    proposal: &Proposal,
+    key: &VerifyingKey,
+    loads: &Loads,
+) -> Result<Change> {
+    let manifest = verified(proposal, key)?;
+    let held = held(platform, &proposal.member, key).await?;
+    if is_same(&held, &proposal.signed) {
+        return Ok(Change::default());
+    }
+    judge(&held, &manifest, loads)
+}
+
+fn verified(proposal: &Proposal, key: &VerifyingKey) -> Result<Manifest> {
+    let head = proposal.signed.verify(&proposal.member, key)?;
+    Ok(proposal.signed.assemble(head, &proposal.parts)?)
+}
+
+fn is_same(held: &Held, signed: &SignedManifest) -> bool {
+    let digest = held.head.as_ref().map(|head| head.signed.digest());
+    held.manifest.is_some() && digest == Some(signed.digest())
+}
+
+fn judge(held: &Held, new: &Manifest, loads: &Loads) -> Result<Change> {
+    let Some(old) = &held.manifest else { return Ok(Change::default()) };
+    if new.sequence < old.sequence {
+        return Err(AcceptError::Older { held: old.sequence });
+    }
+    if new.sequence == old.sequence {
+        return Err(Reason::Conflict { sequence: old.sequence }.into());
+    }
+    let change = diff_at(old, new, loads);
+    if change.breaches.is_empty() { Ok(change) } else { Err(AcceptError::Breaks(change)) }
+}
+
+/// Reads the accepted manifest. What does not verify was not put there by the member's pipeline:
+/// it counts as absent, so that a rival's garbage can't keep the member from its own settings.
+async fn held(platform: &dyn Platform, member: &MemberId, key: &VerifyingKey) -> Result<Held> {
+    let object = platform.get(&Head::key(member)).await?;
+    let mut held = Held { head: None, manifest: None, object };
+    let Some(head) = held.object.as_ref().and_then(|object| Head::decode(&object.value)) else {
+        return Ok(held);
+    };
+    let Ok(manifest) = head.signed.verify(member, key) else { return Ok(held) };
+    let parts = fetch_parts(platform, member, &head.signed.parts).await?;
+    // Without its parts the old manifest still has a sequence and limits to compare with.
+    let whole = head.signed.assemble(manifest.clone(), &parts);
+    held.manifest = Some(whole.unwrap_or(manifest));
+    held.head = Some(head);
+    Ok(held)
+}
+
+/// Writes each part that the accepted head does not name, also one that is there already: the write
+/// raises its version, which keeps another pipeline's clean-up from removing it (see `collect`).
+async fn write_parts(platform: &dyn Platform, proposal: &Proposal, held: &Held) -> Result<()> {
+    let named = held.head.as_ref().map(|head| &head.signed.parts[..]).unwrap_or_default();
+    for part in &proposal.parts {
+        let key = Head::part_key(&proposal.member, &part.id());
+        let found = platform.get(&key).await?;
+        let value = bytes::Bytes::copy_from_slice(part.text.as_bytes());
+        let is_whole = found.as_ref().is_some_and(|object| object.value == value);
+        if is_whole && named.contains(&part.id()) {
+            continue;
+        }
+        let expect = Expect::unchanged(found.as_ref());
+        match put_settled(platform, &key, expect, value.clone(), new_operation()).await? {
+            Settled::Written(_) => {}
+            // The content is in the name: whoever wrote it, it is the same, or it is garbage.
+            Settled::Conflict { current: Some(current), .. } if current.value == value => {}
+            Settled::Conflict { .. } => return Err(AcceptError::Refused(Reason::Parts)),
+        }
+    }
+    Ok(())
+}
+
+/// Removes parts that neither the new nor the replaced head names and that are older than the
+/// replaced head.
+///
+/// Safe against a pipeline that has written its parts and not yet its head: it read the head first
+/// and wrote the parts after, so parts older than the replaced head belong to an attempt whose own
+/// conditional update can only fail. Readers of the replaced head still find its parts; readers of
+/// an older one find some missing and read the head again.
+async fn collect(
+    platform: &dyn Platform,
+    member: &MemberId,
+    head: &Head,
+    replaced: &Held,
+) -> crate::platform::Result<()> {
+    let Some(before) = &replaced.object else { return Ok(()) };
+    let kept = replaced.head.as_ref().map(|head| &head.signed.parts[..]).unwrap_or_default();
+    let prefix = Head::parts_prefix(member);
+    for found in platform.keys(&prefix).await? {
+        let id: PartId = found.key[prefix.len()..].into();
+        let is_named = head.signed.parts.contains(&id) || kept.contains(&id);
+        if !is_named && found.version < before.version {
+            let expect = Expect::Version(found.version);
+            match platform.delete(&found.key, expect, new_operation()).await {
+                Ok(_) | Err(PlatformError::Conflict { .. }) => {}
+                Err(err) => return Err(err),
+            }
+        }
+    }
+    Ok(())
+}
+
+fn replaced(
+    current: Option<Versioned>,
+    uncertain: bool,
+    operation: &OperationId,
+    member: &MemberId,
+    key: &VerifyingKey,
+) -> Result<Accepted> {
+    let head = current.and_then(|object| Head::decode(&object.value));
+    let Some(head) = head else { return Err(AcceptError::Unsettled) };
+    let held = head.signed.verify(member, key).map(|manifest| manifest.sequence).unwrap_or(0);
+    if uncertain && head.has_accepted(operation) {
+        return Ok(Accepted::Superseded { by: held });
+    }
+    Err(AcceptError::Conflict { held })
+}
+
+fn breaches(change: &Change) -> String {
+    let breaches: Vec<String> = change.breaches.iter().map(ToString::to_string).collect();
+    breaches.join("; ")
+}
--- a/src/manifest/mod.rs
+++ b/src/manifest/mod.rs
@@ -3,7 +3,11 @@
 //! The member's pipeline writes and signs it; every host verifies it for itself, and moves from one
 //! manifest to another only upwards. See `docs/design/control.md`.
 
+mod accept;
+mod change;
 mod check;
+mod fetch;
+mod head;
 mod model;
 mod part;
 mod read;
@@ -13,6 +17,10 @@
 mod tests;
 
 pub use self::{
+    accept::{AcceptError, Accepted, Proposal, accept, preview},
+    change::{ASSUMED_LOAD, Breach, Change, Load, Loads, Move, diff, diff_at},
+    fetch::{fetch, fetch_parts},
+    head::{Acceptance, Head},
     model::{
         ClientBlock, DrainScope, Manifest, Region, Service, ServiceKind, Share, Target, Weighing,
     },
--- a/src/manifest/part.rs
+++ b/src/manifest/part.rs
@@ -36,6 +36,11 @@
 }
 
 impl Part {
+    /// `None` if the bytes are no text.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        std::str::from_utf8(bytes).ok().map(|text| Self { text: text.into() })
+    }
+
     /// The name of this part.
     pub fn id(&self) -> PartId {
         hex::encode(Sha256::digest(self.text.as_bytes())).into()
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -10,8 +10,8 @@
 use serde::de::DeserializeOwned;
 
 use super::{
-    Breaker, BreakerState, Budget, CallCounts, CallKind, Changes, Expect, Limits, Listing,
-    MAX_VALUE, OperationId, Platform, PlatformError, Result, Version, Versioned, wire,
+    Breaker, BreakerState, Budget, CallCounts, CallKind, Changes, Expect, KeyVersion, Limits,
+    Listing, MAX_VALUE, OperationId, Platform, PlatformError, Result, Version, Versioned, wire,
 };
 use crate::{base::BootClock, prelude::*};
 
@@ -153,6 +153,13 @@
         Ok(Some(Versioned { operation, value: answer.body, version }))
     }
 
+    async fn keys(&self, prefix: &str) -> Result<Vec<KeyVersion>> {
+        let answer = self.read(&format!("list?prefix={prefix}&values=false")).await?;
+        let objects: wire::Objects = answer.json()?;
+        let key = |object: wire::Object| KeyVersion { key: object.key, version: object.version };
+        Ok(objects.objects.into_iter().map(key).collect())
+    }
+
     async fn list(&self, prefix: &str) -> Result<Listing> {
         let answer = self.read(&format!("list?prefix={prefix}")).await?;
         let objects: wire::Objects = answer.json()?;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -23,8 +23,8 @@
     error::{PlatformError, Result},
     http::{HttpPlatform, PlatformState},
     model::{
-        Change, Changes, Entry, Expect, Listing, MAX_KEY, MAX_VALUE, OperationId, Version,
-        Versioned, new_operation,
+        Change, Changes, Entry, Expect, KeyVersion, Listing, MAX_KEY, MAX_VALUE, OperationId,
+        Version, Versioned, new_operation,
     },
     settle::{Settled, put_settled},
 };
@@ -39,6 +39,13 @@
     /// The object of that key.
     async fn get(&self, key: &str) -> Result<Option<Versioned>>;
 
+    /// Keys and versions of the objects under `prefix`, without their values.
+    async fn keys(&self, prefix: &str) -> Result<Vec<KeyVersion>> {
+        let listing = self.list(prefix).await?;
+        let key = |entry: Entry| KeyVersion { key: entry.key, version: entry.object.version };
+        Ok(listing.entries.into_iter().map(key).collect())
+    }
+
     /// Every object whose key begins with `prefix`, and the store's version at that moment.
     async fn list(&self, prefix: &str) -> Result<Listing>;
 
--- a/src/platform/model.rs
+++ b/src/platform/model.rs
@@ -61,6 +61,13 @@
     pub object: Versioned,
 }
 
+/// An object without its value.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct KeyVersion {
+    pub key: Arc<str>,
+    pub version: Version,
+}
+
 /// Objects at one moment.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Listing {
--- a/src/standin/platform/http.rs
+++ b/src/standin/platform/http.rs
@@ -19,9 +19,11 @@
 type Reply_ = warp::reply::Response;
 
 #[derive(Deserialize)]
-struct Prefix {
+struct List {
     #[serde(default)]
     prefix: String,
+    #[serde(default = "yes")]
+    values: bool,
 }
 
 #[derive(Deserialize)]
@@ -91,11 +93,17 @@
 
 fn list(core: Arc<DoorCore>) -> BoxedFilter<(Reply_,)> {
     warp::path!("v1" / "list")
-        .and(warp::query::<Prefix>())
+        .and(warp::query::<List>())
         .and(with(core))
-        .then(|query: Prefix, core: Arc<DoorCore>| async move {
+        .then(|query: List, core: Arc<DoorCore>| async move {
             match core.list(&query.prefix).await {
-                Ok(listing) => json(StatusCode::OK, &wire::Objects::from(listing)),
+                Ok(listing) => {
+                    let mut objects = wire::Objects::from(listing);
+                    if !query.values {
+                        objects.objects.iter_mut().for_each(|object| object.value = None);
+                    }
+                    json(StatusCode::OK, &objects)
+                }
                 Err(err) => failure(&err),
             }
         })
@@ -170,6 +178,10 @@
     status.into_response()
 }
 
+fn yes() -> bool {
+    true
+}
+
 fn value(object: Versioned) -> Reply_ {
     let response = Response::builder()
         .header(wire::OPERATION, &*object.operation)
