--- a/src/admission/queue.rs
+++ b/src/admission/queue.rs
@@ -46,12 +46,16 @@
             let evicted = hopeless.and_then(|index| self.waiting.remove(index)).ok_or(Full)?;
             self.evicted.push(evicted.request);
         }
-        self.waiting.push_back(Waiting { deadline, request });
-        let len = self.waiting.len();
-        invariant::hold(len <= self.capacity, "queue-bounded", || format!("{len} waiting"));
+        self.add(Waiting { deadline, request });
         Ok(())
     }
 
+    /// Adds a request without asking for room, to see the invariant fire.
+    #[cfg(test)]
+    pub(super) fn push_unasked(&mut self, request: RequestId, deadline: Moment) {
+        self.add(Waiting { deadline, request });
+    }
+
     /// The oldest request that can still be served in time; hopeless ones wait for `expire`.
     pub fn pop(&mut self, now: Moment) -> Option<RequestId> {
         let index = self.waiting.iter().position(|waiting| !self.is_hopeless(waiting, now))?;
@@ -97,6 +101,12 @@
         self.waiting.is_empty()
     }
 
+    fn add(&mut self, waiting: Waiting) {
+        self.waiting.push_back(waiting);
+        let len = self.waiting.len();
+        invariant::hold(len <= self.capacity, "queue-bounded", || format!("{len} waiting"));
+    }
+
     fn is_hopeless(&self, waiting: &Waiting, now: Moment) -> bool {
         waiting.deadline < now + self.expected
     }
--- a/src/admission/retry_budget.rs
+++ b/src/admission/retry_budget.rs
@@ -16,6 +16,7 @@
 #[derive(Debug, Default)]
 pub struct RetryBudget {
     buckets: [Bucket; BUCKETS],
+    unlimited: bool,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -31,6 +32,11 @@
         Self::default()
     }
 
+    /// A budget that refuses nothing, for measurements of what it is worth.
+    pub fn unlimited() -> Self {
+        Self { unlimited: true, ..Self::default() }
+    }
+
     /// Counts a first attempt.
     pub fn noted(&mut self, now: Moment) {
         let bucket = self.bucket(now);
@@ -41,7 +47,7 @@
     pub fn take(&mut self, now: Moment) -> bool {
         let (first, retries) = self.sums(now);
         let allowed = f64::from(first) * SHARE + f64::from(FLOOR);
-        if allowed < f64::from(retries + 1) {
+        if !self.unlimited && allowed < f64::from(retries + 1) {
             return false;
         }
         self.bucket(now).retries += 1;
--- a/src/admission/slots.rs
+++ b/src/admission/slots.rs
@@ -31,6 +31,8 @@
 
 #[derive(Debug, Default)]
 struct Usage {
+    /// The slot of a request that must run alone; nothing may start beside it.
+    exclusive: Option<SlotId>,
     /// Since when this host owns it; reports taken earlier prove nothing.
     gained_at: Moment,
     /// Slots that a former owner's requests may still take, until `inherited_until`.
@@ -76,10 +78,26 @@
         let slot = self.next;
         self.next += 1;
         usage.running.insert(slot);
-        let (occupied, slots) = (usage.occupied(now), usage.slots);
-        invariant::hold(occupied <= slots, "slots-within-target", || {
-            format!("{target}: {occupied} of {slots}")
-        });
+        usage.check(target, now);
+        Some(slot)
+    }
+
+    /// Takes a slot without asking whether one is free, to see the invariants fire.
+    #[cfg(test)]
+    pub(super) fn acquire_unasked(&mut self, target: &TargetId, now: Moment) {
+        let usage = self.targets.get_mut(target).expect("owned");
+        usage.running.insert(SlotId::MAX);
+        usage.check(target, now);
+    }
+
+    /// Takes the whole target for one request, if nothing runs there: for suspects of a crash,
+    /// whose second crash must hit nobody else.
+    pub fn acquire_alone(&mut self, target: &TargetId, limit: u32, now: Moment) -> Option<SlotId> {
+        if self.occupied(target, now) != 0 {
+            return None;
+        }
+        let slot = self.acquire(target, limit, now)?;
+        self.targets.get_mut(target)?.exclusive = Some(slot);
         Some(slot)
     }
 
@@ -89,6 +107,7 @@
             return invariant::hold(false, "slot-released-once", || format!("{target}: {slot}"));
         };
         let held = usage.running.remove(&slot);
+        usage.exclusive = usage.exclusive.filter(|&exclusive| exclusive != slot);
         invariant::hold(held, "slot-released-once", || format!("{target}: {slot}"));
         if !usage.owned && usage.running.is_empty() {
             self.targets.remove(target);
@@ -138,12 +157,21 @@
             return;
         }
         self.gained_at = now;
-        if target.inherited {
+        if target.inherited || promoted {
             self.inherited = target.slots.saturating_sub(self.in_flight());
             self.inherited_until = now + hold;
         }
     }
 
+    fn check(&self, target: &TargetId, now: Moment) {
+        let (occupied, slots) = (self.occupied(now), self.slots);
+        invariant::hold(occupied <= slots, "slots-within-target", || {
+            format!("{target}: {occupied} of {slots}")
+        });
+        let alone = self.exclusive.is_none() || self.running.len() == 1;
+        invariant::hold(alone, "exclusive-slot-alone", || format!("{target}"));
+    }
+
     fn in_flight(&self) -> u32 {
         u32::try_from(self.running.len()).unwrap_or(u32::MAX)
     }
@@ -157,7 +185,7 @@
     }
 
     fn free(&self, limit: u32, now: Moment) -> u32 {
-        if !self.owned {
+        if !self.owned || self.exclusive.is_some() {
             return 0;
         }
         let cap = if self.provisional { PROVISIONAL_LIMIT } else { self.slots };
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::prelude::*;
+use crate::{base::invariant, prelude::*};
 
 fn secs(secs: u64) -> Moment {
     Duration::from_secs(secs)
@@ -34,6 +34,66 @@
     assert_eq!(slots.acquire(&target, 3, secs(0)), None);
     slots.release(&target, slot, secs(0));
     assert!(slots.acquire(&target, 3, secs(0)).is_some());
+    // The silent owner is found gone: what it had running still counts for the longest time.
+    slots.set_owned(&[owned(false, false)], secs(1));
+    assert_eq!(slots.free(&target, 3, secs(5)), 0);
+    assert_eq!(slots.free(&target, 3, secs(6)), 2);
+}
+
+#[test]
+fn lost_and_regained_target_starts_occupied() {
+    // A host loses a target to its peer and gets it back a second later. Its own request is still
+    // running and the peer may have started two more: none may be added until those are gone.
+    let target: TargetId = "a".into();
+    let mut slots = Slots::new(secs(5));
+    slots.set_owned(&[owned(false, false)], secs(0));
+    let slot = slots.acquire(&target, 3, secs(0)).unwrap();
+    slots.set_owned(&[], secs(1));
+    assert!(!slots.owns(&target));
+    assert_eq!((slots.in_flight(&target), slots.free(&target, 3, secs(1))), (1, 0));
+    slots.set_owned(&[owned(true, false)], secs(2));
+    assert_eq!((slots.occupied(&target, secs(2)), slots.free(&target, 3, secs(2))), (3, 0));
+    slots.release(&target, slot, secs(2));
+    assert_eq!(slots.free(&target, 3, secs(2)), 1);
+    slots.report(&target, 0, secs(3));
+    assert_eq!(slots.free(&target, 3, secs(3)), 3);
+}
+
+#[test]
+fn suspect_has_the_target_to_itself() {
+    let target: TargetId = "a".into();
+    let mut slots = Slots::new(secs(5));
+    slots.set_owned(&[owned(false, false)], secs(0));
+    let other = slots.acquire(&target, 3, secs(0)).unwrap();
+    assert_eq!(slots.acquire_alone(&target, 3, secs(0)), None);
+    slots.release(&target, other, secs(0));
+    let alone = slots.acquire_alone(&target, 3, secs(0)).unwrap();
+    assert_eq!(slots.acquire(&target, 3, secs(0)), None);
+    slots.release(&target, alone, secs(0));
+    assert!(slots.acquire(&target, 3, secs(0)).is_some());
+}
+
+#[test]
+fn broken_safeguards_are_seen() {
+    let target: TargetId = "a".into();
+    let names = || invariant::take().iter().map(|broken| broken.name).collect::<Vec<_>>();
+    let mut slots = Slots::new(secs(5));
+    slots.set_owned(&[owned(false, false)], secs(0));
+    let slot = slots.acquire_alone(&target, 3, secs(0)).unwrap();
+    slots.acquire_unasked(&target, secs(0));
+    assert_eq!(names(), ["exclusive-slot-alone"]);
+    slots.release(&target, slot, secs(0));
+    slots.release(&target, slot, secs(0));
+    assert_eq!(names(), ["slot-released-once"]);
+    (0..2).for_each(|_| assert!(slots.acquire(&target, 3, secs(0)).is_some()));
+    slots.set_owned(&[OwnedTarget { slots: 1, ..owned(false, false) }], secs(0));
+    slots.acquire_unasked(&target, secs(0));
+    assert_eq!(names(), ["slots-within-target"]);
+    Queue::new(0, secs(1)).push_unasked("a".into(), secs(9));
+    assert_eq!(names(), ["queue-bounded"]);
+    let mut budget = RetryBudget::unlimited();
+    assert!((0..4).all(|_| budget.take(secs(0))));
+    assert_eq!(names(), ["retry-budget"]);
 }
 
 #[test]
--- a/src/lookup/mod.rs
+++ b/src/lookup/mod.rs
@@ -1,5 +1,6 @@
 //! Look-ups: which hosts a caller should use, best first.
 
+mod ask;
 mod block_table;
 mod rank;
 mod rendezvous;
@@ -7,7 +8,8 @@
 mod tests;
 
 pub use self::{
+    ask::{Lookup, LookupAsk, RankedHost},
     block_table::BlockTable,
-    rank::{Lookup, LookupAsk, RankedHost, rank},
+    rank::{HostIndex, rank},
     rendezvous::owner_of,
 };
--- a/src/lookup/rank.rs
+++ b/src/lookup/rank.rs
@@ -8,7 +8,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{BlockTable, owner_of, rendezvous::weight};
+use super::{BlockTable, Lookup, LookupAsk, RankedHost};
 use crate::{
     manifest::{DrainScope, Service},
     prelude::*,
@@ -24,84 +24,125 @@
 /// Most hosts of the first region in an answer; the rest are a way out when that region is lost.
 const MAX_FIRST_REGION: usize = 5;
 
-/// A caller's question.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct LookupAsk {
-    pub client: IpAddr,
-    pub service: ServiceId,
+/// The hosts of one view, ready to be ranked for many callers.
+#[derive(Clone, Debug)]
+pub struct HostIndex {
+    max_age: Duration,
+    /// Stands alone in the answer when every host leaves or is drained.
+    own: RankedHost,
+    regions: BTreeMap<RegionId, RegionEntry>,
+    sequence: Sequence,
+    /// Zones that hold a target of the service.
+    zones: BTreeMap<ServiceId, BTreeSet<ZoneId>>,
 }
 
-/// The answer: hosts in the order in which the caller should try them.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Lookup {
-    /// For requests that must not be repeated: the binding of the first host.
-    pub binding: Binding,
-    pub hosts: Vec<RankedHost>,
-    /// The caller's home region; `None` when no client block holds its address.
-    pub home: Option<RegionId>,
-    /// How long the caller may keep this answer.
-    pub max_age: Duration,
-    /// The manifest that the answer follows.
-    pub sequence: Sequence,
+#[derive(Clone, Debug)]
+struct RegionEntry {
+    hosts: Vec<HostEntry>,
+    name: RegionId,
+    seed: u64,
 }
 
-/// One host of an answer.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct RankedHost {
-    pub address: SocketAddr,
-    pub binding: Binding,
-    pub host: HostId,
-    pub region: RegionId,
-    pub zone: ZoneId,
+#[derive(Clone, Debug)]
+struct HostEntry {
+    host: RankedHost,
+    seed: u64,
 }
 
-/// Ranks the live hosts for a caller: its home region first, there the owners of a target of the
-/// service, then by rendezvous hash of the caller's address, so that a lost host moves only its
-/// own callers. Leaving and drained hosts are out at once; when all are, this host stands alone.
+/// Ranks the live hosts of `view` for one caller; see `HostIndex::rank`.
 pub fn rank(view: &View, table: &BlockTable, ask: &LookupAsk, _now: Moment) -> Lookup {
-    let home = table.home(ask.client).cloned();
-    let first_region = home.as_ref().unwrap_or(&view.own.region);
-    let key = client_key(ask.client);
-    let owners = owners(view, view.manifest.service(&ask.service));
-    let mut hosts: Vec<&HostView> = view.hosts.iter().filter(|host| is_open(view, host)).collect();
-    hosts.sort_by_cached_key(|host| {
-        let away = host.region != *first_region;
-        let region = if away { weight(key, &host.region) } else { 0 };
-        (away, Reverse(region), !owners.contains(&host.id), Reverse(weight(key, &host.id)))
-    });
-    let near = hosts.iter().filter(|host| host.region == *first_region).count();
-    let skipped = near.saturating_sub(MAX_FIRST_REGION);
-    let kept = near - skipped;
-    let mut ranked: Vec<RankedHost> = hosts[..kept]
-        .iter()
-        .chain(&hosts[near..])
-        .take(MAX_HOSTS)
-        .map(|host| ranked_host(host))
-        .collect();
-    if ranked.is_empty() {
-        ranked.push(ranked_host(&view.own));
+    HostIndex::build(view).rank(table, ask)
+}
+
+impl HostIndex {
+    /// Indexes the hosts that take new work. Leaving and drained hosts are out at once.
+    pub fn build(view: &View) -> HostIndex {
+        let mut regions: BTreeMap<RegionId, RegionEntry> = BTreeMap::new();
+        for host in view.hosts.iter().filter(|host| is_open(view, host)) {
+            let new_region = || RegionEntry {
+                hosts: Vec::new(),
+                name: host.region.clone(),
+                seed: seed(&host.region),
+            };
+            let region = regions.entry(host.region.clone()).or_insert_with(new_region);
+            region.hosts.push(HostEntry { host: ranked_host(host), seed: seed(&host.id) });
+        }
+        HostIndex {
+            max_age: max_age(view),
+            own: ranked_host(&view.own),
+            regions,
+            sequence: view.manifest.sequence,
+            zones: view.manifest.services.iter().map(service_zones).collect(),
+        }
+    }
+
+    /// Ranks the hosts for a caller: its home region first, there the zones that hold a target of
+    /// the service, then by rendezvous hash of the caller's address. Every part of the order hangs
+    /// on one host or on the manifest alone, so that a lost host moves only its own callers.
+    pub fn rank(&self, table: &BlockTable, ask: &LookupAsk) -> Lookup {
+        let home = table.home(ask.client).cloned();
+        let first_region = home.as_ref().unwrap_or(&self.own.region);
+        let key = client_key(ask.client);
+        let zones = self.zones.get(&ask.service);
+        let first = self.regions.get(first_region);
+        let mut hosts: Vec<RankedHost> = first
+            .map(|region| region.best(key, zones, MAX_FIRST_REGION))
+            .unwrap_or_default()
+            .into_iter()
+            .cloned()
+            .collect();
+        self.add_ways_out(&mut hosts, first_region, key, zones);
+        if hosts.is_empty() {
+            hosts.push(self.own.clone());
+        }
+        let binding = hosts[0].binding.clone();
+        Lookup { binding, hosts, home, max_age: self.max_age, sequence: self.sequence }
     }
-    Lookup {
-        binding: ranked[0].binding.clone(),
-        hosts: ranked,
-        home,
-        max_age: max_age(view),
-        sequence: view.manifest.sequence,
+
+    /// Adds hosts of the other regions: the best of each, then the second of each, and so on. The
+    /// regions come in an order of the caller's own, so that a lost region's callers spread out.
+    fn add_ways_out(
+        &self,
+        hosts: &mut Vec<RankedHost>,
+        first_region: &RegionId,
+        key: u64,
+        zones: Option<&BTreeSet<ZoneId>>,
+    ) {
+        let room = MAX_HOSTS - hosts.len();
+        let mut others: Vec<&RegionEntry> =
+            self.regions.values().filter(|region| region.name != *first_region).collect();
+        others.sort_by_key(|region| Reverse(mix(key, region.seed)));
+        others.truncate(room);
+        let each = room.div_ceil(others.len().max(1));
+        let best: Vec<Vec<&RankedHost>> =
+            others.iter().map(|region| region.best(key, zones, each)).collect();
+        let by_turns =
+            (0..each).flat_map(|turn| best.iter().filter_map(move |hosts| hosts.get(turn)));
+        hosts.extend(by_turns.take(room).map(|&host| host.clone()));
     }
 }
 
-/// Hosts that own a target of the service.
-fn owners<'a>(view: &'a View, service: Option<&Service>) -> BTreeSet<&'a HostId> {
-    let mut zones: BTreeMap<&ZoneId, Vec<HostId>> = BTreeMap::new();
-    for host in view.hosts.iter().filter(|host| is_open(view, host)) {
-        zones.entry(&host.zone).or_default().push(host.id.clone());
+impl RegionEntry {
+    /// The best `count` hosts for a caller, best first.
+    fn best(&self, key: u64, zones: Option<&BTreeSet<ZoneId>>, count: usize) -> Vec<&RankedHost> {
+        let order = |entry: &HostEntry| {
+            let away = zones.is_some_and(|zones| !zones.contains(&entry.host.zone));
+            (away, Reverse(mix(key, entry.seed)))
+        };
+        let mut hosts: Vec<((bool, Reverse<u64>), &RankedHost)> =
+            self.hosts.iter().map(|entry| (order(entry), &entry.host)).collect();
+        if count < hosts.len() {
+            hosts.select_nth_unstable_by_key(count, |(order, _)| *order);
+            hosts.truncate(count);
+        }
+        hosts.sort_unstable_by_key(|(order, _)| *order);
+        hosts.into_iter().map(|(_, host)| host).collect()
     }
-    let targets = service.map(|service| service.targets.as_slice()).unwrap_or_default();
-    let names: BTreeSet<HostId> = targets
-        .iter()
-        .filter_map(|target| owner_of(&target.name, zones.get(&target.zone)?).cloned())
-        .collect();
-    view.hosts.iter().map(|host| &host.id).filter(|id| names.contains(*id)).collect()
+}
+
+fn service_zones(service: &Service) -> (ServiceId, BTreeSet<ZoneId>) {
+    let zones = service.targets.iter().map(|target| target.zone.clone()).collect();
+    (service.name.clone(), zones)
 }
 
 fn is_open(view: &View, host: &HostView) -> bool {
@@ -128,6 +169,19 @@
     }
 }
 
+fn seed(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
+/// Weight of a name's seed for a key: the SplitMix64 finalizer, far cheaper than hashing the name
+/// again for every caller.
+fn mix(key: u64, seed: u64) -> u64 {
+    let mut x = key ^ seed.rotate_left(32);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
 fn ranked_host(host: &HostView) -> RankedHost {
     RankedHost {
         address: host.address,
--- a/src/lookup/rendezvous.rs
+++ b/src/lookup/rendezvous.rs
@@ -10,7 +10,6 @@
     owners.iter().max_by_key(|host| (weight(key, host), *host))
 }
 
-/// Weight of a name for a key.
-pub(super) fn weight(key: u64, name: &str) -> u64 {
+fn weight(key: u64, name: &str) -> u64 {
     xxh3_64_with_seed(name.as_bytes(), key)
 }
--- a/src/lookup/tests.rs
+++ b/src/lookup/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::{
-    manifest::{ClientBlock, DrainScope, Manifest, Weighing},
+    manifest::{ClientBlock, DrainScope, Manifest, Service, ServiceKind, Target, Weighing},
     prelude::*,
     view::{HostView, Tenure, View},
 };
@@ -105,3 +105,60 @@
         assert_eq!(lookup.max_age, Duration::from_secs(1));
     }
 }
+
+#[test]
+fn zones_with_a_target_come_first_and_ways_out_differ() {
+    let mut view = view();
+    view.hosts.iter_mut().for_each(|host| {
+        let zone = if host.id.ends_with(['a', 'b']) { 1 } else { 2 };
+        host.zone = format!("{}-{zone}", host.region).into();
+    });
+    let target = Target {
+        address: "127.0.0.1:1".parse().unwrap(),
+        name: "t".into(),
+        slots: 3,
+        zone: "zagreb-2".into(),
+    };
+    let service = Service {
+        connections: 1,
+        kind: ServiceKind::Read,
+        max_body: 1,
+        name: "status".into(),
+        shift_cap: 0.3,
+        targets: vec![target],
+        timeout_ms: 1,
+    };
+    Arc::make_mut(&mut view.manifest).services.push(service);
+    let mut ways_out = BTreeSet::new();
+    for client in 0..50 {
+        let hosts = first(&view, client).hosts;
+        assert_eq!(hosts.len(), 8);
+        assert!(hosts[..2].iter().all(|host| &*host.zone == "zagreb-2"));
+        assert!(hosts[4..].iter().all(|host| &*host.region == "split"));
+        ways_out.insert(hosts[4].host.clone());
+    }
+    assert_eq!(ways_out.len(), 4, "a lost region's callers spread over all hosts");
+}
+
+#[test]
+fn everything_drained_leaves_this_host() {
+    let mut view = view();
+    view.drains = ["split", "zagreb"].map(|region| DrainScope::Region(region.into())).into();
+    let lookup = first(&view, 1);
+    assert_eq!(lookup.hosts.len(), 1);
+    assert_eq!(lookup.hosts[0].host, view.own.id);
+}
+
+#[test]
+fn lost_owner_moves_only_its_own_targets() {
+    let owners: Vec<HostId> = ["a", "b", "c"].map(Into::into).into();
+    let rest = [owners[0].clone(), owners[2].clone()];
+    for number in 0..100 {
+        let target: TargetId = format!("t{number}").into();
+        let before = owner_of(&target, &owners).unwrap();
+        if &**before != "b" {
+            assert_eq!(owner_of(&target, &rest), Some(before));
+        }
+    }
+    assert_eq!(owner_of(&"t".into(), &[]), None);
+}
--- a/src/quarantine/suspects.rs
+++ b/src/quarantine/suspects.rs
@@ -137,8 +137,9 @@
         self.records.keys().filter_map(|&fingerprint| self.mark(fingerprint, now)).collect()
     }
 
-    /// Takes in what a peer knows. It never extends what is known here by more than a fresh
-    /// verdict would: two hosts that repeat each other must not keep a suspicion alive.
+    /// Takes in what a peer knows. A mark that ends about when the own record of it does (or did)
+    /// is an echo and ignored: two hosts that repeat each other, each echo a little late, would
+    /// keep a suspicion alive for ever. A fresh verdict ends well after the old one.
     pub fn learn(&mut self, mark: &Mark, now: Moment) {
         let (state, longest) = match mark.verdict {
             Verdict::Refused => (State::Refused, self.limits.refused * MAX_DOUBLING),
@@ -146,9 +147,9 @@
         };
         let left = mark.left.min(longest);
         if let Some(known) = self.records.get(&mark.fingerprint) {
-            let refutes = state == State::Suspect && known.state != State::Suspect;
-            let repeats = state == known.state && now + left < known.until + longest / 4;
-            if now < known.until && (refutes || repeats) {
+            let refuted = state == State::Suspect && known.state != State::Suspect;
+            let echoes = state == known.state && now + left < known.until + longest / 4;
+            if echoes || (refuted && now < known.until) {
                 return;
             }
         }
@@ -227,6 +228,16 @@
                 self.records.remove(&first);
             }
         }
+        self.insert(fingerprint, record);
+    }
+
+    /// Adds a suspicion without making room for it, to see the invariant fire.
+    #[cfg(test)]
+    pub(super) fn put_unasked(&mut self, fingerprint: Fingerprint, until: Moment) {
+        self.insert(fingerprint, Record { refusals: 0, state: State::Suspect, until });
+    }
+
+    fn insert(&mut self, fingerprint: Fingerprint, record: Record) {
         self.records.insert(fingerprint, record);
         let len = self.records.len();
         let bounded = len <= self.limits.records.max(1);
--- a/src/quarantine/tests.rs
+++ b/src/quarantine/tests.rs
@@ -41,3 +41,109 @@
     let text = serde_json::to_string(&mark).unwrap();
     assert_eq!(serde_json::from_str::<Mark>(&text).unwrap(), mark);
 }
+
+#[test]
+fn peers_repeating_each_other_keep_no_suspicion_alive() {
+    // Two hosts exchange marks every second over a slow link. Each hears its own mark back with a
+    // little more time left than its own; a suspicion must end near its time all the same.
+    let mut hosts = [(); 2].map(|()| Quarantine::new(QuarantineLimits::default()));
+    let target: TargetId = "a".into();
+    hosts[0].started(1, &target, secs(0));
+    hosts[0].ended(1, &target, true, secs(0));
+    for second in 1..100 {
+        for from in [0, 1] {
+            let marks = hosts[from].marks(secs(second));
+            let arrival = secs(second) + Duration::from_millis(900);
+            marks.iter().for_each(|mark| hosts[1 - from].learn(mark, arrival));
+        }
+    }
+    for host in hosts {
+        assert_eq!(host.standing(1, secs(64)), Standing::Clear);
+    }
+}
+
+#[test]
+fn cleared_request_stays_cleared() {
+    // A request was suspect and then gave a whole answer here. A peer that has not seen the answer
+    // still spreads the suspicion; believing it would make the request run alone again and again.
+    let target: TargetId = "a".into();
+    let mut here = Quarantine::new(QuarantineLimits::default());
+    here.started(1, &target, secs(0));
+    let mark = here.ended(1, &target, true, secs(0)).unwrap();
+    here.started(1, &target, secs(1));
+    here.ended(1, &target, false, secs(1));
+    here.learn(&mark, secs(2));
+    assert_eq!(here.standing(1, secs(2)), Standing::Clear);
+    here.learn(&Mark { verdict: Verdict::Refused, ..mark }, secs(2));
+    assert_eq!(here.standing(1, secs(2)), Standing::Refused { until: secs(62) });
+}
+
+#[test]
+fn shed_or_cancelled_run_proves_nothing() {
+    let target: TargetId = "a".into();
+    let mut here = Quarantine::new(QuarantineLimits::default());
+    here.started(1, &target, secs(0));
+    here.ended(1, &target, true, secs(0));
+    here.started(1, &target, secs(1));
+    here.abandoned(1, &target);
+    assert_eq!(here.standing(1, secs(1)), Standing::Alone);
+}
+
+#[test]
+fn refusal_doubles_and_suspicions_make_room_for_it() {
+    let target: TargetId = "a".into();
+    let limits = QuarantineLimits { records: 8, ..QuarantineLimits::default() };
+    let mut here = Quarantine::new(limits);
+    let mut now = secs(0);
+    let mut times = Vec::new();
+    for _ in 0..6 {
+        here.started(1, &target, now);
+        here.ended(1, &target, true, now);
+        if let Standing::Refused { until } = here.standing(1, now) {
+            times.push((until - now).as_secs());
+            now = until;
+        }
+    }
+    assert_eq!(times, [60, 120, 240, 480, 480]);
+    let until = now - secs(1);
+    for other in 2..100 {
+        here.started(other, &target, until);
+        here.ended(other, &target, true, until);
+    }
+    assert_eq!(here.len(), 8);
+    assert_eq!(here.standing(1, until), Standing::Refused { until: now });
+}
+
+#[test]
+fn broken_safeguards_are_seen() {
+    let target: TargetId = "a".into();
+    let names = || invariant::take().iter().map(|broken| broken.name).collect::<Vec<_>>();
+    let mut here = Quarantine::new(QuarantineLimits { records: 2, ..Default::default() });
+    here.started(1, &target, secs(0));
+    here.ended(1, &target, true, secs(0));
+    here.started(2, &target, secs(0));
+    here.started(1, &target, secs(0));
+    assert_eq!(names(), ["suspect-runs-alone"]);
+    here.ended(2, &target, false, secs(0));
+    here.ended(1, &target, true, secs(0));
+    here.started(1, &target, secs(0));
+    here.ended(1, &target, true, secs(0));
+    here.started(1, &target, secs(1));
+    assert_eq!(names(), ["quarantine-not-run"]);
+    (10..12).for_each(|other| here.put_unasked(other, secs(9)));
+    assert_eq!(names(), ["quarantine-bounded"]);
+}
+
+#[test]
+fn fingerprint_ignores_nothing_that_matters() {
+    let (member, service): (MemberId, ServiceId) = ("agency".into(), "intake".into());
+    let base = fingerprint(&member, &service, "POST", "/a", b"b");
+    assert_eq!(base, fingerprint(&member, &service, "POST", "/a", b"b"));
+    let others = [
+        fingerprint(&"other".into(), &service, "POST", "/a", b"b"),
+        fingerprint(&member, &"status".into(), "POST", "/a", b"b"),
+        fingerprint(&member, &service, "PUT", "/a", b"b"),
+        fingerprint(&member, &service, "POST", "/ab", b""),
+    ];
+    assert!(!others.contains(&base));
+}
--- a/src/selection/health.rs
+++ b/src/selection/health.rs
@@ -1,5 +1,6 @@
 //! What is known of one target's condition.
 
+use super::{LoadReport, Rules, Signal};
 use crate::prelude::*;
 
 /// First time out after repeated failures; doubles with each further ejection.
@@ -10,40 +11,24 @@
 const EJECT_FAILURES: u32 = 3;
 /// A target that ran well for this long after a return is as good as new.
 const FORGIVE: Duration = Duration::from_secs(120);
-/// Latency assumed of a target that has not answered yet.
-const LATENCY_GUESS: Duration = Duration::from_millis(50);
+/// Latency assumed of a target that has not answered yet, in seconds.
+const LATENCY_GUESS: f64 = 0.05;
+/// Time in which a mean latency that gets no new samples halves.
+const LATENCY_HALF_LIFE: Duration = Duration::from_secs(10);
 /// Share of a new sample in the mean latency.
 const LATENCY_WEIGHT: f64 = 0.2;
+/// Most concurrency that successes earn; the slots bound it further.
+const EARNED_MAX: u32 = 1 << 10;
 /// Successes that earn one more concurrent request during a cold start.
 const RAMP_SUCCESSES: u32 = 3;
 /// A target without work for this long has cold caches again.
 const COLD_AFTER: Duration = Duration::from_secs(300);
 /// A report older than this says nothing about the present.
 const REPORT_FRESH: Duration = Duration::from_secs(3);
-/// Age of a report at which trust in its target has decayed to the floor.
+/// Time after which trust in a target without reports has decayed to the floor.
 const REPORT_GONE: Duration = Duration::from_secs(30);
-
-/// How a dispatched request ended, as far as the target's condition goes.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Signal {
-    /// No whole answer: connection lost, timeout, broken answer.
-    Failed,
-    /// The target refused it for want of capacity.
-    Shed,
-    /// A whole answer.
-    Succeeded,
-}
-
-/// What a target's load endpoint said.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct LoadReport {
-    /// Slots in use.
-    pub busy: u32,
-    /// The target retires: no new work.
-    pub draining: bool,
-    /// Slots that it has in all.
-    pub slots: u32,
-}
+/// Trust in a target whose reports stopped long ago.
+const TRUST_FLOOR: f64 = 0.5;
 
 /// State of one target.
 #[derive(Clone, Debug)]
@@ -53,6 +38,7 @@
     ejected_until: Option<Moment>,
     ejections: u32,
     failures: u32,
+    in_flight: u32,
     last_end: Moment,
     /// Mean latency in seconds; `None` before the first answer.
     latency: Option<f64>,
@@ -69,6 +55,7 @@
             ejected_until: None,
             ejections: 0,
             failures: 0,
+            in_flight: 0,
             last_end: now,
             latency: None,
             report: None,
@@ -77,22 +64,39 @@
         }
     }
 
+    pub(super) fn started(&mut self) {
+        self.in_flight += 1;
+    }
+
     /// Takes in the end of a request; true when the target is ejected by it.
     pub(super) fn ended(&mut self, signal: Signal, latency: Duration, now: Moment) -> bool {
         if COLD_AFTER < now.saturating_sub(self.last_end) {
             self.cool();
         }
-        self.last_end = now;
+        let running = self.in_flight;
+        self.in_flight = running.saturating_sub(1);
+        let sample = latency.as_secs_f64();
         match signal {
-            Signal::Failed => self.failed(now),
+            Signal::Failed => {
+                // A late failure (a timeout) is slowness; a fast one must not look like speed.
+                if self.latency(now) < sample {
+                    self.sample(sample, now);
+                }
+                self.last_end = now;
+                self.failed(now)
+            }
             Signal::Shed => {
-                // The target's own word at the time of use: it holds fewer than we thought.
-                self.earned = self.earned.saturating_sub(1).max(1);
+                // The target's word at the time of use: it holds fewer than ran.
+                self.earned = self.earned.min(running.max(1)).saturating_sub(1).max(1);
                 self.successes = 0;
+                self.last_end = now;
                 false
             }
             Signal::Succeeded => {
-                self.succeeded(latency, now);
+                self.sample(sample, now);
+                self.last_end = now;
+                self.failures = 0;
+                self.earn();
                 false
             }
         }
@@ -110,17 +114,22 @@
         true
     }
 
+    pub(super) fn ejected_until(&self) -> Option<Moment> {
+        self.ejected_until
+    }
+
     pub(super) fn is_ejected(&self, now: Moment) -> bool {
         self.ejected_until.is_some_and(|until| now < until)
     }
 
     /// Concurrency allowed now, from 1 to `slots`; 0 only while draining.
-    pub(super) fn limit(&self, slots: u32, now: Moment) -> u32 {
+    pub(super) fn limit(&self, slots: u32, rules: Rules, now: Moment) -> u32 {
         if self.is_draining() || slots == 0 {
             return 0;
         }
         let cold = COLD_AFTER < now.saturating_sub(self.last_end);
         let earned = if cold { 1 } else { self.earned };
+        let earned = if rules.ramp { earned } else { slots };
         earned.min(self.reported_limit(slots)).clamp(1, slots)
     }
 
@@ -129,6 +138,9 @@
     }
 
     pub(super) fn report(&mut self, report: LoadReport, now: Moment) {
+        if self.is_draining() && !report.draining {
+            self.cool();
+        }
         self.report = Some((report, now));
     }
 
@@ -138,24 +150,35 @@
         f64::from(report.busy) / f64::from(report.slots.max(1))
     }
 
-    /// Mean latency in seconds.
-    pub(super) fn latency(&self) -> f64 {
-        self.latency.unwrap_or(LATENCY_GUESS.as_secs_f64())
+    /// Mean latency in seconds. Without samples it decays, so that a target that was slow once is
+    /// tried again: nothing else would ever tell that it has recovered.
+    pub(super) fn latency(&self, now: Moment) -> f64 {
+        let Some(latency) = self.latency else { return LATENCY_GUESS };
+        let age = now.saturating_sub(self.last_end).as_secs_f64();
+        latency * 0.5_f64.powf(age / LATENCY_HALF_LIFE.as_secs_f64())
+    }
+
+    /// Mean latency as last measured.
+    pub(super) fn measured_latency(&self) -> Option<Duration> {
+        self.latency.map(Duration::from_secs_f64)
     }
 
-    /// From 1 (trusted) down to 0.5 (its reports stopped long ago). As a factor among targets it
-    /// cancels out when all reports stop, so lost measurements alone never take traffic away.
+    /// From 1 (trusted) down to the floor (its reports stopped long ago). As a factor among targets
+    /// it cancels out when all reports stop, so lost measurements alone never take traffic away.
     pub(super) fn trust(&self, now: Moment) -> f64 {
         let Some((_, at)) = self.report else { return 1.0 };
         let stale = now.saturating_sub(at).saturating_sub(REPORT_FRESH).as_secs_f64();
-        1.0 - 0.5 * (stale / REPORT_GONE.as_secs_f64()).min(1.0)
+        1.0 - (1.0 - TRUST_FLOOR) * (stale / REPORT_GONE.as_secs_f64()).min(1.0)
     }
 
     /// A report may lower the limit to half of the slots and no further: a lying endpoint that
-    /// claims to be full would otherwise take its target, or every target, out of use.
+    /// claims to have next to none would otherwise take its target, or every target, out of use.
+    /// The last word stands while reports are missing; 0 slots means that it does not say.
     fn reported_limit(&self, slots: u32) -> u32 {
-        let Some((report, _)) = self.report else { return slots };
-        report.slots.max(slots.div_ceil(2))
+        match self.report {
+            Some((report, _)) if report.slots != 0 => report.slots.max(slots.div_ceil(2)),
+            _ => slots,
+        }
     }
 
     fn failed(&mut self, now: Moment) -> bool {
@@ -172,15 +195,16 @@
         true
     }
 
-    fn succeeded(&mut self, latency: Duration, _now: Moment) {
-        self.failures = 0;
-        let sample = latency.as_secs_f64();
-        let mean = self.latency.unwrap_or(sample);
+    fn sample(&mut self, sample: f64, now: Moment) {
+        let mean = self.latency.map_or(sample, |_| self.latency(now));
         self.latency = Some(mean + LATENCY_WEIGHT * (sample - mean));
+    }
+
+    fn earn(&mut self) {
         self.successes += 1;
         if RAMP_SUCCESSES <= self.successes {
             self.successes = 0;
-            self.earned = self.earned.saturating_add(1).min(1 << 16);
+            self.earned = self.earned.saturating_add(1).min(EARNED_MAX);
         }
     }
 
--- a/src/selection/mod.rs
+++ b/src/selection/mod.rs
@@ -7,12 +7,13 @@
 mod health;
 mod policy;
 mod selector;
+mod signal;
 #[cfg(test)]
 mod tests;
 
 pub use self::{
     candidate::{Candidate, Tier},
-    health::{LoadReport, Signal},
-    policy::Policy,
+    policy::{Policy, Rules},
     selector::{Change, Selector},
+    signal::{LoadReport, Signal},
 };
--- a/src/selection/policy.rs
+++ b/src/selection/policy.rs
@@ -18,3 +18,18 @@
     /// As the member weighs latency against headroom.
     Weighed(Weighing),
 }
+
+/// Safeguards of the selector; measurements turn them off one by one to see what each is worth.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Rules {
+    /// Targets that fail again and again are left out for a time.
+    pub eject: bool,
+    /// Cold targets start at a concurrency of one.
+    pub ramp: bool,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Self { eject: true, ramp: true }
+    }
+}
--- a/src/selection/selector.rs
+++ b/src/selection/selector.rs
@@ -1,8 +1,10 @@
 //! The selector: one for a host, over the targets of all its services.
 
+use std::collections::BTreeSet;
+
 use rand::Rng;
 
-use super::{Candidate, LoadReport, Policy, Signal, health::Health};
+use super::{Candidate, LoadReport, Policy, Rules, Signal, health::Health};
 use crate::{base::invariant, manifest::Weighing, prelude::*};
 
 /// Above this many candidates only a random sample is weighed, so that a choice stays cheap.
@@ -21,7 +23,10 @@
 #[derive(Debug)]
 pub struct Selector {
     changes: Vec<Change>,
+    /// Targets whose time out has not been ended.
+    ejected: BTreeSet<TargetId>,
     policy: Policy,
+    rules: Rules,
     targets: BTreeMap<TargetId, Health>,
     turns: BTreeMap<ServiceId, usize>,
 }
@@ -29,7 +34,19 @@
 impl Selector {
     /// A selector that knows no target yet.
     pub fn new(policy: Policy) -> Self {
-        Self { changes: Vec::new(), policy, targets: BTreeMap::new(), turns: BTreeMap::new() }
+        Self::with_rules(policy, Rules::default())
+    }
+
+    /// A selector with some safeguards off, for measurements.
+    pub fn with_rules(policy: Policy, rules: Rules) -> Self {
+        Self {
+            changes: Vec::new(),
+            ejected: BTreeSet::new(),
+            policy,
+            rules,
+            targets: BTreeMap::new(),
+            turns: BTreeMap::new(),
+        }
     }
 
     /// Takes up a changed weighing; what is known of the targets stays.
@@ -47,10 +64,10 @@
         rng: &mut impl Rng,
     ) -> Option<usize> {
         self.readmit(now);
-        let usable = self.usable(candidates, now);
-        let nearest = usable.iter().map(|&index| candidates[index].tier).min()?;
-        let tier: Vec<usize> =
-            usable.into_iter().filter(|&index| candidates[index].tier == nearest).collect();
+        let tier = self.nearest(candidates);
+        if tier.is_empty() {
+            return None;
+        }
         let index = match self.policy {
             Policy::LeastInFlight => {
                 lowest(&tier, rng, |index| f64::from(candidates[index].in_flight))
@@ -69,19 +86,19 @@
                 lowest(&sample, rng, |index| self.cost(&candidates[index], weighing, now))
             }
         };
-        let chosen = &candidates[index];
-        invariant::hold(chosen.has_room(), "selection-has-room", || format!("{chosen:?}"));
+        check_room(&candidates[index]);
         Some(index)
     }
 
     /// A request was sent to `target`.
     pub fn started(&mut self, target: &TargetId, now: Moment) {
-        self.health(target, now);
+        self.health(target, now).started();
     }
 
     /// A request to `target` ended after `latency`.
     pub fn ended(&mut self, target: &TargetId, signal: Signal, latency: Duration, now: Moment) {
-        if self.health(target, now).ended(signal, latency, now) {
+        let eject = self.health(target, now).ended(signal, latency, now) && self.rules.eject;
+        if eject && self.ejected.insert(target.clone()) {
             self.changes.push(Change::Ejected(target.clone()));
         }
     }
@@ -94,8 +111,9 @@
     /// Requests that may run on `target` at a time: from 1 when cold to `slots`, 0 when draining.
     pub fn limit(&self, target: &TargetId, slots: u32, now: Moment) -> u32 {
         match self.targets.get(target) {
-            Some(health) => health.limit(slots, now),
-            None => slots.min(1),
+            Some(health) => health.limit(slots, self.rules, now),
+            None if self.rules.ramp => slots.min(1),
+            None => slots,
         }
     }
 
@@ -106,12 +124,18 @@
 
     /// Whether the target is out because of its failures.
     pub fn ejected(&self, target: &TargetId, now: Moment) -> bool {
-        self.targets.get(target).is_some_and(|health| health.is_ejected(now))
+        self.rules.eject && self.targets.get(target).is_some_and(|health| health.is_ejected(now))
+    }
+
+    /// Mean latency of the target's whole answers.
+    pub fn latency(&self, target: &TargetId) -> Option<Duration> {
+        self.targets.get(target)?.measured_latency()
     }
 
     /// Forgets targets that are no longer in the manifest.
     pub fn retain(&mut self, is_known: impl Fn(&TargetId) -> bool) {
         self.targets.retain(|target, _| is_known(target));
+        self.ejected.retain(|target| is_known(target));
     }
 
     /// Ejections and returns since the last call.
@@ -120,25 +144,46 @@
     }
 
     fn health(&mut self, target: &TargetId, now: Moment) -> &mut Health {
-        self.targets.entry(target.clone()).or_insert_with(|| Health::new(now))
+        if !self.targets.contains_key(target) {
+            self.targets.insert(target.clone(), Health::new(now));
+        }
+        self.targets.get_mut(target).expect("inserted above if it was missing")
     }
 
     fn readmit(&mut self, now: Moment) {
-        for (target, health) in &mut self.targets {
-            if health.try_return(now) {
-                self.changes.push(Change::Returned(target.clone()));
+        let is_over = |target: &TargetId| {
+            let health = self.targets.get(target);
+            health.and_then(Health::ejected_until).is_none_or(|until| until <= now)
+        };
+        let over: Vec<TargetId> =
+            self.ejected.iter().filter(|target| is_over(target)).cloned().collect();
+        for target in over {
+            self.ejected.remove(&target);
+            if self.targets.get_mut(&target).is_some_and(|health| health.try_return(now)) {
+                self.changes.push(Change::Returned(target));
             }
         }
     }
 
-    fn usable(&self, candidates: &[Candidate], now: Moment) -> Vec<usize> {
-        let in_use = |candidate: &Candidate| candidate.limit != 0;
-        let is_sound =
-            |candidate: &Candidate| in_use(candidate) && !self.ejected(&candidate.target, now);
+    /// Indices of the candidates with room in the nearest tier that has any.
+    fn nearest(&self, candidates: &[Candidate]) -> Vec<usize> {
+        let is_sound = |candidate: &Candidate| {
+            candidate.limit != 0
+                && (self.ejected.is_empty() || !self.ejected.contains(&candidate.target))
+        };
         let any_sound = candidates.iter().any(is_sound);
-        let has_room =
+        let usable =
             |candidate: &Candidate| candidate.has_room() && (!any_sound || is_sound(candidate));
-        (0..candidates.len()).filter(|&index| has_room(&candidates[index])).collect()
+        let nearest = candidates
+            .iter()
+            .filter(|candidate| usable(candidate))
+            .map(|candidate| candidate.tier)
+            .min();
+        let in_tier = |index: &usize| {
+            let candidate = &candidates[*index];
+            Some(candidate.tier) == nearest && usable(candidate)
+        };
+        (0..candidates.len()).filter(in_tier).collect()
     }
 
     fn reported_share(&self, target: &TargetId) -> f64 {
@@ -150,8 +195,8 @@
         let load = f64::from(candidate.in_flight + 1) / f64::from(candidate.limit.max(1));
         let Some(health) = self.targets.get(&candidate.target) else { return load };
         let latency = match weighing {
-            Weighing::Headroom => health.latency().sqrt(),
-            Weighing::Latency => health.latency(),
+            Weighing::Headroom => health.latency(now).sqrt(),
+            Weighing::Latency => health.latency(now),
         };
         load * latency / health.trust(now)
     }
@@ -163,6 +208,10 @@
     }
 }
 
+pub(super) fn check_room(chosen: &Candidate) {
+    invariant::hold(chosen.has_room(), "selection-has-room", || format!("{chosen:?}"));
+}
+
 /// The index of least cost; ties fall evenly.
 fn lowest(indices: &[usize], rng: &mut impl Rng, cost: impl Fn(usize) -> f64) -> usize {
     let mut best = indices[0];
--- a/src/shift/caps.rs
+++ b/src/shift/caps.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 
 use super::{
-    DirectAsk, ShiftAsk,
+    DirectAsk, ShiftAsk, ShiftRules,
     meter::{Meter, WINDOW},
     ramp::Ramp,
 };
@@ -12,6 +12,8 @@
 /// Part of a cap that each side takes while the two sides can't agree: the home region's hosts
 /// shift half, and hosts that its callers reach directly serve half, so the sum stays under it.
 const SPLIT: Share = 0.5;
+/// Shifts a second that a small flow may start with, as long as they are under its cap.
+const FIRST_STEP: f64 = 1.0;
 /// Least spread of a Retry-After.
 const SPREAD_MIN: Duration = Duration::from_secs(1);
 /// Widest spread of a Retry-After.
@@ -23,6 +25,7 @@
 #[derive(Debug)]
 pub struct ShiftCaps {
     flows: BTreeMap<FlowId, Flow>,
+    rules: ShiftRules,
     started_at: Moment,
 }
 
@@ -44,12 +47,18 @@
     /// What the last shift cost, for `undo`.
     price: f64,
     ramp: Ramp,
+    rules: ShiftRules,
 }
 
 impl ShiftCaps {
     /// Caps with empty windows at `now`: a restarted host starts without credit.
     pub fn new(now: Moment) -> Self {
-        Self { flows: BTreeMap::new(), started_at: now }
+        Self::with_rules(ShiftRules::default(), now)
+    }
+
+    /// Caps with some safeguards off, for measurements.
+    pub fn with_rules(rules: ShiftRules, now: Moment) -> Self {
+        Self { flows: BTreeMap::new(), rules, started_at: now }
     }
 
     /// Counts a request of a caller at home in `home`, before any `allow` for it.
@@ -76,11 +85,19 @@
     /// Takes back an allowed shift that was then not run.
     pub fn undo(&mut self, service: &ServiceId, home: &RegionId, now: Moment) {
         let flow = self.flow(service, home, now);
-        if flow.meter.take_back(now) {
+        if flow.meter.take_back(now, |bucket| &mut bucket.shifted) {
             flow.earned += flow.price;
         }
     }
 
+    /// Takes back an allowed direct caller whose request was then not run.
+    pub fn undo_direct(&mut self, service: &ServiceId, home: &RegionId, now: Moment) {
+        let flow = self.flow(service, home, now);
+        if flow.meter.take_back(now, |bucket| &mut bucket.direct) {
+            flow.direct = (flow.direct + 1.0).min(1.0);
+        }
+    }
+
     /// A shifted request ended: `good` when neither slow nor shed.
     pub fn feedback(&mut self, service: &ServiceId, home: &RegionId, good: bool, now: Moment) {
         self.flow(service, home, now).ramp.feedback(good, now);
@@ -106,7 +123,7 @@
     ) -> Duration {
         let id = FlowId { home: home.clone(), service: service.clone() };
         let sums = self.flows.get(&id).map(|flow| flow.meter.peek(now)).unwrap_or_default();
-        let pressure = f64::from(sums.refused) / f64::from(sums.shifted.max(1));
+        let pressure = f64::from(sums.refused) / f64::from((sums.shifted + sums.direct).max(1));
         let spread = SPREAD_MIN.mul_f64(pressure.max(1.0)).min(SPREAD_MAX);
         SPREAD_MIN + spread.mul_f64(rng.random_range(0.0..1.0))
     }
@@ -119,65 +136,73 @@
 
     fn flow(&mut self, service: &ServiceId, home: &RegionId, now: Moment) -> &mut Flow {
         let id = FlowId { home: home.clone(), service: service.clone() };
-        let started_at = self.started_at;
-        self.flows.entry(id).or_insert_with(|| Flow::new(started_at, now))
+        let (rules, started_at) = (self.rules, self.started_at);
+        self.flows.entry(id).or_insert_with(|| Flow::new(rules, started_at, now))
     }
 }
 
 impl Flow {
-    fn new(started_at: Moment, now: Moment) -> Self {
+    fn new(rules: ShiftRules, started_at: Moment, now: Moment) -> Self {
         Self {
             direct: 0.0,
             direct_at: started_at,
             earned: 0.0,
             meter: Meter::new(now),
             price: 0.0,
-            ramp: Ramp::new(now),
+            ramp: Ramp::new(rules, now),
+            rules,
         }
     }
 
     fn allow(&mut self, cap: Share, now: Moment) -> bool {
-        let cap_now = cap * self.ramp.share(now);
         let sums = self.meter.sums(now);
+        let cap_now = self.cap_now(cap, sums.total, now);
         let within = f64::from(sums.shifted + 1) <= cap_now * f64::from(sums.total);
         // One shift costs the arrivals that it takes to earn it; kept credit is two shifts' worth.
         let price = 1.0 / cap_now.max(f64::EPSILON);
         self.earned = self.earned.min(price * 2.0);
-        if !within || self.earned < price {
+        if self.rules.caps && (!within || self.earned < price) {
             self.meter.change(now, |bucket| bucket.refused += 1);
             return false;
         }
         self.earned -= price;
         self.price = price;
-        self.ramp.used(now);
+        self.ramp.used(cap_now / cap.max(f64::EPSILON), now);
         self.meter.change(now, |bucket| bucket.shifted += 1);
-        self.check_cap(cap, now);
+        let sums = self.meter.sums(now);
+        let under = f64::from(sums.shifted) <= cap * f64::from(sums.total);
+        invariant::hold(under, "shift-under-cap", || {
+            format!("{} shifted of {}, cap {cap}", sums.shifted, sums.total)
+        });
         true
     }
 
+    /// The part of `cap` that the ramp allows. A small flow gets at least `FIRST_STEP`, or a tenth
+    /// of its cap would be less than one request and the ramp would never see an answer.
+    fn cap_now(&self, cap: Share, total: u32, now: Moment) -> Share {
+        let first_step = FIRST_STEP * self.meter.span(now).as_secs_f64() / f64::from(total.max(1));
+        (cap * self.ramp.share(now)).max(first_step).min(cap)
+    }
+
     fn allow_direct(&mut self, rate: f64, now: Moment) -> bool {
-        let earned = now.saturating_sub(self.direct_at).as_secs_f64() * rate;
+        let window = WINDOW.as_secs_f64();
+        let rate_now = (rate * self.ramp.share(now)).max(FIRST_STEP).min(rate);
+        let earned = now.saturating_sub(self.direct_at).as_secs_f64() * rate_now;
         self.direct = (self.direct + earned).min(1.0);
         self.direct_at = now;
-        if self.direct < 1.0 {
+        let most = rate * window + 1.0;
+        let within = f64::from(self.meter.sums(now).direct + 1) <= most;
+        if self.rules.caps && (!within || self.direct < 1.0) {
             self.meter.change(now, |bucket| bucket.refused += 1);
             return false;
         }
         self.direct -= 1.0;
-        self.meter.change(now, |bucket| bucket.shifted += 1);
-        let shifted = f64::from(self.meter.sums(now).shifted);
-        let most = rate * WINDOW.as_secs_f64() + 1.0;
-        invariant::hold(shifted <= most, "direct-shift-under-cap", || {
-            format!("{shifted} served directly, {most:.1} allowed")
+        self.ramp.used(rate_now / rate.max(f64::EPSILON), now);
+        self.meter.change(now, |bucket| bucket.direct += 1);
+        let direct = self.meter.sums(now).direct;
+        invariant::hold(f64::from(direct) <= most, "direct-shift-under-cap", || {
+            format!("{direct} served directly, {most:.1} allowed")
         });
         true
     }
-
-    fn check_cap(&mut self, cap: Share, now: Moment) {
-        let sums = self.meter.sums(now);
-        let most = cap * f64::from(sums.total);
-        invariant::hold(f64::from(sums.shifted) <= most, "shift-under-cap", || {
-            format!("{} shifted of {}, cap {cap}", sums.shifted, sums.total)
-        });
-    }
 }
--- a/src/shift/meter.rs
+++ b/src/shift/meter.rs
@@ -21,6 +21,8 @@
 
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Bucket {
+    /// Served here for callers whose own hosts are gone.
+    pub(super) direct: u32,
     pub(super) refused: u32,
     pub(super) shifted: u32,
     pub(super) total: u32,
@@ -43,20 +45,24 @@
         change(&mut self.sums);
     }
 
-    /// Takes the newest shift back out of the window; false when it holds none.
-    pub(super) fn take_back(&mut self, now: Moment) -> bool {
+    /// Takes one from the newest bucket that counts any in `field`; false when none does.
+    pub(super) fn take_back(
+        &mut self,
+        now: Moment,
+        field: impl Fn(&mut Bucket) -> &mut u32,
+    ) -> bool {
         self.roll(now);
         let newest = self.tick;
         let oldest = newest.saturating_sub(BUCKETS as u64 - 1);
-        let bucket = |tick: u64| (tick % BUCKETS as u64) as usize;
-        let Some(tick) =
-            (oldest..=newest).rev().find(|&tick| self.buckets[bucket(tick)].shifted != 0)
-        else {
-            return false;
-        };
-        self.buckets[bucket(tick)].shifted -= 1;
-        self.sums.shifted -= 1;
-        true
+        for tick in (oldest..=newest).rev() {
+            let count = field(&mut self.buckets[(tick % BUCKETS as u64) as usize]);
+            if *count != 0 {
+                *count -= 1;
+                *field(&mut self.sums) -= 1;
+                return true;
+            }
+        }
+        false
     }
 
     /// Sums over the window that ends now.
@@ -91,6 +97,7 @@
         while self.tick < newest {
             self.tick += 1;
             let old = std::mem::take(&mut self.buckets[(self.tick % BUCKETS as u64) as usize]);
+            self.sums.direct -= old.direct;
             self.sums.refused -= old.refused;
             self.sums.shifted -= old.shifted;
             self.sums.total -= old.total;
--- a/src/shift/mod.rs
+++ b/src/shift/mod.rs
@@ -8,6 +8,7 @@
 mod meter;
 mod ramp;
 mod receiver;
+mod rules;
 #[cfg(test)]
 mod tests;
 
@@ -15,4 +16,5 @@
     ask::{DirectAsk, ShiftAsk},
     caps::ShiftCaps,
     receiver::accept_foreign,
+    rules::ShiftRules,
 };
--- a/src/shift/ramp.rs
+++ b/src/shift/ramp.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use super::ShiftRules;
 use crate::{base::invariant, manifest::Share, prelude::*};
 
 /// First step, as a share of the cap.
@@ -34,38 +35,46 @@
     good: u32,
     last_shift: Moment,
     last_step: Moment,
+    /// Share that was open at the last shift.
+    open: Share,
     paused_until: Moment,
     reversals: VecDeque<Moment>,
     rising: bool,
+    rules: ShiftRules,
     share: Share,
 }
 
 impl Ramp {
-    pub(super) fn new(now: Moment) -> Self {
+    pub(super) fn new(rules: ShiftRules, now: Moment) -> Self {
         Self {
             bad: 0,
             good: 0,
             last_shift: now,
             last_step: now,
+            open: FIRST_STEP,
             paused_until: now,
             reversals: VecDeque::new(),
             rising: true,
+            rules,
             share: FIRST_STEP,
         }
     }
 
     /// Share of the cap that may be used now.
     pub(super) fn share(&self, now: Moment) -> Share {
+        if !self.rules.ramp {
+            return 1.0;
+        }
         if COLD_AFTER < now.saturating_sub(self.last_shift) { FIRST_STEP } else { self.share }
     }
 
-    /// A shift was allowed.
-    pub(super) fn used(&mut self, now: Moment) {
+    /// A shift was allowed while `share` of the cap was open: more than this ramp's own share where
+    /// a small flow got its least step, and then the next step starts from there.
+    pub(super) fn used(&mut self, share: Share, now: Moment) {
         if COLD_AFTER < now.saturating_sub(self.last_shift) {
-            self.share = FIRST_STEP;
-            self.last_step = now;
-            (self.good, self.bad) = (0, 0);
+            self.step_to(FIRST_STEP, now);
         }
+        self.open = share;
         self.last_shift = now;
     }
 
@@ -96,7 +105,7 @@
         self.turn(false, now);
         let doublings = u32::try_from(self.reversals.len() / 2).unwrap_or(u32::MAX).min(8);
         let pause = PAUSE_BASE.saturating_mul(1 << doublings).min(PAUSE_MAX);
-        self.paused_until = now + pause;
+        self.paused_until = if self.rules.pause { now + pause } else { now };
         self.step_to((self.share / 2.0).max(FIRST_STEP / 4.0), now);
     }
 
@@ -104,7 +113,7 @@
         if self.share < 1.0 {
             self.turn(true, now);
         }
-        self.step_to((self.share * 2.0).min(1.0), now);
+        self.step_to((self.share.max(self.open) * 2.0).min(1.0), now);
     }
 
     fn step_to(&mut self, share: Share, now: Moment) {
--- /dev/null
+++ b/src/shift/rules.rs
@@ -0,0 +1,18 @@
+//! Safeguards that measurements and tests turn off one by one.
+
+/// Which safeguards of the shift caps are on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ShiftRules {
+    /// Shifts stay under the cap.
+    pub caps: bool,
+    /// A ramp that backed off waits, longer each time.
+    pub pause: bool,
+    /// Shifts start small and grow.
+    pub ramp: bool,
+}
+
+impl Default for ShiftRules {
+    fn default() -> Self {
+        Self { caps: true, pause: true, ramp: true }
+    }
+}
