Compose the request decisions into one machine per host

Cause: the slices stood alone; the host needs one input and one list of orders, so that a trace can be replayed.

--- a/src/daemon/traffic.rs
+++ b/src/daemon/traffic.rs
@@ -17,7 +17,7 @@
 use warp::reply::Response;
 
 use super::{
-    headers,
+    Tape, headers,
     incoming::{Incoming, via_text},
     outgoing,
 };
@@ -30,7 +30,6 @@
     settings::Secret,
     steer::{Action, Answer, AttemptId, CallId, Event, Outcome, Steer, Via},
     timeline::{EventKind, EventSink},
-    trace::Tape,
     view::View,
 };
 
@@ -336,10 +335,10 @@
             let sent = tx.send(chunk.map_err(std::io::Error::other)).await;
             if let Some(failure) = broke {
                 let error = if sent.is_ok() { failure.kind() } else { ErrorKind::StreamCut };
-                return self.end(order.attempt, failed(error, latency));
+                return self.end(order.attempt, cut(error, latency));
             }
             if sent.is_err() {
-                return self.end(order.attempt, failed(ErrorKind::StreamCut, latency));
+                return self.end(order.attempt, cut(ErrorKind::StreamCut, latency));
             }
         }
         self.end(order.attempt, Outcome::Answered { kept: None, latency, status });
@@ -401,7 +400,12 @@
 }
 
 fn failed(error: ErrorKind, latency: Duration) -> Outcome {
-    Outcome::Failed { error, latency }
+    Outcome::Failed { error, latency, passed: false }
+}
+
+/// The answer broke off behind its head.
+fn cut(error: ErrorKind, latency: Duration) -> Outcome {
+    Outcome::Failed { error, latency, passed: true }
 }
 
 /// A panic while a lock is held must not take the host's other requests with it.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod selection;
 pub mod settings;
 pub mod shift;
+pub mod steer;
 pub mod timeline;
 pub mod trace;
 pub mod view;
--- a/src/steer/arrive.rs
+++ b/src/steer/arrive.rs
@@ -38,8 +38,7 @@
         if arrival.member != view.manifest.member {
             return Err(ErrorKind::OtherMember);
         }
-        let service =
-            view.manifest.service(&arrival.service).ok_or(ErrorKind::ServiceUnknown)?;
+        let service = view.manifest.service(&arrival.service).ok_or(ErrorKind::ServiceUnknown)?;
         if service.max_body < arrival.body_len {
             return Err(ErrorKind::BodyTooLarge);
         }
@@ -114,13 +113,7 @@
     }
 
     /// Forwards to the host that the binding names, or to the one that took over its ledger.
-    fn carry_to_owner(
-        &mut self,
-        call: CallId,
-        binding: &Binding,
-        now: Moment,
-        rng: &mut impl Rng,
-    ) {
+    fn carry_to_owner(&mut self, call: CallId, binding: &Binding, now: Moment, rng: &mut impl Rng) {
         // A host that a peer took for the owner, and that is not, would send the request round
         // and round: the caller would wait until its deadline. One ledger hop is enough, since
         // the first host already looked for the owner.
@@ -234,8 +227,7 @@
     pub(super) fn close_entry(&mut self, call: CallId, end: End, now: Moment, rng: &mut impl Rng) {
         let state = self.state(call);
         state.in_ledger = false;
-        let (Some(binding), Some(key)) =
-            (state.arrival.binding.clone(), state.arrival.key.clone())
+        let (Some(binding), Some(key)) = (state.arrival.binding.clone(), state.arrival.key.clone())
         else {
             return;
         };
@@ -261,7 +253,8 @@
             return spread(error, rng);
         }
         let home = self.blocks.home(state.arrival.client)?;
-        Some(self.caps.retry_after(&state.arrival.service, home, rng))
+        let least = error.row().retry_after.unwrap_or_default();
+        Some(self.caps.retry_after(&state.arrival.service, home, least, rng))
     }
 
     pub(super) fn state(&mut self, call: CallId) -> &mut Call {
--- a/src/steer/event.rs
+++ b/src/steer/event.rs
@@ -48,7 +48,12 @@
     /// With the target's whole answer; `kept` holds it where the request must run at most once.
     Answered { kept: Option<Arc<KeptAnswer>>, latency: Duration, status: u16 },
     /// Without one.
-    Failed { error: ErrorKind, latency: Duration },
+    Failed {
+        error: ErrorKind,
+        latency: Duration,
+        /// The head of the answer has gone to the caller: no other attempt may follow.
+        passed: bool,
+    },
 }
 
 /// One input of the decisions.
--- a/src/steer/machine.rs
+++ b/src/steer/machine.rs
@@ -1,5 +1,7 @@
 //! The machine: its state and the distribution of events.
 
+use std::collections::BTreeSet;
+
 use rand::Rng;
 
 use super::{
@@ -11,20 +13,36 @@
     base::invariant,
     ledger::{Ledger, LedgerLimits, SealedLedger},
     lookup::{BlockTable, owner_of},
-    manifest::{DrainScope, Service, Target},
+    manifest::{DrainScope, Service, Target, Weighing},
     prelude::*,
     quarantine::{Mark, Quarantine, QuarantineLimits},
-    selection::{Policy, Selector},
+    selection::{Change, Policy, Selector},
     shift::ShiftCaps,
     timeline::EventKind,
     view::{Baseline, View},
 };
 
 /// Bounds of the machine's state.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct SteerLimits {
+    /// How long the slots of a former owner count as taken, unless a report frees them: the
+    /// longest time that a request may run on a target.
+    pub hold: Duration,
     pub ledger: LedgerLimits,
     pub quarantine: QuarantineLimits,
+    /// Requests of one service that may wait for a slot.
+    pub queue: usize,
+}
+
+impl Default for SteerLimits {
+    fn default() -> Self {
+        Self {
+            hold: Duration::from_secs(5),
+            ledger: LedgerLimits::default(),
+            quarantine: QuarantineLimits::default(),
+            queue: 64,
+        }
+    }
 }
 
 /// The decisions of one incarnation of one host.
@@ -38,6 +56,7 @@
     pub(super) next_attempt: AttemptId,
     pub(super) out: Vec<Action>,
     pub(super) quarantine: Quarantine,
+    pub(super) queue_limit: usize,
     pub(super) queues: BTreeMap<ServiceId, Queue>,
     pub(super) retries: RetryBudget,
     pub(super) selector: Selector,
@@ -52,7 +71,7 @@
             attempts: BTreeMap::new(),
             blocks: BlockTable::build(&[]),
             calls: BTreeMap::new(),
-            caps: ShiftCaps::default(),
+            caps: ShiftCaps::new(Duration::ZERO),
             leaving: false,
             ledger: Ledger::new(host, incarnation, limits.ledger),
             next_attempt: 0,
@@ -60,8 +79,9 @@
             quarantine: Quarantine::new(limits.quarantine),
             queues: BTreeMap::new(),
             retries: RetryBudget::default(),
-            selector: Selector::new(Policy::default()),
-            slots: Slots::default(),
+            selector: Selector::new(Policy::Weighed(Weighing::Latency)),
+            queue_limit: limits.queue,
+            slots: Slots::new(limits.hold),
             view: None,
         }
     }
@@ -73,15 +93,18 @@
             Event::Cancelled { call } => self.cancelled(call, now, rng),
             Event::Ended { attempt, outcome } => self.ended(attempt, outcome, now, rng),
             Event::Leave => self.leaving = true,
-            Event::Marked { marks } => marks.iter().for_each(|mark| self.quarantine.learn(mark, now)),
+            Event::Marked { marks } => {
+                marks.iter().for_each(|mark| self.quarantine.learn(mark, now))
+            }
             Event::Reported { report, target } => {
-                self.slots.report(&target, &report, now);
+                self.slots.report(&target, report.busy, now);
                 self.selector.report(&target, report, now);
                 self.drain_queues(now, rng);
             }
             Event::Tick => self.ticked(now, rng),
             Event::Viewed { view } => self.viewed(view, now, rng),
         }
+        self.note_changes();
         self.note_broken();
         std::mem::take(&mut self.out)
     }
@@ -194,6 +217,9 @@
         if !same_manifest {
             self.blocks = BlockTable::build(&view.manifest.client_blocks);
             self.selector.set_policy(Policy::Weighed(view.manifest.weighing));
+            let targets = view.manifest.services.iter().flat_map(|service| &service.targets);
+            let known: BTreeSet<&TargetId> = targets.map(|target| &target.name).collect();
+            self.selector.retain(|target| known.contains(target));
             self.note(None, EventKind::ManifestInForce { sequence: view.manifest.sequence });
         }
         let owned = self.owned_targets(&view);
@@ -233,6 +259,16 @@
         self.drain_queues(now, rng);
     }
 
+    fn note_changes(&mut self) {
+        for change in self.selector.take_changes() {
+            let kind = match change {
+                Change::Ejected(target) => EventKind::TargetEjected { target },
+                Change::Returned(target) => EventKind::TargetReturned { target },
+            };
+            self.note(None, kind);
+        }
+    }
+
     fn note_broken(&mut self) {
         for broken in invariant::take() {
             let kind =
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -10,8 +10,6 @@
 mod machine;
 mod place;
 mod settle;
-#[cfg(test)]
-mod tests;
 
 pub use self::{
     action::{Action, Answer},
--- a/src/steer/place.rs
+++ b/src/steer/place.rs
@@ -22,8 +22,11 @@
 /// Most attempts at one request, the first included.
 const MAX_ATTEMPTS: u32 = 3;
 
+/// Time that a request needs at least once it has a slot; with less left it is hopeless.
+const EXPECTED_TIME: Duration = Duration::from_millis(20);
+
 /// A candidate and how to reach it.
-struct Option_ {
+struct Way {
     address: SocketAddr,
     candidate: Candidate,
     /// The host that owns the target, where it is not this one.
@@ -97,7 +100,7 @@
         service: &Service,
         home: &RegionId,
         now: Moment,
-    ) -> Vec<Option_> {
+    ) -> Vec<Way> {
         let state = &self.calls[&call];
         let usable = service
             .targets
@@ -114,7 +117,7 @@
         target: &Target,
         home: &RegionId,
         now: Moment,
-    ) -> Option<Option_> {
+    ) -> Option<Way> {
         let region = &view.manifest.region_of(&target.zone)?.name;
         let own = self.slots.owns(&target.name);
         if call.arrival.via == Via::SlotHop && !own {
@@ -141,7 +144,7 @@
                 target: target.name.clone(),
                 tier,
             };
-            return Some(Option_ { address: target.address, candidate, peer: None });
+            return Some(Way { address: target.address, candidate, peer: None });
         }
         let (peer, address) = owner_host(view, target)?;
         let candidate = Candidate {
@@ -150,7 +153,7 @@
             target: target.name.clone(),
             tier,
         };
-        Some(Option_ { address, candidate, peer: Some(peer) })
+        Some(Way { address, candidate, peer: Some(peer) })
     }
 
     fn forwarded_to(&self, target: &TargetId) -> u32 {
@@ -195,7 +198,7 @@
         self.caps.undo(&service, &view.own.region, now);
     }
 
-    fn send(&mut self, call: CallId, view: &View, option: Option_, now: Moment) -> bool {
+    fn send(&mut self, call: CallId, view: &View, option: Way, now: Moment) -> bool {
         let target = option.candidate.target.clone();
         if let Some(peer) = option.peer {
             self.state(call).tried.push(target.clone());
@@ -285,7 +288,9 @@
         }
         let id = queue_id(call);
         let deadline = state.arrival.deadline;
-        let queue = self.queues.entry(service.name.clone()).or_insert_with(Queue::default);
+        let limit = self.queue_limit;
+        let queue = self.queues.entry(service.name.clone());
+        let queue = queue.or_insert_with(|| Queue::new(limit, EXPECTED_TIME));
         let pushed = queue.push(id, deadline, now);
         let expired = queue.expire(now);
         if pushed.is_err() {
--- a/src/steer/settle.rs
+++ b/src/steer/settle.rs
@@ -3,13 +3,14 @@
 use rand::Rng;
 
 use super::{
-    Action, Answer, AttemptId, CallId, Outcome, Steer, Via,
+    Action, Answer, AttemptId, CallId, Outcome, Steer,
     call::{Attempt, Place},
     place::queue_id,
 };
 use crate::{
     ledger::{End, KeptAnswer},
     prelude::*,
+    quarantine::Fingerprint,
     selection::Signal,
     timeline::EventKind,
 };
@@ -28,6 +29,7 @@
             self.state(call).current = None;
             match outcome {
                 Outcome::Answered { kept, .. } => self.answered(call, &place, kept, now, rng),
+                Outcome::Failed { error, passed: true, .. } => self.fail(call, error, now, rng),
                 Outcome::Failed { error, .. } => self.failed(call, &place, error, now, rng),
             }
         }
@@ -39,7 +41,7 @@
         let Some(target) = place.target() else { return };
         let (signal, latency, error) = match outcome {
             Outcome::Answered { latency, .. } => (Signal::Succeeded, *latency, None),
-            Outcome::Failed { error, latency } => (signal_of(*error), *latency, Some(*error)),
+            Outcome::Failed { error, latency, .. } => (signal_of(*error), *latency, Some(*error)),
         };
         self.selector.ended(target, signal, latency, now);
         let Some(state) = self.calls.get(&call) else {
@@ -124,16 +126,18 @@
         if let Some(attempt) = current {
             self.out.push(Action::Cancel { attempt });
             let error = ErrorKind::StreamCut;
-            self.attempts.remove(&attempt).into_iter().for_each(|ended| {
-                self.give_back(&ended.place, now);
-            });
+            let fingerprint = self.calls[&call].arrival.fingerprint;
+            if let Some(ended) = self.attempts.remove(&attempt) {
+                self.give_back(&ended.place, fingerprint, now);
+            }
             return self.fail(call, error, now, rng);
         }
         self.fail(call, ErrorKind::DeadlinePassed, now, rng);
     }
 
-    fn give_back(&mut self, place: &Place, now: Moment) {
+    fn give_back(&mut self, place: &Place, fingerprint: Fingerprint, now: Moment) {
         if let Place::Own { slot, target } = place {
+            self.quarantine.abandoned(fingerprint, target);
             self.slots.release(target, *slot, now);
         }
     }
