Let hosts find each other and call each other

Heartbeats go round inside a zone, zone summaries between zones, so that the cost of a host does not grow with the fleet. Calls carry version and member and are proved by key or token.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,11 @@
 //! shell (sockets, timers, actors) that feeds them. `docs/DESIGN.md` holds the module map.
 
 pub mod base;
+pub mod drain;
 pub mod manifest;
+pub mod membership;
+pub mod operator;
+pub mod peer;
 pub mod prelude;
 pub mod timeline;
 pub mod view;
--- /dev/null
+++ b/src/membership/digest.rs
@@ -0,0 +1,83 @@
+//! What two hosts tell each other in one exchange.
+
+use super::notes::{BaselineNote, MarkNote};
+use crate::{drain::DrainRecord, prelude::*, view::HostView};
+
+/// What one host tells another. Each list holds only what the other may lack; fields that an older
+/// host does not know are skipped by it, and those that it does not send are empty.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Digest {
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub baselines: Vec<BaselineNote>,
+    /// Newest baselines that the sender holds, in milliseconds of wall-clock time.
+    #[serde(default)]
+    pub baselines_at: u64,
+    /// Heartbeats of the sender's zone in the order of the host names, under `roster`.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub beats: Vec<u64>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub drains: Vec<DrainRecord>,
+    /// Hash of the drains that the sender holds.
+    #[serde(default)]
+    pub drains_hash: u64,
+    /// The sender itself.
+    pub from: HostEntry,
+    /// Hosts of the sender's zone.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub hosts: Vec<HostEntry>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub marks: Vec<MarkNote>,
+    /// Hash of the quarantine marks that the sender holds.
+    #[serde(default)]
+    pub marks_hash: u64,
+    /// Hash of what the sender knows of its zone's hosts, heartbeats aside.
+    pub roster: u64,
+    /// Sequence of the manifest in force at the sender; 0 without one.
+    #[serde(default)]
+    pub sequence: Sequence,
+    /// Zones whose hosts the sender lacks.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub wants: Vec<ZoneId>,
+    /// Whether the sender lacks heartbeats or hosts of its own zone.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub wants_hosts: bool,
+    /// Whole zones that the receiver lacks.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub zone_hosts: Vec<ZoneEntry>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub zones: Vec<ZoneSummary>,
+}
+
+/// One host of the sender's zone.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HostEntry {
+    /// Milliseconds since the sender last saw `beat` rise.
+    pub age_ms: u64,
+    /// Rises by one at each tick of that host.
+    pub beat: u64,
+    /// Orders the incarnations of one host name: the later start has the higher one.
+    pub epoch: u64,
+    /// Rises when the host changes its own view.
+    pub revision: u32,
+    pub view: HostView,
+}
+
+/// One zone in short. The names are short since each exchange carries all zones.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ZoneSummary {
+    /// Rises while any host of the zone lives.
+    #[serde(rename = "b")]
+    pub beat: u64,
+    /// Hash of the zone's live hosts.
+    #[serde(rename = "h")]
+    pub hash: u64,
+    #[serde(rename = "z")]
+    pub zone: ZoneId,
+}
+
+/// One zone with its live hosts, as one of its own hosts saw them at `summary.beat`.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ZoneEntry {
+    pub hosts: Vec<HostView>,
+    pub summary: ZoneSummary,
+}
--- /dev/null
+++ b/src/membership/machine.rs
@@ -0,0 +1,247 @@
+//! The state machine of one host.
+
+use std::collections::BTreeSet;
+
+use rand::{Rng, seq::IndexedRandom, seq::SliceRandom};
+
+use super::{
+    digest::{HostEntry, ZoneEntry, ZoneSummary},
+    event::MembershipEvent,
+    limits::MembershipLimits,
+    notes::{Heard, Notes, hash_of},
+    roster::Roster,
+    zones::Zones,
+};
+use crate::{prelude::*, view::HostView};
+
+/// One tick in this many also asks a host that does not answer, to find out when it is back.
+const PROBE_ONE_IN: u32 = 4;
+
+/// A pause longer than this many ticks is this host's own, not the silence of its peers.
+const PAUSE_TICKS: u32 = 3;
+
+/// What one host knows of the others.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    pub(super) events: Vec<MembershipEvent>,
+    pub(super) heard: Heard,
+    /// Hosts that someone named and that were not heard yet.
+    pub(super) hints: BTreeMap<HostId, HostView>,
+    pub(super) limits: MembershipLimits,
+    pub(super) notes: Notes,
+    pub(super) own: HostEntry,
+    /// What a peer asked for in its last answer; goes into the next digest for it.
+    pub(super) owed: BTreeMap<HostId, Owed>,
+    pub(super) roster: Roster,
+    /// Whether a peer has accepted this incarnation.
+    pub(super) settled: bool,
+    pub(super) superseded: bool,
+    pub(super) zone_beat: u64,
+    pub(super) zones: Zones,
+    last_tick: Option<Moment>,
+    /// Peers of the zone still to be asked in this round; each is asked once in a round, so that
+    /// the time between two exchanges with one peer is bounded.
+    round: Vec<HostId>,
+}
+
+/// What a peer asked for.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Owed {
+    pub drains: bool,
+    pub hosts: bool,
+    pub marks: bool,
+    pub zones: Vec<ZoneId>,
+}
+
+impl Membership {
+    /// A host that knows only itself.
+    pub fn new(own: HostView, limits: MembershipLimits) -> Self {
+        let own = HostEntry { age_ms: 0, beat: 1, epoch: 0, revision: 0, view: own };
+        Self {
+            events: Vec::new(),
+            heard: Heard::default(),
+            hints: BTreeMap::new(),
+            last_tick: None,
+            limits,
+            notes: Notes::default(),
+            owed: BTreeMap::new(),
+            own,
+            roster: Roster::default(),
+            round: Vec::new(),
+            settled: false,
+            superseded: false,
+            zone_beat: 1,
+            zones: Zones::default(),
+        }
+    }
+
+    /// Sets the wall-clock milliseconds of this start: of two processes under one host name, the
+    /// one that started later stays. With the clocks wrong the new one learns it from its peers.
+    pub fn started_at(mut self, wall_millis: u64) -> Self {
+        self.own.epoch = wall_millis;
+        self
+    }
+
+    /// Names hosts that may live, from the settings or from the platform's list. They are asked,
+    /// but not counted as live before they answer.
+    pub fn hint(&mut self, hosts: impl IntoIterator<Item = HostView>) {
+        let hosts = hosts.into_iter().filter(|host| host.id != self.own.view.id);
+        self.hints.extend(hosts.map(|host| (host.id.clone(), host)));
+    }
+
+    /// This host as its peers see it.
+    pub fn own(&self) -> &HostView {
+        &self.own.view
+    }
+
+    /// Whether a later process runs under this host's name; this one must stop.
+    pub fn is_superseded(&self) -> bool {
+        self.superseded
+    }
+
+    /// Sets what this host holds for the others to know.
+    pub fn set_notes(&mut self, notes: Notes) {
+        self.notes = notes;
+    }
+
+    /// Takes what came along in exchanges for other slices.
+    pub fn take_heard(&mut self) -> Heard {
+        std::mem::take(&mut self.heard)
+    }
+
+    /// Tells the peers that new bindings name another ledger generation.
+    pub fn set_generation(&mut self, generation: Generation) {
+        self.own.view.generation = generation;
+        self.own.revision += 1;
+    }
+
+    /// Tells the peers that this host is stopping.
+    pub fn leave(&mut self) {
+        self.own.view.leaving = true;
+        self.own.revision += 1;
+    }
+
+    /// Whom to exchange with at this tick.
+    pub fn partners(&mut self, _now: Moment, rng: &mut impl Rng) -> Vec<HostView> {
+        if self.superseded {
+            return Vec::new();
+        }
+        let mut partners = self.zone_partners(rng);
+        partners.extend(self.far_partner(rng));
+        let probe = partners.is_empty() || rng.random_ratio(1, PROBE_ONE_IN);
+        if probe {
+            partners.extend(self.probe(rng));
+        }
+        partners
+    }
+
+    /// Moves this host's heartbeat on, and suspects and forgets by silence. Once a second.
+    pub fn tick(&mut self, now: Moment) -> Vec<MembershipEvent> {
+        self.skip_own_pause(now);
+        self.own.beat += 1;
+        self.zone_beat += 1;
+        self.roster.tick(now, &self.limits, &mut self.events);
+        self.zones.tick(now, &self.limits, &mut self.events);
+        std::mem::take(&mut self.events)
+    }
+
+    /// All live hosts of the member including this one, sorted by name.
+    pub fn hosts(&self, _now: Moment) -> Vec<HostView> {
+        let mut hosts = self.zone_hosts();
+        hosts.extend(self.zones.live().cloned());
+        hosts.sort_by(|a, b| a.id.cmp(&b.id));
+        hosts
+    }
+
+    /// Regions of which no zone was heard for the suspicion time.
+    pub fn silent_regions(&self, _now: Moment) -> BTreeSet<RegionId> {
+        let mut regions = self.zones.silent_regions();
+        regions.remove(&self.own.view.region);
+        regions
+    }
+
+    /// Zones that were not heard for the suspicion time, and for how long.
+    pub fn silent_zones(&self, now: Moment) -> BTreeMap<ZoneId, Duration> {
+        let zones = self.zones.silent();
+        zones.map(|(zone, heard)| (zone.clone(), now.saturating_sub(heard))).collect()
+    }
+
+    /// Hosts of the own zone that are suspected.
+    pub fn suspected(&self) -> Vec<HostView> {
+        self.roster.suspected().cloned().collect()
+    }
+
+    /// Live hosts of the own zone including this one, sorted by name.
+    pub(super) fn zone_hosts(&self) -> Vec<HostView> {
+        let mut hosts: Vec<_> = self.roster.live().cloned().collect();
+        hosts.push(self.own.view.clone());
+        hosts.sort_by(|a, b| a.id.cmp(&b.id));
+        hosts
+    }
+
+    pub(super) fn zone_entry(&self) -> ZoneEntry {
+        let hosts = self.zone_hosts();
+        let hash = hash_of(&hosts);
+        let zone = self.own.view.zone.clone();
+        ZoneEntry { hosts, summary: ZoneSummary { beat: self.zone_beat, hash, zone } }
+    }
+
+    pub(super) fn roster_hash(&self) -> u64 {
+        self.roster.hash(&self.own)
+    }
+
+    /// A host that was paused has heard nobody, which says nothing of the others: without this it
+    /// would suspect all peers when it resumes, and take over their targets.
+    fn skip_own_pause(&mut self, now: Moment) {
+        let since = now.saturating_sub(self.last_tick.unwrap_or(now));
+        self.last_tick = Some(now);
+        if self.limits.tick * PAUSE_TICKS <= since {
+            let pause = since.saturating_sub(self.limits.tick);
+            self.roster.skip(pause);
+            self.zones.skip(pause);
+        }
+    }
+
+    fn zone_partners(&mut self, rng: &mut impl Rng) -> Vec<HostView> {
+        let mut partners: Vec<HostView> = Vec::new();
+        let wanted = self.limits.peers_in_zone.min(self.roster.live().count());
+        let mut refilled = false;
+        while partners.len() < wanted {
+            let Some(id) = self.round.pop() else {
+                if refilled {
+                    break;
+                }
+                refilled = true;
+                self.round = self.roster.live().map(|host| host.id.clone()).collect();
+                self.round.shuffle(rng);
+                continue;
+            };
+            let record = self.roster.get(&id).filter(|record| !record.suspected);
+            let Some(record) = record else { continue };
+            if partners.iter().all(|partner| partner.id != id) {
+                partners.push(record.view.clone());
+            }
+        }
+        partners
+    }
+
+    fn far_partner(&self, rng: &mut impl Rng) -> Option<HostView> {
+        let zones = self.zones.hosts_where(false);
+        zones.choose(rng)?.choose(rng).cloned()
+    }
+
+    /// A host that does not answer, or was only named so far.
+    fn probe(&self, rng: &mut impl Rng) -> Option<HostView> {
+        let mut silent: Vec<&HostView> = self.roster.suspected().collect();
+        silent.extend(self.roster.forgotten());
+        silent.extend(self.zones.hosts_where(true).into_iter().flatten());
+        let named = self.hints.values().filter(|host| !self.knows(host));
+        silent.extend(named);
+        silent.choose(rng).copied().cloned()
+    }
+
+    fn knows(&self, host: &HostView) -> bool {
+        let live = |other: &HostView| other.id == host.id;
+        self.roster.live().any(live) || self.zones.live().any(live)
+    }
+}
--- /dev/null
+++ b/src/membership/notes.rs
@@ -0,0 +1,79 @@
+//! What the exchanges carry for other slices.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{drain::DrainRecord, prelude::*, view::Baseline};
+
+/// What this host holds and wants known at every other host.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Notes {
+    pub baselines: Vec<BaselineNote>,
+    pub drains: Vec<DrainRecord>,
+    pub marks: Vec<MarkNote>,
+    /// Sequence of the manifest in force; 0 without one.
+    pub sequence: Sequence,
+}
+
+impl Notes {
+    /// Hash of the drains; equal sets have equal hashes, since the drain slice keeps them sorted.
+    pub fn drains_hash(&self) -> u64 {
+        hash_of(&self.drains)
+    }
+
+    /// Hash of the marks.
+    pub fn marks_hash(&self) -> u64 {
+        hash_of(&self.marks)
+    }
+
+    /// Newest baseline, in milliseconds of wall-clock time; 0 without one.
+    pub fn baselines_at(&self) -> u64 {
+        self.baselines.iter().map(|note| note.at).max().unwrap_or_default()
+    }
+}
+
+/// What came along in exchanges since the last `take_heard`; each owner merges its part.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Heard {
+    pub baselines: Vec<BaselineNote>,
+    pub drains: Vec<DrainRecord>,
+    /// The highest manifest sequence above the own one, and where its holder answers RPC.
+    pub manifest: Option<(Sequence, SocketAddr)>,
+    pub marks: Vec<MarkNote>,
+}
+
+impl Heard {
+    /// Whether nothing came along.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+/// A baseline and when its home region set it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct BaselineNote {
+    /// Wall-clock milliseconds of the host of the home region that set it.
+    pub at: u64,
+    pub baseline: Baseline,
+}
+
+/// A request that is refused everywhere for a time, since it crashed targets.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct MarkNote {
+    pub fingerprint: Arc<str>,
+    /// Wall-clock milliseconds up to which it is refused.
+    pub until: u64,
+}
+
+/// Hash of a value's JSON; 0 for an empty list, so that hosts with nothing agree with older ones.
+pub(super) fn hash_of<T: Serialize>(items: &[T]) -> u64 {
+    if items.is_empty() {
+        return 0;
+    }
+    let mut buf = Vec::new();
+    for item in items {
+        if serde_json::to_writer(&mut buf, item).is_err() {
+            return u64::MAX;
+        }
+    }
+    xxh3_64(&buf)
+}
--- /dev/null
+++ b/src/membership/record.rs
@@ -0,0 +1,45 @@
+//! What this host knows of one host of its own zone.
+
+use super::digest::HostEntry;
+use crate::{prelude::*, view::HostView};
+
+/// What this host knows of one host of its own zone.
+#[derive(Clone, Debug)]
+pub(super) struct Record {
+    pub beat: u64,
+    pub epoch: u64,
+    /// When `beat` was last seen to rise, less its age at the host that told.
+    pub heard: Moment,
+    pub revision: u32,
+    pub suspected: bool,
+    pub view: HostView,
+}
+
+impl Record {
+    pub fn new(entry: HostEntry, now: Moment) -> Self {
+        let heard = now.saturating_sub(Duration::from_millis(entry.age_ms));
+        let HostEntry { beat, epoch, revision, view, .. } = entry;
+        Self { beat, epoch, heard, revision, suspected: false, view }
+    }
+
+    pub fn entry(&self, now: Moment) -> HostEntry {
+        let age = now.saturating_sub(self.heard);
+        HostEntry {
+            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            beat: self.beat,
+            epoch: self.epoch,
+            revision: self.revision,
+            view: self.view.clone(),
+        }
+    }
+
+    /// Takes over a heartbeat; says whether it is newer than the known one.
+    pub fn hear(&mut self, beat: u64, heard: Moment) -> bool {
+        if beat <= self.beat {
+            return false;
+        }
+        self.beat = beat;
+        self.heard = self.heard.max(heard);
+        true
+    }
+}
--- /dev/null
+++ b/src/membership/roster.rs
@@ -0,0 +1,186 @@
+//! The hosts of the own zone, this one aside.
+
+use super::{
+    digest::HostEntry, event::MembershipEvent, limits::MembershipLimits, notes::hash_of,
+    record::Record,
+};
+use crate::{prelude::*, view::HostView};
+
+/// Tombstones are kept this many times the silence after which a host is forgotten.
+const TOMBSTONE_FACTOR: u32 = 6;
+
+/// A host that was forgotten. Without it, a peer that has not forgotten it yet would bring it back.
+#[derive(Clone, Debug)]
+struct Tombstone {
+    at: Moment,
+    last: HostEntry,
+}
+
+/// The other hosts of the own zone.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Roster {
+    records: BTreeMap<HostId, Record>,
+    tombstones: BTreeMap<HostId, Tombstone>,
+}
+
+impl Roster {
+    pub fn get(&self, host: &str) -> Option<&Record> {
+        self.records.get(host)
+    }
+
+    pub fn live(&self) -> impl Iterator<Item = &HostView> {
+        self.records.values().filter(|record| !record.suspected).map(|record| &record.view)
+    }
+
+    pub fn suspected(&self) -> impl Iterator<Item = &HostView> {
+        self.records.values().filter(|record| record.suspected).map(|record| &record.view)
+    }
+
+    /// Hosts that were forgotten lately; a healed network is found out by asking them.
+    pub fn forgotten(&self) -> impl Iterator<Item = &HostView> {
+        self.tombstones.values().map(|tombstone| &tombstone.last.view)
+    }
+
+    pub fn entries(&self, now: Moment) -> impl Iterator<Item = HostEntry> + '_ {
+        self.records.values().map(move |record| record.entry(now))
+    }
+
+    /// Hash of the hosts including `own`, heartbeats aside: equal rosters list equal hosts.
+    pub fn hash(&self, own: &HostEntry) -> u64 {
+        let mut rows: Vec<_> = self
+            .records
+            .values()
+            .map(|record| (&record.view.id, record.epoch, record.revision))
+            .collect();
+        rows.push((&own.view.id, own.epoch, own.revision));
+        rows.sort();
+        hash_of(&rows)
+    }
+
+    /// Heartbeats including the own one, sorted by host name.
+    pub fn beats(&self, own: &HostEntry) -> Vec<u64> {
+        let mut beats: Vec<_> = self.records.iter().map(|(id, record)| (id, record.beat)).collect();
+        beats.push((&own.view.id, own.beat));
+        beats.sort();
+        beats.into_iter().map(|(_, beat)| beat).collect()
+    }
+
+    /// Takes over heartbeats as `beats` lists them.
+    pub fn hear(
+        &mut self,
+        own: &HostId,
+        beats: &[u64],
+        now: Moment,
+        events: &mut Vec<MembershipEvent>,
+    ) {
+        if beats.len() != self.records.len() + 1 {
+            return;
+        }
+        let before_own = self.records.range::<HostId, _>(..own).count();
+        let beats = beats.iter().enumerate().filter(|(at, _)| *at != before_own);
+        for (record, (_, &beat)) in self.records.values_mut().zip(beats) {
+            if record.hear(beat, now) && std::mem::take(&mut record.suspected) {
+                events.push(MembershipEvent::Returned(record.view.id.clone()));
+            }
+        }
+    }
+
+    /// Takes over one host. Of two incarnations the one with the higher epoch stays, however often
+    /// the other is heard: a process that was paused since before its replacement started, and then
+    /// resumes on the same address, cannot push the new one out.
+    pub fn merge(
+        &mut self,
+        entry: HostEntry,
+        now: Moment,
+        limits: &MembershipLimits,
+        events: &mut Vec<MembershipEvent>,
+    ) {
+        let id = entry.view.id.clone();
+        let Some(known) = self.records.get_mut(&id) else {
+            return self.join(entry, now, limits, events);
+        };
+        let same = known.view.incarnation == entry.view.incarnation;
+        if !same {
+            let newer = known.epoch < entry.epoch
+                || (known.epoch == entry.epoch && known.suspected && entry.age_ms == 0);
+            if newer {
+                let old = std::mem::replace(known, Record::new(entry, now));
+                if !old.view.leaving {
+                    events.push(MembershipEvent::Left(old.view));
+                }
+                events.push(MembershipEvent::Joined(known.view.clone()));
+            }
+            return;
+        }
+        known.epoch = known.epoch.max(entry.epoch);
+        if known.revision < entry.revision {
+            known.revision = entry.revision;
+            let old = std::mem::replace(&mut known.view, entry.view);
+            if known.view.leaving && !old.leaving {
+                events.push(MembershipEvent::Left(old));
+            }
+        }
+        let heard = now.saturating_sub(Duration::from_millis(entry.age_ms));
+        if known.hear(entry.beat, heard) && std::mem::take(&mut known.suspected) {
+            events.push(MembershipEvent::Returned(id));
+        }
+    }
+
+    /// Suspects and forgets by silence.
+    pub fn tick(
+        &mut self,
+        now: Moment,
+        limits: &MembershipLimits,
+        events: &mut Vec<MembershipEvent>,
+    ) {
+        let slack = limits.slack(self.records.len() + 1);
+        let (suspect, gone) = (limits.suspect_after + slack, limits.gone_after + slack);
+        let mut forgotten = Vec::new();
+        for (id, record) in &mut self.records {
+            let silence = now.saturating_sub(record.heard);
+            let patience = if record.view.leaving { suspect } else { gone };
+            if patience <= silence {
+                forgotten.push(id.clone());
+            } else if suspect <= silence && !record.suspected {
+                record.suspected = true;
+                events.push(MembershipEvent::Suspected(id.clone()));
+            }
+        }
+        for id in forgotten {
+            let Some(record) = self.records.remove(&id) else { continue };
+            self.tombstones.insert(id, Tombstone { at: now, last: record.entry(now) });
+            if !record.view.leaving {
+                events.push(MembershipEvent::Left(record.view));
+            }
+        }
+        self.tombstones.retain(|_, tombstone| now < tombstone.at + gone * TOMBSTONE_FACTOR);
+    }
+
+    /// Moves the times of hearing on by a pause of this host.
+    pub fn skip(&mut self, pause: Duration) {
+        self.records.values_mut().for_each(|record| record.heard += pause);
+    }
+
+    fn join(
+        &mut self,
+        entry: HostEntry,
+        now: Moment,
+        limits: &MembershipLimits,
+        events: &mut Vec<MembershipEvent>,
+    ) {
+        if let Some(Tombstone { last, .. }) = self.tombstones.get(&entry.view.id) {
+            let same = last.view.incarnation == entry.view.incarnation;
+            if entry.epoch < last.epoch || (same && entry.beat <= last.beat) {
+                return;
+            }
+        }
+        let gone = limits.gone_after + limits.slack(self.records.len() + 1);
+        if gone <= Duration::from_millis(entry.age_ms) {
+            return;
+        }
+        self.tombstones.remove(&entry.view.id);
+        let record = Record::new(entry, now);
+        events.push(MembershipEvent::Joined(record.view.clone()));
+        self.records.insert(record.view.id.clone(), record);
+    }
+}
--- /dev/null
+++ b/src/membership/zones.rs
@@ -0,0 +1,150 @@
+//! The other zones, each as one of its own hosts last described it.
+
+use super::{
+    digest::{Digest, ZoneEntry, ZoneSummary},
+    event::MembershipEvent,
+    limits::MembershipLimits,
+};
+use crate::{prelude::*, view::HostView};
+
+/// One other zone.
+#[derive(Clone, Debug)]
+struct Zone {
+    heard: Moment,
+    hosts: Vec<HostView>,
+    region: RegionId,
+    silent: bool,
+    summary: ZoneSummary,
+}
+
+/// All other zones.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Zones {
+    zones: BTreeMap<ZoneId, Zone>,
+}
+
+impl Zones {
+    pub fn summaries(&self) -> impl Iterator<Item = ZoneSummary> + '_ {
+        self.zones.values().map(|zone| zone.summary.clone())
+    }
+
+    /// Hosts of the zones that are heard.
+    pub fn live(&self) -> impl Iterator<Item = &HostView> {
+        self.zones.values().filter(|zone| !zone.silent).flat_map(|zone| &zone.hosts)
+    }
+
+    /// The hosts of each zone that is silent, or of each that is heard.
+    pub fn hosts_where(&self, silent: bool) -> Vec<&[HostView]> {
+        let zones = self.zones.values().filter(|zone| zone.silent == silent);
+        zones.map(|zone| &zone.hosts[..]).filter(|hosts| !hosts.is_empty()).collect()
+    }
+
+    /// Zones that are silent, and since when.
+    pub fn silent(&self) -> impl Iterator<Item = (&ZoneId, Moment)> {
+        self.zones.iter().filter(|(_, zone)| zone.silent).map(|(id, zone)| (id, zone.heard))
+    }
+
+    /// Regions of which all known zones are silent.
+    pub fn silent_regions(&self) -> std::collections::BTreeSet<RegionId> {
+        let mut regions = BTreeMap::new();
+        for zone in self.zones.values() {
+            *regions.entry(zone.region.clone()).or_insert(true) &= zone.silent;
+        }
+        regions.into_iter().filter_map(|(region, silent)| silent.then_some(region)).collect()
+    }
+
+    pub fn entry(&self, zone: &ZoneId) -> Option<ZoneEntry> {
+        let zone = self.zones.get(zone)?;
+        Some(ZoneEntry { hosts: zone.hosts.clone(), summary: zone.summary.clone() })
+    }
+
+    /// Whether `theirs` is newer and its hosts are not known here.
+    pub fn lacks(&self, theirs: &ZoneSummary) -> bool {
+        let Some(own) = self.zones.get(&theirs.zone) else { return true };
+        own.summary.beat < theirs.beat && own.summary.hash != theirs.hash
+    }
+
+    /// Takes over a newer beat of a zone whose hosts are as known.
+    pub fn hear(&mut self, theirs: &ZoneSummary, now: Moment, events: &mut Vec<MembershipEvent>) {
+        let Some(zone) = self.zones.get_mut(&theirs.zone) else { return };
+        if theirs.beat <= zone.summary.beat || theirs.hash != zone.summary.hash {
+            return;
+        }
+        zone.summary.beat = theirs.beat;
+        zone.heard = now;
+        if std::mem::take(&mut zone.silent) {
+            events.extend(zone.hosts.iter().map(|host| MembershipEvent::Returned(host.id.clone())));
+        }
+    }
+
+    /// Takes over a zone with its hosts, if it is newer than the known one.
+    pub fn adopt(&mut self, entry: ZoneEntry, now: Moment, events: &mut Vec<MembershipEvent>) {
+        let ZoneEntry { hosts, summary } = entry;
+        let Some(region) = hosts.first().map(|host| host.region.clone()) else { return };
+        let old = self.zones.get(&summary.zone);
+        if old.is_some_and(|old| summary.beat <= old.summary.beat) {
+            return;
+        }
+        let old = old.map(|zone| zone.hosts.clone()).unwrap_or_default();
+        compare(&old, &hosts, events);
+        let zone = Zone { heard: now, hosts, region, silent: false, summary };
+        self.zones.insert(zone.summary.zone.clone(), zone);
+    }
+
+    /// Notes the zones that have become silent, and forgets those silent for very long.
+    pub fn tick(
+        &mut self,
+        now: Moment,
+        limits: &MembershipLimits,
+        events: &mut Vec<MembershipEvent>,
+    ) {
+        let fleet = self.zones.values().map(|zone| zone.hosts.len()).sum();
+        let silent_after = limits.zone_silent_after + limits.slack(fleet);
+        for zone in self.zones.values_mut() {
+            if zone.silent || now.saturating_sub(zone.heard) < silent_after {
+                continue;
+            }
+            zone.silent = true;
+            let hosts = zone.hosts.iter().map(|host| MembershipEvent::Suspected(host.id.clone()));
+            events.extend(hosts);
+        }
+        self.zones.retain(|_, zone| {
+            let keep = now.saturating_sub(zone.heard) < limits.zone_forgotten_after;
+            if !keep {
+                events.extend(zone.hosts.drain(..).map(MembershipEvent::Left));
+            }
+            keep
+        });
+    }
+
+    /// Moves the times of hearing on by a pause of this host.
+    pub fn skip(&mut self, pause: Duration) {
+        self.zones.values_mut().for_each(|zone| zone.heard += pause);
+    }
+
+    /// Adds to `answer` what the sender of `theirs` lacks of these zones.
+    pub fn answer(&self, theirs: &[ZoneSummary], answer: &mut Digest) {
+        let theirs: BTreeMap<_, _> = theirs.iter().map(|zone| (&zone.zone, zone)).collect();
+        for (id, own) in &self.zones {
+            match theirs.get(id) {
+                Some(theirs) if own.summary.beat <= theirs.beat => {}
+                Some(theirs) if own.summary.hash == theirs.hash => {
+                    answer.zones.push(own.summary.clone());
+                }
+                _ if answer.from.view.zone == *id => {}
+                _ => answer.zone_hosts.extend(self.entry(id)),
+            }
+        }
+    }
+}
+
+fn compare(old: &[HostView], new: &[HostView], events: &mut Vec<MembershipEvent>) {
+    let same = |a: &HostView, b: &HostView| a.id == b.id && a.incarnation == b.incarnation;
+    let left = |view: &&HostView| match new.iter().find(|other| same(other, view)) {
+        Some(other) => other.leaving && !view.leaving,
+        None => !view.leaving,
+    };
+    events.extend(old.iter().filter(left).cloned().map(MembershipEvent::Left));
+    let joined = new.iter().filter(|view| !old.iter().any(|other| same(other, view)));
+    events.extend(joined.cloned().map(MembershipEvent::Joined));
+}
--- /dev/null
+++ b/src/peer/client.rs
@@ -0,0 +1,161 @@
+//! Calls to other hosts.
+
+use std::sync::Mutex;
+
+use http::{HeaderMap, HeaderValue, header::AUTHORIZATION};
+use jsonrpsee::{
+    core::ClientError,
+    http_client::{HttpClient, HttpClientBuilder},
+};
+use serde::de::DeserializeOwned;
+
+use super::{
+    MAX_MESSAGE,
+    api::PeerApiClient,
+    envelope::Envelope,
+    error::{PeerError, Result},
+    keys::Secret,
+    messages::{
+        DrainOrder, EventsRequest, ExplainRequest, HandoverAck, HandoverChunk, ManifestReply,
+        Nothing, UndrainOrder,
+    },
+};
+use crate::{
+    drain::DrainRecord,
+    membership::Digest,
+    operator::{Explanation, HostStatus},
+    prelude::*,
+    timeline::Event,
+};
+
+/// A call that takes longer has failed; the peer may still have taken it over.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A hand-over carries whole answers and may take longer.
+const HANDOVER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Clients kept open, the oldest dropped first: at each tick a host talks to few peers, and a kept
+/// connection to each host of a large fleet would cost more than opening one.
+const KEPT_CLIENTS: usize = 64;
+
+/// Calls other hosts with one key.
+#[derive(Debug)]
+pub struct PeerClient {
+    clients: Mutex<Vec<(SocketAddr, HttpClient)>>,
+    key: Secret,
+    member: MemberId,
+}
+
+impl PeerClient {
+    /// A client with the member's peer key, or with the operator token.
+    pub fn open(key: Secret, member: MemberId) -> Self {
+        Self { clients: Mutex::default(), key, member }
+    }
+
+    /// Tells a peer what this host knows; the answer is what it lacks.
+    pub async fn exchange(&self, to: SocketAddr, digest: &Digest) -> Result<Digest> {
+        let message = Envelope::seal(&self.member, digest)?;
+        let client = self.client(to)?;
+        self.call(to, CALL_TIMEOUT, client.exchange(message)).await
+    }
+
+    /// The signed manifest in force at a host.
+    pub async fn manifest(&self, to: SocketAddr) -> Result<ManifestReply> {
+        let message = Envelope::seal(&self.member, &Nothing {})?;
+        let client = self.client(to)?;
+        self.call(to, CALL_TIMEOUT, client.manifest(message)).await
+    }
+
+    /// Gives a part of this host's ledger to its successor.
+    pub async fn handover(&self, to: SocketAddr, chunk: &HandoverChunk) -> Result<HandoverAck> {
+        let message = Envelope::seal(&self.member, chunk)?;
+        let client = self.client(to)?;
+        self.call(to, HANDOVER_TIMEOUT, client.handover(message)).await
+    }
+
+    /// Events of a host's time line.
+    pub async fn events(&self, to: SocketAddr, request: &EventsRequest) -> Result<Vec<Event>> {
+        let message = Envelope::seal(&self.member, request)?;
+        let client = self.client(to)?;
+        self.call(to, CALL_TIMEOUT, client.events(message)).await
+    }
+
+    /// What a host knows and does.
+    pub async fn status(&self, to: SocketAddr) -> Result<HostStatus> {
+        let message = Envelope::seal(&self.member, &Nothing {})?;
+        let client = self.client(to)?;
+        self.call(to, CALL_TIMEOUT, client.status(message)).await
+    }
+
+    /// Where a request would go now, and why.
+    pub async fn explain(&self, to: SocketAddr, request: &ExplainRequest) -> Result<Explanation> {
+        let message = Envelope::seal(&self.member, request)?;
+        let client = self.client(to)?;
+        self.call(to, CALL_TIMEOUT, client.explain(message)).await
+    }
+
+    /// Orders a drain.
+    pub async fn drain(&self, to: SocketAddr, order: &DrainOrder) -> Result<DrainRecord> {
+        let message = Envelope::seal(&self.member, order)?;
+        let client = self.client(to)?;
+        self.call(to, CALL_TIMEOUT, client.drain(message)).await
+    }
+
+    /// Takes drains back.
+    pub async fn undrain(&self, to: SocketAddr, order: &UndrainOrder) -> Result<Vec<DrainRecord>> {
+        let message = Envelope::seal(&self.member, order)?;
+        let client = self.client(to)?;
+        self.call(to, CALL_TIMEOUT, client.undrain(message)).await
+    }
+
+    /// A call that ran into its time limit or lost its connection drops the kept client, so that
+    /// the next call does not wait on a connection to a host that is gone.
+    async fn call<T: DeserializeOwned>(
+        &self,
+        to: SocketAddr,
+        limit: Duration,
+        call: impl Future<Output = Result<Envelope, ClientError>>,
+    ) -> Result<T> {
+        let answer = match tokio::time::timeout(limit, call).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(error)) => Err(PeerError::from_client(to, error)),
+            Err(_) => Err(PeerError::Unreachable { to, why: format!("took over {limit:?}") }),
+        };
+        if matches!(answer, Err(PeerError::Unreachable { .. })) {
+            self.lock().retain(|(addr, _)| *addr != to);
+        }
+        answer?.open(&self.member)
+    }
+
+    fn client(&self, to: SocketAddr) -> Result<HttpClient> {
+        let mut clients = self.lock();
+        if let Some((_, client)) = clients.iter().find(|(addr, _)| *addr == to) {
+            return Ok(client.clone());
+        }
+        let client = self.build(to)?;
+        if KEPT_CLIENTS <= clients.len() {
+            clients.remove(0);
+        }
+        clients.push((to, client.clone()));
+        Ok(client)
+    }
+
+    fn build(&self, to: SocketAddr) -> Result<HttpClient> {
+        let unreachable = |why: String| PeerError::Unreachable { to, why };
+        let value = format!("Bearer {}", self.key.expose());
+        let mut value = HeaderValue::from_str(&value)
+            .map_err(|_| unreachable("the key holds characters that no header may".into()))?;
+        value.set_sensitive(true);
+        HttpClientBuilder::default()
+            .max_request_size(MAX_MESSAGE)
+            .max_response_size(MAX_MESSAGE)
+            .request_timeout(HANDOVER_TIMEOUT)
+            .set_headers(HeaderMap::from_iter([(AUTHORIZATION, value)]))
+            .build(format!("http://{to}"))
+            .map_err(|error| unreachable(error.to_string()))
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<(SocketAddr, HttpClient)>> {
+        self.clients.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/src/peer/envelope.rs
@@ -0,0 +1,45 @@
+//! What every message travels in.
+
+use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
+
+use super::error::{PeerError, Result};
+use crate::prelude::*;
+
+/// Version of the messages that this build sends.
+pub const PROTOCOL_VERSION: u32 = 1;
+
+/// A message with its protocol version and member. The body stays unread until both are checked:
+/// a body of an unknown version may not be readable at all, and the sender should be told of the
+/// version and not of a missing field.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Envelope {
+    body: Box<RawValue>,
+    pub member: MemberId,
+    pub version: u32,
+}
+
+impl Envelope {
+    /// Wraps a message.
+    pub fn seal<T: Serialize>(member: &MemberId, message: &T) -> Result<Self> {
+        let text = serde_json::to_string(message).map_err(malformed)?;
+        let body = RawValue::from_string(text).map_err(malformed)?;
+        Ok(Self { body, member: member.clone(), version: PROTOCOL_VERSION })
+    }
+
+    /// Checks version and member, then reads the message.
+    pub fn open<T: DeserializeOwned>(&self, member: &MemberId) -> Result<T> {
+        if self.version != PROTOCOL_VERSION {
+            let (ours, theirs) = (PROTOCOL_VERSION, self.version);
+            return Err(PeerError::UnknownVersion { ours, theirs });
+        }
+        if self.member != *member {
+            return Err(PeerError::OtherMember(self.member.clone()));
+        }
+        serde_json::from_str(self.body.get()).map_err(malformed)
+    }
+}
+
+fn malformed(error: serde_json::Error) -> PeerError {
+    PeerError::Malformed(error.to_string())
+}
--- /dev/null
+++ b/src/peer/messages.rs
@@ -0,0 +1,84 @@
+//! Messages that no other slice owns.
+
+use crate::{drain::DrainId, manifest::DrainScope, prelude::*};
+
+/// An empty message.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Nothing {}
+
+/// The signed manifest in force at a host, as its pipeline wrote it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ManifestReply {
+    /// The signed manifest's JSON; `None` if the host has none yet. The receiver checks the
+    /// signature itself.
+    #[serde(default)]
+    pub signed: Option<Arc<str>>,
+}
+
+/// One part of a stopping host's sealed ledger.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HandoverChunk {
+    pub from: HostId,
+    pub incarnation: Incarnation,
+    /// Counts from 0.
+    pub part: u32,
+    /// Number of parts.
+    pub parts: u32,
+    /// Entries as the ledger slice encodes them.
+    pub sealed: Arc<str>,
+}
+
+/// The successor holds this part.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HandoverAck {
+    /// Whether the successor now holds all parts and answers for the incarnation.
+    pub complete: bool,
+    pub part: u32,
+}
+
+/// Which events of the time line a caller wants; an absent field takes all.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EventsRequest {
+    /// Events after this wall-clock time, in milliseconds.
+    #[serde(default)]
+    pub after: u64,
+    /// Name of an event kind, as the time line writes it.
+    #[serde(default)]
+    pub kind: Option<Arc<str>>,
+    /// Most events to answer with; the newest are kept.
+    #[serde(default)]
+    pub limit: Option<u32>,
+    #[serde(default)]
+    pub request: Option<RequestId>,
+    #[serde(default)]
+    pub target: Option<TargetId>,
+}
+
+/// Where would this go now, and why.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ExplainRequest {
+    /// Address of the caller.
+    #[serde(default)]
+    pub caller: Option<std::net::IpAddr>,
+    pub service: ServiceId,
+}
+
+/// An operator's order to drain.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DrainOrder {
+    /// Who orders it.
+    pub by: Arc<str>,
+    /// Chosen by the client, so that an order sent twice is one drain.
+    pub id: DrainId,
+    pub scope: DrainScope,
+}
+
+/// An operator's order to take a drain back.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UndrainOrder {
+    pub by: Arc<str>,
+    /// The drain to take back; without it, whatever drains the scope.
+    #[serde(default)]
+    pub id: Option<DrainId>,
+    pub scope: DrainScope,
+}
--- /dev/null
+++ b/src/peer/server.rs
@@ -0,0 +1,140 @@
+//! The RPC server of a host.
+
+use jsonrpsee::{
+    Extensions,
+    core::{RpcResult, async_trait},
+    server::{BatchRequestConfig, HttpBody, HttpRequest, Server, ServerConfig, ServerHandle},
+};
+use serde::de::DeserializeOwned;
+
+use super::{
+    MAX_MESSAGE, api::PeerApiServer, auth::Caller, envelope::Envelope, error::Result,
+    handler::PeerHandler, keys::PeerKeys, messages::Nothing,
+};
+use crate::{membership::Digest, prelude::*};
+
+/// Most connections at a time; past it new ones are refused, so that a flood cannot use up memory.
+const MAX_CONNECTIONS: u32 = 512;
+
+const OPERATORS: &[Caller] = &[Caller::Operator];
+const PEERS: &[Caller] = &[Caller::Peer];
+const BOTH: &[Caller] = &[Caller::Operator, Caller::Peer];
+
+/// A running RPC server; dropping it stops it.
+#[derive(Debug)]
+pub struct PeerServer {
+    handle: ServerHandle,
+    local: SocketAddr,
+}
+
+impl PeerServer {
+    /// Listens on `addr` and serves calls by `handler`.
+    pub async fn bind(
+        addr: SocketAddr,
+        handler: Arc<dyn PeerHandler>,
+        keys: PeerKeys,
+    ) -> std::io::Result<Self> {
+        let cfg = ServerConfig::builder()
+            .http_only()
+            .max_connections(MAX_CONNECTIONS)
+            .max_request_body_size(MAX_MESSAGE)
+            .max_response_body_size(MAX_MESSAGE)
+            .set_batch_request_config(BatchRequestConfig::Disabled)
+            .set_tcp_no_delay(true)
+            .build();
+        let member = keys.member.clone();
+        let identify = move |mut req: HttpRequest<HttpBody>| {
+            let caller = Caller::of(req.headers(), &keys);
+            req.extensions_mut().insert(caller);
+            req
+        };
+        let middleware = tower::ServiceBuilder::new().map_request(identify);
+        let server =
+            Server::builder().set_config(cfg).set_http_middleware(middleware).build(addr).await?;
+        let local = server.local_addr()?;
+        let handle = server.start(Methods { handler, member }.into_rpc());
+        Ok(Self { handle, local })
+    }
+
+    /// Where it listens.
+    pub fn local_addr(&self) -> SocketAddr {
+        self.local
+    }
+
+    /// Takes no more calls, ends those that run and waits for them.
+    pub async fn stop(self) {
+        if self.handle.stop().is_ok() {
+            self.handle.clone().stopped().await;
+        }
+    }
+}
+
+impl Drop for PeerServer {
+    fn drop(&mut self) {
+        let _ = self.handle.stop();
+    }
+}
+
+struct Methods {
+    handler: Arc<dyn PeerHandler>,
+    member: MemberId,
+}
+
+impl Methods {
+    fn open<T: DeserializeOwned>(
+        &self,
+        ext: &Extensions,
+        allowed: &[Caller],
+        message: &Envelope,
+    ) -> Result<T> {
+        ext.get::<Caller>().copied().unwrap_or(Caller::Stranger).allow(allowed)?;
+        message.open(&self.member)
+    }
+
+    fn seal<T: Serialize>(&self, answer: Result<T>) -> RpcResult<Envelope> {
+        Ok(Envelope::seal(&self.member, &answer?)?)
+    }
+}
+
+#[async_trait]
+impl PeerApiServer for Methods {
+    async fn exchange(&self, ext: &Extensions, message: Envelope) -> RpcResult<Envelope> {
+        let digest: Digest = self.open(ext, PEERS, &message)?;
+        self.seal(self.handler.exchange(digest).await)
+    }
+
+    async fn manifest(&self, ext: &Extensions, message: Envelope) -> RpcResult<Envelope> {
+        let Nothing {} = self.open(ext, BOTH, &message)?;
+        self.seal(self.handler.manifest().await)
+    }
+
+    async fn handover(&self, ext: &Extensions, message: Envelope) -> RpcResult<Envelope> {
+        let chunk = self.open(ext, PEERS, &message)?;
+        self.seal(self.handler.handover(chunk).await)
+    }
+
+    async fn events(&self, ext: &Extensions, message: Envelope) -> RpcResult<Envelope> {
+        let request = self.open(ext, BOTH, &message)?;
+        self.seal(self.handler.events(request).await)
+    }
+
+    async fn status(&self, ext: &Extensions, message: Envelope) -> RpcResult<Envelope> {
+        let Nothing {} = self.open(ext, OPERATORS, &message)?;
+        self.seal(self.handler.status().await)
+    }
+
+    async fn explain(&self, ext: &Extensions, message: Envelope) -> RpcResult<Envelope> {
+        let request = self.open(ext, OPERATORS, &message)?;
+        self.seal(self.handler.explain(request).await)
+    }
+
+    async fn drain(&self, ext: &Extensions, message: Envelope) -> RpcResult<Envelope> {
+        let order = self.open(ext, OPERATORS, &message)?;
+        self.seal(self.handler.drain(order).await)
+    }
+
+    async fn undrain(&self, ext: &Extensions, message: Envelope) -> RpcResult<Envelope> {
+        let order = self.open(ext, OPERATORS, &message)?;
+        self.seal(self.handler.undrain(order).await)
+    }
+}
