--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,13 +5,17 @@
 
 pub mod base;
 pub mod drain;
+pub mod logging;
 pub mod manifest;
 pub mod membership;
+pub mod metrics;
 pub mod operator;
 pub mod peer;
 pub mod prelude;
+pub mod settings;
 pub mod timeline;
 pub mod view;
+pub mod yaml;
 
 /// Parses the arguments, runs the subcommand and maps its result to an exit code.
 pub fn run() -> std::process::ExitCode {
