--- a/src/membership/machine.rs
+++ b/src/membership/machine.rs
@@ -115,6 +115,14 @@
         self.own.revision += 1;
     }
 
+    /// Tells the peers that this host answers for a stopped incarnation whose ledger it took over.
+    pub fn adopt(&mut self, stopped: Incarnation) {
+        if !self.own.view.adopted.contains(&stopped) {
+            self.own.view.adopted.push(stopped);
+            self.own.revision += 1;
+        }
+    }
+
     /// Tells the peers that this host is stopping.
     pub fn leave(&mut self) {
         self.own.view.leaving = true;
--- a/src/peer/api.rs
+++ b/src/peer/api.rs
@@ -13,6 +13,9 @@
     #[method(name = "manifest", with_extensions)]
     async fn manifest(&self, message: Envelope) -> RpcResult<Envelope>;
 
+    #[method(name = "part", with_extensions)]
+    async fn part(&self, message: Envelope) -> RpcResult<Envelope>;
+
     #[method(name = "handover", with_extensions)]
     async fn handover(&self, message: Envelope) -> RpcResult<Envelope>;
 
--- a/src/peer/auth.rs
+++ b/src/peer/auth.rs
@@ -6,6 +6,7 @@
     error::{PeerError, Result},
     keys::PeerKeys,
 };
+use crate::settings::Secret;
 
 /// Who calls.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -21,9 +22,14 @@
         let Some(token) = value.and_then(|value| value.strip_prefix("Bearer ")) else {
             return Caller::Stranger;
         };
-        if keys.peer.is(token) {
+        let token = Secret::new(token);
+        // A missing setting opens no door: an empty secret proves nothing.
+        if token.expose().is_empty() {
+            return Caller::Stranger;
+        }
+        if keys.peer == token {
             Caller::Peer
-        } else if keys.operator.is(token) {
+        } else if keys.operator == token {
             Caller::Operator
         } else {
             Caller::Stranger
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -14,10 +14,9 @@
     api::PeerApiClient,
     envelope::Envelope,
     error::{PeerError, Result},
-    keys::Secret,
     messages::{
-        DrainOrder, EventsRequest, ExplainRequest, HandoverAck, HandoverChunk, ManifestReply,
-        Nothing, UndrainOrder,
+        DrainOrder, ExplainRequest, HandoverAck, HandoverChunk, ManifestReply, Nothing, PartReply,
+        PartRequest, UndrainOrder,
     },
 };
 use crate::{
@@ -25,7 +24,8 @@
     membership::Digest,
     operator::{Explanation, HostStatus},
     prelude::*,
-    timeline::Event,
+    settings::Secret,
+    timeline::{Event, Filter},
 };
 
 /// A call that takes longer has failed; the peer may still have taken it over.
@@ -66,6 +66,13 @@
         self.call(to, CALL_TIMEOUT, client.manifest(message)).await
     }
 
+    /// Client blocks of a large manifest.
+    pub async fn part(&self, to: SocketAddr, request: &PartRequest) -> Result<PartReply> {
+        let message = Envelope::seal(&self.member, request)?;
+        let client = self.client(to)?;
+        self.call(to, HANDOVER_TIMEOUT, client.part(message)).await
+    }
+
     /// Gives a part of this host's ledger to its successor.
     pub async fn handover(&self, to: SocketAddr, chunk: &HandoverChunk) -> Result<HandoverAck> {
         let message = Envelope::seal(&self.member, chunk)?;
@@ -74,8 +81,8 @@
     }
 
     /// Events of a host's time line.
-    pub async fn events(&self, to: SocketAddr, request: &EventsRequest) -> Result<Vec<Event>> {
-        let message = Envelope::seal(&self.member, request)?;
+    pub async fn events(&self, to: SocketAddr, filter: &Filter) -> Result<Vec<Event>> {
+        let message = Envelope::seal(&self.member, filter)?;
         let client = self.client(to)?;
         self.call(to, CALL_TIMEOUT, client.events(message)).await
     }
@@ -142,8 +149,8 @@
 
     fn build(&self, to: SocketAddr) -> Result<HttpClient> {
         let unreachable = |why: String| PeerError::Unreachable { to, why };
-        let value = format!("Bearer {}", self.key.expose());
-        let mut value = HeaderValue::from_str(&value)
+        let value = [b"Bearer ", self.key.expose()].concat();
+        let mut value = HeaderValue::from_bytes(&value)
             .map_err(|_| unreachable("the key holds characters that no header may".into()))?;
         value.set_sensitive(true);
         HttpClientBuilder::default()
--- a/src/peer/handler.rs
+++ b/src/peer/handler.rs
@@ -5,15 +5,15 @@
 use super::{
     error::Result,
     messages::{
-        DrainOrder, EventsRequest, ExplainRequest, HandoverAck, HandoverChunk, ManifestReply,
-        UndrainOrder,
+        DrainOrder, ExplainRequest, HandoverAck, HandoverChunk, ManifestReply, PartReply,
+        PartRequest, UndrainOrder,
     },
 };
 use crate::{
     drain::DrainRecord,
     membership::Digest,
     operator::{Explanation, HostStatus},
-    timeline::Event,
+    timeline::{Event, Filter},
 };
 
 /// What a host does with calls. The server has checked key, version and member before.
@@ -25,11 +25,14 @@
     /// The signed manifest in force here.
     async fn manifest(&self) -> Result<ManifestReply>;
 
+    /// Client blocks of a large manifest.
+    async fn part(&self, request: PartRequest) -> Result<PartReply>;
+
     /// Takes a part of a stopping host's ledger.
     async fn handover(&self, chunk: HandoverChunk) -> Result<HandoverAck>;
 
     /// Events of this host's time line.
-    async fn events(&self, request: EventsRequest) -> Result<Vec<Event>>;
+    async fn events(&self, filter: Filter) -> Result<Vec<Event>>;
 
     /// What this host knows and does.
     async fn status(&self) -> Result<HostStatus>;
--- a/src/peer/messages.rs
+++ b/src/peer/messages.rs
@@ -1,18 +1,35 @@
 //! Messages that no other slice owns.
 
-use crate::{drain::DrainId, manifest::DrainScope, prelude::*};
+use crate::{
+    drain::DrainId,
+    manifest::{DrainScope, Part, PartId, SignedManifest},
+    prelude::*,
+};
 
 /// An empty message.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Nothing {}
 
-/// The signed manifest in force at a host, as its pipeline wrote it.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+/// The signed manifest in force at a host.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ManifestReply {
-    /// The signed manifest's JSON; `None` if the host has none yet. The receiver checks the
-    /// signature itself.
+    /// `None` if the host has none yet. The receiver checks the signature for itself.
+    #[serde(default)]
+    pub signed: Option<SignedManifest>,
+}
+
+/// Asks for one part of a manifest's client blocks.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PartRequest {
+    pub id: PartId,
+}
+
+/// One part of a manifest's client blocks.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PartReply {
+    /// `None` if the host does not hold it.
     #[serde(default)]
-    pub signed: Option<Arc<str>>,
+    pub part: Option<Part>,
 }
 
 /// One part of a stopping host's sealed ledger.
@@ -36,24 +53,6 @@
     pub part: u32,
 }
 
-/// Which events of the time line a caller wants; an absent field takes all.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct EventsRequest {
-    /// Events after this wall-clock time, in milliseconds.
-    #[serde(default)]
-    pub after: u64,
-    /// Name of an event kind, as the time line writes it.
-    #[serde(default)]
-    pub kind: Option<Arc<str>>,
-    /// Most events to answer with; the newest are kept.
-    #[serde(default)]
-    pub limit: Option<u32>,
-    #[serde(default)]
-    pub request: Option<RequestId>,
-    #[serde(default)]
-    pub target: Option<TargetId>,
-}
-
 /// Where would this go now, and why.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ExplainRequest {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -21,10 +21,10 @@
     envelope::{Envelope, PROTOCOL_VERSION},
     error::{PeerError, Result},
     handler::PeerHandler,
-    keys::{PeerKeys, Secret},
+    keys::PeerKeys,
     messages::{
-        DrainOrder, EventsRequest, ExplainRequest, HandoverAck, HandoverChunk, ManifestReply,
-        Nothing, UndrainOrder,
+        DrainOrder, ExplainRequest, HandoverAck, HandoverChunk, ManifestReply, Nothing, PartReply,
+        PartRequest, UndrainOrder,
     },
     server::PeerServer,
 };
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -108,6 +108,11 @@
         self.seal(self.handler.manifest().await)
     }
 
+    async fn part(&self, ext: &Extensions, message: Envelope) -> RpcResult<Envelope> {
+        let request = self.open(ext, BOTH, &message)?;
+        self.seal(self.handler.part(request).await)
+    }
+
     async fn handover(&self, ext: &Extensions, message: Envelope) -> RpcResult<Envelope> {
         let chunk = self.open(ext, PEERS, &message)?;
         self.seal(self.handler.handover(chunk).await)
