--- a/src/membership/machine.rs
+++ b/src/membership/machine.rs
@@ -20,6 +20,10 @@
 /// A pause longer than this many ticks is this host's own, not the silence of its peers.
 const PAUSE_TICKS: u32 = 3;
 
+/// Stopped incarnations that a host answers for; the oldest go first. Callers send a binding again
+/// for minutes, and far fewer hosts of a zone stop in that time.
+const MAX_ADOPTED: usize = 64;
+
 /// What one host knows of the others.
 #[derive(Clone, Debug)]
 pub struct Membership {
@@ -119,6 +123,8 @@
     pub fn adopt(&mut self, stopped: Incarnation) {
         if !self.own.view.adopted.contains(&stopped) {
             self.own.view.adopted.push(stopped);
+            let past = self.own.view.adopted.len().saturating_sub(MAX_ADOPTED);
+            self.own.view.adopted.drain(..past);
             self.own.revision += 1;
         }
     }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -24,5 +24,5 @@
     event::MembershipEvent,
     limits::MembershipLimits,
     machine::Membership,
-    notes::{BaselineNote, Heard, MarkNote, Notes},
+    notes::{BaselineNote, Heard, Notes},
 };
--- a/src/membership/notes.rs
+++ b/src/membership/notes.rs
@@ -2,14 +2,14 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{drain::DrainRecord, prelude::*, view::Baseline};
+use crate::{drain::DrainRecord, prelude::*, quarantine::Mark, view::Baseline};
 
 /// What this host holds and wants known at every other host.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Notes {
     pub baselines: Vec<BaselineNote>,
     pub drains: Vec<DrainRecord>,
-    pub marks: Vec<MarkNote>,
+    pub marks: Vec<Mark>,
     /// Sequence of the manifest in force; 0 without one.
     pub sequence: Sequence,
 }
@@ -20,9 +20,15 @@
         hash_of(&self.drains)
     }
 
-    /// Hash of the marks.
+    /// Hash of the marks, the time that they still stand aside: that one falls all the time.
     pub fn marks_hash(&self) -> u64 {
-        hash_of(&self.marks)
+        let mut rows: Vec<_> = self
+            .marks
+            .iter()
+            .map(|mark| format!("{:?}", (mark.fingerprint, mark.verdict)))
+            .collect();
+        rows.sort();
+        hash_of(&rows)
     }
 
     /// Newest baseline, in milliseconds of wall-clock time; 0 without one.
@@ -38,7 +44,7 @@
     pub drains: Vec<DrainRecord>,
     /// The highest manifest sequence above the own one, and where its holder answers RPC.
     pub manifest: Option<(Sequence, SocketAddr)>,
-    pub marks: Vec<MarkNote>,
+    pub marks: Vec<Mark>,
 }
 
 impl Heard {
@@ -56,14 +62,6 @@
     pub baseline: Baseline,
 }
 
-/// A request that is refused everywhere for a time, since it crashed targets.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct MarkNote {
-    pub fingerprint: Arc<str>,
-    /// Wall-clock milliseconds up to which it is refused.
-    pub until: u64,
-}
-
 /// Hash of a value's JSON; 0 for an empty list, so that hosts with nothing agree with older ones.
 pub(super) fn hash_of<T: Serialize>(items: &[T]) -> u64 {
     if items.is_empty() {
--- a/src/peer/messages.rs
+++ b/src/peer/messages.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     drain::DrainId,
+    ledger::SealedPart,
     manifest::{DrainScope, Part, PartId, SignedManifest},
     prelude::*,
 };
@@ -35,14 +36,10 @@
 /// One part of a stopping host's sealed ledger.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HandoverChunk {
+    /// Host that is stopping.
     pub from: HostId,
     pub incarnation: Incarnation,
-    /// Counts from 0.
-    pub part: u32,
-    /// Number of parts.
-    pub parts: u32,
-    /// Entries as the ledger slice encodes them.
-    pub sealed: Arc<str>,
+    pub part: SealedPart,
 }
 
 /// The successor holds this part.
@@ -50,7 +47,8 @@
 pub struct HandoverAck {
     /// Whether the successor now holds all parts and answers for the incarnation.
     pub complete: bool,
-    pub part: u32,
+    /// `SealedPart::index` of the part.
+    pub index: u32,
 }
 
 /// Where would this go now, and why.
