--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,12 +6,16 @@
 pub mod admission;
 pub mod base;
 pub mod cmd;
+pub mod drain;
 pub mod forward;
 pub mod ledger;
 pub mod logging;
 pub mod lookup;
 pub mod manifest;
+pub mod membership;
 pub mod metrics;
+pub mod operator;
+pub mod peer;
 pub mod platform;
 pub mod prelude;
 pub mod quarantine;
