--- /dev/null
+++ b/src/cmd/check.rs
@@ -0,0 +1,76 @@
+//! `check`: settings and manifests, before anything uses them.
+
+use std::path::{Path, PathBuf};
+
+use serde::de::IgnoredAny;
+
+use super::{Exit, Result, output};
+use crate::{
+    manifest::Manifest,
+    prelude::*,
+    settings::Settings,
+    yaml::{self, MAX_FILE, Problem},
+};
+
+/// Checks settings of hosts and manifests; tells which by their fields.
+#[derive(Debug, clap::Args)]
+#[command(after_help = "Example:\n  lavenderplank check examples/himalaya-tara/manifest.yaml")]
+pub struct Args {
+    /// Settings or manifests in YAML.
+    #[arg(required = true, value_name = "FILE")]
+    files: Vec<PathBuf>,
+    /// Print the problems as JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+/// The fields that only a manifest has.
+#[derive(Deserialize)]
+struct Kind {
+    regions: Option<IgnoredAny>,
+    sequence: Option<IgnoredAny>,
+    services: Option<IgnoredAny>,
+}
+
+/// Prints every problem; bad input if there is one.
+pub fn run(args: &Args) -> Result {
+    let mut problems = Vec::new();
+    for path in &args.files {
+        match check(path) {
+            Ok(summary) if !args.json => output::line(summary)?,
+            Ok(_) => {}
+            Err(found) => problems.extend(found),
+        }
+    }
+    if args.json {
+        output::json(&problems)?;
+    } else {
+        for problem in &problems {
+            output::complaint(problem)?;
+        }
+    }
+    Ok(if problems.is_empty() { Exit::Done } else { Exit::BadInput })
+}
+
+fn check(path: &Path) -> std::result::Result<String, Vec<Problem>> {
+    let file = path.display().to_string();
+    let text = yaml::read_file(path, MAX_FILE).map_err(|problem| vec![problem])?;
+    let is_manifest = serde_norway::from_str::<Kind>(&text).is_ok_and(|kind| {
+        kind.regions.is_some() || kind.sequence.is_some() || kind.services.is_some()
+    });
+    if !is_manifest {
+        let settings = Settings::parse_all(&text, &file)?;
+        return Ok(format!(
+            "{file}: settings of host {}, member {}, zone {}",
+            settings.host, settings.member, settings.zone
+        ));
+    }
+    let manifest = Manifest::parse(&text, &file)?;
+    let targets: usize = manifest.services.iter().map(|service| service.targets.len()).sum();
+    Ok(format!(
+        "{file}: manifest {} of member {}, {} services, {targets} targets",
+        manifest.sequence,
+        manifest.member,
+        manifest.services.len()
+    ))
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,6 +1,11 @@
 //! The command line: one subcommand a file.
 
+mod apply;
+mod check;
 mod exit;
+mod key;
+mod output;
+mod sign;
 
 use clap::{Parser, Subcommand};
 
@@ -18,11 +23,21 @@
 }
 
 #[derive(Debug, Subcommand)]
-enum Command {}
+enum Command {
+    Apply(apply::Args),
+    Check(check::Args),
+    Key(key::Args),
+    Sign(sign::Args),
+}
 
 impl Cli {
     /// Runs the subcommand.
     pub fn run(self) -> Result {
-        match self.command {}
+        match self.command {
+            Command::Apply(args) => apply::run(&args),
+            Command::Check(args) => check::run(&args),
+            Command::Key(args) => key::run(&args),
+            Command::Sign(args) => sign::run(&args),
+        }
     }
 }
--- a/src/manifest/change.rs
+++ b/src/manifest/change.rs
@@ -101,6 +101,21 @@
     }
 }
 
+impl fmt::Display for Move {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}: {:.1} % of {}'s traffic would move (cap {:.1} %), slots {} -> {}",
+            self.service,
+            100.0 * self.moved,
+            self.home,
+            100.0 * self.cap,
+            self.slots_before,
+            self.slots_after
+        )
+    }
+}
+
 /// Compares two manifests at the assumed load.
 pub fn diff(old: &Manifest, new: &Manifest) -> Change {
     diff_at(old, new, &Loads::all(ASSUMED_LOAD))
--- a/src/manifest/mod.rs
+++ b/src/manifest/mod.rs
@@ -8,6 +8,7 @@
 mod check;
 mod fetch;
 mod head;
+mod in_force;
 mod model;
 mod part;
 mod read;
@@ -21,6 +22,7 @@
     change::{ASSUMED_LOAD, Breach, Change, Load, Loads, Move, diff, diff_at},
     fetch::{fetch, fetch_parts},
     head::{Acceptance, Head},
+    in_force::{InForce, ZoneInForce},
     model::{
         ClientBlock, DrainScope, Manifest, Region, Service, ServiceKind, Share, Target, Weighing,
     },
--- a/src/manifest/signed.rs
+++ b/src/manifest/signed.rs
@@ -39,21 +39,22 @@
     TooManyParts,
 }
 
-/// Signs a manifest that holds all its client blocks. `file` names it in problems.
+/// Signs a manifest that holds all its client blocks.
 pub fn sign(text: &str, key: &SigningKey) -> Result<SignedManifest, SignError> {
-    sign_split(text, &[], key).map(|(signed, _)| signed)
+    sign_split(text, "manifest", &[], key).map(|(signed, _)| signed)
 }
 
-/// Signs a manifest whose further client blocks are kept in parts.
+/// Signs a manifest whose further client blocks are kept in parts. `file` names it in problems.
 pub fn sign_split(
     text: &str,
+    file: &str,
     blocks: &[ClientBlock],
     key: &SigningKey,
 ) -> Result<(SignedManifest, Vec<Part>), SignError> {
     if MAX_BODY < text.len() {
         return Err(SignError::BodyTooLarge);
     }
-    let mut manifest = Manifest::parse(text, "manifest").map_err(SignError::Problems)?;
+    let mut manifest = Manifest::parse(text, file).map_err(SignError::Problems)?;
     manifest.client_blocks.extend_from_slice(blocks);
     let problems = manifest.check();
     if !problems.is_empty() {
@@ -73,6 +74,15 @@
     /// Verifies the signature before anything else is read, then decodes and checks the text.
     /// Client blocks in parts are not in the result: see `assemble`.
     pub fn verify(&self, member: &MemberId, key: &VerifyingKey) -> Result<Manifest, Reason> {
+        let manifest = self.verify_own(key)?;
+        if manifest.member != *member {
+            return Err(Reason::OtherMember(manifest.member));
+        }
+        Ok(manifest)
+    }
+
+    /// As `verify`, for the owner of the key, whatever member the text names.
+    pub fn verify_own(&self, key: &VerifyingKey) -> Result<Manifest, Reason> {
         if MAX_BODY < self.body.len() || MAX_PARTS < self.parts.len() {
             return Err(Reason::TooLarge);
         }
@@ -82,12 +92,8 @@
             .ok_or(Reason::Signature)?;
         key.verify_strict(&message(&self.body, &self.parts), &Signature::from_bytes(&signature))
             .map_err(|_| Reason::Signature)?;
-        let manifest = Manifest::parse(&self.body, "manifest")
-            .map_err(|problems| Reason::Invalid(problems[0].to_string().into()))?;
-        if manifest.member != *member {
-            return Err(Reason::OtherMember(manifest.member));
-        }
-        Ok(manifest)
+        Manifest::parse(&self.body, "manifest")
+            .map_err(|problems| Reason::Invalid(problems[0].to_string().into()))
     }
 
     /// Adds the client blocks of `parts` to a verified manifest and checks the whole again.
--- a/src/manifest/tests/accept.rs
+++ b/src/manifest/tests/accept.rs
@@ -20,7 +20,7 @@
 
 fn with_blocks(sequence: u64, blocks: &str) -> Proposal {
     let blocks = parse_blocks(blocks).unwrap();
-    let (signed, parts) = sign_split(&numbered(sequence), &blocks, &key(1)).unwrap();
+    let (signed, parts) = sign_split(&numbered(sequence), "m", &blocks, &key(1)).unwrap();
     Proposal { member: "himalaya-tara".into(), parts, signed }
 }
 
--- a/src/manifest/tests/load.rs
+++ b/src/manifest/tests/load.rs
@@ -82,7 +82,7 @@
 #[test]
 fn blocks_in_parts_are_awaited_and_checked() {
     let blocks = parse_blocks("10.2.0.0/16 bagmati\n# more\n2001:db8::/32 bagmati\n").unwrap();
-    let (signed, parts) = sign_split(TEXT, &blocks, &key(1)).unwrap();
+    let (signed, parts) = sign_split(TEXT, "m", &blocks, &key(1)).unwrap();
     let mut store = store();
     let missing = assert_matches!(store.offer(signed.clone()), Offer::Missing(ids) => ids);
     assert_eq!(missing, signed.parts);
