Test membership under cuts, restarts, pauses and slow peers

Two hosts of one zone that had each joined through a third zone described the zone against each other and met only by chance; the sender is now told of any other description of its own zone.

--- a/src/membership/exchange.rs
+++ b/src/membership/exchange.rs
@@ -13,7 +13,7 @@
         let mut digest = self.head(now);
         digest.beats = self.roster.beats(&self.own);
         digest.zones = self.zones.summaries().collect();
-        digest.zones.push(self.zone_entry().summary);
+        digest.zones.push(self.zone_summary());
         digest
     }
 
@@ -67,9 +67,9 @@
         self.take(&delta, now);
         self.settled |= epoch == self.own.epoch;
         let owed = Owed {
-            drains: delta.drains_hash != self.notes.drains_hash(),
+            drains: delta.drains_hash != self.notes_hashes.drains,
             hosts: delta.wants_hosts,
-            marks: delta.marks_hash != self.notes.marks_hash(),
+            marks: delta.marks_hash != self.notes_hashes.marks,
             zones: delta.wants,
         };
         if owed.drains || owed.hosts || owed.marks || !owed.zones.is_empty() {
@@ -84,12 +84,12 @@
             baselines_at: self.notes.baselines_at(),
             beats: Vec::new(),
             drains: Vec::new(),
-            drains_hash: self.notes.drains_hash(),
+            drains_hash: self.notes_hashes.drains,
             from: self.own.clone(),
             hosts: Vec::new(),
             marks: Vec::new(),
-            marks_hash: self.notes.marks_hash(),
-            roster: self.roster_hash(),
+            marks_hash: self.notes_hashes.marks,
+            roster: self.roster_hash,
             sequence: self.notes.sequence,
             wants: Vec::new(),
             wants_hosts: false,
@@ -124,12 +124,12 @@
     }
 
     fn answer_zones(&self, digest: &Digest, answer: &mut Digest) {
-        self.zones.answer(&digest.zones, answer);
-        let own = self.zone_entry();
-        match digest.zones.iter().find(|zone| zone.zone == own.summary.zone) {
-            _ if self.is_near(digest) => answer.zones.push(own.summary),
-            Some(theirs) if theirs.hash == own.summary.hash => answer.zones.push(own.summary),
-            _ => answer.zone_hosts.push(own),
+        self.zones.answer(&digest.from.view.zone, &digest.zones, answer);
+        let own = self.zone_summary();
+        match digest.zones.iter().find(|zone| zone.zone == own.zone) {
+            _ if self.is_near(digest) => answer.zones.push(own),
+            Some(theirs) if theirs.hash == own.hash => answer.zones.push(own),
+            _ => answer.zone_hosts.push(self.zone_entry()),
         }
         let lacked = digest.zones.iter().filter(|zone| zone.zone != self.own.view.zone);
         let lacked = lacked.filter(|zone| self.zones.lacks(zone));
@@ -140,7 +140,7 @@
         if self.is_near(digest) {
             self.take_hosts(digest, now);
         }
-        self.hints.remove(&digest.from.view.id);
+        self.hints.forget(&digest.from.view);
         self.take_zones(digest, now);
         self.take_notes(digest);
     }
@@ -154,8 +154,10 @@
                 self.roster.merge(entry.clone(), now, &self.limits, &mut self.events);
             }
         }
-        if digest.roster == self.roster_hash() {
+        self.rehash_if_changed();
+        if digest.roster == self.roster_hash {
             self.roster.hear(&self.own.view.id, &digest.beats, now, &mut self.events);
+            self.rehash_if_changed();
         }
     }
 
@@ -173,6 +175,7 @@
             return;
         }
         self.own.epoch = entry.epoch + 1;
+        self.rehash();
     }
 
     fn take_zones(&mut self, digest: &Digest, now: Moment) {
--- /dev/null
+++ b/src/membership/fleet.rs
@@ -0,0 +1,273 @@
+//! Many membership machines in one process, over a network in memory: for tests and measurements.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeSet, BinaryHeap},
+};
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::{Digest, Membership, MembershipEvent, MembershipLimits, Notes};
+use crate::{prelude::*, view::HostView};
+
+/// Delay between learning news and telling it on; a little over the way between two regions.
+const TELL_ON_AFTER: Duration = Duration::from_millis(60);
+
+/// Many hosts and the network between them.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Called for each message, to count its size on the wire.
+    pub count: Option<fn(&Digest) -> usize>,
+    pub nodes: Vec<Node>,
+    pub now: Moment,
+    cuts: BTreeSet<(ZoneId, ZoneId)>,
+    due: BinaryHeap<Reverse<(Moment, usize, Round)>>,
+    limits: MembershipLimits,
+    rng: ChaCha8Rng,
+    started: u64,
+}
+
+/// One host of the fleet.
+#[derive(Debug)]
+pub struct Node {
+    pub bytes: u64,
+    pub events: Vec<(Moment, MembershipEvent)>,
+    pub membership: Membership,
+    pub messages: u64,
+    pub notes: Notes,
+    /// Neither ticks nor answers.
+    pub paused: bool,
+    /// Takes messages, but each of its answers is late.
+    pub slow: bool,
+    phase: Duration,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Round {
+    News,
+    Tick,
+}
+
+impl Fleet {
+    /// `per_zone` hosts in each of `zones`, two zones a region, that were told of one host each.
+    pub fn new(zones: usize, per_zone: usize, seed: u64) -> Self {
+        let mut fleet = Self {
+            count: None,
+            cuts: BTreeSet::new(),
+            due: BinaryHeap::new(),
+            limits: MembershipLimits::default(),
+            nodes: Vec::new(),
+            now: Duration::from_secs(1),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            started: 1_000_000,
+        };
+        for at in 0..zones * per_zone {
+            let zone = at % zones;
+            fleet.start(&format!("h{at:04}"), zone, at);
+        }
+        fleet
+    }
+
+    /// Starts a host, and says its index.
+    pub fn start(&mut self, id: &str, zone: usize, port: usize) -> usize {
+        self.started += 1000;
+        let view = view(id, zone, port, self.rng.random());
+        let mut membership =
+            Membership::new(view.clone(), self.limits.clone()).started_at(self.started);
+        if let Some(first) = self.nodes.first() {
+            membership.seed([first.membership.own().rpc]);
+        }
+        let phase = Duration::from_micros(self.rng.random_range(0..1_000_000));
+        self.due.push(Reverse((self.now + phase, self.nodes.len(), Round::Tick)));
+        self.nodes.push(Node {
+            bytes: 0,
+            events: Vec::new(),
+            membership,
+            messages: 0,
+            notes: Notes::default(),
+            paused: false,
+            phase,
+            slow: false,
+        });
+        self.nodes.len() - 1
+    }
+
+    /// Cuts messages from one zone to another, one way.
+    pub fn cut(&mut self, from: usize, to: usize) {
+        self.cuts.insert((zone_id(from), zone_id(to)));
+    }
+
+    /// Lets all messages through again.
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
+    /// Gives a host news, which it tells on.
+    pub fn publish(&mut self, node: usize, notes: Notes) {
+        self.nodes[node].notes = notes.clone();
+        self.nodes[node].membership.set_notes(notes);
+        self.due.push(Reverse((self.now, node, Round::News)));
+    }
+
+    /// Runs for that long.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.next_due().is_some_and(|due| due <= end) {
+            self.step();
+        }
+        self.now = end;
+    }
+
+    /// Runs until `done` or that long; says how long it took.
+    pub fn run_until(
+        &mut self,
+        limit: Duration,
+        done: impl Fn(&Fleet) -> bool,
+    ) -> Option<Duration> {
+        let start = self.now;
+        while self.now < start + limit {
+            if done(self) {
+                return Some(self.now - start);
+            }
+            self.step();
+        }
+        None
+    }
+
+    /// Names of the hosts that a host counts as live.
+    pub fn hosts(&self, node: usize) -> Vec<HostId> {
+        let hosts = self.nodes[node].membership.hosts(self.now);
+        hosts.into_iter().map(|host| host.id).collect()
+    }
+
+    /// Whether each host that is not paused counts `count` hosts as live.
+    pub fn agrees_on(&self, count: usize) -> bool {
+        let running = self.nodes.iter().filter(|node| !node.paused);
+        running.into_iter().all(|node| node.membership.hosts(self.now).len() == count)
+    }
+
+    fn next_due(&self) -> Option<Moment> {
+        self.due.peek().map(|Reverse((due, ..))| *due)
+    }
+
+    fn step(&mut self) {
+        let Some(Reverse((due, at, round))) = self.due.pop() else { return };
+        self.now = self.now.max(due);
+        if round == Round::Tick {
+            self.due.push(Reverse((due + self.limits.tick, at, Round::Tick)));
+        }
+        if self.nodes[at].paused {
+            return;
+        }
+        if round == Round::Tick {
+            let events = self.nodes[at].membership.tick(self.now);
+            self.note(at, events);
+        }
+        let partners = self.nodes[at].membership.partners(self.now, &mut self.rng);
+        for partner in partners {
+            self.exchange(at, &partner);
+        }
+    }
+
+    fn exchange(&mut self, from: usize, to: &HostView) {
+        let at_address = |node: &Node| node.membership.own().rpc == to.rpc && !node.paused;
+        let Some(at) = self.nodes.iter().position(at_address) else { return };
+        for _ in 0..2 {
+            let digest = self.nodes[from].membership.digest_for(to, self.now);
+            self.sent(from, at, &digest);
+            if self.is_cut(from, at) {
+                return;
+            }
+            let answer = self.nodes[at].membership.receive(&digest, self.now);
+            self.apply_heard(at);
+            self.sent(at, from, &answer);
+            if self.is_cut(at, from) || self.nodes[at].slow {
+                return;
+            }
+            let answerer = answer.from.view.id.clone();
+            let events = self.nodes[from].membership.merge(answer, self.now);
+            self.note(from, events);
+            self.apply_heard(from);
+            if !self.nodes[from].membership.owes(&answerer) {
+                return;
+            }
+        }
+    }
+
+    fn is_cut(&self, from: usize, to: usize) -> bool {
+        let zone = |at: usize| self.nodes[at].membership.own().zone.clone();
+        self.cuts.contains(&(zone(from), zone(to)))
+    }
+
+    fn sent(&mut self, from: usize, to: usize, digest: &Digest) {
+        let Some(count) = self.count else { return };
+        let size = count(digest) as u64;
+        for at in [from, to] {
+            self.nodes[at].bytes += size;
+            self.nodes[at].messages += 1;
+        }
+    }
+
+    fn note(&mut self, at: usize, events: Vec<MembershipEvent>) {
+        let now = self.now;
+        self.nodes[at].events.extend(events.into_iter().map(|event| (now, event)));
+    }
+
+    fn apply_heard(&mut self, at: usize) {
+        let node = &mut self.nodes[at];
+        let heard = node.membership.take_heard();
+        let mut notes = node.notes.clone();
+        if let Some((sequence, _)) = heard.manifest {
+            notes.sequence = notes.sequence.max(sequence);
+        }
+        for drain in heard.drains {
+            if notes.drains.iter().all(|known| known.id != drain.id) {
+                notes.drains.push(drain);
+                notes.drains.sort_by(|a, b| a.id.cmp(&b.id));
+            }
+        }
+        if notes != node.notes {
+            node.notes = notes.clone();
+            node.membership.set_notes(notes);
+            self.due.push(Reverse((self.now + TELL_ON_AFTER, at, Round::News)));
+        }
+    }
+}
+
+impl Node {
+    /// When in each second this host ticks.
+    pub fn phase(&self) -> Duration {
+        self.phase
+    }
+
+    /// Hosts that this one suspected or lost, in order.
+    pub fn suspicions(&self) -> Vec<HostId> {
+        let events = self.events.iter().filter_map(|(_, event)| match event {
+            MembershipEvent::Suspected(host) => Some(host.clone()),
+            MembershipEvent::Left(host) => Some(host.id.clone()),
+            _ => None,
+        });
+        events.collect()
+    }
+}
+
+/// Name of a zone of the fleet.
+pub fn zone_id(zone: usize) -> ZoneId {
+    format!("z{zone:02}").into()
+}
+
+fn view(id: &str, zone: usize, port: usize, incarnation: Incarnation) -> HostView {
+    let ip = [10, 0, (port >> 8) as u8, port as u8];
+    HostView {
+        address: (ip, 8080).into(),
+        adopted: Vec::new(),
+        generation: 1,
+        id: id.into(),
+        incarnation,
+        leaving: false,
+        region: format!("r{:02}", zone / 2).into(),
+        rpc: (ip, 8081).into(),
+        zone: zone_id(zone),
+    }
+}
--- a/src/membership/machine.rs
+++ b/src/membership/machine.rs
@@ -7,8 +7,9 @@
 use super::{
     digest::{HostEntry, ZoneEntry, ZoneSummary},
     event::MembershipEvent,
+    hints::Hints,
     limits::MembershipLimits,
-    notes::{Heard, Notes, hash_of},
+    notes::{Heard, Notes, NotesHashes, hash_of},
     roster::Roster,
     zones::Zones,
 };
@@ -29,18 +30,22 @@
 pub struct Membership {
     pub(super) events: Vec<MembershipEvent>,
     pub(super) heard: Heard,
-    /// Hosts that someone named and that were not heard yet.
-    pub(super) hints: BTreeMap<HostId, HostView>,
+    pub(super) hints: Hints,
     pub(super) limits: MembershipLimits,
     pub(super) notes: Notes,
+    pub(super) notes_hashes: NotesHashes,
     pub(super) own: HostEntry,
     /// What a peer asked for in its last answer; goes into the next digest for it.
     pub(super) owed: BTreeMap<HostId, Owed>,
     pub(super) roster: Roster,
+    /// Hash of the roster, kept since most exchanges change heartbeats only.
+    pub(super) roster_hash: u64,
     /// Whether a peer has accepted this incarnation.
     pub(super) settled: bool,
     pub(super) superseded: bool,
     pub(super) zone_beat: u64,
+    /// Hash of the live hosts of the own zone.
+    pub(super) zone_hash: u64,
     pub(super) zones: Zones,
     last_tick: Option<Moment>,
     /// Peers of the zone still to be asked in this round; each is asked once in a round, so that
@@ -61,36 +66,48 @@
     /// A host that knows only itself.
     pub fn new(own: HostView, limits: MembershipLimits) -> Self {
         let own = HostEntry { age_ms: 0, beat: 1, epoch: 0, revision: 0, view: own };
-        Self {
+        let mut membership = Self {
             events: Vec::new(),
             heard: Heard::default(),
-            hints: BTreeMap::new(),
+            hints: Hints::default(),
             last_tick: None,
             limits,
             notes: Notes::default(),
+            notes_hashes: NotesHashes::default(),
             owed: BTreeMap::new(),
             own,
             roster: Roster::default(),
+            roster_hash: 0,
             round: Vec::new(),
             settled: false,
             superseded: false,
             zone_beat: 1,
+            zone_hash: 0,
             zones: Zones::default(),
-        }
+        };
+        membership.rehash();
+        membership
     }
 
     /// Sets the wall-clock milliseconds of this start: of two processes under one host name, the
     /// one that started later stays. With the clocks wrong the new one learns it from its peers.
     pub fn started_at(mut self, wall_millis: u64) -> Self {
         self.own.epoch = wall_millis;
+        self.rehash();
         self
     }
 
     /// Names hosts that may live, from the settings or from the platform's list. They are asked,
     /// but not counted as live before they answer.
     pub fn hint(&mut self, hosts: impl IntoIterator<Item = HostView>) {
-        let hosts = hosts.into_iter().filter(|host| host.id != self.own.view.id);
-        self.hints.extend(hosts.map(|host| (host.id.clone(), host)));
+        let unknown = hosts.into_iter().filter(|host| !self.knows(host)).collect::<Vec<_>>();
+        self.hints.name(unknown);
+    }
+
+    /// Names RPC addresses to start from, and to go back to when nobody else answers.
+    pub fn seed(&mut self, addresses: impl IntoIterator<Item = SocketAddr>) {
+        let own = self.own.view.rpc;
+        self.hints.seed(&self.own.view, addresses.into_iter().filter(|rpc| *rpc != own));
     }
 
     /// This host as its peers see it.
@@ -106,6 +123,7 @@
     /// Sets what this host holds for the others to know.
     pub fn set_notes(&mut self, notes: Notes) {
         self.notes = notes;
+        self.notes_hashes = NotesHashes::of(&self.notes);
     }
 
     /// Takes what came along in exchanges for other slices.
@@ -116,7 +134,7 @@
     /// Tells the peers that new bindings name another ledger generation.
     pub fn set_generation(&mut self, generation: Generation) {
         self.own.view.generation = generation;
-        self.own.revision += 1;
+        self.revise();
     }
 
     /// Tells the peers that this host answers for a stopped incarnation whose ledger it took over.
@@ -125,14 +143,14 @@
             self.own.view.adopted.push(stopped);
             let past = self.own.view.adopted.len().saturating_sub(MAX_ADOPTED);
             self.own.view.adopted.drain(..past);
-            self.own.revision += 1;
+            self.revise();
         }
     }
 
     /// Tells the peers that this host is stopping.
     pub fn leave(&mut self) {
         self.own.view.leaving = true;
-        self.own.revision += 1;
+        self.revise();
     }
 
     /// Whom to exchange with at this tick.
@@ -142,8 +160,10 @@
         }
         let mut partners = self.zone_partners(rng);
         partners.extend(self.far_partner(rng));
-        let probe = partners.is_empty() || rng.random_ratio(1, PROBE_ONE_IN);
-        if probe {
+        let named = self.hints.next(&self.own.view.zone, rng);
+        let idle = partners.is_empty() && named.is_none();
+        partners.extend(named);
+        if idle || rng.random_ratio(1, PROBE_ONE_IN) {
             partners.extend(self.probe(rng));
         }
         partners
@@ -156,6 +176,7 @@
         self.zone_beat += 1;
         self.roster.tick(now, &self.limits, &mut self.events);
         self.zones.tick(now, &self.limits, &mut self.events);
+        self.rehash_if_changed();
         std::mem::take(&mut self.events)
     }
 
@@ -194,14 +215,28 @@
     }
 
     pub(super) fn zone_entry(&self) -> ZoneEntry {
-        let hosts = self.zone_hosts();
-        let hash = hash_of(&hosts);
+        ZoneEntry { hosts: self.zone_hosts(), summary: self.zone_summary() }
+    }
+
+    pub(super) fn zone_summary(&self) -> ZoneSummary {
         let zone = self.own.view.zone.clone();
-        ZoneEntry { hosts, summary: ZoneSummary { beat: self.zone_beat, hash, zone } }
+        ZoneSummary { beat: self.zone_beat, hash: self.zone_hash, zone }
     }
 
-    pub(super) fn roster_hash(&self) -> u64 {
-        self.roster.hash(&self.own)
+    pub(super) fn rehash_if_changed(&mut self) {
+        if self.roster.take_changed() {
+            self.rehash();
+        }
+    }
+
+    pub(super) fn rehash(&mut self) {
+        self.roster_hash = self.roster.hash(&self.own);
+        self.zone_hash = hash_of(&self.zone_hosts());
+    }
+
+    fn revise(&mut self) {
+        self.own.revision += 1;
+        self.rehash();
     }
 
     /// A host that was paused has heard nobody, which says nothing of the others: without this it
@@ -244,18 +279,17 @@
         zones.choose(rng)?.choose(rng).cloned()
     }
 
-    /// A host that does not answer, or was only named so far.
+    /// A host that does not answer, or one of the addresses to start from.
     fn probe(&self, rng: &mut impl Rng) -> Option<HostView> {
         let mut silent: Vec<&HostView> = self.roster.suspected().collect();
         silent.extend(self.roster.forgotten());
         silent.extend(self.zones.hosts_where(true).into_iter().flatten());
-        let named = self.hints.values().filter(|host| !self.knows(host));
-        silent.extend(named);
+        silent.extend(self.hints.seeds().filter(|seed| !self.knows(seed)));
         silent.choose(rng).copied().cloned()
     }
 
     fn knows(&self, host: &HostView) -> bool {
-        let live = |other: &HostView| other.id == host.id;
-        self.roster.live().any(live) || self.zones.live().any(live)
+        let live = |other: &HostView| other.id == host.id || other.rpc == host.rpc;
+        live(&self.own.view) || self.roster.live().any(live) || self.zones.live().any(live)
     }
 }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -12,16 +12,21 @@
 mod digest;
 mod event;
 mod exchange;
+mod fleet;
+mod hints;
 mod limits;
 mod machine;
 mod notes;
 mod record;
 mod roster;
+#[cfg(test)]
+mod tests;
 mod zones;
 
 pub use self::{
     digest::{Digest, HostEntry, ZoneEntry, ZoneSummary},
     event::MembershipEvent,
+    fleet::{Fleet, Node, zone_id},
     limits::MembershipLimits,
     machine::Membership,
     notes::{BaselineNote, Heard, Notes},
--- a/src/membership/notes.rs
+++ b/src/membership/notes.rs
@@ -37,6 +37,19 @@
     }
 }
 
+/// Hashes of the notes, kept since they change far less often than they are told.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct NotesHashes {
+    pub drains: u64,
+    pub marks: u64,
+}
+
+impl NotesHashes {
+    pub fn of(notes: &Notes) -> Self {
+        Self { drains: notes.drains_hash(), marks: notes.marks_hash() }
+    }
+}
+
 /// What came along in exchanges since the last `take_heard`; each owner merges its part.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Heard {
--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -19,11 +19,17 @@
 /// The other hosts of the own zone.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Roster {
+    /// Whether anything but heartbeats has changed since the last `take_changed`.
+    changed: bool,
     records: BTreeMap<HostId, Record>,
     tombstones: BTreeMap<HostId, Tombstone>,
 }
 
 impl Roster {
+    pub fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
     pub fn get(&self, host: &str) -> Option<&Record> {
         self.records.get(host)
     }
@@ -80,6 +86,7 @@
         let beats = beats.iter().enumerate().filter(|(at, _)| *at != before_own);
         for (record, (_, &beat)) in self.records.values_mut().zip(beats) {
             if record.hear(beat, now) && std::mem::take(&mut record.suspected) {
+                self.changed = true;
                 events.push(MembershipEvent::Returned(record.view.id.clone()));
             }
         }
@@ -104,6 +111,7 @@
             let newer = known.epoch < entry.epoch
                 || (known.epoch == entry.epoch && known.suspected && entry.age_ms == 0);
             if newer {
+                self.changed = true;
                 let old = std::mem::replace(known, Record::new(entry, now));
                 if !old.view.leaving {
                     events.push(MembershipEvent::Left(old.view));
@@ -112,6 +120,7 @@
             }
             return;
         }
+        self.changed |= known.epoch < entry.epoch || known.revision < entry.revision;
         known.epoch = known.epoch.max(entry.epoch);
         if known.revision < entry.revision {
             known.revision = entry.revision;
@@ -122,6 +131,7 @@
         }
         let heard = now.saturating_sub(Duration::from_millis(entry.age_ms));
         if known.hear(entry.beat, heard) && std::mem::take(&mut known.suspected) {
+            self.changed = true;
             events.push(MembershipEvent::Returned(id));
         }
     }
@@ -143,11 +153,13 @@
                 forgotten.push(id.clone());
             } else if suspect <= silence && !record.suspected {
                 record.suspected = true;
+                self.changed = true;
                 events.push(MembershipEvent::Suspected(id.clone()));
             }
         }
         for id in forgotten {
             let Some(record) = self.records.remove(&id) else { continue };
+            self.changed = true;
             self.tombstones.insert(id, Tombstone { at: now, last: record.entry(now) });
             if !record.view.leaving {
                 events.push(MembershipEvent::Left(record.view));
@@ -179,6 +191,7 @@
             return;
         }
         self.tombstones.remove(&entry.view.id);
+        self.changed = true;
         let record = Record::new(entry, now);
         events.push(MembershipEvent::Joined(record.view.clone()));
         self.records.insert(record.view.id.clone(), record);
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -1,9 +1,218 @@
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
-
 use super::*;
-use crate::{prelude::*, view::HostView};
+use crate::prelude::*;
+
+fn secs(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+/// A fleet whose hosts all know each other.
+fn settled(zones: usize, per_zone: usize) -> Fleet {
+    let mut fleet = Fleet::new(zones, per_zone, 7);
+    let all = zones * per_zone;
+    let took = fleet.run_until(secs(60), |fleet| fleet.agrees_on(all));
+    assert!(took.is_some(), "{:?}", fleet.hosts(0));
+    fleet.run(secs(20));
+    for node in &mut fleet.nodes {
+        node.events.clear();
+    }
+    fleet
+}
+
+fn sequence(fleet: &Fleet, node: usize) -> Sequence {
+    fleet.nodes[node].notes.sequence
+}
+
+fn published(sequence: Sequence) -> Notes {
+    Notes { sequence, ..Notes::default() }
+}
+
+#[test]
+fn nobody_is_suspected_while_all_run() {
+    for (zones, per_zone) in [(1, 2), (6, 2), (4, 10), (2, 40)] {
+        let mut fleet = settled(zones, per_zone);
+        fleet.run(secs(120));
+        for node in &fleet.nodes {
+            assert_eq!(node.suspicions(), Vec::<HostId>::new(), "{zones} zones of {per_zone}");
+        }
+    }
+}
+
+// One host stops without a word. Its zone's peer hears no heartbeat for the suspicion time; the
+// other zones learn it from that peer's view of its zone. The platform's list plays no part.
+#[test]
+fn a_dead_host_is_suspected_then_forgotten_everywhere() {
+    let mut fleet = settled(3, 3);
+    fleet.nodes[4].paused = true;
+    let took = fleet.run_until(secs(20), |fleet| fleet.agrees_on(8)).unwrap();
+    assert!(secs(2) <= took, "{took:?}");
+    fleet.run(secs(20));
+    assert!(fleet.agrees_on(8));
+    let seen = fleet.nodes[1].suspicions();
+    assert_eq!(seen, ["h0004".into(), "h0004".into()], "suspected once, left once");
+}
+
+// A host announces that it stops; peers see the mark at their next exchange, well before silence
+// could tell, and still list it so that resends find the one that took over its ledger.
+#[test]
+fn leaving_is_announced() {
+    let mut fleet = settled(3, 2);
+    fleet.nodes[2].membership.leave();
+    let leaving = |fleet: &Fleet| {
+        (0..6).all(|node| {
+            let hosts = fleet.nodes[node].membership.hosts(fleet.now);
+            hosts.iter().any(|host| &*host.id == "h0002" && host.leaving)
+        })
+    };
+    fleet.run_until(secs(6), leaving).unwrap();
+    fleet.run(secs(1));
+    let heard = &fleet.nodes[0].events[..];
+    assert!(matches!(heard, [(_, MembershipEvent::Left(host))] if &*host.id == "h0002"));
+}
+
+// A zone loses all links, both ways or one way. Each side keeps serving its own hosts; the other
+// side's are suspected; nobody inside the cut zone suspects a neighbour. After the cut heals, all
+// find each other again although nothing else tells them.
+#[test]
+fn a_cut_zone_keeps_its_own_hosts_and_comes_back() {
+    for one_way in [false, true] {
+        let mut fleet = settled(6, 2);
+        for other in 1..6 {
+            fleet.cut(0, other);
+            if !one_way {
+                fleet.cut(other, 0);
+            }
+        }
+        // One way: what the cut zone says is lost, so the others miss it; it still hears them.
+        fleet.run(secs(30));
+        let inside: Vec<HostId> = vec!["h0000".into(), "h0006".into()];
+        if !one_way {
+            assert_eq!(fleet.hosts(0), inside);
+            let silent = fleet.nodes[0].membership.silent_regions(fleet.now);
+            assert_eq!(silent, ["r01".into(), "r02".into()].into());
+        }
+        assert_eq!(fleet.hosts(1).len(), 10, "one way: {one_way}");
+        assert!(fleet.nodes[1].membership.silent_zones(fleet.now).contains_key("z00"));
+        assert!(!fleet.nodes[0].suspicions().contains(&inside[1]));
+        fleet.heal();
+        fleet.run_until(secs(30), |fleet| fleet.agrees_on(12)).unwrap();
+    }
+}
+
+// A zone can reach only one other zone, and not the platform. A manifest that the rest learnt
+// comes to it over that one path.
+#[test]
+fn news_takes_any_path_that_is_left() {
+    let mut fleet = settled(6, 2);
+    for other in 1..5 {
+        fleet.cut(0, other);
+        fleet.cut(other, 0);
+    }
+    fleet.run(secs(10));
+    fleet.publish(3, published(9));
+    fleet.run_until(secs(10), |fleet| (0..12).all(|node| sequence(fleet, node) == 9)).unwrap();
+}
+
+// A host dies and is replaced on the same address and under the same name. The peers take the new
+// incarnation at its first word, not only once the old one has become silent.
+#[test]
+fn a_restarted_host_is_a_new_incarnation() {
+    let mut fleet = settled(2, 2);
+    let old = fleet.nodes[2].membership.own().clone();
+    fleet.nodes[2].paused = true;
+    let new = fleet.start("h0002", 0, 2);
+    let incarnation = fleet.nodes[new].membership.own().incarnation;
+    let known = |fleet: &Fleet| {
+        [0, 1, 3].iter().all(|node| {
+            let hosts = fleet.nodes[*node].membership.hosts(fleet.now);
+            hosts.iter().any(|host| host.incarnation == incarnation)
+        })
+    };
+    fleet.run_until(secs(10), known).unwrap();
+    let hosts = fleet.nodes[0].membership.hosts(fleet.now);
+    assert!(hosts.iter().all(|host| host.incarnation != old.incarnation));
+}
+
+// The old process was only paused, and wakes on its address after its replacement started. It must
+// not push the new one out of any peer's view, and it learns that it has to stop. The wall clocks
+// of the two hosts may be wrong: then the new one is told of its predecessor and outbids it.
+#[test]
+fn a_resumed_predecessor_does_not_displace_its_successor() {
+    for wrong_clock in [false, true] {
+        let mut fleet = settled(2, 2);
+        fleet.nodes[2].paused = true;
+        let new = fleet.start("h0002", 0, 2);
+        if wrong_clock {
+            let membership = fleet.nodes[new].membership.clone();
+            fleet.nodes[new].membership = membership.started_at(5);
+        }
+        let incarnation = fleet.nodes[new].membership.own().incarnation;
+        fleet.run(secs(8));
+        fleet.nodes[2].paused = false;
+        // Only the new one answers on the address, as after a move of the address.
+        fleet.nodes.swap(2, new);
+        for _ in 0..60 {
+            fleet.run(secs(1));
+            let hosts = fleet.nodes[0].membership.hosts(fleet.now);
+            assert!(hosts.iter().any(|host| host.incarnation == incarnation), "{wrong_clock}");
+        }
+        assert!(fleet.nodes[new].membership.is_superseded(), "{wrong_clock}");
+        assert!(!fleet.nodes[2].membership.is_superseded(), "{wrong_clock}");
+    }
+}
+
+// A whole host stands still for a minute. When it resumes, its peers have been silent for a minute
+// by its clock, yet it was itself that did not listen: it suspects nobody.
+#[test]
+fn a_pause_of_its_own_is_no_silence_of_the_others() {
+    let mut fleet = settled(2, 3);
+    fleet.nodes[0].paused = true;
+    fleet.run(secs(60));
+    fleet.nodes[0].paused = false;
+    fleet.run(secs(20));
+    assert_eq!(fleet.nodes[0].suspicions(), Vec::<HostId>::new());
+    assert!(fleet.agrees_on(6));
+}
+
+// A peer takes messages but its answers come too late. It asks others itself, so that its
+// heartbeat gets round all the same.
+#[test]
+fn a_slow_peer_is_not_suspected() {
+    let mut fleet = settled(2, 3);
+    fleet.nodes[0].slow = true;
+    fleet.run(secs(60));
+    for node in &fleet.nodes {
+        assert!(!node.suspicions().contains(&"h0000".into()));
+    }
+}
 
-mod fleet;
+// The platform is away, a host is replaced under a new name and address, and its zone is cut off,
+// all at once. The new host finds its neighbour by the address in its settings.
+#[test]
+fn a_host_replaced_in_a_cut_zone_joins_its_neighbour() {
+    let mut fleet = settled(3, 2);
+    for other in 1..3 {
+        fleet.cut(0, other);
+        fleet.cut(other, 0);
+    }
+    fleet.nodes[3].paused = true;
+    let new = fleet.start("h0099", 0, 99);
+    fleet.run(secs(20));
+    let inside: Vec<HostId> = vec!["h0000".into(), "h0099".into()];
+    assert_eq!(fleet.hosts(0), inside);
+    assert_eq!(fleet.hosts(new), inside);
+    fleet.heal();
+    fleet.run_until(secs(30), |fleet| fleet.agrees_on(6)).unwrap();
+}
 
-use fleet::Fleet;
+// A release that knows less sends a digest without the fields that came later.
+#[test]
+fn a_digest_of_an_older_release_is_read() {
+    let fleet = Fleet::new(1, 1, 1);
+    let digest = fleet.nodes[0].membership.digest(fleet.now);
+    let mut value = serde_json::to_value(&digest).unwrap();
+    let fields = value.as_object_mut().unwrap();
+    fields.retain(|name, _| name == "from" || name == "roster");
+    fields.insert("of-a-later-release".into(), 1.into());
+    let read: Digest = serde_json::from_value(value).unwrap();
+    assert_eq!(read.from, digest.from);
+}
--- a/src/membership/zones.rs
+++ b/src/membership/zones.rs
@@ -123,15 +123,21 @@
     }
 
     /// Adds to `answer` what the sender of `theirs` lacks of these zones.
-    pub fn answer(&self, theirs: &[ZoneSummary], answer: &mut Digest) {
+    ///
+    /// Two hosts of one zone that do not know each other yet describe it differently, each as
+    /// newer than the other. The sender is told of any other description of its own zone, so that
+    /// the two find each other.
+    pub fn answer(&self, from: &ZoneId, theirs: &[ZoneSummary], answer: &mut Digest) {
         let theirs: BTreeMap<_, _> = theirs.iter().map(|zone| (&zone.zone, zone)).collect();
         for (id, own) in &self.zones {
             match theirs.get(id) {
+                Some(theirs) if own.summary.hash != theirs.hash && id == from => {
+                    answer.zone_hosts.extend(self.entry(id));
+                }
                 Some(theirs) if own.summary.beat <= theirs.beat => {}
                 Some(theirs) if own.summary.hash == theirs.hash => {
                     answer.zones.push(own.summary.clone());
                 }
-                _ if answer.from.view.zone == *id => {}
                 _ => answer.zone_hosts.extend(self.entry(id)),
             }
         }
