--- a/src/operator/status.rs
+++ b/src/operator/status.rs
@@ -11,6 +11,9 @@
     pub breaker_open: bool,
     #[serde(default)]
     pub drains: Vec<DrainStatus>,
+    /// Targets that get no work since they failed.
+    #[serde(default)]
+    pub ejected: Vec<TargetId>,
     /// Live hosts, this one included.
     #[serde(default)]
     pub hosts: Vec<HostView>,
@@ -18,9 +21,6 @@
     /// Milliseconds since the platform last answered; `None` if it never did.
     #[serde(default)]
     pub platform_age_ms: Option<u64>,
-    /// Targets that get no work since they failed.
-    #[serde(default)]
-    pub ejected: Vec<TargetId>,
     /// Sequence of the manifest in force; `None` without one.
     #[serde(default)]
     pub sequence: Option<Sequence>,
@@ -32,6 +32,24 @@
     pub tenure: Option<TenureStatus>,
 }
 
+impl HostStatus {
+    /// A host that knows only itself.
+    pub fn new(own: HostView) -> Self {
+        Self {
+            breaker_open: false,
+            drains: Vec::new(),
+            ejected: Vec::new(),
+            hosts: Vec::new(),
+            own,
+            platform_age_ms: None,
+            sequence: None,
+            services: Vec::new(),
+            silent_zones: Vec::new(),
+            tenure: None,
+        }
+    }
+}
+
 /// One drain and how far it has come.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct DrainStatus {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -15,6 +15,8 @@
 mod keys;
 mod messages;
 mod server;
+#[cfg(test)]
+mod tests;
 
 pub use self::{
     client::PeerClient,
