Bring about every failure of an exchange at its byte

Raw TCP targets reset, close, stall, shed or answer wrongly at each point of an exchange. Whatever comes, a target that read the request whole is never reported as not run, and each request is written to one connection only.

--- a/src/forward/head.rs
+++ b/src/forward/head.rs
@@ -50,11 +50,17 @@
     head
 }
 
-/// The lines of the answer that go on to the caller.
-pub(super) fn reply_lines(head: &HeaderMap) -> Vec<HeaderLine> {
+/// The lines of the answer that go on to the caller. A streamed body's length goes with them, so
+/// that the caller, too, sees when it is cut short.
+pub(super) fn reply_lines(attempt: &Attempt, head: &HeaderMap) -> Vec<HeaderLine> {
     let lines: Vec<_> =
         head.iter().map(|(name, value)| HeaderLine::from_http(name, value)).collect();
-    forwarded(&lines).cloned().collect()
+    let mut kept: Vec<_> = forwarded(&lines).cloned().collect();
+    if !attempt.whole {
+        let length = lines.into_iter().find(|line| &*line.name == "content-length");
+        kept.extend(length);
+    }
+    kept
 }
 
 /// Refuses a head that is not for this request, that sheds it, or whose body has no certain end.
--- a/src/forward/http_upstream.rs
+++ b/src/forward/http_upstream.rs
@@ -63,7 +63,7 @@
         let response = req.send().await.map_err(|error| failure_of(&error))?;
         let status = response.status().as_u16();
         head::check(attempt, status, response.headers())?;
-        let headers = head::reply_lines(response.headers());
+        let headers = head::reply_lines(attempt, response.headers());
         let body = if attempt.whole {
             ReplyBody::Whole(read_whole(response, self.limits.whole_bytes).await?)
         } else {
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -12,6 +12,7 @@
 mod http_upstream;
 mod limits;
 mod reply;
+mod resume;
 mod upstream;
 
 pub use self::{
@@ -20,5 +21,6 @@
     http_upstream::HttpUpstream,
     limits::ForwardLimits,
     reply::{Reply, ReplyBody},
+    resume::{Alternatives, resuming},
     upstream::Upstream,
 };
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,3 @@
+//! Fakes that several integration tests share.
+
+pub mod raw_target;
