--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,22 +5,41 @@
 
 pub mod admission;
 pub mod base;
+pub mod cmd;
+pub mod drain;
 pub mod forward;
 pub mod ledger;
 pub mod logging;
 pub mod lookup;
 pub mod manifest;
+pub mod membership;
 pub mod metrics;
+pub mod operator;
+pub mod peer;
+pub mod platform;
 pub mod prelude;
 pub mod quarantine;
 pub mod selection;
 pub mod settings;
 pub mod shift;
+pub mod standin;
+pub mod steer;
 pub mod timeline;
+pub mod trace;
 pub mod view;
 pub mod yaml;
 
 /// Parses the arguments, runs the subcommand and maps its result to an exit code.
 pub fn run() -> std::process::ExitCode {
-    std::process::ExitCode::SUCCESS
+    let cli = match <cmd::Cli as clap::Parser>::try_parse() {
+        Ok(cli) => cli,
+        Err(error) => error.exit(),
+    };
+    match cli.run() {
+        Ok(exit) => exit.into(),
+        Err(report) => {
+            eprintln!("error: {report:#}");
+            cmd::Exit::Failed.into()
+        }
+    }
 }
