Judge shifts by latency, keep the reserve from direct callers too

A shifted answer far above the usual time at home now counts as bad: cold caches answer late rather than not at all. In the composed machine four uses of the slices were wrong: a Retry-After was computed for a fixed time instead of now, a shed or timed-out run cleared a suspect, callers that came directly from a lost region took own slots past the reserve, and a host reported a rate of zero for regions whose callers only pass through.

--- a/src/shift/ask.rs
+++ b/src/shift/ask.rs
@@ -25,3 +25,12 @@
     pub receivers: u32,
     pub service: ServiceId,
 }
+
+/// How a request of a home region's caller ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ShiftEnd {
+    /// Time to the whole answer; `None` when there was none.
+    pub latency: Option<Duration>,
+    /// It was served by another region.
+    pub shifted: bool,
+}
--- a/src/shift/caps.rs
+++ b/src/shift/caps.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 
 use super::{
-    DirectAsk, ShiftAsk, ShiftRules,
+    DirectAsk, ShiftAsk, ShiftEnd, ShiftRules,
     meter::{Meter, WINDOW},
     ramp::Ramp,
 };
@@ -16,6 +16,12 @@
 const FIRST_STEP: f64 = 1.0;
 /// Least spread of a Retry-After.
 const SPREAD_MIN: Duration = Duration::from_secs(1);
+/// A shifted answer that takes this many times the usual time at home is bad.
+const SLOW_FACTOR: f64 = 3.0;
+/// Share of a new sample in the usual time.
+const USUAL_WEIGHT: f64 = 0.05;
+/// Time granted for the way to another region and back.
+const WAY: Duration = Duration::from_millis(200);
 /// Widest spread of a Retry-After.
 const SPREAD_MAX: Duration = Duration::from_secs(15);
 /// Most arrivals whose credit is kept.
@@ -48,6 +54,8 @@
     price: f64,
     ramp: Ramp,
     rules: ShiftRules,
+    /// Mean time to an answer at home, in seconds; 0 before the first one.
+    usual: f64,
 }
 
 impl ShiftCaps {
@@ -103,6 +111,20 @@
         self.flow(service, home, now).ramp.feedback(good, now);
     }
 
+    /// A request of the home region's callers ended. Answers at home set what is usual; a shifted
+    /// one is good when it came and took little longer than that and the way to another region.
+    pub fn ended(&mut self, service: &ServiceId, home: &RegionId, end: ShiftEnd, now: Moment) {
+        let flow = self.flow(service, home, now);
+        match (end.shifted, end.latency) {
+            (true, latency) => {
+                let good = latency.is_some_and(|latency| flow.is_usual(latency));
+                flow.ramp.feedback(good, now);
+            }
+            (false, Some(latency)) => flow.note_usual(latency),
+            (false, None) => {}
+        }
+    }
+
     /// Requests a second by service and home region, over the window.
     pub fn rates(&self, now: Moment) -> Vec<Baseline> {
         let rate = |(id, flow): (&FlowId, &Flow)| Baseline {
@@ -110,7 +132,8 @@
             rate: f64::from(flow.meter.peek(now).total) / flow.meter.span(now).as_secs_f64(),
             service: id.service.clone(),
         };
-        self.flows.iter().map(rate).collect()
+        // A flow without arrivals is one that only passes through here: another host knows its rate.
+        self.flows.iter().map(rate).filter(|baseline| 0.0 < baseline.rate).collect()
     }
 
     /// When a refused caller should come back: the more were refused, the wider the spread.
@@ -151,9 +174,20 @@
             price: 0.0,
             ramp: Ramp::new(rules, now),
             rules,
+            usual: 0.0,
         }
     }
 
+    fn is_usual(&self, latency: Duration) -> bool {
+        self.usual == 0.0 || latency.as_secs_f64() <= self.usual * SLOW_FACTOR + WAY.as_secs_f64()
+    }
+
+    fn note_usual(&mut self, latency: Duration) {
+        let sample = latency.as_secs_f64();
+        let mean = if self.usual == 0.0 { sample } else { self.usual };
+        self.usual = mean + USUAL_WEIGHT * (sample - mean);
+    }
+
     fn allow(&mut self, cap: Share, now: Moment) -> bool {
         let sums = self.meter.sums(now);
         let cap_now = self.cap_now(cap, sums.total, now);
--- a/src/shift/mod.rs
+++ b/src/shift/mod.rs
@@ -13,7 +13,7 @@
 mod tests;
 
 pub use self::{
-    ask::{DirectAsk, ShiftAsk},
+    ask::{DirectAsk, ShiftAsk, ShiftEnd},
     caps::ShiftCaps,
     receiver::accept_foreign,
     rules::ShiftRules,
--- a/src/steer/arrive.rs
+++ b/src/steer/arrive.rs
@@ -219,7 +219,7 @@
             let end = if error.row().ran == Ran::No { End::NotRun } else { End::Unknown };
             self.close_entry(call, end, now, rng);
         }
-        let retry_after = self.retry_after(call, error, rng);
+        let retry_after = self.retry_after(call, error, now, rng);
         self.answer(call, Answer::Error { error, retry_after });
     }
 
@@ -247,14 +247,19 @@
         self.calls.iter().filter(|(_, call)| is_waiting(call)).map(|(id, _)| *id).collect()
     }
 
-    fn retry_after(&self, call: CallId, error: ErrorKind, rng: &mut impl Rng) -> Option<Duration> {
+    fn retry_after(
+        &self,
+        call: CallId,
+        error: ErrorKind,
+        now: Moment,
+        rng: &mut impl Rng,
+    ) -> Option<Duration> {
         let Some(state) = self.calls.get(&call) else { return spread(error, rng) };
         if error != ErrorKind::CapReached {
             return spread(error, rng);
         }
         let home = self.blocks.home(state.arrival.client)?;
-        let least = error.row().retry_after.unwrap_or_default();
-        Some(self.caps.retry_after(&state.arrival.service, home, least, rng))
+        Some(self.caps.retry_after(&state.arrival.service, home, now, rng))
     }
 
     pub(super) fn state(&mut self, call: CallId) -> &mut Call {
--- a/src/steer/place.rs
+++ b/src/steer/place.rs
@@ -49,13 +49,9 @@
             return self.fail(call, error, now, rng);
         }
         let home = self.home_of(&state.arrival, &view);
-        if state.arrival.via == Via::SlotHop && home != view.own.region {
-            let (free, slots) = self.spare(service, now);
-            let reserve =
-                view.manifest.region_of(&view.own.zone).map_or(0.0, |region| region.reserve);
-            if !accept_foreign(free, slots, reserve) {
-                return self.fail(call, ErrorKind::NoSlots, now, rng);
-            }
+        let is_guest = state.arrival.via == Via::SlotHop && home != view.own.region;
+        if is_guest && !self.takes_guest(&view, &service.name, now) {
+            return self.fail(call, ErrorKind::NoSlots, now, rng);
         }
         self.choose(call, &view, service, &home, now, rng);
     }
@@ -136,6 +132,10 @@
             Tier::Foreign
         };
         if own {
+            // A caller whose own hosts are gone gets spare slots only, like a forwarded request.
+            if is_guest && !self.takes_guest(view, &call.arrival.service, now) {
+                return None;
+            }
             let limit = self.selector.limit(&target.name, target.slots, now);
             let free = self.slots.free(&target.name, limit, now);
             let candidate = Candidate {
@@ -156,6 +156,14 @@
         Some(Way { address, candidate, peer: Some(peer) })
     }
 
+    fn takes_guest(&self, view: &View, service: &ServiceId, now: Moment) -> bool {
+        let reserve = view.manifest.region_of(&view.own.zone).map_or(0.0, |region| region.reserve);
+        view.manifest.service(service).is_some_and(|service| {
+            let (free, slots) = self.spare(service, now);
+            accept_foreign(free, slots, reserve)
+        })
+    }
+
     fn forwarded_to(&self, target: &TargetId) -> u32 {
         let count = self
             .attempts
--- a/src/steer/settle.rs
+++ b/src/steer/settle.rs
@@ -12,6 +12,7 @@
     prelude::*,
     quarantine::Fingerprint,
     selection::Signal,
+    shift::ShiftEnd,
     timeline::EventKind,
 };
 
@@ -51,15 +52,20 @@
             return;
         };
         let arrival = state.arrival.clone();
-        if state.shifted {
-            self.caps.feedback(&arrival.service, &home(self, &arrival), error.is_none(), now);
-        }
+        let end = ShiftEnd { latency: error.is_none().then_some(latency), shifted: state.shifted };
+        self.caps.ended(&arrival.service, &home(self, &arrival), end, now);
         let Place::Own { slot, target } = place else { return };
         self.slots.release(target, *slot, now);
         let crashed = error == Some(ErrorKind::DispatchLost);
-        if let Some(mark) = self.quarantine.ended(arrival.fingerprint, target, crashed, now) {
-            let fingerprint = format!("{:032x}", mark.fingerprint).into();
-            self.note(Some(&arrival.request), EventKind::Quarantined { fingerprint });
+        // Only a whole answer clears a suspect; a shed or timed out run proves nothing.
+        if crashed || error.is_none() {
+            let mark = self.quarantine.ended(arrival.fingerprint, target, crashed, now);
+            if let Some(mark) = mark {
+                let fingerprint = format!("{:032x}", mark.fingerprint).into();
+                self.note(Some(&arrival.request), EventKind::Quarantined { fingerprint });
+            }
+        } else {
+            self.quarantine.abandoned(arrival.fingerprint, target);
         }
         self.note(Some(&arrival.request), EventKind::Ended { error, target: target.clone() });
     }
