Add the commands timeline, measure capacity and completions

The slopes of what each role costs are measured at four sizes or more, fitted by least squares and followed to the size that has to be reached, so that docs/CAPACITY.md holds no figure that a run did not give. Roles so far: look-up, manifest, ledger, time line.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,13 +1,16 @@
 //! The command line: one subcommand a file.
 
+mod completions;
 mod exit;
+mod measure;
+mod timeline;
 
 use clap::{Parser, Subcommand};
 
 pub use self::exit::Exit;
 
 /// Result of a subcommand.
-pub type Result<T = Exit> = eyre::Result<T>;
+pub type Result<T = Exit, E = eyre::Report> = std::result::Result<T, E>;
 
 /// Steers request traffic from callers to targets, for members that share one platform.
 #[derive(Debug, Parser)]
@@ -18,11 +21,19 @@
 }
 
 #[derive(Debug, Subcommand)]
-enum Command {}
+enum Command {
+    Completions(completions::Args),
+    Measure(measure::Args),
+    Timeline(timeline::Args),
+}
 
 impl Cli {
     /// Runs the subcommand.
     pub fn run(self) -> Result {
-        match self.command {}
+        match self.command {
+            Command::Completions(args) => completions::run(args),
+            Command::Measure(args) => measure::run(args),
+            Command::Timeline(args) => timeline::run(args),
+        }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod logging;
 pub mod lookup;
 pub mod manifest;
+pub mod measure;
 pub mod metrics;
 pub mod platform;
 pub mod prelude;
--- /dev/null
+++ b/src/measure/capacity/gauge.rs
@@ -0,0 +1,51 @@
+//! Readings of processor time and memory of this process.
+
+use std::time::Duration;
+
+use rustix::time::{ClockId, clock_gettime};
+
+/// Processor time that one round of a measurement takes at least.
+const ROUND: Duration = Duration::from_millis(10);
+
+/// Rounds; the lowest counts, since other work on the machine only ever adds.
+const ROUNDS: usize = 5;
+
+const MAX_ITERATIONS: u128 = 1_000_000;
+
+/// Processor time that this thread has used.
+pub fn thread_time() -> Duration {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    let secs = u64::try_from(time.tv_sec).unwrap_or_default();
+    Duration::new(secs, u32::try_from(time.tv_nsec).unwrap_or_default())
+}
+
+/// Nanoseconds of processor time that `op` takes.
+pub fn cost_ns(mut op: impl FnMut()) -> f64 {
+    let start = thread_time();
+    op();
+    let once = (thread_time() - start).as_nanos().max(1);
+    let iterations = (ROUND.as_nanos() / once).clamp(1, MAX_ITERATIONS);
+    let round = |_| {
+        let start = thread_time();
+        for _ in 0..iterations {
+            op();
+        }
+        (thread_time() - start).as_nanos() as f64 / iterations as f64
+    };
+    (0..ROUNDS).map(round).fold(f64::INFINITY, f64::min)
+}
+
+/// Bytes of memory that the result of `build` takes, and the result.
+pub fn bytes_of<T>(build: impl FnOnce() -> T) -> (f64, T) {
+    let before = resident();
+    let value = build();
+    (resident() - before, value)
+}
+
+/// Resident memory of this process in bytes; 0 where the system does not tell.
+pub fn resident() -> f64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|rest| rest.split_whitespace().next());
+    kilobytes.and_then(|text| text.parse::<f64>().ok()).unwrap_or_default() * 1024.0
+}
--- /dev/null
+++ b/src/measure/capacity/lookups.rs
@@ -0,0 +1,86 @@
+//! The look-up: which hosts may a caller use.
+
+use std::hint::black_box;
+
+use super::{
+    figure::{Figure, Load, Resource, RoleCost, Scale},
+    fleet,
+    gauge::{bytes_of, cost_ns},
+    target,
+};
+use crate::{
+    lookup::{BlockTable, LookupAsk, rank},
+    prelude::*,
+};
+
+const BLOCK_SIZES: [usize; 5] = [100_000, 200_000, 400_000, 600_000, target::BLOCKS];
+const HOST_SIZES: [usize; 5] = [50, 200, 600, 1_200, target::DAEMONS];
+
+pub fn measure(scale: Scale) -> RoleCost {
+    let sizes = BLOCK_SIZES.map(|size| scale.size(size));
+    // Every table stays until all are measured: what one gives back would hide the next one's.
+    let mut kept = Vec::new();
+    let memory = Figure::sweep("block table", "bytes", "client blocks", sizes, target::BLOCKS, {
+        |size| {
+            let (bytes, both) = bytes_of(|| {
+                let blocks = fleet::blocks(size);
+                let table = BlockTable::build(&blocks);
+                (blocks, table)
+            });
+            kept.push(both);
+            bytes
+        }
+    });
+    let home = Figure::sweep("home of an address", "ns", "client blocks", sizes, target::BLOCKS, {
+        let mut tables = kept.iter().map(|(_, table)| table);
+        move |size| tables.next().map_or(0.0, |table| home_cost(table, size))
+    });
+    let build = Figure::sweep("table built", "ns", "client blocks", sizes, target::BLOCKS, {
+        let mut lists = kept.iter().map(|(blocks, _)| blocks);
+        move |_| lists.next().map_or(0.0, |blocks| cost_ns(|| drop(BlockTable::build(blocks))))
+    });
+    let sizes = HOST_SIZES.map(|size| scale.size(size));
+    let hosts = Figure::sweep("ranked answer", "ns", "hosts", sizes, target::DAEMONS, rank_cost);
+    let rate = target::lookups_per_daemon();
+    let loads = vec![
+        Load::measured(
+            Resource::TrafficCpu,
+            (hosts.value + home.value) * rate / 1e9,
+            format!("{rate:.0} look-ups a second on each daemon"),
+        ),
+        Load::measured(
+            Resource::ControlCpu,
+            build.value * target::changes_per_second() / 1e9,
+            "the whole table is built anew at each change",
+        ),
+        Load::measured(Resource::Memory, memory.value, "blocks of the manifest and the table"),
+    ];
+    RoleCost {
+        figures: vec![home, hosts, memory, build],
+        loads,
+        mechanism: "longest prefix in a trie; rendezvous hash over the live hosts",
+        messages: "one HTTP request and answer each; answers cached for 10 s, 1 s while moving",
+        role: "look-up",
+        state: "client blocks, live hosts",
+    }
+}
+
+fn home_cost(table: &BlockTable, size: usize) -> f64 {
+    let mut index = 0;
+    cost_ns(|| {
+        index = (index + 7_919) % size;
+        black_box(table.home(fleet::client(index)));
+    })
+}
+
+fn rank_cost(hosts: usize) -> f64 {
+    let manifest = Arc::new(fleet::manifest(target::SITES, fleet::blocks(1_000)));
+    let table = BlockTable::build(&manifest.client_blocks);
+    let view = fleet::view(hosts, manifest);
+    let mut index = 0;
+    cost_ns(|| {
+        index = (index + 7) % 1_000;
+        let ask = LookupAsk { client: fleet::client(index), service: "service-0".into() };
+        black_box(rank(&view, &table, &ask, Moment::ZERO));
+    })
+}
--- /dev/null
+++ b/src/measure/mod.rs
@@ -0,0 +1,3 @@
+//! Measurements of the decisions, run by `lavenderplank measure`.
+
+pub mod capacity;
