--- a/src/shift/mod.rs
+++ b/src/shift/mod.rs
@@ -8,11 +8,13 @@
 mod meter;
 mod ramp;
 mod receiver;
+mod rules;
 #[cfg(test)]
 mod tests;
 
 pub use self::{
-    ask::{DirectAsk, ShiftAsk},
+    ask::{DirectAsk, ShiftAsk, ShiftEnd},
     caps::ShiftCaps,
     receiver::accept_foreign,
+    rules::ShiftRules,
 };
