--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -75,9 +75,9 @@
 }
 
 /// Applies; failed if it is refused or not in force everywhere in time.
-pub fn run(args: &Args) -> Result {
+pub fn run(args: Args) -> Result {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(apply(args))
+    runtime.block_on(apply(&args))
 }
 
 async fn apply(args: &Args) -> Result {
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -33,7 +33,7 @@
 }
 
 /// Prints every problem; bad input if there is one.
-pub fn run(args: &Args) -> Result {
+pub fn run(args: Args) -> Result {
     let mut problems = Vec::new();
     for path in &args.files {
         match check(path) {
--- a/src/cmd/key.rs
+++ b/src/cmd/key.rs
@@ -40,7 +40,7 @@
 }
 
 /// Makes or shows a key.
-pub fn run(args: &Args) -> Result {
+pub fn run(args: Args) -> Result {
     let key = match &args.command {
         Command::New { out } => create(out)?,
         Command::Show { file } => load(file)?,
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,17 +2,20 @@
 
 mod apply;
 mod check;
+mod completions;
 mod exit;
 mod key;
+mod measure;
 mod output;
 mod sign;
+mod timeline;
 
 use clap::{Parser, Subcommand};
 
 pub use self::exit::Exit;
 
 /// Result of a subcommand.
-pub type Result<T = Exit> = eyre::Result<T>;
+pub type Result<T = Exit, E = eyre::Report> = std::result::Result<T, E>;
 
 /// Steers request traffic from callers to targets, for members that share one platform.
 #[derive(Debug, Parser)]
@@ -26,18 +29,24 @@
 enum Command {
     Apply(apply::Args),
     Check(check::Args),
+    Completions(completions::Args),
     Key(key::Args),
+    Measure(measure::Args),
     Sign(sign::Args),
+    Timeline(timeline::Args),
 }
 
 impl Cli {
     /// Runs the subcommand.
     pub fn run(self) -> Result {
         match self.command {
-            Command::Apply(args) => apply::run(&args),
-            Command::Check(args) => check::run(&args),
-            Command::Key(args) => key::run(&args),
-            Command::Sign(args) => sign::run(&args),
+            Command::Apply(args) => apply::run(args),
+            Command::Check(args) => check::run(args),
+            Command::Completions(args) => completions::run(args),
+            Command::Key(args) => key::run(args),
+            Command::Measure(args) => measure::run(args),
+            Command::Sign(args) => sign::run(args),
+            Command::Timeline(args) => timeline::run(args),
         }
     }
 }
--- a/src/cmd/sign.rs
+++ b/src/cmd/sign.rs
@@ -7,7 +7,7 @@
 use super::{Exit, Result, key, output};
 use crate::{
     manifest::{ClientBlock, Proposal, SignError, parse_blocks, sign_split},
-    yaml::{self, MAX_FILE},
+    yaml::{self, MAX_FILE, Problem},
 };
 
 /// Largest list of client blocks, in bytes: room for over a million.
@@ -34,7 +34,7 @@
 }
 
 /// Signs; bad input if the manifest has problems.
-pub fn run(args: &Args) -> Result {
+pub fn run(args: Args) -> Result {
     let signing = key::load(&args.key_file)?;
     let file = args.file.display().to_string();
     let text = match yaml::read_file(&args.file, MAX_FILE) {
@@ -45,10 +45,12 @@
         Ok(blocks) => blocks.unwrap_or_default(),
         Err(problem) => return bad_input(&problem),
     };
-    let (signed, parts) = match sign_split(&text, &file, &blocks, &signing) {
+    let (signed, parts) = match sign_split(&text, &blocks, &signing) {
         Ok(signed) => signed,
         Err(SignError::Problems(problems)) => {
-            problems.iter().try_for_each(output::complaint)?;
+            for problem in problems {
+                output::complaint(Problem { file: file.as_str().into(), ..problem })?;
+            }
             return Ok(Exit::BadInput);
         }
         Err(err) => return bad_input(&format!("{file}: {err}")),
--- a/src/manifest/signed.rs
+++ b/src/manifest/signed.rs
@@ -41,20 +41,19 @@
 
 /// Signs a manifest that holds all its client blocks.
 pub fn sign(text: &str, key: &SigningKey) -> Result<SignedManifest, SignError> {
-    sign_split(text, "manifest", &[], key).map(|(signed, _)| signed)
+    sign_split(text, &[], key).map(|(signed, _)| signed)
 }
 
-/// Signs a manifest whose further client blocks are kept in parts. `file` names it in problems.
+/// Signs a manifest whose further client blocks are kept in parts.
 pub fn sign_split(
     text: &str,
-    file: &str,
     blocks: &[ClientBlock],
     key: &SigningKey,
 ) -> Result<(SignedManifest, Vec<Part>), SignError> {
     if MAX_BODY < text.len() {
         return Err(SignError::BodyTooLarge);
     }
-    let mut manifest = Manifest::parse(text, file).map_err(SignError::Problems)?;
+    let mut manifest = Manifest::parse(text, "manifest").map_err(SignError::Problems)?;
     manifest.client_blocks.extend_from_slice(blocks);
     let problems = manifest.check();
     if !problems.is_empty() {
