Offer a new binding only where the old one is closed for good

A refused booking was told to come back under a new binding (shift cap, host leaving, no manifest, loop, full ledger) while an earlier copy of it could still be on its way to the old owner, for which nothing stood against running it: both copies would run. Those refusals now ask for the same binding, by which the ledger settles it. A new one is offered only for a binding that never was, a sealed ledger (new kind: binding closed) and a full one, and a generation that has refused a key for want of room stays closed to new keys. A host that leaves closes its ledger at once.

--- a/src/base/error_kind.rs
+++ b/src/base/error_kind.rs
@@ -14,7 +14,8 @@
     Never,
     /// With the same binding and key: the owner then tells what is known.
     Same,
-    /// After a new look-up, with the new binding.
+    /// After a new look-up, with the new binding. Said only where the old binding can never run
+    /// the request: an earlier copy of it may still be on its way, and would run beside the new.
     Fresh,
 }
 
@@ -64,6 +65,8 @@
     AnswerNotKept,
     #[error("the request is malformed; correct the header or path that the detail names")]
     BadRequest,
+    #[error("the host of this binding takes no new requests; look up another one")]
+    BindingClosed,
     #[error("this request may not be repeated: send `lavender-binding` from a look-up")]
     BindingMissing,
     #[error("the request body is larger than this service allows; send a smaller one")]
@@ -112,10 +115,11 @@
 
 impl ErrorKind {
     /// Every kind, for tests and for the operators' reference.
-    pub const ALL: [ErrorKind; 25] = [
+    pub const ALL: [ErrorKind; 26] = [
         ErrorKind::AnswerBroken,
         ErrorKind::AnswerNotKept,
         ErrorKind::BadRequest,
+        ErrorKind::BindingClosed,
         ErrorKind::BindingMissing,
         ErrorKind::BodyTooLarge,
         ErrorKind::CapReached,
@@ -149,20 +153,21 @@
             AnswerBroken => row(502, Unknown, Same, None),
             AnswerNotKept => row(409, Yes, Never, None),
             BadRequest => row(400, No, Never, None),
+            BindingClosed => row(503, No, Fresh, None),
             BindingMissing => row(428, No, Fresh, None),
             BodyTooLarge => row(413, No, Never, None),
-            CapReached => row(503, No, Fresh, Some(2)),
+            CapReached => row(503, No, Same, Some(2)),
             ConnectFailed => row(502, No, Same, Some(1)),
             DeadlinePassed => row(504, No, Same, Some(1)),
             DispatchLost => row(502, Unknown, Same, None),
             DispatchTimeout => row(504, Unknown, Same, None),
             GenerationDropped => row(410, Unknown, Never, None),
-            HostLeaving => row(503, No, Fresh, None),
+            HostLeaving => row(503, No, Same, None),
             KeyConflict => row(422, No, Never, None),
             KeyMissing => row(428, No, Fresh, None),
             LedgerFull => row(503, No, Fresh, Some(2)),
-            LoopDetected => row(508, No, Fresh, Some(1)),
-            NoManifest => row(503, No, Fresh, Some(1)),
+            LoopDetected => row(508, No, Same, Some(1)),
+            NoManifest => row(503, No, Same, Some(1)),
             NoSlots => row(503, No, Same, Some(1)),
             NoTarget => row(503, No, Same, Some(1)),
             OtherMember => row(403, No, Never, None),
--- a/src/base/tests.rs
+++ b/src/base/tests.rs
@@ -34,3 +34,19 @@
         assert!(!fresh_after_doubt, "{kind:?}: a new binding after doubt could run it twice");
     }
 }
+
+/// A clerk's terminal gives up on a booking while a host holds it, and sends it again. The second
+/// copy is refused. If the terminal then took a new binding, the first copy could still come to
+/// the old owner and run beside the new one: two seats sold. So a new binding is offered only
+/// where the old one can never run that key.
+#[test]
+fn a_new_binding_is_offered_only_where_the_old_one_is_closed_for_good() {
+    let fresh = ErrorKind::ALL.into_iter().filter(|kind| kind.row().resend == Resend::Fresh);
+    let closed = [
+        ErrorKind::BindingClosed,
+        ErrorKind::BindingMissing,
+        ErrorKind::KeyMissing,
+        ErrorKind::LedgerFull,
+    ];
+    assert_eq!(fresh.collect::<Vec<_>>(), closed);
+}
--- a/src/ledger/begin.rs
+++ b/src/ledger/begin.rs
@@ -12,7 +12,7 @@
     Dropped,
     /// The entry is made; the request may be sent, once, and `end` must be called once.
     Fresh,
-    /// No room for another entry: not run.
+    /// No room for another entry: not run, and never to be run under this binding.
     Full,
     /// It ran; this is its answer.
     Kept(Arc<KeptAnswer>),
--- a/src/ledger/generation.rs
+++ b/src/ledger/generation.rs
@@ -40,6 +40,9 @@
 /// Entries of one generation.
 #[derive(Clone, Debug)]
 pub(super) struct GenerationTable {
+    /// Refused a key for want of room, and takes no other ever again: the caller whose key was
+    /// refused takes a new binding, and a late copy of its request must not run under this one.
+    pub(super) closed: bool,
     pub(super) entries: BTreeMap<KeyDigest, Entry>,
     /// From then on its whole content is dropped, but for what is still running.
     pub(super) expires: Moment,
@@ -49,7 +52,7 @@
 
 impl GenerationTable {
     pub(super) fn new(expires: Moment) -> Self {
-        Self { entries: BTreeMap::new(), expires, open: true }
+        Self { closed: false, entries: BTreeMap::new(), expires, open: true }
     }
 
     /// Drops all but what is still running: those requests may yet be asked for, and a second
--- a/src/ledger/history.rs
+++ b/src/ledger/history.rs
@@ -40,8 +40,9 @@
         match table.entries.get(key) {
             Some(entry) if entry.body != *body => Known::Said(Begin::Conflict),
             Some(entry) => entry.state.begin().map_or(Known::Runnable, Known::Said),
-            None if table.open => Known::Runnable,
-            None => Known::Said(Begin::Dropped),
+            None if !table.open => Known::Said(Begin::Dropped),
+            None if table.closed => Known::Said(Begin::Full),
+            None => Known::Runnable,
         }
     }
 
--- a/src/ledger/ledger.rs
+++ b/src/ledger/ledger.rs
@@ -117,6 +117,7 @@
             return Begin::Dropped;
         };
         if full && !table.entries.contains_key(&key) {
+            table.closed = true;
             return Begin::Full;
         }
         table.entries.insert(key, Entry { body, state: State::Running });
@@ -169,14 +170,24 @@
         history.state_mut(place.generation, &place.key)
     }
 
-    /// Starts a new generation when the current one has come of age, and drops old ones whole.
+    /// Drops old generations whole, and starts a new one when the current one has come of age, or
+    /// when it was closed for want of room and there is room again.
     pub fn rotate(&mut self, now: Moment) {
-        if self.limits.generation_age <= now.saturating_sub(self.since) && !self.sealed {
-            self.since = now;
-            self.own.newest += 1;
-            let table = GenerationTable::new(now + self.limits.lifetime());
-            self.own.generations.insert(self.own.newest, table);
+        self.drop_expired(now);
+        let current = self.own.generations.get(&self.own.newest);
+        let is_closed = current.is_none_or(|table| table.closed);
+        let is_reopened = is_closed && self.own.len() < self.limits.entries;
+        let is_old = self.limits.generation_age <= now.saturating_sub(self.since);
+        if self.sealed || !(is_old || is_reopened) {
+            return;
         }
+        self.since = now;
+        self.own.newest += 1;
+        let table = GenerationTable::new(now + self.limits.lifetime());
+        self.own.generations.insert(self.own.newest, table);
+    }
+
+    fn drop_expired(&mut self, now: Moment) {
         let mut dropped: Vec<(Incarnation, Generation)> = Vec::new();
         dropped.extend(self.own.expire(now).into_iter().map(|number| (self.incarnation, number)));
         for (incarnation, history) in &mut self.adopted {
@@ -189,11 +200,16 @@
         self.budget.release(|place| dropped.contains(&(place.incarnation, place.generation)));
     }
 
-    /// Ends the taking of new keys and gives all that is known, for a successor. Requests that
-    /// still run may end here; the successor calls them unknown.
+    /// Ends the taking of new keys for good; what runs goes on.
+    pub fn close(&mut self) {
+        self.sealed = true;
+    }
+
+    /// Closes, and gives all that is known, for a successor. Requests that still run may end
+    /// here; the successor calls them unknown.
     pub fn seal(&mut self, now: Moment) -> SealedLedger {
         self.rotate(now);
-        self.sealed = true;
+        self.close();
         let mut histories = vec![self.own.seal(self.incarnation, now)];
         let adopted = self.adopted.iter();
         histories.extend(adopted.map(|(incarnation, history)| history.seal(*incarnation, now)));
--- a/src/ledger/tests.rs
+++ b/src/ledger/tests.rs
@@ -116,6 +116,27 @@
     assert_eq!(bench.begin(&binding, "1", "body"), Begin::Fresh);
 }
 
+/// A key is refused for want of room, and its caller books under a new binding. Room comes back,
+/// and then a late copy of the first request. It must not run beside the second.
+#[test]
+fn a_key_refused_for_want_of_room_never_runs_under_that_binding() {
+    let mut bench = Bench::new("a", 1);
+    bench.now = 5 * SECOND;
+    for key in ["1", "2", "3", "4"] {
+        let binding = bench.fresh(key);
+        bench.end(&binding, key, End::Unknown);
+    }
+    bench.now = 15 * SECOND;
+    bench.ledger.rotate(bench.now);
+    let refused = bench.ledger.binding();
+    assert_eq!(refused.generation, 1);
+    assert_eq!(bench.begin(&refused, "5", "body"), Begin::Full);
+    bench.now = 20 * SECOND;
+    assert_eq!(bench.begin(&refused, "5", "body"), Begin::Full);
+    let reopened = bench.fresh("5");
+    assert_eq!(reopened.generation, 2);
+}
+
 #[test]
 fn past_the_byte_limit_the_oldest_answers_become_facts() {
     let mut bench = Bench::new("a", 1);
--- a/src/steer/arrive.rs
+++ b/src/steer/arrive.rs
@@ -106,7 +106,7 @@
             Begin::Kept(kept) => self.answer(call, Answer::Kept { kept }),
             Begin::KeptFact { .. } => self.fail(call, ErrorKind::AnswerNotKept, now, rng),
             Begin::Running => self.state(call).waiting = true,
-            Begin::Sealed => self.fail(call, ErrorKind::HostLeaving, now, rng),
+            Begin::Sealed => self.fail(call, ErrorKind::BindingClosed, now, rng),
             Begin::Stranger => self.carry_to_owner(call, &binding, now, rng),
             Begin::Unknown => self.fail(call, ErrorKind::DispatchLost, now, rng),
         }
--- a/src/steer/machine.rs
+++ b/src/steer/machine.rs
@@ -92,7 +92,7 @@
             Event::Arrived(arrival) => self.arrived(arrival, now, rng),
             Event::Cancelled { call } => self.cancelled(call, now, rng),
             Event::Ended { attempt, outcome } => self.ended(attempt, outcome, now, rng),
-            Event::Leave => self.leaving = true,
+            Event::Leave => self.leave(),
             Event::Marked { marks } => {
                 marks.iter().for_each(|mark| self.quarantine.learn(mark, now))
             }
@@ -253,6 +253,12 @@
         owned
     }
 
+    /// New bookings are told at once that this binding is closed, and go elsewhere.
+    fn leave(&mut self) {
+        self.leaving = true;
+        self.ledger.close();
+    }
+
     fn ticked(&mut self, now: Moment, rng: &mut impl Rng) {
         self.ledger.rotate(now);
         self.expire_calls(now);
