--- a/tests/control_commands.rs
+++ b/tests/control_commands.rs
@@ -20,13 +20,13 @@
     fn new(name: &str) -> Self {
         let path =
             std::env::temp_dir().join(format!("lavenderplank-{name}-{}", std::process::id()));
-        fs::create_dir_all(&path).unwrap();
+        fs::create_dir_all(&path).expect("the directory can be made");
         Self(path)
     }
 
     fn write(&self, name: &str, bytes: impl AsRef<[u8]>) -> String {
         let path = self.path(name);
-        fs::write(&path, bytes).unwrap();
+        fs::write(&path, bytes).expect("the file can be written");
         path
     }
 
@@ -53,7 +53,7 @@
 }
 
 fn run(args: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_lavenderplank")).args(args).output().unwrap()
+    Command::new(env!("CARGO_BIN_EXE_lavenderplank")).args(args).output().expect("the binary runs")
 }
 
 fn stdout(output: &Output) -> String {
