Follow the platform's objects through silent watches, compactions and jumps

Versions are compared every 6 s, so that a write which a watch never told of is found within about 12 s.

--- /dev/null
+++ b/src/platform/follow.rs
@@ -0,0 +1,194 @@
+//! Following the objects under a prefix.
+//!
+//! A watch can fail in more ways than with an error: it can stay silent while objects change, or
+//! the store can forget or lose versions. The first is found by comparing versions now and then,
+//! the others by listing again.
+
+use backon::{BackoffBuilder, ExponentialBackoff, ExponentialBuilder};
+use tokio::{sync::mpsc, task::JoinHandle};
+
+use super::{Change, Changes, Entry, KeyVersion, Listing, Platform, PlatformError, Version};
+use crate::prelude::*;
+
+/// Longest time that one watch waits.
+const WATCH_WAIT: Duration = Duration::from_secs(4);
+
+/// Time between two comparisons of all versions. With the longest wait of a watch that stays silent
+/// (`WATCH_WAIT` and the client's grace) it bounds how long a missed write goes unnoticed: 12 s.
+const COMPARE_EVERY: Duration = Duration::from_secs(6);
+
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_secs(3);
+
+/// What a follower tells.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Followed {
+    /// Writes since what was told before.
+    Changed(Vec<Change>),
+    /// Everything there is, in place of what was told before.
+    Listed(Vec<Entry>),
+    /// The platform did not answer; what was told before stands, and may be out of date.
+    Lost(PlatformError),
+}
+
+/// A running follower; ends when dropped.
+pub struct Follower {
+    task: JoinHandle<()>,
+}
+
+impl Follower {
+    /// Follows the objects under `prefix` until dropped or until `tx` is closed.
+    pub fn spawn(
+        platform: Arc<dyn Platform>,
+        clock: Arc<dyn Clock>,
+        prefix: &str,
+        tx: mpsc::Sender<Followed>,
+    ) -> Self {
+        let task = tokio::spawn(follow(platform, clock, prefix.to_owned(), tx));
+        Self { task }
+    }
+}
+
+impl Drop for Follower {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Step {
+    Compare,
+    List,
+    Pause(Duration),
+    Watch { from: Version },
+}
+
+/// Decides what to do next; knows the version of each object.
+#[derive(Debug)]
+pub(super) struct FollowState {
+    backoff: ExponentialBackoff,
+    compared: Moment,
+    known: BTreeMap<Arc<str>, Version>,
+    pause: Option<Duration>,
+    seed: u64,
+    version: Option<Version>,
+}
+
+impl FollowState {
+    pub(super) fn new(seed: u64) -> Self {
+        let backoff = pauses(seed);
+        let (compared, known) = (Duration::ZERO, BTreeMap::new());
+        Self { backoff, compared, known, pause: None, seed, version: None }
+    }
+
+    pub(super) fn next(&mut self, now: Moment) -> Step {
+        if let Some(pause) = self.pause.take() {
+            return Step::Pause(pause);
+        }
+        match self.version {
+            None => Step::List,
+            Some(_) if COMPARE_EVERY <= now.saturating_sub(self.compared) => Step::Compare,
+            Some(from) => Step::Watch { from },
+        }
+    }
+
+    pub(super) fn listed(&mut self, listing: &Listing, now: Moment) {
+        let known = |entry: &Entry| (entry.key.clone(), entry.object.version);
+        self.known = listing.entries.iter().map(known).collect();
+        self.version = Some(listing.version);
+        self.compared = now;
+        self.backoff = pauses(self.seed);
+    }
+
+    /// Versions that differ from what the watch told: it has missed something.
+    pub(super) fn compared(&mut self, found: &[KeyVersion], now: Moment) {
+        let known = self.known.iter().map(|(key, version)| (key, *version));
+        if !found.iter().map(|found| (&found.key, found.version)).eq(known) {
+            self.version = None;
+        }
+        self.compared = now;
+        self.backoff = pauses(self.seed);
+    }
+
+    pub(super) fn changed(&mut self, changes: &Changes) {
+        for change in &changes.changes {
+            match &change.object {
+                None => self.known.remove(&change.key),
+                Some(_) => self.known.insert(change.key.clone(), change.version),
+            };
+        }
+        self.version = Some(changes.version);
+        self.backoff = pauses(self.seed);
+    }
+
+    pub(super) fn failed(&mut self, err: &PlatformError) {
+        if matches!(err, PlatformError::TooOld { .. }) {
+            self.version = None;
+        }
+        let least = match err {
+            PlatformError::Limited { retry_after } => *retry_after,
+            _ => Duration::ZERO,
+        };
+        let pause = self.backoff.next().unwrap_or(LONGEST_PAUSE);
+        self.pause = Some(pause.max(least));
+    }
+}
+
+fn pauses(seed: u64) -> ExponentialBackoff {
+    ExponentialBuilder::new()
+        .with_min_delay(FIRST_PAUSE)
+        .with_max_delay(LONGEST_PAUSE)
+        .without_max_times()
+        .with_jitter()
+        .with_jitter_seed(seed)
+        .build()
+}
+
+async fn follow(
+    platform: Arc<dyn Platform>,
+    clock: Arc<dyn Clock>,
+    prefix: String,
+    tx: mpsc::Sender<Followed>,
+) {
+    let mut state = FollowState::new(rand::random());
+    loop {
+        let told = match state.next(clock.now()) {
+            Step::Compare => match platform.keys(&prefix).await {
+                Ok(keys) => {
+                    state.compared(&keys, clock.now());
+                    None
+                }
+                Err(err) => Some(lost(&mut state, err)),
+            },
+            Step::List => match platform.list(&prefix).await {
+                Ok(listing) => {
+                    state.listed(&listing, clock.now());
+                    Some(Followed::Listed(listing.entries))
+                }
+                Err(err) => Some(lost(&mut state, err)),
+            },
+            Step::Pause(pause) => {
+                tokio::time::sleep(pause).await;
+                None
+            }
+            Step::Watch { from } => match platform.watch(&prefix, from, WATCH_WAIT).await {
+                Ok(changes) => {
+                    state.changed(&changes);
+                    (!changes.changes.is_empty()).then_some(Followed::Changed(changes.changes))
+                }
+                Err(err) => Some(lost(&mut state, err)),
+            },
+        };
+        if let Some(told) = told
+            && tx.send(told).await.is_err()
+        {
+            return;
+        }
+    }
+}
+
+fn lost(state: &mut FollowState, err: PlatformError) -> Followed {
+    state.failed(&err);
+    Followed::Lost(err)
+}
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -11,7 +11,8 @@
 
 use super::{
     Breaker, BreakerState, Budget, CallCounts, CallKind, Changes, Expect, KeyVersion, Limits,
-    Listing, MAX_VALUE, OperationId, Platform, PlatformError, Result, Version, Versioned, wire,
+    Listing, MAX_VALUE, OperationId, Platform, PlatformError, Result, Version, Versioned, is_key,
+    wire,
 };
 use crate::{base::BootClock, prelude::*};
 
@@ -79,6 +80,15 @@
         self.guards.lock().expect("no holder of this lock panics")
     }
 
+    fn object(&self, method: Method, key: &str, expect: Expect) -> Result<RequestBuilder> {
+        check(key)?;
+        let req = self.request(method, &format!("objects/{key}"));
+        Ok(match expect {
+            Expect::Absent => req.header(header::IF_NONE_MATCH, "*"),
+            Expect::Version(version) => req.header(header::IF_MATCH, format!("\"{version}\"")),
+        })
+    }
+
     fn request(&self, method: Method, path: &str) -> RequestBuilder {
         self.client.request(method, format!("http://{}/v1/{path}", self.address))
     }
@@ -136,13 +146,13 @@
 #[async_trait]
 impl Platform for HttpPlatform {
     async fn delete(&self, key: &str, expect: Expect, operation: OperationId) -> Result<Version> {
-        let req = self.request(Method::DELETE, &format!("objects/{key}"));
-        let req = conditional(req, expect).header(wire::OPERATION, &*operation);
+        let req = self.object(Method::DELETE, key, expect)?.header(wire::OPERATION, &*operation);
         let written: wire::Written = self.call(CallKind::Write, req, CALL_TIMEOUT).await?.json()?;
         Ok(written.version)
     }
 
     async fn get(&self, key: &str) -> Result<Option<Versioned>> {
+        check(key)?;
         let answer = self.read(&format!("objects/{key}")).await?;
         if answer.status == StatusCode::NOT_FOUND {
             return Ok(None);
@@ -176,8 +186,8 @@
         if MAX_VALUE < value.len() {
             return Err(PlatformError::TooLarge);
         }
-        let req = self.request(Method::PUT, &format!("objects/{key}")).body(value);
-        let req = conditional(req, expect).header(wire::OPERATION, &*operation);
+        let req = self.object(Method::PUT, key, expect)?.body(value);
+        let req = req.header(wire::OPERATION, &*operation);
         let written: wire::Written = self.call(CallKind::Write, req, CALL_TIMEOUT).await?.json()?;
         Ok(written.version)
     }
@@ -239,11 +249,9 @@
     Ok(Answer { body, headers, status })
 }
 
-fn conditional(req: RequestBuilder, expect: Expect) -> RequestBuilder {
-    match expect {
-        Expect::Absent => req.header(header::IF_NONE_MATCH, "*"),
-        Expect::Version(version) => req.header(header::IF_MATCH, format!("\"{version}\"")),
-    }
+/// Keys and prefixes stand in paths and queries as they are.
+fn check(key: &str) -> Result<()> {
+    if is_key(key) { Ok(()) } else { Err(refused("malformed key")) }
 }
 
 fn refused(detail: &str) -> PlatformError {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -6,6 +6,7 @@
 mod breaker;
 mod budget;
 mod error;
+mod follow;
 mod http;
 mod model;
 mod settle;
@@ -21,10 +22,11 @@
     breaker::{Breaker, BreakerState},
     budget::{Budget, CallCounts, CallKind, Limits},
     error::{PlatformError, Result},
+    follow::{Followed, Follower},
     http::{HttpPlatform, PlatformState},
     model::{
         Change, Changes, Entry, Expect, KeyVersion, Listing, MAX_KEY, MAX_VALUE, OperationId,
-        Version, Versioned, new_operation,
+        Version, Versioned, is_key, new_operation,
     },
     settle::{Settled, put_settled},
 };
--- a/src/platform/model.rs
+++ b/src/platform/model.rs
@@ -17,6 +17,12 @@
 /// Names one intended write; drawn anew for each.
 pub type OperationId = Arc<str>;
 
+/// Whether `key` can be one: it then needs no escaping in a path.
+pub fn is_key(key: &str) -> bool {
+    let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.' | '/');
+    (1..=MAX_KEY).contains(&key.len()) && key.chars().all(plain)
+}
+
 /// A new operation id.
 pub fn new_operation() -> OperationId {
     uuid::Uuid::new_v4().to_string().into()
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,6 +1,13 @@
 use assert_matches::assert_matches;
 
-use super::*;
+use super::{
+    follow::{FollowState, Step},
+    *,
+};
+use crate::{
+    base::Clock,
+    standin::platform::{Faults, PlatformStandin},
+};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -44,3 +51,107 @@
     assert_eq!(budget.counts().reads, u64::from(taken));
     assert_eq!(budget.take(CallKind::Write, 10 * SECOND), Ok(()));
 }
+
+#[test]
+fn a_follower_lists_again_when_a_watch_missed_something() {
+    // The watch stays open and tells nothing while a manifest is accepted. Comparing the versions
+    // finds it; a store that forgot the version asked for is listed again as well.
+    let mut state = FollowState::new(1);
+    assert_eq!(state.next(SECOND), Step::List);
+    let versioned = |version| Versioned { operation: "op".into(), value: "x".into(), version };
+    let entry = |version| Entry { key: "a".into(), object: versioned(version) };
+    state.listed(&Listing { entries: vec![entry(4)], version: 9 }, SECOND);
+    assert_eq!(state.next(SECOND), Step::Watch { from: 9 });
+    assert_eq!(state.next(10 * SECOND), Step::Compare);
+    state.compared(&[KeyVersion { key: "a".into(), version: 4 }], 10 * SECOND);
+    assert_eq!(state.next(10 * SECOND), Step::Watch { from: 9 });
+    state.compared(&[KeyVersion { key: "a".into(), version: 11 }], 20 * SECOND);
+    assert_eq!(state.next(20 * SECOND), Step::List);
+    state.listed(&Listing { entries: vec![entry(11)], version: 12 }, 20 * SECOND);
+    state.failed(&PlatformError::TooOld { oldest: 20 });
+    assert_matches!(state.next(20 * SECOND), Step::Pause(_));
+    assert_eq!(state.next(20 * SECOND), Step::List);
+}
+
+/// Tokio's clock, which a test can pause.
+struct PausedClock(tokio::time::Instant);
+
+impl Clock for PausedClock {
+    fn now(&self) -> crate::base::Moment {
+        self.0.elapsed()
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_watch_a_compaction_and_a_jump_hide_no_write() {
+    // Each fault comes between two writes. The follower of the same prefix must be told of the
+    // second one, however the watch that should have told it ended.
+    type Fault = fn(&PlatformStandin);
+    let table: [(&str, Fault); 3] = [
+        ("silent", |it| it.set_faults(Faults { silent_watch: true, ..Faults::default() })),
+        ("compaction", PlatformStandin::compact),
+        ("jump", |it| it.jump(1000)),
+    ];
+    for (what, fault) in table {
+        let standin = PlatformStandin::in_memory();
+        let writer = standin.open_door();
+        let put = |key: &'static str| writer.put(key, Expect::Absent, "x".into(), new_operation());
+        put("p/1").await.unwrap();
+        let (tx, mut rx) = tokio::sync::mpsc::channel(8);
+        let standin = std::sync::Arc::new(standin);
+        let clock = std::sync::Arc::new(PausedClock(tokio::time::Instant::now()));
+        let reader = std::sync::Arc::new(Hurried(standin.clone()));
+        let _follower = Follower::spawn(reader, clock, "p/", tx);
+        assert_matches!(rx.recv().await, Some(Followed::Listed(_)), "{what}");
+        fault(&standin);
+        put("p/2").await.unwrap();
+        let is_told = |told: &Followed| match told {
+            Followed::Changed(changes) => changes.iter().any(|change| &*change.key == "p/2"),
+            Followed::Listed(entries) => entries.iter().any(|entry| &*entry.key == "p/2"),
+            Followed::Lost(_) => false,
+        };
+        let told = tokio::time::timeout(15 * SECOND, async {
+            while !is_told(&rx.recv().await.expect("the follower goes on")) {}
+        });
+        assert!(told.await.is_ok(), "{what}");
+    }
+}
+
+/// The stand-in's door with the client's deadlines.
+struct Hurried(std::sync::Arc<PlatformStandin>);
+
+impl Hurried {
+    async fn within<T>(&self, call: impl Future<Output = Result<T>>) -> Result<T> {
+        let late = PlatformError::Unavailable { detail: "late".into(), maybe_done: true };
+        tokio::time::timeout(6 * SECOND, call).await.unwrap_or(Err(late))
+    }
+}
+
+#[async_trait::async_trait]
+impl Platform for Hurried {
+    async fn delete(&self, key: &str, expect: Expect, operation: OperationId) -> Result<Version> {
+        self.within(self.0.door().delete(key, expect, operation)).await
+    }
+
+    async fn get(&self, key: &str) -> Result<Option<Versioned>> {
+        self.within(self.0.door().get(key)).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Listing> {
+        self.within(self.0.door().list(prefix)).await
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        expect: Expect,
+        value: Bytes,
+        operation: OperationId,
+    ) -> Result<Version> {
+        self.within(self.0.door().put(key, expect, value, operation)).await
+    }
+
+    async fn watch(&self, prefix: &str, from: Version, wait: Duration) -> Result<Changes> {
+        self.within(self.0.door().watch(prefix, from, wait)).await
+    }
+}
--- a/src/standin/platform/store.rs
+++ b/src/standin/platform/store.rs
@@ -6,8 +6,8 @@
 
 use crate::{
     platform::{
-        Change, Changes, Entry, Expect, Listing, MAX_KEY, MAX_VALUE, OperationId, PlatformError,
-        Result, Version, Versioned,
+        Change, Changes, Entry, Expect, Listing, MAX_VALUE, OperationId, PlatformError, Result,
+        Version, Versioned, is_key,
     },
     prelude::*,
 };
@@ -110,8 +110,3 @@
         self.version
     }
 }
-
-fn is_key(key: &str) -> bool {
-    let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.' | '/');
-    (1..=MAX_KEY).contains(&key.len()) && key.chars().all(plain)
-}
