--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod shift;
 pub mod standin;
 pub mod steer;
+pub mod tenure;
 pub mod timeline;
 pub mod trace;
 pub mod view;
--- a/src/membership/digest.rs
+++ b/src/membership/digest.rs
@@ -1,7 +1,7 @@
 //! What two hosts tell each other in one exchange.
 
 use super::notes::BaselineNote;
-use crate::{drain::DrainRecord, prelude::*, quarantine::Mark, view::HostView};
+use crate::{drain::DrainRecord, prelude::*, quarantine::Mark, tenure::ZoneTenure, view::HostView};
 
 /// What one host tells another. Each list holds only what the other may lack; fields that an older
 /// host does not know are skipped by it, and those that it does not send are empty.
@@ -35,6 +35,12 @@
     /// Sequence of the manifest in force at the sender; 0 without one.
     #[serde(default)]
     pub sequence: Sequence,
+    /// Hosts that share the targets of the sender's zone.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tenure: Option<ZoneTenure>,
+    /// Fence of that list, as the sender knows it.
+    #[serde(default)]
+    pub tenure_fence: u64,
     /// Zones whose hosts the sender lacks.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub wants: Vec<ZoneId>,
--- a/src/membership/exchange.rs
+++ b/src/membership/exchange.rs
@@ -51,6 +51,7 @@
             drains: digest.drains_hash != answer.drains_hash,
             hosts: digest.wants_hosts && near,
             marks: digest.marks_hash != answer.marks_hash,
+            tenure: near && digest.tenure_fence < answer.tenure_fence,
             zones: digest.wants.clone(),
         };
         self.give(&owed, &mut answer, now);
@@ -70,9 +71,10 @@
             drains: delta.drains_hash != self.notes_hashes.drains,
             hosts: delta.wants_hosts,
             marks: delta.marks_hash != self.notes_hashes.marks,
+            tenure: self.is_near(&delta) && delta.tenure_fence < self.notes.tenure.fence,
             zones: delta.wants,
         };
-        if owed.drains || owed.hosts || owed.marks || !owed.zones.is_empty() {
+        if owed.is_something() {
             self.owed.insert(delta.from.view.id.clone(), owed);
         }
         std::mem::take(&mut self.events)
@@ -91,6 +93,8 @@
             marks_hash: self.notes_hashes.marks,
             roster: self.roster_hash,
             sequence: self.notes.sequence,
+            tenure: None,
+            tenure_fence: self.notes.tenure.fence,
             wants: Vec::new(),
             wants_hosts: false,
             zone_hosts: Vec::new(),
@@ -109,6 +113,9 @@
         if owed.marks {
             digest.marks = self.notes.marks.clone();
         }
+        if owed.tenure {
+            digest.tenure = Some(self.notes.tenure.clone());
+        }
         if owed.hosts && digest.hosts.is_empty() {
             digest.hosts = self.roster.entries(now).collect();
         }
@@ -203,6 +210,12 @@
         if self.notes.sequence.max(known) < digest.sequence {
             self.heard.manifest = Some((digest.sequence, digest.from.view.rpc));
         }
+        if let Some(tenure) = digest.tenure.as_ref().filter(|_| self.is_near(digest)) {
+            let known = self.heard.tenure.as_ref().map_or(self.notes.tenure.fence, |t| t.fence);
+            if known < tenure.fence {
+                self.heard.tenure = Some(tenure.clone());
+            }
+        }
         let bound = self.limits.max_entries;
         self.heard.drains.extend(digest.drains.iter().take(bound).cloned());
         self.heard.marks.extend(digest.marks.iter().take(bound).cloned());
--- a/src/membership/machine.rs
+++ b/src/membership/machine.rs
@@ -59,9 +59,16 @@
     pub drains: bool,
     pub hosts: bool,
     pub marks: bool,
+    pub tenure: bool,
     pub zones: Vec<ZoneId>,
 }
 
+impl Owed {
+    pub fn is_something(&self) -> bool {
+        self.drains || self.hosts || self.marks || self.tenure || !self.zones.is_empty()
+    }
+}
+
 impl Membership {
     /// A host that knows only itself.
     pub fn new(own: HostView, limits: MembershipLimits) -> Self {
--- a/src/membership/notes.rs
+++ b/src/membership/notes.rs
@@ -2,7 +2,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{drain::DrainRecord, prelude::*, quarantine::Mark, view::Baseline};
+use crate::{drain::DrainRecord, prelude::*, quarantine::Mark, tenure::ZoneTenure, view::Baseline};
 
 /// What this host holds and wants known at every other host.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -12,6 +12,8 @@
     pub marks: Vec<Mark>,
     /// Sequence of the manifest in force; 0 without one.
     pub sequence: Sequence,
+    /// Hosts that share the zone's targets; told inside the zone only.
+    pub tenure: ZoneTenure,
 }
 
 impl Notes {
@@ -58,6 +60,8 @@
     /// The highest manifest sequence above the own one, and where its holder answers RPC.
     pub manifest: Option<(Sequence, SocketAddr)>,
     pub marks: Vec<Mark>,
+    /// A newer list of the hosts that share the zone's targets.
+    pub tenure: Option<ZoneTenure>,
 }
 
 impl Heard {
--- /dev/null
+++ b/src/tenure/mod.rs
@@ -0,0 +1,49 @@
+//! The right of a host to the targets of its zone.
+//!
+//! One object on the platform lists the hosts that share a zone's targets. It is written only when
+//! a host comes or goes, by conditional update, and each write raises its fence. A listed host's
+//! right holds for `LEASE` by its own clock, counted from before it sent what confirmed it: an
+//! exchange that every other listed host answered, or a platform read that still lists it.
+//!
+//! Who removes a silent host holds its targets only provisionally for another `LEASE`: by then the
+//! removed one's right has run out, however long it was paused. With the platform away nobody can
+//! be removed, and a silent host's targets stay provisional.
+//!
+//! Two hosts that both believe to own a target can cost a shed request, never a doubled one: the
+//! ledger does not rest on this.
+
+mod action;
+mod event;
+mod keeper;
+mod object;
+mod right;
+mod shell;
+#[cfg(test)]
+mod tests;
+
+use std::time::Duration;
+
+pub use self::{
+    action::Action,
+    event::{Event, ReadResult, WriteResult, ZoneHost},
+    keeper::TenureKeeper,
+    object::{Holder, ZoneTenure},
+    shell::perform,
+};
+
+/// How long a confirmed right holds.
+pub const LEASE: Duration = Duration::from_secs(4);
+
+/// Time between two reads of the object while peers confirm the right: finds a host that wrote
+/// itself into the list and is cut off from its peers.
+pub const READ_WHEN_CONFIRMED: Duration = Duration::from_secs(15);
+
+/// Time between two reads while nobody confirms it.
+pub const READ_WHEN_LAPSING: Duration = Duration::from_secs(1);
+
+/// A call without result for this long is given up.
+pub const CALL_LOST_AFTER: Duration = Duration::from_secs(10);
+
+/// A listed host that was never heard counts as silent after this long: a host that has just
+/// started knows nobody yet, and must not remove those it is about to meet.
+pub const UNHEARD_GRACE: Duration = Duration::from_secs(10);
--- /dev/null
+++ b/src/tenure/right.rs
@@ -0,0 +1,91 @@
+//! What the right is at a moment.
+
+use std::collections::BTreeSet;
+
+use super::{LEASE, keeper::TenureKeeper};
+use crate::{base::invariant, prelude::*, view::Tenure};
+
+impl TenureKeeper {
+    /// This host's right now. It stays true without further word until `valid_until`.
+    pub fn tenure(&self, now: Moment) -> Tenure {
+        let silent = self.silent(now);
+        let listed = self.tenure.lists(&self.own) && !self.leaving;
+        let mut owners = self.live_listed(&silent);
+        let mut provisional: BTreeSet<HostId> = silent.clone();
+        provisional
+            .extend(self.fading.iter().filter(|(_, end)| now < **end).map(|(id, _)| id.clone()));
+        if !listed {
+            owners.retain(|host| *host != self.own.host);
+            return self.unlisted(owners, provisional, now);
+        }
+        if now < self.joining_until {
+            provisional.insert(self.own.host.clone());
+        }
+        let confirmed_until = self.confirmed_at().map(|at| at + LEASE);
+        let valid_until = match confirmed_until.filter(|until| now < *until) {
+            Some(until) => until,
+            None => {
+                if !self.is_isolated(&silent, now) {
+                    provisional.insert(self.own.host.clone());
+                }
+                self.last_tick + LEASE
+            }
+        };
+        invariant::hold(valid_until <= now + LEASE, "tenure-within-lease", || {
+            format!("{valid_until:?} at {now:?}")
+        });
+        Tenure { owners, provisional, valid_until }
+    }
+
+    /// Whether nobody confirms the right for much longer.
+    pub(super) fn lapses_soon(&self, now: Moment) -> bool {
+        self.confirmed_at().is_none_or(|at| at + LEASE / 2 < now)
+    }
+
+    /// When what last confirmed the right was sent.
+    fn confirmed_at(&self) -> Option<Moment> {
+        if !self.tenure.lists(&self.own) {
+            return None;
+        }
+        let others = self.tenure.hosts.iter().filter(|holder| holder.host != self.own.host);
+        // A host alone in the list has nobody to ask but the platform: while it was paused, one
+        // that started meanwhile may have removed it.
+        let by_peer = others.map(|holder| self.acknowledged.get(&holder.host).copied());
+        by_peer.min().flatten().max(self.confirmed_by_read)
+    }
+
+    /// A host that hears neither the platform nor any listed peer goes on with its own targets: a
+    /// platform outage in which a peer dies must not take the whole zone down. If a peer on the
+    /// other side of a cut took them over meanwhile, targets may shed requests, and none runs twice.
+    fn is_isolated(&self, silent: &BTreeSet<HostId>, now: Moment) -> bool {
+        let others = self.tenure.hosts.iter().filter(|holder| holder.host != self.own.host);
+        self.platform_failed(now) && others.into_iter().all(|holder| silent.contains(&holder.host))
+    }
+
+    /// A host that is not listed owns nothing while a listed one lives. If none does and the
+    /// platform is away, so that it cannot get listed, it stands in for all, as its neighbours do.
+    fn unlisted(
+        &self,
+        owners: Vec<HostId>,
+        mut provisional: BTreeSet<HostId>,
+        now: Moment,
+    ) -> Tenure {
+        if self.leaving || !owners.is_empty() || !self.platform_failed(now) {
+            return Tenure { owners, provisional, valid_until: Moment::ZERO };
+        }
+        let live = self.hosts.iter().filter(|host| !host.leaving).map(|host| host.host.clone());
+        let mut owners: Vec<HostId> = live.collect();
+        if !owners.contains(&self.own.host) {
+            owners.push(self.own.host.clone());
+        }
+        owners.sort();
+        provisional.extend(owners.iter().cloned());
+        Tenure { owners, provisional, valid_until: self.last_tick + LEASE }
+    }
+
+    fn live_listed(&self, silent: &BTreeSet<HostId>) -> Vec<HostId> {
+        let leaving = |id: &HostId| self.hosts.iter().any(|host| host.host == *id && host.leaving);
+        let listed = self.tenure.hosts.iter().map(|holder| &holder.host);
+        listed.filter(|host| !silent.contains(*host) && !leaving(host)).cloned().collect()
+    }
+}
--- /dev/null
+++ b/src/tenure/shell.rs
@@ -0,0 +1,48 @@
+//! Carries out what the keeper asks of the platform.
+
+use bytes::Bytes;
+
+use super::{
+    action::Action,
+    event::{Event, ReadResult, WriteResult},
+    object::ZoneTenure,
+};
+use crate::{
+    platform::{Platform, Settled, new_operation, put_settled},
+    prelude::*,
+};
+
+/// Carries out a read or write and gives the event that tells the keeper of its end. The time is
+/// taken before the call is sent: an answer may be late by any time, and a right counted from its
+/// arrival would outlive what the platform knows.
+pub async fn perform(
+    action: Action,
+    platform: &dyn Platform,
+    key: &str,
+    clock: &dyn Clock,
+) -> Option<Event> {
+    let sent = clock.now();
+    match action {
+        Action::Note(_) => None,
+        Action::Read => Some(Event::Read { result: read(platform, key).await, sent }),
+        Action::Write { expect, object } => {
+            let value = Bytes::from(serde_json::to_vec(&object).ok()?);
+            let settled = put_settled(platform, key, expect, value, new_operation()).await;
+            let result = match settled {
+                Ok(Settled::Conflict { .. }) => WriteResult::Conflict,
+                Ok(Settled::Written(version)) => WriteResult::Written(version),
+                Err(_) => WriteResult::Failed,
+            };
+            Some(Event::Written { result, sent })
+        }
+    }
+}
+
+async fn read(platform: &dyn Platform, key: &str) -> ReadResult {
+    let Ok(object) = platform.get(key).await else { return ReadResult::Failed };
+    let Some(object) = object else { return ReadResult::Absent };
+    match serde_json::from_slice::<ZoneTenure>(&object.value) {
+        Ok(tenure) => ReadResult::Found(tenure, object.version),
+        Err(_) => ReadResult::Failed,
+    }
+}
--- /dev/null
+++ b/src/tenure/tests.rs
@@ -0,0 +1,174 @@
+use super::*;
+use crate::{base::invariant, prelude::*};
+
+mod world;
+
+use world::World;
+
+fn secs(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+/// Two hosts that share the 40 targets of a zone in full.
+fn shared() -> World {
+    let mut world = World::new();
+    world.start("a");
+    world.start("b");
+    world.run(secs(10));
+    let (full_a, full_b) = (world.uses(0).0, world.uses(1).0);
+    assert_eq!(full_a + full_b, 40);
+    assert!(0 < full_a && 0 < full_b);
+    world
+}
+
+#[test]
+fn two_hosts_share_the_targets_with_two_writes() {
+    let mut world = shared();
+    world.run(secs(300));
+    assert_eq!(world.uses(0).0 + world.uses(1).0, 40);
+    assert_eq!(world.writes, 2);
+    assert_eq!(invariant::take(), []);
+}
+
+// A host is paused for a minute, with a write of its own still on its way. Its peer suspects it,
+// removes it, stands in at reduced concurrency for one lease and then owns all. The paused host
+// finds its right lapsed by its own clock, before any message reaches it; its late write is
+// refused by the object's version; it learns that it was removed, and joins anew.
+#[test]
+fn a_paused_holder_finds_out_before_it_acts() {
+    let mut world = shared();
+    world.hosts[0].paused = true;
+    let expect = world.expect_now();
+    let object = ZoneTenure { fence: 99, hosts: Vec::new() };
+    world.hosts[0].on_its_way = Some((Action::Write { expect, object }, world.now));
+    world.run(secs(4));
+    let (full, reduced) = world.uses(1);
+    assert!(full < 40 && full + reduced == 40, "stands in first: {full} {reduced}");
+    world.run(secs(6));
+    assert_eq!(world.uses(1), (40, 0));
+    assert_eq!(world.uses(0), (0, 0), "its own clock ended the right");
+    world.run(secs(50));
+    world.resume(0);
+    assert_eq!(world.uses(0).0, 0);
+    assert_eq!(world.listed(), ["b".into()], "the late write is refused");
+    world.run(secs(10));
+    assert_eq!(world.uses(0).0 + world.uses(1).0, 40);
+    assert!(0 < world.uses(0).0);
+}
+
+// Paused for less than the suspicion time: nobody removes it, and after one exchange it uses its
+// targets as before, without a write.
+#[test]
+fn a_short_pause_costs_one_exchange() {
+    let mut world = shared();
+    world.hosts[0].paused = true;
+    world.run(Duration::from_millis(2500));
+    world.resume(0);
+    world.run(secs(2));
+    assert_eq!(world.uses(0).0 + world.uses(1).0, 40);
+    assert_eq!(world.writes, 2);
+}
+
+// The platform is down and a peer dies. The other goes on with its own targets in full and stands
+// in for the dead one's at reduced concurrency, for as long as the outage lasts. When the platform
+// is back it removes the dead one and owns all.
+#[test]
+fn an_outage_and_a_dead_peer_leave_the_own_targets_in_full() {
+    let mut world = shared();
+    let own = world.uses(1).0;
+    world.platform_up = false;
+    world.run(secs(30));
+    assert_eq!(world.uses(1), (own, 0), "peers confirm each other");
+    world.hosts[0].down = true;
+    for _ in 0..6 {
+        world.run(secs(10));
+        assert_eq!(world.uses(1), (own, 40 - own));
+    }
+    world.platform_up = true;
+    world.run(secs(10));
+    assert_eq!(world.uses(1), (40, 0));
+    assert_eq!(world.listed(), ["b".into()]);
+}
+
+// Platform down, zone cut off, both listed hosts gone and one new one started: nobody can list it,
+// so it stands in for all at reduced concurrency. While a listed host lives, it owns nothing.
+#[test]
+fn a_replacement_in_a_cut_zone_stands_in_for_all() {
+    let mut world = shared();
+    world.platform_up = false;
+    world.hosts[0].down = true;
+    let new = world.start("c");
+    world.run(secs(30));
+    assert_eq!(world.uses(new), (0, 0));
+    world.hosts[1].down = true;
+    world.run(secs(30));
+    assert_eq!(world.uses(new), (0, 40));
+    world.platform_up = true;
+    world.run(secs(20));
+    assert_eq!(world.uses(new), (40, 0));
+}
+
+// A host dies and is started again under its name before it was suspected. Its former incarnation
+// may only be paused: the new one takes its place in the list and waits for one lease.
+#[test]
+fn a_restarted_host_waits_for_its_former_self() {
+    let mut world = shared();
+    let own = world.uses(0).0;
+    world.hosts[0].paused = true;
+    let new = world.start("a");
+    world.run(secs(2));
+    assert_eq!(world.uses(new).0, 0);
+    world.run(secs(8));
+    assert_eq!(world.uses(new), (own, 0));
+    assert_eq!(world.listed(), ["a".into(), "b".into()]);
+    world.resume(0);
+    assert_eq!(world.uses(0).0, 0);
+}
+
+// The answers to writes are lost after they took effect. The host reads, finds itself listed, and
+// writes no second time.
+#[test]
+fn a_lost_answer_is_settled_by_reading() {
+    let mut world = World::new();
+    world.lose_answers = true;
+    world.start("a");
+    world.run(secs(20));
+    assert_eq!(world.uses(0), (40, 0));
+    assert_eq!(world.writes, 1);
+}
+
+// Five hosts of a zone start at once and write against each other. Each conditional update has one
+// winner; the others read and go on, so that all end up listed.
+#[test]
+fn racing_hosts_all_get_listed() {
+    let mut world = World::new();
+    for id in ["a", "b", "c", "d", "e"] {
+        world.start(id);
+    }
+    world.run(secs(20));
+    assert_eq!(world.listed().len(), 5);
+    assert_eq!((0..5).map(|at| world.uses(at).0).sum::<usize>(), 40);
+    assert_eq!(world.writes, 5);
+}
+
+// A host that leaves hands its targets on without the wait: it sends nothing new by itself.
+#[test]
+fn a_leaving_host_gives_its_right_up() {
+    let mut world = shared();
+    let now = world.now;
+    let actions = world.hosts[0].keeper.on(Event::Leave, now);
+    let written = matches!(&actions[..], [.., Action::Note(_)] | [Action::Write { .. }, ..]);
+    assert!(written, "{actions:?}");
+    assert_eq!(world.hosts[0].keeper.tenure(now).valid_until, Moment::ZERO);
+}
+
+// A list with an older fence, out of a late message, changes nothing.
+#[test]
+fn an_older_list_is_not_taken() {
+    let mut world = shared();
+    let list = world.hosts[0].keeper.list().clone();
+    let older = ZoneTenure { fence: list.fence - 1, hosts: Vec::new() };
+    let now = world.now;
+    world.hosts[0].keeper.on(Event::Heard(older), now);
+    assert_eq!(*world.hosts[0].keeper.list(), list);
+}
--- a/src/view/mod.rs
+++ b/src/view/mod.rs
@@ -62,3 +62,14 @@
     /// By this host's own clock; past it nothing may be sent at full concurrency.
     pub valid_until: Moment,
 }
+
+impl Tenure {
+    /// Whether a target falls to a host that is only stood in for, so that whoever sends to it does
+    /// so at reduced concurrency. Tells the same at each call: it looks at no earlier tenure.
+    pub fn is_provisional(&self, target: &TargetId) -> bool {
+        let mut all: Vec<HostId> = self.owners.clone();
+        all.extend(self.provisional.iter().filter(|host| !self.owners.contains(host)).cloned());
+        all.sort();
+        crate::lookup::owner_of(target, &all).is_some_and(|owner| self.provisional.contains(owner))
+    }
+}
