Stand in for a silent peer's targets for as long as it is silent

A target counted as provisional only at the first view after its owner became silent: the former owners were looked up in the view before, and in the next view they no longer held the silent host. So a stand-in went to full concurrency after a second. The tenure itself now tells, from the silent hosts that it names.

--- a/src/steer/machine.rs
+++ b/src/steer/machine.rs
@@ -240,12 +240,9 @@
             if owner != Some(&view.own.id) {
                 continue;
             }
-            let before = self.view.as_ref().map_or(&[][..], |old| &old.tenure.owners);
-            let provisional = owner_of(&target.name, before)
-                .is_some_and(|old| view.tenure.provisional.contains(old));
             owned.push(OwnedTarget {
                 inherited: !self.slots.owns(&target.name),
-                provisional,
+                provisional: view.tenure.is_provisional(&target.name),
                 slots: target.slots,
                 target: target.name.clone(),
             });
