Replay recorded request decisions; script seven scenarios with stated outcomes

A trace replays the inputs of one or more hosts' request decisions with their seeds and compares every action, then holds the run against its stated outcomes. The scenarios are scripts at the interfaces: region lost, site drained, poison request, late and crossed answers, platform away while a manifest is accepted, paused leaseholder, flash of callers.

Fingerprints are 128 bits wide; inside a tagged enum they can't be read back as numbers, so they stand as hex text in recorded events.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 mod completions;
 mod exit;
 mod measure;
+mod replay;
 mod timeline;
 
 use clap::{Parser, Subcommand};
@@ -24,6 +25,7 @@
 enum Command {
     Completions(completions::Args),
     Measure(measure::Args),
+    Replay(replay::Args),
     Timeline(timeline::Args),
 }
 
@@ -33,6 +35,7 @@
         match self.command {
             Command::Completions(args) => completions::run(args),
             Command::Measure(args) => measure::run(args),
+            Command::Replay(args) => replay::run(args),
             Command::Timeline(args) => timeline::run(args),
         }
     }
--- a/src/quarantine/mark.rs
+++ b/src/quarantine/mark.rs
@@ -23,21 +23,21 @@
 }
 
 /// JSON numbers lose digits beyond 64 bits in many readers, so the hash travels as text.
-mod hex_text {
+pub(crate) mod hex_text {
     use std::borrow::Cow;
 
     use serde::{Deserialize, Deserializer, Serializer, de::Error};
 
     use super::Fingerprint;
 
-    pub(super) fn serialize<S: Serializer>(
+    pub(crate) fn serialize<S: Serializer>(
         value: &Fingerprint,
         serializer: S,
     ) -> Result<S::Ok, S::Error> {
         serializer.serialize_str(&format!("{value:032x}"))
     }
 
-    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+    pub(crate) fn deserialize<'de, D: Deserializer<'de>>(
         deserializer: D,
     ) -> Result<Fingerprint, D::Error> {
         let text = Cow::<str>::deserialize(deserializer)?;
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -10,6 +10,7 @@
 #[cfg(test)]
 mod tests;
 
+pub(crate) use self::mark::hex_text;
 pub use self::{
     fingerprint::{Fingerprint, fingerprint},
     mark::{Mark, Verdict},
--- a/src/quarantine/suspects.rs
+++ b/src/quarantine/suspects.rs
@@ -7,7 +7,7 @@
 const MAX_DOUBLING: u32 = 8;
 
 /// Bounds of a quarantine.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub struct QuarantineLimits {
     /// Most fingerprints that are remembered.
     pub records: usize,
--- a/src/steer/event.rs
+++ b/src/steer/event.rs
@@ -6,7 +6,7 @@
 use crate::{
     ledger::{BodyDigest, KeptAnswer, Key},
     prelude::*,
-    quarantine::{Fingerprint, Mark},
+    quarantine::{Fingerprint, Mark, hex_text},
     selection::LoadReport,
     view::View,
 };
@@ -33,6 +33,7 @@
     /// By this host's clock.
     pub deadline: Moment,
     pub digest: BodyDigest,
+    #[serde(with = "hex_text")]
     pub fingerprint: Fingerprint,
     pub key: Option<Key>,
     pub member: MemberId,
--- a/src/steer/machine.rs
+++ b/src/steer/machine.rs
@@ -23,7 +23,7 @@
 };
 
 /// Bounds of the machine's state.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct SteerLimits {
     /// How long the slots of a former owner count as taken, unless a report frees them: the
     /// longest time that a request may run on a target.
--- a/src/trace/mod.rs
+++ b/src/trace/mod.rs
@@ -5,16 +5,21 @@
 //! and the actions it led to), `outcome` lines (what must be true of the whole run), and one `end`
 //! line that counts the steps, so that a file that was cut off is noticed.
 
+mod outcome;
 mod reader;
 mod record;
 mod replay;
+pub mod scenario;
+mod steer_machine;
 #[cfg(test)]
 mod tests;
 mod writer;
 
 pub use self::{
+    outcome::{Outcome, Told, Untrue, untrue},
     reader::{MAX_LINE, TraceError, read},
     record::{End, FORMAT, Header, Record, Start, Step, Trace, VERSION},
     replay::{Machine, Mismatch, Replayed, replay},
+    steer_machine::{Input, Output, Setup, SteerMachine, SteerTrace},
     writer::Writer,
 };
--- a/src/trace/writer.rs
+++ b/src/trace/writer.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 
-use super::{End, Header, Record, Start, Step};
+use super::{End, Header, Record, Start, Step, Trace};
 use crate::base::Moment;
 
 /// An open trace. Without `finish` the file counts as cut off.
@@ -56,6 +56,24 @@
     }
 }
 
+impl<S: Serialize, E: Serialize, A: Serialize, O: Serialize> Trace<S, E, A, O> {
+    /// Writes the whole trace.
+    pub fn write(&self, out: Box<dyn Write + Send>) -> io::Result<()> {
+        let mut writer = Writer::open(out, &self.header.title)?;
+        for start in &self.starts {
+            writer.start(start.seed, &start.state)?;
+        }
+        for step in &self.steps {
+            let now = Moment::from_nanos(step.now);
+            writer.step(step.machine, now, &step.event, &step.actions)?;
+        }
+        for outcome in &self.outcomes {
+            writer.outcome(outcome)?;
+        }
+        writer.finish()
+    }
+}
+
 fn line(out: &mut dyn Write, value: &impl Serialize) -> io::Result<()> {
     serde_json::to_writer(&mut *out, value)?;
     out.write_all(b"\n")
