--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,9 +1,14 @@
 //! The command line: one subcommand a file.
 
+mod apply;
+mod check;
 mod completions;
 mod exit;
+mod key;
 mod measure;
+mod output;
 mod replay;
+mod sign;
 mod timeline;
 
 use clap::{Parser, Subcommand};
@@ -23,9 +28,13 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
+    Apply(apply::Args),
+    Check(check::Args),
     Completions(completions::Args),
+    Key(key::Args),
     Measure(measure::Args),
     Replay(replay::Args),
+    Sign(sign::Args),
     Timeline(timeline::Args),
 }
 
@@ -33,9 +42,13 @@
     /// Runs the subcommand.
     pub fn run(self) -> Result {
         match self.command {
+            Command::Apply(args) => apply::run(args),
+            Command::Check(args) => check::run(args),
             Command::Completions(args) => completions::run(args),
+            Command::Key(args) => key::run(args),
             Command::Measure(args) => measure::run(args),
             Command::Replay(args) => replay::run(args),
+            Command::Sign(args) => sign::run(args),
             Command::Timeline(args) => timeline::run(args),
         }
     }
--- a/src/cmd/replay.rs
+++ b/src/cmd/replay.rs
@@ -2,13 +2,13 @@
 
 use std::{
     fs::{self, File},
-    io::{BufReader, Write},
+    io::BufReader,
     path::{Path, PathBuf},
 };
 
 use eyre::WrapErr;
 
-use super::{Exit, Result};
+use super::{Exit, Result, output};
 use crate::trace::{self, SteerMachine, SteerTrace, scenario};
 
 /// Feeds a recorded trace to the decisions and compares what they decide and the stated outcomes.
@@ -73,7 +73,7 @@
     let (steps, actions) = (replayed.steps, replayed.actions);
     let outcomes = trace.outcomes.len();
     let line = format!("{name}: {steps} steps, {actions} actions, {outcomes} outcomes: the same");
-    writeln!(std::io::stdout().lock(), "{line}")?;
+    output::line(line)?;
     Ok(Exit::Done)
 }
 
