--- a/src/steer/machine.rs
+++ b/src/steer/machine.rs
@@ -23,7 +23,7 @@
 };
 
 /// Bounds of the machine's state.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct SteerLimits {
     /// How long the slots of a former owner count as taken, unless a report frees them: the
     /// longest time that a request may run on a target.
@@ -92,7 +92,7 @@
             Event::Arrived(arrival) => self.arrived(arrival, now, rng),
             Event::Cancelled { call } => self.cancelled(call, now, rng),
             Event::Ended { attempt, outcome } => self.ended(attempt, outcome, now, rng),
-            Event::Leave => self.leaving = true,
+            Event::Leave => self.leave(),
             Event::Marked { marks } => {
                 marks.iter().for_each(|mark| self.quarantine.learn(mark, now))
             }
@@ -250,6 +250,12 @@
         owned
     }
 
+    /// New bookings are told at once that this binding is closed, and go elsewhere.
+    fn leave(&mut self) {
+        self.leaving = true;
+        self.ledger.close();
+    }
+
     fn ticked(&mut self, now: Moment, rng: &mut impl Rng) {
         self.ledger.rotate(now);
         self.expire_calls(now);
