--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 mod key;
 mod measure;
 mod output;
+mod replay;
 mod sign;
 mod timeline;
 
@@ -32,6 +33,7 @@
     Completions(completions::Args),
     Key(key::Args),
     Measure(measure::Args),
+    Replay(replay::Args),
     Sign(sign::Args),
     Timeline(timeline::Args),
 }
@@ -45,6 +47,7 @@
             Command::Completions(args) => completions::run(args),
             Command::Key(args) => key::run(args),
             Command::Measure(args) => measure::run(args),
+            Command::Replay(args) => replay::run(args),
             Command::Sign(args) => sign::run(args),
             Command::Timeline(args) => timeline::run(args),
         }
