Let operators drain through any host

Drains merge free of conflict between hosts; the platform settles which of two came first. A drain that would break a cap or a region's headroom waits and says why.

--- /dev/null
+++ b/src/drain/tests.rs
@@ -0,0 +1,223 @@
+use assert_matches::assert_matches;
+use rand::{SeedableRng, seq::SliceRandom};
+use rand_chacha::ChaCha8Rng;
+
+use super::*;
+use crate::{
+    manifest::{DrainScope, Manifest, Region, Service, ServiceKind, Target, Weighing},
+    peer::{DrainOrder, UndrainOrder},
+    prelude::*,
+    timeline::{EventKind, HybridTime},
+};
+
+/// Two regions of two zones; in each zone two targets of three slots.
+fn manifest(sequence: Sequence, cap: f64) -> Manifest {
+    let zones = ["e1", "e2", "w1", "w2"];
+    let target = |at: usize| Target {
+        address: SocketAddr::from(([127, 0, 0, 1], 9000 + at as u16)),
+        name: format!("t{at}").into(),
+        slots: 3,
+        zone: zones[at / 2].into(),
+    };
+    let region = |name: &str, zones: &[&str]| Region {
+        name: name.into(),
+        reserve: 0.25,
+        zones: zones.iter().map(|zone| (*zone).into()).collect(),
+    };
+    Manifest {
+        client_blocks: Vec::new(),
+        drains: Vec::new(),
+        member: "agency".into(),
+        regions: vec![region("east", &zones[..2]), region("west", &zones[2..])],
+        sequence,
+        services: vec![Service {
+            connections: 10,
+            kind: ServiceKind::Booking,
+            max_body: 1000,
+            name: "intake".into(),
+            shift_cap: cap,
+            targets: (0..8).map(target).collect(),
+            timeout_ms: 1000,
+        }],
+        weighing: Weighing::Latency,
+    }
+}
+
+fn at(millis: u64) -> HybridTime {
+    HybridTime { millis, count: 0 }
+}
+
+fn zone(name: &str) -> DrainScope {
+    DrainScope::Zone(name.into())
+}
+
+fn order(id: &str, scope: DrainScope) -> DrainOrder {
+    DrainOrder { by: format!("operator of {id}").into(), id: id.into(), scope }
+}
+
+fn take_back(scope: DrainScope) -> UndrainOrder {
+    UndrainOrder { by: "ana".into(), id: None, scope }
+}
+
+fn load(region: &str, busy: f64) -> Load {
+    Load { busy, region: region.into(), service: "intake".into() }
+}
+
+#[test]
+fn an_order_is_in_force_at_once_and_once() {
+    let mut drains = Drains::new("a".into());
+    let manifest = manifest(1, 1.0);
+    let first = drains.order(order("1", zone("e1")), at(10), &manifest, &[]).unwrap();
+    assert_eq!(drains.in_force(), [zone("e1")].into());
+    let again = drains.order(order("1", zone("e1")), at(20), &manifest, &[]).unwrap();
+    assert_eq!(again, first, "the answer was lost and the client sent the order again");
+    let rival = drains.order(order("2", zone("e1")), at(30), &manifest, &[]);
+    assert_matches!(rival, Err(DrainError::AlreadyDrained { .. }));
+    let unknown = drains.order(order("3", zone("e9")), at(40), &manifest, &[]);
+    assert_eq!(unknown, Err(DrainError::UnknownScope("zone")));
+    assert_eq!(drains.undrain(take_back(zone("e1")), at(50)).unwrap().len(), 1);
+    assert_eq!(drains.in_force(), [].into());
+    assert_eq!(drains.undrain(take_back(zone("e1")), at(60)), Err(DrainError::NotDrained));
+}
+
+#[test]
+fn drains_wait_for_room_and_say_why() {
+    for (scope, cap, loads, reason) in [
+        (zone("e1"), 0.2, vec![load("east", 5.0)], None),
+        (zone("e1"), 0.2, vec![load("east", 10.0)], Some("40 % of intake would have to leave")),
+        (zone("e1"), 0.5, vec![load("east", 10.0)], None),
+        (zone("e1"), 0.5, vec![load("east", 10.0), load("west", 8.0)], Some("4.0 slots outside")),
+        (DrainScope::Region("east".into()), 0.5, vec![], Some("100 % of intake")),
+        (DrainScope::Region("east".into()), 1.0, vec![], None),
+        (DrainScope::Target("t0".into()), 0.0, vec![load("east", 9.0)], None),
+        (DrainScope::Host("a".into()), 0.0, vec![load("east", 12.0)], None),
+    ] {
+        let mut drains = Drains::new("a".into());
+        let manifest = manifest(1, cap);
+        let record = drains.order(order("1", scope.clone()), at(1), &manifest, &loads).unwrap();
+        let why = drains.why_waits("1").cloned();
+        assert_eq!(record.started.is_none(), reason.is_some(), "{scope:?} {why:?}");
+        assert_eq!(why.is_some(), reason.is_some(), "{scope:?}");
+        let why = why.unwrap_or_default();
+        assert!(why.contains(reason.unwrap_or_default()), "{why}");
+    }
+}
+
+// A drain waits since the region is busy. Later there is room: the host that took the order starts
+// it, another one does not; if that host is gone, the first of the live ones does.
+#[test]
+fn a_waiting_drain_starts_by_one_host() {
+    let manifest = manifest(1, 0.2);
+    let busy = [load("east", 10.0)];
+    let mut taker = Drains::new("b".into());
+    taker.order(order("1", zone("e1")), at(1), &manifest, &busy).unwrap();
+    let live: Vec<HostId> = vec!["a".into(), "b".into()];
+    let mut other = Drains::new("a".into());
+    other.merge(&taker.records(), 2);
+    assert!(!taker.start_waiting(&manifest, &busy, &live, at(2)));
+    assert!(!other.start_waiting(&manifest, &[], &live, at(3)));
+    assert!(other.clone().start_waiting(&manifest, &[], &live[..1], at(3)), "the taker is gone");
+    assert!(taker.start_waiting(&manifest, &[], &live, at(3)));
+    assert_eq!(taker.in_force(), [zone("e1")].into());
+}
+
+// Hosts hear of orders and undrains in any order, twice, and by way of each other. All end up with
+// the same set, and nothing that was taken back comes back.
+#[test]
+fn sets_merge_free_of_conflict() {
+    let manifest = manifest(1, 1.0);
+    let mut east = Drains::new("a".into());
+    east.order(order("1", zone("e1")), at(10), &manifest, &[]).unwrap();
+    let before = east.records();
+    east.undrain(take_back(zone("e1")), at(20)).unwrap();
+    let mut west = Drains::new("b".into());
+    west.merge(&before, 30);
+    west.undrain(take_back(zone("e1")), at(25)).unwrap();
+    west.order(order("2", zone("w1")), at(30), &manifest, &[]).unwrap();
+    let mut heard: Vec<_> = [before, east.records(), west.records(), east.records()].concat();
+    let mut ends = Vec::new();
+    for seed in 0..50 {
+        heard.shuffle(&mut ChaCha8Rng::seed_from_u64(seed));
+        let mut drains = Drains::new("c".into());
+        for record in &heard {
+            drains.merge(std::slice::from_ref(record), 40);
+        }
+        assert_eq!(drains.in_force(), [zone("w1")].into());
+        ends.push(drains.records());
+    }
+    ends.dedup();
+    assert_eq!(ends.len(), 1);
+}
+
+// Two operators drain the same zone through two hosts that cannot reach each other. Both orders are
+// taken. When the platform settles them, the one written first stays, although the other was given
+// earlier; the other operator is told who came first.
+#[test]
+fn racing_operators_get_one_winner() {
+    let manifest = manifest(1, 1.0);
+    let mut first = Drains::new("a".into());
+    first.order(order("1", zone("e1")), at(20), &manifest, &[]).unwrap();
+    let mut second = Drains::new("b".into());
+    second.order(order("2", zone("e1")), at(10), &manifest, &[]).unwrap();
+    assert!(first.is_unsettled());
+    let held = combine(&[], &first.records(), 30);
+    first.settled(held.clone(), 30);
+    assert!(!first.is_unsettled());
+    let held = combine(&held, &second.records(), 30);
+    second.settled(held.clone(), 30);
+    first.merge(&held, 30);
+    for drains in [&first, &second] {
+        assert!(drains.get("1").unwrap().is_in_force());
+        let undone = drains.get("2").unwrap().undone.clone().unwrap();
+        assert_eq!(&*undone.by, "drain 1 of operator of 1, which came first");
+    }
+    assert_eq!(combine(&held, &first.records(), 30), held, "settled once");
+    let next_week = 7 * 24 * 3_600_000;
+    let held = combine(&held, &first.records(), next_week);
+    assert_eq!(held.len(), 1, "the one taken back is forgotten");
+    first.forget(next_week);
+    first.settled(held, next_week);
+    assert!(!first.is_unsettled());
+}
+
+// While the platform was away an operator drained a zone. Meanwhile the pipeline went on: an
+// unrelated manifest leaves the drain; one that lists the zone itself takes it over, so that the
+// next one that no longer does ends it; one without the zone ends it.
+#[test]
+fn a_newer_manifest_that_names_the_scope_decides() {
+    let mut drains = Drains::new("a".into());
+    drains.order(order("1", zone("e1")), at(1), &manifest(5, 1.0), &[]).unwrap();
+    assert!(!drains.clone().reconcile(&manifest(5, 1.0), at(2)));
+    assert!(!drains.clone().reconcile(&manifest(6, 1.0), at(2)));
+    let mut listed = manifest(6, 1.0);
+    listed.drains.push(zone("e1"));
+    let mut without = manifest(6, 1.0);
+    without.regions[0].zones.remove(0);
+    for newer in [listed, without] {
+        let mut drains = drains.clone();
+        assert!(drains.reconcile(&newer, at(2)));
+        assert_eq!(drains.in_force(), [].into());
+        assert_eq!(&*drains.get("1").unwrap().undone.as_ref().unwrap().by, "manifest 6");
+    }
+    let mut older = manifest(4, 1.0);
+    older.drains.push(zone("e1"));
+    assert!(!drains.reconcile(&older, at(2)), "an older manifest decides nothing");
+}
+
+#[test]
+fn progress_tells_start_end_and_time_taken() {
+    let mut drains = Drains::new("a".into());
+    drains.order(order("1", zone("e1")), at(1), &manifest(1, 1.0), &[]).unwrap();
+    let mut progress = Progress::default();
+    let secs = Duration::from_secs;
+    let mut observe = |in_flight, now| {
+        let events = progress.observe(drains.active().map(|record| (record, in_flight)), now);
+        (events, progress.of("1").unwrap().took())
+    };
+    let scope = zone("e1");
+    assert_eq!(observe(3, secs(5)), (vec![EventKind::DrainStarted { scope: scope.clone() }], None));
+    assert_eq!(observe(1, secs(6)), (vec![], None));
+    let ended = vec![EventKind::DrainEnded { scope }];
+    assert_eq!(observe(0, secs(8)), (ended, Some(secs(3))));
+    assert_eq!(observe(0, secs(9)), (vec![], Some(secs(3))));
+}
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -73,7 +73,17 @@
 
     async fn drain(&self, order: DrainOrder) -> Result<DrainRecord> {
         let DrainOrder { by, id, scope } = order;
-        Ok(DrainRecord { at: HybridTime::default(), by, id, scope, under: 1, undone: None })
+        Ok(DrainRecord {
+            at: HybridTime::default(),
+            by,
+            id,
+            scope,
+            settled: false,
+            started: None,
+            taken_by: "a".into(),
+            under: 1,
+            undone: None,
+        })
     }
 
     async fn undrain(&self, _: UndrainOrder) -> Result<Vec<DrainRecord>> {
