Gather the time line from running hosts; record running decisions for replay

The client asks every host page by page, merges the answers in causal order, names the hosts that don't answer and follows. A recorder takes down several hosts' decisions in one trace, with sealed and adopted ledgers.

--- a/src/cmd/timeline.rs
+++ b/src/cmd/timeline.rs
@@ -8,22 +8,31 @@
 
 use eyre::WrapErr;
 
-use super::{Exit, Result};
+use super::{Exit, Result, output};
 use crate::{
+    peer::PeerClient,
     prelude::*,
-    timeline::{Event, Filter, Format, merge, read_lines, write},
+    settings::{OPERATOR_TOKEN_VARIABLE, Secret},
+    timeline::{Event, EventKind, Filter, Format, Gatherer, merge, read_lines, write},
 };
 
 /// Gathers the events of hosts, or reads recorded ones, and shows them in causal order.
 #[derive(Debug, clap::Args)]
-#[command(after_help = "Example: lavenderplank timeline --file events.jsonl --kind refused")]
+#[command(after_help = "Example: lavenderplank timeline --member agency --host 10.2.0.1:9090 \
+                  --host 10.2.0.2:9090 --request r-17 --format html --out r-17.html")]
 pub struct Args {
     /// Read events that were written with `--format jsonl`.
-    #[arg(long, value_name = "FILE", required = true)]
+    #[arg(long, value_name = "FILE", required_unless_present = "host")]
     file: Vec<PathBuf>,
+    /// Go on with new events until interrupted.
+    #[arg(long, requires = "host")]
+    follow: bool,
     /// How to write them.
     #[arg(long, value_enum, default_value_t)]
     format: Format,
+    /// RPC addresses of the hosts to ask; the token comes from LAVENDERPLANK_OPERATOR_TOKEN.
+    #[arg(long, value_name = "ADDRESS", conflicts_with = "file", num_args = 1.., requires = "member")]
+    host: Vec<SocketAddr>,
     /// Write to this file instead of standard output.
     #[arg(long, value_name = "FILE")]
     out: Option<PathBuf>,
@@ -34,6 +43,9 @@
 /// Which events are wanted.
 #[derive(Debug, clap::Args)]
 struct Wanted {
+    /// Only events of the last so many seconds.
+    #[arg(long, value_name = "SECONDS")]
+    last: Option<u64>,
     /// Only this kind of event.
     #[arg(long, value_parser = kind)]
     kind: Option<Arc<str>>,
@@ -51,6 +63,7 @@
 impl Wanted {
     fn filter(&self) -> Filter {
         Filter {
+            from: self.last.map(crate::timeline::ago),
             kind: self.kind.clone(),
             member: self.member.clone(),
             request: self.request.clone(),
@@ -62,32 +75,73 @@
 
 /// Shows the events.
 pub fn run(args: Args) -> Result {
+    if args.follow && !args.format.is_streaming() {
+        output::complaint("error: --follow needs `--format text` or `--format jsonl`")?;
+        return Ok(Exit::BadInput);
+    }
+    if args.host.is_empty() {
+        return from_files(&args);
+    }
+    let token = std::env::var(OPERATOR_TOKEN_VARIABLE).unwrap_or_default();
+    if token.trim().is_empty() {
+        output::complaint(format!("error: set {OPERATOR_TOKEN_VARIABLE} to the operators' token"))?;
+        return Ok(Exit::BadInput);
+    }
+    let member = args.wanted.member.clone().unwrap_or_default();
+    let client = PeerClient::open(Secret::new(&token), member);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(from_hosts(&args, client))
+}
+
+fn from_files(args: &Args) -> Result {
     let filter = args.wanted.filter();
     let mut lists = Vec::new();
     for path in &args.file {
         match read(path) {
             Ok(events) => lists.push(events),
             Err(report) => {
-                eprintln!("error: {report:#}");
+                output::complaint(format!("error: {report:#}"))?;
                 return Ok(Exit::BadInput);
             }
         }
     }
     let mut events = merge(lists);
     events.retain(|event| filter.accepts(event));
-    let mut out = output(args.out.as_deref())?;
+    let mut out = open_output(args.out.as_deref())?;
     write(args.format, &events, &mut out)?;
     out.flush()?;
     Ok(Exit::Done)
 }
 
+/// Hosts that don't answer are named; the events of the others are shown all the same.
+async fn from_hosts(args: &Args, client: PeerClient) -> Result {
+    let mut out = open_output(args.out.as_deref())?;
+    let mut gatherer = Gatherer::new(&args.host, args.wanted.filter());
+    loop {
+        let gathered = gatherer.gather(&client).await;
+        for (host, error) in &gathered.silent {
+            output::complaint(format!("warning: {host} did not answer: {error}"))?;
+        }
+        write(args.format, &gathered.events, &mut out)?;
+        out.flush()?;
+        if !args.follow {
+            let silent = gathered.silent.len();
+            return Ok(if silent < args.host.len() { Exit::Done } else { Exit::Failed });
+        }
+        tokio::select! {
+            () = tokio::time::sleep(Gatherer::PAUSE) => {}
+            _ = tokio::signal::ctrl_c() => return Ok(Exit::Done),
+        }
+    }
+}
+
 fn read(path: &Path) -> Result<Vec<Event>> {
     let name = path.display();
     let file = File::open(path).wrap_err_with(|| format!("{name} can't be opened"))?;
     read_lines(BufReader::new(file)).wrap_err_with(|| format!("{name} can't be used"))
 }
 
-fn output(path: Option<&Path>) -> Result<Box<dyn Write>> {
+fn open_output(path: Option<&Path>) -> Result<Box<dyn Write>> {
     let Some(path) = path else {
         return Ok(Box::new(io::stdout().lock()));
     };
@@ -96,7 +150,6 @@
 }
 
 fn kind(text: &str) -> Result<Arc<str>, String> {
-    use crate::timeline::EventKind;
     if EventKind::NAMES.contains(&text) {
         return Ok(text.into());
     }
--- a/src/timeline/mod.rs
+++ b/src/timeline/mod.rs
@@ -2,6 +2,7 @@
 
 mod event;
 mod filter;
+mod gather;
 mod hybrid_clock;
 mod merge;
 mod recorder;
@@ -13,6 +14,7 @@
 pub use self::{
     event::{Event, EventKind, HybridTime},
     filter::{Filter, MAX_EVENTS},
+    gather::{Gathered, Gatherer, ago},
     hybrid_clock::{HybridClock, MAX_SKEW},
     merge::merge,
     recorder::{EventSink, LOOKUP_SAMPLING, NullSink, Recorder},
--- a/src/trace/mod.rs
+++ b/src/trace/mod.rs
@@ -11,6 +11,7 @@
 mod replay;
 pub mod scenario;
 mod steer_machine;
+mod steer_recorder;
 #[cfg(test)]
 mod tests;
 mod writer;
@@ -21,5 +22,6 @@
     record::{End, FORMAT, Header, Record, Start, Step, Trace, VERSION},
     replay::{Machine, Mismatch, Replayed, replay},
     steer_machine::{Input, Output, Setup, SteerMachine, SteerTrace},
+    steer_recorder::{SteerRecorder, SteerTrack},
     writer::Writer,
 };
--- a/src/trace/scenario/tests.rs
+++ b/src/trace/scenario/tests.rs
@@ -3,10 +3,14 @@
     sync::Mutex,
 };
 
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
 use super::*;
 use crate::{
     prelude::*,
-    trace::{Outcome, SteerMachine, Told, read, replay, untrue},
+    steer::{Event, Steer, SteerLimits},
+    trace::{Outcome, Setup, SteerMachine, SteerRecorder, Told, read, replay, untrue},
 };
 
 #[derive(Clone, Default)]
@@ -63,3 +67,36 @@
     trace.steps.last_mut().unwrap().actions.clear();
     assert!(untrue(&trace).iter().any(|untrue| untrue.stated == Outcome::AllAnswered));
 }
+
+// A running host is recorded step by step, stops as planned, and its neighbour takes the sealed
+// ledger over; the file must replay, or the demo's recordings prove nothing.
+#[test]
+fn a_recorded_host_with_a_hand_over_replays() {
+    let out = Shared::default();
+    let recorder = SteerRecorder::open(Box::new(out.clone()), "hand-over").unwrap();
+    let setup = |host: &str, incarnation| Setup {
+        host: host.into(),
+        incarnation,
+        limits: SteerLimits::default(),
+    };
+    let (stopping, successor) = (setup("a", 1), setup("b", 2));
+    let tracks = [recorder.track(1, &stopping), recorder.track(2, &successor)];
+    let mut stopping = Steer::new(stopping.host, stopping.incarnation, stopping.limits);
+    let mut successor = Steer::new(successor.host, successor.incarnation, successor.limits);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    for (millis, event) in [(5, Event::Tick), (9, Event::Leave)] {
+        let now = Moment::from_millis(millis);
+        let actions = stopping.on(event.clone(), now, &mut rng);
+        tracks[0].event(now, &event, &actions);
+    }
+    let now = Moment::from_millis(10);
+    let sealed = stopping.seal(now);
+    tracks[0].sealed(now, &sealed);
+    let adopted = successor.adopt(sealed.clone(), now);
+    tracks[1].adopted(now, &sealed, &adopted);
+    recorder.finish().unwrap();
+    assert!(recorder.finish().is_err());
+    let text = out.0.lock().unwrap().clone();
+    let trace: SteerTrace = read(&text[..]).unwrap();
+    assert_eq!(replay::<SteerMachine, _>(&trace).unwrap().steps, 4);
+}
