--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -3,13 +3,19 @@
 mod apply;
 mod check;
 mod completions;
+mod connect;
+mod drain;
 mod exit;
+mod explain;
 mod key;
 mod measure;
 mod output;
 mod replay;
+mod scope;
 mod sign;
+mod status;
 mod timeline;
+mod undrain;
 
 use clap::{Parser, Subcommand};
 
@@ -31,11 +37,15 @@
     Apply(apply::Args),
     Check(check::Args),
     Completions(completions::Args),
+    Drain(drain::Args),
+    Explain(explain::Args),
     Key(key::Args),
     Measure(measure::Args),
     Replay(replay::Args),
     Sign(sign::Args),
+    Status(status::Args),
     Timeline(timeline::Args),
+    Undrain(undrain::Args),
 }
 
 impl Cli {
@@ -45,11 +55,15 @@
             Command::Apply(args) => apply::run(args),
             Command::Check(args) => check::run(args),
             Command::Completions(args) => completions::run(args),
+            Command::Drain(args) => drain::run(args),
+            Command::Explain(args) => explain::run(args),
             Command::Key(args) => key::run(args),
             Command::Measure(args) => measure::run(args),
             Command::Replay(args) => replay::run(args),
             Command::Sign(args) => sign::run(args),
+            Command::Status(args) => status::run(args),
             Command::Timeline(args) => timeline::run(args),
+            Command::Undrain(args) => undrain::run(args),
         }
     }
 }
