--- a/src/steer/machine.rs
+++ b/src/steer/machine.rs
@@ -23,7 +23,7 @@
 };
 
 /// Bounds of the machine's state.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct SteerLimits {
     /// How long the slots of a former owner count as taken, unless a report frees them: the
     /// longest time that a request may run on a target.
@@ -240,12 +240,9 @@
             if owner != Some(&view.own.id) {
                 continue;
             }
-            let before = self.view.as_ref().map_or(&[][..], |old| &old.tenure.owners);
-            let provisional = owner_of(&target.name, before)
-                .is_some_and(|old| view.tenure.provisional.contains(old));
             owned.push(OwnedTarget {
                 inherited: !self.slots.owns(&target.name),
-                provisional,
+                provisional: view.tenure.is_provisional(&target.name),
                 slots: target.slots,
                 target: target.name.clone(),
             });
