--- a/tests/ledger_model.rs
+++ b/tests/ledger_model.rs
@@ -349,6 +349,6 @@
     }
     result.unwrap();
     let seen = seen.into_inner();
-    println!("{seen:?}");
+    eprintln!("{seen:?}");
     assert_eq!(seen.len(), 13, "a kind never came up: {seen:?}");
 }
