--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -3,9 +3,9 @@
 use std::{path::PathBuf, time::Instant};
 
 use ed25519_dalek::VerifyingKey;
-use eyre::{WrapErr, eyre};
+use eyre::eyre;
 
-use super::{Exit, Result, output};
+use super::{Exit, Result, connect, output};
 use crate::{
     base::BootClock,
     manifest::{
@@ -16,7 +16,6 @@
     peer::PeerClient,
     platform::{HttpPlatform, Limits, Platform},
     prelude::*,
-    settings::{OPERATOR_TOKEN_VARIABLE, Secret},
     yaml,
 };
 
@@ -48,10 +47,12 @@
     /// Return when it is in force in every zone.
     #[arg(long, requires = "host")]
     wait: bool,
-    /// RPC address of any host of the member, for `--wait`. The operators' token is taken from
-    /// LAVENDERPLANK_OPERATOR_TOKEN.
+    /// RPC address of any host of the member, for `--wait`.
     #[arg(long, value_name = "ADDR")]
     host: Option<SocketAddr>,
+    /// File with the operators' token for `--wait`, unless LAVENDERPLANK_OPERATOR_TOKEN has it.
+    #[arg(long, value_name = "FILE")]
+    token_file: Option<PathBuf>,
     /// How long `--wait` waits, in seconds.
     #[arg(long, value_name = "SECONDS", default_value_t = 30)]
     timeout: u64,
@@ -76,8 +77,7 @@
 
 /// Applies; failed if it is refused or not in force everywhere in time.
 pub fn run(args: Args) -> Result {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(apply(&args))
+    connect::block_on(apply(&args))
 }
 
 async fn apply(args: &Args) -> Result {
@@ -92,6 +92,10 @@
         Ok(manifest) => manifest,
         Err(reason) => return refuse(args, 0, reason.into()),
     };
+    if args.wait {
+        // Told now, not after the manifest was accepted.
+        connect::token(args.token_file.as_deref())?;
+    }
     let clock = Arc::new(BootClock);
     let platform = HttpPlatform::open_with(args.platform, Limits::OPERATOR, clock)?;
     let loads = Loads::all(args.load);
@@ -170,11 +174,9 @@
 
 /// Asks every host that `--host` knows which manifest it has in force, until all have this one.
 async fn wait(args: &Args, manifest: &Manifest) -> Result<InForce> {
-    let token = std::env::var(OPERATOR_TOKEN_VARIABLE).wrap_err_with(|| {
-        format!("--wait needs the operators' token in {OPERATOR_TOKEN_VARIABLE}")
-    })?;
     let first = args.host.ok_or_else(|| eyre!("--wait needs --host"))?;
-    let client = PeerClient::open(Secret::new(&token), manifest.member.clone());
+    let client =
+        PeerClient::open(connect::token(args.token_file.as_deref())?, manifest.member.clone());
     let begun = Instant::now();
     loop {
         let in_force = look(&client, first, manifest).await;
--- a/src/standin/platform/tests.rs
+++ b/src/standin/platform/tests.rs
@@ -3,7 +3,8 @@
 use super::*;
 use crate::{
     platform::{
-        Expect, HttpPlatform, Limits, Platform, PlatformError, Settled, new_operation, put_settled,
+        BreakerState, Expect, HttpPlatform, Limits, Platform, PlatformError, Settled,
+        new_operation, put_settled,
     },
     prelude::*,
 };
@@ -79,3 +80,37 @@
     let down = client.put("e", Expect::Absent, "x".into(), new_operation()).await;
     assert_matches!(down, Err(PlatformError::Unavailable { maybe_done: false, .. }));
 }
+
+#[tokio::test]
+async fn a_platform_that_hangs_and_stays_down_opens_the_breaker() {
+    // The platform takes a write and never answers: after the deadline nobody knows whether it
+    // took effect. It then stays down; after four failures calls end at once and no longer reach
+    // it, and the state is there for the operator. When it is back, a single call finds out.
+    let (standin, client) = standin().await;
+    standin.set_faults(Faults { outage: Outage::Hang, ..Faults::default() });
+    let put = client.put("m", Expect::Absent, "x".into(), new_operation()).await;
+    assert_matches!(put, Err(PlatformError::Unavailable { maybe_done: true, .. }));
+    standin.set_faults(Faults { outage: Outage::Refuse, ..Faults::default() });
+    while client.state().breaker == BreakerState::Closed {
+        assert!(client.delete("m", Expect::Absent, new_operation()).await.is_err());
+    }
+    let sent = standin.door().counts();
+    let held = client.get("m").await;
+    assert_matches!(held, Err(PlatformError::Unavailable { maybe_done: false, .. }));
+    assert!(standin.door().counts().reads <= sent.reads + 1, "a read and its repeats are held");
+    standin.set_faults(Faults::default());
+    let settled = put_settled(&client, "m", Expect::Absent, "x".into(), new_operation()).await;
+    assert_matches!(settled, Ok(Settled::Written(_)));
+    assert_eq!(client.state().breaker, BreakerState::Closed);
+}
+
+#[tokio::test]
+async fn the_host_list_shows_late() {
+    let standin = PlatformStandin::in_memory();
+    standin.set_faults(Faults { hosts_lag_ms: 50, ..Faults::default() });
+    let late = standin.door().put("hosts/m", Expect::Absent, "[]".into(), new_operation());
+    let reader = standin.open_door();
+    let (written, seen) = tokio::join!(late, reader.get("hosts/m"));
+    assert_eq!(seen, Ok(None));
+    assert!(written.is_ok());
+}
