--- a/src/cmd/connect.rs
+++ b/src/cmd/connect.rs
@@ -1,6 +1,6 @@
 //! Arguments of the subcommands that ask a host.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use eyre::{WrapErr, bail};
 
@@ -29,7 +29,7 @@
 impl Connect {
     /// A client with the operators' token.
     pub fn client(&self) -> Result<PeerClient> {
-        Ok(PeerClient::open(self.token()?, self.member.clone()))
+        Ok(PeerClient::open(operator_token(self.token_file.as_deref())?, self.member.clone()))
     }
 
     /// Asks the given hosts one after the other, until one answers.
@@ -47,16 +47,17 @@
         }
         last
     }
+}
 
-    fn token(&self) -> Result<Secret> {
-        let text = match (std::env::var(OPERATOR_TOKEN_VARIABLE), &self.token_file) {
-            (Ok(text), _) => text,
-            (Err(_), Some(path)) => std::fs::read_to_string(path)
-                .wrap_err_with(|| format!("{} can't be read", path.display()))?,
-            (Err(_), None) => bail!("set {OPERATOR_TOKEN_VARIABLE} or give --token-file"),
-        };
-        Ok(Secret::new(&text))
-    }
+/// The operators' token: from the environment, else from `file`.
+pub fn operator_token(file: Option<&Path>) -> Result<Secret> {
+    let text = match (std::env::var(OPERATOR_TOKEN_VARIABLE), file) {
+        (Ok(text), _) => text,
+        (Err(_), Some(path)) => std::fs::read_to_string(path)
+            .wrap_err_with(|| format!("{} can't be read", path.display()))?,
+        (Err(_), None) => bail!("set {OPERATOR_TOKEN_VARIABLE} or give --token-file"),
+    };
+    Ok(Secret::new(&text))
 }
 
 /// Runs a subcommand that waits for answers.
--- a/src/cmd/timeline.rs
+++ b/src/cmd/timeline.rs
@@ -8,18 +8,21 @@
 
 use eyre::WrapErr;
 
-use super::{Exit, Result, output};
+use super::{
+    Exit, Result,
+    connect::{block_on, operator_token},
+    output,
+};
 use crate::{
     peer::PeerClient,
     prelude::*,
-    settings::{OPERATOR_TOKEN_VARIABLE, Secret},
     timeline::{Event, EventKind, Filter, Format, Gatherer, merge, read_lines, write},
 };
 
 /// Gathers the events of hosts, or reads recorded ones, and shows them in causal order.
 #[derive(Debug, clap::Args)]
-#[command(after_help = "Example: lavenderplank timeline --member agency --host 10.2.0.1:9090 \
-                  --host 10.2.0.2:9090 --request r-17 --format html --out r-17.html")]
+#[command(after_help = "Example: lavenderplank timeline --member agency --host 10.2.0.1:7000 \
+                  --request r-17 --format html --out r-17.html")]
 pub struct Args {
     /// Read events that were written with `--format jsonl`.
     #[arg(long, value_name = "FILE", required_unless_present = "host")]
@@ -30,12 +33,19 @@
     /// How to write them.
     #[arg(long, value_enum, default_value_t)]
     format: Format,
-    /// RPC addresses of the hosts to ask; the token comes from LAVENDERPLANK_OPERATOR_TOKEN.
-    #[arg(long, value_name = "ADDRESS", conflicts_with = "file", num_args = 1.., requires = "member")]
+    /// RPC addresses of hosts; those that they know are asked too.
+    #[arg(long, value_name = "ADDR", conflicts_with = "file", requires = "member")]
+    #[arg(value_delimiter = ',')]
     host: Vec<SocketAddr>,
+    /// Ask only the given hosts.
+    #[arg(long, requires = "host")]
+    only: bool,
     /// Write to this file instead of standard output.
     #[arg(long, value_name = "FILE")]
     out: Option<PathBuf>,
+    /// File with the operators' token, unless LAVENDERPLANK_OPERATOR_TOKEN has it.
+    #[arg(long, value_name = "FILE")]
+    token_file: Option<PathBuf>,
     #[command(flatten)]
     wanted: Wanted,
 }
@@ -82,15 +92,16 @@
     if args.host.is_empty() {
         return from_files(&args);
     }
-    let token = std::env::var(OPERATOR_TOKEN_VARIABLE).unwrap_or_default();
-    if token.trim().is_empty() {
-        output::complaint(format!("error: set {OPERATOR_TOKEN_VARIABLE} to the operators' token"))?;
-        return Ok(Exit::BadInput);
-    }
+    let token = match operator_token(args.token_file.as_deref()) {
+        Ok(token) => token,
+        Err(report) => {
+            output::complaint(format!("error: {report:#}"))?;
+            return Ok(Exit::BadInput);
+        }
+    };
     let member = args.wanted.member.clone().unwrap_or_default();
-    let client = PeerClient::open(Secret::new(&token), member);
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(from_hosts(&args, client))
+    let client = PeerClient::open(token, member);
+    block_on(from_hosts(&args, client))
 }
 
 fn from_files(args: &Args) -> Result {
@@ -117,6 +128,9 @@
 async fn from_hosts(args: &Args, client: PeerClient) -> Result {
     let mut out = open_output(args.out.as_deref())?;
     let mut gatherer = Gatherer::new(&args.host, args.wanted.filter());
+    if !args.only {
+        gatherer.discover(&client).await;
+    }
     loop {
         let gathered = gatherer.gather(&client).await;
         for (host, error) in &gathered.silent {
@@ -125,8 +139,8 @@
         write(args.format, &gathered.events, &mut out)?;
         out.flush()?;
         if !args.follow {
-            let silent = gathered.silent.len();
-            return Ok(if silent < args.host.len() { Exit::Done } else { Exit::Failed });
+            let answered = gathered.silent.len() < gatherer.hosts();
+            return Ok(if answered { Exit::Done } else { Exit::Failed });
         }
         tokio::select! {
             () = tokio::time::sleep(Gatherer::PAUSE) => {}
--- a/src/timeline/gather.rs
+++ b/src/timeline/gather.rs
@@ -2,7 +2,7 @@
 
 use std::time::SystemTime;
 
-use futures::future::join_all;
+use futures::{StreamExt, stream};
 
 use super::{Event, Filter, HybridTime, merge};
 use crate::{
@@ -10,6 +10,9 @@
     prelude::*,
 };
 
+/// Hosts asked at the same time.
+const AT_A_TIME: usize = 64;
+
 /// Pages asked of one host in one round; a busy host can't hold the round up for ever.
 const MAX_PAGES: usize = 64;
 
@@ -44,15 +47,35 @@
         Self { filter, hosts }
     }
 
-    /// One round over all hosts at the same time.
+    /// Adds the hosts that the given ones know; those that don't answer add none.
+    pub async fn discover(&mut self, client: &PeerClient) {
+        let asked: Vec<SocketAddr> = self.hosts.iter().map(|host| host.address).collect();
+        for address in asked {
+            let Ok(status) = client.status(address).await else { continue };
+            for found in status.hosts {
+                if self.hosts.iter().all(|host| host.address != found.rpc) {
+                    self.hosts.push(Host { address: found.rpc, from: self.filter.from });
+                }
+            }
+        }
+    }
+
+    /// Number of hosts that are asked.
+    pub fn hosts(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// One round over all hosts.
     pub async fn gather(&mut self, client: &PeerClient) -> Gathered {
         let filter = &self.filter;
         let rounds = self.hosts.iter_mut().map(|host| host.pages(client, filter));
         let (mut lists, mut silent) = (Vec::new(), Vec::new());
-        for (address, events, error) in join_all(rounds).await {
+        let mut rounds = stream::iter(rounds).buffer_unordered(AT_A_TIME);
+        while let Some((address, events, error)) = rounds.next().await {
             lists.push(events);
             silent.extend(error.map(|error| (address, error)));
         }
+        silent.sort_by_key(|(address, _)| *address);
         Gathered { events: merge(lists), silent }
     }
 }
--- /dev/null
+++ b/tests/pages.rs
@@ -0,0 +1,97 @@
+//! The pages against the code that they describe.
+//!
+//! `UPDATE_PAGES=1 cargo test --test pages` writes the tables anew.
+
+use std::{
+    fmt::Write,
+    fs,
+    path::PathBuf,
+    sync::{Mutex, PoisonError},
+};
+
+use lavenderplank::{
+    base::ErrorKind,
+    metrics::{Metric, Shape},
+    timeline::EventKind,
+};
+
+/// Two tests must not write one page at the same time.
+static WRITING: Mutex<()> = Mutex::new(());
+
+fn page(name: &str) -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("docs").join(name)
+}
+
+fn kebab(kind: ErrorKind) -> String {
+    serde_json::to_value(kind).unwrap().as_str().unwrap().to_owned()
+}
+
+/// Holds the part between the markers against `table`, or writes it.
+fn check(file: &str, marker: &str, table: &str) {
+    let _guard = WRITING.lock().unwrap_or_else(PoisonError::into_inner);
+    let path = page(file);
+    let text = fs::read_to_string(&path).unwrap();
+    let (begin, end) = (format!("<!-- {marker}: begin -->\n"), format!("<!-- {marker}: end -->"));
+    let (head, rest) = text.split_once(&begin).unwrap_or_else(|| panic!("{file} lacks {begin}"));
+    let (found, tail) = rest.split_once(&end).unwrap_or_else(|| panic!("{file} lacks {end}"));
+    if std::env::var_os("UPDATE_PAGES").is_some() {
+        return fs::write(&path, format!("{head}{begin}{table}{end}{tail}")).unwrap();
+    }
+    assert_eq!(found, table, "{file}: run `UPDATE_PAGES=1 cargo test --test pages`");
+}
+
+#[test]
+fn every_refusal_stands_in_the_page() {
+    let mut table = String::from(
+        "\n| Kind | Status | Ran | Resend | Retry-After, s | Meaning |\n\
+         | --- | ---: | --- | --- | ---: | --- |\n",
+    );
+    for kind in ErrorKind::ALL {
+        let row = kind.row();
+        let after = row.retry_after.map_or("-".to_owned(), |after| after.as_secs().to_string());
+        let (status, ran, resend) = (row.status, row.ran, row.resend.as_str());
+        let name = kebab(kind);
+        writeln!(table, "| `{name}` | {status} | {ran} | {resend} | {after} | {kind} |").unwrap();
+    }
+    check("OPERATIONS.md", "refusals", &(table + "\n"));
+}
+
+#[test]
+fn every_metric_stands_in_the_page() {
+    let mut table = String::from("\n| Name | Shape | Meaning |\n| --- | --- | --- |\n");
+    for metric in Metric::ALL {
+        let shape = match metric.shape() {
+            Shape::Counter => "counter",
+            Shape::Gauge => "gauge",
+            Shape::Timing => "timing, ms",
+        };
+        writeln!(table, "| `{}` | {shape} | {} |", metric.name(), metric.doc()).unwrap();
+    }
+    check("OPERATIONS.md", "metrics", &(table + "\n"));
+}
+
+#[test]
+fn every_kind_of_event_stands_in_the_page() {
+    let names = EventKind::NAMES.map(|name| format!("`{name}`")).join(", ");
+    check("OPERATIONS.md", "events", &format!("\n{names}.\n\n"));
+}
+
+// An alarm that names a metric, an event or a refusal which no longer exists sends an operator
+// looking for a sign that never comes.
+#[test]
+fn alarms_name_what_exists() {
+    let text = fs::read_to_string(page("OPERATIONS.md")).unwrap();
+    let (_, rest) = text.split_once("## Alarms").unwrap();
+    let (alarms, _) = rest.split_once("\n## ").unwrap();
+    let known = |name: &str| {
+        Metric::ALL.iter().any(|metric| metric.name() == name)
+            || EventKind::NAMES.contains(&name)
+            || ErrorKind::ALL.iter().any(|kind| kebab(*kind) == name)
+    };
+    let signs = alarms.lines().filter_map(|line| line.split('|').nth(2));
+    let names = signs.flat_map(|sign| sign.split('`').skip(1).step_by(2));
+    let plain = ["done", "lost"];
+    for name in names.filter(|name| !plain.contains(name)) {
+        assert!(known(name), "the page names `{name}`");
+    }
+}
