--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -23,19 +23,20 @@
 }
 
 fn kebab(kind: ErrorKind) -> String {
-    serde_json::to_value(kind).unwrap().as_str().unwrap().to_owned()
+    serde_json::to_string(&kind).expect("a kind is text").trim_matches('"').to_owned()
 }
 
 /// Holds the part between the markers against `table`, or writes it.
 fn check(file: &str, marker: &str, table: &str) {
     let _guard = WRITING.lock().unwrap_or_else(PoisonError::into_inner);
     let path = page(file);
-    let text = fs::read_to_string(&path).unwrap();
+    let text = fs::read_to_string(&path).expect("the page is there");
     let (begin, end) = (format!("<!-- {marker}: begin -->\n"), format!("<!-- {marker}: end -->"));
     let (head, rest) = text.split_once(&begin).unwrap_or_else(|| panic!("{file} lacks {begin}"));
     let (found, tail) = rest.split_once(&end).unwrap_or_else(|| panic!("{file} lacks {end}"));
     if std::env::var_os("UPDATE_PAGES").is_some() {
-        return fs::write(&path, format!("{head}{begin}{table}{end}{tail}")).unwrap();
+        let text = format!("{head}{begin}{table}{end}{tail}");
+        return fs::write(&path, text).expect("the page can be written");
     }
     assert_eq!(found, table, "{file}: run `UPDATE_PAGES=1 cargo test --test pages`");
 }
