--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -94,7 +94,7 @@
     };
     if args.wait {
         // Told now, not after the manifest was accepted.
-        connect::token(args.token_file.as_deref())?;
+        connect::operator_token(args.token_file.as_deref())?;
     }
     let clock = Arc::new(BootClock);
     let platform = HttpPlatform::open_with(args.platform, Limits::OPERATOR, clock)?;
@@ -175,8 +175,10 @@
 /// Asks every host that `--host` knows which manifest it has in force, until all have this one.
 async fn wait(args: &Args, manifest: &Manifest) -> Result<InForce> {
     let first = args.host.ok_or_else(|| eyre!("--wait needs --host"))?;
-    let client =
-        PeerClient::open(connect::token(args.token_file.as_deref())?, manifest.member.clone());
+    let client = PeerClient::open(
+        connect::operator_token(args.token_file.as_deref())?,
+        manifest.member.clone(),
+    );
     let begun = Instant::now();
     loop {
         let in_force = look(&client, first, manifest).await;
--- a/src/cmd/connect.rs
+++ b/src/cmd/connect.rs
@@ -29,7 +29,7 @@
 impl Connect {
     /// A client with the operators' token.
     pub fn client(&self) -> Result<PeerClient> {
-        Ok(PeerClient::open(token(self.token_file.as_deref())?, self.member.clone()))
+        Ok(PeerClient::open(operator_token(self.token_file.as_deref())?, self.member.clone()))
     }
 
     /// Asks the given hosts one after the other, until one answers.
@@ -50,7 +50,7 @@
 }
 
 /// The operators' token: from the environment, else from `file`.
-pub fn token(file: Option<&Path>) -> Result<Secret> {
+pub fn operator_token(file: Option<&Path>) -> Result<Secret> {
     let text = match (std::env::var(OPERATOR_TOKEN_VARIABLE), file) {
         (Ok(text), _) => text,
         (Err(_), Some(path)) => std::fs::read_to_string(path)
