--- /dev/null
+++ b/src/daemon/control/actor.rs
@@ -0,0 +1,142 @@
+//! The actor's state and its start.
+
+use rand_chacha::ChaCha8Rng;
+use xtra::{Actor, Address, Mailbox, WeakAddress};
+
+use super::messages::{PlatformHeard, Tick};
+use crate::{
+    daemon::{PeerLink, traffic::Traffic},
+    drain::{DrainId, DrainRecord},
+    ledger::SealedPart,
+    manifest::Store,
+    membership::{BaselineNote, Membership, MembershipEvent},
+    platform::Platform,
+    prelude::*,
+    timeline::{EventKind, EventSink, Recorder},
+    view::View,
+};
+
+/// Messages that may wait for the actor; past it senders wait.
+const MAILBOX: usize = 1024;
+
+/// What the control side is built from.
+pub struct ControlParts {
+    pub clock: Arc<dyn Clock>,
+    pub link: Arc<dyn PeerLink>,
+    pub member: MemberId,
+    pub membership: Membership,
+    pub platform: Arc<dyn Platform>,
+    pub recorder: Arc<Recorder>,
+    pub rng: ChaCha8Rng,
+    /// RPC addresses to start from.
+    pub seeds: Vec<SocketAddr>,
+    pub store: Store,
+    pub traffic: Arc<Traffic>,
+}
+
+/// The control state of one host.
+pub struct Control {
+    pub(super) baselines: BTreeMap<BaselineKey, BaselineNote>,
+    pub(super) drains: BTreeMap<DrainId, DrainRecord>,
+    /// Parts of sealed ledgers that are still incomplete, by the digest of the whole.
+    pub(super) handovers: BTreeMap<String, Vec<SealedPart>>,
+    pub(super) parts: ControlParts,
+    pub(super) platform_at: Option<Moment>,
+    /// Highest sequence that a pull is under way for.
+    pub(super) pulling: Option<Sequence>,
+    pub(super) shown: Option<Arc<View>>,
+}
+
+/// Which traffic a baseline is of.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct BaselineKey {
+    pub home: RegionId,
+    pub service: ServiceId,
+}
+
+impl Control {
+    /// Starts the actor on the current runtime.
+    pub fn spawn(parts: ControlParts) -> Address<Self> {
+        let control = Self {
+            baselines: BTreeMap::new(),
+            drains: BTreeMap::new(),
+            handovers: BTreeMap::new(),
+            parts,
+            platform_at: None,
+            pulling: None,
+            shown: None,
+        };
+        xtra::spawn_tokio(control, Mailbox::bounded(MAILBOX))
+    }
+
+    pub(super) fn now(&self) -> Moment {
+        self.parts.clock.now()
+    }
+
+    pub(super) fn note(&self, kind: EventKind) {
+        self.parts.recorder.record(None, kind);
+    }
+
+    /// Puts what happened among the hosts on the time line.
+    pub(super) fn note_members(&mut self, events: Vec<MembershipEvent>) {
+        for event in events {
+            let kind = match event {
+                MembershipEvent::Joined(host) => EventKind::HostJoined { host: host.id },
+                MembershipEvent::Left(host) => EventKind::HostLeft { host: host.id },
+                MembershipEvent::Returned(host) => EventKind::HostJoined { host },
+                MembershipEvent::Superseded => {
+                    let host = self.parts.membership.own().id.clone();
+                    log::error!("another process runs as host {host}: this one takes no more work");
+                    EventKind::HostLeft { host }
+                }
+                MembershipEvent::Suspected(host) => EventKind::HostSuspected { host },
+            };
+            self.note(kind);
+        }
+    }
+
+    /// Runs a call beside the actor and sends it what came of it.
+    pub(super) fn beside<M>(
+        me: WeakAddress<Self>,
+        call: impl Future<Output = Option<M>> + Send + 'static,
+    ) where
+        Self: xtra::Handler<M>,
+        M: Send + 'static,
+    {
+        tokio::spawn(async move {
+            let Some(message) = call.await else { return };
+            // A failed send means that the host is stopping.
+            let _ = me.send(message).await;
+        });
+    }
+}
+
+impl Actor for Control {
+    type Stop = ();
+
+    async fn stopped(self) {}
+}
+
+impl xtra::Handler<Tick> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, _tick: Tick, cx: &mut xtra::Context<Self>) {
+        let now = self.now();
+        let events = self.parts.membership.tick(now);
+        self.note_members(events);
+        self.tell_notes();
+        self.exchange(cx.mailbox().address());
+        self.take_heard(cx.mailbox().address());
+        self.publish();
+    }
+}
+
+impl xtra::Handler<PlatformHeard> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, heard: PlatformHeard, _cx: &mut xtra::Context<Self>) {
+        if heard.answered {
+            self.platform_at = Some(self.now());
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/control/exchange.rs
@@ -0,0 +1,148 @@
+//! Exchanges with peers: who is alive, and what travels along.
+
+use xtra::WeakAddress;
+
+use super::{
+    actor::{BaselineKey, Control},
+    messages::{Exchanged, Leave, Merged},
+};
+use crate::{
+    membership::{BaselineNote, Digest, Notes},
+    prelude::*,
+    steer::Event,
+    timeline::EventKind,
+};
+
+impl Control {
+    /// Begins this second's exchanges. A host that knows nobody asks the addresses of its settings.
+    pub(super) fn exchange(&mut self, me: WeakAddress<Self>) {
+        let now = self.now();
+        let partners = self.parts.membership.partners(now, &mut self.parts.rng);
+        if partners.is_empty() || self.parts.membership.hosts(now).len() == 1 {
+            let digest = self.parts.membership.digest(now);
+            for seed in self.parts.seeds.clone() {
+                self.ask(me.clone(), None, seed, digest.clone());
+            }
+        }
+        for partner in partners {
+            let digest = self.parts.membership.digest_for(&partner, now);
+            self.ask(me.clone(), Some(partner.id), partner.rpc, digest);
+        }
+    }
+
+    fn ask(&self, me: WeakAddress<Self>, host: Option<HostId>, to: SocketAddr, digest: Digest) {
+        let link = self.parts.link.clone();
+        let sent = self.now();
+        Self::beside(me, async move {
+            let answer = link.exchange(to, &digest).await;
+            Some(Merged { answer, host, sent })
+        });
+    }
+
+    /// Sets what this host's digests tell the others.
+    pub(super) fn tell_notes(&mut self) {
+        let traffic = self.parts.traffic.clone();
+        let (marks, rates, binding, adopted) = traffic.with_steer(|steer, now| {
+            (steer.marks(now), steer.baselines(now), steer.binding(), steer.adopted())
+        });
+        let at = wall_millis();
+        for baseline in rates {
+            let key =
+                BaselineKey { home: baseline.home.clone(), service: baseline.service.clone() };
+            self.baselines.insert(key, BaselineNote { at, baseline });
+        }
+        let membership = &mut self.parts.membership;
+        if membership.own().generation != binding.generation {
+            membership.set_generation(binding.generation);
+        }
+        if membership.own().adopted != adopted {
+            membership.set_adopted(adopted);
+        }
+        membership.set_notes(Notes {
+            baselines: self.baselines.values().cloned().collect(),
+            drains: self.drains.values().cloned().collect(),
+            marks,
+            sequence: self.parts.store.sequence().unwrap_or_default(),
+        });
+    }
+
+    /// Gives what came along with exchanges to those it is for.
+    pub(super) fn take_heard(&mut self, me: WeakAddress<Self>) {
+        let heard = self.parts.membership.take_heard();
+        for note in heard.baselines {
+            self.take_baseline(note);
+        }
+        for record in heard.drains {
+            self.take_drain(record);
+        }
+        if !heard.marks.is_empty() {
+            self.parts.traffic.feed(Event::Marked { marks: heard.marks });
+        }
+        if let Some((sequence, holder)) = heard.manifest {
+            self.pull_manifest(me, sequence, holder);
+        }
+    }
+
+    fn take_baseline(&mut self, note: BaselineNote) {
+        let home = note.baseline.home.clone();
+        let key = BaselineKey { home, service: note.baseline.service.clone() };
+        let newer = self.baselines.get(&key).is_none_or(|held| held.at < note.at);
+        if newer {
+            self.baselines.insert(key, note);
+        }
+    }
+}
+
+impl xtra::Handler<Exchanged> for Control {
+    type Return = Digest;
+
+    async fn handle(&mut self, asked: Exchanged, cx: &mut xtra::Context<Self>) -> Digest {
+        let now = self.now();
+        let answer = self.parts.membership.receive(&asked.0, now);
+        self.take_heard(cx.mailbox().address());
+        self.publish();
+        answer
+    }
+}
+
+impl xtra::Handler<Merged> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, merged: Merged, cx: &mut xtra::Context<Self>) {
+        let now = self.now();
+        let Ok(digest) = merged.answer else { return };
+        let events = self.parts.membership.merge(digest, now);
+        self.note_members(events);
+        self.take_heard(cx.mailbox().address());
+        self.publish();
+    }
+}
+
+impl xtra::Handler<Leave> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, _leave: Leave, cx: &mut xtra::Context<Self>) {
+        self.parts.membership.leave();
+        self.parts.traffic.feed(Event::Leave);
+        self.note(EventKind::HostLeft { host: self.parts.membership.own().id.clone() });
+        // Told to the whole zone and one host of each other zone now: with the next heartbeats
+        // alone, callers would be sent here for another second or two.
+        let now = self.now();
+        let own = self.parts.membership.own().clone();
+        let mut zones = std::collections::BTreeSet::new();
+        for host in self.parts.membership.hosts(now) {
+            let first = zones.insert(host.zone.clone());
+            if host.id != own.id && (host.zone == own.zone || first) {
+                let digest = self.parts.membership.digest_for(&host, now);
+                self.ask(cx.mailbox().address(), Some(host.id), host.rpc, digest);
+            }
+        }
+        self.publish();
+    }
+}
+
+/// Wall-clock time in milliseconds; compared between hosts only to find the newer of two notes.
+pub(super) fn wall_millis() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/daemon/control/handler.rs
@@ -0,0 +1,84 @@
+//! Calls from peers and operators, handed to the actor.
+
+use async_trait::async_trait;
+use xtra::Address;
+
+use super::{
+    actor::Control,
+    messages::{
+        AskExplain, AskManifest, AskPart, AskStatus, Exchanged, OrderDrain, OrderUndrain,
+        TakeHandover,
+    },
+};
+use crate::{
+    drain::DrainRecord,
+    membership::Digest,
+    operator::{Explanation, HostStatus},
+    peer::{
+        DrainOrder, ExplainRequest, HandoverAck, HandoverChunk, ManifestReply, PartReply,
+        PartRequest, PeerError, PeerHandler, Result, UndrainOrder,
+    },
+    prelude::*,
+    timeline::{Event, Filter, Recorder},
+};
+
+/// Answers the RPC server's calls from the control actor and the time line.
+pub struct ControlHandler {
+    control: Address<Control>,
+    recorder: Arc<Recorder>,
+}
+
+impl ControlHandler {
+    /// A handler for the server of one host.
+    pub fn new(control: Address<Control>, recorder: Arc<Recorder>) -> Self {
+        Self { control, recorder }
+    }
+
+    async fn ask<M>(&self, message: M) -> Result<<Control as xtra::Handler<M>>::Return>
+    where
+        Control: xtra::Handler<M>,
+        M: Send + 'static,
+    {
+        let stopping = |_| PeerError::Unavailable("the host is stopping".into());
+        self.control.send(message).await.map_err(stopping)
+    }
+}
+
+#[async_trait]
+impl PeerHandler for ControlHandler {
+    async fn exchange(&self, digest: Digest) -> Result<Digest> {
+        self.ask(Exchanged(digest)).await
+    }
+
+    async fn manifest(&self) -> Result<ManifestReply> {
+        self.ask(AskManifest).await
+    }
+
+    async fn part(&self, request: PartRequest) -> Result<PartReply> {
+        self.ask(AskPart(request.id)).await
+    }
+
+    async fn handover(&self, chunk: HandoverChunk) -> Result<HandoverAck> {
+        self.ask(TakeHandover(chunk)).await?
+    }
+
+    async fn events(&self, filter: Filter) -> Result<Vec<Event>> {
+        Ok(self.recorder.events(&filter))
+    }
+
+    async fn status(&self) -> Result<HostStatus> {
+        self.ask(AskStatus).await?
+    }
+
+    async fn explain(&self, request: ExplainRequest) -> Result<Explanation> {
+        self.ask(AskExplain(request)).await?
+    }
+
+    async fn drain(&self, order: DrainOrder) -> Result<DrainRecord> {
+        self.ask(OrderDrain(order)).await?
+    }
+
+    async fn undrain(&self, order: UndrainOrder) -> Result<Vec<DrainRecord>> {
+        self.ask(OrderUndrain(order)).await?
+    }
+}
--- /dev/null
+++ b/src/daemon/control/handover.rs
@@ -0,0 +1,59 @@
+//! Takes over the sealed ledger of a host of this zone that stops.
+
+use super::{
+    actor::Control,
+    messages::{AskSuccessors, HandoverAnswer, TakeHandover},
+};
+use crate::{
+    ledger::{SealedLedger, SealedPart},
+    peer::{HandoverAck, PeerError},
+    prelude::*,
+    view::HostView,
+};
+
+/// Ledgers that may arrive at the same time.
+const MAX_HANDOVERS: usize = 8;
+
+impl Control {
+    fn take_part(&mut self, part: SealedPart) -> HandoverAnswer {
+        let (digest, index, of) = (part.digest.clone(), part.index, part.of);
+        if !self.handovers.contains_key(&digest) && MAX_HANDOVERS <= self.handovers.len() {
+            self.handovers.pop_first();
+        }
+        let parts = self.handovers.entry(digest.clone()).or_default();
+        parts.retain(|held| held.index != index);
+        parts.push(part);
+        if parts.len() < usize::try_from(of).unwrap_or(usize::MAX) {
+            return Ok(HandoverAck { complete: false, index });
+        }
+        let parts = self.handovers.remove(&digest).unwrap_or_default();
+        let unavailable = |error: crate::ledger::Error| PeerError::Unavailable(error.to_string());
+        let sealed = SealedLedger::join(parts).map_err(unavailable)?;
+        let adopted = self.parts.traffic.with_steer(|steer, now| steer.adopt(sealed, now));
+        adopted.map_err(unavailable)?;
+        self.tell_notes();
+        self.publish();
+        Ok(HandoverAck { complete: true, index })
+    }
+}
+
+impl xtra::Handler<TakeHandover> for Control {
+    type Return = HandoverAnswer;
+
+    async fn handle(&mut self, take: TakeHandover, _cx: &mut xtra::Context<Self>) -> HandoverAnswer {
+        self.take_part(take.0.part)
+    }
+}
+
+impl xtra::Handler<AskSuccessors> for Control {
+    type Return = Vec<HostView>;
+
+    async fn handle(&mut self, _ask: AskSuccessors, _cx: &mut xtra::Context<Self>) -> Vec<HostView> {
+        let own = self.parts.membership.own().clone();
+        let hosts = self.parts.membership.hosts(self.now());
+        let able = hosts.into_iter().filter(|host| host.id != own.id && !host.leaving);
+        let mut able: Vec<HostView> = able.collect();
+        able.sort_by_key(|host| (host.zone != own.zone, host.region != own.region));
+        able
+    }
+}
--- /dev/null
+++ b/src/daemon/control/manifest.rs
@@ -0,0 +1,240 @@
+//! Manifests arrive from the platform or from peers, and only ever move up.
+
+use std::{
+    collections::BTreeSet,
+    sync::atomic::{AtomicBool, Ordering},
+};
+
+use xtra::{Address, WeakAddress};
+
+use super::{
+    actor::Control,
+    messages::{AskManifest, AskPart, IsRelay, Offered, PlatformHeard, Source},
+};
+use crate::{
+    lookup::owner_of,
+    manifest::{Head, Offer, Part, SignedManifest, fetch_parts},
+    peer::{ManifestReply, PartReply, PartRequest},
+    platform::{Platform, PlatformError, Version},
+    prelude::*,
+    timeline::EventKind,
+};
+
+/// Hosts of a zone that watch the platform; the others learn from them.
+const RELAYS: usize = 2;
+
+/// How long one watch waits for a change.
+const WATCH: Duration = Duration::from_secs(20);
+
+/// Pause of a host that is no relay, and after a failed call.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// How often a host that watches nothing reads the platform for itself, in pauses: peers may know
+/// of nothing newer because they are cut off together with it.
+const READ_EVERY: u32 = 20;
+
+impl Control {
+    /// Fetches the manifest that a peer holds.
+    pub(super) fn pull_manifest(
+        &mut self,
+        me: WeakAddress<Self>,
+        sequence: Sequence,
+        holder: SocketAddr,
+    ) {
+        if self.parts.store.sequence() >= Some(sequence) || self.pulling >= Some(sequence) {
+            return;
+        }
+        self.pulling = Some(sequence);
+        let link = self.parts.link.clone();
+        Self::beside(me.clone(), async move {
+            let reply = link.manifest(holder).await.unwrap_or_default();
+            if reply.signed.is_none() {
+                let _ = me.send(PullEnded).await;
+            }
+            let signed = reply.signed?;
+            Some(Offered { from: Source::Peer(holder), parts: Vec::new(), signed })
+        });
+    }
+
+    fn fetch_parts_for(
+        &self,
+        me: WeakAddress<Self>,
+        ids: Vec<crate::manifest::PartId>,
+        from: Source,
+        signed: SignedManifest,
+    ) {
+        let (link, platform) = (self.parts.link.clone(), self.parts.platform.clone());
+        let member = self.parts.member.clone();
+        Self::beside(me, async move {
+            let mut parts: Vec<Part> = Vec::new();
+            match from {
+                Source::Peer(holder) => {
+                    for id in ids {
+                        let reply = link.part(holder, &PartRequest { id }).await.ok()?;
+                        parts.extend(reply.part);
+                    }
+                }
+                Source::Platform => {
+                    parts = fetch_parts(&*platform, &member, &ids).await.ok()?;
+                }
+            }
+            (!parts.is_empty()).then_some(Offered { from, parts, signed })
+        });
+    }
+
+    /// Whether this host is one of those that watch the platform for its zone.
+    fn is_relay(&self) -> bool {
+        let own = self.parts.membership.own();
+        let hosts = self.parts.membership.hosts(self.now());
+        let near = hosts.iter().filter(|host| host.zone == own.zone && !host.leaving);
+        let mut left: BTreeSet<HostId> = near.map(|host| host.id.clone()).collect();
+        for _ in 0..RELAYS {
+            let ids: Vec<HostId> = left.iter().cloned().collect();
+            let Some(relay) = owner_of(&own.zone, &ids) else { return true };
+            if *relay == own.id {
+                return true;
+            }
+            left.remove(relay);
+        }
+        false
+    }
+}
+
+/// A pull brought nothing; the next exchange may start another.
+#[derive(Clone, Copy, Debug)]
+pub struct PullEnded;
+
+impl xtra::Handler<PullEnded> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, _ended: PullEnded, _cx: &mut xtra::Context<Self>) {
+        self.pulling = None;
+    }
+}
+
+impl xtra::Handler<Offered> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, offered: Offered, cx: &mut xtra::Context<Self>) {
+        self.pulling = None;
+        for part in offered.parts {
+            self.parts.store.add_part(part);
+        }
+        match self.parts.store.offer(offered.signed.clone()) {
+            Offer::Missing(ids) => {
+                self.fetch_parts_for(cx.mailbox().address(), ids, offered.from, offered.signed);
+            }
+            Offer::Newer(manifest) => {
+                log::info!("manifest {} is in force", manifest.sequence);
+                self.tell_notes();
+                self.publish();
+            }
+            Offer::Older | Offer::Same => {}
+            Offer::Refused(reason) => {
+                log::warn!("manifest refused: {reason}");
+                let sequence = self.parts.store.sequence().unwrap_or_default();
+                let reason = reason.to_string().into();
+                self.note(EventKind::ManifestRefused { reason, sequence });
+            }
+        }
+    }
+}
+
+impl xtra::Handler<AskManifest> for Control {
+    type Return = ManifestReply;
+
+    async fn handle(&mut self, _ask: AskManifest, _cx: &mut xtra::Context<Self>) -> ManifestReply {
+        let current = self.parts.store.current();
+        ManifestReply { signed: current.map(|(_, signed)| (*signed).clone()) }
+    }
+}
+
+impl xtra::Handler<AskPart> for Control {
+    type Return = PartReply;
+
+    async fn handle(&mut self, ask: AskPart, _cx: &mut xtra::Context<Self>) -> PartReply {
+        PartReply { part: self.parts.store.part(&ask.0).cloned() }
+    }
+}
+
+impl xtra::Handler<IsRelay> for Control {
+    type Return = bool;
+
+    async fn handle(&mut self, _ask: IsRelay, _cx: &mut xtra::Context<Self>) -> bool {
+        self.is_relay()
+    }
+}
+
+/// Reads the platform once, then watches it while this host is a relay, until `stop` is set.
+pub async fn follow_platform(
+    control: Address<Control>,
+    platform: Arc<dyn Platform>,
+    member: MemberId,
+    stop: Arc<AtomicBool>,
+) {
+    let key = Head::key(&member);
+    let mut version: Option<Version> = None;
+    let mut idle = 0;
+    while !stop.load(Ordering::Relaxed) {
+        let relay = control.send(IsRelay).await.unwrap_or_default();
+        if version.is_some() && !relay && idle < READ_EVERY {
+            idle += 1;
+            tokio::time::sleep(PAUSE).await;
+            continue;
+        }
+        idle = 0;
+        let heard = match version.filter(|_| relay) {
+            None => read(&control, &*platform, &key).await,
+            Some(from) => watch(&control, &*platform, &key, from).await,
+        };
+        let answered = heard.is_ok();
+        if control.send(PlatformHeard { answered }).await.is_err() {
+            return;
+        }
+        match heard {
+            Ok(seen) => version = Some(seen),
+            Err(PlatformError::TooOld { .. }) => version = None,
+            Err(error) => {
+                log::warn!("platform: {error}");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn read(
+    control: &Address<Control>,
+    platform: &dyn Platform,
+    key: &str,
+) -> crate::platform::Result<Version> {
+    let listing = platform.list(key).await?;
+    for entry in listing.entries.iter().filter(|entry| entry.key == key) {
+        offer(control, &entry.object.value).await;
+    }
+    Ok(listing.version)
+}
+
+async fn watch(
+    control: &Address<Control>,
+    platform: &dyn Platform,
+    key: &str,
+    from: Version,
+) -> crate::platform::Result<Version> {
+    let changes = platform.watch(key, from, WATCH).await?;
+    for change in changes.changes.iter().filter(|change| change.key == key) {
+        if let Some(object) = &change.object {
+            offer(control, &object.value).await;
+        }
+    }
+    Ok(changes.version)
+}
+
+async fn offer(control: &Address<Control>, value: &[u8]) {
+    let Some(head) = Head::decode(value) else {
+        log::warn!("the member's object on the platform is no manifest");
+        return;
+    };
+    let offered = Offered { from: Source::Platform, parts: Vec::new(), signed: head.signed };
+    // A failed send means that the host is stopping.
+    let _ = control.send(offered).await;
+}
