--- a/src/base/error_kind.rs
+++ b/src/base/error_kind.rs
@@ -100,6 +100,8 @@
     OtherMember,
     #[error("the host of this binding is gone; check before booking again")]
     OwnerGone,
+    #[error("the host of this binding was not reached; send it again with the same binding")]
+    OwnerUnreachable,
     #[error("this request crashed targets and is refused for a time")]
     Quarantined,
     #[error("no such service in the member's manifest")]
@@ -112,7 +114,7 @@
 
 impl ErrorKind {
     /// Every kind, for tests and for the operators' reference.
-    pub const ALL: [ErrorKind; 25] = [
+    pub const ALL: [ErrorKind; 26] = [
         ErrorKind::AnswerBroken,
         ErrorKind::AnswerNotKept,
         ErrorKind::BadRequest,
@@ -134,6 +136,7 @@
         ErrorKind::NoTarget,
         ErrorKind::OtherMember,
         ErrorKind::OwnerGone,
+        ErrorKind::OwnerUnreachable,
         ErrorKind::Quarantined,
         ErrorKind::ServiceUnknown,
         ErrorKind::Shed,
@@ -167,6 +170,7 @@
             NoTarget => row(503, No, Same, Some(1)),
             OtherMember => row(403, No, Never, None),
             OwnerGone => row(502, Unknown, Never, None),
+            OwnerUnreachable => row(503, Unknown, Same, Some(1)),
             Quarantined => row(403, No, Never, Some(60)),
             ServiceUnknown => row(404, No, Never, None),
             Shed => row(503, No, Same, Some(1)),
--- a/src/daemon/control/exchange.rs
+++ b/src/daemon/control/exchange.rs
@@ -55,9 +55,7 @@
         if membership.own().generation != binding.generation {
             membership.set_generation(binding.generation);
         }
-        if membership.own().adopted != adopted {
-            membership.set_adopted(adopted);
-        }
+        membership.set_adopted(adopted);
         membership.set_notes(Notes {
             baselines: self.baselines.values().cloned().collect(),
             drains: self.drains.values().cloned().collect(),
--- a/src/daemon/control/handler.rs
+++ b/src/daemon/control/handler.rs
@@ -1,5 +1,7 @@
 //! Calls from peers and operators, handed to the actor.
 
+use std::sync::OnceLock;
+
 use async_trait::async_trait;
 use xtra::Address;
 
@@ -22,16 +24,27 @@
     timeline::{Event, Filter, Recorder},
 };
 
-/// Answers the RPC server's calls from the control actor and the time line.
+/// Answers the RPC server's calls from the control actor and the time line. The server has to be
+/// bound before the actor, which tells its address to the peers; until then calls are put off.
+#[derive(Default)]
 pub struct ControlHandler {
+    parts: OnceLock<Parts>,
+}
+
+struct Parts {
     control: Address<Control>,
     recorder: Arc<Recorder>,
 }
 
 impl ControlHandler {
-    /// A handler for the server of one host.
-    pub fn new(control: Address<Control>, recorder: Arc<Recorder>) -> Self {
-        Self { control, recorder }
+    /// From now on calls are answered.
+    pub fn connect(&self, control: Address<Control>, recorder: Arc<Recorder>) {
+        // A second call would find the same actor: there is one for a server.
+        let _ = self.parts.set(Parts { control, recorder });
+    }
+
+    fn parts(&self) -> Result<&Parts> {
+        self.parts.get().ok_or_else(|| PeerError::Unavailable("the host is starting".into()))
     }
 
     async fn ask<M>(&self, message: M) -> Result<<Control as xtra::Handler<M>>::Return>
@@ -40,7 +53,7 @@
         M: Send + 'static,
     {
         let stopping = |_| PeerError::Unavailable("the host is stopping".into());
-        self.control.send(message).await.map_err(stopping)
+        self.parts()?.control.send(message).await.map_err(stopping)
     }
 }
 
@@ -63,7 +76,7 @@
     }
 
     async fn events(&self, filter: Filter) -> Result<Vec<Event>> {
-        Ok(self.recorder.events(&filter))
+        Ok(self.parts()?.recorder.events(&filter))
     }
 
     async fn status(&self) -> Result<HostStatus> {
--- a/src/daemon/control/handover.rs
+++ b/src/daemon/control/handover.rs
@@ -7,7 +7,6 @@
 use crate::{
     ledger::{SealedLedger, SealedPart},
     peer::{HandoverAck, PeerError},
-    prelude::*,
     view::HostView,
 };
 
@@ -40,7 +39,11 @@
 impl xtra::Handler<TakeHandover> for Control {
     type Return = HandoverAnswer;
 
-    async fn handle(&mut self, take: TakeHandover, _cx: &mut xtra::Context<Self>) -> HandoverAnswer {
+    async fn handle(
+        &mut self,
+        take: TakeHandover,
+        _cx: &mut xtra::Context<Self>,
+    ) -> HandoverAnswer {
         self.take_part(take.0.part)
     }
 }
@@ -48,7 +51,11 @@
 impl xtra::Handler<AskSuccessors> for Control {
     type Return = Vec<HostView>;
 
-    async fn handle(&mut self, _ask: AskSuccessors, _cx: &mut xtra::Context<Self>) -> Vec<HostView> {
+    async fn handle(
+        &mut self,
+        _ask: AskSuccessors,
+        _cx: &mut xtra::Context<Self>,
+    ) -> Vec<HostView> {
         let own = self.parts.membership.own().clone();
         let hosts = self.parts.membership.hosts(self.now());
         let able = hosts.into_iter().filter(|host| host.id != own.id && !host.leaving);
--- a/src/daemon/control/manifest.rs
+++ b/src/daemon/control/manifest.rs
@@ -208,7 +208,7 @@
     key: &str,
 ) -> crate::platform::Result<Version> {
     let listing = platform.list(key).await?;
-    for entry in listing.entries.iter().filter(|entry| entry.key == key) {
+    for entry in listing.entries.iter().filter(|entry| &*entry.key == key) {
         offer(control, &entry.object.value).await;
     }
     Ok(listing.version)
@@ -221,7 +221,7 @@
     from: Version,
 ) -> crate::platform::Result<Version> {
     let changes = platform.watch(key, from, WATCH).await?;
-    for change in changes.changes.iter().filter(|change| change.key == key) {
+    for change in changes.changes.iter().filter(|change| &*change.key == key) {
         if let Some(object) = &change.object {
             offer(control, &object.value).await;
         }
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -16,5 +16,6 @@
 pub use self::{
     actor::{Control, ControlParts},
     handler::ControlHandler,
+    manifest::follow_platform,
     messages::{AskSuccessors, Leave, Tick},
 };
--- a/src/daemon/control/operator.rs
+++ b/src/daemon/control/operator.rs
@@ -144,7 +144,11 @@
 impl xtra::Handler<OrderUndrain> for Control {
     type Return = UndrainAnswer;
 
-    async fn handle(&mut self, order: OrderUndrain, _cx: &mut xtra::Context<Self>) -> UndrainAnswer {
+    async fn handle(
+        &mut self,
+        order: OrderUndrain,
+        _cx: &mut xtra::Context<Self>,
+    ) -> UndrainAnswer {
         let order = order.0;
         let undrain = Undrain { at: self.parts.recorder.stamp(), by: order.by };
         let meant = |record: &&mut DrainRecord| {
--- a/src/daemon/http.rs
+++ b/src/daemon/http.rs
@@ -43,7 +43,8 @@
     traffic: Arc<Traffic>,
     member: MemberId,
 ) -> impl Filter<Extract = (Response,), Error = warp::Rejection> + Clone + Send + Sync + 'static {
-    let query = warp::query::raw().or_else(|_| async { Ok::<_, warp::Rejection>((String::new(),)) });
+    let query =
+        warp::query::raw().or_else(|_| async { Ok::<_, warp::Rejection>((String::new(),)) });
     warp::method()
         .and(warp::path::full())
         .and(query)
@@ -82,7 +83,8 @@
         (path, query) => format!("{path}?{query}").into(),
     };
     let headers = raw.headers;
-    let incoming = Incoming { body, headers, method: raw.method, path, remote: raw.remote, service };
+    let incoming =
+        Incoming { body, headers, method: raw.method, path, remote: raw.remote, service };
     traffic.serve(incoming).await
 }
 
@@ -191,4 +193,3 @@
 fn refuse(error: ErrorKind, detail: &str) -> Response {
     outgoing::error(error, "-", Some(detail), None)
 }
-
--- a/src/daemon/incoming.rs
+++ b/src/daemon/incoming.rs
@@ -49,7 +49,13 @@
 
 impl Incoming {
     /// What the decisions need to know of it.
-    pub fn arrival(&self, call: CallId, member: &MemberId, key: &Secret, now: Moment) -> Result<Arrival> {
+    pub fn arrival(
+        &self,
+        call: CallId,
+        member: &MemberId,
+        key: &Secret,
+        now: Moment,
+    ) -> Result<Arrival> {
         let via = self.via(key)?;
         let method = self.method.as_str();
         let asked = self.text(headers::MEMBER)?.unwrap_or_else(|| member.clone());
@@ -119,7 +125,7 @@
     fn via(&self, key: &Secret) -> Result<Via> {
         let Some(text) = self.text(headers::VIA)? else { return Ok(Via::Caller) };
         let proof = self.text(headers::PEER_AUTH)?.unwrap_or_else(|| "".into());
-        if !key.matches(&proof) {
+        if Secret::new(&proof) != *key {
             return Err(BadHeader { expected: "the member's secret", header: headers::PEER_AUTH });
         }
         match &*text {
@@ -152,7 +158,8 @@
 }
 
 fn line(name: &str, value: &http::HeaderValue) -> Option<HeaderLine> {
-    Some(HeaderLine { name: name.into(), value: value.to_str().ok()?.into() })
+    let name = http::HeaderName::from_bytes(name.as_bytes()).ok()?;
+    Some(HeaderLine::from_http(&name, value))
 }
 
 fn is_hop_by_hop(name: &str) -> bool {
--- a/src/daemon/outgoing.rs
+++ b/src/daemon/outgoing.rs
@@ -7,7 +7,12 @@
 use crate::{base::HeaderLine, base::Resend, ledger::KeptAnswer, prelude::*};
 
 /// The answer of the table's row for an error kind.
-pub fn error(error: ErrorKind, request: &str, detail: Option<&str>, retry: Option<Duration>) -> Response {
+pub fn error(
+    error: ErrorKind,
+    request: &str,
+    detail: Option<&str>,
+    retry: Option<Duration>,
+) -> Response {
     let row = error.row();
     let name = serde_json::to_value(error).unwrap_or_default();
     let name = name.as_str().unwrap_or_default().to_owned();
@@ -26,8 +31,7 @@
 
 /// The whole answer of a target, now or from the ledger.
 pub fn whole(answer: &KeptAnswer, request: &str) -> Response {
-    let mut res = answer.body.clone().into_response();
-    res.headers_mut().clear();
+    let mut res = Response::new(answer.body.clone().into());
     *res.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     copy(&mut res, &answer.headers);
     stamp(&mut res, Ran::Yes, Resend::Never, request);
@@ -37,7 +41,10 @@
 /// The head of a target's answer whose body is still on its way.
 pub fn streamed<S>(status: u16, lines: &[HeaderLine], body: S, request: &str) -> Response
 where
-    S: futures::Stream<Item = std::result::Result<bytes::Bytes, std::io::Error>> + Send + Sync + 'static,
+    S: futures::Stream<Item = std::result::Result<bytes::Bytes, std::io::Error>>
+        + Send
+        + Sync
+        + 'static,
 {
     let mut res = warp::reply::stream(body).into_response();
     *res.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
--- /dev/null
+++ b/src/daemon/probe.rs
@@ -0,0 +1,51 @@
+//! Asks this host's own targets for their load.
+
+use bytes::Bytes;
+
+use super::traffic::Traffic;
+use crate::{
+    forward::{Attempt, Reply, ReplyBody, Upstream},
+    manifest::Target,
+    prelude::*,
+    selection::LoadReport,
+    steer::Event,
+};
+
+/// Path of a target's load report.
+const LOAD_PATH: &str = "/load";
+
+/// Longest time for one report; a later one would be of no use.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Asks every target that this host owns, once.
+pub(super) fn probe_all(traffic: &Arc<Traffic>, targets: &Arc<dyn Upstream>) {
+    let Some(view) = traffic.view() else { return };
+    let services = &view.manifest.services;
+    for target in services.iter().flat_map(|service| &service.targets) {
+        if target.zone == view.own.zone && traffic.with_steer(|steer, _| steer.owns(&target.name)) {
+            tokio::spawn(probe(traffic.clone(), targets.clone(), target.clone()));
+        }
+    }
+}
+
+async fn probe(traffic: Arc<Traffic>, targets: Arc<dyn Upstream>, target: Target) {
+    let attempt = Attempt {
+        address: target.address,
+        body: Bytes::new(),
+        connections: 1,
+        deadline: PROBE_TIMEOUT,
+        headers: Vec::new(),
+        method: http::Method::GET,
+        path: LOAD_PATH.into(),
+        repeatable: true,
+        request: "load".into(),
+        whole: true,
+    };
+    // No answer changes nothing: the last report loses its weight with time.
+    let Ok(Reply { body: ReplyBody::Whole(body), status: 200, .. }) = targets.send(attempt).await
+    else {
+        return;
+    };
+    let Ok(report) = serde_json::from_slice::<LoadReport>(&body) else { return };
+    traffic.feed(Event::Reported { report, target: target.name });
+}
--- a/src/daemon/traffic.rs
+++ b/src/daemon/traffic.rs
@@ -23,7 +23,7 @@
 };
 use crate::{
     base::HeaderLine,
-    forward::{Attempt, Failure, Reply, ReplyBody, Upstream},
+    forward::{Attempt, Reply, ReplyBody, Upstream},
     ledger::KeptAnswer,
     lookup::{Lookup, LookupAsk, rank},
     prelude::*,
@@ -113,15 +113,14 @@
     pub async fn serve(self: &Arc<Self>, incoming: Incoming) -> Response {
         let call = self.next_call.fetch_add(1, Ordering::Relaxed);
         let now = self.parts.clock.now();
-        let arrival =
-            match incoming.arrival(call, &self.parts.member, &self.parts.peer_key, now) {
-                Ok(arrival) => arrival,
-                Err(bad) => {
-                    let request = incoming.request_id().unwrap_or_else(|_| "-".into());
-                    let detail = bad.to_string();
-                    return outgoing::error(ErrorKind::BadRequest, &request, Some(&detail), None);
-                }
-            };
+        let arrival = match incoming.arrival(call, &self.parts.member, &self.parts.peer_key, now) {
+            Ok(arrival) => arrival,
+            Err(bad) => {
+                let request = incoming.request_id().unwrap_or_else(|_| "-".into());
+                let detail = bad.to_string();
+                return outgoing::error(ErrorKind::BadRequest, &request, Some(&detail), None);
+            }
+        };
         let request = arrival.request.clone();
         let (tx, rx) = oneshot::channel();
         let pending =
@@ -132,9 +131,7 @@
         let answer = rx.await;
         drop(guard);
         // The sender is dropped without an answer only if the host is torn down around the call.
-        answer.unwrap_or_else(|_| {
-            outgoing::error(ErrorKind::DispatchLost, &request, None, None)
-        })
+        answer.unwrap_or_else(|_| outgoing::error(ErrorKind::DispatchLost, &request, None, None))
     }
 
     /// Ranked hosts for a caller; `None` until a manifest is in force.
@@ -259,8 +256,8 @@
         let view = self.view.load_full();
         let service = view.as_ref().and_then(|view| view.manifest.service(&order.incoming.service));
         let repeatable = service.is_some_and(|service| service.kind.is_repeatable());
-        let streams = service
-            .is_some_and(|service| service.kind == crate::manifest::ServiceKind::File);
+        let streams =
+            service.is_some_and(|service| service.kind == crate::manifest::ServiceKind::File);
         let attempt = Attempt {
             address: order.address,
             body: order.incoming.body.clone(),
@@ -285,18 +282,17 @@
         lines.extend(order.incoming.own_headers());
         let has_client = lines.iter().any(|line| &*line.name == headers::CLIENT);
         if let (false, Ok(client)) = (has_client, order.incoming.client()) {
-            let value = client.to_string().into();
-            lines.push(HeaderLine { name: headers::CLIENT.into(), value });
+            lines.push(HeaderLine::new(headers::CLIENT, client.to_string()));
         }
-        let auth = self.parts.peer_key.expose().into();
-        lines.push(HeaderLine { name: headers::PEER_AUTH.into(), value: auth });
-        lines.push(HeaderLine { name: headers::VIA.into(), value: via_text(via).into() });
+        let auth = String::from_utf8_lossy(self.parts.peer_key.expose()).into_owned();
+        lines.push(HeaderLine::new(headers::PEER_AUTH, auth));
+        lines.push(HeaderLine::new(headers::VIA, via_text(via)));
         lines
     }
 
     async fn reply(self: &Arc<Self>, order: Order, reply: Reply, latency: Duration) {
         if let Some(error) = refusal(&order, &reply) {
-            return self.end(order.attempt, failed(error, latency));
+            return self.end(order.attempt, Outcome::Refused { error, latency });
         }
         match reply.body {
             ReplyBody::Stream(body) => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod base;
 pub mod cmd;
+pub mod daemon;
 pub mod drain;
 pub mod forward;
 pub mod ledger;
@@ -25,6 +26,7 @@
 pub mod standin;
 pub mod steer;
 pub mod timeline;
+pub mod timer;
 pub mod trace;
 pub mod view;
 pub mod yaml;
--- a/src/membership/machine.rs
+++ b/src/membership/machine.rs
@@ -129,6 +129,16 @@
         }
     }
 
+    /// Sets the stopped incarnations that this host answers for; the newest last.
+    pub fn set_adopted(&mut self, mut adopted: Vec<Incarnation>) {
+        let past = adopted.len().saturating_sub(MAX_ADOPTED);
+        adopted.drain(..past);
+        if self.own.view.adopted != adopted {
+            self.own.view.adopted = adopted;
+            self.own.revision += 1;
+        }
+    }
+
     /// Tells the peers that this host is stopping.
     pub fn leave(&mut self) {
         self.own.view.leaving = true;
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -1,3 +1,7 @@
 //! Small stand-ins for what surrounds the system: for tests and the demonstration, never for use.
 
+pub mod caller;
+pub mod linked;
+pub mod links;
 pub mod platform;
+pub mod target;
--- a/src/standin/target.rs
+++ b/src/standin/target.rs
@@ -27,6 +27,9 @@
 /// Path part that makes the target crash.
 pub const CRASH_PATH: &str = "/crash";
 
+/// Header with the name of the target that answered.
+pub const SERVED_BY_HEADER: &str = "x-served-by";
+
 /// How a target behaves.
 #[derive(Clone, Debug)]
 pub struct TargetModel {
@@ -34,6 +37,8 @@
     pub answer_bytes: usize,
     /// Extra service time factor right after the start; falls to 1 over `warm_after` requests.
     pub cold_factor: f64,
+    /// Given in the `x-served-by` header.
+    pub name: TargetId,
     pub seed: u64,
     /// Mean time to run one request.
     pub service_time: Duration,
@@ -49,6 +54,7 @@
         Self {
             answer_bytes: 256,
             cold_factor: 3.0,
+            name: "target".into(),
             restart_after: Duration::from_millis(500),
             seed: 1,
             service_time: Duration::from_millis(10),
@@ -275,7 +281,12 @@
 }
 
 fn done(state: &State, headers: &http::HeaderMap) -> Response<Full<Bytes>> {
-    let mut res = Response::new(Full::new(Bytes::from(vec![b'x'; state.model.answer_bytes])));
+    let request = headers.get("lavender-request-id").and_then(|id| id.to_str().ok());
+    let body = answer_body(request.unwrap_or_default(), state.model.answer_bytes);
+    let mut res = Response::new(Full::new(body));
+    if let Ok(name) = http::HeaderValue::from_str(&state.model.name) {
+        res.headers_mut().insert(SERVED_BY_HEADER, name);
+    }
     for name in ["lavender-request-id", "idempotency-key"] {
         if let Some(value) = headers.get(name) {
             res.headers_mut().insert(name, value.clone());
@@ -285,6 +296,13 @@
     res
 }
 
+/// The body that a target gives to a request: the request's id, filled up to `len` bytes.
+pub fn answer_body(request: &str, len: usize) -> Bytes {
+    let mut body = request.as_bytes().to_vec();
+    body.resize(len.max(body.len()), b'.');
+    body.into()
+}
+
 fn load(state: &State) -> Response<Full<Bytes>> {
     let busy =
         if state.lying.load(Ordering::Relaxed) { 0 } else { state.busy.load(Ordering::Relaxed) };
--- a/src/steer/arrive.rs
+++ b/src/steer/arrive.rs
@@ -34,7 +34,7 @@
 
     /// The checks that need no state of other requests.
     fn check(&self, arrival: &Arrival, now: Moment) -> Result<Call, ErrorKind> {
-        let view = self.view.as_ref().ok_or(ErrorKind::NoManifest)?;
+        let Some(view) = self.view.as_ref() else { return Err(without_view(arrival)) };
         if arrival.member != view.manifest.member {
             return Err(ErrorKind::OtherMember);
         }
@@ -42,10 +42,11 @@
         if service.max_body < arrival.body_len {
             return Err(ErrorKind::BodyTooLarge);
         }
-        if arrival.deadline <= now {
+        let booking = !service.kind.is_repeatable();
+        // Whether a late booking ran is for its ledger to say, not for its deadline.
+        if arrival.deadline <= now && !booking {
             return Err(ErrorKind::DeadlinePassed);
         }
-        let booking = !service.kind.is_repeatable();
         if self.leaving && !booking {
             return Err(ErrorKind::HostLeaving);
         }
@@ -100,6 +101,9 @@
             Begin::Dropped => self.fail(call, ErrorKind::GenerationDropped, now, rng),
             Begin::Fresh => {
                 self.state(call).in_ledger = true;
+                if self.leaving {
+                    return self.fail(call, ErrorKind::HostLeaving, now, rng);
+                }
                 self.admit_fresh(call, now, rng);
             }
             Begin::Full => self.fail(call, ErrorKind::LedgerFull, now, rng),
@@ -120,6 +124,9 @@
         if self.calls[&call].arrival.via == Via::LedgerHop {
             return self.fail(call, ErrorKind::OwnerGone, now, rng);
         }
+        if self.calls[&call].arrival.deadline <= now {
+            return self.fail(call, ErrorKind::OwnerUnreachable, now, rng);
+        }
         let owner = self.view.as_ref().and_then(|view| find_owner(view, binding));
         let Some((host, address)) = owner else {
             return self.fail(call, ErrorKind::OwnerGone, now, rng);
@@ -262,6 +269,11 @@
     }
 }
 
+/// A host that knows no other cannot ask the owner whether an earlier copy ran.
+fn without_view(arrival: &Arrival) -> ErrorKind {
+    if arrival.binding.is_some() { ErrorKind::OwnerUnreachable } else { ErrorKind::NoManifest }
+}
+
 /// The table's least time, spread so that callers that were refused together come back apart.
 fn spread(error: ErrorKind, rng: &mut impl Rng) -> Option<Duration> {
     error.row().retry_after.map(|least| least.mul_f64(1.0 + rng.random::<f64>()))
--- a/src/steer/event.rs
+++ b/src/steer/event.rs
@@ -54,6 +54,8 @@
         /// The head of the answer has gone to the caller: no other attempt may follow.
         passed: bool,
     },
+    /// Another host refused it; its word on whether the request ran is the error's row.
+    Refused { error: ErrorKind, latency: Duration },
 }
 
 /// One input of the decisions.
--- a/src/steer/machine.rs
+++ b/src/steer/machine.rs
@@ -150,6 +150,11 @@
         self.ledger.adopted()
     }
 
+    /// Whether this host owns the target.
+    pub fn owns(&self, target: &TargetId) -> bool {
+        self.slots.owns(target)
+    }
+
     /// Slots in use and slots in all at the targets that this host owns, by service.
     pub fn usage(&self) -> Vec<Usage> {
         let Some(view) = &self.view else { return Vec::new() };
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -10,11 +10,13 @@
 mod machine;
 mod place;
 mod settle;
+mod survey;
 
 pub use self::{
     action::{Action, Answer},
     event::{Arrival, Event, Outcome, Via},
     machine::{Steer, SteerLimits, Usage},
+    survey::Surveyed,
 };
 
 /// Number of one request at this host, given by the shell; never used twice.
--- a/src/steer/settle.rs
+++ b/src/steer/settle.rs
@@ -31,6 +31,7 @@
                 Outcome::Answered { kept, .. } => self.answered(call, &place, kept, now, rng),
                 Outcome::Failed { error, passed: true, .. } => self.fail(call, error, now, rng),
                 Outcome::Failed { error, .. } => self.failed(call, &place, error, now, rng),
+                Outcome::Refused { error, .. } => self.refused(call, &place, error, now, rng),
             }
         }
         self.drain_queues(now, rng);
@@ -41,7 +42,9 @@
         let Some(target) = place.target() else { return };
         let (signal, latency, error) = match outcome {
             Outcome::Answered { latency, .. } => (Signal::Succeeded, *latency, None),
-            Outcome::Failed { error, latency, .. } => (signal_of(*error), *latency, Some(*error)),
+            Outcome::Failed { error, latency, .. } | Outcome::Refused { error, latency } => {
+                (signal_of(*error), *latency, Some(*error))
+            }
         };
         self.selector.ended(target, signal, latency, now);
         let Some(state) = self.calls.get(&call) else {
@@ -89,12 +92,33 @@
         now: Moment,
         rng: &mut impl Rng,
     ) {
+        // That this copy did not reach the owner says nothing about earlier copies: told `not run`,
+        // the caller would book again with a new key, and the request would run twice.
         if matches!(place, Place::Owner) {
-            // No connection to the owner says nothing about earlier deliveries of this key.
-            let error =
-                if error == ErrorKind::ConnectFailed { ErrorKind::OwnerGone } else { error };
+            let reached = error.row().ran != Ran::No;
+            let error = if reached { error } else { ErrorKind::OwnerUnreachable };
             return self.fail(call, error, now, rng);
         }
+        self.try_again(call, error, now, rng);
+    }
+
+    /// Another host said why it did not serve the request.
+    fn refused(
+        &mut self,
+        call: CallId,
+        place: &Place,
+        error: ErrorKind,
+        now: Moment,
+        rng: &mut impl Rng,
+    ) {
+        if matches!(place, Place::Owner) {
+            return self.fail(call, error, now, rng);
+        }
+        self.try_again(call, error, now, rng);
+    }
+
+    /// Another attempt, where the error allows one; else the final answer.
+    fn try_again(&mut self, call: CallId, error: ErrorKind, now: Moment, rng: &mut impl Rng) {
         let not_run = error.row().ran == Ran::No;
         if not_run {
             self.unshift(call, now);
--- /dev/null
+++ b/src/steer/survey.rs
@@ -0,0 +1,66 @@
+//! What the decisions would offer a request now, for operators; changes nothing.
+
+use std::fmt;
+
+use super::Steer;
+use crate::{lookup::owner_of, prelude::*};
+
+/// One target as an operator is shown it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Surveyed {
+    pub draining: bool,
+    pub ejected: bool,
+    pub free: Option<u32>,
+    /// Host that owns it, where it is in this host's zone.
+    pub owner: Option<HostId>,
+    pub region: RegionId,
+    pub slots: u32,
+    pub target: TargetId,
+    pub zone: ZoneId,
+}
+
+impl fmt::Display for Surveyed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} in {} of {}", self.target, self.zone, self.region)?;
+        if let Some(owner) = &self.owner {
+            write!(f, ", owned by {owner}")?;
+        }
+        if let Some(free) = self.free {
+            write!(f, ", {free} of {} slots free", self.slots)?;
+        }
+        let states = [(self.draining, "draining"), (self.ejected, "ejected")];
+        for (_, state) in states.into_iter().filter(|(is_so, _)| *is_so) {
+            write!(f, ", {state}")?;
+        }
+        Ok(())
+    }
+}
+
+impl Steer {
+    /// The targets of a service in the order in which a request from `home` would be offered them.
+    pub fn survey(&self, service: &ServiceId, home: &RegionId, now: Moment) -> Vec<Surveyed> {
+        let Some(view) = &self.view else { return Vec::new() };
+        let Some(service) = view.manifest.service(service) else { return Vec::new() };
+        let mut targets: Vec<Surveyed> = Vec::new();
+        for target in &service.targets {
+            let Some(region) = view.manifest.region_of(&target.zone) else { continue };
+            let near = target.zone == view.own.zone;
+            let own = self.slots.owns(&target.name);
+            let limit = self.selector.limit(&target.name, target.slots, now);
+            targets.push(Surveyed {
+                draining: self.is_draining(view, target),
+                ejected: self.selector.ejected(&target.name, now),
+                free: own.then(|| self.slots.free(&target.name, limit, now)),
+                owner: owner_of(&target.name, &view.tenure.owners).filter(|_| near).cloned(),
+                region: region.name.clone(),
+                slots: target.slots,
+                target: target.name.clone(),
+                zone: target.zone.clone(),
+            });
+        }
+        targets.sort_by_key(|target| {
+            (target.draining, target.ejected, target.zone != view.own.zone, target.region != *home)
+        });
+        targets
+    }
+}
