--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod logging;
 pub mod lookup;
 pub mod manifest;
+pub mod measure;
 pub mod membership;
 pub mod metrics;
 pub mod operator;
