Serve requests end to end: daemon, control actor, callers, demo

Cause: the decisions had no host around them. Now a host serves callers over HTTP, exchanges with peers over RPC, follows the platform and stops on a plan; the demo runs a member's twelve hosts on loopback through the default scenario. Found on the way: two hosts of a zone that start from other zones never met, since the word of a host on its own zone is always newer than a far host's copy. Conclusion: the path stands; drains and departures are now told at once.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,8 +1,10 @@
 //! The command line: one subcommand a file.
 
 mod completions;
+mod demo;
 mod exit;
 mod measure;
+mod run;
 mod timeline;
 
 use clap::{Parser, Subcommand};
@@ -23,7 +25,9 @@
 #[derive(Debug, Subcommand)]
 enum Command {
     Completions(completions::Args),
+    Demo(demo::Args),
     Measure(measure::Args),
+    Run(run::Args),
     Timeline(timeline::Args),
 }
 
@@ -32,7 +36,9 @@
     pub fn run(self) -> Result {
         match self.command {
             Command::Completions(args) => completions::run(args),
+            Command::Demo(args) => demo::run(args),
             Command::Measure(args) => measure::run(args),
+            Command::Run(args) => run::run(args),
             Command::Timeline(args) => timeline::run(args),
         }
     }
--- /dev/null
+++ b/src/cmd/run.rs
@@ -0,0 +1,97 @@
+//! `lavenderplank run`: one host.
+
+use std::{io::Write, path::PathBuf};
+
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use crate::{
+    base::BootClock,
+    cmd::{Exit, Result},
+    daemon::{Daemon, DaemonParts, NoTape},
+    forward::{ForwardLimits, HttpUpstream},
+    logging::LineFormat,
+    peer::PeerClient,
+    platform::HttpPlatform,
+    prelude::*,
+    settings::{LogFormat, Settings},
+    steer::SteerLimits,
+};
+
+/// Events that the time line keeps.
+const TIMELINE: usize = 100_000;
+
+/// Runs the host that a settings file describes, until SIGTERM or SIGINT.
+#[derive(Debug, clap::Args)]
+#[command(after_help = "Example: lavenderplank run --settings examples/gradski-servis/host.yaml")]
+pub struct Args {
+    /// Settings of this host.
+    #[arg(long, value_name = "FILE")]
+    settings: PathBuf,
+    /// Threads for traffic; as many as there are cores if not given.
+    #[arg(long)]
+    threads: Option<usize>,
+}
+
+/// Runs until a signal asks for a planned stop; a second signal ends it at once.
+pub fn run(args: Args) -> Result {
+    let settings = match Settings::load(&args.settings) {
+        Ok(settings) => settings,
+        Err(problem) => {
+            eprintln!("{problem}");
+            return Ok(Exit::BadInput);
+        }
+    };
+    let format = match settings.log.format {
+        LogFormat::Json => LineFormat::Json,
+        LogFormat::Text => LineFormat::Text,
+    };
+    let _log = crate::logging::start(settings.log.level.as_str(), format)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(serve(settings, args.threads))
+}
+
+async fn serve(settings: Settings, threads: Option<usize>) -> Result {
+    let cores = std::thread::available_parallelism().map_or(1, usize::from);
+    let peer_key = settings.peer_key()?;
+    let member = settings.member.clone();
+    let daemon = Daemon::spawn(DaemonParts {
+        clock: Arc::new(BootClock),
+        limits: SteerLimits::default(),
+        link: Arc::new(PeerClient::open(peer_key.clone(), member)),
+        operator_token: settings.operator_token()?,
+        peer_key,
+        peers: Arc::new(HttpUpstream::open(ForwardLimits::default())?),
+        platform: Arc::new(HttpPlatform::open(settings.platform)?),
+        seed: rand::random(),
+        settings,
+        tape: Arc::new(NoTape),
+        targets: Arc::new(HttpUpstream::open(ForwardLimits::default())?),
+        timeline: TIMELINE,
+        traffic_threads: threads.unwrap_or(cores),
+    })
+    .await?;
+    log::info!("callers: {}, peers and operators: {}", daemon.http_addr(), daemon.rpc_addr());
+    writeln!(std::io::stdout(), "http={} rpc={}", daemon.http_addr(), daemon.rpc_addr())?;
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    asked_to_stop(&mut term, &mut int).await;
+    log::info!("stopping: no new work, {} requests in flight", daemon.busy());
+    tokio::select! {
+        report = daemon.stop() => {
+            log::info!("stopped: {} requests cut, {} entries lost", report.cut, report.entries_lost);
+            let whole = report.cut == 0 && report.entries_lost == 0;
+            Ok(if whole { Exit::Done } else { Exit::Failed })
+        }
+        () = asked_to_stop(&mut term, &mut int) => {
+            log::error!("stopped at once: requests in flight and the ledger are lost");
+            Ok(Exit::Failed)
+        }
+    }
+}
+
+async fn asked_to_stop(term: &mut Signal, int: &mut Signal) {
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+}
--- a/src/daemon/control/exchange.rs
+++ b/src/daemon/control/exchange.rs
@@ -13,6 +13,13 @@
     timeline::EventKind,
 };
 
+/// How far news goes at once.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Reach {
+    Everywhere,
+    Zone,
+}
+
 impl Control {
     /// Begins this second's exchanges. A host that knows nobody asks the addresses of its settings.
     pub(super) fn exchange(&mut self, me: WeakAddress<Self>) {
@@ -21,21 +28,20 @@
         if partners.is_empty() || self.parts.membership.hosts(now).len() == 1 {
             let digest = self.parts.membership.digest(now);
             for seed in self.parts.seeds.clone() {
-                self.ask(me.clone(), None, seed, digest.clone());
+                self.ask(me.clone(), seed, digest.clone());
             }
         }
         for partner in partners {
             let digest = self.parts.membership.digest_for(&partner, now);
-            self.ask(me.clone(), Some(partner.id), partner.rpc, digest);
+            self.ask(me.clone(), partner.rpc, digest);
         }
     }
 
-    fn ask(&self, me: WeakAddress<Self>, host: Option<HostId>, to: SocketAddr, digest: Digest) {
+    fn ask(&self, me: WeakAddress<Self>, to: SocketAddr, digest: Digest) {
         let link = self.parts.link.clone();
-        let sent = self.now();
         Self::beside(me, async move {
             let answer = link.exchange(to, &digest).await;
-            Some(Merged { answer, host, sent })
+            Some(Merged { answer })
         });
     }
 
@@ -70,8 +76,13 @@
         for note in heard.baselines {
             self.take_baseline(note);
         }
+        let mut news = false;
         for record in heard.drains {
-            self.take_drain(record);
+            news |= self.take_drain(record);
+        }
+        if news {
+            self.tell_notes();
+            self.spread(&me, Reach::Zone);
         }
         if !heard.marks.is_empty() {
             self.parts.traffic.feed(Event::Marked { marks: heard.marks });
@@ -109,8 +120,13 @@
     async fn handle(&mut self, merged: Merged, cx: &mut xtra::Context<Self>) {
         let now = self.now();
         let Ok(digest) = merged.answer else { return };
+        let from = digest.from.view.clone();
         let events = self.parts.membership.merge(digest, now);
         self.note_members(events);
+        if self.parts.membership.owes(&from.id) {
+            let digest = self.parts.membership.digest_for(&from, now);
+            self.ask(cx.mailbox().address(), from.rpc, digest);
+        }
         self.take_heard(cx.mailbox().address());
         self.publish();
     }
@@ -123,19 +139,25 @@
         self.parts.membership.leave();
         self.parts.traffic.feed(Event::Leave);
         self.note(EventKind::HostLeft { host: self.parts.membership.own().id.clone() });
-        // Told to the whole zone and one host of each other zone now: with the next heartbeats
-        // alone, callers would be sent here for another second or two.
+        self.spread(&cx.mailbox().address(), Reach::Everywhere);
+        self.publish();
+    }
+}
+
+impl Control {
+    /// Tells the whole zone and one host of each other zone now: with the next heartbeats alone,
+    /// a stopping host or a drained target would get new work for another second or two.
+    pub(super) fn spread(&mut self, me: &WeakAddress<Self>, reach: Reach) {
         let now = self.now();
         let own = self.parts.membership.own().clone();
         let mut zones = std::collections::BTreeSet::new();
         for host in self.parts.membership.hosts(now) {
-            let first = zones.insert(host.zone.clone());
+            let first = zones.insert(host.zone.clone()) && reach == Reach::Everywhere;
             if host.id != own.id && (host.zone == own.zone || first) {
                 let digest = self.parts.membership.digest_for(&host, now);
-                self.ask(cx.mailbox().address(), Some(host.id), host.rpc, digest);
+                self.ask(me.clone(), host.rpc, digest);
             }
         }
-        self.publish();
     }
 }
 
--- a/src/daemon/control/messages.rs
+++ b/src/daemon/control/messages.rs
@@ -21,10 +21,6 @@
 #[derive(Debug)]
 pub struct Merged {
     pub answer: crate::peer::Result<Digest>,
-    /// Host that was asked; `None` for an address from the settings.
-    pub host: Option<HostId>,
-    /// By this host's clock, right before the question was sent.
-    pub sent: Moment,
 }
 
 /// A manifest came from the platform or from a peer, with the parts that came along.
--- a/src/daemon/control/operator.rs
+++ b/src/daemon/control/operator.rs
@@ -4,6 +4,7 @@
 
 use super::{
     actor::Control,
+    exchange::Reach,
     messages::{
         AskExplain, AskStatus, DrainAnswer, ExplainAnswer, OrderDrain, OrderUndrain, StatusAnswer,
         UndrainAnswer,
@@ -18,12 +19,13 @@
 };
 
 impl Control {
-    /// Takes over a drain that a peer told of. A tombstone stays, whatever comes later.
-    pub(super) fn take_drain(&mut self, record: DrainRecord) {
+    /// Takes over a drain that a peer told of; `true` if it was new. A tombstone stays, whatever
+    /// comes later.
+    pub(super) fn take_drain(&mut self, record: DrainRecord) -> bool {
         let held = self.drains.get(&record.id);
         let known = held.is_some_and(|held| held.undone.is_some() || record.undone.is_none());
         if known {
-            return;
+            return false;
         }
         let scope = record.scope.clone();
         let ended = record.undone.is_some();
@@ -33,6 +35,7 @@
         } else {
             EventKind::DrainStarted { scope }
         });
+        true
     }
 
     fn status(&self) -> StatusAnswer {
@@ -121,7 +124,7 @@
 impl xtra::Handler<OrderDrain> for Control {
     type Return = DrainAnswer;
 
-    async fn handle(&mut self, order: OrderDrain, _cx: &mut xtra::Context<Self>) -> DrainAnswer {
+    async fn handle(&mut self, order: OrderDrain, cx: &mut xtra::Context<Self>) -> DrainAnswer {
         let order = order.0;
         if let Some(held) = self.drains.get(&order.id) {
             return Ok(held.clone());
@@ -137,6 +140,7 @@
         self.take_drain(record.clone());
         self.tell_notes();
         self.publish();
+        self.spread(&cx.mailbox().address(), Reach::Everywhere);
         Ok(record)
     }
 }
@@ -144,11 +148,7 @@
 impl xtra::Handler<OrderUndrain> for Control {
     type Return = UndrainAnswer;
 
-    async fn handle(
-        &mut self,
-        order: OrderUndrain,
-        _cx: &mut xtra::Context<Self>,
-    ) -> UndrainAnswer {
+    async fn handle(&mut self, order: OrderUndrain, cx: &mut xtra::Context<Self>) -> UndrainAnswer {
         let order = order.0;
         let undrain = Undrain { at: self.parts.recorder.stamp(), by: order.by };
         let meant = |record: &&mut DrainRecord| {
@@ -169,6 +169,7 @@
         }
         self.tell_notes();
         self.publish();
+        self.spread(&cx.mailbox().address(), Reach::Everywhere);
         Ok(undone)
     }
 }
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,8 +1,8 @@
 //! The shell of one host: sockets, timers, the control actor and the traffic side.
 
 mod control;
-mod daemon;
 pub mod headers;
+mod host;
 mod http;
 mod incoming;
 mod link;
@@ -12,7 +12,7 @@
 mod traffic;
 
 pub use self::{
-    daemon::{Daemon, DaemonParts, Error, Result, StopReport},
+    host::{Daemon, DaemonParts, Error, Result, StopReport},
     http::{LookupBody, LookupHost},
     incoming::{BadHeader, Incoming},
     link::PeerLink,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod base;
 pub mod cmd;
 pub mod daemon;
+pub mod demo;
 pub mod drain;
 pub mod forward;
 pub mod ledger;
--- a/src/membership/exchange.rs
+++ b/src/membership/exchange.rs
@@ -124,7 +124,7 @@
     }
 
     fn answer_zones(&self, digest: &Digest, answer: &mut Digest) {
-        self.zones.answer(&digest.zones, answer);
+        self.zones.answer(&digest.from.view, &digest.zones, answer);
         let own = self.zone_entry();
         match digest.zones.iter().find(|zone| zone.zone == own.summary.zone) {
             _ if self.is_near(digest) => answer.zones.push(own.summary),
--- a/src/membership/machine.rs
+++ b/src/membership/machine.rs
@@ -152,6 +152,7 @@
         }
         let mut partners = self.zone_partners(rng);
         partners.extend(self.far_partner(rng));
+        partners.extend(self.named_neighbour(rng));
         let probe = partners.is_empty() || rng.random_ratio(1, PROBE_ONE_IN);
         if probe {
             partners.extend(self.probe(rng));
@@ -254,6 +255,17 @@
         zones.choose(rng)?.choose(rng).cloned()
     }
 
+    /// A host of the own zone that was only named so far. Until the two have met, each counts the
+    /// other's targets as its own.
+    fn named_neighbour(&self, rng: &mut impl Rng) -> Option<HostView> {
+        let near = |host: &&HostView| host.zone == self.own.view.zone && !self.knows(host);
+        let named: Vec<&HostView> = self.hints.values().filter(near).collect();
+        if named.is_empty() || rng.random_ratio(1, 2) {
+            return None;
+        }
+        named.choose(rng).map(|host| (*host).clone())
+    }
+
     /// A host that does not answer, or was only named so far.
     fn probe(&self, rng: &mut impl Rng) -> Option<HostView> {
         let mut silent: Vec<&HostView> = self.roster.suspected().collect();
--- a/src/membership/zones.rs
+++ b/src/membership/zones.rs
@@ -122,11 +122,16 @@
         self.zones.values_mut().for_each(|zone| zone.heard += pause);
     }
 
-    /// Adds to `answer` what the sender of `theirs` lacks of these zones.
-    pub fn answer(&self, theirs: &[ZoneSummary], answer: &mut Digest) {
+    /// Adds to `answer` what `answer_to`, the sender of `theirs`, lacks of these zones.
+    pub fn answer(&self, answer_to: &HostView, theirs: &[ZoneSummary], answer: &mut Digest) {
         let theirs: BTreeMap<_, _> = theirs.iter().map(|zone| (&zone.zone, zone)).collect();
         for (id, own) in &self.zones {
             match theirs.get(id) {
+                // Two hosts of a new zone that both started from other zones never meet unless
+                // each is told of the other; their own word on their zone is always the newer.
+                Some(theirs) if *id == answer_to.zone && own.summary.hash != theirs.hash => {
+                    answer.zone_hosts.extend(self.entry(id));
+                }
                 Some(theirs) if own.summary.beat <= theirs.beat => {}
                 Some(theirs) if own.summary.hash == theirs.hash => {
                     answer.zones.push(own.summary.clone());
--- a/src/standin/caller.rs
+++ b/src/standin/caller.rs
@@ -49,6 +49,8 @@
 pub struct Caller {
     cache: Mutex<BTreeMap<ServiceId, Cached>>,
     client: Client,
+    /// Which of the hosts it asks first; another one for each caller.
+    first: usize,
     ip: IpAddr,
     links: Arc<Links>,
     member: MemberId,
@@ -69,8 +71,7 @@
         body: Bytes,
         headers: HeaderMap,
     },
-    /// Nothing was sent.
-    NotSent,
+    Nothing,
     /// Something was sent and no whole answer came.
     Unsure,
 }
@@ -90,7 +91,9 @@
             .retry(reqwest::retry::never())
             .connect_timeout(Duration::from_millis(500))
             .build()?;
-        Ok(Self { cache: Mutex::default(), client, ip, links, member, place, start })
+        let octets = ip.to_string();
+        let first = octets.bytes().map(usize::from).sum();
+        Ok(Self { cache: Mutex::default(), client, first, ip, links, member, place, start })
     }
 
     /// The hosts for a service, from the cache or from a host.
@@ -100,9 +103,8 @@
             return Some(cached.body);
         }
         let mut hosts = self.start.lock().ok()?.clone();
-        let shift = usize::from(self.ip.to_string().len()) + hosts.len() / 2;
         let len = hosts.len().max(1);
-        hosts.rotate_left(shift % len);
+        hosts.rotate_left(self.first % len);
         for host in hosts {
             if let Some(body) = self.ask_host(host, service).await {
                 let until = Instant::now() + Duration::from_secs(body.max_age);
@@ -133,8 +135,11 @@
                 heard.sends += 1;
                 continue;
             };
-            let bound = binding.get_or_insert_with(|| lookup.binding.clone()).clone();
-            let host = lookup.hosts[turn % lookup.hosts.len()].address;
+            let ranked = &lookup.hosts[turn % lookup.hosts.len()];
+            let host = ranked.address;
+            // Bound to the host it goes to: one that does not answer then proves that it did not
+            // run, and the next host's binding may be used.
+            let bound = binding.get_or_insert_with(|| ranked.binding.clone()).clone();
             heard.sends += 1;
             let left = ask.deadline.saturating_sub(started.elapsed());
             match self.send_once(host, ask, &bound, left).await {
@@ -146,20 +151,18 @@
                     if advice == Resend::Fresh && heard.ran == Ran::No {
                         self.forget(&ask.service);
                         binding = None;
-                        turn = 0;
-                    } else {
-                        turn += 1;
                     }
+                    turn += 1;
                     tokio::time::sleep(pause(&headers)).await;
                 }
                 // With nothing sent under this binding, a new one cannot run it a second time.
-                Sent::NotSent if heard.ran == Ran::No => {
+                Sent::Nothing if heard.ran == Ran::No => {
                     self.forget(&ask.service);
                     binding = None;
                     turn += 1;
                     tokio::time::sleep(RESEND_PAUSE).await;
                 }
-                Sent::NotSent => turn += 1,
+                Sent::Nothing => turn += 1,
                 Sent::Unsure => {
                     heard.ran = Ran::Unknown;
                     turn += 1;
@@ -197,7 +200,7 @@
         left: Duration,
     ) -> Sent {
         if self.travel(host).await.is_none() {
-            return Sent::NotSent;
+            return Sent::Nothing;
         }
         let url = format!("http://{host}/v1/services/{}{}", ask.service, ask.path);
         let method = if ask.key.is_some() { Method::POST } else { Method::GET };
@@ -217,7 +220,7 @@
         }
         let res = match req.send().await {
             Ok(res) => res,
-            Err(error) if error.is_connect() => return Sent::NotSent,
+            Err(error) if error.is_connect() => return Sent::Nothing,
             Err(_) => return Sent::Unsure,
         };
         let headers = res.headers().clone();
--- a/src/standin/target.rs
+++ b/src/standin/target.rs
@@ -227,9 +227,10 @@
     let Ok(_body) = req.into_body().collect().await else {
         return Ok(plain(StatusCode::BAD_REQUEST, "broken body"));
     };
-    let _slot = match Slot::take(&state) {
-        Ok(slot) => slot,
-        Err(shed) => return Ok(shed),
+    let Some(_slot) = Slot::take(&state) else {
+        let mut shed = plain(StatusCode::SERVICE_UNAVAILABLE, "shed");
+        shed.headers_mut().insert(SHED_HEADER, http::HeaderValue::from_static("1"));
+        return Ok(shed);
     };
     if path.contains(CRASH_PATH) {
         state.crash.notify_one();
@@ -249,18 +250,17 @@
 }
 
 impl Slot {
-    fn take(state: &Arc<State>) -> Result<Self, Response<Full<Bytes>>> {
+    /// `None` if none is free.
+    fn take(state: &Arc<State>) -> Option<Self> {
         let now = u64::try_from(state.started.elapsed().as_nanos()).unwrap_or(u64::MAX);
         state.last_work.store(now, Ordering::Relaxed);
         let busy = state.busy.fetch_add(1, Ordering::Relaxed) + 1;
         state.most_busy.fetch_max(busy, Ordering::Relaxed);
         let slot = Self { state: state.clone() };
         if busy <= state.model.slots {
-            return Ok(slot);
+            return Some(slot);
         }
-        let mut shed = plain(StatusCode::SERVICE_UNAVAILABLE, "shed");
-        shed.headers_mut().insert(SHED_HEADER, http::HeaderValue::from_static("1"));
-        Err(shed)
+        None
     }
 }
 
