--- a/src/daemon/control/actor.rs
+++ b/src/daemon/control/actor.rs
@@ -6,12 +6,13 @@
 use super::messages::{PlatformHeard, Tick};
 use crate::{
     daemon::{PeerLink, traffic::Traffic},
-    drain::{DrainId, DrainRecord},
+    drain::{Drains, Progress},
     ledger::SealedPart,
     manifest::Store,
     membership::{BaselineNote, Membership, MembershipEvent},
     platform::Platform,
     prelude::*,
+    tenure::TenureKeeper,
     timeline::{EventKind, EventSink, Recorder},
     view::View,
 };
@@ -37,14 +38,18 @@
 /// The control state of one host.
 pub struct Control {
     pub(super) baselines: BTreeMap<BaselineKey, BaselineNote>,
-    pub(super) drains: BTreeMap<DrainId, DrainRecord>,
+    pub(super) drains: Drains,
     /// Parts of sealed ledgers that are still incomplete, by the digest of the whole.
     pub(super) handovers: BTreeMap<String, Vec<SealedPart>>,
     pub(super) parts: ControlParts,
     pub(super) platform_at: Option<Moment>,
+    pub(super) progress: Progress,
     /// Highest sequence that a pull is under way for.
     pub(super) pulling: Option<Sequence>,
+    /// Whether a write of the drains to the platform is under way.
+    pub(super) settling: bool,
     pub(super) shown: Option<Arc<View>>,
+    pub(super) tenure: TenureKeeper,
 }
 
 /// Which traffic a baseline is of.
@@ -57,14 +62,18 @@
 impl Control {
     /// Starts the actor on the current runtime.
     pub fn spawn(parts: ControlParts) -> Address<Self> {
+        let own = parts.membership.own().clone();
         let control = Self {
             baselines: BTreeMap::new(),
-            drains: BTreeMap::new(),
+            drains: Drains::new(own.id.clone()),
             handovers: BTreeMap::new(),
             parts,
             platform_at: None,
+            progress: Progress::default(),
             pulling: None,
+            settling: false,
             shown: None,
+            tenure: TenureKeeper::new(own.id, own.incarnation, own.zone),
         };
         xtra::spawn_tokio(control, Mailbox::bounded(MAILBOX))
     }
@@ -124,9 +133,12 @@
         let now = self.now();
         let events = self.parts.membership.tick(now);
         self.note_members(events);
+        let me = cx.mailbox().address();
+        self.tick_tenure(&me);
+        self.tick_drains(&me);
         self.tell_notes();
-        self.exchange(cx.mailbox().address());
-        self.take_heard(cx.mailbox().address());
+        self.exchange(me.clone());
+        self.take_heard(me);
         self.publish();
     }
 }
--- a/src/daemon/control/exchange.rs
+++ b/src/daemon/control/exchange.rs
@@ -10,6 +10,7 @@
     membership::{BaselineNote, Digest, Notes},
     prelude::*,
     steer::Event,
+    tenure,
     timeline::EventKind,
 };
 
@@ -39,9 +40,10 @@
 
     fn ask(&self, me: WeakAddress<Self>, to: SocketAddr, digest: Digest) {
         let link = self.parts.link.clone();
+        let sent = self.now();
         Self::beside(me, async move {
             let answer = link.exchange(to, &digest).await;
-            Some(Merged { answer })
+            Some(Merged { answer, sent })
         });
     }
 
@@ -64,9 +66,10 @@
         membership.set_adopted(adopted);
         membership.set_notes(Notes {
             baselines: self.baselines.values().cloned().collect(),
-            drains: self.drains.values().cloned().collect(),
+            drains: self.drains.records(),
             marks,
             sequence: self.parts.store.sequence().unwrap_or_default(),
+            tenure: self.tenure.list().clone(),
         });
     }
 
@@ -76,11 +79,11 @@
         for note in heard.baselines {
             self.take_baseline(note);
         }
-        let mut news = false;
-        for record in heard.drains {
-            news |= self.take_drain(record);
+        if let Some(list) = heard.tenure {
+            self.tenure_on(tenure::Event::Heard(list), &me);
         }
-        if news {
+        if self.drains.merge(&heard.drains, wall_millis()) {
+            self.start_drains();
             self.tell_notes();
             self.spread(&me, Reach::Zone);
         }
@@ -121,8 +124,14 @@
         let now = self.now();
         let Ok(digest) = merged.answer else { return };
         let from = digest.from.view.clone();
+        let fence = digest.tenure_fence;
         let events = self.parts.membership.merge(digest, now);
         self.note_members(events);
+        if from.zone == self.parts.membership.own().zone {
+            let host = from.id.clone();
+            let acknowledged = tenure::Event::Acknowledged { fence, host, sent: merged.sent };
+            self.tenure_on(acknowledged, &cx.mailbox().address());
+        }
         if self.parts.membership.owes(&from.id) {
             let digest = self.parts.membership.digest_for(&from, now);
             self.ask(cx.mailbox().address(), from.rpc, digest);
@@ -137,6 +146,7 @@
 
     async fn handle(&mut self, _leave: Leave, cx: &mut xtra::Context<Self>) {
         self.parts.membership.leave();
+        self.tenure_on(tenure::Event::Leave, &cx.mailbox().address());
         self.parts.traffic.feed(Event::Leave);
         self.note(EventKind::HostLeft { host: self.parts.membership.own().id.clone() });
         self.spread(&cx.mailbox().address(), Reach::Everywhere);
--- a/src/daemon/control/messages.rs
+++ b/src/daemon/control/messages.rs
@@ -21,6 +21,8 @@
 #[derive(Debug)]
 pub struct Merged {
     pub answer: crate::peer::Result<Digest>,
+    /// By this host's clock, right before the question was sent.
+    pub sent: Moment,
 }
 
 /// A manifest came from the platform or from a peer, with the parts that came along.
--- a/src/daemon/control/mod.rs
+++ b/src/daemon/control/mod.rs
@@ -5,6 +5,7 @@
 //! back as messages, so that a slow answer never holds up a heartbeat.
 
 mod actor;
+mod drains;
 mod exchange;
 mod handler;
 mod handover;
@@ -12,6 +13,7 @@
 mod messages;
 mod operator;
 mod publish;
+mod tenure;
 
 pub use self::{
     actor::{Control, ControlParts},
--- a/src/daemon/control/publish.rs
+++ b/src/daemon/control/publish.rs
@@ -1,16 +1,7 @@
 //! What follows from the control state, as one view.
 
-use std::collections::BTreeSet;
-
 use super::actor::Control;
-use crate::{
-    manifest::DrainScope,
-    prelude::*,
-    view::{Tenure, View},
-};
-
-/// How long this host's right to its targets holds after it was last renewed.
-const LEASE: Duration = Duration::from_secs(4);
+use crate::{prelude::*, view::View};
 
 impl Control {
     /// Gives the traffic side a new view if anything in it changed.
@@ -19,12 +10,12 @@
         let now = self.now();
         let view = View {
             baselines: self.baselines.values().map(|note| note.baseline.clone()).collect(),
-            drains: self.active_drains(),
+            drains: self.drains.in_force(),
             hosts: self.parts.membership.hosts(now),
             manifest,
             own: self.parts.membership.own().clone(),
             silent_regions: self.parts.membership.silent_regions(now),
-            tenure: self.tenure(now),
+            tenure: self.tenure.tenure(now),
         };
         if self.shown.as_deref() == Some(&view) {
             return;
@@ -33,17 +24,4 @@
         self.shown = Some(view.clone());
         self.parts.traffic.show(view);
     }
-
-    fn active_drains(&self) -> BTreeSet<DrainScope> {
-        let active = self.drains.values().filter(|record| record.undone.is_none());
-        active.map(|record| record.scope.clone()).collect()
-    }
-
-    fn tenure(&self, now: Moment) -> Tenure {
-        let own = self.parts.membership.own();
-        let hosts = self.parts.membership.hosts(now);
-        let near = hosts.iter().filter(|host| host.zone == own.zone && !host.leaving);
-        let owners = near.map(|host| host.id.clone()).collect();
-        Tenure { owners, provisional: BTreeSet::new(), valid_until: now + LEASE }
-    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod shift;
 pub mod standin;
 pub mod steer;
+pub mod tenure;
 pub mod timeline;
 pub mod timer;
 pub mod trace;
--- a/src/manifest/model.rs
+++ b/src/manifest/model.rs
@@ -110,6 +110,21 @@
     Zone(ZoneId),
 }
 
+impl DrainScope {
+    /// Whether it takes the target out of use. A host's drain takes none: its targets get another
+    /// owner.
+    pub fn covers(&self, target: &Target, manifest: &Manifest) -> bool {
+        match self {
+            DrainScope::Host(_) => false,
+            DrainScope::Region(name) => {
+                manifest.region_of(&target.zone).is_some_and(|region| region.name == *name)
+            }
+            DrainScope::Target(name) => *name == target.name,
+            DrainScope::Zone(name) => *name == target.zone,
+        }
+    }
+}
+
 impl Manifest {
     /// The region that a zone is part of.
     pub fn region_of(&self, zone: &str) -> Option<&Region> {
--- a/src/steer/arrive.rs
+++ b/src/steer/arrive.rs
@@ -102,7 +102,7 @@
             Begin::Fresh => {
                 self.state(call).in_ledger = true;
                 if self.leaving {
-                    return self.fail(call, ErrorKind::HostLeaving, now, rng);
+                    return self.fail(call, ErrorKind::BindingClosed, now, rng);
                 }
                 self.admit_fresh(call, now, rng);
             }
@@ -110,7 +110,7 @@
             Begin::Kept(kept) => self.answer(call, Answer::Kept { kept }),
             Begin::KeptFact { .. } => self.fail(call, ErrorKind::AnswerNotKept, now, rng),
             Begin::Running => self.state(call).waiting = true,
-            Begin::Sealed => self.fail(call, ErrorKind::HostLeaving, now, rng),
+            Begin::Sealed => self.fail(call, ErrorKind::BindingClosed, now, rng),
             Begin::Stranger => self.carry_to_owner(call, &binding, now, rng),
             Begin::Unknown => self.fail(call, ErrorKind::DispatchLost, now, rng),
         }
--- a/src/steer/machine.rs
+++ b/src/steer/machine.rs
@@ -13,7 +13,7 @@
     base::invariant,
     ledger::{Ledger, LedgerLimits, SealedLedger},
     lookup::{BlockTable, owner_of},
-    manifest::{DrainScope, Service, Target, Weighing},
+    manifest::{Service, Target, Weighing},
     prelude::*,
     quarantine::{Mark, Quarantine, QuarantineLimits},
     selection::{Change, Policy, Selector},
@@ -23,7 +23,7 @@
 };
 
 /// Bounds of the machine's state.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct SteerLimits {
     /// How long the slots of a former owner count as taken, unless a report frees them: the
     /// longest time that a request may run on a target.
@@ -92,7 +92,7 @@
             Event::Arrived(arrival) => self.arrived(arrival, now, rng),
             Event::Cancelled { call } => self.cancelled(call, now, rng),
             Event::Ended { attempt, outcome } => self.ended(attempt, outcome, now, rng),
-            Event::Leave => self.leaving = true,
+            Event::Leave => self.leave(),
             Event::Marked { marks } => {
                 marks.iter().for_each(|mark| self.quarantine.learn(mark, now))
             }
@@ -155,6 +155,24 @@
         self.slots.owns(target)
     }
 
+    /// Targets that get no work since they failed.
+    pub fn ejected(&self, now: Moment) -> Vec<TargetId> {
+        let Some(view) = &self.view else { return Vec::new() };
+        let targets = view.manifest.services.iter().flat_map(|service| &service.targets);
+        let names = targets.map(|target| &target.name);
+        names.filter(|name| self.selector.ejected(name, now)).cloned().collect()
+    }
+
+    /// This host's requests on each target that has any, its own or another host's.
+    pub fn busy_targets(&self) -> Vec<BusyTarget> {
+        let mut busy: BTreeMap<&TargetId, u32> = BTreeMap::new();
+        for target in self.attempts.values().filter_map(|attempt| attempt.place.target()) {
+            *busy.entry(target).or_default() += 1;
+        }
+        let rows = busy.into_iter();
+        rows.map(|(target, requests)| BusyTarget { requests, target: target.clone() }).collect()
+    }
+
     /// Slots in use and slots in all at the targets that this host owns, by service.
     pub fn usage(&self) -> Vec<Usage> {
         let Some(view) = &self.view else { return Vec::new() };
@@ -191,13 +209,8 @@
         if self.selector.draining(&target.name) {
             return true;
         }
-        let region = view.manifest.region_of(&target.zone).map(|region| &region.name);
-        view.manifest.drains.iter().chain(&view.drains).any(|scope| match scope {
-            DrainScope::Host(_) => false,
-            DrainScope::Region(name) => Some(name) == region,
-            DrainScope::Target(name) => *name == target.name,
-            DrainScope::Zone(name) => *name == target.zone,
-        })
+        let mut drains = view.manifest.drains.iter().chain(&view.drains);
+        drains.any(|scope| scope.covers(target, &view.manifest))
     }
 
     /// What is spare for the service among the targets of this host: free slots and all slots.
@@ -245,12 +258,9 @@
             if owner != Some(&view.own.id) {
                 continue;
             }
-            let before = self.view.as_ref().map_or(&[][..], |old| &old.tenure.owners);
-            let provisional = owner_of(&target.name, before)
-                .is_some_and(|old| view.tenure.provisional.contains(old));
             owned.push(OwnedTarget {
                 inherited: !self.slots.owns(&target.name),
-                provisional,
+                provisional: view.tenure.is_provisional(&target.name),
                 slots: target.slots,
                 target: target.name.clone(),
             });
@@ -258,6 +268,12 @@
         owned
     }
 
+    /// New bookings are told at once that this binding is closed, and go elsewhere.
+    fn leave(&mut self) {
+        self.leaving = true;
+        self.ledger.close();
+    }
+
     fn ticked(&mut self, now: Moment, rng: &mut impl Rng) {
         self.ledger.rotate(now);
         self.expire_calls(now);
@@ -283,6 +299,13 @@
     }
 }
 
+/// Requests on one target.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BusyTarget {
+    pub requests: u32,
+    pub target: TargetId,
+}
+
 /// Use of the slots of one service at this host's own targets.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Usage {
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -15,7 +15,7 @@
 pub use self::{
     action::{Action, Answer},
     event::{Arrival, Event, Outcome, Via},
-    machine::{Steer, SteerLimits, Usage},
+    machine::{BusyTarget, Steer, SteerLimits, Usage},
     survey::Surveyed,
 };
 
