--- a/src/cmd/measure.rs
+++ b/src/cmd/measure.rs
@@ -9,7 +9,10 @@
 use eyre::WrapErr;
 
 use super::{Exit, Result, output};
-use crate::measure::capacity::{self, Report, Scale};
+use crate::measure::{
+    capacity::{self, Report, Scale},
+    membership::{self, Size},
+};
 
 /// Measures the decisions.
 #[derive(Debug, clap::Args)]
@@ -21,6 +24,7 @@
 #[derive(Debug, Subcommand)]
 enum What {
     Capacity(CapacityArgs),
+    Membership(MembershipArgs),
 }
 
 /// Slopes of what each role costs, followed to the size that the system has to reach.
@@ -38,11 +42,53 @@
     write: Option<PathBuf>,
 }
 
+/// What the exchanges between hosts cost a daemon, and how fast news gets round.
+#[derive(Debug, clap::Args)]
+#[command(after_help = "Example: lavenderplank measure membership --target")]
+struct MembershipArgs {
+    /// Print JSON.
+    #[arg(long)]
+    json: bool,
+    /// Only the smallest size, to see that it runs.
+    #[arg(long)]
+    quick: bool,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Also measure 1,704 hosts in 24 zones; takes minutes.
+    #[arg(long, conflicts_with = "quick")]
+    target: bool,
+}
+
 /// Runs the measurement.
 pub fn run(args: Args) -> Result {
     match args.what {
         What::Capacity(args) => capacity(&args),
+        What::Membership(args) => membership(&args),
+    }
+}
+
+fn membership(args: &MembershipArgs) -> Result {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let rpc = runtime.block_on(membership::measure_rpc())?;
+    let mut sizes = Size::ALL.to_vec();
+    if args.quick {
+        sizes.truncate(1);
     }
+    if args.target {
+        sizes.push(Size::TARGET);
+    }
+    let mut rows = Vec::new();
+    for size in sizes {
+        eprintln!("measuring: {} hosts", size.hosts());
+        rows.push(membership::measure(size, &rpc, args.seed));
+    }
+    let report = membership::Report { rows, rpc };
+    if args.json {
+        output::json(&report)?
+    } else {
+        output::line(report.markdown())?
+    }
+    Ok(Exit::Done)
 }
 
 fn capacity(args: &CapacityArgs) -> Result {
--- a/src/membership/fleet.rs
+++ b/src/membership/fleet.rs
@@ -14,6 +14,9 @@
 /// Delay between learning news and telling it on; a little over the way between two regions.
 const TELL_ON_AFTER: Duration = Duration::from_millis(60);
 
+/// Time between two looks at whether a run is done.
+const LOOK_EVERY: Duration = Duration::from_millis(10);
+
 /// Many hosts and the network between them.
 #[derive(Debug)]
 pub struct Fleet {
@@ -21,6 +24,7 @@
     pub count: Option<fn(&Digest) -> usize>,
     pub nodes: Vec<Node>,
     pub now: Moment,
+    by_address: BTreeMap<SocketAddr, Vec<usize>>,
     cuts: BTreeSet<(ZoneId, ZoneId)>,
     due: BinaryHeap<Reverse<(Moment, usize, Round)>>,
     limits: MembershipLimits,
@@ -53,6 +57,7 @@
     /// `per_zone` hosts in each of `zones`, two zones a region, that were told of one host each.
     pub fn new(zones: usize, per_zone: usize, seed: u64) -> Self {
         let mut fleet = Self {
+            by_address: BTreeMap::new(),
             count: None,
             cuts: BTreeSet::new(),
             due: BinaryHeap::new(),
@@ -78,6 +83,7 @@
         if let Some(first) = self.nodes.first() {
             membership.seed([first.membership.own().rpc]);
         }
+        self.by_address.entry(view.rpc).or_default().push(self.nodes.len());
         let phase = Duration::from_micros(self.rng.random_range(0..1_000_000));
         self.due.push(Reverse((self.now + phase, self.nodes.len(), Round::Tick)));
         self.nodes.push(Node {
@@ -126,9 +132,13 @@
         done: impl Fn(&Fleet) -> bool,
     ) -> Option<Duration> {
         let start = self.now;
+        let mut look_at = start;
         while self.now < start + limit {
-            if done(self) {
-                return Some(self.now - start);
+            if look_at <= self.now {
+                if done(self) {
+                    return Some(self.now - start);
+                }
+                look_at = self.now + LOOK_EVERY;
             }
             self.step();
         }
@@ -144,7 +154,7 @@
     /// Whether each host that is not paused counts `count` hosts as live.
     pub fn agrees_on(&self, count: usize) -> bool {
         let running = self.nodes.iter().filter(|node| !node.paused);
-        running.into_iter().all(|node| node.membership.hosts(self.now).len() == count)
+        running.into_iter().all(|node| node.membership.host_count() == count)
     }
 
     fn next_due(&self) -> Option<Moment> {
@@ -171,8 +181,8 @@
     }
 
     fn exchange(&mut self, from: usize, to: &HostView) {
-        let at_address = |node: &Node| node.membership.own().rpc == to.rpc && !node.paused;
-        let Some(at) = self.nodes.iter().position(at_address) else { return };
+        let at_address = self.by_address.get(&to.rpc).into_iter().flatten();
+        let Some(at) = at_address.copied().find(|at| !self.nodes[*at].paused) else { return };
         for _ in 0..2 {
             let digest = self.nodes[from].membership.digest_for(to, self.now);
             self.sent(from, at, &digest);
--- a/src/membership/machine.rs
+++ b/src/membership/machine.rs
@@ -195,6 +195,11 @@
         hosts
     }
 
+    /// Number of live hosts including this one.
+    pub fn host_count(&self) -> usize {
+        self.roster.live().count() + self.zones.live().count() + 1
+    }
+
     /// Regions of which no zone was heard for the suspicion time.
     pub fn silent_regions(&self, _now: Moment) -> BTreeSet<RegionId> {
         let mut regions = self.zones.silent_regions();
