--- a/src/drain/tests.rs
+++ b/src/drain/tests.rs
@@ -7,6 +7,7 @@
     manifest::{DrainScope, Manifest, Region, Service, ServiceKind, Target, Weighing},
     peer::{DrainOrder, UndrainOrder},
     prelude::*,
+    standin::platform::{Faults, Outage, PlatformStandin},
     timeline::{EventKind, HybridTime},
 };
 
@@ -221,3 +222,48 @@
     assert_eq!(observe(0, secs(8)), (ended, Some(secs(3))));
     assert_eq!(observe(0, secs(9)), (vec![], Some(secs(3))));
 }
+
+// Two hosts settle at the same moment, one of them over a path on which the answers to its writes
+// are lost after they took effect. Each drain ends up on the platform once, with one winner.
+#[tokio::test(start_paused = true)]
+async fn racing_hosts_settle_over_lost_answers() {
+    let platform = PlatformStandin::in_memory();
+    let (good, bad) = (platform.open_door(), platform.open_door());
+    bad.set_faults(Faults { lose_answers: 2, ..Faults::default() });
+    let manifest = manifest(1, 1.0);
+    let mut first = Drains::new("a".into());
+    first.order(order("1", zone("e1")), at(10), &manifest, &[]).unwrap();
+    let mut second = Drains::new("b".into());
+    second.order(order("2", zone("e1")), at(20), &manifest, &[]).unwrap();
+    let key = key(&"agency".into());
+    let (of_first, of_second) = (first.records(), second.records());
+    let (held, other) =
+        tokio::join!(settle(&bad, &key, &of_first, 30), settle(&good, &key, &of_second, 30));
+    first.settled(held.unwrap(), 30);
+    second.settled(other.unwrap(), 30);
+    let held = settle(&good, &key, &first.records(), 30).await.unwrap();
+    first.settled(held.clone(), 30);
+    second.settled(held.clone(), 30);
+    assert_eq!(held.len(), 2);
+    assert_eq!(held.iter().filter(|record| record.is_active()).count(), 1);
+    assert_eq!(first.records(), second.records());
+    assert!(!first.is_unsettled() && !second.is_unsettled());
+}
+
+// The platform is away for a while. The drain is in force all the time, and is settled afterwards.
+#[tokio::test(start_paused = true)]
+async fn a_drain_is_settled_when_the_platform_is_back() {
+    let platform = PlatformStandin::in_memory();
+    platform.set_faults(Faults { outage: Outage::Refuse, ..Faults::default() });
+    let mut drains = Drains::new("a".into());
+    drains.order(order("1", zone("e1")), at(10), &manifest(1, 1.0), &[]).unwrap();
+    let key = key(&"agency".into());
+    assert!(settle(platform.door(), &key, &drains.records(), 20).await.is_err());
+    assert_eq!(drains.in_force(), [zone("e1")].into());
+    assert!(drains.is_unsettled());
+    platform.set_faults(Faults::default());
+    let held = settle(platform.door(), &key, &drains.records(), 20).await.unwrap();
+    drains.settled(held, 20);
+    assert!(!drains.is_unsettled());
+    assert!(drains.get("1").unwrap().settled);
+}
--- a/src/tenure/tests.rs
+++ b/src/tenure/tests.rs
@@ -1,5 +1,9 @@
 use super::*;
-use crate::{base::invariant, prelude::*};
+use crate::{
+    base::{ManualClock, invariant},
+    prelude::*,
+    standin::platform::{Faults, PlatformStandin},
+};
 
 mod world;
 
@@ -172,3 +176,31 @@
     world.hosts[0].keeper.on(Event::Heard(older), now);
     assert_eq!(*world.hosts[0].keeper.list(), list);
 }
+
+// The shell's part: the answer to the write of the list is lost after it took effect, then the
+// platform hangs. The right is counted from before a call was sent, so that a slow answer cannot
+// stretch it.
+#[tokio::test(start_paused = true)]
+async fn a_right_counts_from_before_the_call() {
+    let platform = PlatformStandin::in_memory();
+    platform.set_faults(Faults { lose_answers: 1, ..Faults::default() });
+    let clock = ManualClock::default();
+    let key = ZoneTenure::key(&"agency".into(), &"z".into());
+    let mut keeper = TenureKeeper::new("a".into(), 1, "z".into());
+    let mut sent = Moment::ZERO;
+    for _ in 0..4 {
+        clock.advance(secs(1));
+        sent = clock.now();
+        for action in keeper.on(Event::Tick, sent) {
+            let Some(event) = perform(action, platform.door(), &key, &clock).await else {
+                continue;
+            };
+            clock.advance(secs(1));
+            keeper.on(event, clock.now());
+        }
+    }
+    assert_eq!(keeper.list().fence, 1, "written once");
+    let valid_until = keeper.tenure(clock.now()).valid_until;
+    assert!(valid_until <= sent + LEASE, "{valid_until:?} after {sent:?}");
+    assert!(clock.now() < valid_until);
+}
