--- a/src/membership/machine.rs
+++ b/src/membership/machine.rs
@@ -154,6 +154,16 @@
         }
     }
 
+    /// Sets the stopped incarnations that this host answers for; the newest last.
+    pub fn set_adopted(&mut self, mut adopted: Vec<Incarnation>) {
+        let past = adopted.len().saturating_sub(MAX_ADOPTED);
+        adopted.drain(..past);
+        if self.own.view.adopted != adopted {
+            self.own.view.adopted = adopted;
+            self.own.revision += 1;
+        }
+    }
+
     /// Tells the peers that this host is stopping.
     pub fn leave(&mut self) {
         self.own.view.leaving = true;
@@ -195,6 +205,11 @@
         hosts
     }
 
+    /// Number of live hosts including this one.
+    pub fn host_count(&self) -> usize {
+        self.roster.live().count() + self.zones.live().count() + 1
+    }
+
     /// Regions of which no zone was heard for the suspicion time.
     pub fn silent_regions(&self, _now: Moment) -> BTreeSet<RegionId> {
         let mut regions = self.zones.silent_regions();
