Open the first ledger generation at the time of the start; record, meter and test running hosts

Cause: the ledger's first generation was counted from the clock's zero, which for the boot clock is the start of the machine. On a machine up for longer than a generation lives, bindings told before the first tick were already dropped. Ruled out: the hand-over (its keys are answered binding-closed).

--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -6,6 +6,7 @@
     cmd::{Exit, Result},
     demo::{DemoPlan, Scenario, run as run_demo},
     prelude::*,
+    trace::SteerRecorder,
 };
 
 /// Runs both members on loopback through planned and unplanned loss, and checks every promise.
@@ -18,6 +19,9 @@
     /// Run this member alone.
     #[arg(long)]
     member: Option<String>,
+    /// Record the decisions of the first member's hosts here, for `replay`.
+    #[arg(long, value_name = "FILE")]
+    record: Option<PathBuf>,
     /// YAML file with what befalls the members; without it, the scenario of the README.
     #[arg(long, value_name = "FILE")]
     scenario: Option<PathBuf>,
@@ -38,16 +42,20 @@
             return Ok(Exit::BadInput);
         }
     };
+    let record = args.record.as_deref().map(open_record).transpose()?;
     let plan = DemoPlan {
         member: args.member.map(MemberId::from),
         scenario,
         seconds: args.seconds,
         seed: args.seed,
-        tape: None,
+        record: record.clone(),
     };
     eprintln!("running for {} s and the time to start ...", args.seconds);
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     let report = runtime.block_on(run_demo(plan))?;
+    if let Some(record) = record {
+        record.finish()?;
+    }
     let mut out = std::io::stdout().lock();
     if args.json {
         writeln!(out, "{}", serde_json::to_string_pretty(&report)?)?;
@@ -57,6 +65,11 @@
     Ok(if report.holds() { Exit::Done } else { Exit::Failed })
 }
 
+fn open_record(path: &std::path::Path) -> eyre::Result<SteerRecorder> {
+    let file = std::io::BufWriter::new(std::fs::File::create(path)?);
+    Ok(SteerRecorder::open(Box::new(file), "demo")?)
+}
+
 fn load(path: &std::path::Path) -> std::result::Result<Scenario, String> {
     let text = crate::yaml::read_file(path, crate::yaml::MAX_FILE)
         .map_err(|problem| problem.to_string())?;
--- a/src/cmd/run.rs
+++ b/src/cmd/run.rs
@@ -7,7 +7,7 @@
 use crate::{
     base::BootClock,
     cmd::{Exit, Result},
-    daemon::{Daemon, DaemonParts, NoTape},
+    daemon::{Daemon, DaemonParts},
     forward::{ForwardLimits, HttpUpstream},
     logging::LineFormat,
     peer::PeerClient,
@@ -64,7 +64,7 @@
         platform: Arc::new(HttpPlatform::open(settings.platform)?),
         seed: rand::random(),
         settings,
-        tape: Arc::new(NoTape),
+        record: None,
         targets: Arc::new(HttpUpstream::open(ForwardLimits::default())?),
         timeline: TIMELINE,
         traffic_threads: threads.unwrap_or(cores),
--- a/src/daemon/control/handover.rs
+++ b/src/daemon/control/handover.rs
@@ -28,7 +28,7 @@
         let parts = self.handovers.remove(&digest).unwrap_or_default();
         let unavailable = |error: crate::ledger::Error| PeerError::Unavailable(error.to_string());
         let sealed = SealedLedger::join(parts).map_err(unavailable)?;
-        let adopted = self.parts.traffic.with_steer(|steer, now| steer.adopt(sealed, now));
+        let adopted = self.parts.traffic.adopt(sealed);
         adopted.map_err(unavailable)?;
         self.tell_notes();
         self.publish();
--- a/src/daemon/host.rs
+++ b/src/daemon/host.rs
@@ -8,7 +8,7 @@
 use xtra::Address;
 
 use super::{
-    PeerLink, Tape,
+    NoTape, PeerLink, Tape,
     control::{AskSuccessors, Control, ControlHandler, ControlParts, Leave, Tick, follow_platform},
     http::routes,
     probe::probe_all,
@@ -19,6 +19,7 @@
     ledger::SealedLedger,
     manifest::Store,
     membership::{Membership, MembershipLimits},
+    metrics::{self, MeteredSink, Metric, Metrics},
     peer::{HandoverChunk, PeerKeys, PeerServer},
     platform::Platform,
     prelude::*,
@@ -26,6 +27,7 @@
     steer::{Event, Steer, SteerLimits},
     timeline::{EventKind, EventSink, Recorder},
     timer::{Subscription, Timer, TokioTimer},
+    trace::{Setup, SteerRecorder},
     view::HostView,
 };
 
@@ -38,6 +40,9 @@
 /// Time between two load reports of one target.
 const PROBE_PERIOD: Duration = Duration::from_secs(1);
 
+/// Time between two rounds of gauges.
+const GAUGE_PERIOD: Duration = Duration::from_secs(1);
+
 /// Longest time that a planned stop waits for requests in flight.
 const STOP_LIMIT: Duration = Duration::from_secs(30);
 
@@ -58,6 +63,8 @@
 pub enum Error {
     #[error("cannot listen on {address}: {source}; free the address or change the settings")]
     Bind { address: SocketAddr, source: std::io::Error },
+    #[error("{0}")]
+    Metrics(#[from] metrics::MetricsError),
     #[error("no threads could be started: {0}")]
     Runtime(std::io::Error),
     #[error("{0}")]
@@ -80,7 +87,8 @@
     /// Makes this incarnation's number and the decisions' random choices.
     pub seed: u64,
     pub settings: Settings,
-    pub tape: Arc<dyn Tape>,
+    /// Where the decisions are recorded for replay, if they are.
+    pub record: Option<SteerRecorder>,
     pub targets: Arc<dyn Upstream>,
     /// Events that the time line keeps.
     pub timeline: usize,
@@ -153,13 +161,30 @@
         let mut rng = ChaCha8Rng::seed_from_u64(parts.seed);
         let own = own_view(&parts.settings, http, server.local_addr(), rng.random());
         let steer = Steer::new(own.id.clone(), own.incarnation, parts.limits.clone());
+        let traffic_seed = rng.random();
+        let tape: Arc<dyn Tape> = match &parts.record {
+            Some(record) => {
+                let (host, limits) = (own.id.clone(), parts.limits.clone());
+                let setup = Setup { host, incarnation: own.incarnation, limits };
+                Arc::new(record.track(traffic_seed, &setup))
+            }
+            None => Arc::new(NoTape),
+        };
         let recorder = Arc::new(Recorder::new(
             parts.settings.member.clone(),
             own.id.clone(),
             own.incarnation,
             parts.timeline,
         ));
-        recorder.record(None, EventKind::Started);
+        let tags = metrics::Tags {
+            host: own.id.clone(),
+            member: parts.settings.member.clone(),
+            zone: own.zone.clone(),
+        };
+        let metrics = metrics::open(parts.settings.metrics, &tags)?;
+        let sink: Arc<dyn EventSink> =
+            Arc::new(MeteredSink::new(recorder.clone(), metrics.clone()));
+        sink.record(None, EventKind::Started);
         let traffic = {
             let _context = traffic_rt.enter();
             Traffic::new(TrafficParts {
@@ -167,13 +192,18 @@
                 member: parts.settings.member.clone(),
                 peer_key: parts.peer_key.clone(),
                 peers: parts.peers.clone(),
-                seed: rng.random(),
-                sink: recorder.clone(),
+                seed: traffic_seed,
+                sink,
                 steer,
-                tape: parts.tape.clone(),
+                tape,
                 targets: parts.targets.clone(),
             })
         };
+        // The boot clock may stand at days: the ledger opens a generation of now, and only that one
+        // may be told to anybody. Bookings bound to one of the clock's start would all be dropped.
+        traffic.feed(Event::Tick);
+        let generation = traffic.with_steer(|steer, _| steer.binding().generation);
+        let own = HostView { generation, ..own };
         let control = {
             let _context = control_rt.enter();
             let key = parts.settings.verifying_key()?;
@@ -197,7 +227,9 @@
         control_rt.spawn(follow);
         let app = routes(traffic.clone(), parts.settings.member.clone());
         traffic_rt.spawn(warp::serve(app).incoming(listener).run());
-        let subscriptions = subscribe(control_rt, traffic_rt, &control, &traffic, parts.targets);
+        let mut subscriptions =
+            subscribe(control_rt, traffic_rt, &control, &traffic, parts.targets);
+        subscriptions.push(gauge(control_rt, &traffic, metrics));
         Ok(Self {
             control,
             http,
@@ -254,7 +286,7 @@
         let _ = self.control.send(Leave).await;
         let notice = tokio::time::sleep(LEAVE_NOTICE);
         let cut = self.wait_for_requests().await;
-        let sealed = self.traffic.with_steer(Steer::seal);
+        let sealed = self.traffic.seal();
         let entries = sealed.entries();
         let taken = entries == 0 || self.hand_over(&sealed).await;
         notice.await;
@@ -377,3 +409,22 @@
         traffic_timer.every(PROBE_PERIOD, Box::new(move || probe_all(&probed, &targets))),
     ]
 }
+
+/// Sends the host's gauges once a second.
+fn gauge(control_rt: &Runtime, traffic: &Arc<Traffic>, metrics: Arc<dyn Metrics>) -> Subscription {
+    let traffic = traffic.clone();
+    let timer = TokioTimer::open(control_rt.handle().clone());
+    let send = move || {
+        let (busy, usage) = traffic.with_steer(|steer, _| (steer.busy(), steer.usage()));
+        metrics.gauge(Metric::InFlight, busy as f64, None);
+        for row in usage {
+            let free = row.slots.saturating_sub(row.busy);
+            metrics.gauge(Metric::SlotsFree, f64::from(free), Some(&row.service));
+        }
+        if let Some(view) = traffic.view() {
+            metrics.gauge(Metric::ManifestSequence, view.manifest.sequence as f64, None);
+        }
+        metrics.flush();
+    };
+    timer.every(GAUGE_PERIOD, Box::new(send))
+}
--- a/src/daemon/traffic.rs
+++ b/src/daemon/traffic.rs
@@ -24,8 +24,8 @@
 use crate::{
     base::HeaderLine,
     forward::{Attempt, Reply, ReplyBody, Upstream},
-    ledger::KeptAnswer,
-    lookup::{Lookup, LookupAsk, rank},
+    ledger::{KeptAnswer, SealedLedger},
+    lookup::{BlockTable, HostIndex, Lookup, LookupAsk},
     prelude::*,
     settings::Secret,
     steer::{Action, Answer, AttemptId, CallId, Event, Outcome, Steer, Via},
@@ -59,7 +59,14 @@
     parts: Parts,
     pending: Mutex<HashMap<CallId, Pending>>,
     runtime: tokio::runtime::Handle,
-    view: ArcSwapOption<View>,
+    shown: ArcSwapOption<Shown>,
+}
+
+/// The view in force, with what look-ups need of it.
+struct Shown {
+    blocks: Arc<BlockTable>,
+    index: HostIndex,
+    view: Arc<View>,
 }
 
 struct Parts {
@@ -105,7 +112,7 @@
             },
             pending: Mutex::default(),
             runtime: tokio::runtime::Handle::current(),
-            view: ArcSwapOption::empty(),
+            shown: ArcSwapOption::empty(),
         })
     }
 
@@ -136,11 +143,10 @@
 
     /// Ranked hosts for a caller; `None` until a manifest is in force.
     pub fn look_up(&self, client: IpAddr, service: &ServiceId) -> Option<Lookup> {
-        let view = self.view.load_full()?;
-        view.manifest.service(service)?;
+        let shown = self.shown.load_full()?;
+        shown.view.manifest.service(service)?;
         let ask = LookupAsk { client, service: service.clone() };
-        let now = self.parts.clock.now();
-        let lookup = rank(&view, lock(&self.core).steer.blocks(), &ask, now);
+        let lookup = shown.index.rank(&shown.blocks, &ask);
         if self.parts.sink.is_on() {
             self.parts.sink.record(None, EventKind::LookedUp { service: service.clone() });
         }
@@ -149,19 +155,39 @@
 
     /// The view in force.
     pub fn view(&self) -> Option<Arc<View>> {
-        self.view.load_full()
+        self.shown.load().as_ref().map(|shown| shown.view.clone())
     }
 
     /// Puts a new view in force.
     pub fn show(self: &Arc<Self>, view: Arc<View>) {
-        self.view.store(Some(view.clone()));
-        self.feed(Event::Viewed { view });
+        self.feed(Event::Viewed { view: view.clone() });
+        let blocks = lock(&self.core).steer.blocks().clone();
+        let index = HostIndex::build(&view);
+        self.shown.store(Some(Arc::new(Shown { blocks, index, view })));
+    }
+
+    /// Closes the ledger for a successor.
+    pub fn seal(&self) -> SealedLedger {
+        let mut core = lock(&self.core);
+        let now = self.parts.clock.now();
+        let sealed = core.steer.seal(now);
+        self.parts.tape.sealed(now, &sealed);
+        sealed
+    }
+
+    /// Takes over the sealed ledger of a host that stops.
+    pub fn adopt(&self, sealed: SealedLedger) -> crate::ledger::Result<()> {
+        let mut core = lock(&self.core);
+        let now = self.parts.clock.now();
+        let result = core.steer.adopt(sealed.clone(), now);
+        self.parts.tape.adopted(now, &sealed, &result);
+        result
     }
 
-    /// Reads or changes the decisions directly, for the control side.
-    pub fn with_steer<T>(&self, f: impl FnOnce(&mut Steer, Moment) -> T) -> T {
+    /// Reads the decisions, for the control side.
+    pub fn with_steer<T>(&self, f: impl FnOnce(&Steer, Moment) -> T) -> T {
         let now = self.parts.clock.now();
-        f(&mut lock(&self.core).steer, now)
+        f(&lock(&self.core).steer, now)
     }
 
     /// Gives one event to the decisions and carries out what they order.
@@ -180,7 +206,7 @@
             return core.steer.on(event, now, &mut core.rng);
         }
         let actions = core.steer.on(event.clone(), now, &mut core.rng);
-        self.parts.tape.record(now, &event, &actions);
+        self.parts.tape.event(now, &event, &actions);
         actions
     }
 
@@ -253,7 +279,7 @@
     }
 
     async fn send(&self, order: &Order) -> crate::forward::Result<Reply> {
-        let view = self.view.load_full();
+        let view = self.view();
         let service = view.as_ref().and_then(|view| view.manifest.service(&order.incoming.service));
         let repeatable = service.is_some_and(|service| service.kind.is_repeatable());
         let streams =
--- a/src/demo/cluster.rs
+++ b/src/demo/cluster.rs
@@ -11,7 +11,7 @@
 use super::members::{MemberPlan, SLOTS, ServicePlan, ZONES, zone_name};
 use crate::{
     base::BootClock,
-    daemon::{Daemon, DaemonParts, NoTape, Tape},
+    daemon::{Daemon, DaemonParts},
     forward::{ForwardLimits, HttpUpstream},
     manifest::{Manifest, SignedManifest, Target, sign},
     peer::PeerClient,
@@ -24,6 +24,7 @@
         target::{RunLog, TargetModel, TargetStandin},
     },
     steer::SteerLimits,
+    trace::SteerRecorder,
 };
 
 /// Events that each host's time line keeps.
@@ -61,7 +62,7 @@
     platform: SocketAddr,
     seeds: AtomicU64,
     sequence: AtomicU64,
-    tape: Arc<dyn Tape>,
+    record: Option<SteerRecorder>,
 }
 
 impl Cluster {
@@ -70,7 +71,7 @@
         plan: MemberPlan,
         platform: SocketAddr,
         seed: u64,
-        tape: Option<Arc<dyn Tape>>,
+        record: Option<SteerRecorder>,
     ) -> eyre::Result<Self> {
         let links = Arc::new(Links::default());
         let log = Arc::new(RunLog::default());
@@ -90,7 +91,7 @@
             seeds: AtomicU64::new(seed),
             sequence: AtomicU64::new(0),
             start: Arc::default(),
-            tape: tape.unwrap_or_else(|| Arc::new(NoTape)),
+            record,
             targets,
         })
     }
@@ -131,7 +132,7 @@
             platform: Arc::new(Linked::new(platform, self.links.clone(), place.clone())),
             seed: self.seeds.fetch_add(1, Ordering::Relaxed),
             settings,
-            tape: self.tape.clone(),
+            record: self.record.clone(),
             targets: Arc::new(Linked::new(upstream()?, self.links.clone(), place.clone())),
             timeline: TIMELINE,
             traffic_threads: 2,
--- a/src/demo/load.rs
+++ b/src/demo/load.rs
@@ -49,6 +49,10 @@
 /// Time that a caller gives a request.
 const DEADLINE: Duration = Duration::from_secs(6);
 
+/// Time in which targets and slots settle after the start; its requests count for every promise,
+/// but not for the answer times.
+pub const WARM_UP: Duration = Duration::from_secs(3);
+
 /// One request as its caller saw it.
 #[derive(Clone, Debug)]
 pub struct Record {
--- a/src/demo/report.rs
+++ b/src/demo/report.rs
@@ -6,12 +6,12 @@
 
 use super::{
     cluster::Cluster,
-    load::Record,
+    load::{Record, WARM_UP},
     members::SHIFT_CAP,
     promise::{Count, Promise, Tally},
     watch::{Headroom, Watch},
 };
-use crate::{manifest::ServiceKind, prelude::*};
+use crate::prelude::*;
 
 /// Time over which a shift is held against its cap.
 const CAP_WINDOW: Duration = Duration::from_secs(10);
@@ -161,10 +161,10 @@
 
 fn latencies(cluster: &Cluster, records: &[Record]) -> Vec<Latency> {
     let services = cluster.plan.services.iter();
-    services.filter_map(|service| latency(service.name, service.kind, records)).collect()
+    services.filter_map(|service| latency(service.name, records)).collect()
 }
 
-fn latency(service: &str, _kind: ServiceKind, records: &[Record]) -> Option<Latency> {
+fn latency(service: &str, records: &[Record]) -> Option<Latency> {
     let mut histogram = Histogram::<u64>::new_with_bounds(1, 120_000_000, 3).ok()?;
     let answered =
         records.iter().filter(|record| &*record.service == service && record.heard.ran == Ran::Yes);
@@ -195,6 +195,7 @@
 impl fmt::Display for MemberReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "{}: {} requests", self.member, self.requests)?;
+        writeln!(f, "  answer times after {WARM_UP:?} of warm-up:")?;
         writeln!(
             f,
             "  {:<12} {:>8} {:>9} {:>9} {:>9}",
--- a/src/demo/run.rs
+++ b/src/demo/run.rs
@@ -14,7 +14,7 @@
     scenario::Scenario,
     watch::Watch,
 };
-use crate::{daemon::Tape, prelude::*, standin::platform::PlatformStandin};
+use crate::{prelude::*, standin::platform::PlatformStandin, trace::SteerRecorder};
 
 /// Time for all hosts to have the first manifest and to know each other.
 const WARM_UP: Duration = Duration::from_secs(15);
@@ -27,8 +27,8 @@
     pub scenario: Scenario,
     pub seconds: u64,
     pub seed: u64,
-    /// Takes down the decisions of the first member's hosts.
-    pub tape: Option<Arc<dyn Tape>>,
+    /// Takes down the decisions of the hosts of the first member that is run.
+    pub record: Option<SteerRecorder>,
 }
 
 /// Runs both members side by side and reports what was seen.
@@ -39,8 +39,9 @@
         .collect();
     eyre::ensure!(!members.is_empty(), "no such member; use himalaya-tara or gradski-servis");
     let mut runs = JoinSet::new();
-    for member in members {
-        runs.spawn(run_member(plan.clone(), member));
+    for (number, member) in members.into_iter().enumerate() {
+        let record = plan.record.clone().filter(|_| number == 0);
+        runs.spawn(run_member(DemoPlan { record, ..plan.clone() }, member));
     }
     let mut report = Report { members: Vec::new(), seconds: plan.seconds, seed: plan.seed };
     while let Some(done) = runs.join_next().await {
@@ -52,7 +53,7 @@
 
 async fn run_member(plan: DemoPlan, member: MemberPlan) -> eyre::Result<MemberReport> {
     let platform = Arc::new(PlatformStandin::bind(([127, 0, 0, 1], 0).into()).await?);
-    let cluster = Cluster::open(member, platform.address(), plan.seed, plan.tape.clone()).await?;
+    let cluster = Cluster::open(member, platform.address(), plan.seed, plan.record.clone()).await?;
     let cluster = Arc::new(cluster);
     let tally = Arc::new(Tally::default());
     let watch = Arc::new(tokio::sync::Mutex::new(Watch::default()));
--- a/src/steer/machine.rs
+++ b/src/steer/machine.rs
@@ -48,7 +48,7 @@
 /// The decisions of one incarnation of one host.
 pub struct Steer {
     pub(super) attempts: BTreeMap<AttemptId, Attempt>,
-    pub(super) blocks: BlockTable,
+    pub(super) blocks: Arc<BlockTable>,
     pub(super) calls: BTreeMap<CallId, Call>,
     pub(super) caps: ShiftCaps,
     pub(super) leaving: bool,
@@ -69,7 +69,7 @@
     pub fn new(host: HostId, incarnation: Incarnation, limits: SteerLimits) -> Self {
         Self {
             attempts: BTreeMap::new(),
-            blocks: BlockTable::build(&[]),
+            blocks: Arc::new(BlockTable::build(&[])),
             calls: BTreeMap::new(),
             caps: ShiftCaps::new(Duration::ZERO),
             leaving: false,
@@ -115,7 +115,7 @@
     }
 
     /// The table from client address to home region.
-    pub fn blocks(&self) -> &BlockTable {
+    pub fn blocks(&self) -> &Arc<BlockTable> {
         &self.blocks
     }
 
@@ -233,7 +233,7 @@
             );
         }
         if !same_manifest {
-            self.blocks = BlockTable::build(&view.manifest.client_blocks);
+            self.blocks = Arc::new(BlockTable::build(&view.manifest.client_blocks));
             self.selector.set_policy(Policy::Weighed(view.manifest.weighing));
             let targets = view.manifest.services.iter().flat_map(|service| &service.targets);
             let known: BTreeSet<&TargetId> = targets.map(|target| &target.name).collect();
--- /dev/null
+++ b/tests/support/hosts.rs
@@ -0,0 +1,211 @@
+//! A small member on loopback: the platform stand-in, targets, and as many hosts as a test wants.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use ed25519_dalek::SigningKey;
+use lavenderplank::{
+    base::{BootClock, Clock},
+    daemon::{Daemon, DaemonParts, LookupBody},
+    forward::{ForwardLimits, HttpUpstream},
+    manifest::{
+        ASSUMED_LOAD, ClientBlock, Loads, Manifest, Proposal, Region, Service, ServiceKind, Target,
+        Weighing, accept, sign,
+    },
+    peer::PeerClient,
+    platform::HttpPlatform,
+    settings::{LogSettings, Secret, Settings},
+    standin::{
+        platform::PlatformStandin,
+        target::{RunLog, TargetModel, TargetStandin},
+    },
+    steer::SteerLimits,
+};
+
+pub const MEMBER: &str = "gradski-servis";
+pub const READ: &str = "status";
+pub const BOOKING: &str = "intake";
+const PEER_KEY: &str = "the member's secret";
+const OPERATOR_TOKEN: &str = "the operators' token";
+const ZONE: &str = "zagreb-a";
+const REGION: &str = "zagreb";
+
+/// One zone of one member.
+pub struct Member {
+    pub http: reqwest::Client,
+    pub log: Arc<RunLog>,
+    pub platform: PlatformStandin,
+    clock: Arc<dyn Clock>,
+    key: SigningKey,
+    seeds: u64,
+    targets: Vec<(&'static str, TargetStandin)>,
+}
+
+impl Member {
+    /// Two targets of each service and an accepted manifest.
+    pub async fn open() -> Self {
+        Self::open_at(Arc::new(BootClock)).await
+    }
+
+    /// The same, with the hosts on a clock of the test's.
+    pub async fn open_at(clock: Arc<dyn Clock>) -> Self {
+        let log = Arc::new(RunLog::default());
+        let platform = PlatformStandin::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await.unwrap();
+        let mut targets = Vec::new();
+        for service in [READ, READ, BOOKING, BOOKING] {
+            let model = TargetModel {
+                cold_factor: 1.0,
+                service_time: Duration::from_millis(5),
+                ..TargetModel::default()
+            };
+            targets.push((service, TargetStandin::bind(model, log.clone()).await.unwrap()));
+        }
+        let key = SigningKey::from_bytes(&[7; 32]);
+        let http = reqwest::Client::builder().no_proxy().retry(reqwest::retry::never());
+        let http = http.build().unwrap();
+        let member = Self { clock, http, key, log, platform, seeds: 1, targets };
+        member.apply(1).await;
+        member
+    }
+
+    /// Has the pipeline apply the manifest under a sequence number.
+    pub async fn apply(&self, sequence: u64) {
+        let text = serde_norway::to_string(&self.manifest(sequence)).unwrap();
+        let signed = sign(&text, &self.key).unwrap();
+        let proposal = Proposal { member: MEMBER.into(), parts: Vec::new(), signed };
+        let platform = HttpPlatform::open(self.platform.address()).unwrap();
+        let loads = Loads { known: Vec::new(), otherwise: ASSUMED_LOAD };
+        accept(&platform, &proposal, &self.key.verifying_key(), &loads).await.unwrap();
+    }
+
+    /// Starts a host that knows `peers`, and waits until it serves.
+    pub async fn host(&mut self, name: &str, peers: &[&Daemon]) -> Daemon {
+        self.seeds += 1;
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let settings = Settings {
+            advertise_http: None,
+            advertise_rpc: None,
+            host: name.into(),
+            http: any_port,
+            log: LogSettings::default(),
+            manifest_key: hex::encode(self.key.verifying_key()).into(),
+            member: MEMBER.into(),
+            metrics: None,
+            operator_token_file: None,
+            peer_key_file: None,
+            peers: peers.iter().map(|peer| peer.rpc_addr()).collect(),
+            platform: self.platform.address(),
+            region: REGION.into(),
+            rpc: any_port,
+            zone: ZONE.into(),
+        };
+        let key = Secret::new(PEER_KEY);
+        let upstream = || Arc::new(HttpUpstream::open(ForwardLimits::default()).unwrap());
+        let host = Daemon::spawn(DaemonParts {
+            clock: self.clock.clone(),
+            limits: SteerLimits::default(),
+            link: Arc::new(PeerClient::open(key.clone(), MEMBER.into())),
+            operator_token: Secret::new(OPERATOR_TOKEN),
+            peer_key: key,
+            peers: upstream(),
+            platform: Arc::new(HttpPlatform::open(self.platform.address()).unwrap()),
+            record: None,
+            seed: self.seeds,
+            settings,
+            targets: upstream(),
+            timeline: 1000,
+            traffic_threads: 1,
+        })
+        .await
+        .unwrap();
+        let wanted = peers.len() + 1;
+        for daemon in peers.iter().copied().chain([&host]) {
+            until(|| async { self.hosts_known(daemon).await == Some(wanted) }).await;
+        }
+        host
+    }
+
+    /// A look-up at a host.
+    pub async fn look_up(&self, host: &Daemon, service: &str) -> Option<LookupBody> {
+        let url = format!("http://{}/v1/lookup?service={service}", host.http_addr());
+        self.http.get(url).send().await.ok()?.error_for_status().ok()?.json().await.ok()
+    }
+
+    /// A booking by its path, ready for more headers.
+    pub fn book(&self, host: &Daemon, key: &str) -> reqwest::RequestBuilder {
+        let url = format!("http://{}/v1/services/{BOOKING}/", host.http_addr());
+        self.http.post(url).header("idempotency-key", key).body("one pair of boots")
+    }
+
+    async fn hosts_known(&self, host: &Daemon) -> Option<usize> {
+        Some(self.look_up(host, BOOKING).await?.hosts.len())
+    }
+
+    fn manifest(&self, sequence: u64) -> Manifest {
+        let service = |name: &str, kind| Service {
+            connections: 50,
+            kind,
+            max_body: 1024,
+            name: name.into(),
+            shift_cap: 0.3,
+            targets: self.targets_of(name),
+            timeout_ms: 2000,
+        };
+        Manifest {
+            client_blocks: vec![ClientBlock {
+                block: "127.0.0.0/8".parse().unwrap(),
+                home: REGION.into(),
+            }],
+            drains: Vec::new(),
+            member: MEMBER.into(),
+            regions: vec![Region { name: REGION.into(), reserve: 0.2, zones: vec![ZONE.into()] }],
+            sequence,
+            services: vec![
+                service(READ, ServiceKind::Read),
+                service(BOOKING, ServiceKind::Booking),
+            ],
+            weighing: Weighing::Latency,
+        }
+    }
+
+    fn targets_of(&self, service: &str) -> Vec<Target> {
+        let own = self.targets.iter().filter(|(name, _)| *name == service).enumerate();
+        own.map(|(number, (_, standin))| Target {
+            address: standin.address(),
+            name: format!("{service}-{number}").into(),
+            slots: 3,
+            zone: ZONE.into(),
+        })
+        .collect()
+    }
+}
+
+/// Sends a request as callers do: again after `not run`, as long as the same may be sent again. A
+/// host that has just started does not own its targets yet.
+pub async fn served(req: reqwest::RequestBuilder) -> reqwest::Response {
+    for _ in 0..200 {
+        let res = req.try_clone().unwrap().send().await.unwrap();
+        let again =
+            header(&res, "lavender-ran") == "no" && header(&res, "lavender-resend") == "same";
+        if !again {
+            return res;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("the request was not served");
+}
+
+/// One header of an answer, as text.
+pub fn header<'a>(res: &'a reqwest::Response, name: &str) -> &'a str {
+    res.headers().get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+}
+
+/// Waits until a condition holds; a test that waits in vain ends after half a minute.
+pub async fn until<F: Future<Output = bool>>(mut holds: impl FnMut() -> F) {
+    for _ in 0..600 {
+        if holds().await {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("the condition did not come about");
+}
