--- /dev/null
+++ b/src/daemon/control/operator.rs
@@ -0,0 +1,96 @@
+//! What operators ask of a host.
+
+use std::net::{IpAddr, Ipv4Addr};
+
+use super::{
+    actor::Control,
+    messages::{AskExplain, AskStatus, ExplainAnswer, StatusAnswer},
+};
+use crate::{
+    operator::{DrainStatus, HostStatus, ServiceStatus, SilentZone, TenureStatus, explain},
+    peer::{ExplainRequest, PeerError},
+    prelude::*,
+};
+
+impl Control {
+    fn status(&self) -> StatusAnswer {
+        let now = self.now();
+        let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        let usage = self.parts.traffic.with_steer(|steer, _| steer.usage());
+        let manifest = self.parts.store.current().map(|(manifest, _)| manifest);
+        let cap_of = |service: &ServiceId| {
+            let manifest = manifest.as_ref();
+            manifest.and_then(|m| m.service(service)).map_or(0.0, |service| service.shift_cap)
+        };
+        let services = usage.into_iter().map(|usage| ServiceStatus {
+            cap: cap_of(&usage.service),
+            in_flight: u64::from(usage.busy),
+            service: usage.service,
+            shifted: 0.0,
+            slots: u64::from(usage.slots),
+        });
+        let drains = self.drains.records().into_iter().map(|record| {
+            let seen = self.progress.of(&record.id);
+            DrainStatus {
+                in_flight: seen.map_or(0, |seen| seen.in_flight),
+                took_ms: seen.and_then(|seen| seen.took()).map(millis),
+                waits: self.drains.why_waits(&record.id).cloned(),
+                record,
+            }
+        });
+        let silent = self.parts.membership.silent_zones(now);
+        let silent_zones =
+            silent.into_iter().map(|(zone, time)| SilentZone { for_ms: millis(time), zone });
+        let tenure = self.shown.as_ref().map(|view| &view.tenure);
+        Ok(HostStatus {
+            breaker_open: false,
+            drains: drains.collect(),
+            ejected: self.parts.traffic.with_steer(|steer, now| steer.ejected(now)),
+            hosts: self.parts.membership.hosts(now),
+            own: self.parts.membership.own().clone(),
+            platform_age_ms: self.platform_at.map(|at| millis(now.saturating_sub(at))),
+            sequence: self.parts.store.sequence(),
+            services: services.collect(),
+            silent_zones: silent_zones.collect(),
+            tenure: tenure.map(|tenure| TenureStatus {
+                fence: self.tenure.list().fence,
+                owners: tenure.owners.clone(),
+                provisional: tenure.provisional.iter().cloned().collect(),
+                valid_ms: millis(tenure.valid_until.saturating_sub(now)),
+            }),
+        })
+    }
+
+    fn explain(&self, service: &ServiceId, caller: IpAddr) -> ExplainAnswer {
+        let Some(view) = &self.shown else {
+            return Err(PeerError::Unavailable("no manifest is in force here yet".into()));
+        };
+        let ask = ExplainRequest { caller: Some(caller), service: service.clone() };
+        let (mut explanation, options) = self.parts.traffic.with_steer(|steer, now| {
+            let home = steer.blocks().home(caller).unwrap_or(&view.own.region).clone();
+            let explanation = explain(view, steer.blocks(), &ask, now);
+            (explanation, steer.survey(service, &home, now))
+        });
+        for option in &options {
+            explanation.step("here", option.to_string());
+        }
+        Ok(explanation)
+    }
+}
+
+impl xtra::Handler<AskStatus> for Control {
+    type Return = StatusAnswer;
+
+    async fn handle(&mut self, _ask: AskStatus, _cx: &mut xtra::Context<Self>) -> StatusAnswer {
+        self.status()
+    }
+}
+
+impl xtra::Handler<AskExplain> for Control {
+    type Return = ExplainAnswer;
+
+    async fn handle(&mut self, ask: AskExplain, _cx: &mut xtra::Context<Self>) -> ExplainAnswer {
+        let caller = ask.0.caller.unwrap_or(IpAddr::V4(Ipv4Addr::LOCALHOST));
+        self.explain(&ask.0.service, caller)
+    }
+}
--- a/src/steer/machine.rs
+++ b/src/steer/machine.rs
@@ -13,7 +13,7 @@
     base::invariant,
     ledger::{Ledger, LedgerLimits, SealedLedger},
     lookup::{BlockTable, owner_of},
-    manifest::{DrainScope, Service, Target, Weighing},
+    manifest::{Service, Target, Weighing},
     prelude::*,
     quarantine::{Mark, Quarantine, QuarantineLimits},
     selection::{Change, Policy, Selector},
@@ -150,6 +150,29 @@
         self.ledger.adopted()
     }
 
+    /// Whether this host owns the target.
+    pub fn owns(&self, target: &TargetId) -> bool {
+        self.slots.owns(target)
+    }
+
+    /// Targets that get no work since they failed.
+    pub fn ejected(&self, now: Moment) -> Vec<TargetId> {
+        let Some(view) = &self.view else { return Vec::new() };
+        let targets = view.manifest.services.iter().flat_map(|service| &service.targets);
+        let names = targets.map(|target| &target.name);
+        names.filter(|name| self.selector.ejected(name, now)).cloned().collect()
+    }
+
+    /// This host's requests on each target that has any, its own or another host's.
+    pub fn busy_targets(&self) -> Vec<BusyTarget> {
+        let mut busy: BTreeMap<&TargetId, u32> = BTreeMap::new();
+        for target in self.attempts.values().filter_map(|attempt| attempt.place.target()) {
+            *busy.entry(target).or_default() += 1;
+        }
+        let rows = busy.into_iter();
+        rows.map(|(target, requests)| BusyTarget { requests, target: target.clone() }).collect()
+    }
+
     /// Slots in use and slots in all at the targets that this host owns, by service.
     pub fn usage(&self) -> Vec<Usage> {
         let Some(view) = &self.view else { return Vec::new() };
@@ -186,13 +209,8 @@
         if self.selector.draining(&target.name) {
             return true;
         }
-        let region = view.manifest.region_of(&target.zone).map(|region| &region.name);
-        view.manifest.drains.iter().chain(&view.drains).any(|scope| match scope {
-            DrainScope::Host(_) => false,
-            DrainScope::Region(name) => Some(name) == region,
-            DrainScope::Target(name) => *name == target.name,
-            DrainScope::Zone(name) => *name == target.zone,
-        })
+        let mut drains = view.manifest.drains.iter().chain(&view.drains);
+        drains.any(|scope| scope.covers(target, &view.manifest))
     }
 
     /// What is spare for the service among the targets of this host: free slots and all slots.
@@ -281,6 +299,13 @@
     }
 }
 
+/// Requests on one target.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BusyTarget {
+    pub requests: u32,
+    pub target: TargetId,
+}
+
 /// Use of the slots of one service at this host's own targets.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Usage {
