Let the home region's first host set its baseline, and tell news on by exchange

Every host overwrote the baseline of any home region with its own rate each second: callers of a lost region then shrank their own cap, the rate was one host's and not the region's, and each exchange carried all baselines anew. Now one host of the home region speaks for it, every 10 s, and a baseline falls by a tenth a note at most. Drains are held against the loads that follow from it.

Only relays and the host that took an order settle drains. Settings' addresses stay hints for good, and witnesses are asked by turns.

--- a/src/daemon/control/actor.rs
+++ b/src/daemon/control/actor.rs
@@ -9,7 +9,7 @@
     drain::{Drains, Progress},
     ledger::SealedPart,
     manifest::Store,
-    membership::{BaselineNote, Membership, MembershipEvent},
+    membership::{Baselines, Membership, MembershipEvent},
     platform::Platform,
     prelude::*,
     tenure::TenureKeeper,
@@ -37,7 +37,7 @@
 
 /// The control state of one host.
 pub struct Control {
-    pub(super) baselines: BTreeMap<BaselineKey, BaselineNote>,
+    pub(super) baselines: Baselines,
     pub(super) drains: Drains,
     /// Parts of sealed ledgers that are still incomplete, by the digest of the whole.
     pub(super) handovers: BTreeMap<String, Vec<SealedPart>>,
@@ -52,19 +52,14 @@
     pub(super) tenure: TenureKeeper,
 }
 
-/// Which traffic a baseline is of.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(super) struct BaselineKey {
-    pub home: RegionId,
-    pub service: ServiceId,
-}
-
 impl Control {
     /// Starts the actor on the current runtime.
-    pub fn spawn(parts: ControlParts) -> Address<Self> {
+    pub fn spawn(mut parts: ControlParts) -> Address<Self> {
+        // Also for later: after a long cut these addresses may be all that is left.
+        parts.membership.seed(parts.seeds.iter().copied());
         let own = parts.membership.own().clone();
         let control = Self {
-            baselines: BTreeMap::new(),
+            baselines: Baselines::default(),
             drains: Drains::new(own.id.clone()),
             handovers: BTreeMap::new(),
             parts,
--- a/src/daemon/control/drains.rs
+++ b/src/daemon/control/drains.rs
@@ -4,7 +4,7 @@
 
 use super::{
     actor::Control,
-    exchange::{Reach, wall_millis},
+    exchange::wall_millis,
     messages::{DrainAnswer, OrderDrain, OrderUndrain, UndrainAnswer},
 };
 use crate::{
@@ -24,11 +24,18 @@
         self.drains.forget(wall_millis());
         self.start_drains();
         self.observe_drains();
-        if self.drains.is_unsettled() && !self.settling {
+        if self.settles_drains() && self.drains.is_unsettled() && !self.settling {
             self.settle_drains(me);
         }
     }
 
+    /// Relays settle drains for their zones, and the host that took an order does so at once: if all
+    /// hosts did, one drain would cost the platform a read and a write of each host of the fleet.
+    fn settles_drains(&self) -> bool {
+        let own = &self.parts.membership.own().id;
+        self.is_relay() || self.drains.active().any(|record| record.taken_by == *own)
+    }
+
     /// Takes the manifest in force into account and starts the drains that may start.
     pub(super) fn start_drains(&mut self) {
         let Some((manifest, _)) = self.parts.store.current() else { return };
@@ -36,7 +43,8 @@
         let hosts = self.parts.membership.hosts(self.now());
         let live: Vec<HostId> = hosts.into_iter().map(|host| host.id).collect();
         self.drains.reconcile(&manifest, at);
-        self.drains.start_waiting(&manifest, &[], &live, at);
+        let loads = self.parts.traffic.with_steer(|steer, _| steer.loads());
+        self.drains.start_waiting(&manifest, &loads, &live, at);
     }
 
     fn observe_drains(&mut self) {
@@ -74,7 +82,7 @@
     fn announce_drains(&mut self, me: &WeakAddress<Self>) {
         self.tell_notes();
         self.publish();
-        self.spread(me, Reach::Everywhere);
+        self.spread(me);
         self.settle_drains(me);
     }
 }
@@ -101,7 +109,8 @@
             return Err(PeerError::Unavailable("no manifest is in force here yet".into()));
         };
         let at = self.parts.recorder.stamp();
-        let record = self.drains.order(order.0, at, &manifest, &[]).map_err(refused)?;
+        let loads = self.parts.traffic.with_steer(|steer, _| steer.loads());
+        let record = self.drains.order(order.0, at, &manifest, &loads).map_err(refused)?;
         self.announce_drains(&cx.mailbox().address());
         Ok(record)
     }
--- a/src/daemon/control/exchange.rs
+++ b/src/daemon/control/exchange.rs
@@ -3,24 +3,19 @@
 use xtra::WeakAddress;
 
 use super::{
-    actor::{BaselineKey, Control},
+    actor::Control,
     messages::{Exchanged, Leave, Merged},
 };
 use crate::{
-    membership::{BaselineNote, Digest, Notes},
+    manifest::DrainScope,
+    membership::{Digest, Notes},
     prelude::*,
     steer::Event,
     tenure,
     timeline::EventKind,
+    view::HostView,
 };
 
-/// How far news goes at once.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Reach {
-    Everywhere,
-    Zone,
-}
-
 impl Control {
     /// Begins this second's exchanges. A host that knows nobody asks the addresses of its settings.
     pub(super) fn exchange(&mut self, me: WeakAddress<Self>) {
@@ -54,18 +49,17 @@
             (steer.marks(now), steer.baselines(now), steer.binding(), steer.adopted())
         });
         let at = wall_millis();
-        for baseline in rates {
-            let key =
-                BaselineKey { home: baseline.home.clone(), service: baseline.service.clone() };
-            self.baselines.insert(key, BaselineNote { at, baseline });
-        }
+        let hosts = self.parts.membership.hosts(self.now());
+        let own = self.parts.membership.own().clone();
+        let unsteady = self.is_region_unsteady(&own);
+        self.baselines.author(&own, &hosts, rates, unsteady, at);
         let membership = &mut self.parts.membership;
         if membership.own().generation != binding.generation {
             membership.set_generation(binding.generation);
         }
         membership.set_adopted(adopted);
         membership.set_notes(Notes {
-            baselines: self.baselines.values().cloned().collect(),
+            baselines: self.baselines.notes(),
             drains: self.drains.records(),
             marks,
             sequence: self.parts.store.sequence().unwrap_or_default(),
@@ -77,7 +71,7 @@
     pub(super) fn take_heard(&mut self, me: WeakAddress<Self>) {
         let heard = self.parts.membership.take_heard();
         for note in heard.baselines {
-            self.take_baseline(note);
+            self.baselines.learn(note, wall_millis());
         }
         if let Some(list) = heard.tenure {
             self.tenure_on(tenure::Event::Heard(list), &me);
@@ -85,7 +79,7 @@
         if self.drains.merge(&heard.drains, wall_millis()) {
             self.start_drains();
             self.tell_notes();
-            self.spread(&me, Reach::Zone);
+            self.exchange(me.clone());
         }
         if !heard.marks.is_empty() {
             self.parts.traffic.feed(Event::Marked { marks: heard.marks });
@@ -95,13 +89,23 @@
         }
     }
 
-    fn take_baseline(&mut self, note: BaselineNote) {
-        let home = note.baseline.home.clone();
-        let key = BaselineKey { home, service: note.baseline.service.clone() };
-        let newer = self.baselines.get(&key).is_none_or(|held| held.at < note.at);
-        if newer {
-            self.baselines.insert(key, note);
-        }
+    /// Whether something of the own region is being emptied, so that its traffic says little.
+    fn is_region_unsteady(&self, own: &HostView) -> bool {
+        let hosts = self.parts.membership.hosts(self.now());
+        let of_region =
+            |id: &HostId| hosts.iter().any(|host| host.id == *id && host.region == own.region);
+        let manifest = self.parts.store.current().map(|(manifest, _)| manifest);
+        let region_of = |zone: &ZoneId| {
+            let region = manifest.as_ref().and_then(|manifest| manifest.region_of(zone));
+            region.is_some_and(|region| region.name == own.region)
+        };
+        own.leaving
+            || self.drains.in_force().iter().any(|scope| match scope {
+                DrainScope::Host(id) => of_region(id),
+                DrainScope::Region(region) => *region == own.region,
+                DrainScope::Target(_) => false,
+                DrainScope::Zone(zone) => region_of(zone),
+            })
     }
 }
 
@@ -149,7 +153,7 @@
         self.tenure_on(tenure::Event::Leave, &cx.mailbox().address());
         self.parts.traffic.feed(Event::Leave);
         self.note(EventKind::HostLeft { host: self.parts.membership.own().id.clone() });
-        self.spread(&cx.mailbox().address(), Reach::Everywhere);
+        self.spread(&cx.mailbox().address());
         self.publish();
     }
 }
@@ -157,12 +161,12 @@
 impl Control {
     /// Tells the whole zone and one host of each other zone now: with the next heartbeats alone,
     /// a stopping host or a drained target would get new work for another second or two.
-    pub(super) fn spread(&mut self, me: &WeakAddress<Self>, reach: Reach) {
+    pub(super) fn spread(&mut self, me: &WeakAddress<Self>) {
         let now = self.now();
         let own = self.parts.membership.own().clone();
         let mut zones = std::collections::BTreeSet::new();
         for host in self.parts.membership.hosts(now) {
-            let first = zones.insert(host.zone.clone()) && reach == Reach::Everywhere;
+            let first = zones.insert(host.zone.clone());
             if host.id != own.id && (host.zone == own.zone || first) {
                 let digest = self.parts.membership.digest_for(&host, now);
                 self.ask(me.clone(), host.rpc, digest);
--- a/src/daemon/control/manifest.rs
+++ b/src/daemon/control/manifest.rs
@@ -83,7 +83,7 @@
     }
 
     /// Whether this host is one of those that watch the platform for its zone.
-    fn is_relay(&self) -> bool {
+    pub(super) fn is_relay(&self) -> bool {
         let own = self.parts.membership.own();
         let hosts = self.parts.membership.hosts(self.now());
         let near = hosts.iter().filter(|host| host.zone == own.zone && !host.leaving);
@@ -128,6 +128,8 @@
                 log::info!("manifest {} is in force", manifest.sequence);
                 self.tell_notes();
                 self.publish();
+                // Told on at once: with the next heartbeats alone, each hop would add up to a second.
+                self.exchange(cx.mailbox().address());
             }
             Offer::Older | Offer::Same => {}
             Offer::Refused(reason) => {
--- a/src/daemon/control/publish.rs
+++ b/src/daemon/control/publish.rs
@@ -9,7 +9,7 @@
         let Some((manifest, _)) = self.parts.store.current() else { return };
         let now = self.now();
         let view = View {
-            baselines: self.baselines.values().map(|note| note.baseline.clone()).collect(),
+            baselines: self.baselines.baselines(),
             drains: self.drains.in_force(),
             hosts: self.parts.membership.hosts(now),
             manifest,
--- a/src/daemon/control/tenure.rs
+++ b/src/daemon/control/tenure.rs
@@ -22,6 +22,7 @@
         });
         self.tenure_on(Event::Hosts(near.collect()), me);
         self.tenure_on(Event::Tick, me);
+        self.parts.membership.prefer(self.tenure.witnesses());
     }
 
     /// Gives the keeper an event and carries out what it asks for.
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -9,6 +9,7 @@
 //! `digest_for(partner)`, hands the answer to `merge`; the asked host answers with `receive`.
 //! What came along for other slices is fetched with `take_heard`.
 
+mod baselines;
 mod digest;
 mod event;
 mod exchange;
@@ -24,6 +25,7 @@
 mod zones;
 
 pub use self::{
+    baselines::Baselines,
     digest::{Digest, HostEntry, ZoneEntry, ZoneSummary},
     event::MembershipEvent,
     fleet::{Fleet, Node, zone_id},
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::prelude::*;
+use crate::{prelude::*, view::Baseline};
 
 fn secs(secs: u64) -> Duration {
     Duration::from_secs(secs)
@@ -216,3 +216,35 @@
     let read: Digest = serde_json::from_value(value).unwrap();
     assert_eq!(read.from, digest.from);
 }
+
+// Only the first host of a home region speaks for it. What a host sees of another region's callers,
+// who came since their region is lost, must not replace what that region last had itself: the cap
+// of those callers would shrink with every one that it refuses.
+#[test]
+fn only_the_home_region_sets_its_baseline() {
+    let rate = |home: &str, rate| Baseline { home: home.into(), rate, service: "status".into() };
+    let fleet = Fleet::new(4, 2, 1);
+    let hosts: Vec<_> = fleet.nodes.iter().map(|node| node.membership.own().clone()).collect();
+    let (first, second, west) = (&hosts[0], &hosts[1], &hosts[2]);
+    assert_eq!((&*first.region, &*second.region, &*west.region), ("r00", "r00", "r01"));
+    let mut of_first = Baselines::default();
+    of_first.author(first, &hosts, vec![rate("r00", 5.0), rate("r01", 1.0)], false, 100_000);
+    assert_eq!(of_first.baselines(), [rate("r00", 20.0)], "four hosts of the region");
+    let mut of_west = Baselines::default();
+    of_west.learn(of_first.notes()[0].clone(), 100_000);
+    for (host, rates) in [(west, rate("r00", 1.0)), (second, rate("r00", 1.0))] {
+        of_west.author(host, &hosts, vec![rates], false, 200_000);
+    }
+    assert_eq!(of_west.baselines(), [rate("r00", 20.0)]);
+    let mut again = |rates, unsteady, at| {
+        of_first.author(first, &hosts, vec![rate("r00", rates)], unsteady, at);
+        of_first.baselines()[0].rate
+    };
+    assert_eq!(again(10.0, false, 105_000), 20.0, "renewed every 10 s");
+    assert_eq!(again(0.0, true, 120_000), 20.0, "kept while something is drained");
+    assert_eq!(again(0.0, false, 120_000), 18.0, "falls slowly");
+    assert_eq!(again(10.0, false, 130_000), 40.0, "rises at once");
+    let late = BaselineNote { at: 900_000, baseline: rate("r00", 1.0) };
+    of_west.learn(late, 130_000);
+    assert_eq!(of_west.baselines(), [rate("r00", 20.0)], "from a clock far ahead");
+}
--- /dev/null
+++ b/src/steer/loads.rs
@@ -0,0 +1,29 @@
+//! Use of the regions, as far as one host can tell.
+
+use super::Steer;
+use crate::{drain::Load, prelude::*};
+
+impl Steer {
+    /// Mean slots in use by each region's callers: its baseline times the mean latency of the
+    /// targets that this host has used. Nothing for a service that it has not used.
+    pub fn loads(&self) -> Vec<Load> {
+        let Some(view) = &self.view else { return Vec::new() };
+        let load = |baseline: &crate::view::Baseline| {
+            let latency = self.mean_latency(&baseline.service)?;
+            Some(Load {
+                busy: baseline.rate * latency.as_secs_f64(),
+                region: baseline.home.clone(),
+                service: baseline.service.clone(),
+            })
+        };
+        view.baselines.iter().filter_map(load).collect()
+    }
+
+    fn mean_latency(&self, service: &ServiceId) -> Option<Duration> {
+        let targets = &self.view.as_ref()?.manifest.service(service)?.targets;
+        let latencies: Vec<Duration> =
+            targets.iter().filter_map(|target| self.selector.latency(&target.name)).collect();
+        let count = u32::try_from(latencies.len()).ok().filter(|count| 0 < *count)?;
+        Some(latencies.iter().sum::<Duration>() / count)
+    }
+}
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -7,6 +7,7 @@
 mod arrive;
 mod call;
 mod event;
+mod loads;
 mod machine;
 mod place;
 mod settle;
