--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -9,6 +9,7 @@
 mod output;
 mod replay;
 mod sign;
+mod soak;
 mod timeline;
 
 use clap::{Parser, Subcommand};
@@ -35,6 +36,7 @@
     Measure(measure::Args),
     Replay(replay::Args),
     Sign(sign::Args),
+    Soak(soak::Args),
     Timeline(timeline::Args),
 }
 
@@ -49,6 +51,7 @@
             Command::Measure(args) => measure::run(args),
             Command::Replay(args) => replay::run(args),
             Command::Sign(args) => sign::run(args),
+            Command::Soak(args) => soak::run(args),
             Command::Timeline(args) => timeline::run(args),
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod selection;
 pub mod settings;
 pub mod shift;
+pub mod soak;
 pub mod standin;
 pub mod steer;
 pub mod tenure;
