Make 'not run' final for a key; run all decisions together at random

The randomised run found three ways in which a clerk was told 'not run' of a booking that ran: an earlier copy of the request, held up between hosts, came to the owner after a later copy had been refused; a host without a manifest, or a copy past its deadline, was refused without asking the owner, though an earlier copy had run; a copy that waited for a running one was called 'not run' when its caller left.

So the ledger keeps a refusal: a key that was told not run is refused from then on (new kind: key refused, resend as a new request with a new key). Late bookings ask the ledger before the deadline is held against them; what the owner was not asked about is unknown (new kind: owner unreached).

--- a/src/base/tests.rs
+++ b/src/base/tests.rs
@@ -46,6 +46,7 @@
         ErrorKind::BindingClosed,
         ErrorKind::BindingMissing,
         ErrorKind::KeyMissing,
+        ErrorKind::KeyRefused,
         ErrorKind::LedgerFull,
     ];
     assert_eq!(fresh.collect::<Vec<_>>(), closed);
--- a/src/cmd/soak.rs
+++ b/src/cmd/soak.rs
@@ -55,7 +55,6 @@
         format!("requests  {}", report.requests),
         format!("digest    {:016x}", report.digest),
         format!("overlaps  {} ({} of one kind)", report.overlaps, report.twice),
-        format!("late runs {} (a copy ran after a later one was refused)", report.ran_after_told),
         "faults".to_owned(),
     ];
     lines.extend(report.faults.iter().map(|(kind, count)| row(kind, *count)));
--- a/src/soak/callers.rs
+++ b/src/soak/callers.rs
@@ -3,13 +3,14 @@
 use rand::{Rng, seq::IndexedRandom};
 
 use super::{
-    checker::Promise,
+    checker::{Pair, Promise},
     fixture::{HOSTS, REGIONS, region_of_zone, zone_of_host},
     message::{Copy, Intent, Item, Origin, Place, Told},
     world::World,
 };
 use crate::{
     base::Resend,
+    ledger::Key,
     prelude::*,
     steer::{Answer, Via},
 };
@@ -18,7 +19,7 @@
 const DEADLINE: Duration = Duration::from_secs(4);
 const MAX_SENDS: u32 = 5;
 /// Mean time between two requests of one region's callers.
-const PAUSE_MS: u64 = 110;
+const PAUSE_MS: u64 = 200;
 
 /// One booking or read, as its caller means it.
 #[derive(Clone, Debug)]
@@ -31,8 +32,10 @@
     pub(super) region: usize,
     pub(super) rival: bool,
     sends: u32,
-    /// The binding that each copy was sent under.
-    sent: Vec<Option<Binding>>,
+    /// The binding and key that each copy was sent under.
+    sent: Vec<Option<Pair>>,
+    /// Rises with each new key.
+    round: u32,
 }
 
 impl World {
@@ -51,6 +54,7 @@
             poison,
             region,
             rival,
+            round: 0,
             sends: 0,
             sent: Vec::new(),
         };
@@ -107,12 +111,10 @@
         caller.sends += 1;
         let (send, region, booking) = (caller.sends, caller.region, caller.booking);
         let binding = caller.binding.clone();
-        caller.sent.push(binding.clone());
-        if let Some(binding) = &binding {
-            self.checker.sent_again(intent, binding);
-        }
+        let key: Option<Key> = booking.then(|| format!("{intent}-{}", caller.round).into());
+        caller.sent.push(binding.clone().zip(key.clone()));
         self.checker.sent(region, booking, self.now);
-        let copy = Copy { binding, deadline: DEADLINE, intent, via: Via::Caller };
+        let copy = Copy { binding, deadline: DEADLINE, intent, key, via: Via::Caller };
         let origin = Origin::Caller { intent, send };
         let from = Place::Caller { region };
         self.send_to(from, Place::Host(host), Item::Arrive { copy, host, origin });
@@ -136,7 +138,8 @@
     }
 
     pub(super) fn caller_told(&mut self, intent: Intent, send: u32, told: Told) {
-        self.digest(&format!("{intent} {send} {told:?}"));
+        let host = self.callers[intent].host;
+        self.line_of(host, Some(intent), &format!("its caller hears of copy {send}: {told:?}"));
         let rival = self.callers[intent].rival;
         let answered = matches!(&told, Told::Answer(Answer::Kept { .. } | Answer::Pass, _));
         if rival {
@@ -175,16 +178,18 @@
         *self.errors.entry(error).or_default() += 1;
         let row = error.row();
         let caller = &mut self.callers[intent];
-        let fresh = row.resend == Resend::Fresh;
-        let binding = caller.sent[send as usize - 1].clone();
-        if let Some(binding) = binding.filter(|_| row.ran == Ran::No) {
-            self.checker.told_not_run(intent, &binding, fresh);
+        let pair = caller.sent[send as usize - 1].clone();
+        if let Some(pair) = pair.filter(|_| row.ran == Ran::No) {
+            self.checker.told_not_run(intent, pair);
         }
         if caller.done || caller.sends != send {
             return;
         }
         match row.resend {
-            Resend::Fresh => caller.binding = None,
+            Resend::Fresh => {
+                caller.binding = None;
+                caller.round += 1;
+            }
             Resend::Never => caller.done = true,
             Resend::Same => caller.host = self.rng.random_range(0..HOSTS),
         }
--- a/src/soak/checker.rs
+++ b/src/soak/checker.rs
@@ -6,7 +6,7 @@
     fixture::{HOSTS, SHIFT_CAP},
     message::Intent,
 };
-use crate::prelude::*;
+use crate::{ledger::Key, prelude::*};
 
 /// Time over which shifts are counted.
 const CAP_WINDOW: Duration = Duration::from_secs(20);
@@ -55,21 +55,22 @@
 pub struct Breach {
     pub detail: Arc<str>,
     pub promise: Promise,
+    /// The booking that it broke for.
+    pub request: Option<usize>,
 }
 
 #[derive(Debug, Default)]
 pub(super) struct Checker {
     pub(super) breach: Option<Breach>,
     pub(super) checked: BTreeMap<Promise, u64>,
-    /// Copies that ran after a later copy of the same request was told "not run".
-    pub(super) ran_after_told: u64,
     flows: BTreeMap<(usize, bool), Flow>,
-    /// Told that this binding will never run it.
-    never: BTreeSet<(Binding, Intent)>,
-    runs: BTreeMap<Intent, Vec<Option<Binding>>>,
-    told_not_run: BTreeSet<(Binding, Intent)>,
+    runs: BTreeMap<Intent, Vec<Pair>>,
+    told_not_run: BTreeSet<Pair>,
 }
 
+/// What may run at most once under any failure.
+pub(super) type Pair = (Binding, Key);
+
 /// Requests of one home region and kind.
 #[derive(Debug, Default)]
 struct Flow {
@@ -80,9 +81,19 @@
 impl Checker {
     /// Counts a check; the first one that does not hold is kept.
     pub(super) fn check(&mut self, promise: Promise, held: bool, detail: impl FnOnce() -> String) {
+        self.check_for(None, promise, held, detail);
+    }
+
+    fn check_for(
+        &mut self,
+        request: Option<Intent>,
+        promise: Promise,
+        held: bool,
+        detail: impl FnOnce() -> String,
+    ) {
         *self.checked.entry(promise).or_default() += 1;
         if !held && self.breach.is_none() {
-            self.breach = Some(Breach { detail: detail().into(), promise });
+            self.breach = Some(Breach { detail: detail().into(), promise, request });
         }
     }
 
@@ -109,35 +120,23 @@
     }
 
     /// A target runs a booking.
-    pub(super) fn ran(&mut self, intent: Intent, binding: Option<&Binding>) {
-        if let Some(binding) = binding {
-            let told = (binding.clone(), intent);
-            let never = self.never.contains(&told);
-            self.ran_after_told += u64::from(self.told_not_run.contains(&told));
-            self.check(Promise::NotRunIsTrue, !never, || {
-                format!("booking {intent} ran under {binding}, which was told closed for good")
-            });
-        }
+    pub(super) fn ran(&mut self, intent: Intent, pair: Pair) {
+        let told = self.told_not_run.contains(&pair);
+        self.check_for(Some(intent), Promise::NotRunIsTrue, !told, || {
+            format!("{pair:?} was told not run, and ran then")
+        });
         let runs = self.runs.entry(intent).or_default();
-        runs.push(binding.cloned());
-        let (once, detail) = (runs.len() == 1, format!("booking {intent} ran under {runs:?}"));
-        self.check(Promise::OnceAtMost, once, || detail);
+        runs.push(pair);
+        let (once, detail) = (runs.len() == 1, format!("booking {intent} ran: {runs:?}"));
+        self.check_for(Some(intent), Promise::OnceAtMost, once, || detail);
     }
 
-    /// A caller is told that a booking was not run under this binding.
-    pub(super) fn told_not_run(&mut self, intent: Intent, binding: &Binding, for_good: bool) {
-        let runs = self.runs.get(&intent);
-        let ran = runs.is_some_and(|runs| runs.contains(&Some(binding.clone())));
-        self.check(Promise::NotRunIsTrue, !ran, || {
-            format!("booking {intent} was told not run under {binding}, and had run")
+    /// A caller is told that a booking was not run. It must not have, and never may.
+    pub(super) fn told_not_run(&mut self, intent: Intent, pair: Pair) {
+        let ran = self.runs.get(&intent).is_some_and(|runs| runs.contains(&pair));
+        self.check_for(Some(intent), Promise::NotRunIsTrue, !ran, || {
+            format!("{pair:?} was told not run, and had run")
         });
-        self.told_not_run.insert((binding.clone(), intent));
-        if for_good {
-            self.never.insert((binding.clone(), intent));
-        }
-    }
-
-    pub(super) fn sent_again(&mut self, intent: Intent, binding: &Binding) {
-        self.told_not_run.remove(&(binding.clone(), intent));
+        self.told_not_run.insert(pair);
     }
 }
--- a/src/soak/fault.rs
+++ b/src/soak/fault.rs
@@ -95,10 +95,10 @@
 /// between, in which the system has to come back.
 pub(super) fn schedule(length: Duration, rng: &mut impl Rng) -> Vec<Fault> {
     let mut faults = Vec::new();
-    let clusters = 2 + rng.random_range(0..2);
+    let clusters = rng.random_range(1..=2);
     for cluster in 0..clusters {
         let start = length.mul_f64((0.12 + 0.8 * f64::from(cluster)) / f64::from(clusters));
-        for _ in 0..rng.random_range(2..6) {
+        for _ in 0..rng.random_range(3..8) {
             let fault = draw(start, rng);
             faults.push(fault);
             if rng.random_ratio(1, 5) {
--- a/src/soak/message.rs
+++ b/src/soak/message.rs
@@ -2,7 +2,7 @@
 
 use super::fixture::{HOSTS, ZONES, region_of_zone, zone_of_host};
 use crate::{
-    ledger::SealedLedger,
+    ledger::{Key, SealedLedger},
     manifest::SignedManifest,
     membership::Digest,
     prelude::*,
@@ -27,6 +27,8 @@
     pub(super) binding: Option<Binding>,
     pub(super) deadline: Duration,
     pub(super) intent: Intent,
+    /// A request that may run at most once.
+    pub(super) key: Option<Key>,
     pub(super) via: Via,
 }
 
--- a/src/soak/requests.rs
+++ b/src/soak/requests.rs
@@ -30,7 +30,7 @@
 const RETIRED_AFTER: Duration = Duration::from_secs(19);
 const LATENCY: Duration = Duration::from_millis(40);
 /// After trouble, owners of targets may differ for a lease and a suspicion; then they agree.
-const OWNERS_AGREE_AFTER: Duration = Duration::from_secs(20);
+const OWNERS_AGREE_AFTER: Duration = Duration::from_secs(12);
 
 impl World {
     pub(super) fn arrive(&mut self, copy: Copy, host: usize, origin: Origin) {
@@ -241,13 +241,14 @@
             format!("a rival's request {} ran at {}", copy.intent, target_id(target))
         });
         let zone = zone_of_target(target);
-        if caller.booking {
-            self.checker.ran(copy.intent, copy.binding.as_ref());
+        if let Some(pair) = copy.binding.clone().zip(copy.key.clone()) {
+            self.checker.ran(copy.intent, pair);
         }
         if region_of_zone(zone) != caller.region {
             self.checker.ran_away(caller.region, caller.booking, now);
         }
-        self.line(by.host, &format!("{} runs at {}", copy.intent, target_id(target)));
+        let place = format!("runs at {}", target_id(target));
+        self.line_of(by.host, Some(copy.intent), &place);
         if caller.poison {
             self.targets[target].start(Work { attempt, by, copy, crossed: false, lost: true });
             return self.crash_target(target);
@@ -331,7 +332,7 @@
         deadline: local + copy.deadline,
         digest: body_digest("POST", "/", body.as_bytes()),
         fingerprint: fingerprint(&member, &service, "POST", "/", body.as_bytes()),
-        key: caller.booking.then(|| body.as_str().into()),
+        key: copy.key.clone(),
         member,
         request: body.as_str().into(),
         service,
--- a/src/soak/run.rs
+++ b/src/soak/run.rs
@@ -20,7 +20,10 @@
 use crate::prelude::*;
 
 /// Virtual time that a step takes on average; only sets where in a run the faults fall.
-const STEP_TIME: Duration = Duration::from_micros(3_300);
+const STEP_TIME: Duration = Duration::from_micros(5_000);
+
+/// Lines of the time line that a failure shows.
+const LINES: usize = 80;
 
 /// How long, and from which seeds.
 #[derive(Clone, Copy, Debug)]
@@ -47,8 +50,6 @@
     pub faults: BTreeMap<FaultKind, u64>,
     /// Pairs of faults that overlapped.
     pub overlaps: u64,
-    /// Copies that ran after a later copy of the same request was told "not run".
-    pub ran_after_told: u64,
     pub requests: u64,
     pub seeds: u64,
     pub steps: u64,
@@ -123,7 +124,6 @@
     report.checks = std::mem::take(&mut world.checker.checked);
     report.digest = world.digest_value();
     report.errors = std::mem::take(&mut world.errors);
-    report.ran_after_told = world.checker.ran_after_told;
     report.requests = world.callers.len() as u64;
     report.breach = failure(seed, faults, Outcome { steps, world });
     report
@@ -143,8 +143,9 @@
 /// What a run showed, if a promise broke.
 pub(super) fn failure(seed: u64, faults: Vec<Fault>, outcome: Outcome) -> Option<Failure> {
     let Outcome { steps, world } = outcome;
-    let breach = world.checker.breach?;
-    Some(Failure { breach, faults, lines: world.lines.into(), seed, steps })
+    let breach = world.checker.breach.clone()?;
+    let lines = world.lines_of(breach.request, LINES);
+    Some(Failure { breach, faults, lines, seed, steps })
 }
 
 impl Report {
@@ -155,7 +156,6 @@
         other.errors.into_iter().for_each(|(key, n)| *self.errors.entry(key).or_default() += n);
         other.faults.into_iter().for_each(|(key, n)| *self.faults.entry(key).or_default() += n);
         self.overlaps += other.overlaps;
-        self.ran_after_told += other.ran_after_told;
         self.requests += other.requests;
         self.seeds += other.seeds;
         self.steps += other.steps;
--- a/src/soak/tests.rs
+++ b/src/soak/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 fn options(seed: u64, seeds: u64) -> SoakOptions {
-    SoakOptions { seed, seeds, steps: 6_000, threads: 2 }
+    SoakOptions { seed, seeds, steps: 10_000, threads: 2 }
 }
 
 #[test]
--- a/src/steer/arrive.rs
+++ b/src/steer/arrive.rs
@@ -28,6 +28,11 @@
                 self.calls.insert(call, state);
                 self.admit(call, now, rng);
             }
+            // An earlier copy of a booking may have run at its owner, or may yet. A host that has
+            // not asked the owner can't say "not run", also when it refuses this copy.
+            Err(ErrorKind::NoManifest) if arrival.binding.is_some() => {
+                self.refuse_unseen(&arrival, ErrorKind::OwnerUnreached, rng);
+            }
             Err(error) => self.refuse_unseen(&arrival, error, rng),
         }
     }
@@ -42,10 +47,12 @@
         if service.max_body < arrival.body_len {
             return Err(ErrorKind::BodyTooLarge);
         }
-        if arrival.deadline <= now {
+        let booking = !service.kind.is_repeatable();
+        // A late booking goes to the ledger first, which knows whether another copy has run.
+        let asks_ledger = booking && arrival.via != Via::SlotHop;
+        if arrival.deadline <= now && !asks_ledger {
             return Err(ErrorKind::DeadlinePassed);
         }
-        let booking = !service.kind.is_repeatable();
         if self.leaving && !booking {
             return Err(ErrorKind::HostLeaving);
         }
@@ -105,6 +112,7 @@
             Begin::Full => self.fail(call, ErrorKind::LedgerFull, now, rng),
             Begin::Kept(kept) => self.answer(call, Answer::Kept { kept }),
             Begin::KeptFact { .. } => self.fail(call, ErrorKind::AnswerNotKept, now, rng),
+            Begin::Refused => self.fail(call, ErrorKind::KeyRefused, now, rng),
             Begin::Running => self.state(call).waiting = true,
             Begin::Sealed => self.fail(call, ErrorKind::BindingClosed, now, rng),
             Begin::Stranger => self.carry_to_owner(call, &binding, now, rng),
@@ -120,6 +128,9 @@
         if self.calls[&call].arrival.via == Via::LedgerHop {
             return self.fail(call, ErrorKind::OwnerGone, now, rng);
         }
+        if self.calls[&call].arrival.deadline <= now {
+            return self.fail(call, ErrorKind::OwnerUnreached, now, rng);
+        }
         let owner = self.view.as_ref().and_then(|view| find_owner(view, binding));
         let Some((host, address)) = owner else {
             return self.fail(call, ErrorKind::OwnerGone, now, rng);
--- a/src/steer/settle.rs
+++ b/src/steer/settle.rs
@@ -98,7 +98,7 @@
         if matches!(place, Place::Owner) {
             // No connection to the owner says nothing about earlier deliveries of this key.
             let error =
-                if error == ErrorKind::ConnectFailed { ErrorKind::OwnerGone } else { error };
+                if error == ErrorKind::ConnectFailed { ErrorKind::OwnerUnreached } else { error };
             return self.fail(call, error, now, rng);
         }
         let not_run = error.row().ran == Ran::No;
@@ -129,6 +129,11 @@
         if state.is_booking() && current.is_some() {
             return;
         }
+        // Another copy of it is running: "not run" would be untrue, whoever still hears it.
+        if state.waiting {
+            let error = ErrorKind::DispatchTimeout;
+            return self.answer(call, Answer::Error { error, retry_after: None });
+        }
         if let Some(attempt) = current {
             self.out.push(Action::Cancel { attempt });
             let error = ErrorKind::StreamCut;
