--- a/src/base/error_kind.rs
+++ b/src/base/error_kind.rs
@@ -106,8 +106,8 @@
     OtherMember,
     #[error("the host of this binding is gone; check before booking again")]
     OwnerGone,
-    #[error("the host of this binding can't be reached now; send it again to learn more")]
-    OwnerUnreached,
+    #[error("the host of this binding was not reached; send it again with the same binding")]
+    OwnerUnreachable,
     #[error("this request crashed targets and is refused for a time")]
     Quarantined,
     #[error("no such service in the member's manifest")]
@@ -144,7 +144,7 @@
         ErrorKind::NoTarget,
         ErrorKind::OtherMember,
         ErrorKind::OwnerGone,
-        ErrorKind::OwnerUnreached,
+        ErrorKind::OwnerUnreachable,
         ErrorKind::Quarantined,
         ErrorKind::ServiceUnknown,
         ErrorKind::Shed,
@@ -180,7 +180,7 @@
             NoTarget => row(503, No, Same, Some(1)),
             OtherMember => row(403, No, Never, None),
             OwnerGone => row(502, Unknown, Never, None),
-            OwnerUnreached => row(502, Unknown, Same, Some(1)),
+            OwnerUnreachable => row(503, Unknown, Same, Some(1)),
             Quarantined => row(403, No, Never, Some(60)),
             ServiceUnknown => row(404, No, Never, None),
             Shed => row(503, No, Same, Some(1)),
--- a/src/soak/requests.rs
+++ b/src/soak/requests.rs
@@ -342,7 +342,7 @@
 
 fn outcome_of(answer: &Answer, body: Option<Intent>, booking: bool) -> Outcome {
     if let Answer::Error { error, .. } = answer {
-        return Outcome::Failed { error: *error, latency: LATENCY, passed: false };
+        return Outcome::Refused { error: *error, latency: LATENCY };
     }
     let body = body.map(|intent| intent.to_string()).unwrap_or_default();
     let kept = KeptAnswer { body: Bytes::from(body), headers: Vec::new(), status: 200 };
--- a/src/steer/arrive.rs
+++ b/src/steer/arrive.rs
@@ -28,18 +28,13 @@
                 self.calls.insert(call, state);
                 self.admit(call, now, rng);
             }
-            // An earlier copy of a booking may have run at its owner, or may yet. A host that has
-            // not asked the owner can't say "not run", also when it refuses this copy.
-            Err(ErrorKind::NoManifest) if arrival.binding.is_some() => {
-                self.refuse_unseen(&arrival, ErrorKind::OwnerUnreached, rng);
-            }
             Err(error) => self.refuse_unseen(&arrival, error, rng),
         }
     }
 
     /// The checks that need no state of other requests.
     fn check(&self, arrival: &Arrival, now: Moment) -> Result<Call, ErrorKind> {
-        let view = self.view.as_ref().ok_or(ErrorKind::NoManifest)?;
+        let Some(view) = self.view.as_ref() else { return Err(without_view(arrival)) };
         if arrival.member != view.manifest.member {
             return Err(ErrorKind::OtherMember);
         }
@@ -48,9 +43,8 @@
             return Err(ErrorKind::BodyTooLarge);
         }
         let booking = !service.kind.is_repeatable();
-        // A late booking goes to the ledger first, which knows whether another copy has run.
-        let asks_ledger = booking && arrival.via != Via::SlotHop;
-        if arrival.deadline <= now && !asks_ledger {
+        // Whether a late booking ran is for its ledger to say, not for its deadline.
+        if arrival.deadline <= now && !booking {
             return Err(ErrorKind::DeadlinePassed);
         }
         if self.leaving && !booking {
@@ -107,6 +101,9 @@
             Begin::Dropped => self.fail(call, ErrorKind::GenerationDropped, now, rng),
             Begin::Fresh => {
                 self.state(call).in_ledger = true;
+                if self.leaving {
+                    return self.fail(call, ErrorKind::BindingClosed, now, rng);
+                }
                 self.admit_fresh(call, now, rng);
             }
             Begin::Full => self.fail(call, ErrorKind::LedgerFull, now, rng),
@@ -129,7 +126,7 @@
             return self.fail(call, ErrorKind::OwnerGone, now, rng);
         }
         if self.calls[&call].arrival.deadline <= now {
-            return self.fail(call, ErrorKind::OwnerUnreached, now, rng);
+            return self.fail(call, ErrorKind::OwnerUnreachable, now, rng);
         }
         let owner = self.view.as_ref().and_then(|view| find_owner(view, binding));
         let Some((host, address)) = owner else {
@@ -278,6 +275,11 @@
     }
 }
 
+/// A host that knows no other cannot ask the owner whether an earlier copy ran.
+fn without_view(arrival: &Arrival) -> ErrorKind {
+    if arrival.binding.is_some() { ErrorKind::OwnerUnreachable } else { ErrorKind::NoManifest }
+}
+
 /// The table's least time, spread so that callers that were refused together come back apart.
 fn spread(error: ErrorKind, rng: &mut impl Rng) -> Option<Duration> {
     error.row().retry_after.map(|least| least.mul_f64(1.0 + rng.random::<f64>()))
