--- a/src/ledger/limits.rs
+++ b/src/ledger/limits.rs
@@ -22,7 +22,8 @@
 impl LedgerLimits {
     /// How long a generation is kept from its start.
     pub(super) fn lifetime(&self) -> Duration {
-        self.generation_age * u32::try_from(self.generations.max(2)).unwrap_or(u32::MAX)
+        self.generation_age
+            .saturating_mul(u32::try_from(self.generations.max(2)).unwrap_or(u32::MAX))
     }
 }
 
--- a/src/membership/digest.rs
+++ b/src/membership/digest.rs
@@ -54,6 +54,22 @@
     pub zones: Vec<ZoneSummary>,
 }
 
+/// Largest counter that is taken over. A faulty sender's counter near the end of its range would
+/// wrap round here and fall: the zone's beat would stand still for all who know the higher one,
+/// and they would hold the zone for silent. No counter that rises once a second gets this far.
+const MAX_COUNTER: u64 = 1 << 62;
+
+impl Digest {
+    /// Whether every counter can still rise.
+    pub(super) fn is_plausible(&self) -> bool {
+        let entries = std::iter::once(&self.from).chain(&self.hosts);
+        let zones = self.zones.iter().chain(self.zone_hosts.iter().map(|entry| &entry.summary));
+        entries.flat_map(|entry| [entry.beat, entry.epoch]).all(|count| count < MAX_COUNTER)
+            && self.beats.iter().all(|beat| *beat < MAX_COUNTER)
+            && zones.into_iter().all(|zone| zone.beat < MAX_COUNTER)
+    }
+}
+
 /// One host of the sender's zone.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HostEntry {
--- a/src/membership/exchange.rs
+++ b/src/membership/exchange.rs
@@ -144,6 +144,9 @@
     }
 
     fn take(&mut self, digest: &Digest, now: Moment) {
+        if !digest.is_plausible() {
+            return;
+        }
         if self.is_near(digest) {
             self.take_hosts(digest, now);
         }
--- a/src/trace/mod.rs
+++ b/src/trace/mod.rs
@@ -20,7 +20,7 @@
     outcome::{Outcome, Told, Untrue, untrue},
     reader::{MAX_LINE, TraceError, read},
     record::{End, FORMAT, Header, Record, Start, Step, Trace, VERSION},
-    replay::{Machine, Mismatch, Replayed, replay},
+    replay::{Machine, Mismatch, PANICKED, Replayed, replay},
     steer_machine::{Input, Output, Setup, SteerMachine, SteerTrace},
     steer_recorder::{SteerRecorder, SteerTrack},
     writer::Writer,
--- a/src/trace/replay.rs
+++ b/src/trace/replay.rs
@@ -1,6 +1,9 @@
 //! Feeds a trace to fresh machines and compares what they decide.
 
-use std::fmt;
+use std::{
+    fmt,
+    panic::{AssertUnwindSafe, catch_unwind},
+};
 
 use serde::Serialize;
 
@@ -10,6 +13,9 @@
 /// Steps shown before the first difference.
 const CONTEXT: usize = 5;
 
+/// Stands for the decisions of a step that panicked.
+pub const PANICKED: &str = "panicked";
+
 /// Longest text of an input that is shown, in characters.
 const MAX_SHOWN: usize = 400;
 
@@ -78,7 +84,7 @@
     let mut actions = 0;
     for (index, step) in trace.steps.iter().enumerate() {
         let now = Duration::from_nanos(step.now);
-        let decided = texts(&machines[step.machine].on(&step.event, now));
+        let decided = decide(&mut machines[step.machine], &step.event, now);
         let recorded = texts(&step.actions);
         actions += decided.len();
         if decided != recorded {
@@ -91,6 +97,13 @@
     Ok(Replayed { actions, machines: machines.len(), steps: trace.steps.len() })
 }
 
+/// What the machine decides. A panic counts as a decision that differs: the replay shows where it
+/// came about, and a damaged file that reads well can't end the program.
+fn decide<M: Machine>(machine: &mut M, event: &M::Event, now: Moment) -> Vec<String> {
+    let step = AssertUnwindSafe(|| texts(&machine.on(event, now)));
+    catch_unwind(step).unwrap_or_else(|_| vec![PANICKED.to_owned()])
+}
+
 fn context<E: Serialize, A: Serialize>(steps: &[Step<E, A>], machine: usize) -> Vec<String> {
     let own = steps.iter().filter(|step| step.machine == machine);
     let mut last: Vec<String> = own
