--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 mod check;
 mod completions;
 mod connect;
+mod demo;
 mod drain;
 mod exit;
 mod explain;
@@ -11,6 +12,7 @@
 mod measure;
 mod output;
 mod replay;
+mod run;
 mod scope;
 mod sign;
 mod status;
@@ -37,11 +39,13 @@
     Apply(apply::Args),
     Check(check::Args),
     Completions(completions::Args),
+    Demo(demo::Args),
     Drain(drain::Args),
     Explain(explain::Args),
     Key(key::Args),
     Measure(measure::Args),
     Replay(replay::Args),
+    Run(run::Args),
     Sign(sign::Args),
     Status(status::Args),
     Timeline(timeline::Args),
@@ -55,11 +59,13 @@
             Command::Apply(args) => apply::run(args),
             Command::Check(args) => check::run(args),
             Command::Completions(args) => completions::run(args),
+            Command::Demo(args) => demo::run(args),
             Command::Drain(args) => drain::run(args),
             Command::Explain(args) => explain::run(args),
             Command::Key(args) => key::run(args),
             Command::Measure(args) => measure::run(args),
             Command::Replay(args) => replay::run(args),
+            Command::Run(args) => run::run(args),
             Command::Sign(args) => sign::run(args),
             Command::Status(args) => status::run(args),
             Command::Timeline(args) => timeline::run(args),
--- /dev/null
+++ b/src/daemon/control/drains.rs
@@ -0,0 +1,123 @@
+//! Operators' drains: ordered here or heard of, in force, settled on the platform.
+
+use xtra::WeakAddress;
+
+use super::{
+    actor::Control,
+    exchange::{Reach, wall_millis},
+    messages::{DrainAnswer, OrderDrain, OrderUndrain, UndrainAnswer},
+};
+use crate::{
+    drain::{DrainError, DrainRecord, key, settle},
+    manifest::DrainScope,
+    peer::PeerError,
+    prelude::*,
+};
+
+/// What the platform holds of the drains; nothing if it did not answer.
+#[derive(Debug)]
+pub struct DrainsSettled(pub Option<Vec<DrainRecord>>);
+
+impl Control {
+    /// Starts what waited, looks how far drains have come, and settles them on the platform.
+    pub(super) fn tick_drains(&mut self, me: &WeakAddress<Self>) {
+        self.drains.forget(wall_millis());
+        self.start_drains();
+        self.observe_drains();
+        if self.drains.is_unsettled() && !self.settling {
+            self.settle_drains(me);
+        }
+    }
+
+    /// Takes the manifest in force into account and starts the drains that may start.
+    pub(super) fn start_drains(&mut self) {
+        let Some((manifest, _)) = self.parts.store.current() else { return };
+        let at = self.parts.recorder.stamp();
+        let hosts = self.parts.membership.hosts(self.now());
+        let live: Vec<HostId> = hosts.into_iter().map(|host| host.id).collect();
+        self.drains.reconcile(&manifest, at);
+        self.drains.start_waiting(&manifest, &[], &live, at);
+    }
+
+    fn observe_drains(&mut self) {
+        let Some(view) = self.shown.clone() else { return };
+        let busy = self.parts.traffic.with_steer(|steer, _| steer.busy_targets());
+        let drained = |scope: &DrainScope, target: &TargetId| {
+            let targets = view.manifest.services.iter().flat_map(|service| &service.targets);
+            let found = targets.into_iter().find(|known| known.name == *target);
+            found.is_some_and(|known| scope.covers(known, &view.manifest))
+        };
+        let active = self.drains.active().filter(|record| record.is_in_force());
+        let seen: Vec<(&DrainRecord, u64)> = active
+            .map(|record| {
+                let on = busy.iter().filter(|busy| drained(&record.scope, &busy.target));
+                (record, on.map(|busy| u64::from(busy.requests)).sum())
+            })
+            .collect();
+        let now = self.now();
+        for kind in self.progress.observe(seen, now) {
+            self.note(kind);
+        }
+    }
+
+    fn settle_drains(&mut self, me: &WeakAddress<Self>) {
+        self.settling = true;
+        let platform = self.parts.platform.clone();
+        let (key, own) = (key(&self.parts.member), self.drains.records());
+        Self::beside(me.clone(), async move {
+            let held = settle(&*platform, &key, &own, wall_millis()).await;
+            Some(DrainsSettled(held.ok()))
+        });
+    }
+
+    /// Tells everybody at once of what was ordered here.
+    fn announce_drains(&mut self, me: &WeakAddress<Self>) {
+        self.tell_notes();
+        self.publish();
+        self.spread(me, Reach::Everywhere);
+        self.settle_drains(me);
+    }
+}
+
+impl xtra::Handler<DrainsSettled> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, settled: DrainsSettled, _cx: &mut xtra::Context<Self>) {
+        self.settling = false;
+        let Some(held) = settled.0 else { return };
+        if self.drains.settled(held, wall_millis()) {
+            self.start_drains();
+            self.tell_notes();
+            self.publish();
+        }
+    }
+}
+
+impl xtra::Handler<OrderDrain> for Control {
+    type Return = DrainAnswer;
+
+    async fn handle(&mut self, order: OrderDrain, cx: &mut xtra::Context<Self>) -> DrainAnswer {
+        let Some((manifest, _)) = self.parts.store.current() else {
+            return Err(PeerError::Unavailable("no manifest is in force here yet".into()));
+        };
+        let at = self.parts.recorder.stamp();
+        let record = self.drains.order(order.0, at, &manifest, &[]).map_err(refused)?;
+        self.announce_drains(&cx.mailbox().address());
+        Ok(record)
+    }
+}
+
+impl xtra::Handler<OrderUndrain> for Control {
+    type Return = UndrainAnswer;
+
+    async fn handle(&mut self, order: OrderUndrain, cx: &mut xtra::Context<Self>) -> UndrainAnswer {
+        let at = self.parts.recorder.stamp();
+        let undone = self.drains.undrain(order.0, at).map_err(refused)?;
+        self.announce_drains(&cx.mailbox().address());
+        Ok(undone)
+    }
+}
+
+fn refused(error: DrainError) -> PeerError {
+    PeerError::Conflict(error.to_string())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod admission;
 pub mod base;
 pub mod cmd;
+pub mod daemon;
+pub mod demo;
 pub mod drain;
 pub mod forward;
 pub mod ledger;
@@ -27,6 +29,7 @@
 pub mod steer;
 pub mod tenure;
 pub mod timeline;
+pub mod timer;
 pub mod trace;
 pub mod view;
 pub mod yaml;
