--- a/src/steer/machine.rs
+++ b/src/steer/machine.rs
@@ -23,7 +23,7 @@
 };
 
 /// Bounds of the machine's state.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct SteerLimits {
     /// How long the slots of a former owner count as taken, unless a report frees them: the
     /// longest time that a request may run on a target.
@@ -32,11 +32,12 @@
     pub quarantine: QuarantineLimits,
     /// Requests of one service that may wait for a slot.
     pub queue: usize,
+    #[serde(default)]
     pub tuning: Tuning,
 }
 
 /// Safeguards that measurements turn off, and the policy that they put in the member's place.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Tuning {
     /// Instead of the manifest's weighing.
     pub policy: Option<Policy>,
@@ -108,7 +109,7 @@
             Event::Arrived(arrival) => self.arrived(arrival, now, rng),
             Event::Cancelled { call } => self.cancelled(call, now, rng),
             Event::Ended { attempt, outcome } => self.ended(attempt, outcome, now, rng),
-            Event::Leave => self.leaving = true,
+            Event::Leave => self.leave(),
             Event::Marked { marks } => {
                 marks.iter().for_each(|mark| self.quarantine.learn(mark, now))
             }
@@ -261,12 +262,9 @@
             if owner != Some(&view.own.id) {
                 continue;
             }
-            let before = self.view.as_ref().map_or(&[][..], |old| &old.tenure.owners);
-            let provisional = owner_of(&target.name, before)
-                .is_some_and(|old| view.tenure.provisional.contains(old));
             owned.push(OwnedTarget {
                 inherited: !self.slots.owns(&target.name),
-                provisional,
+                provisional: view.tenure.is_provisional(&target.name),
                 slots: target.slots,
                 target: target.name.clone(),
             });
@@ -274,6 +272,12 @@
         owned
     }
 
+    /// New bookings are told at once that this binding is closed, and go elsewhere.
+    fn leave(&mut self) {
+        self.leaving = true;
+        self.ledger.close();
+    }
+
     fn ticked(&mut self, now: Moment, rng: &mut impl Rng) {
         self.ledger.rotate(now);
         self.expire_calls(now);
--- a/src/steer/place.rs
+++ b/src/steer/place.rs
@@ -76,7 +76,10 @@
             let foreign = candidates[chosen].tier == Tier::Foreign;
             if foreign && !self.may_shift(call, view, home, now) {
                 error = ErrorKind::CapReached;
-                options.retain(|option| option.candidate.tier != Tier::Foreign);
+                // They stay in sight as full ones: were they taken out, targets at home that are
+                // ejected would be the whole pool and get every request that may not shift.
+                let away = options.iter_mut().filter(|way| way.candidate.tier == Tier::Foreign);
+                away.for_each(|way| way.candidate.in_flight = way.candidate.limit);
                 continue;
             }
             let option = options.swap_remove(chosen);
@@ -191,6 +194,7 @@
         let request = state.arrival.request.clone();
         let kind = EventKind::Shifted { home: home.clone(), service: ask.service };
         self.state(call).shifted = true;
+        self.state(call).tried_away = true;
         self.note(Some(&request), kind);
         true
     }
@@ -287,6 +291,7 @@
         let state = &self.calls[&call];
         let has_own = service.targets.iter().any(|target| {
             self.slots.owns(&target.name)
+                && !self.selector.ejected(&target.name, now)
                 && !state.tried.contains(&target.name)
                 && self.view.as_ref().is_some_and(|view| !self.is_draining(view, target))
         });
--- a/src/steer/settle.rs
+++ b/src/steer/settle.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 
 use super::{
-    Action, Answer, AttemptId, CallId, Outcome, Steer,
+    Action, Answer, AttemptId, CallId, Outcome, Steer, Via,
     call::{Attempt, Place},
     place::queue_id,
 };
@@ -52,8 +52,13 @@
             return;
         };
         let arrival = state.arrival.clone();
-        let end = ShiftEnd { latency: error.is_none().then_some(latency), shifted: state.shifted };
-        self.caps.ended(&arrival.service, &home(self, &arrival), end, now);
+        let shifted = state.shifted || state.direct;
+        // Attempts that fail are judged by how the call ends: a receiver that has no spare slot
+        // at one target may have some at the next.
+        if error.is_none() && arrival.via != Via::SlotHop {
+            let end = ShiftEnd { latency: Some(latency), shifted };
+            self.caps.ended(&arrival.service, &home(self, &arrival), end, now);
+        }
         let Place::Own { slot, target } = place else { return };
         self.slots.release(target, *slot, now);
         let crashed = error == Some(ErrorKind::DispatchLost);
