--- a/src/steer/place.rs
+++ b/src/steer/place.rs
@@ -25,6 +25,9 @@
 /// Time that a request needs at least once it has a slot; with less left it is hopeless.
 const EXPECTED_TIME: Duration = Duration::from_millis(20);
 
+/// Requests that this host may have waiting at an owner, by slot of the target.
+const WAITING_PER_SLOT: u32 = 4;
+
 /// A candidate and how to reach it.
 struct Way {
     address: SocketAddr,
@@ -88,7 +91,44 @@
             }
             self.unshift(call, now);
         }
-        self.enqueue(call, service, error, now, rng);
+        if self.waits_here(call, service, now) || !self.wait_at_owner(call, options, now) {
+            self.enqueue(call, service, error, now, rng);
+        }
+    }
+
+    /// A host that owns no target of the service has no queue that a freed slot would empty: it
+    /// would refuse in a short burst what the owners' queues could hold. It forwards to the owner
+    /// with the least forwarded, where the request waits.
+    fn wait_at_owner(&mut self, call: CallId, options: Vec<Way>, now: Moment) -> bool {
+        let state = &self.calls[&call];
+        if state.arrival.via == Via::SlotHop {
+            return false;
+        }
+        let may_wait = |way: &Way| {
+            let Candidate { in_flight, limit, target, tier } = &way.candidate;
+            *tier != Tier::Foreign
+                && *in_flight < limit.saturating_mul(WAITING_PER_SLOT)
+                && !self.selector.ejected(target, now)
+        };
+        let way = options
+            .into_iter()
+            .filter(may_wait)
+            .min_by_key(|way| (way.candidate.tier, way.candidate.in_flight));
+        let Some(Way { address, candidate, peer: Some(peer) }) = way else { return false };
+        self.state(call).tried.push(candidate.target.clone());
+        self.forward(call, peer, address, Place::Peer { target: candidate.target }, now);
+        true
+    }
+
+    /// Whether a freed slot of this host could serve the request.
+    fn waits_here(&self, call: CallId, service: &Service, now: Moment) -> bool {
+        let tried = &self.calls[&call].tried;
+        service.targets.iter().any(|target| {
+            self.slots.owns(&target.name)
+                && !self.selector.ejected(&target.name, now)
+                && !tried.contains(&target.name)
+                && self.view.as_ref().is_some_and(|view| !self.is_draining(view, target))
+        })
     }
 
     /// Every target that may serve the request now, with the room that is known of.
@@ -289,13 +329,7 @@
         rng: &mut impl Rng,
     ) {
         let state = &self.calls[&call];
-        let has_own = service.targets.iter().any(|target| {
-            self.slots.owns(&target.name)
-                && !self.selector.ejected(&target.name, now)
-                && !state.tried.contains(&target.name)
-                && self.view.as_ref().is_some_and(|view| !self.is_draining(view, target))
-        });
-        if !has_own {
+        if !self.waits_here(call, service, now) {
             let error = state.last_error.unwrap_or(error);
             return self.fail(call, error, now, rng);
         }
