--- a/src/cmd/measure.rs
+++ b/src/cmd/measure.rs
@@ -1,5 +1,7 @@
 //! `measure`: what the decisions cost and how well they do.
 
+mod policies;
+
 use std::{
     fs,
     path::{Path, PathBuf},
@@ -11,7 +13,7 @@
 use super::{Exit, Result, output};
 use crate::measure::{
     capacity::{self, Report, Scale},
-    policies::{self, Choice, Contender, Member, Scenario},
+    membership::{self, Size},
 };
 
 /// Measures the decisions.
@@ -24,28 +26,8 @@
 #[derive(Debug, Subcommand)]
 enum What {
     Capacity(CapacityArgs),
-    Policies(PoliciesArgs),
-}
-
-/// The chosen policy against round robin, random, no caps, no ramps and others, in virtual time.
-#[derive(Debug, clap::Args)]
-#[command(after_help = "Example: lavenderplank measure policies --seed 7 --svg plots")]
-struct PoliciesArgs {
-    /// Print JSON.
-    #[arg(long)]
-    json: bool,
-    /// Only this member.
-    #[arg(long)]
-    member: Option<Member>,
-    /// Only these policies, separated by commas.
-    #[arg(long, value_delimiter = ',')]
-    policy: Vec<Contender>,
-    /// Only these scenarios, separated by commas.
-    #[arg(long, value_delimiter = ',')]
-    scenario: Vec<Scenario>,
-    /// Draws the callers and their work.
-    #[arg(long, default_value_t = 1)]
-    seed: u64,
+    Membership(MembershipArgs),
+    Policies(policies::Args),
 }
 
 /// Slopes of what each role costs, followed to the size that the system has to reach.
@@ -63,31 +45,52 @@
     write: Option<PathBuf>,
 }
 
+/// What the exchanges between hosts cost a daemon, and how fast news gets round.
+#[derive(Debug, clap::Args)]
+#[command(after_help = "Example: lavenderplank measure membership --target")]
+struct MembershipArgs {
+    /// Print JSON.
+    #[arg(long)]
+    json: bool,
+    /// Only the smallest size, to see that it runs.
+    #[arg(long)]
+    quick: bool,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Also measure 1,704 hosts in 24 zones; takes minutes.
+    #[arg(long, conflicts_with = "quick")]
+    target: bool,
+}
+
 /// Runs the measurement.
 pub fn run(args: Args) -> Result {
     match args.what {
         What::Capacity(args) => capacity(&args),
-        What::Policies(args) => policies(&args),
+        What::Membership(args) => membership(&args),
+        What::Policies(args) => policies::run(&args),
     }
 }
 
-fn policies(args: &PoliciesArgs) -> Result {
-    let threads = std::thread::available_parallelism().map_or(1, |count| count.get());
-    let mut choice = Choice::all(args.seed, threads.div_ceil(2));
-    if let Some(member) = args.member {
-        choice.members = vec![member];
+fn membership(args: &MembershipArgs) -> Result {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let rpc = runtime.block_on(membership::measure_rpc())?;
+    let mut sizes = Size::ALL.to_vec();
+    if args.quick {
+        sizes.truncate(1);
     }
-    if !args.policy.is_empty() {
-        choice.contenders = args.policy.clone();
+    if args.target {
+        sizes.push(Size::TARGET);
     }
-    if !args.scenario.is_empty() {
-        choice.scenarios = args.scenario.clone();
+    let mut rows = Vec::new();
+    for size in sizes {
+        eprintln!("measuring: {} hosts", size.hosts());
+        rows.push(membership::measure(size, &rpc, args.seed));
     }
-    let report = policies::run(&choice, |done, all| eprintln!("run {done} of {all}"));
+    let report = membership::Report { rows, rpc };
     if args.json {
-        output::json(&report)?;
+        output::json(&report)?
     } else {
-        output::line(report.markdown())?;
+        output::line(report.markdown())?
     }
     Ok(Exit::Done)
 }
--- a/src/measure/mod.rs
+++ b/src/measure/mod.rs
@@ -1,4 +1,5 @@
 //! Measurements of the decisions, run by `lavenderplank measure`.
 
 pub mod capacity;
+pub mod membership;
 pub mod policies;
