--- a/src/cmd/measure.rs
+++ b/src/cmd/measure.rs
@@ -1,5 +1,7 @@
 //! `measure`: what the decisions cost and how well they do.
 
+mod policies;
+
 use std::{
     fs,
     path::{Path, PathBuf},
@@ -25,6 +27,7 @@
 enum What {
     Capacity(CapacityArgs),
     Membership(MembershipArgs),
+    Policies(policies::Args),
 }
 
 /// Slopes of what each role costs, followed to the size that the system has to reach.
@@ -64,6 +67,7 @@
     match args.what {
         What::Capacity(args) => capacity(&args),
         What::Membership(args) => membership(&args),
+        What::Policies(args) => policies::run(&args),
     }
 }
 
--- a/src/shift/ramp.rs
+++ b/src/shift/ramp.rs
@@ -8,11 +8,11 @@
 /// First step, as a share of the cap.
 const FIRST_STEP: Share = 0.1;
 /// Least time between two steps up, and between two steps down.
-const STEP_TIME: Duration = Duration::from_secs(1);
+const STEP_TIME: Duration = Duration::from_millis(500);
 /// Good answers that a step up needs.
 const STEP_GOOD: u32 = 3;
 /// Bad answers, as a share of a step's answers, that make it back off.
-const BAD_SHARE: Share = 0.2;
+const BAD_SHARE: Share = 0.4;
 /// Without shifts for this long the caches of the receiving region count as cold again.
 const COLD_AFTER: Duration = Duration::from_secs(30);
 /// First pause after backing off; doubles with every reversal of the last minutes.
--- a/src/steer/call.rs
+++ b/src/steer/call.rs
@@ -14,6 +14,8 @@
     pub attempts: u32,
     /// The attempt under way, if any.
     pub current: Option<AttemptId>,
+    /// Counted against the cap for callers whose own hosts are gone.
+    pub direct: bool,
     /// Told to this host's own ledger, which must learn how it ends.
     pub in_ledger: bool,
     pub kind: ServiceKind,
@@ -24,6 +26,8 @@
     /// A shift was counted against the home region's cap for the attempt under way.
     pub shifted: bool,
     pub timeout: Duration,
+    /// A shift was tried for it.
+    pub tried_away: bool,
     pub tried: Vec<TargetId>,
     /// Waits for another call with the same binding and key.
     pub waiting: bool,
