--- a/src/shift/receiver.rs
+++ b/src/shift/receiver.rs
@@ -6,6 +6,9 @@
 /// `reserve` stays for the region's own callers. Decided by the owner of the slots, whose counts
 /// are exact, so that late measurements elsewhere can't tip this region over.
 pub fn accept_foreign(free: u32, slots: u32, reserve: Share) -> bool {
-    let kept = (f64::from(slots) * reserve.clamp(0.0, 1.0)).ceil();
+    let reserve = reserve.clamp(0.0, 1.0);
+    // Pools of an owner are a few slots: rounding up would double a small reserve.
+    let least = if reserve == 0.0 { 0.0 } else { 1.0 };
+    let kept = (f64::from(slots) * reserve).round().max(least);
     kept < f64::from(free)
 }
