--- a/src/ledger/ledger.rs
+++ b/src/ledger/ledger.rs
@@ -116,7 +116,7 @@
         let Some(table) = self.own.generations.get_mut(&number) else {
             return Begin::Dropped;
         };
-        if full && !table.entries.contains_key(&key) {
+        if full {
             table.closed = true;
             return Begin::Full;
         }
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -16,7 +16,7 @@
 pub use self::{
     action::{Action, Answer},
     event::{Arrival, Event, Outcome, Via},
-    machine::{BusyTarget, Steer, SteerLimits, Usage},
+    machine::{BusyTarget, Steer, SteerLimits, Tuning, Usage},
     survey::Surveyed,
 };
 
