--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -15,6 +15,7 @@
 mod run;
 mod scope;
 mod sign;
+mod soak;
 mod status;
 mod timeline;
 mod undrain;
@@ -47,6 +48,7 @@
     Replay(replay::Args),
     Run(run::Args),
     Sign(sign::Args),
+    Soak(soak::Args),
     Status(status::Args),
     Timeline(timeline::Args),
     Undrain(undrain::Args),
@@ -67,6 +69,7 @@
             Command::Replay(args) => replay::run(args),
             Command::Run(args) => run::run(args),
             Command::Sign(args) => sign::run(args),
+            Command::Soak(args) => soak::run(args),
             Command::Status(args) => status::run(args),
             Command::Timeline(args) => timeline::run(args),
             Command::Undrain(args) => undrain::run(args),
--- a/src/ledger/history.rs
+++ b/src/ledger/history.rs
@@ -21,7 +21,7 @@
 pub(super) enum Known {
     /// Nothing more is to be asked.
     Said(Begin),
-    /// Not there, or proven not to have run.
+    /// It never came before.
     Runnable,
 }
 
@@ -39,7 +39,7 @@
         };
         match table.entries.get(key) {
             Some(entry) if entry.body != *body => Known::Said(Begin::Conflict),
-            Some(entry) => entry.state.begin().map_or(Known::Runnable, Known::Said),
+            Some(entry) => Known::Said(entry.state.begin()),
             None if !table.open => Known::Said(Begin::Dropped),
             None if table.closed => Known::Said(Begin::Full),
             None => Known::Runnable,
--- a/src/steer/settle.rs
+++ b/src/steer/settle.rs
@@ -158,6 +158,11 @@
         if state.is_booking() && current.is_some() {
             return;
         }
+        // Another copy of it is running: "not run" would be untrue, whoever still hears it.
+        if state.waiting {
+            let error = ErrorKind::DispatchTimeout;
+            return self.answer(call, Answer::Error { error, retry_after: None });
+        }
         if let Some(attempt) = current {
             self.out.push(Action::Cancel { attempt });
             let error = ErrorKind::StreamCut;
