Tell callers to use a new key once one was told not run

Cause: the ledger now refuses a key for good once it was told not run, so that a copy still on its way cannot run after all. The answer still advised the same key, which was then refused until the caller gave up; two tests of the running host failed on it (503, key-refused).

--- a/src/base/error_kind.rs
+++ b/src/base/error_kind.rs
@@ -22,7 +22,7 @@
 
 impl Resend {
     /// The value of the `lavender-resend` header.
-    pub fn as_str(self) -> &'static str {
+    pub const fn as_str(self) -> &'static str {
         match self {
             Resend::Never => "never",
             Resend::Same => "same",
--- a/src/daemon/outgoing.rs
+++ b/src/daemon/outgoing.rs
@@ -29,6 +29,16 @@
     res
 }
 
+/// Advises a new key where the old one was told `not run`: the ledger refuses that key from then
+/// on, so that a copy still under way cannot run after all, and the same key would be sent in vain.
+pub fn close_key(res: &mut Response, error: ErrorKind) {
+    let row = error.row();
+    if row.ran == Ran::No && row.resend == Resend::Same {
+        let fresh = HeaderValue::from_static(Resend::Fresh.as_str());
+        res.headers_mut().insert(headers::RESEND, fresh);
+    }
+}
+
 /// The whole answer of a target, now or from the ledger.
 pub fn whole(answer: &KeptAnswer, request: &str) -> Response {
     let mut res = Response::new(answer.body.clone().into());
--- a/src/daemon/traffic.rs
+++ b/src/daemon/traffic.rs
@@ -232,7 +232,11 @@
         let Some(pending) = lock(&self.pending).remove(&call) else { return };
         let res = match answer {
             Answer::Error { error, retry_after } => {
-                outgoing::error(error, &pending.request, None, retry_after)
+                let mut res = outgoing::error(error, &pending.request, None, retry_after);
+                if pending.incoming.headers.contains_key(headers::IDEMPOTENCY_KEY) {
+                    outgoing::close_key(&mut res, error);
+                }
+                res
             }
             Answer::Kept { kept } => outgoing::whole(&kept, &pending.request),
             Answer::Pass => match &pending.reply {
--- a/src/demo/load.rs
+++ b/src/demo/load.rs
@@ -60,7 +60,6 @@
     pub at: Duration,
     pub heard: Heard,
     pub home: RegionId,
-    pub key: Option<Arc<str>>,
     pub service: ServiceId,
 }
 
@@ -152,7 +151,7 @@
                 format!("{}: {} bytes for {}", ask.request, heard.body.len(), expected.len())
             });
         }
-        let record = Record { at, heard, home, key: ask.key.clone(), service: ask.service.clone() };
+        let record = Record { at, heard, home, service: ask.service.clone() };
         self.records.lock().expect("no holder panics").push(record);
     }
 }
--- a/src/demo/report.rs
+++ b/src/demo/report.rs
@@ -104,15 +104,21 @@
 /// Holds what callers of bookings were told against what the targets ran.
 fn check_runs(cluster: &Cluster, records: &[Record], tally: &Tally) {
     for record in records {
-        let Some(key) = &record.key else { continue };
-        let runs = cluster.log.runs(key);
-        tally.check(Promise::AtMostOnce, runs <= 1, || format!("{key} ran {runs} times"));
+        let Some((last, refused)) = record.heard.keys.split_last() else { continue };
+        for key in refused {
+            let runs = cluster.log.runs(key);
+            tally.check(Promise::NotRunIsTrue, runs == 0, || {
+                format!("{key} was told not run and ran")
+            });
+        }
+        let runs = cluster.log.runs(last);
+        tally.check(Promise::AtMostOnce, runs <= 1, || format!("{last} ran {runs} times"));
         match record.heard.ran {
             Ran::No => tally.check(Promise::NotRunIsTrue, runs == 0, || {
-                format!("{key} was told not run ({:?}) and ran", record.heard.error)
+                format!("{last} was told not run ({:?}) and ran", record.heard.error)
             }),
             Ran::Yes => tally.check(Promise::NotRunIsTrue, runs == 1, || {
-                format!("{key} was told run and ran {runs} times")
+                format!("{last} was told run and ran {runs} times")
             }),
             Ran::Unknown => {}
         }
