--- a/src/cmd/run.rs
+++ b/src/cmd/run.rs
@@ -17,9 +17,6 @@
     steer::SteerLimits,
 };
 
-/// Events that the time line keeps.
-const TIMELINE: usize = 100_000;
-
 /// Runs the host that a settings file describes, until SIGTERM or SIGINT.
 #[derive(Debug, clap::Args)]
 #[command(after_help = "Example: lavenderplank run --settings examples/gradski-servis/host.yaml")]
@@ -66,7 +63,7 @@
         settings,
         tape: Arc::new(NoTape),
         targets: Arc::new(HttpUpstream::open(ForwardLimits::default())?),
-        timeline: TIMELINE,
+        timeline: crate::timeline::DEFAULT_CAPACITY,
         traffic_threads: threads.unwrap_or(cores),
     })
     .await?;
--- a/src/measure/capacity/memory.rs
+++ b/src/measure/capacity/memory.rs
@@ -12,7 +12,10 @@
     gauge::resident,
     ledgers, target, time_line,
 };
-use crate::{ledger::LedgerLimits, lookup::BlockTable, membership::Fleet, prelude::*};
+use crate::{
+    ledger::LedgerLimits, lookup::BlockTable, membership::Fleet, prelude::*,
+    timeline::DEFAULT_CAPACITY,
+};
 
 /// What each part takes.
 pub struct Memory {
@@ -57,7 +60,7 @@
             "bytes",
             "events",
             sizes(ENTRIES),
-            time_line::CAPACITY,
+            DEFAULT_CAPACITY,
             |size| keeper.bytes_of(move || time_line::filled(size)),
         ),
         blocks: Figure::sweep(
--- a/src/measure/capacity/time_line.rs
+++ b/src/measure/capacity/time_line.rs
@@ -8,14 +8,11 @@
 };
 use crate::{
     prelude::*,
-    timeline::{EventKind, EventSink, Filter, Recorder},
+    timeline::{DEFAULT_CAPACITY, EventKind, EventSink, Filter, Recorder},
 };
 
 const SIZES: [usize; 4] = [25_000, 50_000, 100_000, 200_000];
 
-/// Events that a daemon keeps unless told otherwise.
-pub const CAPACITY: usize = 65_536;
-
 /// Events of one request on its way: arrived, dispatched, ended, answered.
 const EVENTS_PER_REQUEST: f64 = 4.0;
 
@@ -26,16 +23,25 @@
     let sizes = SIZES.map(|size| scale.size(size));
     let kept = sizes.map(filled);
     let mut recorders = kept.iter();
-    let on = Figure::sweep("event recorded, switched on", "ns", "events", sizes, CAPACITY, |_| {
-        recorders.next().map_or(0.0, record_cost)
-    });
+    let on = Figure::sweep(
+        "event recorded, switched on",
+        "ns",
+        "events",
+        sizes,
+        DEFAULT_CAPACITY,
+        |_| recorders.next().map_or(0.0, record_cost),
+    );
     let off = Recorder::off();
-    let off =
-        Figure::sweep("event recorded, switched off", "ns", "events", sizes, CAPACITY, |_| {
-            record_cost(&off)
-        });
+    let off = Figure::sweep(
+        "event recorded, switched off",
+        "ns",
+        "events",
+        sizes,
+        DEFAULT_CAPACITY,
+        |_| record_cost(&off),
+    );
     let mut recorders = kept.iter();
-    let page = Figure::sweep("page of 100 read", "ns", "events", sizes, CAPACITY, |_| {
+    let page = Figure::sweep("page of 100 read", "ns", "events", sizes, DEFAULT_CAPACITY, |_| {
         let filter = Filter { limit: Some(100), ..Filter::default() };
         recorders
             .next()
@@ -58,7 +64,7 @@
 
 /// Memory of the ring.
 pub fn bounded(ring: &Figure) -> Load {
-    Load::measured(Resource::Memory, ring.value, format!("bounded: {CAPACITY} events"))
+    Load::measured(Resource::Memory, ring.value, format!("bounded: {DEFAULT_CAPACITY} events"))
 }
 
 /// A recorder whose ring is full.
--- a/src/metrics/metered_sink.rs
+++ b/src/metrics/metered_sink.rs
@@ -26,9 +26,6 @@
             EventKind::Answered { ran, .. } => {
                 metrics.count(Metric::Requests, 1, Some(ran.as_str()));
             }
-            EventKind::BreakerMoved { open } => {
-                metrics.gauge(Metric::BreakerOpen, f64::from(u8::from(*open)), None);
-            }
             EventKind::Ended { error: Some(error), .. } => {
                 metrics.count(Metric::TargetErrors, 1, Some(&error_name(*error)));
             }
--- a/src/metrics/metric.rs
+++ b/src/metrics/metric.rs
@@ -14,47 +14,27 @@
 /// Every metric of a host.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Metric {
-    BreakerOpen,
     Events,
-    EventsDropped,
     HandoverEntries,
     InFlight,
     InvariantsBroken,
-    LeaseLeft,
-    LedgerBytes,
-    LedgerEntries,
     ManifestSequence,
-    PeersLive,
-    PlatformCalls,
-    QueueLength,
     Refused,
-    RequestTime,
     Requests,
-    ShiftShare,
     SlotsFree,
     TargetErrors,
 }
 
 impl Metric {
     /// Every metric, for tests and for the operators' reference.
-    pub const ALL: [Metric; 19] = [
-        Metric::BreakerOpen,
+    pub const ALL: [Metric; 9] = [
         Metric::Events,
-        Metric::EventsDropped,
         Metric::HandoverEntries,
         Metric::InFlight,
         Metric::InvariantsBroken,
-        Metric::LeaseLeft,
-        Metric::LedgerBytes,
-        Metric::LedgerEntries,
         Metric::ManifestSequence,
-        Metric::PeersLive,
-        Metric::PlatformCalls,
-        Metric::QueueLength,
         Metric::Refused,
-        Metric::RequestTime,
         Metric::Requests,
-        Metric::ShiftShare,
         Metric::SlotsFree,
         Metric::TargetErrors,
     ];
@@ -75,13 +55,9 @@
     }
 
     fn row(self) -> (&'static str, Shape, &'static str) {
-        use Shape::{Counter, Gauge, Timing};
+        use Shape::{Counter, Gauge};
         match self {
-            Metric::BreakerOpen => ("breaker_open", Gauge, "1 while the platform is held for down"),
             Metric::Events => ("events", Counter, "events recorded; label: kind of event"),
-            Metric::EventsDropped => {
-                ("events_dropped", Gauge, "events pushed out of the ring by newer ones")
-            }
             Metric::HandoverEntries => {
                 ("handover_entries", Counter, "ledger entries at a planned stop; label: done, lost")
             }
@@ -89,27 +65,11 @@
             Metric::InvariantsBroken => {
                 ("invariants_broken", Counter, "broken invariants; label: name of the invariant")
             }
-            Metric::LeaseLeft => {
-                ("lease_left_ms", Gauge, "time left on the right to send to own targets")
-            }
-            Metric::LedgerBytes => ("ledger_bytes", Gauge, "kept answers"),
-            Metric::LedgerEntries => ("ledger_entries", Gauge, "non-repeatable requests on record"),
             Metric::ManifestSequence => {
                 ("manifest_sequence", Gauge, "sequence number of the manifest in force")
             }
-            Metric::PeersLive => ("peers_live", Gauge, "peers that answer; label: zone"),
-            Metric::PlatformCalls => {
-                ("platform_calls", Counter, "calls to the platform; label: kind of call")
-            }
-            Metric::QueueLength => ("queue_length", Gauge, "requests waiting for a slot"),
             Metric::Refused => ("refused", Counter, "requests refused; label: error kind"),
-            Metric::RequestTime => {
-                ("request_time", Timing, "from the request's head to the end of its answer")
-            }
             Metric::Requests => ("requests", Counter, "requests answered; label: ran"),
-            Metric::ShiftShare => {
-                ("shift_share", Gauge, "share served away from home; label: service")
-            }
             Metric::SlotsFree => ("slots_free", Gauge, "free slots of own targets; label: service"),
             Metric::TargetErrors => {
                 ("target_errors", Counter, "attempts that failed; label: error kind")
--- a/src/timeline/mod.rs
+++ b/src/timeline/mod.rs
@@ -17,7 +17,7 @@
     gather::{Gathered, Gatherer, ago},
     hybrid_clock::{HybridClock, MAX_SKEW},
     merge::merge,
-    recorder::{EventSink, LOOKUP_SAMPLING, NullSink, Recorder},
+    recorder::{DEFAULT_CAPACITY, EventSink, LOOKUP_SAMPLING, NullSink, Recorder},
     ring::{Entry, Ring},
     write::{Format, ReadError, read_lines, write},
 };
--- a/src/timeline/recorder.rs
+++ b/src/timeline/recorder.rs
@@ -15,6 +15,9 @@
 };
 use crate::prelude::*;
 
+/// Events that a host keeps.
+pub const DEFAULT_CAPACITY: usize = 100_000;
+
 /// One look-up in this many is kept: there are so many that they would push all else out.
 pub const LOOKUP_SAMPLING: u64 = 256;
 
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -9,8 +9,10 @@
     sync::{Mutex, PoisonError},
 };
 
+use clap::Parser;
 use lavenderplank::{
     base::ErrorKind,
+    cmd::Cli,
     metrics::{Metric, Shape},
     timeline::EventKind,
 };
@@ -77,6 +79,26 @@
     check("OPERATIONS.md", "events", &format!("\n{names}.\n\n"));
 }
 
+// An operator copies a line from the page in the middle of an incident; it must at least be one
+// that this release understands.
+#[test]
+fn commands_of_the_page_are_understood() {
+    let text = fs::read_to_string(page("OPERATIONS.md")).unwrap();
+    let blocks = text.split("```sh\n").skip(1).filter_map(|rest| rest.split("```").next());
+    let lines = blocks.flat_map(str::lines).filter(|line| line.starts_with("lavenderplank "));
+    let mut count = 0;
+    for line in lines {
+        let command = line.split(" #").next().unwrap_or_default();
+        let key = ["--manifest-key", &"0".repeat(64)].map(str::to_owned);
+        let more = if command.contains(" apply ") { &key[..] } else { &[] };
+        let words = command.split_whitespace().map(str::to_owned).chain(more.iter().cloned());
+        let parsed = Cli::try_parse_from(words);
+        assert!(parsed.is_ok(), "{line}: {}", parsed.unwrap_err());
+        count += 1;
+    }
+    assert!(5 <= count, "only {count} commands were found");
+}
+
 // An alarm that names a metric, an event or a refusal which no longer exists sends an operator
 // looking for a sign that never comes.
 #[test]
