Stop taking work where another process runs under this host's name

A superseded process dropped out of its peers' lists but went on answering callers, which it could only refuse one by one. It now leaves, as for a planned stop.

--- a/src/daemon/control/actor.rs
+++ b/src/daemon/control/actor.rs
@@ -91,6 +91,10 @@
                 MembershipEvent::Superseded => {
                     let host = self.parts.membership.own().id.clone();
                     log::error!("another process runs as host {host}: this one takes no more work");
+                    // Peers no longer list this process; what callers still send here would be sent
+                    // on without a right to any target.
+                    self.parts.membership.leave();
+                    self.parts.traffic.feed(crate::steer::Event::Leave);
                     EventKind::HostLeft { host }
                 }
                 MembershipEvent::Suspected(host) => EventKind::HostSuspected { host },
