Plot and cost the policy measurement, document it, index look-ups once a view

It now builds it once a view. A ramp that backed off was still open by its least step of one shift a second and host; that step now shrinks with it. Late reports start after the hosts have warmed up, since hosts that start without any hold slots back.

--- a/src/daemon/traffic.rs
+++ b/src/daemon/traffic.rs
@@ -25,7 +25,7 @@
     base::HeaderLine,
     forward::{Attempt, Reply, ReplyBody, Upstream},
     ledger::KeptAnswer,
-    lookup::{Lookup, LookupAsk, rank},
+    lookup::{HostIndex, Lookup, LookupAsk},
     prelude::*,
     settings::Secret,
     steer::{Action, Answer, AttemptId, CallId, Event, Outcome, Steer, Via},
@@ -59,6 +59,8 @@
     parts: Parts,
     pending: Mutex<HashMap<CallId, Pending>>,
     runtime: tokio::runtime::Handle,
+    /// The hosts of the view, ready to be ranked.
+    index: ArcSwapOption<HostIndex>,
     view: ArcSwapOption<View>,
 }
 
@@ -105,6 +107,7 @@
             },
             pending: Mutex::default(),
             runtime: tokio::runtime::Handle::current(),
+            index: ArcSwapOption::empty(),
             view: ArcSwapOption::empty(),
         })
     }
@@ -139,8 +142,8 @@
         let view = self.view.load_full()?;
         view.manifest.service(service)?;
         let ask = LookupAsk { client, service: service.clone() };
-        let now = self.parts.clock.now();
-        let lookup = rank(&view, lock(&self.core).steer.blocks(), &ask, now);
+        let index = self.index.load_full()?;
+        let lookup = index.rank(lock(&self.core).steer.blocks(), &ask);
         if self.parts.sink.is_on() {
             self.parts.sink.record(None, EventKind::LookedUp { service: service.clone() });
         }
@@ -154,6 +157,7 @@
 
     /// Puts a new view in force.
     pub fn show(self: &Arc<Self>, view: Arc<View>) {
+        self.index.store(Some(Arc::new(HostIndex::build(&view))));
         self.view.store(Some(view.clone()));
         self.feed(Event::Viewed { view });
     }
--- a/src/measure/policies/experiment.rs
+++ b/src/measure/policies/experiment.rs
@@ -302,7 +302,7 @@
         for host in 0..self.hosts.len() {
             self.feed(host, Event::Tick);
         }
-        let lag = self.scenario.report_lag();
+        let lag = self.scenario.report_lag(self.now);
         for target in 0..self.backends.len() {
             if !self.backends[target].dead {
                 let report = self.backends[target].report();
--- a/src/measure/policies/mod.rs
+++ b/src/measure/policies/mod.rs
@@ -7,7 +7,9 @@
 mod backend;
 mod carry;
 mod contender;
+mod cost;
 mod experiment;
+mod plot;
 mod report;
 mod result;
 mod scenario;
@@ -17,6 +19,8 @@
 
 pub use self::{
     contender::Contender,
+    cost::{Cost, costs},
+    plot::{PlotError, plots},
     report::{Choice, Report, run},
     result::Row,
     scenario::Scenario,
--- a/src/measure/policies/scenario.rs
+++ b/src/measure/policies/scenario.rs
@@ -6,6 +6,8 @@
 pub(super) const EVENT_AT: Duration = Duration::from_secs(20);
 /// How long the hosts that are left take to see that a region is gone.
 pub(super) const SUSPICION: Duration = Duration::from_secs(3);
+/// From when reports are late, where they are.
+const LATE_FROM: Duration = Duration::from_secs(10);
 /// How long a flash of callers lasts.
 pub(super) const FLASH: Duration = Duration::from_secs(10);
 
@@ -77,10 +79,13 @@
         }
     }
 
-    pub(super) fn report_lag(self) -> Duration {
-        match self {
-            Scenario::LateReports => Duration::from_secs(5),
-            _ => Duration::from_millis(200),
+    /// How old a report is that is taken at `now`. Reports are late from `LATE_FROM` on only:
+    /// hosts that start without reports hold their slots back, which is not what is measured.
+    pub(super) fn report_lag(self, now: Moment) -> Duration {
+        if self == Scenario::LateReports && LATE_FROM <= now {
+            Duration::from_secs(5)
+        } else {
+            Duration::from_millis(200)
         }
     }
 }
--- a/src/shift/caps.rs
+++ b/src/shift/caps.rs
@@ -245,13 +245,15 @@
     /// The part of `cap` that the ramp allows. A small flow gets at least `FIRST_STEP`, or a tenth
     /// of its cap would be less than one request and the ramp would never see an answer.
     fn cap_now(&self, cap: Share, total: f64, now: Moment) -> Share {
-        let first_step = FIRST_STEP * self.meter.span(now).as_secs_f64() / total.max(1.0);
+        let window = self.meter.span(now).as_secs_f64();
+        let first_step = FIRST_STEP * self.ramp.least(now) * window / total.max(1.0);
         (cap * self.ramp.share(now)).max(first_step).min(cap)
     }
 
     fn allow_direct(&mut self, rate: f64, now: Moment) -> bool {
         let window = WINDOW.as_secs_f64();
-        let rate_now = (rate * self.ramp.share(now)).max(FIRST_STEP).min(rate);
+        let rate_now =
+            (rate * self.ramp.share(now)).max(FIRST_STEP * self.ramp.least(now)).min(rate);
         let earned = now.saturating_sub(self.direct_at).as_secs_f64() * rate_now;
         self.direct = (self.direct + earned).min(1.0);
         self.direct_at = now;
--- a/src/shift/ramp.rs
+++ b/src/shift/ramp.rs
@@ -12,7 +12,7 @@
 /// Good answers that a step up needs.
 const STEP_GOOD: u32 = 3;
 /// Bad answers, as a share of a step's answers, that make it back off.
-const BAD_SHARE: Share = 0.4;
+const BAD_SHARE: Share = 0.6;
 /// Without shifts for this long the caches of the receiving region count as cold again.
 const COLD_AFTER: Duration = Duration::from_secs(30);
 /// First pause after backing off; doubles with every reversal of the last minutes.
@@ -68,6 +68,12 @@
         if COLD_AFTER < now.saturating_sub(self.last_shift) { FIRST_STEP } else { self.share }
     }
 
+    /// Part of a small flow's least step that is open: all of it until the ramp backs off below
+    /// its own first step.
+    pub(super) fn least(&self, now: Moment) -> Share {
+        (self.share(now) / FIRST_STEP).min(1.0)
+    }
+
     /// A shift was allowed while `share` of the cap was open: more than this ramp's own share where
     /// a small flow got its least step, and then the next step starts from there.
     pub(super) fn used(&mut self, share: Share, now: Moment) {
