--- a/src/measure/mod.rs
+++ b/src/measure/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod capacity;
 pub mod membership;
+pub mod policies;
--- a/src/shift/caps.rs
+++ b/src/shift/caps.rs
@@ -4,7 +4,7 @@
 
 use super::{
     DirectAsk, ShiftAsk, ShiftEnd, ShiftRules,
-    meter::{Meter, WINDOW},
+    meter::{Bucket, Meter, WINDOW},
     ramp::Ramp,
 };
 use crate::{base::invariant, manifest::Share, prelude::*, view::Baseline};
@@ -16,8 +16,14 @@
 const FIRST_STEP: f64 = 1.0;
 /// Least spread of a Retry-After.
 const SPREAD_MIN: Duration = Duration::from_secs(1);
+/// Part of a quiet window after which its arrivals say how many are normal.
+const QUIET_LEAST: f64 = 0.2;
+/// Part of the normal arrivals that is counted on while resends hide how many callers there are.
+const QUIET_SHARE: f64 = 0.95;
+/// Sendings of one request, where a host has seen no quiet window to tell resends from.
+const RESENDS: f64 = 4.0;
 /// A shifted answer that takes this many times the usual time at home is bad.
-const SLOW_FACTOR: f64 = 3.0;
+const SLOW_FACTOR: f64 = 8.0;
 /// Share of a new sample in the usual time.
 const USUAL_WEIGHT: f64 = 0.05;
 /// Time granted for the way to another region and back.
@@ -50,6 +56,8 @@
     /// alone, old traffic could pay for a burst of shifts after the traffic itself is gone.
     earned: f64,
     meter: Meter,
+    /// Arrivals of a window while nothing was refused; resends of refused callers are not in it.
+    normal: f64,
     /// What the last shift cost, for `undo`.
     price: f64,
     ramp: Ramp,
@@ -74,6 +82,7 @@
         let flow = self.flow(service, home, now);
         flow.meter.change(now, |bucket| bucket.total += 1);
         flow.earned = (flow.earned + 1.0).min(MAX_EARNED);
+        flow.note_normal(now);
     }
 
     /// Whether this home host may send one more request to another region.
@@ -171,6 +180,7 @@
             direct_at: started_at,
             earned: 0.0,
             meter: Meter::new(now),
+            normal: 0.0,
             price: 0.0,
             ramp: Ramp::new(rules, now),
             rules,
@@ -190,8 +200,9 @@
 
     fn allow(&mut self, cap: Share, now: Moment) -> bool {
         let sums = self.meter.sums(now);
-        let cap_now = self.cap_now(cap, sums.total, now);
-        let within = f64::from(sums.shifted + 1) <= cap_now * f64::from(sums.total);
+        let genuine = self.genuine(sums);
+        let cap_now = self.cap_now(cap, genuine, now);
+        let within = f64::from(sums.shifted + 1) <= cap_now * genuine;
         // One shift costs the arrivals that it takes to earn it; kept credit is two shifts' worth.
         let price = 1.0 / cap_now.max(f64::EPSILON);
         self.earned = self.earned.min(price * 2.0);
@@ -211,10 +222,30 @@
         true
     }
 
+    /// Arrivals of the window without the resends of refused callers. Those would raise the total
+    /// and with it what may shift: the more callers are refused, the more would be let through.
+    fn genuine(&self, sums: Bucket) -> f64 {
+        let total = f64::from(sums.total);
+        if sums.refused == 0 {
+            return total;
+        }
+        // A host that has seen no quiet window knows only that each caller sends a few times.
+        let normal = if self.normal == 0.0 { total / RESENDS } else { self.normal };
+        total.min(normal * QUIET_SHARE)
+    }
+
+    fn note_normal(&mut self, now: Moment) {
+        let sums = self.meter.sums(now);
+        let seen = self.meter.span(now).as_secs_f64() / WINDOW.as_secs_f64();
+        if sums.refused == 0 && QUIET_LEAST <= seen {
+            self.normal = f64::from(sums.total) / seen;
+        }
+    }
+
     /// The part of `cap` that the ramp allows. A small flow gets at least `FIRST_STEP`, or a tenth
     /// of its cap would be less than one request and the ramp would never see an answer.
-    fn cap_now(&self, cap: Share, total: u32, now: Moment) -> Share {
-        let first_step = FIRST_STEP * self.meter.span(now).as_secs_f64() / f64::from(total.max(1));
+    fn cap_now(&self, cap: Share, total: f64, now: Moment) -> Share {
+        let first_step = FIRST_STEP * self.meter.span(now).as_secs_f64() / total.max(1.0);
         (cap * self.ramp.share(now)).max(first_step).min(cap)
     }
 
--- a/src/steer/arrive.rs
+++ b/src/steer/arrive.rs
@@ -10,7 +10,7 @@
     ledger::{Begin, End, Key},
     prelude::*,
     quarantine::Standing,
-    shift::DirectAsk,
+    shift::{DirectAsk, ShiftEnd},
     timeline::EventKind,
     view::View,
 };
@@ -60,6 +60,7 @@
             arrival: arrival.clone(),
             attempts: 0,
             current: None,
+            direct: false,
             in_ledger: false,
             kind: service.kind,
             last_error: None,
@@ -68,6 +69,7 @@
             shifted: false,
             timeout: Duration::from_millis(service.timeout_ms),
             tried: Vec::new(),
+            tried_away: false,
             waiting: false,
         })
     }
@@ -109,6 +111,7 @@
             Begin::Full => self.fail(call, ErrorKind::LedgerFull, now, rng),
             Begin::Kept(kept) => self.answer(call, Answer::Kept { kept }),
             Begin::KeptFact { .. } => self.fail(call, ErrorKind::AnswerNotKept, now, rng),
+            Begin::Refused => self.fail(call, ErrorKind::KeyRefused, now, rng),
             Begin::Running => self.state(call).waiting = true,
             Begin::Sealed => self.fail(call, ErrorKind::BindingClosed, now, rng),
             Begin::Stranger => self.carry_to_owner(call, &binding, now, rng),
@@ -211,6 +214,9 @@
             return Err(ErrorKind::CapReached);
         }
         let request = state.arrival.request.clone();
+        let state = self.state(call);
+        state.direct = true;
+        state.tried_away = true;
         self.note(Some(&request), EventKind::Shifted { home, service });
         Ok(())
     }
@@ -226,10 +232,28 @@
             let end = if error.row().ran == Ran::No { End::NotRun } else { End::Unknown };
             self.close_entry(call, end, now, rng);
         }
+        self.note_lost_shift(call, error, now);
         let retry_after = self.retry_after(call, error, now, rng);
         self.answer(call, Answer::Error { error, retry_after });
     }
 
+    /// A shift that came to nothing, after all attempts, makes the next ones fewer.
+    fn note_lost_shift(&mut self, call: CallId, error: ErrorKind, now: Moment) {
+        let Some(view) = self.view.clone() else { return };
+        let state = &self.calls[&call];
+        if !state.tried_away {
+            return;
+        }
+        let home = self.home_of(&state.arrival, &view);
+        let service = state.arrival.service.clone();
+        let undo = state.direct && error.row().ran == Ran::No;
+        let end = ShiftEnd { latency: None, shifted: true };
+        self.caps.ended(&service, &home, end, now);
+        if undo {
+            self.caps.undo_direct(&service, &home, now);
+        }
+    }
+
     /// Tells the ledger how a request ended, and those who wait for it.
     pub(super) fn close_entry(&mut self, call: CallId, end: End, now: Moment, rng: &mut impl Rng) {
         let state = self.state(call);
--- a/src/steer/settle.rs
+++ b/src/steer/settle.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 
 use super::{
-    Action, Answer, AttemptId, CallId, Outcome, Steer,
+    Action, Answer, AttemptId, CallId, Outcome, Steer, Via,
     call::{Attempt, Place},
     place::queue_id,
 };
@@ -55,8 +55,13 @@
             return;
         };
         let arrival = state.arrival.clone();
-        let end = ShiftEnd { latency: error.is_none().then_some(latency), shifted: state.shifted };
-        self.caps.ended(&arrival.service, &home(self, &arrival), end, now);
+        let shifted = state.shifted || state.direct;
+        // Attempts that fail are judged by how the call ends: a receiver that has no spare slot
+        // at one target may have some at the next.
+        if error.is_none() && arrival.via != Via::SlotHop {
+            let end = ShiftEnd { latency: Some(latency), shifted };
+            self.caps.ended(&arrival.service, &home(self, &arrival), end, now);
+        }
         let Place::Own { slot, target } = place else { return };
         self.slots.release(target, *slot, now);
         let crashed = error == Some(ErrorKind::DispatchLost);
@@ -153,6 +158,11 @@
         if state.is_booking() && current.is_some() {
             return;
         }
+        // Another copy of it is running: "not run" would be untrue, whoever still hears it.
+        if state.waiting {
+            let error = ErrorKind::DispatchTimeout;
+            return self.answer(call, Answer::Error { error, retry_after: None });
+        }
         if let Some(attempt) = current {
             self.out.push(Action::Cancel { attempt });
             let error = ErrorKind::StreamCut;
