--- a/src/base/error_kind.rs
+++ b/src/base/error_kind.rs
@@ -14,8 +14,9 @@
     Never,
     /// With the same binding and key: the owner then tells what is known.
     Same,
-    /// After a new look-up, with the new binding. Said only where the old binding can never run
-    /// the request: an earlier copy of it may still be on its way, and would run beside the new.
+    /// As a new request: after a new look-up, with its binding and a new key. Said only where the
+    /// old binding and key can never run: an earlier copy may still be on its way, and would run
+    /// beside the new one.
     Fresh,
 }
 
@@ -89,6 +90,8 @@
     KeyConflict,
     #[error("this request may not be repeated: send an `idempotency-key`")]
     KeyMissing,
+    #[error("a request with this idempotency key was refused and was not run; use a new key")]
+    KeyRefused,
     #[error("the ledger is full; come back after Retry-After")]
     LedgerFull,
     #[error("the request was forwarded too often; look up the hosts again")]
@@ -117,7 +120,7 @@
 
 impl ErrorKind {
     /// Every kind, for tests and for the operators' reference.
-    pub const ALL: [ErrorKind; 27] = [
+    pub const ALL: [ErrorKind; 28] = [
         ErrorKind::AnswerBroken,
         ErrorKind::AnswerNotKept,
         ErrorKind::BadRequest,
@@ -133,6 +136,7 @@
         ErrorKind::HostLeaving,
         ErrorKind::KeyConflict,
         ErrorKind::KeyMissing,
+        ErrorKind::KeyRefused,
         ErrorKind::LedgerFull,
         ErrorKind::LoopDetected,
         ErrorKind::NoManifest,
@@ -168,6 +172,7 @@
             HostLeaving => row(503, No, Same, None),
             KeyConflict => row(422, No, Never, None),
             KeyMissing => row(428, No, Fresh, None),
+            KeyRefused => row(503, No, Fresh, Some(1)),
             LedgerFull => row(503, No, Fresh, Some(2)),
             LoopDetected => row(508, No, Same, Some(1)),
             NoManifest => row(503, No, Same, Some(1)),
--- a/src/ledger/begin.rs
+++ b/src/ledger/begin.rs
@@ -18,6 +18,9 @@
     Kept(Arc<KeptAnswer>),
     /// It ran and was answered with this status; the answer was not kept.
     KeptFact { status: u16 },
+    /// Told before that it was not run, and never to be run: an earlier copy that comes late must
+    /// not make that untrue. Another try needs another key.
+    Refused,
     /// It is running: wait for it.
     Running,
     /// This ledger takes no new keys any more, and knows all that it ever took: not run.
@@ -33,7 +36,7 @@
 pub enum End {
     /// The target ran it and answered.
     Answered(Arc<KeptAnswer>),
-    /// Proven not to have run: the next `begin` with the same body may run it.
+    /// Proven not to have run. The key is refused from then on.
     NotRun,
     /// It may have run.
     Unknown,
--- a/src/ledger/generation.rs
+++ b/src/ledger/generation.rs
@@ -25,14 +25,14 @@
 }
 
 impl State {
-    /// What a resend is told; `None` when it may run again.
-    pub(super) fn begin(&self) -> Option<Begin> {
+    /// What a resend is told.
+    pub(super) fn begin(&self) -> Begin {
         match self {
-            State::Answered(answer) => Some(Begin::Kept(answer.clone())),
-            State::Fact(status) => Some(Begin::KeptFact { status: *status }),
-            State::NotRun => None,
-            State::Running => Some(Begin::Running),
-            State::Unknown => Some(Begin::Unknown),
+            State::Answered(answer) => Begin::Kept(answer.clone()),
+            State::Fact(status) => Begin::KeptFact { status: *status },
+            State::NotRun => Begin::Refused,
+            State::Running => Begin::Running,
+            State::Unknown => Begin::Unknown,
         }
     }
 }
--- a/src/steer/arrive.rs
+++ b/src/steer/arrive.rs
@@ -111,6 +111,7 @@
             Begin::Full => self.fail(call, ErrorKind::LedgerFull, now, rng),
             Begin::Kept(kept) => self.answer(call, Answer::Kept { kept }),
             Begin::KeptFact { .. } => self.fail(call, ErrorKind::AnswerNotKept, now, rng),
+            Begin::Refused => self.fail(call, ErrorKind::KeyRefused, now, rng),
             Begin::Running => self.state(call).waiting = true,
             Begin::Sealed => self.fail(call, ErrorKind::BindingClosed, now, rng),
             Begin::Stranger => self.carry_to_owner(call, &binding, now, rng),
