--- a/src/cmd/measure.rs
+++ b/src/cmd/measure.rs
@@ -1,5 +1,6 @@
 //! `measure`: what the decisions cost and how well they do.
 
+mod ledger;
 mod policies;
 
 use std::{
@@ -26,6 +27,7 @@
 #[derive(Debug, Subcommand)]
 enum What {
     Capacity(CapacityArgs),
+    Ledger(ledger::Args),
     Membership(MembershipArgs),
     Policies(policies::Args),
 }
@@ -66,6 +68,7 @@
 pub fn run(args: Args) -> Result {
     match args.what {
         What::Capacity(args) => capacity(&args),
+        What::Ledger(args) => ledger::run(&args),
         What::Membership(args) => membership(&args),
         What::Policies(args) => policies::run(&args),
     }
--- /dev/null
+++ b/src/measure/ledger.rs
@@ -0,0 +1,95 @@
+//! Two ways to run a booking at most once: the owner binding, and a record on the platform for
+//! each booking.
+//!
+//! The record is written before the request is sent, on the condition that there is none, and once
+//! more with the answer. The stand-in's platform answers over loopback after a set delay.
+
+use std::time::Instant;
+
+use eyre::Result;
+
+use crate::{
+    ledger::{Begin, End, KeptAnswer, Ledger, LedgerLimits, body_digest},
+    platform::{Expect, HttpPlatform, Limits, Platform, new_operation},
+    prelude::*,
+    standin::platform::{Faults, PlatformStandin},
+};
+
+/// Writes a second that the platform takes, as its users name it ("several hundred").
+const PLATFORM_WRITES: f64 = 300.0;
+
+/// Bytes of a booking's answer, made up.
+const ANSWER: usize = 200;
+
+/// What one way adds to a booking.
+#[derive(Clone, Debug, Serialize)]
+pub struct WayCost {
+    pub calls_per_booking: f64,
+    /// Bookings a second of all hosts together that the platform's writes allow.
+    pub most_per_second: Option<f64>,
+    pub p50_us: f64,
+    pub p99_us: f64,
+    pub way: Arc<str>,
+}
+
+/// Measures both ways over that many bookings each; delays are the platform's, in milliseconds.
+pub async fn measure(bookings: usize, delays: &[u64]) -> Result<Vec<WayCost>> {
+    let mut rows = vec![by_binding(bookings)];
+    for delay in delays {
+        rows.push(by_record(bookings, *delay).await?);
+    }
+    Ok(rows)
+}
+
+fn answer() -> Arc<KeptAnswer> {
+    let body = vec![b'x'; ANSWER].into();
+    Arc::new(KeptAnswer { body, headers: Vec::new(), status: 200 })
+}
+
+fn by_binding(bookings: usize) -> WayCost {
+    let mut ledger = Ledger::new("host".into(), 1, LedgerLimits::default());
+    let binding = ledger.binding();
+    let (answer, request) = (answer(), RequestId::from("request"));
+    let times = (0..bookings).map(|number| {
+        let key = format!("booking-{number}").into();
+        let start = Instant::now();
+        let digest = body_digest("POST", "/seats", b"{}");
+        let begun = ledger.begin(&binding, &key, digest, &request, Moment::ZERO);
+        if begun == Begin::Fresh {
+            ledger.end(&binding, &key, End::Answered(answer.clone()), Moment::ZERO);
+        }
+        start.elapsed()
+    });
+    row("owner binding".into(), times.collect(), 0.0)
+}
+
+async fn by_record(bookings: usize, delay_ms: u64) -> Result<WayCost> {
+    let standin = PlatformStandin::bind(([127, 0, 0, 1], 0).into()).await?;
+    standin.set_faults(Faults { delay_ms, ..Faults::default() });
+    let limits = Limits { reads: 1.0e6, watches: 1.0, writes: 1.0e6 };
+    let clock = Arc::new(crate::base::BootClock);
+    let platform = HttpPlatform::open_with(standin.address(), limits, clock)?;
+    let mut times = Vec::with_capacity(bookings);
+    for number in 0..bookings {
+        let key = format!("bookings/{number}");
+        let start = Instant::now();
+        let claim = bytes::Bytes::from_static(b"claimed");
+        let version = platform.put(&key, Expect::Absent, claim, new_operation()).await?;
+        let kept = answer().body.clone();
+        platform.put(&key, Expect::Version(version), kept, new_operation()).await?;
+        times.push(start.elapsed());
+    }
+    let calls = platform.state().counts;
+    let calls = (calls.reads + calls.writes) as f64 / bookings.max(1) as f64;
+    Ok(row(format!("record on the platform, {delay_ms} ms a call").into(), times, calls))
+}
+
+fn row(way: Arc<str>, mut times: Vec<Duration>, calls_per_booking: f64) -> WayCost {
+    times.sort();
+    let at = |share: f64| {
+        let index = (times.len().saturating_sub(1) as f64 * share) as usize;
+        times.get(index).map_or(0.0, |time| time.as_nanos() as f64 / 1_000.0)
+    };
+    let most_per_second = (0.0 < calls_per_booking).then(|| PLATFORM_WRITES / calls_per_booking);
+    WayCost { calls_per_booking, most_per_second, p50_us: at(0.5), p99_us: at(0.99), way }
+}
--- a/src/measure/mod.rs
+++ b/src/measure/mod.rs
@@ -1,5 +1,6 @@
 //! Measurements of the decisions, run by `lavenderplank measure`.
 
 pub mod capacity;
+pub mod ledger;
 pub mod membership;
 pub mod policies;
