--- a/src/cmd/measure/ledger.rs
+++ b/src/cmd/measure/ledger.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     cmd::{Exit, Result, output},
-    measure::ledger::{self, WayCost},
+    ledger::LedgerLimits,
+    measure::ledger::{self, EntryCost, WayCost},
 };
 
 /// What running a booking at most once costs, by owner binding and by a record on the platform.
@@ -22,17 +23,23 @@
 /// Runs the measurement.
 pub fn run(args: &Args) -> Result {
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+    let cost = ledger::entries(LedgerLimits::default().entries);
     let rows = runtime.block_on(ledger::measure(args.bookings as usize, &args.delays))?;
     if args.json {
-        output::json(&rows)?;
+        output::json(&(&cost, &rows))?;
     } else {
-        output::line(markdown(&rows))?;
+        output::line(markdown(&cost, &rows))?;
     }
     Ok(Exit::Done)
 }
 
-fn markdown(rows: &[WayCost]) -> String {
+fn markdown(cost: &EntryCost, rows: &[WayCost]) -> String {
+    let EntryCost { entries, entries_per_mb, ns_per_entry } = cost;
     let mut lines = vec![
+        format!(
+            "{entries} entries: {entries_per_mb:.0} a MB, {ns_per_entry:.0} ns each to begin and end"
+        ),
+        String::new(),
         "| Way | p50, us | p99, us | Platform calls a booking | Most bookings/s in all |".into(),
         "| --- | ---: | ---: | ---: | ---: |".into(),
     ];
--- a/src/measure/ledger.rs
+++ b/src/measure/ledger.rs
@@ -8,6 +8,10 @@
 
 use eyre::Result;
 
+use super::capacity::{
+    gauge::{resident, thread_time},
+    ledgers::filled,
+};
 use crate::{
     ledger::{Begin, End, KeptAnswer, Ledger, LedgerLimits, body_digest},
     platform::{Expect, HttpPlatform, Limits, Platform, new_operation},
@@ -32,6 +36,30 @@
     pub way: Arc<str>,
 }
 
+/// What the entries of a ledger cost.
+#[derive(Clone, Debug, Serialize)]
+pub struct EntryCost {
+    pub entries: usize,
+    pub entries_per_mb: f64,
+    /// Processor time to begin and end one.
+    pub ns_per_entry: f64,
+}
+
+/// Fills a ledger, without answers. Call it first: memory that was given back would be used again
+/// without showing up.
+pub fn entries(entries: usize) -> EntryCost {
+    let (before, start) = (resident(), thread_time());
+    let ledger = filled(entries, None);
+    let time = thread_time().saturating_sub(start);
+    let megabytes = (resident() - before) / 1.0e6;
+    let entries = ledger.len();
+    EntryCost {
+        entries,
+        entries_per_mb: entries as f64 / megabytes.max(f64::EPSILON),
+        ns_per_entry: time.as_nanos() as f64 / entries.max(1) as f64,
+    }
+}
+
 /// Measures both ways over that many bookings each; delays are the platform's, in milliseconds.
 pub async fn measure(bookings: usize, delays: &[u64]) -> Result<Vec<WayCost>> {
     let mut rows = vec![by_binding(bookings)];
--- a/src/soak/control.rs
+++ b/src/soak/control.rs
@@ -84,7 +84,7 @@
     }
 
     /// Shows the decisions what the host now knows.
-    fn show(&mut self, host: usize) {
+    pub(super) fn show(&mut self, host: usize) {
         let now = self.now;
         let Some(running) = self.hosts[host].running.as_ref() else { return };
         if let Some(view) = running.view(running.local(now)) {
--- a/src/soak/stop.rs
+++ b/src/soak/stop.rs
@@ -26,6 +26,8 @@
         let actions = running.keeper.on(tenure::Event::Leave, local);
         self.trouble(host, MOST);
         self.keep(process, actions);
+        // A view from before would let queued requests go to targets that were given up.
+        self.show(host);
         self.steer(host, Event::Leave);
         self.push(STEP, Item::StopStep { process });
     }
