--- a/src/soak/callers.rs
+++ b/src/soak/callers.rs
@@ -17,6 +17,8 @@
 
 const CALLER_TIMEOUT: Duration = Duration::from_millis(2_500);
 const DEADLINE: Duration = Duration::from_secs(4);
+/// How long callers of a region keep a look-up.
+const LOOK_UP_AGE: Duration = Duration::from_secs(3);
 const MAX_SENDS: u32 = 5;
 /// Mean time between two requests of one region's callers.
 const PAUSE_MS: u64 = 200;
@@ -62,9 +64,19 @@
         self.send(self.callers.len() - 1);
     }
 
-    /// Asks a host of the region, or if none answers any host, for a binding.
+    /// Takes the region's cached look-up or asks a host of the region, or if none answers any host.
     fn look_up(&mut self, intent: Intent) -> bool {
         let region = self.callers[intent].region;
+        let cached = self.look_ups.get(&region).cloned();
+        if let Some((until, host, binding)) = cached
+            && self.now < until
+            && self.rng.random_bool(0.6)
+        {
+            let caller = &mut self.callers[intent];
+            caller.host = host;
+            caller.binding = Some(binding).filter(|_| caller.booking);
+            return true;
+        }
         let near: Vec<usize> = (0..HOSTS).filter(|host| is_near(*host, region)).collect();
         let all: Vec<usize> = (0..HOSTS).collect();
         for hosts in [near, all] {
@@ -73,6 +85,10 @@
             let Some(host) = answering.choose(&mut self.rng).copied() else { continue };
             let running = self.hosts[host].running.as_ref();
             let binding = running.map(|running| running.steer.binding());
+            if let Some(binding) = &binding {
+                let until = self.now + LOOK_UP_AGE;
+                self.look_ups.insert(region, (until, host, binding.clone()));
+            }
             let caller = &mut self.callers[intent];
             caller.host = host;
             caller.binding = binding.filter(|_| caller.booking);
--- a/src/soak/fault.rs
+++ b/src/soak/fault.rs
@@ -98,6 +98,9 @@
     let clusters = rng.random_range(1..=2);
     for cluster in 0..clusters {
         let start = length.mul_f64((0.12 + 0.8 * f64::from(cluster)) / f64::from(clusters));
+        if rng.random_ratio(1, 2) {
+            faults.push(Fault { kind: FaultKind::PlannedStop, ..draw(start, rng) });
+        }
         for _ in 0..rng.random_range(3..8) {
             let fault = draw(start, rng);
             faults.push(fault);
--- a/src/soak/fixture.rs
+++ b/src/soak/fixture.rs
@@ -38,8 +38,8 @@
     let ledger = LedgerLimits {
         adopted_entries: 400,
         answer_bytes: 4_000,
-        entries: 90,
-        generation_age: Duration::from_secs(10),
+        entries: 60,
+        generation_age: Duration::from_secs(4),
         generations: 2,
     };
     SteerLimits { ledger, queue: 16, ..SteerLimits::default() }
--- a/src/soak/stop.rs
+++ b/src/soak/stop.rs
@@ -1,5 +1,7 @@
 //! Planned stops: finish what runs, hand the ledger over, exit.
 
+use rand::Rng;
+
 use super::{
     checker::Promise,
     host::{Stop, successors},
@@ -66,6 +68,10 @@
         let sealed = running.steer.seal(local);
         let sealed = SealedLedger::join(sealed.split(4_096)).unwrap_or(sealed);
         let item = Item::Handover { from: process, sealed, to };
+        if self.rng.random_ratio(1, 2) {
+            let slow = Duration::from_millis(self.rng.random_range(200..3_000));
+            return self.push(slow, item);
+        }
         self.send_to(Place::Host(process.host), Place::Host(to), item);
     }
 
--- a/src/soak/world.rs
+++ b/src/soak/world.rs
@@ -43,6 +43,8 @@
     pub(super) hosts: Vec<HostSlot>,
     /// The latest lines of the time line.
     lines: VecDeque<Line>,
+    /// Cached look-ups by region: until when, the host, its binding.
+    pub(super) look_ups: BTreeMap<usize, (Moment, usize, Binding)>,
     pub(super) now: Moment,
     pub(super) platform: FakePlatform,
     pub(super) rng: ChaCha8Rng,
@@ -62,6 +64,7 @@
             hash: Xxh3::new(),
             hosts: (0..HOSTS).map(|_| HostSlot::default()).collect(),
             lines: VecDeque::new(),
+            look_ups: BTreeMap::new(),
             now: START,
             platform: FakePlatform::new(START),
             rng: ChaCha8Rng::seed_from_u64(seed),
