--- a/src/measure/capacity/mod.rs
+++ b/src/measure/capacity/mod.rs
@@ -8,7 +8,7 @@
 mod failures;
 mod figure;
 mod fit;
-mod fleet;
+pub(super) mod fleet;
 pub(super) mod gauge;
 pub(super) mod ledgers;
 mod limits;
