--- a/src/measure/capacity/mod.rs
+++ b/src/measure/capacity/mod.rs
@@ -10,7 +10,7 @@
 mod fit;
 pub(super) mod fleet;
 pub(super) mod gauge;
-mod ledgers;
+pub(super) mod ledgers;
 mod limits;
 mod lookups;
 mod manifests;
