--- a/src/daemon/control/actor.rs
+++ b/src/daemon/control/actor.rs
@@ -43,6 +43,8 @@
     pub(super) handovers: BTreeMap<String, Vec<SealedPart>>,
     pub(super) parts: ControlParts,
     pub(super) platform_at: Option<Moment>,
+    /// Whether the last call to the platform failed; further ones are spaced out.
+    pub(super) platform_fails: bool,
     pub(super) progress: Progress,
     /// Highest sequence that a pull is under way for.
     pub(super) pulling: Option<Sequence>,
@@ -64,6 +66,7 @@
             handovers: BTreeMap::new(),
             parts,
             platform_at: None,
+            platform_fails: false,
             progress: Progress::default(),
             pulling: None,
             settling: false,
@@ -149,5 +152,9 @@
         if heard.answered {
             self.platform_at = Some(self.now());
         }
+        let open = !heard.answered;
+        if std::mem::replace(&mut self.platform_fails, open) != open {
+            self.note(EventKind::BreakerMoved { open });
+        }
     }
 }
--- a/src/daemon/control/exchange.rs
+++ b/src/daemon/control/exchange.rs
@@ -151,10 +151,12 @@
     async fn handle(&mut self, _leave: Leave, cx: &mut xtra::Context<Self>) {
         self.parts.membership.leave();
         self.tenure_on(tenure::Event::Leave, &cx.mailbox().address());
+        // The view goes first: by the old one, queued requests would still be sent to targets that
+        // this host has just given up its right to.
+        self.publish();
         self.parts.traffic.feed(Event::Leave);
         self.note(EventKind::HostLeft { host: self.parts.membership.own().id.clone() });
         self.spread(&cx.mailbox().address());
-        self.publish();
     }
 }
 
--- a/src/daemon/control/manifest.rs
+++ b/src/daemon/control/manifest.rs
@@ -197,6 +197,9 @@
             Ok(seen) => version = Some(seen),
             Err(PlatformError::TooOld { .. }) => version = None,
             Err(error) => {
+                // A watch that failed may have missed a change, or may stay silent each time: only
+                // a full read finds out what is accepted now.
+                version = None;
                 log::warn!("platform: {error}");
                 tokio::time::sleep(PAUSE).await;
             }
--- a/src/daemon/control/operator.rs
+++ b/src/daemon/control/operator.rs
@@ -25,8 +25,11 @@
         let services = usage.into_iter().map(|usage| ServiceStatus {
             cap: cap_of(&usage.service),
             in_flight: u64::from(usage.busy),
+            shifted: self
+                .parts
+                .traffic
+                .with_steer(|steer, now| steer.shifted_share(&usage.service, now)),
             service: usage.service,
-            shifted: 0.0,
             slots: u64::from(usage.slots),
         });
         let drains = self.drains.records().into_iter().map(|record| {
@@ -43,7 +46,7 @@
             silent.into_iter().map(|(zone, time)| SilentZone { for_ms: millis(time), zone });
         let tenure = self.shown.as_ref().map(|view| &view.tenure);
         Ok(HostStatus {
-            breaker_open: false,
+            breaker_open: self.platform_fails,
             drains: drains.collect(),
             ejected: self.parts.traffic.with_steer(|steer, now| steer.ejected(now)),
             hosts: self.parts.membership.hosts(now),
--- a/src/demo/report.rs
+++ b/src/demo/report.rs
@@ -33,6 +33,8 @@
     pub drain_ms: Option<u64>,
     pub headroom: Headroom,
     pub in_force_ms: Option<u64>,
+    /// Broken invariants on the time lines of the hosts that ran at the end.
+    pub invariants: Vec<String>,
     pub latency: Vec<Latency>,
     pub member: MemberId,
     pub outcomes: BTreeMap<String, u64>,
@@ -61,7 +63,8 @@
     /// Whether every promise was checked and none broken.
     pub fn holds(&self) -> bool {
         let promises = self.members.iter().flat_map(|member| &member.promises);
-        promises.clone().all(|row| row.count.broken == 0 && 0 < row.count.checked)
+        let kept = promises.clone().all(|row| row.count.broken == 0 && 0 < row.count.checked);
+        kept && self.members.iter().all(|member| member.invariants.is_empty())
     }
 }
 
@@ -72,6 +75,7 @@
         tally: &Tally,
         watch: &Watch,
         drain: Option<Duration>,
+        invariants: Vec<String>,
     ) -> Self {
         check_runs(cluster, records, tally);
         check_caps(cluster, records, tally);
@@ -92,6 +96,7 @@
             drain_ms: drain.map(millis),
             headroom: watch.headroom.clone(),
             in_force_ms: watch.slowest.map(millis),
+            invariants,
             latency: latencies(cluster, records),
             member: cluster.plan.name.into(),
             outcomes,
@@ -226,6 +231,9 @@
         for (outcome, count) in &self.outcomes {
             writeln!(f, "  {count:>8} {outcome}")?;
         }
+        for broken in &self.invariants {
+            writeln!(f, "  invariant broken: {broken}")?;
+        }
         for row in &self.promises {
             let Count { broken, checked, details } = &row.count;
             writeln!(f, "  {checked:>8} checked {broken:>5} broken  {}", row.promise.label())?;
--- a/src/demo/run.rs
+++ b/src/demo/run.rs
@@ -14,7 +14,9 @@
     scenario::Scenario,
     watch::Watch,
 };
-use crate::{prelude::*, standin::platform::PlatformStandin, trace::SteerRecorder};
+use crate::{
+    prelude::*, standin::platform::PlatformStandin, timeline::Filter, trace::SteerRecorder,
+};
 
 /// Time for all hosts to have the first manifest and to know each other.
 const WARM_UP: Duration = Duration::from_secs(15);
@@ -62,6 +64,7 @@
     events.apply().await?;
     cluster.start_hosts().await?;
     wait_until_ready(&cluster).await?;
+    tell_address(&cluster).await;
 
     let watcher = tokio::spawn(Watch::run(watch.clone(), cluster.clone(), tally.clone()));
     let load = Load::new(cluster.clone(), tally.clone());
@@ -74,7 +77,8 @@
     let drain_time = events.check_drains(&drained);
     let watch = watch.lock().await;
     let records = std::mem::take(&mut *load.records.lock().expect("no holder panics"));
-    Ok(MemberReport::new(&cluster, &records, &tally, &watch, drain_time))
+    let invariants = broken_invariants(&cluster).await;
+    Ok(MemberReport::new(&cluster, &records, &tally, &watch, drain_time, invariants))
 }
 
 /// Carries out the scenario at its times and waits for the end of the run.
@@ -94,6 +98,22 @@
     Ok(())
 }
 
+/// Says where operators reach the member while it runs.
+async fn tell_address(cluster: &Cluster) {
+    let seats = cluster.seats.lock().await;
+    let Some(host) = seats.last().and_then(|seat| seat.daemon.as_ref()) else { return };
+    let (member, rpc) = (cluster.plan.name, host.rpc_addr());
+    eprintln!("{member}: operators reach it at {rpc} with the token 'operator of {member}'");
+}
+
+async fn broken_invariants(cluster: &Cluster) -> Vec<String> {
+    let filter = Filter { kind: Some("invariant-broken".into()), ..Filter::default() };
+    let seats = cluster.seats.lock().await;
+    let hosts = seats.iter().filter_map(|seat| seat.daemon.as_ref());
+    let events = hosts.flat_map(|host| host.recorder().events(&filter));
+    events.map(|event| format!("{}: {:?}", event.host, event.kind)).collect()
+}
+
 async fn wait_until_ready(cluster: &Cluster) -> eyre::Result<()> {
     let until = Instant::now() + WARM_UP;
     while Instant::now() < until {
--- a/src/shift/caps.rs
+++ b/src/shift/caps.rs
@@ -145,6 +145,15 @@
         self.flows.iter().map(rate).filter(|baseline| 0.0 < baseline.rate).collect()
     }
 
+    /// Share of a home region's requests of the window that were served elsewhere, from 0 to 1.
+    pub fn share(&self, service: &ServiceId, home: &RegionId, now: Moment) -> Share {
+        let flows = self.flows.iter();
+        let mut own = flows.filter(|(id, _)| id.service == *service && id.home == *home);
+        let Some((_, flow)) = own.next() else { return 0.0 };
+        let sums = flow.meter.peek(now);
+        f64::from(sums.shifted) / f64::from(sums.total.max(1))
+    }
+
     /// When a refused caller should come back: the more were refused, the wider the spread.
     pub fn retry_after(
         &self,
--- a/src/steer/machine.rs
+++ b/src/steer/machine.rs
@@ -13,7 +13,7 @@
     base::invariant,
     ledger::{Ledger, LedgerLimits, SealedLedger},
     lookup::{BlockTable, owner_of},
-    manifest::{Service, Target, Weighing},
+    manifest::{Service, Share, Target, Weighing},
     prelude::*,
     quarantine::{Mark, Quarantine, QuarantineLimits},
     selection::{Change, Policy, Rules, Selector},
@@ -167,6 +167,12 @@
         self.ledger.adopted()
     }
 
+    /// Share of this region's own requests, of those that came here, that went elsewhere.
+    pub fn shifted_share(&self, service: &ServiceId, now: Moment) -> Share {
+        let Some(view) = &self.view else { return 0.0 };
+        self.caps.share(service, &view.own.region, now)
+    }
+
     /// Whether this host owns the target.
     pub fn owns(&self, target: &TargetId) -> bool {
         self.slots.owns(target)
