--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -12,6 +12,8 @@
 mod place;
 mod settle;
 mod survey;
+#[cfg(test)]
+mod tests;
 
 pub use self::{
     action::{Action, Answer},
--- /dev/null
+++ b/src/steer/tests.rs
@@ -0,0 +1,258 @@
+use std::{
+    collections::BTreeSet,
+    net::{IpAddr, Ipv4Addr},
+};
+
+use assert_matches::assert_matches;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::*;
+use crate::{
+    ledger::{KeptAnswer, body_digest},
+    manifest::{Manifest, Region, Service, ServiceKind, Target, Weighing},
+    prelude::*,
+    selection::LoadReport,
+    view::{HostView, Tenure, View},
+};
+
+const START: Moment = Duration::from_secs(100);
+
+/// One host of one zone with two targets of each service, of one slot each.
+struct Host {
+    calls: CallId,
+    now: Moment,
+    rng: ChaCha8Rng,
+    steer: Steer,
+}
+
+impl Host {
+    fn new() -> Self {
+        let mut host = Self {
+            calls: 0,
+            now: START,
+            rng: ChaCha8Rng::seed_from_u64(1),
+            steer: Steer::new("a-1".into(), 1, SteerLimits::default()),
+        };
+        host.on(Event::Tick);
+        host.on(Event::Viewed { view: Arc::new(view(START + Duration::from_secs(3600))) });
+        for target in ["read-1", "read-2", "book-1", "book-2"] {
+            host.pass(Duration::from_millis(1));
+            let report = LoadReport { busy: 0, draining: false, slots: 1 };
+            host.on(Event::Reported { report, target: target.into() });
+        }
+        host
+    }
+
+    fn on(&mut self, event: Event) -> Vec<Action> {
+        self.steer.on(event, self.now, &mut self.rng)
+    }
+
+    fn pass(&mut self, time: Duration) {
+        self.now += time;
+    }
+
+    fn arrival(&mut self, service: &str) -> Arrival {
+        self.calls += 1;
+        Arrival {
+            binding: None,
+            body_len: 1,
+            call: self.calls,
+            client: IpAddr::V4(Ipv4Addr::LOCALHOST),
+            deadline: self.now + Duration::from_secs(5),
+            digest: body_digest("POST", "/", b"x"),
+            fingerprint: u128::from(self.calls),
+            key: None,
+            member: "member".into(),
+            request: format!("r-{}", self.calls).into(),
+            service: service.into(),
+            via: Via::Caller,
+        }
+    }
+
+    fn booking(&mut self, key: &str) -> Arrival {
+        let binding = Some(self.steer.binding());
+        Arrival { binding, key: Some(key.into()), ..self.arrival("book") }
+    }
+
+    /// Sends the arrival and gives the attempt that it led to.
+    fn dispatch(&mut self, arrival: Arrival) -> AttemptId {
+        let actions = self.on(Event::Arrived(arrival));
+        attempt(&actions).unwrap_or_else(|| panic!("not sent: {actions:?}"))
+    }
+
+    fn fail(&mut self, attempt: AttemptId, error: ErrorKind) -> Vec<Action> {
+        let latency = Duration::from_millis(5);
+        let outcome = Outcome::Failed { error, latency, passed: false };
+        self.on(Event::Ended { attempt, outcome })
+    }
+
+    fn answer(&mut self, attempt: AttemptId) -> Vec<Action> {
+        let kept = KeptAnswer { body: "ok".into(), headers: Vec::new(), status: 200 };
+        let latency = Duration::from_millis(5);
+        let outcome = Outcome::Answered { kept: Some(Arc::new(kept)), latency, status: 200 };
+        self.on(Event::Ended { attempt, outcome })
+    }
+}
+
+fn view(valid_until: Moment) -> View {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let target = |name: &str| Target { address, name: name.into(), slots: 1, zone: "a".into() };
+    let service = |name: &str, kind| Service {
+        connections: 10,
+        kind,
+        max_body: 100,
+        name: name.into(),
+        shift_cap: 0.5,
+        targets: vec![target(&format!("{name}-1")), target(&format!("{name}-2"))],
+        timeout_ms: 1000,
+    };
+    let own = HostView {
+        address,
+        adopted: Vec::new(),
+        generation: 0,
+        id: "a-1".into(),
+        incarnation: 1,
+        leaving: false,
+        region: "r".into(),
+        rpc: address,
+        zone: "a".into(),
+    };
+    View {
+        baselines: Vec::new(),
+        drains: BTreeSet::new(),
+        hosts: vec![own.clone()],
+        manifest: Arc::new(Manifest {
+            client_blocks: Vec::new(),
+            drains: Vec::new(),
+            member: "member".into(),
+            regions: vec![Region { name: "r".into(), reserve: 0.0, zones: vec!["a".into()] }],
+            sequence: 1,
+            services: vec![
+                service("read", ServiceKind::Read),
+                service("book", ServiceKind::Booking),
+            ],
+            weighing: Weighing::Latency,
+        }),
+        own,
+        silent_regions: BTreeSet::new(),
+        tenure: Tenure { owners: vec!["a-1".into()], provisional: BTreeSet::new(), valid_until },
+    }
+}
+
+fn attempt(actions: &[Action]) -> Option<AttemptId> {
+    actions.iter().find_map(|action| match action {
+        Action::Dispatch { attempt, .. } => Some(*attempt),
+        _ => None,
+    })
+}
+
+fn error(actions: &[Action]) -> Option<ErrorKind> {
+    actions.iter().find_map(|action| match action {
+        Action::Answer { answer: Answer::Error { error, .. }, .. } => Some(*error),
+        _ => None,
+    })
+}
+
+// A read may be sent to a second target after any failure, a booking only after one that proves
+// that it did not run. Sent again after its first byte, it could run twice.
+#[test]
+fn only_what_may_repeat_is_sent_again() {
+    let cases = [
+        ("read", ErrorKind::ConnectFailed, true),
+        ("read", ErrorKind::DispatchLost, true),
+        ("read", ErrorKind::DispatchTimeout, true),
+        ("book", ErrorKind::ConnectFailed, true),
+        ("book", ErrorKind::Shed, true),
+        ("book", ErrorKind::AnswerBroken, false),
+        ("book", ErrorKind::DispatchLost, false),
+        ("book", ErrorKind::DispatchTimeout, false),
+    ];
+    for (service, failure, again) in cases {
+        let mut host = Host::new();
+        let arrival = if service == "book" { host.booking("k") } else { host.arrival(service) };
+        let first = host.dispatch(arrival);
+        let actions = host.fail(first, failure);
+        assert_eq!(attempt(&actions).is_some(), again, "{service}, {failure:?}");
+        if !again {
+            assert_eq!(error(&actions), Some(failure), "{service}");
+        }
+    }
+}
+
+// A second copy of a booking arrives while the first one runs. It waits, and both callers get the
+// one answer; a third copy that comes later gets it from the ledger.
+#[test]
+fn copies_of_a_booking_share_one_run() {
+    let mut host = Host::new();
+    let first = host.booking("k");
+    let attempt_id = host.dispatch(first);
+    let second = host.booking("k");
+    let actions = host.on(Event::Arrived(second));
+    assert_eq!((attempt(&actions), error(&actions)), (None, None));
+    let actions = host.answer(attempt_id);
+    let answers = actions.iter().filter(|action| matches!(action, Action::Answer { .. }));
+    assert_eq!(answers.count(), 2);
+    let third = host.booking("k");
+    let actions = host.on(Event::Arrived(third));
+    assert_matches!(actions.as_slice(), [.., Action::Answer { answer: Answer::Kept { .. }, .. }]);
+}
+
+// The host was paused and its right to its targets ran out meanwhile. Another host may have filled
+// their slots, so nothing is sent until the right is confirmed again; then what waited goes out.
+#[test]
+fn nothing_is_sent_without_the_right() {
+    let mut host = Host::new();
+    host.on(Event::Viewed { view: Arc::new(view(host.now + Duration::from_secs(4))) });
+    host.pass(Duration::from_secs(4));
+    let arrival = host.arrival("read");
+    let actions = host.on(Event::Arrived(arrival));
+    assert_eq!((attempt(&actions), error(&actions)), (None, None));
+    let actions =
+        host.on(Event::Viewed { view: Arc::new(view(host.now + Duration::from_secs(4))) });
+    assert!(attempt(&actions).is_some());
+}
+
+// The owner of a binding is not known, is known and cannot be reached, or this host is told that it
+// is the owner and is not. An earlier copy may have run, so nobody may say `not run`.
+#[test]
+fn a_missing_owner_is_never_not_run() {
+    let stranger = Binding { generation: 0, host: "a-2".into(), incarnation: 9 };
+    for via in [Via::Caller, Via::LedgerHop] {
+        let mut host = Host::new();
+        let arrival = Arrival { binding: Some(stranger.clone()), via, ..host.booking("k") };
+        let kind = error(&host.on(Event::Arrived(arrival)));
+        assert_eq!(kind.map(|kind| kind.row().ran), Some(Ran::Unknown), "{via:?}");
+    }
+    let mut host = Host::new();
+    let mut known = view(host.now + Duration::from_secs(4));
+    let owner = HostView { id: "a-2".into(), incarnation: 9, ..known.own.clone() };
+    known.hosts.push(owner);
+    host.on(Event::Viewed { view: Arc::new(known) });
+    let arrival = Arrival { binding: Some(stranger), ..host.booking("k") };
+    let actions = host.on(Event::Arrived(arrival));
+    let hop = actions.iter().find_map(|action| match action {
+        Action::Forward { attempt, via: Via::LedgerHop, .. } => Some(*attempt),
+        _ => None,
+    });
+    let actions = host.fail(hop.expect("it is carried to the owner"), ErrorKind::ConnectFailed);
+    assert_eq!(error(&actions), Some(ErrorKind::OwnerUnreachable));
+}
+
+// A stopping host gets new work of both kinds. Nothing new is sent; a booking's binding is closed
+// for good, so its caller may go on with another; what already runs still gets its answer.
+#[test]
+fn a_stopping_host_ends_what_runs_and_takes_nothing_new() {
+    let mut host = Host::new();
+    let running = host.booking("k-1");
+    let running = host.dispatch(running);
+    host.on(Event::Leave);
+    let booking = host.booking("k-2");
+    assert_eq!(error(&host.on(Event::Arrived(booking))), Some(ErrorKind::BindingClosed));
+    let read = host.arrival("read");
+    assert_eq!(error(&host.on(Event::Arrived(read))), Some(ErrorKind::HostLeaving));
+    let actions = host.answer(running);
+    let passed = Action::Answer { answer: Answer::Pass, call: 1 };
+    assert!(actions.contains(&passed));
+    assert_eq!(host.steer.busy(), 0);
+}
--- a/tests/support/hosts.rs
+++ b/tests/support/hosts.rs
@@ -1,5 +1,7 @@
 //! A small member on loopback: the platform stand-in, targets, and as many hosts as a test wants.
 
+#![allow(dead_code, reason = "each test uses its part")]
+
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use ed25519_dalek::SigningKey;
