Refuse new bookings of a stopping host in one place

Cause: the ledger already closes its binding when the host leaves; the second check in the arrivals could be taken out without a test noticing.

--- a/src/steer/arrive.rs
+++ b/src/steer/arrive.rs
@@ -103,9 +103,6 @@
             Begin::Dropped => self.fail(call, ErrorKind::GenerationDropped, now, rng),
             Begin::Fresh => {
                 self.state(call).in_ledger = true;
-                if self.leaving {
-                    return self.fail(call, ErrorKind::BindingClosed, now, rng);
-                }
                 self.admit_fresh(call, now, rng);
             }
             Begin::Full => self.fail(call, ErrorKind::LedgerFull, now, rng),
--- a/src/steer/tests.rs
+++ b/src/steer/tests.rs
@@ -214,7 +214,8 @@
 }
 
 // The owner of a binding is not known, is known and cannot be reached, or this host is told that it
-// is the owner and is not. An earlier copy may have run, so nobody may say `not run`.
+// is the owner and is not: then it sends the request no further. An earlier copy may have run, so
+// nobody may say `not run`.
 #[test]
 fn a_missing_owner_is_never_not_run() {
     let stranger = Binding { generation: 0, host: "a-2".into(), incarnation: 9 };
@@ -230,6 +231,8 @@
     known.hosts.push(owner);
     host.on(Event::Viewed { view: Arc::new(known) });
     let arrival = Arrival { binding: Some(stranger), ..host.booking("k") };
+    let sent_on = Arrival { call: 99, via: Via::LedgerHop, ..arrival.clone() };
+    assert_eq!(error(&host.on(Event::Arrived(sent_on))), Some(ErrorKind::OwnerGone));
     let actions = host.on(Event::Arrived(arrival));
     let hop = actions.iter().find_map(|action| match action {
         Action::Forward { attempt, via: Via::LedgerHop, .. } => Some(*attempt),
