--- a/src/demo/events.rs
+++ b/src/demo/events.rs
@@ -1,6 +1,9 @@
 //! Carries out a scenario's deeds on one member.
 
-use std::time::Instant;
+use std::{
+    sync::atomic::{AtomicUsize, Ordering},
+    time::Instant,
+};
 
 use super::{
     cluster::Cluster,
@@ -28,9 +31,6 @@
 /// A retiring target gets no new work after this.
 const RETIRE_LIMIT: Duration = Duration::from_secs(3);
 
-/// Index of the seat that is stopped on a plan.
-const STOPPED_SEAT: usize = 0;
-
 /// Index of the seat that is killed.
 const KILLED_SEAT: usize = 5;
 
@@ -44,6 +44,8 @@
 pub struct Events {
     pub cluster: Arc<Cluster>,
     pub platform: Arc<PlatformStandin>,
+    /// Planned stops so far; each takes the next seat, as a rolling restart does.
+    pub stops: AtomicUsize,
     pub tally: Arc<Tally>,
     pub watch: Arc<tokio::sync::Mutex<Watch>>,
 }
@@ -73,7 +75,10 @@
                     running.standin.slow_down(5);
                 }
             }
-            Deed::StopHost => self.replace(STOPPED_SEAT, true).await?,
+            Deed::StopHost => {
+                let seat = self.stops.fetch_add(1, Ordering::Relaxed);
+                self.replace(seat, true).await?;
+            }
         }
         Ok(())
     }
--- a/src/demo/run.rs
+++ b/src/demo/run.rs
@@ -1,6 +1,6 @@
 //! The course of a run.
 
-use std::time::Instant;
+use std::{sync::atomic::AtomicUsize, time::Instant};
 
 use tokio::task::JoinSet;
 
--- a/tests/support/hosts.rs
+++ b/tests/support/hosts.rs
@@ -26,8 +26,8 @@
 pub const MEMBER: &str = "gradski-servis";
 pub const READ: &str = "status";
 pub const BOOKING: &str = "intake";
-const PEER_KEY: &str = "the member's secret";
-const OPERATOR_TOKEN: &str = "the operators' token";
+pub const PEER_KEY: &str = "the member's secret";
+pub const OPERATOR_TOKEN: &str = "the operators' token";
 const ZONE: &str = "zagreb-a";
 const REGION: &str = "zagreb";
 
@@ -82,24 +82,7 @@
     /// Starts a host that knows `peers`, and waits until it serves.
     pub async fn host(&mut self, name: &str, peers: &[&Daemon]) -> Daemon {
         self.seeds += 1;
-        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
-        let settings = Settings {
-            advertise_http: None,
-            advertise_rpc: None,
-            host: name.into(),
-            http: any_port,
-            log: LogSettings::default(),
-            manifest_key: hex::encode(self.key.verifying_key()).into(),
-            member: MEMBER.into(),
-            metrics: None,
-            operator_token_file: None,
-            peer_key_file: None,
-            peers: peers.iter().map(|peer| peer.rpc_addr()).collect(),
-            platform: self.platform.address(),
-            region: REGION.into(),
-            rpc: any_port,
-            zone: ZONE.into(),
-        };
+        let settings = self.settings(name, peers.iter().map(|peer| peer.rpc_addr()).collect());
         let key = Secret::new(PEER_KEY);
         let upstream = || Arc::new(HttpUpstream::open(ForwardLimits::default()).unwrap());
         let host = Daemon::spawn(DaemonParts {
@@ -126,6 +109,28 @@
         host
     }
 
+    /// Settings of a host of this member.
+    pub fn settings(&self, name: &str, peers: Vec<SocketAddr>) -> Settings {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        Settings {
+            advertise_http: None,
+            advertise_rpc: None,
+            host: name.into(),
+            http: any_port,
+            log: LogSettings::default(),
+            manifest_key: hex::encode(self.key.verifying_key()).into(),
+            member: MEMBER.into(),
+            metrics: None,
+            operator_token_file: None,
+            peer_key_file: None,
+            peers,
+            platform: self.platform.address(),
+            region: REGION.into(),
+            rpc: any_port,
+            zone: ZONE.into(),
+        }
+    }
+
     /// A look-up at a host.
     pub async fn look_up(&self, host: &Daemon, service: &str) -> Option<LookupBody> {
         let url = format!("http://{}/v1/lookup?service={service}", host.http_addr());
@@ -134,7 +139,12 @@
 
     /// A booking by its path, ready for more headers.
     pub fn book(&self, host: &Daemon, key: &str) -> reqwest::RequestBuilder {
-        let url = format!("http://{}/v1/services/{BOOKING}/", host.http_addr());
+        self.book_at(host.http_addr(), key)
+    }
+
+    /// The same, by the host's address.
+    pub fn book_at(&self, host: SocketAddr, key: &str) -> reqwest::RequestBuilder {
+        let url = format!("http://{host}/v1/services/{BOOKING}/");
         self.http.post(url).header("idempotency-key", key).body("one pair of boots")
     }
 
