--- a/src/demo/run.rs
+++ b/src/demo/run.rs
@@ -59,8 +59,13 @@
     let cluster = Arc::new(cluster);
     let tally = Arc::new(Tally::default());
     let watch = Arc::new(tokio::sync::Mutex::new(Watch::default()));
-    let events =
-        Events { cluster: cluster.clone(), platform, tally: tally.clone(), watch: watch.clone() };
+    let events = Events {
+        cluster: cluster.clone(),
+        platform,
+        stops: AtomicUsize::new(0),
+        tally: tally.clone(),
+        watch: watch.clone(),
+    };
     events.apply().await?;
     cluster.start_hosts().await?;
     wait_until_ready(&cluster).await?;
