--- a/src/daemon/host.rs
+++ b/src/daemon/host.rs
@@ -4,45 +4,31 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use tokio::{net::TcpListener, runtime::Runtime};
+use tokio::runtime::Runtime;
 use xtra::Address;
 
 use super::{
-    NoTape, PeerLink, Tape,
-    control::{AskSuccessors, Control, ControlHandler, ControlParts, Leave, Tick, follow_platform},
+    PeerLink,
+    control::{AskSuccessors, Control, ControlHandler, Leave, follow_platform},
     http::routes,
-    probe::probe_all,
-    traffic::{Traffic, TrafficParts},
+    start,
+    traffic::Traffic,
 };
 use crate::{
     forward::Upstream,
     ledger::SealedLedger,
-    manifest::Store,
-    membership::{Membership, MembershipLimits},
-    metrics::{self, MeteredSink, Metric, Metrics},
+    metrics::{self, MeteredSink},
     peer::{HandoverChunk, PeerKeys, PeerServer},
     platform::Platform,
     prelude::*,
     settings::{Secret, Settings},
-    steer::{Event, Steer, SteerLimits},
+    steer::{Event, SteerLimits},
     timeline::{EventKind, EventSink, Recorder},
-    timer::{Subscription, Timer, TokioTimer},
-    trace::{Setup, SteerRecorder},
+    timer::Subscription,
+    trace::SteerRecorder,
     view::HostView,
 };
 
-/// Time between two heartbeats.
-const HEARTBEAT: Duration = Duration::from_secs(1);
-
-/// Time between two rounds over waiting requests.
-const TRAFFIC_TICK: Duration = Duration::from_millis(20);
-
-/// Time between two load reports of one target.
-const PROBE_PERIOD: Duration = Duration::from_secs(1);
-
-/// Time between two rounds of gauges.
-const GAUGE_PERIOD: Duration = Duration::from_secs(1);
-
 /// Longest time that a planned stop waits for requests in flight.
 const STOP_LIMIT: Duration = Duration::from_secs(30);
 
@@ -52,6 +38,10 @@
 /// Time for peers and callers to learn that this host leaves, before it closes its sockets.
 const LEAVE_NOTICE: Duration = Duration::from_millis(1500);
 
+/// Time for the last answers to leave the sockets: a request counts as ended once its answer is
+/// handed to the HTTP server, and a host that went at once would cut that answer off.
+const FLUSH: Duration = Duration::from_millis(250);
+
 /// Bytes of one part of a sealed ledger.
 const HANDOVER_PART: usize = 512 * 1024;
 
@@ -138,13 +128,13 @@
     /// Starts a host: binds its sockets, asks platform and peers for the manifest, serves.
     pub async fn spawn(parts: DaemonParts) -> Result<Self> {
         let runtimes = Runtimes {
-            control: Some(runtime("control", 1)?),
-            traffic: Some(runtime("traffic", parts.traffic_threads)?),
+            control: Some(start::runtime("control", 1)?),
+            traffic: Some(start::runtime("traffic", parts.traffic_threads)?),
         };
         let (Some(control_rt), Some(traffic_rt)) = (&runtimes.control, &runtimes.traffic) else {
             return Err(Error::Stopped);
         };
-        let listener = traffic_rt.spawn(listen(parts.settings.http));
+        let listener = traffic_rt.spawn(start::listen(parts.settings.http));
         let listener = listener.await.map_err(|_| Error::Stopped)??;
         let http = listener.local_addr().map_err(Error::Runtime)?;
         let handler = Arc::new(ControlHandler::default());
@@ -159,45 +149,20 @@
         let server = server.map_err(|source| Error::Bind { address: rpc, source })?;
 
         let mut rng = ChaCha8Rng::seed_from_u64(parts.seed);
-        let own = own_view(&parts.settings, http, server.local_addr(), rng.random());
-        let steer = Steer::new(own.id.clone(), own.incarnation, parts.limits.clone());
-        let traffic_seed = rng.random();
-        let tape: Arc<dyn Tape> = match &parts.record {
-            Some(record) => {
-                let (host, limits) = (own.id.clone(), parts.limits.clone());
-                let setup = Setup { host, incarnation: own.incarnation, limits };
-                Arc::new(record.track(traffic_seed, &setup))
-            }
-            None => Arc::new(NoTape),
-        };
+        let own = start::own_view(&parts.settings, http, server.local_addr(), rng.random());
         let recorder = Arc::new(Recorder::new(
             parts.settings.member.clone(),
             own.id.clone(),
             own.incarnation,
             parts.timeline,
         ));
-        let tags = metrics::Tags {
-            host: own.id.clone(),
-            member: parts.settings.member.clone(),
-            zone: own.zone.clone(),
-        };
-        let metrics = metrics::open(parts.settings.metrics, &tags)?;
+        let metrics = start::metrics(&parts.settings, &own)?;
         let sink: Arc<dyn EventSink> =
             Arc::new(MeteredSink::new(recorder.clone(), metrics.clone()));
         sink.record(None, EventKind::Started);
         let traffic = {
             let _context = traffic_rt.enter();
-            Traffic::new(TrafficParts {
-                clock: parts.clock.clone(),
-                member: parts.settings.member.clone(),
-                peer_key: parts.peer_key.clone(),
-                peers: parts.peers.clone(),
-                seed: traffic_seed,
-                sink,
-                steer,
-                tape,
-                targets: parts.targets.clone(),
-            })
+            start::traffic(&parts, &own, sink, rng.random())
         };
         // The boot clock may stand at days: the ledger opens a generation of now, and only that one
         // may be told to anybody. Bookings bound to one of the clock's start would all be dropped.
@@ -206,19 +171,7 @@
         let own = HostView { generation, ..own };
         let control = {
             let _context = control_rt.enter();
-            let key = parts.settings.verifying_key()?;
-            Control::spawn(ControlParts {
-                clock: parts.clock.clone(),
-                link: parts.link.clone(),
-                member: parts.settings.member.clone(),
-                membership: membership(&own),
-                platform: parts.platform.clone(),
-                recorder: recorder.clone(),
-                rng,
-                seeds: parts.settings.peers.clone(),
-                store: Store::open(parts.settings.member.clone(), key),
-                traffic: traffic.clone(),
-            })
+            start::control(&parts, &own, &recorder, &traffic, rng)?
         };
         handler.connect(control.clone(), recorder.clone());
         let leaving = Arc::new(AtomicBool::new(false));
@@ -228,8 +181,8 @@
         let app = routes(traffic.clone(), parts.settings.member.clone());
         traffic_rt.spawn(warp::serve(app).incoming(listener).run());
         let mut subscriptions =
-            subscribe(control_rt, traffic_rt, &control, &traffic, parts.targets);
-        subscriptions.push(gauge(control_rt, &traffic, metrics));
+            start::subscribe(control_rt, traffic_rt, &control, &traffic, parts.targets);
+        subscriptions.push(start::gauge(control_rt, &traffic, metrics));
         Ok(Self {
             control,
             http,
@@ -290,6 +243,7 @@
         let entries = sealed.entries();
         let taken = entries == 0 || self.hand_over(&sealed).await;
         notice.await;
+        tokio::time::sleep(FLUSH).await;
         let entries_lost = if taken { 0 } else { entries };
         if !taken {
             let entries = entries as u64;
@@ -347,84 +301,3 @@
         complete
     }
 }
-
-fn runtime(name: &str, threads: usize) -> Result<Runtime> {
-    tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .thread_name(name)
-        .worker_threads(threads.max(1))
-        .build()
-        .map_err(Error::Runtime)
-}
-
-async fn listen(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).await.map_err(|source| Error::Bind { address, source })
-}
-
-fn own_view(
-    settings: &Settings,
-    http: SocketAddr,
-    rpc: SocketAddr,
-    incarnation: Incarnation,
-) -> HostView {
-    HostView {
-        address: settings.advertise_http.unwrap_or(http),
-        adopted: Vec::new(),
-        generation: 0,
-        id: settings.host.clone(),
-        incarnation,
-        leaving: false,
-        region: settings.region.clone(),
-        rpc: settings.advertise_rpc.unwrap_or(rpc),
-        zone: settings.zone.clone(),
-    }
-}
-
-fn membership(own: &HostView) -> Membership {
-    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    let millis = u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or_default();
-    Membership::new(own.clone(), MembershipLimits::default()).started_at(millis)
-}
-
-fn subscribe(
-    control_rt: &Runtime,
-    traffic_rt: &Runtime,
-    control: &Address<Control>,
-    traffic: &Arc<Traffic>,
-    targets: Arc<dyn Upstream>,
-) -> Vec<Subscription> {
-    let control_timer = TokioTimer::open(control_rt.handle().clone());
-    let traffic_timer = TokioTimer::open(traffic_rt.handle().clone());
-    let (control, ticked, probed) = (control.clone(), traffic.clone(), traffic.clone());
-    vec![
-        control_timer.every(
-            HEARTBEAT,
-            Box::new(move || {
-                let control = control.clone();
-                // A tick that finds the actor gone has nothing left to do.
-                tokio::spawn(async move { drop(control.send(Tick).await) });
-            }),
-        ),
-        traffic_timer.every(TRAFFIC_TICK, Box::new(move || ticked.feed(Event::Tick))),
-        traffic_timer.every(PROBE_PERIOD, Box::new(move || probe_all(&probed, &targets))),
-    ]
-}
-
-/// Sends the host's gauges once a second.
-fn gauge(control_rt: &Runtime, traffic: &Arc<Traffic>, metrics: Arc<dyn Metrics>) -> Subscription {
-    let traffic = traffic.clone();
-    let timer = TokioTimer::open(control_rt.handle().clone());
-    let send = move || {
-        let (busy, usage) = traffic.with_steer(|steer, _| (steer.busy(), steer.usage()));
-        metrics.gauge(Metric::InFlight, busy as f64, None);
-        for row in usage {
-            let free = row.slots.saturating_sub(row.busy);
-            metrics.gauge(Metric::SlotsFree, f64::from(free), Some(&row.service));
-        }
-        if let Some(view) = traffic.view() {
-            metrics.gauge(Metric::ManifestSequence, view.manifest.sequence as f64, None);
-        }
-        metrics.flush();
-    };
-    timer.every(GAUGE_PERIOD, Box::new(send))
-}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -8,6 +8,7 @@
 mod link;
 mod outgoing;
 mod probe;
+mod start;
 mod tape;
 mod traffic;
 
