--- a/src/daemon/traffic.rs
+++ b/src/daemon/traffic.rs
@@ -87,7 +87,7 @@
 /// A request whose caller waits.
 struct Pending {
     incoming: Arc<Incoming>,
-    /// Moment until which the caller waits.
+    /// The whole answer of the attempt that has just ended.
     reply: Option<Arc<KeptAnswer>>,
     request: RequestId,
     tx: oneshot::Sender<Response>,
--- a/src/steer/arrive.rs
+++ b/src/steer/arrive.rs
@@ -182,7 +182,7 @@
             return Ok(());
         }
         let view = self.view.clone().ok_or(ErrorKind::NoManifest)?;
-        let home = self.home_of(&state.arrival, &view);
+        let home = self.home_or_own(&state.arrival);
         let service = state.arrival.service.clone();
         if home == view.own.region {
             self.caps.arrived(&service, &home, now);
@@ -218,8 +218,10 @@
         Ok(())
     }
 
-    pub(super) fn home_of(&self, arrival: &Arrival, view: &View) -> RegionId {
-        self.blocks.home(arrival.client).cloned().unwrap_or_else(|| view.own.region.clone())
+    /// The home region of a request's caller; this host's own if no client block holds it.
+    pub(super) fn home_or_own(&self, arrival: &Arrival) -> RegionId {
+        let own = self.view.as_ref().map(|view| &view.own.region);
+        self.blocks.home(arrival.client).or(own).cloned().unwrap_or_else(|| "".into())
     }
 
     /// Ends a call with an error, telling the ledger whether that proves it did not run.
@@ -241,7 +243,7 @@
         if !state.tried_away {
             return;
         }
-        let home = self.home_of(&state.arrival, &view);
+        let home = self.home_or_own(&state.arrival);
         let service = state.arrival.service.clone();
         let undo = state.direct && error.row().ran == Ran::No;
         let end = ShiftEnd { latency: None, shifted: true };
--- a/src/steer/place.rs
+++ b/src/steer/place.rs
@@ -51,7 +51,7 @@
             let error = state.last_error.unwrap_or(ErrorKind::NoSlots);
             return self.fail(call, error, now, rng);
         }
-        let home = self.home_of(&state.arrival, &view);
+        let home = self.home_or_own(&state.arrival);
         let is_guest = state.arrival.via == Via::SlotHop && home != view.own.region;
         if is_guest && !self.takes_guest(&view, &service.name, now) {
             return self.fail(call, ErrorKind::NoSlots, now, rng);
--- a/src/steer/settle.rs
+++ b/src/steer/settle.rs
@@ -8,6 +8,7 @@
     place::queue_id,
 };
 use crate::{
+    base::invariant,
     ledger::{End, KeptAnswer},
     prelude::*,
     quarantine::Fingerprint,
@@ -60,7 +61,8 @@
         // at one target may have some at the next.
         if error.is_none() && arrival.via != Via::SlotHop {
             let end = ShiftEnd { latency: Some(latency), shifted };
-            self.caps.ended(&arrival.service, &home(self, &arrival), end, now);
+            let home = self.home_or_own(&arrival);
+            self.caps.ended(&arrival.service, &home, end, now);
         }
         let Place::Own { slot, target } = place else { return };
         self.slots.release(target, *slot, now);
@@ -91,7 +93,9 @@
             let end = kept.map_or(End::Unknown, End::Answered);
             self.close_entry(call, end, now, rng);
         }
-        debug_assert!(!entered || !matches!(place, Place::Owner));
+        invariant::hold(!entered || !matches!(place, Place::Owner), "one-owner-a-booking", || {
+            format!("call {call} has an entry here and went to another owner")
+        });
         self.answer(call, Answer::Pass);
     }
 
@@ -197,11 +201,6 @@
     }
 }
 
-fn home(steer: &Steer, arrival: &super::Arrival) -> RegionId {
-    let own = steer.view.as_ref().map(|view| view.own.region.clone());
-    steer.blocks.home(arrival.client).cloned().or(own).unwrap_or_else(|| "".into())
-}
-
 fn signal_of(error: ErrorKind) -> Signal {
     match error {
         ErrorKind::Shed | ErrorKind::NoSlots | ErrorKind::NoTarget | ErrorKind::HostLeaving => {
