--- a/src/demo/events.rs
+++ b/src/demo/events.rs
@@ -28,6 +28,12 @@
 /// Time until a replaced host is there.
 const REPLACEMENT: Duration = Duration::from_millis(700);
 
+/// Longest time that the demo waits for a drain to come in force.
+const DRAIN_WAIT: Duration = Duration::from_secs(30);
+
+/// Time between two looks at a drain that waits.
+const DRAIN_POLL: Duration = Duration::from_millis(100);
+
 /// A retiring target gets no new work after this.
 const RETIRE_LIMIT: Duration = Duration::from_secs(3);
 
@@ -112,8 +118,24 @@
         let id: DrainId = "demo-drain".into();
         let scope = DrainScope::Target(self.cluster.targets[target].target.name.clone());
         let order = DrainOrder { by: "demo".into(), id, scope };
-        self.cluster.operator().drain(host, &order).await?;
-        Ok(Drained { at: Instant::now(), target })
+        let at = self.in_force(host, &order).await?;
+        Ok(Drained { at, target })
+    }
+
+    /// Orders a drain and waits until it is in force, as `drain --wait` does: one that would leave
+    /// a region too little room waits, and its target goes on with new work.
+    async fn in_force(&self, host: SocketAddr, order: &DrainOrder) -> eyre::Result<Instant> {
+        let operator = self.cluster.operator();
+        let until = Instant::now() + DRAIN_WAIT;
+        loop {
+            // The same order again is the same drain, and answers with how it stands.
+            let record = operator.drain(host, order).await?;
+            if record.is_in_force() {
+                return Ok(Instant::now());
+            }
+            eyre::ensure!(Instant::now() < until, "the drain waits: {record:?}");
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
     }
 
     /// Ends a host, on a plan or not, and puts a new one in its seat.
--- a/src/steer/arrive.rs
+++ b/src/steer/arrive.rs
@@ -238,7 +238,6 @@
 
     /// A shift that came to nothing, after all attempts, makes the next ones fewer.
     fn note_lost_shift(&mut self, call: CallId, error: ErrorKind, now: Moment) {
-        let Some(view) = self.view.clone() else { return };
         let state = &self.calls[&call];
         if !state.tried_away {
             return;
