--- a/src/steer/machine.rs
+++ b/src/steer/machine.rs
@@ -7,6 +7,7 @@
 use super::{
     Action, Answer, AttemptId, CallId, Event,
     call::{Attempt, Call},
+    owners::Owners,
 };
 use crate::{
     admission::{OwnedTarget, Queue, RetryBudget, Slots},
@@ -68,6 +69,7 @@
     pub(super) next_attempt: AttemptId,
     pub(super) out: Vec<Action>,
     pub(super) quarantine: Quarantine,
+    pub(super) owners: Owners,
     pub(super) queue_limit: usize,
     pub(super) queues: BTreeMap<ServiceId, Queue>,
     pub(super) retries: RetryBudget,
@@ -89,6 +91,7 @@
             ledger: Ledger::new(host, incarnation, limits.ledger),
             next_attempt: 0,
             out: Vec::new(),
+            owners: Owners::default(),
             quarantine: Quarantine::new(limits.quarantine),
             queues: BTreeMap::new(),
             retries: RetryBudget::default(),
@@ -270,6 +273,9 @@
         }
         let owned = self.owned_targets(&view);
         self.slots.set_owned(&owned, now);
+        if !self.view.as_ref().is_some_and(|old| Owners::are_same(old, &view)) {
+            self.owners = Owners::of(&view);
+        }
         self.view = Some(view);
         self.drain_queues(now, rng);
     }
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -9,6 +9,7 @@
 mod event;
 mod loads;
 mod machine;
+mod owners;
 mod place;
 mod settle;
 mod survey;
--- a/src/steer/place.rs
+++ b/src/steer/place.rs
@@ -9,7 +9,6 @@
 use crate::{
     admission::Queue,
     base::invariant,
-    lookup::owner_of,
     manifest::{Service, Target},
     prelude::*,
     quarantine::Standing,
@@ -189,14 +188,14 @@
             };
             return Some(Way { address: target.address, candidate, peer: None });
         }
-        let (peer, address) = owner_host(view, target)?;
+        let owner = self.owners.get(&target.name)?;
         let candidate = Candidate {
             in_flight: self.forwarded_to(&target.name),
             limit: target.slots,
             target: target.name.clone(),
             tier,
         };
-        Some(Way { address, candidate, peer: Some(peer) })
+        Some(Way { address: owner.address, candidate, peer: Some(owner.host.clone()) })
     }
 
     fn takes_guest(&self, view: &View, service: &ServiceId, now: Moment) -> bool {
@@ -391,16 +390,3 @@
 pub(super) fn queue_id(call: CallId) -> RequestId {
     call.to_string().into()
 }
-
-/// The live host that owns a target of another host, and its address.
-fn owner_host(view: &View, target: &Target) -> Option<(HostId, SocketAddr)> {
-    let zone_hosts: Vec<HostId> = if target.zone == view.own.zone {
-        view.tenure.owners.clone()
-    } else {
-        let live = view.hosts.iter().filter(|host| host.zone == target.zone && !host.leaving);
-        live.map(|host| host.id.clone()).collect()
-    };
-    let owner = owner_of(&target.name, &zone_hosts)?;
-    let host = view.hosts.iter().find(|host| host.id == *owner && host.id != view.own.id)?;
-    Some((host.id.clone(), host.address))
-}
