Give the demo's hosts and drains more time on a slow machine

Cause: both limits only end a run that cannot go on; on a machine that is busy with other work 15 s and 30 s could end one that would. Seen: a drain that waited 19.5 s beside seven other demos.

--- a/src/demo/events.rs
+++ b/src/demo/events.rs
@@ -29,7 +29,7 @@
 const REPLACEMENT: Duration = Duration::from_millis(700);
 
 /// Longest time that the demo waits for a drain to come in force.
-const DRAIN_WAIT: Duration = Duration::from_secs(30);
+const DRAIN_WAIT: Duration = Duration::from_secs(60);
 
 /// Time between two looks at a drain that waits.
 const DRAIN_POLL: Duration = Duration::from_millis(100);
--- a/src/demo/run.rs
+++ b/src/demo/run.rs
@@ -19,7 +19,7 @@
 };
 
 /// Time for all hosts to have the first manifest and to know each other.
-const WARM_UP: Duration = Duration::from_secs(15);
+const WARM_UP: Duration = Duration::from_secs(60);
 
 /// What is run.
 #[derive(Clone)]
