Hedge slow reads out of half of the retry budget

A read or file that takes longer than 97 of 100 of its service's gets one second attempt at another target of the region, out of spare slots less the reserve, decided by that target's owner. The first whole answer, or head, wins and the other attempt is cancelled. Bookings, shifted reads, suspects and stopping hosts are left out. A caller that left had leaked the count of the selector for its target; it is given back now.

The host test failed with 504 on the first slow read before the owner kept a hedge off the target that runs the request already.

--- a/src/admission/retry_budget.rs
+++ b/src/admission/retry_budget.rs
@@ -6,6 +6,8 @@
 const BUCKETS: usize = 10;
 /// Retries that a window allows on top of the share, so that a quiet service can retry at all.
 const FLOOR: u32 = 3;
+/// Part of the budget that hedges may use up: failures must still find some.
+const HEDGE_PART: f64 = 0.5;
 /// Retries as a share of first attempts.
 const SHARE: f64 = 0.1;
 
@@ -45,8 +47,17 @@
 
     /// Takes one retry out of the budget; false when it is used up.
     pub fn take(&mut self, now: Moment) -> bool {
+        self.take_of(1.0, now)
+    }
+
+    /// Takes one hedge out of the budget; false when half of it is used up.
+    pub fn take_hedge(&mut self, now: Moment) -> bool {
+        self.take_of(HEDGE_PART, now)
+    }
+
+    fn take_of(&mut self, part: f64, now: Moment) -> bool {
         let (first, retries) = self.sums(now);
-        let allowed = f64::from(first) * SHARE + f64::from(FLOOR);
+        let allowed = (f64::from(first) * SHARE + f64::from(FLOOR)) * part;
         if !self.unlimited && allowed < f64::from(retries + 1) {
             return false;
         }
--- a/src/daemon/incoming.rs
+++ b/src/daemon/incoming.rs
@@ -130,6 +130,7 @@
         }
         match &*text {
             "ledger-hop" => Ok(Via::LedgerHop),
+            "hedge-hop" => Ok(Via::HedgeHop),
             "slot-hop" => Ok(Via::SlotHop),
             _ => Err(BadHeader { expected: "ledger-hop or slot-hop", header: headers::VIA }),
         }
@@ -153,6 +154,7 @@
     match via {
         Via::Caller => "caller",
         Via::LedgerHop => "ledger-hop",
+        Via::HedgeHop => "hedge-hop",
         Via::SlotHop => "slot-hop",
     }
 }
--- a/src/daemon/traffic.rs
+++ b/src/daemon/traffic.rs
@@ -213,11 +213,7 @@
     fn carry_out(self: &Arc<Self>, action: Action) {
         match action {
             Action::Answer { answer, call } => self.answer(call, answer),
-            Action::Cancel { attempt } => {
-                if let Some(task) = lock(&self.attempts).remove(&attempt) {
-                    task.abort();
-                }
-            }
+            Action::Cancel { attempt } => self.abort(attempt),
             Action::Dispatch { address, attempt, call, timeout, .. } => {
                 self.start(call, attempt, address, timeout, None);
             }
@@ -269,6 +265,22 @@
         let mut attempts = lock(&self.attempts);
         let task = self.runtime.spawn(async move { traffic.run(order).await });
         attempts.insert(attempt, task.abort_handle());
+        drop(attempts);
+        // Another thread may have ordered the cancellation before the task was there to be
+        // aborted: the target would run it for nobody, in a slot that the decisions gave back.
+        if !self.is_running(attempt) {
+            self.abort(attempt);
+        }
+    }
+
+    fn is_running(&self, attempt: AttemptId) -> bool {
+        lock(&self.core).steer.is_running(attempt)
+    }
+
+    fn abort(&self, attempt: AttemptId) {
+        if let Some(task) = lock(&self.attempts).remove(&attempt) {
+            task.abort();
+        }
     }
 
     async fn run(self: Arc<Self>, order: Order) {
@@ -350,6 +362,12 @@
         mut body: futures::stream::BoxStream<'static, crate::forward::Result<bytes::Bytes>>,
         latency: Duration,
     ) {
+        // Of two attempts whose heads come at the same time, the decisions let one go on. Were the
+        // other's body passed, it would break off when its attempt is aborted.
+        self.feed(Event::Begun { attempt: order.attempt });
+        if !self.is_running(order.attempt) {
+            return;
+        }
         let status = head.status;
         let (mut tx, rx) = futures::channel::mpsc::channel(STREAM_CHUNKS);
         if let Some(pending) = lock(&self.pending).remove(&order.call) {
--- a/src/measure/policies/agenda.rs
+++ b/src/measure/policies/agenda.rs
@@ -27,9 +27,11 @@
     /// A request reaches a host from its caller.
     AtHost { host: usize, request: usize },
     /// A request reaches a host from another host.
-    AtPeer { attempt: Attempt },
+    AtPeer { attempt: Attempt, via: steer::Via },
     /// A request reaches a target.
     AtTarget { attempt: Attempt },
+    /// The word that an attempt is given up reaches its target or host.
+    Cancelled { attempt: Attempt, to_host: bool },
     /// A target is through with a request.
     Done { attempt: Attempt, served: bool },
     /// An attempt's outcome reaches the host that made it.
@@ -40,7 +42,9 @@
     Report { report: LoadReport, target: usize },
     /// A caller sends a request, for the first time or again.
     Send { request: usize },
-    /// Hosts tick, targets are asked for their load.
+    /// Targets are asked for their load.
+    Sample,
+    /// Hosts tick.
     Tick,
     /// Hosts get new views.
     Views,
--- a/src/measure/policies/backend.rs
+++ b/src/measure/policies/backend.rs
@@ -1,5 +1,7 @@
 //! A target as it really behaves, whatever its endpoints say.
 
+use std::collections::BTreeSet;
+
 use super::world::SLOTS;
 use crate::{manifest::Target, prelude::*, selection::LoadReport};
 
@@ -22,11 +24,12 @@
 /// One target.
 #[derive(Clone, Debug)]
 pub(super) struct Backend {
-    pub busy: u32,
     pub dead: bool,
     pub endpoint: Endpoint,
     pub name: TargetId,
     pub region: usize,
+    /// Hosts and numbers of the attempts that run.
+    pub running: BTreeSet<(usize, u64)>,
     pub slow: f64,
     /// Requests served for callers of each region.
     pub warmth: [u32; 3],
@@ -51,11 +54,11 @@
 impl Backend {
     pub fn new(target: &Target, region: usize, endpoint: Endpoint) -> Self {
         Self {
-            busy: 0,
             dead: false,
             endpoint,
             name: target.name.clone(),
             region,
+            running: BTreeSet::new(),
             slow: 1.0,
             warmth: [0; 3],
             zone: target.zone.clone(),
@@ -74,9 +77,14 @@
         Duration::from_secs_f64(work * self.slow * (1.0 + cold))
     }
 
+    /// Slots in use.
+    pub fn busy(&self) -> u32 {
+        u32::try_from(self.running.len()).unwrap_or(u32::MAX)
+    }
+
     pub fn report(&self) -> LoadReport {
         match self.endpoint {
-            Endpoint::Honest => LoadReport { busy: self.busy, draining: false, slots: SLOTS },
+            Endpoint::Honest => LoadReport { busy: self.busy(), draining: false, slots: SLOTS },
             Endpoint::Idle => LoadReport { busy: 0, draining: false, slots: SLOTS },
             Endpoint::Tiny => LoadReport { busy: 1, draining: false, slots: 1 },
         }
--- a/src/measure/policies/carry.rs
+++ b/src/measure/policies/carry.rs
@@ -2,7 +2,7 @@
 
 use super::{
     agenda::{Attempt, Step},
-    experiment::{CALLER_DELAY, Experiment, Origin},
+    experiment::{CALLER_DELAY, Experiment, Origin, Sent},
     world::{self, SLOTS},
 };
 use crate::{
@@ -27,18 +27,18 @@
             return self.send_again(request, at);
         }
         let deadline = self.now + DEADLINE;
-        self.arrive(host, Origin { forwarded: None, request }, deadline);
+        self.arrive(host, Origin { forwarded: None, request }, Via::Caller, deadline);
     }
 
-    pub(super) fn at_peer(&mut self, attempt: Attempt) {
+    pub(super) fn at_peer(&mut self, attempt: Attempt, via: Via) {
         if !self.hosts[attempt.to].alive {
             return self.fail(attempt, ErrorKind::ConnectFailed, CONNECT_TIMEOUT);
         }
         let origin = Origin { forwarded: Some(attempt), request: attempt.request };
-        self.arrive(attempt.to, origin, attempt.since + attempt.timeout);
+        self.arrive(attempt.to, origin, via, attempt.since + attempt.timeout);
     }
 
-    fn arrive(&mut self, host: usize, origin: Origin, deadline: Moment) {
+    fn arrive(&mut self, host: usize, origin: Origin, via: Via, deadline: Moment) {
         let request = &self.requests[origin.request];
         let state = &mut self.hosts[host];
         state.next_call += 1;
@@ -53,9 +53,9 @@
             fingerprint: origin.request as u128,
             key: None,
             member: self.manifest.member.clone(),
-            request: "".into(),
+            request: origin.request.to_string().into(),
             service: request.service.clone(),
-            via: if origin.forwarded.is_some() { Via::SlotHop } else { Via::Caller },
+            via,
         };
         self.feed(host, Event::Arrived(arrival));
     }
@@ -69,17 +69,23 @@
         for action in actions {
             match action {
                 Action::Answer { answer, call } => self.answer(host, call, answer),
+                Action::Cancel { attempt } => self.cancel(host, attempt),
                 Action::Dispatch { attempt, call, target, timeout, .. } => {
                     let to = self.backends.iter().position(|backend| backend.name == target);
                     let attempt = self.attempt(host, call, attempt, to, timeout);
+                    self.hosts[host].sent.insert(attempt.number, Sent { attempt, via: None });
                     let way = self.way_to_target(attempt);
                     self.agenda.add(self.now + way, Step::AtTarget { attempt });
                 }
-                Action::Forward { attempt, call, host: peer, timeout, .. } => {
+                Action::Forward { attempt, call, host: peer, timeout, via, .. } => {
                     let to = self.hosts.iter().position(|host| host.view.id == peer);
                     let attempt = self.attempt(host, call, attempt, to, timeout);
                     let way = self.way_to_host(attempt);
-                    self.agenda.add(self.now + way, Step::AtPeer { attempt });
+                    self.hosts[host].sent.insert(attempt.number, Sent { attempt, via: Some(via) });
+                    self.agenda.add(self.now + way, Step::AtPeer { attempt, via });
+                }
+                Action::Note { kind: EventKind::Hedged { .. }, .. } => {
+                    self.tally.hedged += u64::from(self.is_counted());
                 }
                 Action::Note { kind: EventKind::InvariantBroken { .. }, .. } => {
                     self.tally.broken += 1;
@@ -135,11 +141,11 @@
             return self.fail(attempt, ErrorKind::ConnectFailed, way);
         }
         self.tally.sent += u64::from(counted);
-        if SLOTS <= backend.busy {
+        if SLOTS <= backend.busy() {
             self.tally.shed += u64::from(counted);
             return self.fail(attempt, ErrorKind::Shed, way);
         }
-        backend.busy += 1;
+        backend.running.insert((attempt.from, attempt.number));
         let region = backend.region;
         self.busy[region].change(1, self.now);
         let time = backend.service_time(work, home);
@@ -154,7 +160,9 @@
     pub(super) fn done(&mut self, attempt: Attempt, served: bool) {
         let way = self.way_to_target(attempt);
         let backend = &mut self.backends[attempt.to];
-        backend.busy -= 1;
+        if !backend.running.remove(&(attempt.from, attempt.number)) {
+            return;
+        }
         self.busy[backend.region].change(-1, self.now);
         if backend.dead {
             return self.fail(attempt, ErrorKind::DispatchLost, way);
@@ -165,6 +173,33 @@
         self.succeed(attempt, way);
     }
 
+    /// A host gives an attempt up; the word travels the same way as the request did.
+    fn cancel(&mut self, host: usize, number: u64) {
+        let Some(Sent { attempt, via }) = self.hosts[host].sent.remove(&number) else { return };
+        let to_host = via.is_some();
+        let way = if to_host { self.way_to_host(attempt) } else { self.way_to_target(attempt) };
+        self.agenda.add(self.now + way, Step::Cancelled { attempt, to_host });
+    }
+
+    /// A target stops what it runs for an attempt, a host what it does for another host's.
+    pub(super) fn cancelled(&mut self, attempt: Attempt, to_host: bool) {
+        if to_host {
+            let is_it = |origin: &Origin| {
+                let forwarded = origin.forwarded.map(|sent| (sent.from, sent.number));
+                forwarded == Some((attempt.from, attempt.number))
+            };
+            let mut calls = self.hosts[attempt.to].calls.iter();
+            let call = calls.find(|(_, origin)| is_it(origin)).map(|(call, _)| *call);
+            return call.into_iter().for_each(|call| {
+                self.feed(attempt.to, Event::Cancelled { call });
+            });
+        }
+        let backend = &mut self.backends[attempt.to];
+        if backend.running.remove(&(attempt.from, attempt.number)) {
+            self.busy[backend.region].change(-1, self.now);
+        }
+    }
+
     fn fail(&mut self, attempt: Attempt, error: ErrorKind, way: Duration) {
         let at = self.now + way;
         let outcome = Outcome::Failed { error, latency: at - attempt.since, passed: false };
--- a/src/measure/policies/contender.rs
+++ b/src/measure/policies/contender.rs
@@ -18,6 +18,8 @@
     LeastInFlight,
     /// As chosen, without shift caps.
     NoCaps,
+    /// As chosen, without second attempts at slow reads.
+    NoHedges,
     /// As chosen, without ramps for cold targets and shifts.
     NoRamps,
     Random,
@@ -28,11 +30,12 @@
 
 impl Contender {
     /// Every contender, the chosen policy first.
-    pub const ALL: [Contender; 8] = [
+    pub const ALL: [Contender; 9] = [
         Contender::Chosen,
         Contender::RoundRobin,
         Contender::Random,
         Contender::NoCaps,
+        Contender::NoHedges,
         Contender::NoRamps,
         Contender::LeastInFlight,
         Contender::TwoChoices,
@@ -45,6 +48,7 @@
             Contender::Chosen => "chosen",
             Contender::LeastInFlight => "least in flight",
             Contender::NoCaps => "no caps",
+            Contender::NoHedges => "no hedges",
             Contender::NoRamps => "no ramps",
             Contender::Random => "random",
             Contender::ReportedLoad => "reported load",
@@ -55,7 +59,9 @@
 
     pub(super) fn tuning(self) -> Tuning {
         let policy = match self {
-            Contender::Chosen | Contender::NoCaps | Contender::NoRamps => None,
+            Contender::Chosen | Contender::NoCaps | Contender::NoHedges | Contender::NoRamps => {
+                None
+            }
             Contender::LeastInFlight => Some(Policy::LeastInFlight),
             Contender::Random => Some(Policy::Random),
             Contender::ReportedLoad => Some(Policy::ReportedLoad),
@@ -65,6 +71,7 @@
         let ramp = self != Contender::NoRamps;
         let caps = self != Contender::NoCaps;
         Tuning {
+            hedge: self != Contender::NoHedges,
             policy,
             selection: Rules { ramp, ..Rules::default() },
             shift: ShiftRules { caps, ramp, ..ShiftRules::default() },
--- a/src/measure/policies/experiment.rs
+++ b/src/measure/policies/experiment.rs
@@ -17,7 +17,7 @@
     lookup::{BlockTable, HostIndex, LookupAsk},
     manifest::Manifest,
     prelude::*,
-    steer::{Answer, Event, Steer, SteerLimits},
+    steer::{Answer, Event, Steer, SteerLimits, Via},
     view::{Baseline, HostView},
 };
 
@@ -33,8 +33,10 @@
 const WARM_UP: Duration = Duration::from_secs(15);
 /// Length of a run.
 const LENGTH: Duration = Duration::from_secs(50);
-/// Period of ticks, load reports and samples.
-const TICK: Duration = Duration::from_millis(500);
+/// Period of load reports and samples.
+const SAMPLE: Duration = Duration::from_millis(500);
+/// Period of the hosts' ticks, as in the daemon.
+const TICK: Duration = Duration::from_millis(20);
 /// Spread of the work of requests around the service's mean: sigma of a lognormal.
 const WORK_SIGMA: f64 = 0.6;
 /// How many times slower a slow target is.
@@ -61,10 +63,20 @@
     /// By call number.
     pub calls: BTreeMap<u64, Origin>,
     pub next_call: u64,
+    /// Attempts under way, by number.
+    pub sent: BTreeMap<u64, Sent>,
     pub steer: Steer,
     pub view: HostView,
 }
 
+/// An attempt under way.
+#[derive(Clone, Copy)]
+pub(super) struct Sent {
+    pub attempt: super::agenda::Attempt,
+    /// How it went to another host; `None` to a target.
+    pub via: Option<Via>,
+}
+
 /// Where a call came from.
 #[derive(Clone, Copy)]
 pub(super) struct Origin {
@@ -104,6 +116,7 @@
             alive: true,
             calls: BTreeMap::new(),
             next_call: 0,
+            sent: BTreeMap::new(),
             steer: Steer::new(view.id.clone(), view.incarnation, limits.clone()),
             view: view.clone(),
         };
@@ -112,6 +125,7 @@
         backends.iter().for_each(|backend| busy[backend.region].slots += SLOTS);
         let mut agenda = Agenda::default();
         agenda.add(Duration::ZERO, Step::Views);
+        agenda.add(SAMPLE, Step::Sample);
         agenda.add(TICK, Step::Tick);
         agenda.add(EVENT_AT, Step::Event);
         Self {
@@ -175,15 +189,18 @@
             match step {
                 Step::Answered { answer, request } => self.answered(request, &answer),
                 Step::AtHost { host, request } => self.at_host(host, request),
-                Step::AtPeer { attempt } => self.at_peer(attempt),
+                Step::AtPeer { attempt, via } => self.at_peer(attempt, via),
                 Step::AtTarget { attempt } => self.at_target(attempt),
+                Step::Cancelled { attempt, to_host } => self.cancelled(attempt, to_host),
                 Step::Done { attempt, served } => self.done(attempt, served),
                 Step::Ended { attempt, outcome } => {
+                    self.hosts[attempt.from].sent.remove(&attempt.number);
                     let event = Event::Ended { attempt: attempt.number, outcome };
                     self.feed(attempt.from, event);
                 }
                 Step::Event => self.event(),
                 Step::Report { report, target } => self.reported(report, target),
+                Step::Sample => self.sample(),
                 Step::Send { request } => self.send(request),
                 Step::Tick => self.tick(),
                 Step::Views => self.show_views(),
@@ -302,6 +319,12 @@
         for host in 0..self.hosts.len() {
             self.feed(host, Event::Tick);
         }
+        if self.now <= LENGTH {
+            self.agenda.add(self.now + TICK, Step::Tick);
+        }
+    }
+
+    fn sample(&mut self) {
         let lag = self.scenario.report_lag(self.now);
         for target in 0..self.backends.len() {
             if !self.backends[target].dead {
@@ -312,7 +335,7 @@
         let counted = self.is_counted();
         self.busy.iter_mut().for_each(|busy| busy.sample(counted, self.now));
         if self.now <= LENGTH {
-            self.agenda.add(self.now + TICK, Step::Tick);
+            self.agenda.add(self.now + SAMPLE, Step::Sample);
         }
     }
 }
--- a/src/measure/policies/result.rs
+++ b/src/measure/policies/result.rs
@@ -22,6 +22,8 @@
     pub headroom: f64,
     /// The same by region, in the manifest's order.
     pub headroom_by_region: Vec<f64>,
+    /// Second attempts at slow reads, as a share of requests.
+    pub hedged: f64,
     /// Share of requests that were not served even after the caller's resends.
     pub lost: f64,
     pub member: Member,
@@ -41,6 +43,7 @@
 #[derive(Debug)]
 pub(super) struct Tally {
     pub broken: u64,
+    pub hedged: u64,
     latency: Histogram<u64>,
     lost: u64,
     pub sent: u64,
@@ -57,7 +60,15 @@
 impl Tally {
     pub fn new() -> Self {
         let latency = Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds are valid");
-        Self { broken: 0, latency, lost: 0, sent: 0, shares: Default::default(), shed: 0 }
+        Self {
+            broken: 0,
+            hedged: 0,
+            latency,
+            lost: 0,
+            sent: 0,
+            shares: Default::default(),
+            shed: 0,
+        }
     }
 
     /// A request got its final answer.
@@ -95,6 +106,7 @@
             contender,
             headroom: headroom_by_region.iter().copied().fold(1.0, f64::min),
             headroom_by_region,
+            hedged: share(self.hedged, requests),
             lost: share(self.lost, requests),
             member,
             p50: millis(0.5),
--- a/src/selection/health.rs
+++ b/src/selection/health.rs
@@ -87,6 +87,15 @@
         self.in_flight = running.saturating_sub(1);
         let sample = latency.as_secs_f64();
         match signal {
+            // It took at least this long. Left out, a slow target whose requests are always given
+            // up for a faster one's answer would go on being taken for a fast one.
+            Signal::Cancelled => {
+                if self.latency(now) < sample {
+                    self.sample(sample, now);
+                    self.last_end = now;
+                }
+                false
+            }
             Signal::Failed => {
                 // A late failure (a timeout) is slowness; a fast one must not look like speed.
                 if self.latency(now) < sample {
--- a/src/selection/signal.rs
+++ b/src/selection/signal.rs
@@ -6,6 +6,8 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Signal {
+    /// It was given up before it ended, through no fault of the target.
+    Cancelled,
     /// No whole answer: connection lost, timeout, broken answer.
     Failed,
     /// The target refused it for want of capacity.
--- a/src/selection/tests.rs
+++ b/src/selection/tests.rs
@@ -153,3 +153,23 @@
         selector.ended(&target, Signal::Succeeded, Duration::from_millis(millis), now);
     }
 }
+
+// A target is slow, and each request on it is given up for the answer of a faster one. Nothing of
+// it ever ends, so what is known of it must come from there, or it would pass for a fast one. It
+// is no failure either: three in a row do not eject it.
+#[test]
+fn requests_that_were_given_up_show_a_slow_target() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut selector = Selector::new(Policy::Weighed(Weighing::Latency));
+    let pool = [candidate("slow", 0, 3, Tier::Zone), candidate("fast", 0, 3, Tier::Zone)];
+    for target in ["slow", "fast"] {
+        succeed(&mut selector, target, 6, 20, secs(1));
+    }
+    for _ in 0..3 {
+        selector.ended(&"slow".into(), Signal::Cancelled, Duration::from_millis(100), secs(1));
+    }
+    assert!(!selector.ejected(&"slow".into(), secs(1)));
+    for _ in 0..20 {
+        assert_eq!(selector.pick(&"shows".into(), &pool, secs(1), &mut rng), Some(1));
+    }
+}
--- a/src/soak/requests.rs
+++ b/src/soak/requests.rs
@@ -72,7 +72,11 @@
             Action::Answer { answer, call } => self.answer(host, call, answer),
             Action::Cancel { attempt } => {
                 let Some(running) = self.hosts[host].running.as_mut() else { return };
-                running.flights.remove(&attempt);
+                let flight = running.flights.remove(&attempt);
+                let process = running.id;
+                if let Some(to) = flight.flatten() {
+                    self.cancel_at(process, attempt, to);
+                }
             }
             Action::Dispatch { attempt, call, target, timeout, .. } => {
                 self.dispatch(host, call, attempt, &target, timeout);
@@ -176,13 +180,17 @@
             Outcome::Failed { error: ErrorKind::DispatchTimeout, .. } if body.is_none()
         );
         if let Some(to) = flight.filter(|_| timed_out) {
-            let origin = Origin::Host { attempt, process };
-            let cancel = Item::Cancel { host: to, origin };
-            self.send_to(Place::Host(process.host), Place::Host(to), cancel);
+            self.cancel_at(process, attempt, to);
         }
         self.steer(process.host, Event::Ended { attempt, outcome });
     }
 
+    fn cancel_at(&mut self, process: Process, attempt: AttemptId, to: usize) {
+        let origin = Origin::Host { attempt, process };
+        let cancel = Item::Cancel { host: to, origin };
+        self.send_to(Place::Host(process.host), Place::Host(to), cancel);
+    }
+
     fn answer(&mut self, host: usize, call: CallId, answer: Answer) {
         let Some(running) = self.hosts[host].running.as_mut() else { return };
         let Some(info) = running.calls.remove(&call) else { return };
--- a/src/steer/arrive.rs
+++ b/src/steer/arrive.rs
@@ -3,10 +3,11 @@
 use rand::Rng;
 
 use super::{
-    Action, Answer, Arrival, CallId, Steer, Via,
+    Action, Answer, Arrival, AttemptId, CallId, Steer, Via,
     call::{Attempt, Call, Place},
 };
 use crate::{
+    base::invariant,
     ledger::{Begin, End, Key},
     prelude::*,
     quarantine::Standing,
@@ -59,12 +60,14 @@
         Ok(Call {
             arrival: arrival.clone(),
             attempts: 0,
-            current: None,
+            begun: false,
             direct: false,
+            hedged: false,
             in_ledger: false,
             kind: service.kind,
             last_error: None,
             queued: false,
+            running: Vec::new(),
             shift_cap: service.shift_cap,
             shifted: false,
             timeout: Duration::from_millis(service.timeout_ms),
@@ -142,7 +145,7 @@
         place: Place,
         now: Moment,
     ) {
-        let attempt = self.new_attempt(call, place.clone());
+        let attempt = self.new_attempt(call, place.clone(), now);
         let state = &self.calls[&call];
         let timeout = state.arrival.deadline.saturating_sub(now);
         let request = state.arrival.request.clone();
@@ -151,14 +154,20 @@
         self.out.push(Action::Forward { address, attempt, call, host, timeout, via });
     }
 
-    pub(super) fn new_attempt(&mut self, call: CallId, place: Place) -> u64 {
+    pub(super) fn new_attempt(&mut self, call: CallId, place: Place, now: Moment) -> AttemptId {
         self.next_attempt += 1;
         let attempt = self.next_attempt;
-        self.attempts.insert(attempt, Attempt { call, place });
         let state = self.state(call);
-        state.current = Some(attempt);
+        let first = state.attempts == 0;
+        state.running.push(attempt);
         state.attempts += 1;
         state.queued = false;
+        let (booking, running) = (state.is_booking(), state.running.len());
+        self.attempts.insert(attempt, Attempt { call, first, place, since: now });
+        // Two copies of a booking under way would run it twice, whatever the ledger says.
+        invariant::hold(!booking || running == 1, "one-attempt-a-booking", || {
+            format!("call {call} has {running}")
+        });
         attempt
     }
 
@@ -168,7 +177,12 @@
         if let Standing::Refused { .. } = self.quarantine.standing(arrival.fingerprint, now) {
             return self.fail(call, ErrorKind::Quarantined, now, rng);
         }
-        self.retries.noted(now);
+        // A hedge is no request of its own: counted, it would earn budget for the next one.
+        if self.calls[&call].arrival.via == Via::HedgeHop {
+            self.avoid_rivals(call);
+        } else {
+            self.retries.noted(now);
+        }
         if let Err(error) = self.count_home(call, now) {
             return self.fail(call, error, now, rng);
         }
@@ -178,7 +192,7 @@
     /// Counts a caller's request at home, or asks whether a caller from elsewhere may be served.
     fn count_home(&mut self, call: CallId, now: Moment) -> Result<(), ErrorKind> {
         let state = &self.calls[&call];
-        if state.arrival.via == Via::SlotHop {
+        if state.arrival.via.is_slot_hop() {
             return Ok(());
         }
         let view = self.view.clone().ok_or(ErrorKind::NoManifest)?;
--- a/src/steer/call.rs
+++ b/src/steer/call.rs
@@ -12,16 +12,20 @@
 pub(super) struct Call {
     pub arrival: Arrival,
     pub attempts: u32,
-    /// The attempt under way, if any.
-    pub current: Option<AttemptId>,
+    /// The head of an answer is on its way to the caller: no other attempt may follow.
+    pub begun: bool,
     /// Counted against the cap for callers whose own hosts are gone.
     pub direct: bool,
+    /// A second attempt beside a slow one was made, or weighed and found to be unwise.
+    pub hedged: bool,
     /// Told to this host's own ledger, which must learn how it ends.
     pub in_ledger: bool,
     pub kind: ServiceKind,
     /// The last reason why it was not served.
     pub last_error: Option<ErrorKind>,
     pub queued: bool,
+    /// The attempts under way: one, or two while a hedge runs.
+    pub running: Vec<AttemptId>,
     pub shift_cap: Share,
     /// A shift was counted against the home region's cap for the attempt under way.
     pub shifted: bool,
@@ -37,13 +41,30 @@
     pub fn is_booking(&self) -> bool {
         !self.kind.is_repeatable()
     }
+
+    /// Whether a caller at home sent it here, and it may run more than once. Other reads are the
+    /// first host's to hedge, or run where spare slots are scarce.
+    pub fn is_home_read(&self) -> bool {
+        let away = self.direct || self.shifted;
+        self.arrival.via == Via::Caller && !self.is_booking() && !away
+    }
+
+    /// Takes an ended attempt off; false if it was not one of this call's.
+    pub fn end_attempt(&mut self, attempt: AttemptId) -> bool {
+        let before = self.running.len();
+        self.running.retain(|running| *running != attempt);
+        self.running.len() < before
+    }
 }
 
 /// One attempt: where it went and what it holds.
 #[derive(Clone, Debug)]
 pub(super) struct Attempt {
     pub call: super::CallId,
+    /// The first one of its call.
+    pub first: bool,
     pub place: Place,
+    pub since: Moment,
 }
 
 /// Where an attempt went.
@@ -54,13 +75,13 @@
     /// To the owner of the binding.
     Owner,
     /// To another host, in the hope of that target.
-    Peer { target: TargetId },
+    Peer { target: TargetId, via: Via },
 }
 
 impl Place {
     pub fn target(&self) -> Option<&TargetId> {
         match self {
-            Place::Own { target, .. } | Place::Peer { target } => Some(target),
+            Place::Own { target, .. } | Place::Peer { target, .. } => Some(target),
             Place::Owner => None,
         }
     }
@@ -68,7 +89,8 @@
     pub fn via(&self) -> Via {
         match self {
             Place::Owner => Via::LedgerHop,
-            Place::Own { .. } | Place::Peer { .. } => Via::SlotHop,
+            Place::Own { .. } => Via::SlotHop,
+            Place::Peer { via, .. } => *via,
         }
     }
 }
--- a/src/steer/event.rs
+++ b/src/steer/event.rs
@@ -17,12 +17,22 @@
 pub enum Via {
     /// From the caller itself.
     Caller,
+    /// From a host that wants a second attempt beside a slow one: served out of spare slots only,
+    /// at once or not at all.
+    HedgeHop,
     /// From a host that was not the owner of the binding.
     LedgerHop,
     /// From a host that wants one of this host's targets to serve it.
     SlotHop,
 }
 
+impl Via {
+    /// Whether a host of the member sent it here for one of this host's targets.
+    pub fn is_slot_hop(self) -> bool {
+        matches!(self, Via::HedgeHop | Via::SlotHop)
+    }
+}
+
 /// A request that reached this host.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Arrival {
@@ -64,6 +74,11 @@
 #[serde(rename_all = "kebab-case", tag = "event")]
 pub enum Event {
     Arrived(Arrival),
+    /// The head of an attempt's answer is there and is about to go to the caller. The shell asks
+    /// `is_running` afterwards: another attempt may have begun first.
+    Begun {
+        attempt: AttemptId,
+    },
     /// The caller is gone.
     Cancelled {
         call: CallId,
--- a/src/steer/machine.rs
+++ b/src/steer/machine.rs
@@ -8,6 +8,7 @@
     Action, Answer, AttemptId, CallId, Event,
     call::{Attempt, Call},
     owners::Owners,
+    pace::Paces,
 };
 use crate::{
     admission::{OwnedTarget, Queue, RetryBudget, Slots},
@@ -38,14 +39,28 @@
 }
 
 /// Safeguards that measurements turn off, and the policy that they put in the member's place.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
 pub struct Tuning {
+    /// Reads that take long get a second attempt.
+    pub hedge: bool,
     /// Instead of the manifest's weighing.
     pub policy: Option<Policy>,
     pub selection: Rules,
     pub shift: ShiftRules,
 }
 
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            hedge: true,
+            policy: None,
+            selection: Rules::default(),
+            shift: ShiftRules::default(),
+        }
+    }
+}
+
 impl Default for SteerLimits {
     fn default() -> Self {
         Self {
@@ -70,6 +85,7 @@
     pub(super) out: Vec<Action>,
     pub(super) quarantine: Quarantine,
     pub(super) owners: Owners,
+    pub(super) paces: Paces,
     pub(super) queue_limit: usize,
     pub(super) queues: BTreeMap<ServiceId, Queue>,
     pub(super) retries: RetryBudget,
@@ -92,6 +108,7 @@
             next_attempt: 0,
             out: Vec::new(),
             owners: Owners::default(),
+            paces: Paces::default(),
             quarantine: Quarantine::new(limits.quarantine),
             queues: BTreeMap::new(),
             retries: RetryBudget::default(),
@@ -110,6 +127,7 @@
     pub fn on(&mut self, event: Event, now: Moment, rng: &mut impl Rng) -> Vec<Action> {
         match event {
             Event::Arrived(arrival) => self.arrived(arrival, now, rng),
+            Event::Begun { attempt } => self.begun(attempt, now),
             Event::Cancelled { call } => self.cancelled(call, now, rng),
             Event::Ended { attempt, outcome } => self.ended(attempt, outcome, now, rng),
             Event::Leave => self.leave(),
@@ -176,6 +194,11 @@
         self.caps.share(service, &view.own.region, now)
     }
 
+    /// Whether an attempt is under way and not given up.
+    pub fn is_running(&self, attempt: AttemptId) -> bool {
+        self.attempts.contains_key(&attempt)
+    }
+
     /// Whether this host owns the target.
     pub fn owns(&self, target: &TargetId) -> bool {
         self.slots.owns(target)
@@ -265,6 +288,7 @@
             let targets = view.manifest.services.iter().flat_map(|service| &service.targets);
             let known: BTreeSet<&TargetId> = targets.map(|target| &target.name).collect();
             self.selector.retain(|target| known.contains(target));
+            self.paces.retain(|service| view.manifest.service(service).is_some());
             self.note(None, EventKind::ManifestInForce { sequence: view.manifest.sequence });
         }
         if self.view.is_none() {
@@ -312,6 +336,7 @@
         self.ledger.rotate(now);
         self.expire_calls(now);
         self.drain_queues(now, rng);
+        self.hedge_slow(now, rng);
     }
 
     fn note_changes(&mut self) {
--- a/src/steer/place.rs
+++ b/src/steer/place.rs
@@ -19,20 +19,20 @@
 };
 
 /// Most attempts at one request, the first included.
-const MAX_ATTEMPTS: u32 = 3;
+pub(super) const MAX_ATTEMPTS: u32 = 3;
 
 /// Time that a request needs at least once it has a slot; with less left it is hopeless.
-const EXPECTED_TIME: Duration = Duration::from_millis(20);
+pub(super) const EXPECTED_TIME: Duration = Duration::from_millis(20);
 
 /// Requests that this host may have waiting at an owner, by slot of the target.
 const WAITING_PER_SLOT: u32 = 4;
 
 /// A candidate and how to reach it.
-struct Way {
-    address: SocketAddr,
-    candidate: Candidate,
+pub(super) struct Way {
+    pub address: SocketAddr,
+    pub candidate: Candidate,
     /// The host that owns the target, where it is not this one.
-    peer: Option<HostId>,
+    pub peer: Option<HostId>,
 }
 
 impl Steer {
@@ -51,8 +51,10 @@
             return self.fail(call, error, now, rng);
         }
         let home = self.home_or_own(&state.arrival);
-        let is_guest = state.arrival.via == Via::SlotHop && home != view.own.region;
-        if is_guest && !self.takes_guest(&view, &service.name, now) {
+        let via = state.arrival.via;
+        let is_guest = via == Via::SlotHop && home != view.own.region;
+        let spare_only = is_guest || via == Via::HedgeHop;
+        if spare_only && !self.takes_guest(&view, &service.name, now) {
             return self.fail(call, ErrorKind::NoSlots, now, rng);
         }
         self.choose(call, &view, service, &home, now, rng);
@@ -85,11 +87,15 @@
                 continue;
             }
             let option = options.swap_remove(chosen);
-            if self.send(call, view, option, now) {
+            if self.send(call, view, option, Via::SlotHop, now) {
                 return;
             }
             self.unshift(call, now);
         }
+        // A hedge that waits for a slot is no faster than the attempt that it is to overtake.
+        if self.calls[&call].arrival.via == Via::HedgeHop {
+            return self.fail(call, error, now, rng);
+        }
         if self.waits_here(call, service, now) || !self.wait_at_owner(call, options, now) {
             self.enqueue(call, service, error, now, rng);
         }
@@ -100,7 +106,7 @@
     /// with the least forwarded, where the request waits.
     fn wait_at_owner(&mut self, call: CallId, options: Vec<Way>, now: Moment) -> bool {
         let state = &self.calls[&call];
-        if state.arrival.via == Via::SlotHop {
+        if state.arrival.via.is_slot_hop() {
             return false;
         }
         let may_wait = |way: &Way| {
@@ -115,7 +121,8 @@
             .min_by_key(|way| (way.candidate.tier, way.candidate.in_flight));
         let Some(Way { address, candidate, peer: Some(peer) }) = way else { return false };
         self.state(call).tried.push(candidate.target.clone());
-        self.forward(call, peer, address, Place::Peer { target: candidate.target }, now);
+        let place = Place::Peer { target: candidate.target, via: Via::SlotHop };
+        self.forward(call, peer, address, place, now);
         true
     }
 
@@ -131,7 +138,7 @@
     }
 
     /// Every target that may serve the request now, with the room that is known of.
-    fn options(
+    pub(super) fn options(
         &self,
         call: CallId,
         view: &View,
@@ -158,11 +165,11 @@
     ) -> Option<Way> {
         let region = &view.manifest.region_of(&target.zone)?.name;
         let own = self.slots.owns(&target.name);
-        if call.arrival.via == Via::SlotHop && !own {
+        if call.arrival.via.is_slot_hop() && !own {
             return None;
         }
         let home_lives = view.hosts.iter().any(|host| host.region == *home && !host.leaving);
-        let is_guest = *home != view.own.region && call.arrival.via != Via::SlotHop;
+        let is_guest = *home != view.own.region && !call.arrival.via.is_slot_hop();
         if is_guest && home_lives && region != home {
             return None;
         }
@@ -198,7 +205,8 @@
         Some(Way { address: owner.address, candidate, peer: Some(owner.host.clone()) })
     }
 
-    fn takes_guest(&self, view: &View, service: &ServiceId, now: Moment) -> bool {
+    /// Whether slots are spare beyond the reserve.
+    pub(super) fn takes_guest(&self, view: &View, service: &ServiceId, now: Moment) -> bool {
         let reserve = view.manifest.region_of(&view.own.zone).map_or(0.0, |region| region.reserve);
         view.manifest.service(service).is_some_and(|service| {
             let (free, slots) = self.spare(service, now);
@@ -210,7 +218,9 @@
         let count = self
             .attempts
             .values()
-            .filter(|attempt| matches!(&attempt.place, Place::Peer { target: to } if to == target))
+            .filter(
+                |attempt| matches!(&attempt.place, Place::Peer { target: to, .. } if to == target),
+            )
             .count();
         u32::try_from(count).unwrap_or(u32::MAX)
     }
@@ -249,11 +259,19 @@
         self.caps.undo(&service, &view.own.region, now);
     }
 
-    fn send(&mut self, call: CallId, view: &View, option: Way, now: Moment) -> bool {
+    /// Sends to a target, by its owner as `via` where that is another host.
+    pub(super) fn send(
+        &mut self,
+        call: CallId,
+        view: &View,
+        option: Way,
+        via: Via,
+        now: Moment,
+    ) -> bool {
         let target = option.candidate.target.clone();
         if let Some(peer) = option.peer {
             self.state(call).tried.push(target.clone());
-            self.forward(call, peer, option.address, Place::Peer { target }, now);
+            self.forward(call, peer, option.address, Place::Peer { target, via }, now);
             return true;
         }
         if !self.has_right(view, now) || !self.suspect_may_run(call, &target, now) {
@@ -301,7 +319,7 @@
         slot: crate::admission::SlotId,
         now: Moment,
     ) {
-        let attempt = self.new_attempt(call, Place::Own { slot, target: target.clone() });
+        let attempt = self.new_attempt(call, Place::Own { slot, target: target.clone() }, now);
         let state = self.state(call);
         state.tried.push(target.clone());
         let left = state.arrival.deadline.saturating_sub(now);
--- a/src/steer/settle.rs
+++ b/src/steer/settle.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 
 use super::{
-    Action, Answer, AttemptId, CallId, Outcome, Steer, Via,
+    Answer, AttemptId, CallId, Outcome, Steer, Via,
     call::{Attempt, Place},
     place::queue_id,
 };
@@ -11,7 +11,6 @@
     base::invariant,
     ledger::{End, KeptAnswer},
     prelude::*,
-    quarantine::Fingerprint,
     selection::Signal,
     shift::ShiftEnd,
     timeline::EventKind,
@@ -25,27 +24,42 @@
         now: Moment,
         rng: &mut impl Rng,
     ) {
-        let Some(Attempt { call, place }) = self.attempts.remove(&attempt) else { return };
-        self.release(call, &place, &outcome, now);
-        if self.calls.get(&call).is_some_and(|state| state.current == Some(attempt)) {
-            self.state(call).current = None;
-            match outcome {
-                Outcome::Answered { kept, .. } => self.answered(call, &place, kept, now, rng),
-                Outcome::Failed { error, passed: true, .. } => self.fail(call, error, now, rng),
-                Outcome::Failed { error, .. } => self.failed(call, &place, error, now, rng),
-                Outcome::Refused { error, .. } => self.refused(call, &place, error, now, rng),
-            }
+        let Some(ended) = self.attempts.remove(&attempt) else { return };
+        let Attempt { call, place, .. } = &ended;
+        self.release(*call, place, &outcome, now);
+        self.note_pace(&ended, &outcome);
+        if self.calls.get_mut(call).is_some_and(|state| state.end_attempt(attempt)) {
+            self.settle(*call, place, outcome, now, rng);
         }
         self.drain_queues(now, rng);
     }
 
+    fn settle(
+        &mut self,
+        call: CallId,
+        place: &Place,
+        outcome: Outcome,
+        now: Moment,
+        rng: &mut impl Rng,
+    ) {
+        if self.other_goes_on(call, &outcome, now) {
+            return;
+        }
+        match outcome {
+            Outcome::Answered { kept, .. } => self.answered(call, place, kept, now, rng),
+            Outcome::Failed { error, passed: true, .. } => self.fail(call, error, now, rng),
+            Outcome::Failed { error, .. } => self.failed(call, place, error, now, rng),
+            Outcome::Refused { error, .. } => self.refused(call, place, error, now, rng),
+        }
+    }
+
     /// Gives the slot back and tells the slices what the attempt showed.
     fn release(&mut self, call: CallId, place: &Place, outcome: &Outcome, now: Moment) {
         let Some(target) = place.target() else { return };
         let (signal, latency, error) = match outcome {
             Outcome::Answered { latency, .. } => (Signal::Succeeded, *latency, None),
             Outcome::Failed { error, latency, .. } | Outcome::Refused { error, latency } => {
-                (signal_of(*error), *latency, Some(*error))
+                (signal_of(*error, place), *latency, Some(*error))
             }
         };
         self.selector.ended(target, signal, latency, now);
@@ -59,7 +73,7 @@
         let shifted = state.shifted || state.direct;
         // Attempts that fail are judged by how the call ends: a receiver that has no spare slot
         // at one target may have some at the next.
-        if error.is_none() && arrival.via != Via::SlotHop {
+        if error.is_none() && !arrival.via.is_slot_hop() {
             let end = ShiftEnd { latency: Some(latency), shifted };
             let home = self.home_or_own(&arrival);
             self.caps.ended(&arrival.service, &home, end, now);
@@ -142,7 +156,8 @@
         state.last_error = Some(error);
         let hopeless = matches!(error, ErrorKind::Quarantined | ErrorKind::BodyTooLarge);
         let may_repeat = not_run || !state.is_booking();
-        if hopeless || !may_repeat || !self.retries.take(now) {
+        let alone = state.arrival.via == Via::HedgeHop;
+        if hopeless || alone || !may_repeat || !self.retries.take(now) {
             return self.fail(call, error, now, rng);
         }
         self.place(call, now, rng);
@@ -152,14 +167,14 @@
     /// its end tells the ledger what to answer when the caller sends it again.
     pub(super) fn cancelled(&mut self, call: CallId, now: Moment, rng: &mut impl Rng) {
         let Some(state) = self.calls.get(&call) else { return };
-        let current = state.current;
+        let is_running = !state.running.is_empty();
         if state.queued {
             let service = state.arrival.service.clone();
             if let Some(queue) = self.queues.get_mut(&service) {
                 queue.remove(&queue_id(call));
             }
         }
-        if state.is_booking() && current.is_some() {
+        if state.is_booking() && is_running {
             return;
         }
         // Another copy of it is running: "not run" would be untrue, whoever still hears it.
@@ -167,25 +182,13 @@
             let error = ErrorKind::DispatchTimeout;
             return self.answer(call, Answer::Error { error, retry_after: None });
         }
-        if let Some(attempt) = current {
-            self.out.push(Action::Cancel { attempt });
-            let error = ErrorKind::StreamCut;
-            let fingerprint = self.calls[&call].arrival.fingerprint;
-            if let Some(ended) = self.attempts.remove(&attempt) {
-                self.give_back(&ended.place, fingerprint, now);
-            }
-            return self.fail(call, error, now, rng);
+        if is_running {
+            self.stop_attempts(call, None, now);
+            return self.fail(call, ErrorKind::StreamCut, now, rng);
         }
         self.fail(call, ErrorKind::DeadlinePassed, now, rng);
     }
 
-    fn give_back(&mut self, place: &Place, fingerprint: Fingerprint, now: Moment) {
-        if let Place::Own { slot, target } = place {
-            self.quarantine.abandoned(fingerprint, target);
-            self.slots.release(target, *slot, now);
-        }
-    }
-
     /// Answers the calls whose time is over while they wait for another call's end.
     pub(super) fn expire_calls(&mut self, now: Moment) {
         let over: Vec<CallId> = self
@@ -201,8 +204,10 @@
     }
 }
 
-fn signal_of(error: ErrorKind) -> Signal {
+fn signal_of(error: ErrorKind, place: &Place) -> Signal {
     match error {
+        // A hedge is refused while there still are slots: it says nothing of the target.
+        ErrorKind::NoSlots if place.via() == Via::HedgeHop => Signal::Cancelled,
         ErrorKind::Shed | ErrorKind::NoSlots | ErrorKind::NoTarget | ErrorKind::HostLeaving => {
             Signal::Shed
         }
--- a/src/steer/tests.rs
+++ b/src/steer/tests.rs
@@ -16,6 +16,8 @@
     view::{HostView, Tenure, View},
 };
 
+mod hedge;
+
 const START: Moment = Duration::from_secs(100);
 
 /// One host of one zone with two targets of each service, of one slot each.
--- a/src/timeline/event.rs
+++ b/src/timeline/event.rs
@@ -61,6 +61,10 @@
     HandoverLost {
         entries: u64,
     },
+    /// A second attempt was made beside one that takes long on that target.
+    Hedged {
+        target: TargetId,
+    },
     HostJoined {
         host: HostId,
     },
@@ -127,7 +131,7 @@
 
 impl EventKind {
     /// The name of every kind, as it stands in the `kind` field.
-    pub const NAMES: [&'static str; 27] = [
+    pub const NAMES: [&'static str; 28] = [
         "answered",
         "arrived",
         "breaker-moved",
@@ -138,6 +142,7 @@
         "forwarded",
         "handover-done",
         "handover-lost",
+        "hedged",
         "host-joined",
         "host-left",
         "host-suspected",
@@ -170,6 +175,7 @@
             EventKind::Forwarded { .. } => "forwarded",
             EventKind::HandoverDone { .. } => "handover-done",
             EventKind::HandoverLost { .. } => "handover-lost",
+            EventKind::Hedged { .. } => "hedged",
             EventKind::HostJoined { .. } => "host-joined",
             EventKind::HostLeft { .. } => "host-left",
             EventKind::HostSuspected { .. } => "host-suspected",
@@ -195,6 +201,7 @@
         match self {
             EventKind::Dispatched { target }
             | EventKind::Ended { target, .. }
+            | EventKind::Hedged { target }
             | EventKind::TargetEjected { target }
             | EventKind::TargetReturned { target } => Some(target),
             EventKind::DrainEnded { scope } | EventKind::DrainStarted { scope } => match scope {
--- a/tests/support/hosts.rs
+++ b/tests/support/hosts.rs
@@ -131,6 +131,12 @@
         }
     }
 
+    /// Makes one target of a service answer that many times slower.
+    pub fn slow_down(&self, service: &str, factor: u32) {
+        let (_, target) = self.targets.iter().find(|(name, _)| *name == service).unwrap();
+        target.slow_down(factor);
+    }
+
     /// A look-up at a host.
     pub async fn look_up(&self, host: &Daemon, service: &str) -> Option<LookupBody> {
         let url = format!("http://{}/v1/lookup?service={service}", host.http_addr());
