Back a shift's ramp off on refusals only where next to all are refused

Cause: at 95 % load and in a flash the chosen policy lost more requests than without ramps, since its ramp took a receiver without a spare slot for one that suffers. The receiver's reserve protects it already.

Ruled out by trials: the ramp of cold targets, a higher first step, shorter steps, one good answer a step, a shorter pause, a laxer bound of slow answers. Refusals that never count lost the headroom that the ramp is there for.

The new test failed with refusals counted as before, and with none counted.

--- a/src/shift/ask.rs
+++ b/src/shift/ask.rs
@@ -31,6 +31,8 @@
 pub struct ShiftEnd {
     /// Time to the whole answer; `None` when there was none.
     pub latency: Option<Duration>,
+    /// The other region had no slot to spare.
+    pub refused: bool,
     /// It was served by another region.
     pub shifted: bool,
 }
--- a/src/shift/caps.rs
+++ b/src/shift/caps.rs
@@ -5,7 +5,7 @@
 use super::{
     DirectAsk, ShiftAsk, ShiftEnd, ShiftRules,
     meter::{Bucket, Meter, WINDOW},
-    ramp::Ramp,
+    ramp::{Feedback, Ramp},
 };
 use crate::{base::invariant, manifest::Share, prelude::*, view::Baseline};
 
@@ -117,7 +117,8 @@
 
     /// A shifted request ended: `good` when neither slow nor shed.
     pub fn feedback(&mut self, service: &ServiceId, home: &RegionId, good: bool, now: Moment) {
-        self.flow(service, home, now).ramp.feedback(good, now);
+        let feedback = if good { Feedback::Good } else { Feedback::Bad };
+        self.flow(service, home, now).ramp.feedback(feedback, now);
     }
 
     /// A request of the home region's callers ended. Answers at home set what is usual; a shifted
@@ -125,9 +126,9 @@
     pub fn ended(&mut self, service: &ServiceId, home: &RegionId, end: ShiftEnd, now: Moment) {
         let flow = self.flow(service, home, now);
         match (end.shifted, end.latency) {
-            (true, latency) => {
-                let good = latency.is_some_and(|latency| flow.is_usual(latency));
-                flow.ramp.feedback(good, now);
+            (true, _) => {
+                let feedback = flow.judge(end);
+                flow.ramp.feedback(feedback, now);
             }
             (false, Some(latency)) => flow.note_usual(latency),
             (false, None) => {}
@@ -197,6 +198,14 @@
         }
     }
 
+    fn judge(&self, end: ShiftEnd) -> Feedback {
+        match end.latency {
+            Some(latency) if self.is_usual(latency) => Feedback::Good,
+            None if end.refused => Feedback::Refused,
+            _ => Feedback::Bad,
+        }
+    }
+
     fn is_usual(&self, latency: Duration) -> bool {
         self.usual == 0.0 || latency.as_secs_f64() <= self.usual * SLOW_FACTOR + WAY.as_secs_f64()
     }
--- a/src/shift/ramp.rs
+++ b/src/shift/ramp.rs
@@ -13,6 +13,8 @@
 const STEP_GOOD: u32 = 3;
 /// Bad answers, as a share of a step's answers, that make it back off.
 const BAD_SHARE: Share = 0.6;
+/// Bad answers and refusals, as a share of all that ended in a step, that make it back off.
+const REFUSED_SHARE: Share = 0.9;
 /// Without shifts for this long the caches of the receiving region count as cold again.
 const COLD_AFTER: Duration = Duration::from_secs(30);
 /// First pause after backing off; doubles with every reversal of the last minutes.
@@ -24,6 +26,17 @@
 /// Most reversals that the pauses allow within the span.
 const REVERSAL_MAX: usize = 16;
 
+/// What the end of a shifted request says.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Feedback {
+    /// It failed, or took far longer than usual: the receiving region suffers.
+    Bad,
+    Good,
+    /// The receiving region had no slot to spare. Its reserve protects it, so that some refusals
+    /// only say that it is in use.
+    Refused,
+}
+
 /// The share of a cap that may be used now.
 ///
 /// A large shift at once meets cold caches: answers slow down, slots fill and the receiving region
@@ -38,6 +51,7 @@
     /// Share that was open at the last shift.
     open: Share,
     paused_until: Moment,
+    refused: u32,
     reversals: VecDeque<Moment>,
     rising: bool,
     rules: ShiftRules,
@@ -53,6 +67,7 @@
             last_step: now,
             open: FIRST_STEP,
             paused_until: now,
+            refused: 0,
             reversals: VecDeque::new(),
             rising: true,
             rules,
@@ -85,23 +100,29 @@
     }
 
     /// A shifted request ended.
-    pub(super) fn feedback(&mut self, good: bool, now: Moment) {
-        if good {
-            self.good += 1;
-        } else {
-            self.bad += 1;
+    pub(super) fn feedback(&mut self, feedback: Feedback, now: Moment) {
+        match feedback {
+            Feedback::Bad => self.bad += 1,
+            Feedback::Good => self.good += 1,
+            Feedback::Refused => self.refused += 1,
         }
         if now.saturating_sub(self.last_step) < STEP_TIME {
             return;
         }
-        let answers = self.good + self.bad;
-        if f64::from(answers) * BAD_SHARE < f64::from(self.bad) {
+        if self.is_going_badly() {
             self.step_down(now);
         } else if STEP_GOOD <= self.good && self.paused_until <= now {
             self.step_up(now);
         }
     }
 
+    fn is_going_badly(&self) -> bool {
+        let answers = f64::from(self.good + self.bad);
+        let lost = f64::from(self.bad + self.refused);
+        let ends = answers + f64::from(self.refused);
+        answers * BAD_SHARE < f64::from(self.bad) || ends * REFUSED_SHARE < lost
+    }
+
     /// Changes of direction within the counted span.
     pub(super) fn reversals(&self) -> usize {
         self.reversals.len()
@@ -125,7 +146,7 @@
     fn step_to(&mut self, share: Share, now: Moment) {
         self.share = share;
         self.last_step = now;
-        (self.good, self.bad) = (0, 0);
+        (self.bad, self.good, self.refused) = (0, 0, 0);
     }
 
     fn turn(&mut self, rising: bool, now: Moment) {
--- a/src/shift/tests.rs
+++ b/src/shift/tests.rs
@@ -174,8 +174,11 @@
     let shifted = |millis| {
         let mut caps = ShiftCaps::new(Duration::ZERO);
         let ask = ask(0.3, false);
-        let end =
-            |millis, shifted| ShiftEnd { latency: Some(Duration::from_millis(millis)), shifted };
+        let end = |millis, shifted| ShiftEnd {
+            latency: Some(Duration::from_millis(millis)),
+            refused: false,
+            shifted,
+        };
         let mut count = 0;
         for step in 0..2000 {
             let now = Duration::from_millis(10) * step;
@@ -191,6 +194,37 @@
     assert!(slow * 5 < fast, "{slow} slow ones, {fast} fast ones");
 }
 
+#[test]
+fn some_refusals_do_not_hold_a_shift_back() {
+    // The receiving region serves one shifted request of four at once and has no spare slot for
+    // the others: its reserve protects it. Backing off then, the home region lost requests that the
+    // other one had room for. Only where next to all are refused does the shift stay small.
+    let served = |one_of: u32| {
+        let mut caps = ShiftCaps::new(Duration::ZERO);
+        let ask = ask(0.3, false);
+        let (mut asked, mut served) = (0, 0);
+        for step in 0..2000 {
+            let now = Duration::from_millis(10) * step;
+            caps.arrived(&ask.service, &ask.home, now);
+            if !caps.allow(&ask, now) {
+                continue;
+            }
+            asked += 1;
+            let refused = asked % one_of != 1;
+            let latency = (!refused).then_some(Duration::from_millis(160));
+            served += u32::from(!refused);
+            if refused {
+                caps.undo(&ask.service, &ask.home, now);
+            }
+            let end = ShiftEnd { latency, refused, shifted: true };
+            caps.ended(&ask.service, &ask.home, end, now);
+        }
+        (asked, served)
+    };
+    let (some, none) = (served(4), served(40));
+    assert!(100 < some.1 && none.0 * 4 < some.0, "{some:?}, {none:?}");
+}
+
 #[test]
 fn without_caps_the_invariants_fire() {
     let rules = ShiftRules { caps: false, ..Default::default() };
--- a/src/steer/arrive.rs
+++ b/src/steer/arrive.rs
@@ -259,7 +259,8 @@
         let home = self.home_or_own(&state.arrival);
         let service = state.arrival.service.clone();
         let undo = state.direct && error.row().ran == Ran::No;
-        let end = ShiftEnd { latency: None, shifted: true };
+        let refused = error == ErrorKind::NoSlots;
+        let end = ShiftEnd { latency: None, refused, shifted: true };
         self.caps.ended(&service, &home, end, now);
         if undo {
             self.caps.undo_direct(&service, &home, now);
--- a/src/steer/settle.rs
+++ b/src/steer/settle.rs
@@ -74,7 +74,7 @@
         // Attempts that fail are judged by how the call ends: a receiver that has no spare slot
         // at one target may have some at the next.
         if error.is_none() && !arrival.via.is_slot_hop() {
-            let end = ShiftEnd { latency: Some(latency), shifted };
+            let end = ShiftEnd { latency: Some(latency), refused: false, shifted };
             let home = self.home_or_own(&arrival);
             self.caps.ended(&arrival.service, &home, end, now);
         }
