Let a handler of calls leave out what it does not serve

Cause: six stand-ins of a host in tests and measurements spelled out nine calls each, of which they serve one or two; duplicates listed them five times over. Change: each call of PeerHandler answers "does not serve the call" unless the handler has its own.

--- a/src/measure/capacity/rpc.rs
+++ b/src/measure/capacity/rpc.rs
@@ -6,17 +6,10 @@
 
 use super::{figure::Figure, gauge::thread_time};
 use crate::{
-    drain::DrainRecord,
     membership::Digest,
-    operator::{Explanation, HostStatus},
-    peer::{
-        DrainOrder, ExplainRequest, HandoverAck, HandoverChunk, ManifestReply, PartReply,
-        PartRequest, PeerClient, PeerError, PeerHandler, PeerKeys, PeerServer, Result,
-        UndrainOrder,
-    },
+    peer::{PeerClient, PeerHandler, PeerKeys, PeerServer, Result},
     prelude::*,
     settings::Secret,
-    timeline::{Event, Filter},
 };
 
 const CALLS: usize = 200;
@@ -56,45 +49,9 @@
 /// Answers each exchange with a digest of the same size.
 struct Echo(Digest);
 
-fn other<T>() -> Result<T> {
-    Err(PeerError::Unavailable("measures exchanges only".into()))
-}
-
 #[async_trait]
 impl PeerHandler for Echo {
     async fn exchange(&self, _digest: Digest) -> Result<Digest> {
         Ok(self.0.clone())
     }
-
-    async fn manifest(&self) -> Result<ManifestReply> {
-        other()
-    }
-
-    async fn part(&self, _request: PartRequest) -> Result<PartReply> {
-        other()
-    }
-
-    async fn handover(&self, _chunk: HandoverChunk) -> Result<HandoverAck> {
-        other()
-    }
-
-    async fn events(&self, _filter: Filter) -> Result<Vec<Event>> {
-        other()
-    }
-
-    async fn status(&self) -> Result<HostStatus> {
-        other()
-    }
-
-    async fn explain(&self, _request: ExplainRequest) -> Result<Explanation> {
-        other()
-    }
-
-    async fn drain(&self, _order: DrainOrder) -> Result<DrainRecord> {
-        other()
-    }
-
-    async fn undrain(&self, _order: UndrainOrder) -> Result<Vec<DrainRecord>> {
-        other()
-    }
 }
--- a/src/measure/membership/rpc.rs
+++ b/src/measure/membership/rpc.rs
@@ -6,17 +6,10 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::{
-    drain::DrainRecord,
     membership::{Digest, Fleet},
-    operator::{Explanation, HostStatus},
-    peer::{
-        DrainOrder, Envelope, ExplainRequest, HandoverAck, HandoverChunk, ManifestReply, PartReply,
-        PartRequest, PeerClient, PeerError, PeerHandler, PeerKeys, PeerServer, Result,
-        UndrainOrder,
-    },
+    peer::{Envelope, PeerClient, PeerHandler, PeerKeys, PeerServer, Result},
     prelude::*,
     settings::Secret,
-    timeline::{Event, Filter},
 };
 
 /// Calls over which the cost is taken.
@@ -116,40 +109,4 @@
     async fn exchange(&self, digest: Digest) -> Result<Digest> {
         Ok(digest)
     }
-
-    async fn manifest(&self) -> Result<ManifestReply> {
-        Ok(ManifestReply::default())
-    }
-
-    async fn part(&self, _: PartRequest) -> Result<PartReply> {
-        Ok(PartReply::default())
-    }
-
-    async fn handover(&self, _: HandoverChunk) -> Result<HandoverAck> {
-        Err(unused())
-    }
-
-    async fn events(&self, _: Filter) -> Result<Vec<Event>> {
-        Ok(Vec::new())
-    }
-
-    async fn status(&self) -> Result<HostStatus> {
-        Err(unused())
-    }
-
-    async fn explain(&self, _: ExplainRequest) -> Result<Explanation> {
-        Ok(Explanation::default())
-    }
-
-    async fn drain(&self, _: DrainOrder) -> Result<DrainRecord> {
-        Err(unused())
-    }
-
-    async fn undrain(&self, _: UndrainOrder) -> Result<Vec<DrainRecord>> {
-        Ok(Vec::new())
-    }
-}
-
-fn unused() -> PeerError {
-    PeerError::Unavailable("only exchanges are measured".into())
 }
--- a/src/peer/handler.rs
+++ b/src/peer/handler.rs
@@ -3,7 +3,7 @@
 use async_trait::async_trait;
 
 use super::{
-    error::Result,
+    error::{PeerError, Result},
     messages::{
         DrainOrder, ExplainRequest, HandoverAck, HandoverChunk, ManifestReply, PartReply,
         PartRequest, UndrainOrder,
@@ -16,33 +16,56 @@
     timeline::{Event, Filter},
 };
 
-/// What a host does with calls. The server has checked key, version and member before.
+/// What a host does with calls. The server has checked key, version and member before. A call that
+/// a handler does not serve is `Unavailable`.
 #[async_trait]
 pub trait PeerHandler: Send + Sync + 'static {
     /// Takes over what a peer tells and answers with what it lacks.
-    async fn exchange(&self, digest: Digest) -> Result<Digest>;
+    async fn exchange(&self, _digest: Digest) -> Result<Digest> {
+        Err(not_served())
+    }
 
     /// The signed manifest in force here.
-    async fn manifest(&self) -> Result<ManifestReply>;
+    async fn manifest(&self) -> Result<ManifestReply> {
+        Err(not_served())
+    }
 
     /// Client blocks of a large manifest.
-    async fn part(&self, request: PartRequest) -> Result<PartReply>;
+    async fn part(&self, _request: PartRequest) -> Result<PartReply> {
+        Err(not_served())
+    }
 
     /// Takes a part of a stopping host's ledger.
-    async fn handover(&self, chunk: HandoverChunk) -> Result<HandoverAck>;
+    async fn handover(&self, _chunk: HandoverChunk) -> Result<HandoverAck> {
+        Err(not_served())
+    }
 
     /// Events of this host's time line.
-    async fn events(&self, filter: Filter) -> Result<Vec<Event>>;
+    async fn events(&self, _filter: Filter) -> Result<Vec<Event>> {
+        Err(not_served())
+    }
 
     /// What this host knows and does.
-    async fn status(&self) -> Result<HostStatus>;
+    async fn status(&self) -> Result<HostStatus> {
+        Err(not_served())
+    }
 
     /// Where a request would go now, and why.
-    async fn explain(&self, request: ExplainRequest) -> Result<Explanation>;
+    async fn explain(&self, _request: ExplainRequest) -> Result<Explanation> {
+        Err(not_served())
+    }
 
     /// Orders a drain; the same id twice is one drain.
-    async fn drain(&self, order: DrainOrder) -> Result<DrainRecord>;
+    async fn drain(&self, _order: DrainOrder) -> Result<DrainRecord> {
+        Err(not_served())
+    }
 
     /// Takes drains back and answers with them.
-    async fn undrain(&self, order: UndrainOrder) -> Result<Vec<DrainRecord>>;
+    async fn undrain(&self, _order: UndrainOrder) -> Result<Vec<DrainRecord>> {
+        Err(not_served())
+    }
+}
+
+fn not_served() -> PeerError {
+    PeerError::Unavailable("this host does not serve the call".into())
 }
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -9,7 +9,7 @@
     operator::{Explanation, HostStatus},
     prelude::*,
     settings::Secret,
-    timeline::{Event, Filter, HybridTime},
+    timeline::HybridTime,
     view::HostView,
 };
 
@@ -51,18 +51,10 @@
         Ok(ManifestReply::default())
     }
 
-    async fn part(&self, _: PartRequest) -> Result<PartReply> {
-        Ok(PartReply::default())
-    }
-
     async fn handover(&self, chunk: HandoverChunk) -> Result<HandoverAck> {
         Ok(HandoverAck { complete: true, index: chunk.part.index })
     }
 
-    async fn events(&self, _: Filter) -> Result<Vec<Event>> {
-        Ok(Vec::new())
-    }
-
     async fn status(&self) -> Result<HostStatus> {
         Ok(HostStatus::new(self.view.clone()))
     }
--- a/tests/apply_wait.rs
+++ b/tests/apply_wait.rs
@@ -10,17 +10,11 @@
 use ed25519_dalek::SigningKey;
 use lavenderplank::{
     base::Sequence,
-    drain::DrainRecord,
     manifest::{Manifest, Proposal, sign},
-    membership::Digest,
-    operator::{Explanation, HostStatus},
-    peer::{
-        DrainOrder, ExplainRequest, HandoverAck, HandoverChunk, ManifestReply, PartReply,
-        PartRequest, PeerError, PeerHandler, PeerKeys, PeerServer, Result, UndrainOrder,
-    },
+    operator::HostStatus,
+    peer::{PeerHandler, PeerKeys, PeerServer, Result},
     settings::Secret,
     standin::platform::PlatformStandin,
-    timeline::{Event, Filter},
     view::HostView,
 };
 
@@ -35,50 +29,14 @@
     sequence: Sequence,
 }
 
-fn other<T>() -> Result<T> {
-    Err(PeerError::Unavailable("only status".into()))
-}
-
 #[async_trait]
 impl PeerHandler for Host {
-    async fn exchange(&self, _digest: Digest) -> Result<Digest> {
-        other()
-    }
-
-    async fn manifest(&self) -> Result<ManifestReply> {
-        other()
-    }
-
-    async fn part(&self, _request: PartRequest) -> Result<PartReply> {
-        other()
-    }
-
-    async fn handover(&self, _chunk: HandoverChunk) -> Result<HandoverAck> {
-        other()
-    }
-
-    async fn events(&self, _filter: Filter) -> Result<Vec<Event>> {
-        other()
-    }
-
     async fn status(&self) -> Result<HostStatus> {
         let hosts = self.fleet.get().expect("the fleet is known").clone();
         let own = hosts[self.index].clone();
         let status = serde_json::json!({ "own": own, "hosts": hosts, "sequence": self.sequence });
         Ok(serde_json::from_value(status).expect("a status"))
     }
-
-    async fn explain(&self, _request: ExplainRequest) -> Result<Explanation> {
-        other()
-    }
-
-    async fn drain(&self, _order: DrainOrder) -> Result<DrainRecord> {
-        other()
-    }
-
-    async fn undrain(&self, _order: UndrainOrder) -> Result<Vec<DrainRecord>> {
-        other()
-    }
 }
 
 /// One host in each zone but the last `cut`; `behind` is the index of one with an older manifest.
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -14,11 +14,11 @@
     membership::Digest,
     operator::{DrainStatus, Explanation, HostStatus},
     peer::{
-        DrainOrder, ExplainRequest, HandoverAck, HandoverChunk, ManifestReply, PartReply,
-        PartRequest, PeerError, PeerHandler, PeerKeys, PeerServer, Result, UndrainOrder,
+        DrainOrder, ExplainRequest, PeerError, PeerHandler, PeerKeys, PeerServer, Result,
+        UndrainOrder,
     },
     settings::Secret,
-    timeline::{Event, Filter, HybridTime},
+    timeline::HybridTime,
     view::HostView,
 };
 
@@ -77,22 +77,6 @@
         Ok(digest)
     }
 
-    async fn manifest(&self) -> Result<ManifestReply> {
-        Ok(ManifestReply::default())
-    }
-
-    async fn part(&self, _: PartRequest) -> Result<PartReply> {
-        Ok(PartReply::default())
-    }
-
-    async fn handover(&self, _: HandoverChunk) -> Result<HandoverAck> {
-        Err(PeerError::Unavailable("not here".into()))
-    }
-
-    async fn events(&self, _: Filter) -> Result<Vec<Event>> {
-        Ok(Vec::new())
-    }
-
     async fn status(&self) -> Result<HostStatus> {
         let mut status = HostStatus::new(self.own.clone());
         status.hosts = self.hosts.clone();
--- a/tests/timeline.rs
+++ b/tests/timeline.rs
@@ -7,61 +7,18 @@
 
 use async_trait::async_trait;
 use lavenderplank::{
-    drain::DrainRecord,
-    membership::Digest,
-    operator::{Explanation, HostStatus},
-    peer::{
-        DrainOrder, ExplainRequest, HandoverAck, HandoverChunk, ManifestReply, PartReply,
-        PartRequest, PeerClient, PeerError, PeerHandler, PeerKeys, PeerServer, Result,
-        UndrainOrder,
-    },
+    peer::{PeerClient, PeerError, PeerHandler, PeerKeys, PeerServer, Result},
     settings::Secret,
     timeline::{Event, EventKind, EventSink, Filter, Gatherer, Recorder},
 };
 
 struct Host(Arc<Recorder>);
 
-fn other<T>() -> Result<T> {
-    Err(PeerError::Unavailable("only events".into()))
-}
-
 #[async_trait]
 impl PeerHandler for Host {
-    async fn exchange(&self, _digest: Digest) -> Result<Digest> {
-        other()
-    }
-
-    async fn manifest(&self) -> Result<ManifestReply> {
-        other()
-    }
-
-    async fn part(&self, _request: PartRequest) -> Result<PartReply> {
-        other()
-    }
-
-    async fn handover(&self, _chunk: HandoverChunk) -> Result<HandoverAck> {
-        other()
-    }
-
     async fn events(&self, filter: Filter) -> Result<Vec<Event>> {
         Ok(self.0.events(&filter))
     }
-
-    async fn status(&self) -> Result<HostStatus> {
-        other()
-    }
-
-    async fn explain(&self, _request: ExplainRequest) -> Result<Explanation> {
-        other()
-    }
-
-    async fn drain(&self, _order: DrainOrder) -> Result<DrainRecord> {
-        other()
-    }
-
-    async fn undrain(&self, _order: UndrainOrder) -> Result<Vec<DrainRecord>> {
-        other()
-    }
 }
 
 async fn serve(host: &str) -> (Arc<Recorder>, PeerServer) {
