--- a/src/trace/scenario/tests.rs
+++ b/src/trace/scenario/tests.rs
@@ -1,8 +1,3 @@
-use std::{
-    io::{self, Write},
-    sync::Mutex,
-};
-
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -10,22 +5,11 @@
 use crate::{
     prelude::*,
     steer::{Event, Steer, SteerLimits},
-    trace::{Outcome, Setup, SteerMachine, SteerRecorder, Told, read, replay, untrue},
+    trace::{
+        Outcome, Setup, SteerMachine, SteerRecorder, Told, read, replay, tests::Shared, untrue,
+    },
 };
 
-#[derive(Clone, Default)]
-struct Shared(Arc<Mutex<Vec<u8>>>);
-
-impl Write for Shared {
-    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
-        self.0.lock().unwrap().write(buf)
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
 #[test]
 fn every_scenario_bears_out_its_statements_and_replays_from_its_text() {
     for scenario in ALL {
--- a/src/trace/tests.rs
+++ b/src/trace/tests.rs
@@ -33,8 +33,9 @@
 
 type AdderTrace = Trace<u64, u64, u64, String>;
 
+/// A writer whose text is still read after its owner is gone.
 #[derive(Clone, Default)]
-struct Shared(Arc<Mutex<Vec<u8>>>);
+pub(super) struct Shared(pub(super) Arc<Mutex<Vec<u8>>>);
 
 impl Write for Shared {
     fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
