--- a/src/cmd/soak.rs
+++ b/src/cmd/soak.rs
@@ -17,6 +17,9 @@
     /// Print JSON.
     #[arg(long)]
     json: bool,
+    /// End with 1 as well if a kind of failure or a check of a promise never came up.
+    #[arg(long)]
+    require_all: bool,
     /// The first seed; the same seed gives the same run.
     #[arg(long, default_value_t = 1)]
     seed: u64,
@@ -33,7 +36,7 @@
 
 /// Runs all seeds and prints what came up.
 pub fn run(args: Args) -> Result {
-    let Args { json, seed, seeds, steps, threads } = args;
+    let Args { json, require_all, seed, seeds, steps, threads } = args;
     let quiet = !std::io::stderr().is_terminal() && seeds < PROGRESS_EVERY;
     let report = soak::soak(&SoakOptions { seed, seeds, steps, threads }, |done| {
         if !quiet && done % PROGRESS_EVERY == 0 {
@@ -45,7 +48,9 @@
     } else {
         output::line(text(&report))?;
     }
-    Ok(if report.breach.is_some() { Exit::Failed } else { Exit::Done })
+    // A check that no run comes to any more would hold for ever, and nobody would see it.
+    let lacking = require_all && !report.missing().is_empty();
+    Ok(if report.breach.is_some() || lacking { Exit::Failed } else { Exit::Done })
 }
 
 fn text(report: &Report) -> String {
