Let only its ledger say that a booking was not run

A copy of a booking that a host refused for a reason of its own (its manifest lacks the service or allows less, a spoiled header or body, a lost key or binding, another member) was told `not run`, although an earlier copy with the same binding and key may have run. The caller would then have booked again.

Gone through: every row with `no` in the table against every place that answers before the ledger is asked. `ServiceUnknown` and `BodyTooLarge` are now asked of the ledger first, which refuses the key for good or gives the kept answer; the HTTP layer reads 64 KiB whatever the service allows, so that a large booking can be asked for. What was not read whole cannot be asked for: `BadRequest`, `BindingMissing`, `KeyMissing`, `BodyTooLarge` of the HTTP layer and `OtherMember` become kinds of their own that say `unknown`, `NoManifest` becomes `OwnerUnreachable`, all in `ErrorKind::before_ledger`. Ruled out: a slot hop (it comes from the holder of the entry and is about one attempt), reads with a stray key, and copies that name neither key nor binding; these go on as before. `LoopDetected` is said nowhere.

With slot hops not left out, `a_refused_slot_is_proof_for_the_holder_of_the_entry` failed.

--- a/src/base/error_kind.rs
+++ b/src/base/error_kind.rs
@@ -72,6 +72,14 @@
     BindingMissing,
     #[error("the request body is larger than this service allows; send a smaller one")]
     BodyTooLarge,
+    #[error("a key or a binding without the other one; send both, as with the first copy")]
+    BookingIncomplete,
+    #[error("this copy was not read whole; correct the header or path that the detail names")]
+    BookingMalformed,
+    #[error("this host serves another member and cannot ask the ledger of this booking")]
+    BookingMisdirected,
+    #[error("this copy was too large to be read; whether an earlier one ran is not known here")]
+    BookingTooLarge,
     #[error("traffic of this region is at its shift cap; come back after Retry-After")]
     CapReached,
     #[error("no connection to a target could be made; send it again")]
@@ -120,13 +128,17 @@
 
 impl ErrorKind {
     /// Every kind, for tests and for the operators' reference.
-    pub const ALL: [ErrorKind; 28] = [
+    pub const ALL: [ErrorKind; 32] = [
         ErrorKind::AnswerBroken,
         ErrorKind::AnswerNotKept,
         ErrorKind::BadRequest,
         ErrorKind::BindingClosed,
         ErrorKind::BindingMissing,
         ErrorKind::BodyTooLarge,
+        ErrorKind::BookingIncomplete,
+        ErrorKind::BookingMalformed,
+        ErrorKind::BookingMisdirected,
+        ErrorKind::BookingTooLarge,
         ErrorKind::CapReached,
         ErrorKind::ConnectFailed,
         ErrorKind::DeadlinePassed,
@@ -163,6 +175,10 @@
             BindingClosed => row(503, No, Fresh, None),
             BindingMissing => row(428, No, Fresh, None),
             BodyTooLarge => row(413, No, Never, None),
+            BookingIncomplete => row(428, Unknown, Same, None),
+            BookingMalformed => row(400, Unknown, Same, None),
+            BookingMisdirected => row(403, Unknown, Never, None),
+            BookingTooLarge => row(413, Unknown, Never, None),
             CapReached => row(503, No, Same, Some(2)),
             ConnectFailed => row(502, No, Same, Some(1)),
             DeadlinePassed => row(504, No, Same, Some(1)),
@@ -187,6 +203,23 @@
             StreamCut => row(502, Unknown, Same, None),
         }
     }
+
+    /// What a copy of a booking is told that this host refused before its ledger was asked.
+    ///
+    /// An earlier copy may have run, by another host or under an older manifest. Told `not run`,
+    /// the caller would book again under a new key, and the booking would run twice. No row that
+    /// this gives says `no`: only the ledger that the binding names does.
+    pub fn before_ledger(self) -> ErrorKind {
+        use ErrorKind::*;
+        match self {
+            BadRequest => BookingMalformed,
+            BindingMissing | KeyMissing => BookingIncomplete,
+            BodyTooLarge => BookingTooLarge,
+            OtherMember => BookingMisdirected,
+            other if other.row().ran == Ran::No => OwnerUnreachable,
+            other => other,
+        }
+    }
 }
 
 fn row(status: u16, ran: Ran, resend: Resend, retry_secs: Option<u64>) -> AnswerRow {
--- a/src/base/tests.rs
+++ b/src/base/tests.rs
@@ -51,3 +51,30 @@
     ];
     assert_eq!(fresh.collect::<Vec<_>>(), closed);
 }
+
+/// A terminal books, hears nothing and sends the booking again; a host refuses the second copy
+/// before it has asked the ledger, while the first one ran elsewhere. `no` would be untrue, and a
+/// new key would sell the seat twice: whatever the reason, only the ledger says `no`.
+#[test]
+fn nothing_is_known_of_a_booking_before_its_ledger_is_asked() {
+    for kind in ErrorKind::ALL {
+        let told = kind.before_ledger();
+        assert_ne!(told.row().ran, Ran::No, "{kind:?}");
+        assert_ne!(told.row().resend, Resend::Fresh, "{kind:?}");
+        assert_eq!(told.before_ledger(), told, "{kind:?}");
+        if kind.row().ran != Ran::No {
+            assert_eq!(told, kind);
+        }
+    }
+    let refused = [
+        (ErrorKind::BadRequest, ErrorKind::BookingMalformed),
+        (ErrorKind::BindingMissing, ErrorKind::BookingIncomplete),
+        (ErrorKind::BodyTooLarge, ErrorKind::BookingTooLarge),
+        (ErrorKind::KeyMissing, ErrorKind::BookingIncomplete),
+        (ErrorKind::OtherMember, ErrorKind::BookingMisdirected),
+    ];
+    for (cause, told) in refused {
+        assert_eq!(cause.before_ledger(), told);
+        assert_eq!(cause.row().status, told.row().status, "{cause:?}");
+    }
+}
--- a/src/daemon/http.rs
+++ b/src/daemon/http.rs
@@ -14,8 +14,9 @@
 use super::{incoming::Incoming, outgoing, traffic::Traffic};
 use crate::{lookup::Lookup, prelude::*};
 
-/// Largest body that is read for a service that this host does not know, in bytes.
-const UNKNOWN_BODY: u64 = 64 * 1024;
+/// Largest body that is read whatever the service takes, in bytes: a booking that is too large for
+/// its service goes to its ledger, which can say `not run`.
+const ANY_BODY: u64 = 64 * 1024;
 
 const LOOKUP_PATH: &str = "/v1/lookup";
 const SERVICES_PATH: &str = "/v1/services/";
@@ -68,14 +69,18 @@
     }
     let Some(rest) = raw.path.strip_prefix(SERVICES_PATH) else {
         let detail = format!("no such path; use {LOOKUP_PATH} or {SERVICES_PATH}SERVICE/...");
-        return refuse(ErrorKind::BadRequest, &detail);
+        let error = traffic.before_ledger(ErrorKind::BadRequest, &raw.headers, &"".into());
+        return refuse(error, &detail);
     };
     let (service, path) = rest.split_at(rest.find('/').unwrap_or(rest.len()));
     let service: ServiceId = service.into();
     let limit = body_limit(&traffic, &service);
     let body = match read_body(body, limit).await {
         Ok(body) => body,
-        Err(error) => return refuse(error, "the body"),
+        Err(error) => {
+            let error = traffic.before_ledger(error, &raw.headers, &service);
+            return refuse(error, "the body");
+        }
     };
     let path = match (path, raw.query.as_str()) {
         ("", "") => "/".into(),
@@ -91,10 +96,10 @@
 fn body_limit(traffic: &Traffic, service: &ServiceId) -> u64 {
     let view = traffic.view();
     let known = view.as_ref().and_then(|view| view.manifest.service(service));
-    known.map_or(UNKNOWN_BODY, |service| service.max_body)
+    known.map_or(ANY_BODY, |service| service.max_body.max(ANY_BODY))
 }
 
-/// Reads the whole body before anything is sent on: a request that breaks off was not run.
+/// Reads the whole body before anything is sent on: this copy was then not run if it breaks off.
 async fn read_body<S, B>(body: S, limit: u64) -> Result<Bytes, ErrorKind>
 where
     S: Stream<Item = Result<B, warp::Error>> + Send,
--- a/src/daemon/incoming.rs
+++ b/src/daemon/incoming.rs
@@ -56,7 +56,7 @@
         key: &Secret,
         now: Moment,
     ) -> Result<Arrival> {
-        let via = self.via(key)?;
+        let via = via(&self.headers, key)?;
         let method = self.method.as_str();
         let asked = self.text(headers::MEMBER)?.unwrap_or_else(|| member.clone());
         Ok(Arrival {
@@ -120,32 +120,44 @@
         Ok(Duration::from_millis(millis).min(MAX_DEADLINE))
     }
 
-    /// A caller that called itself a host could pass by the ledger and have a booking run twice;
-    /// so a hop counts only with the member's secret.
-    fn via(&self, key: &Secret) -> Result<Via> {
-        let Some(text) = self.text(headers::VIA)? else { return Ok(Via::Caller) };
-        let proof = self.text(headers::PEER_AUTH)?.unwrap_or_else(|| "".into());
-        if Secret::new(&proof) != *key {
-            return Err(BadHeader { expected: "the member's secret", header: headers::PEER_AUTH });
-        }
-        match &*text {
-            "ledger-hop" => Ok(Via::LedgerHop),
-            "slot-hop" => Ok(Via::SlotHop),
-            _ => Err(BadHeader { expected: "ledger-hop or slot-hop", header: headers::VIA }),
-        }
+    fn text(&self, header: &'static str) -> Result<Option<Arc<str>>> {
+        text(&self.headers, header)
     }
+}
 
-    fn text(&self, header: &'static str) -> Result<Option<Arc<str>>> {
-        let expected = "1 to 128 visible ASCII characters, given once";
-        let bad = BadHeader { expected, header };
-        let mut values = self.headers.get_all(header).iter();
-        let Some(value) = values.next() else { return Ok(None) };
-        let text = value.to_str().map_err(|_| bad.clone())?;
-        if values.next().is_some() || text.is_empty() || MAX_TEXT < text.len() {
-            return Err(bad);
-        }
-        Ok(Some(text.into()))
+/// Whether a request, read or not, may be a copy of a booking that ran. A slot hop comes from the
+/// holder of the booking's entry and asks for one attempt only.
+pub fn may_have_run(headers: &HeaderMap, key: &Secret) -> bool {
+    let is_attempt = matches!(via(headers, key), Ok(Via::SlotHop));
+    let named = [headers::BINDING, headers::IDEMPOTENCY_KEY];
+    !is_attempt && named.into_iter().any(|name| headers.contains_key(name))
+}
+
+/// A caller that called itself a host could pass by the ledger and have a booking run twice;
+/// so a hop counts only with the member's secret.
+fn via(headers: &HeaderMap, key: &Secret) -> Result<Via> {
+    let Some(hop) = text(headers, headers::VIA)? else { return Ok(Via::Caller) };
+    let proof = text(headers, headers::PEER_AUTH)?.unwrap_or_else(|| "".into());
+    if Secret::new(&proof) != *key {
+        return Err(BadHeader { expected: "the member's secret", header: headers::PEER_AUTH });
+    }
+    match &*hop {
+        "ledger-hop" => Ok(Via::LedgerHop),
+        "slot-hop" => Ok(Via::SlotHop),
+        _ => Err(BadHeader { expected: "ledger-hop or slot-hop", header: headers::VIA }),
+    }
+}
+
+fn text(headers: &HeaderMap, header: &'static str) -> Result<Option<Arc<str>>> {
+    let expected = "1 to 128 visible ASCII characters, given once";
+    let bad = BadHeader { expected, header };
+    let mut values = headers.get_all(header).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    let text = value.to_str().map_err(|_| bad.clone())?;
+    if values.next().is_some() || text.is_empty() || MAX_TEXT < text.len() {
+        return Err(bad);
     }
+    Ok(Some(text.into()))
 }
 
 /// The value of the `lavender-via` header.
--- a/src/daemon/traffic.rs
+++ b/src/daemon/traffic.rs
@@ -11,6 +11,7 @@
 
 use arc_swap::ArcSwapOption;
 use futures::{SinkExt, StreamExt};
+use http::HeaderMap;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use tokio::{sync::oneshot, task::AbortHandle};
@@ -18,7 +19,7 @@
 
 use super::{
     Tape, headers,
-    incoming::{Incoming, via_text},
+    incoming::{Incoming, may_have_run, via_text},
     outgoing,
 };
 use crate::{
@@ -125,7 +126,9 @@
             Err(bad) => {
                 let request = incoming.request_id().unwrap_or_else(|_| "-".into());
                 let detail = bad.to_string();
-                return outgoing::error(ErrorKind::BadRequest, &request, Some(&detail), None);
+                let (headers, service) = (&incoming.headers, &incoming.service);
+                let error = self.before_ledger(ErrorKind::BadRequest, headers, service);
+                return outgoing::error(error, &request, Some(&detail), None);
             }
         };
         let request = arrival.request.clone();
@@ -141,6 +144,20 @@
         answer.unwrap_or_else(|_| outgoing::error(ErrorKind::DispatchLost, &request, None, None))
     }
 
+    /// What a request is told that is refused before the decisions saw it.
+    pub(super) fn before_ledger(
+        &self,
+        error: ErrorKind,
+        headers: &HeaderMap,
+        service: &ServiceId,
+    ) -> ErrorKind {
+        let view = self.view();
+        let known = view.as_ref().and_then(|view| view.manifest.service(service));
+        let repeatable = known.is_some_and(|service| service.kind.is_repeatable());
+        let booking = !repeatable && may_have_run(headers, &self.parts.peer_key);
+        if booking { error.before_ledger() } else { error }
+    }
+
     /// Ranked hosts for a caller; `None` until a manifest is in force.
     pub fn look_up(&self, client: IpAddr, service: &ServiceId) -> Option<Lookup> {
         let shown = self.shown.load_full()?;
--- a/src/steer/arrive.rs
+++ b/src/steer/arrive.rs
@@ -8,6 +8,7 @@
 };
 use crate::{
     ledger::{Begin, End, Key},
+    manifest::ServiceKind,
     prelude::*,
     quarantine::Standing,
     shift::{DirectAsk, ShiftEnd},
@@ -28,21 +29,34 @@
                 self.calls.insert(call, state);
                 self.admit(call, now, rng);
             }
-            Err(error) => self.refuse_unseen(&arrival, error, rng),
+            Err(error) => {
+                let booking = arrival.may_have_run() && !self.is_repeatable(&arrival.service);
+                let error = if booking { error.before_ledger() } else { error };
+                self.refuse_unseen(&arrival, error, rng);
+            }
         }
     }
 
     /// The checks that need no state of other requests.
     fn check(&self, arrival: &Arrival, now: Moment) -> Result<Call, ErrorKind> {
-        let Some(view) = self.view.as_ref() else { return Err(without_view(arrival)) };
+        let view = self.view.as_ref().ok_or(ErrorKind::NoManifest)?;
         if arrival.member != view.manifest.member {
             return Err(ErrorKind::OtherMember);
         }
-        let service = view.manifest.service(&arrival.service).ok_or(ErrorKind::ServiceUnknown)?;
-        if service.max_body < arrival.body_len {
-            return Err(ErrorKind::BodyTooLarge);
+        let service = view.manifest.service(&arrival.service);
+        let unfit = match service {
+            None => Some(ErrorKind::ServiceUnknown),
+            Some(service) if service.max_body < arrival.body_len => Some(ErrorKind::BodyTooLarge),
+            Some(_) => None,
+        };
+        let kind = service.map_or(ServiceKind::Booking, |service| service.kind);
+        let booking = !kind.is_repeatable();
+        // By the manifest of this host the copy cannot run; by an older one, or by that of the
+        // owner, an earlier copy may have. So its ledger is asked all the same, and says `not run`
+        // only once its entry keeps every other copy from running.
+        if let Some(error) = unfit.filter(|_| !(booking && arrival.has_entry())) {
+            return Err(error);
         }
-        let booking = !service.kind.is_repeatable();
         // Whether a late booking ran is for its ledger to say, not for its deadline.
         if arrival.deadline <= now && !booking {
             return Err(ErrorKind::DeadlinePassed);
@@ -62,18 +76,25 @@
             current: None,
             direct: false,
             in_ledger: false,
-            kind: service.kind,
+            kind,
             last_error: None,
             queued: false,
-            shift_cap: service.shift_cap,
+            shift_cap: service.map_or(0.0, |service| service.shift_cap),
             shifted: false,
-            timeout: Duration::from_millis(service.timeout_ms),
+            timeout: Duration::from_millis(service.map_or(0, |service| service.timeout_ms)),
             tried: Vec::new(),
             tried_away: false,
+            unfit,
             waiting: false,
         })
     }
 
+    fn is_repeatable(&self, service: &ServiceId) -> bool {
+        let view = self.view.as_ref();
+        let service = view.and_then(|view| view.manifest.service(service));
+        service.is_some_and(|service| service.kind.is_repeatable())
+    }
+
     fn refuse_unseen(&mut self, arrival: &Arrival, error: ErrorKind, rng: &mut impl Rng) {
         self.note(Some(&arrival.request), EventKind::Refused { error });
         let answer = Answer::Error { error, retry_after: spread(error, rng) };
@@ -103,7 +124,10 @@
             Begin::Dropped => self.fail(call, ErrorKind::GenerationDropped, now, rng),
             Begin::Fresh => {
                 self.state(call).in_ledger = true;
-                self.admit_fresh(call, now, rng);
+                match self.calls[&call].unfit {
+                    Some(error) => self.fail(call, error, now, rng),
+                    None => self.admit_fresh(call, now, rng),
+                }
             }
             Begin::Full => self.fail(call, ErrorKind::LedgerFull, now, rng),
             Begin::Kept(kept) => self.answer(call, Answer::Kept { kept }),
@@ -296,11 +320,6 @@
     }
 }
 
-/// A host that knows no other cannot ask the owner whether an earlier copy ran.
-fn without_view(arrival: &Arrival) -> ErrorKind {
-    if arrival.binding.is_some() { ErrorKind::OwnerUnreachable } else { ErrorKind::NoManifest }
-}
-
 /// The table's least time, spread so that callers that were refused together come back apart.
 fn spread(error: ErrorKind, rng: &mut impl Rng) -> Option<Duration> {
     error.row().retry_after.map(|least| least.mul_f64(1.0 + rng.random::<f64>()))
--- a/src/steer/call.rs
+++ b/src/steer/call.rs
@@ -29,6 +29,8 @@
     /// A shift was tried for it.
     pub tried_away: bool,
     pub tried: Vec<TargetId>,
+    /// Why it cannot run by this host's manifest; only its ledger is asked.
+    pub unfit: Option<ErrorKind>,
     /// Waits for another call with the same binding and key.
     pub waiting: bool,
 }
--- a/src/steer/event.rs
+++ b/src/steer/event.rs
@@ -42,6 +42,19 @@
     pub via: Via,
 }
 
+impl Arrival {
+    /// Whether it names an entry of a ledger, which can say what became of earlier copies. A slot
+    /// hop comes from the holder of that entry and asks for this one attempt.
+    pub fn has_entry(&self) -> bool {
+        self.via != Via::SlotHop && self.binding.is_some() && self.key.is_some()
+    }
+
+    /// Whether an earlier copy of the same booking may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.via != Via::SlotHop && (self.binding.is_some() || self.key.is_some())
+    }
+}
+
 /// How an attempt ended.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", tag = "outcome")]
--- a/src/steer/tests.rs
+++ b/src/steer/tests.rs
@@ -259,3 +259,52 @@
     assert!(actions.contains(&passed));
     assert_eq!(host.steer.busy(), 0);
 }
+
+// A booking comes before the manifest that opens its service, or is larger than this manifest
+// allows. Its ledger refuses the key for good, so that `not run` stays true when an earlier copy
+// arrives late, under a manifest by which it could run.
+#[test]
+fn a_booking_unfit_for_the_manifest_is_refused_by_its_ledger_for_good() {
+    let mut host = Host::new();
+    let known = host.steer.view.clone().unwrap();
+    let mut closed = Manifest::clone(&known.manifest);
+    closed.services.retain(|service| &*service.name != "book");
+    let without = View { manifest: Arc::new(closed), ..View::clone(&known) };
+    host.on(Event::Viewed { view: Arc::new(without) });
+    let early = host.booking("k-1");
+    assert_eq!(error(&host.on(Event::Arrived(early))), Some(ErrorKind::ServiceUnknown));
+    host.on(Event::Viewed { view: known });
+    let large = Arrival { body_len: 101, ..host.booking("k-2") };
+    assert_eq!(error(&host.on(Event::Arrived(large))), Some(ErrorKind::BodyTooLarge));
+    for key in ["k-1", "k-2"] {
+        let late = host.booking(key);
+        let actions = host.on(Event::Arrived(late));
+        assert_eq!((attempt(&actions), error(&actions)), (None, Some(ErrorKind::KeyRefused)));
+    }
+}
+
+// Another host asks for a slot here, for a booking whose entry it holds, and this host's manifest
+// does not know the service. Its refusal is about this one attempt and proves that it did not run;
+// `unknown` would keep the holder of the entry from trying the next target.
+#[test]
+fn a_refused_slot_is_proof_for_the_holder_of_the_entry() {
+    let mut host = Host::new();
+    let attempt = Arrival { service: "new".into(), via: Via::SlotHop, ..host.booking("k") };
+    assert_eq!(error(&host.on(Event::Arrived(attempt))), Some(ErrorKind::ServiceUnknown));
+}
+
+// A host that has just started has no manifest, and a read with a stray key comes as well as a
+// booking that lost its binding. Only what can be a booking is answered with doubt.
+#[test]
+fn doubt_is_kept_for_what_can_be_a_booking() {
+    let mut host = Host::new();
+    let read = Arrival { key: Some("k".into()), deadline: host.now, ..host.arrival("read") };
+    assert_eq!(error(&host.on(Event::Arrived(read))), Some(ErrorKind::DeadlinePassed));
+    let part = Arrival { key: Some("k".into()), ..host.arrival("book") };
+    assert_eq!(error(&host.on(Event::Arrived(part))), Some(ErrorKind::BookingIncomplete));
+    host.steer = Steer::new("a-1".into(), 1, SteerLimits::default());
+    let early = Arrival { key: Some("k".into()), ..host.arrival("book") };
+    assert_eq!(error(&host.on(Event::Arrived(early))), Some(ErrorKind::OwnerUnreachable));
+    let bare = host.arrival("read");
+    assert_eq!(error(&host.on(Event::Arrived(bare))), Some(ErrorKind::NoManifest));
+}
--- a/tests/support/hosts.rs
+++ b/tests/support/hosts.rs
@@ -37,6 +37,8 @@
     pub log: Arc<RunLog>,
     pub platform: PlatformStandin,
     clock: Arc<dyn Clock>,
+    /// Services that later manifests leave out.
+    closed: Vec<&'static str>,
     key: SigningKey,
     seeds: u64,
     targets: Vec<(&'static str, TargetStandin)>,
@@ -64,11 +66,17 @@
         let key = SigningKey::from_bytes(&[7; 32]);
         let http = reqwest::Client::builder().no_proxy().retry(reqwest::retry::never());
         let http = http.build().unwrap();
-        let member = Self { clock, http, key, log, platform, seeds: 1, targets };
+        let member =
+            Self { clock, closed: Vec::new(), http, key, log, platform, seeds: 1, targets };
         member.apply(1).await;
         member
     }
 
+    /// Leaves a service out of the manifests that follow.
+    pub fn close(&mut self, service: &'static str) {
+        self.closed.push(service);
+    }
+
     /// Has the pipeline apply the manifest under a sequence number.
     pub async fn apply(&self, sequence: u64) {
         let text = serde_norway::to_string(&self.manifest(sequence)).unwrap();
@@ -171,10 +179,11 @@
             member: MEMBER.into(),
             regions: vec![Region { name: REGION.into(), reserve: 0.2, zones: vec![ZONE.into()] }],
             sequence,
-            services: vec![
-                service(READ, ServiceKind::Read),
-                service(BOOKING, ServiceKind::Booking),
-            ],
+            services: [(READ, ServiceKind::Read), (BOOKING, ServiceKind::Booking)]
+                .into_iter()
+                .filter(|(name, _)| !self.closed.contains(name))
+                .map(|(name, kind)| service(name, kind))
+                .collect(),
             weighing: Weighing::Latency,
         }
     }
