Bound what callers may take up of a host

Cause: warp serves connections without a timer, and nothing bounded their number or the memory of request bodies: a caller that stopped in the middle of a body held it for ever, and enough of them end a small host for want of memory or descriptors, with every request in flight. Change: the connections of warp's routes are served by hyper with a time limit for silence and a limit of connections; bodies are read within one memory of the host and within the request's own time limit, which now counts from the head on (src/ingress, docs/design/ingress.md). New kind host-busy, metric connections_refused, settings block ingress. Ruled out: leaving callers in the backlog, reserving announced lengths (docs/design/ingress.md). Taken out by hand: limit of connections, memory, silence and time of bodies each made a test fail; without the head's limit none did, the library's own 30 s took its place. Beside it: an unknown field in a nested block was named twice in the message ("ingress.silence: ingress: unknown field"); seen by the new row of the settings test, mended.

--- a/src/base/error_kind.rs
+++ b/src/base/error_kind.rs
@@ -92,6 +92,8 @@
     DispatchTimeout,
     #[error("the ledger generation of this binding is gone; check before booking again")]
     GenerationDropped,
+    #[error("the host holds all the request bodies that it may; come back after Retry-After")]
+    HostBusy,
     #[error("the host is stopping; look up another one")]
     HostLeaving,
     #[error("the same idempotency key came with another body; use a new key")]
@@ -128,7 +130,7 @@
 
 impl ErrorKind {
     /// Every kind, for tests and for the operators' reference.
-    pub const ALL: [ErrorKind; 32] = [
+    pub const ALL: [ErrorKind; 33] = [
         ErrorKind::AnswerBroken,
         ErrorKind::AnswerNotKept,
         ErrorKind::BadRequest,
@@ -145,6 +147,7 @@
         ErrorKind::DispatchLost,
         ErrorKind::DispatchTimeout,
         ErrorKind::GenerationDropped,
+        ErrorKind::HostBusy,
         ErrorKind::HostLeaving,
         ErrorKind::KeyConflict,
         ErrorKind::KeyMissing,
@@ -185,6 +188,7 @@
             DispatchLost => row(502, Unknown, Same, None),
             DispatchTimeout => row(504, Unknown, Same, None),
             GenerationDropped => row(410, Unknown, Never, None),
+            HostBusy => row(503, No, Same, Some(1)),
             HostLeaving => row(503, No, Same, None),
             KeyConflict => row(422, No, Never, None),
             KeyMissing => row(428, No, Fresh, None),
--- a/src/daemon/host.rs
+++ b/src/daemon/host.rs
@@ -16,6 +16,7 @@
 };
 use crate::{
     forward::Upstream,
+    ingress::{self, BodyMemory},
     ledger::SealedLedger,
     metrics::{self, MeteredSink},
     peer::{HandoverChunk, PeerKeys, PeerServer},
@@ -178,8 +179,10 @@
         let member = parts.settings.member.clone();
         let follow = follow_platform(control.clone(), parts.platform, member, leaving.clone());
         control_rt.spawn(follow);
-        let app = routes(traffic.clone(), parts.settings.member.clone());
-        traffic_rt.spawn(warp::serve(app).incoming(listener).run());
+        let limits = parts.settings.ingress;
+        let memory = BodyMemory::open(limits);
+        let app = warp::service(routes(traffic.clone(), parts.settings.member.clone(), memory));
+        traffic_rt.spawn(ingress::serve(listener, app, limits, metrics.clone()));
         let mut subscriptions =
             start::subscribe(control_rt, traffic_rt, &control, &traffic, parts.targets);
         subscriptions.push(start::gauge(control_rt, &traffic, metrics));
--- a/src/daemon/http.rs
+++ b/src/daemon/http.rs
@@ -2,8 +2,8 @@
 
 use std::net::IpAddr;
 
-use bytes::{Buf, Bytes, BytesMut};
-use futures::{Stream, StreamExt};
+use bytes::Buf;
+use futures::Stream;
 use http::{HeaderMap, Method};
 use warp::{
     Filter,
@@ -11,8 +11,16 @@
     reply::{Reply as _, Response},
 };
 
-use super::{incoming::Incoming, outgoing, traffic::Traffic};
-use crate::{lookup::Lookup, prelude::*};
+use super::{
+    incoming::{self, DEFAULT_DEADLINE, Incoming},
+    outgoing,
+    traffic::Traffic,
+};
+use crate::{
+    ingress::{BodyMemory, Remote, read_body},
+    lookup::Lookup,
+    prelude::*,
+};
 
 /// Largest body that is read whatever the service takes, in bytes: a booking that is too large for
 /// its service goes to its ledger, which can say `not run`.
@@ -43,6 +51,7 @@
 pub(super) fn routes(
     traffic: Arc<Traffic>,
     member: MemberId,
+    memory: BodyMemory,
 ) -> impl Filter<Extract = (Response,), Error = warp::Rejection> + Clone + Send + Sync + 'static {
     let query =
         warp::query::raw().or_else(|_| async { Ok::<_, warp::Rejection>((String::new(),)) });
@@ -50,16 +59,23 @@
         .and(warp::path::full())
         .and(query)
         .and(warp::header::headers_cloned())
-        .and(warp::addr::remote())
+        .and(warp::ext::optional::<Remote>())
         .and(warp::body::stream())
-        .then(move |method, path: FullPath, query, headers, remote, body| {
+        .then(move |method, path: FullPath, query, headers, remote: Option<Remote>, body| {
             let path = path.as_str().to_owned();
+            let remote = remote.map(|Remote(address)| address);
             let raw = Raw { headers, method, path, query, remote };
-            answer(traffic.clone(), member.clone(), raw, body)
+            answer(traffic.clone(), member.clone(), memory.clone(), raw, body)
         })
 }
 
-async fn answer<S, B>(traffic: Arc<Traffic>, member: MemberId, raw: Raw, body: S) -> Response
+async fn answer<S, B>(
+    traffic: Arc<Traffic>,
+    member: MemberId,
+    memory: BodyMemory,
+    raw: Raw,
+    body: S,
+) -> Response
 where
     S: Stream<Item = Result<B, warp::Error>> + Send,
     B: Buf,
@@ -75,8 +91,11 @@
     let (service, path) = rest.split_at(rest.find('/').unwrap_or(rest.len()));
     let service: ServiceId = service.into();
     let limit = body_limit(&traffic, &service);
-    let body = match read_body(body, limit).await {
-        Ok(body) => body,
+    let (received, time) = (traffic.now(), incoming::time_limit(&raw.headers));
+    // A limit that cannot be read is refused with its name, once the request is whole.
+    let time = time.unwrap_or(DEFAULT_DEADLINE);
+    let (body, hold) = match read_body(body, limit, time, &memory).await {
+        Ok(read) => read,
         Err(error) => {
             let error = traffic.before_ledger(error, &raw.headers, &service);
             return refuse(error, "the body");
@@ -88,8 +107,8 @@
         (path, query) => format!("{path}?{query}").into(),
     };
     let headers = raw.headers;
-    let incoming =
-        Incoming { body, headers, method: raw.method, path, remote: raw.remote, service };
+    let (method, remote) = (raw.method, raw.remote);
+    let incoming = Incoming { body, headers, hold, method, path, received, remote, service };
     traffic.serve(incoming).await
 }
 
@@ -99,24 +118,6 @@
     known.map_or(ANY_BODY, |service| service.max_body.max(ANY_BODY))
 }
 
-/// Reads the whole body before anything is sent on: this copy was then not run if it breaks off.
-async fn read_body<S, B>(body: S, limit: u64) -> Result<Bytes, ErrorKind>
-where
-    S: Stream<Item = Result<B, warp::Error>> + Send,
-    B: Buf,
-{
-    let mut whole = BytesMut::new();
-    let mut body = std::pin::pin!(body);
-    while let Some(chunk) = body.next().await {
-        let mut chunk = chunk.map_err(|_| ErrorKind::BadRequest)?;
-        if limit < (whole.len() + chunk.remaining()) as u64 {
-            return Err(ErrorKind::BodyTooLarge);
-        }
-        whole.extend_from_slice(&chunk.copy_to_bytes(chunk.remaining()));
-    }
-    Ok(whole.freeze())
-}
-
 fn look_up(traffic: &Traffic, member: &MemberId, raw: &Raw) -> Response {
     let url = format!("http://host{LOOKUP_PATH}?{}", raw.query);
     let query = reqwest::Url::parse(&url).ok().map(|url| {
--- a/src/daemon/incoming.rs
+++ b/src/daemon/incoming.rs
@@ -8,6 +8,7 @@
 use super::headers;
 use crate::{
     base::HeaderLine,
+    ingress::BodyHold,
     ledger::body_digest,
     prelude::*,
     quarantine::fingerprint,
@@ -16,7 +17,7 @@
 };
 
 /// Time limit of a request whose caller names none.
-const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
+pub const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
 
 /// Longest time limit that a caller may ask for.
 const MAX_DEADLINE: Duration = Duration::from_secs(120);
@@ -36,26 +37,24 @@
 pub type Result<T> = std::result::Result<T, BadHeader>;
 
 /// One request for a service, read and whole.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Incoming {
     pub body: Bytes,
     pub headers: HeaderMap,
+    /// The memory that the body takes.
+    pub hold: BodyHold,
     pub method: Method,
     /// Path and query behind the service's name, with the leading slash.
     pub path: Arc<str>,
+    /// When its head was there: the time that its body took counts.
+    pub received: Moment,
     pub remote: Option<SocketAddr>,
     pub service: ServiceId,
 }
 
 impl Incoming {
     /// What the decisions need to know of it.
-    pub fn arrival(
-        &self,
-        call: CallId,
-        member: &MemberId,
-        key: &Secret,
-        now: Moment,
-    ) -> Result<Arrival> {
+    pub fn arrival(&self, call: CallId, member: &MemberId, key: &Secret) -> Result<Arrival> {
         let via = via(&self.headers, key)?;
         let method = self.method.as_str();
         let asked = self.text(headers::MEMBER)?.unwrap_or_else(|| member.clone());
@@ -64,7 +63,7 @@
             body_len: self.body.len() as u64,
             call,
             client: self.client()?,
-            deadline: now + self.deadline()?,
+            deadline: self.received + time_limit(&self.headers)?,
             digest: body_digest(method, &self.path, &self.body),
             fingerprint: fingerprint(&asked, &self.service, method, &self.path, &self.body),
             key: self.text(headers::IDEMPOTENCY_KEY)?,
@@ -110,21 +109,22 @@
         self.text(headers::BINDING)?.map(|text| text.parse().map_err(|_| bad.clone())).transpose()
     }
 
-    fn deadline(&self) -> Result<Duration> {
-        let bad = BadHeader { expected: "whole milliseconds above 0", header: headers::DEADLINE };
-        let Some(text) = self.text(headers::DEADLINE)? else { return Ok(DEFAULT_DEADLINE) };
-        let millis: u64 = text.parse().map_err(|_| bad.clone())?;
-        if millis == 0 {
-            return Err(bad);
-        }
-        Ok(Duration::from_millis(millis).min(MAX_DEADLINE))
-    }
-
     fn text(&self, header: &'static str) -> Result<Option<Arc<str>>> {
         text(&self.headers, header)
     }
 }
 
+/// Time that the caller gives the request, from its head on.
+pub fn time_limit(headers: &HeaderMap) -> Result<Duration> {
+    let bad = BadHeader { expected: "whole milliseconds above 0", header: headers::DEADLINE };
+    let Some(text) = text(headers, headers::DEADLINE)? else { return Ok(DEFAULT_DEADLINE) };
+    let millis: u64 = text.parse().map_err(|_| bad.clone())?;
+    if millis == 0 {
+        return Err(bad);
+    }
+    Ok(Duration::from_millis(millis).min(MAX_DEADLINE))
+}
+
 /// Whether a request, read or not, may be a copy of a booking that ran. A slot hop comes from the
 /// holder of the booking's entry and asks for one attempt only.
 pub fn may_have_run(headers: &HeaderMap, key: &Secret) -> bool {
--- a/src/daemon/traffic.rs
+++ b/src/daemon/traffic.rs
@@ -120,8 +120,7 @@
     /// Serves one request to its final answer.
     pub async fn serve(self: &Arc<Self>, incoming: Incoming) -> Response {
         let call = self.next_call.fetch_add(1, Ordering::Relaxed);
-        let now = self.parts.clock.now();
-        let arrival = match incoming.arrival(call, &self.parts.member, &self.parts.peer_key, now) {
+        let arrival = match incoming.arrival(call, &self.parts.member, &self.parts.peer_key) {
             Ok(arrival) => arrival,
             Err(bad) => {
                 let request = incoming.request_id().unwrap_or_else(|_| "-".into());
@@ -170,6 +169,11 @@
         Some(lookup)
     }
 
+    /// This host's clock.
+    pub fn now(&self) -> Moment {
+        self.parts.clock.now()
+    }
+
     /// The view in force.
     pub fn view(&self) -> Option<Arc<View>> {
         self.shown.load().as_ref().map(|shown| shown.view.clone())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod demo;
 pub mod drain;
 pub mod forward;
+pub mod ingress;
 pub mod ledger;
 pub mod logging;
 pub mod lookup;
--- a/src/metrics/metric.rs
+++ b/src/metrics/metric.rs
@@ -14,6 +14,7 @@
 /// Every metric of a host.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Metric {
+    ConnectionsRefused,
     Events,
     HandoverEntries,
     InFlight,
@@ -27,7 +28,8 @@
 
 impl Metric {
     /// Every metric, for tests and for the operators' reference.
-    pub const ALL: [Metric; 9] = [
+    pub const ALL: [Metric; 10] = [
+        Metric::ConnectionsRefused,
         Metric::Events,
         Metric::HandoverEntries,
         Metric::InFlight,
@@ -57,6 +59,9 @@
     fn row(self) -> (&'static str, Shape, &'static str) {
         use Shape::{Counter, Gauge};
         match self {
+            Metric::ConnectionsRefused => {
+                ("connections_refused", Counter, "connections closed since all allowed were open")
+            }
             Metric::Events => ("events", Counter, "events recorded; label: kind of event"),
             Metric::HandoverEntries => {
                 ("handover_entries", Counter, "ledger entries at a planned stop; label: done, lost")
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -32,6 +32,7 @@
     let mut findings = Vec::new();
     names(settings, &mut findings);
     destinations(settings, &mut findings);
+    ingress(settings, &mut findings);
     listeners(settings, &mut findings);
     if verifying_key(&settings.manifest_key).is_none() {
         let path = vec![Step::Key("manifest_key")];
@@ -82,6 +83,22 @@
     }
 }
 
+fn ingress(settings: &Settings, findings: &mut Vec<Finding>) {
+    let limits = &settings.ingress;
+    let ranges = [
+        ("body_bytes", limits.body_bytes, 64 << 10, 1 << 40),
+        ("connections", limits.connections as u64, 1, 1_000_000),
+        ("silence_ms", limits.silence_ms, 10, 600_000),
+    ];
+    for (field, value, least, most) in ranges {
+        if !(least..=most).contains(&value) {
+            let path = vec![Step::Key("ingress"), Step::Key(field)];
+            let fix = format!("give {least} to {most}");
+            findings.push(finding(path, "is out of range", &fix));
+        }
+    }
+}
+
 /// A host that listens on every address can't tell others which one to use.
 fn listeners(settings: &Settings, findings: &mut Vec<Finding>) {
     let pairs = [
--- a/src/settings/model.rs
+++ b/src/settings/model.rs
@@ -6,6 +6,7 @@
 
 use super::{LogSettings, Problem, Result, Secret, check};
 use crate::{
+    ingress::IngressLimits,
     prelude::*,
     yaml::{self, MAX_FILE},
 };
@@ -32,6 +33,9 @@
     pub host: HostId,
     /// Where callers are served; port 0 lets the OS choose.
     pub http: SocketAddr,
+    /// What callers may take up.
+    #[serde(default)]
+    pub ingress: IngressLimits,
     #[serde(default)]
     pub log: LogSettings,
     /// Ed25519 public key of the member's pipeline, 64 hex digits.
--- a/src/settings/tests.rs
+++ b/src/settings/tests.rs
@@ -24,6 +24,8 @@
     let table = [
         ("colour: red\n", "h.yaml:9: colour: unknown field `colour`; expected one of"),
         ("http: 127.0.0.1:1\n", "h.yaml:1: duplicate field `http`; give it once"),
+        ("ingress: {connections: 0}\n", "h.yaml:9: ingress.connections: is out of range; give 1"),
+        ("ingress: {silence: 3}\n", "h.yaml:9: ingress.silence: unknown field `silence`; expected"),
         ("peers: [127.0.0.1:0]\n", "h.yaml:9: peers[0]: has port 0; give a port"),
         ("metrics: 0.0.0.0:8125\n", "h.yaml:9: metrics: has no IP address; give"),
         ("log: {level: loud}\n", "h.yaml:9: log.level: unknown variant `loud`; expected one of"),
--- a/src/yaml/read.rs
+++ b/src/yaml/read.rs
@@ -56,7 +56,12 @@
     let message = err.to_string();
     let message =
         message.strip_suffix(&format!(" at line {line} column {column}")).unwrap_or(&message);
-    let message = message.strip_prefix(&format!("{field}: ")).unwrap_or(message);
+    // The decoder names the field, or what the unknown field stands in.
+    let parent = field.rsplit_once('.').map_or("", |(parent, _)| parent);
+    let message = [field.as_str(), parent]
+        .iter()
+        .find_map(|name| message.strip_prefix(&format!("{name}: ")))
+        .unwrap_or(message);
     let (wrong, fix) = split_message(message);
     Problem { column, field: field.into(), file: file.into(), fix, line, wrong }
 }
--- a/tests/support/hosts.rs
+++ b/tests/support/hosts.rs
@@ -9,6 +9,7 @@
     base::{BootClock, Clock},
     daemon::{Daemon, DaemonParts, LookupBody},
     forward::{ForwardLimits, HttpUpstream},
+    ingress::IngressLimits,
     manifest::{
         ASSUMED_LOAD, ClientBlock, Loads, Manifest, Proposal, Region, Service, ServiceKind, Target,
         Weighing, accept, sign,
@@ -34,6 +35,8 @@
 /// One zone of one member.
 pub struct Member {
     pub http: reqwest::Client,
+    /// Of the hosts that are started next.
+    pub ingress: IngressLimits,
     pub log: Arc<RunLog>,
     pub platform: PlatformStandin,
     clock: Arc<dyn Clock>,
@@ -66,8 +69,17 @@
         let key = SigningKey::from_bytes(&[7; 32]);
         let http = reqwest::Client::builder().no_proxy().retry(reqwest::retry::never());
         let http = http.build().unwrap();
-        let member =
-            Self { clock, closed: Vec::new(), http, key, log, platform, seeds: 1, targets };
+        let member = Self {
+            clock,
+            closed: Vec::new(),
+            http,
+            ingress: IngressLimits::default(),
+            key,
+            log,
+            platform,
+            seeds: 1,
+            targets,
+        };
         member.apply(1).await;
         member
     }
@@ -125,6 +137,7 @@
             advertise_rpc: None,
             host: name.into(),
             http: any_port,
+            ingress: self.ingress,
             log: LogSettings::default(),
             manifest_key: hex::encode(self.key.verifying_key()).into(),
             member: MEMBER.into(),
