Let one host list the others in status

Cause: each host's answer to status listed all hosts; at 1,700 hosts an operator who looks at all of them once a minute cost each host 5.4 KB/s.

The first host's list still names who does not answer. Old clients' empty question gets the list, old hosts skip the new field.

Ruled out: pages of hosts (more calls, the same bytes).

--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -194,7 +194,7 @@
     let mut in_force = InForce::new(manifest);
     let Ok(status) = client.status(first).await else { return in_force };
     let asked = status.hosts.iter().map(|host| async move {
-        let answer: Option<HostStatus> = client.status(host.rpc).await.ok();
+        let answer: Option<HostStatus> = client.own_status(host.rpc).await.ok();
         (host, answer.and_then(|status| status.sequence))
     });
     for (host, sequence) in futures::future::join_all(asked).await {
--- a/src/measure/capacity/operators.rs
+++ b/src/measure/capacity/operators.rs
@@ -6,7 +6,7 @@
     gauge::cost_ns,
     target,
 };
-use crate::operator::HostStatus;
+use crate::operator::{HostStatus, ServiceStatus, TenureStatus};
 
 const SIZES: [usize; 5] = [50, 200, 600, 1_200, target::DAEMONS];
 
@@ -22,15 +22,21 @@
         let status = status(hosts);
         cost_ns(|| drop(encoded(&status)))
     });
-    let how = format!("each host is asked once in {EVERY} s, assumed");
+    let own = encoded(&own_status()).len() as f64;
+    let share = 1.0 / target::DAEMONS as f64;
+    let how = format!(
+        "each host is asked once in {EVERY} s, assumed; one lists the hosts, the others answer for \
+         themselves with {own:.0} bytes",
+    );
     let loads = vec![
-        Load::measured(Resource::ControlWire, len.value / EVERY, how.clone()),
+        Load::measured(Resource::ControlWire, (own + len.value * share) / EVERY, how.clone()),
+        // Each host makes the list and leaves it out.
         Load::measured(Resource::ControlCpu, cost.value / EVERY / 1e9, how),
     ];
     RoleCost {
         figures: vec![len, cost],
         loads,
-        mechanism: "any host answers for itself; the client asks many and merges",
+        mechanism: "any host answers for itself, the first one asked lists the others; the client merges",
         messages: "one answer a host and question",
         role: "operator's view",
         state: "none of its own",
@@ -42,16 +48,34 @@
 }
 
 fn status(hosts: usize) -> HostStatus {
+    HostStatus { hosts: (0..hosts).map(fleet::host).collect(), ..own_status() }
+}
+
+/// Without the list: all services, and the right that the hosts of the largest zone share.
+fn own_status() -> HostStatus {
+    let service = |service: crate::manifest::Service| ServiceStatus {
+        cap: service.shift_cap,
+        in_flight: 7,
+        service: service.name,
+        shifted: 0.125,
+        slots: 30,
+    };
+    let owners = (0..target::hosts_per_zone()).map(|index| fleet::host(index * target::ZONES).id);
     HostStatus {
         breaker_open: false,
         drains: Vec::new(),
         ejected: Vec::new(),
-        hosts: (0..hosts).map(fleet::host).collect(),
+        hosts: Vec::new(),
         own: fleet::host(0),
         platform_age_ms: Some(1_000),
         sequence: Some(1),
-        services: Vec::new(),
+        services: fleet::manifest(1, Vec::new()).services.into_iter().map(service).collect(),
         silent_zones: Vec::new(),
-        tenure: None,
+        tenure: Some(TenureStatus {
+            fence: 1_000,
+            owners: owners.collect(),
+            provisional: Vec::new(),
+            valid_ms: 3_000,
+        }),
     }
 }
--- a/src/operator/gather.rs
+++ b/src/operator/gather.rs
@@ -56,7 +56,7 @@
     }
 }
 
-/// Asks the host at `through` and then all hosts that it knows. Fails only if the first does not
+/// Asks the host at `through` and then all hosts that it knows, these for themselves only. Fails only if the first does not
 /// answer; the others are named with their errors.
 pub async fn gather(client: &PeerClient, through: SocketAddr) -> Result<FleetStatus> {
     let first = client.status(through).await?;
@@ -73,7 +73,7 @@
 }
 
 async fn ask(client: &PeerClient, host: HostView) -> HostAnswer {
-    match client.status(host.rpc).await {
+    match client.own_status(host.rpc).await {
         Ok(status) => HostAnswer { error: None, host, status: Some(status) },
         Err(error) => HostAnswer { error: Some(error.to_string()), host, status: None },
     }
--- a/src/operator/status.rs
+++ b/src/operator/status.rs
@@ -14,8 +14,8 @@
     /// Targets that get no work since they failed.
     #[serde(default)]
     pub ejected: Vec<TargetId>,
-    /// Live hosts, this one included.
-    #[serde(default)]
+    /// Live hosts, this one included; empty if whoever asked did not want them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub hosts: Vec<HostView>,
     pub own: HostView,
     /// Milliseconds since the platform last answered; `None` if it never did.
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -16,7 +16,7 @@
     error::{PeerError, Result},
     messages::{
         DrainOrder, ExplainRequest, HandoverAck, HandoverChunk, ManifestReply, Nothing, PartReply,
-        PartRequest, UndrainOrder,
+        PartRequest, StatusRequest, UndrainOrder,
     },
 };
 use crate::{
@@ -87,9 +87,18 @@
         self.call(to, CALL_TIMEOUT, client.events(message)).await
     }
 
-    /// What a host knows and does.
+    /// What a host knows and does, with the live hosts that it knows.
     pub async fn status(&self, to: SocketAddr) -> Result<HostStatus> {
-        let message = Envelope::seal(&self.member, &Nothing {})?;
+        self.ask_status(to, StatusRequest::default()).await
+    }
+
+    /// What a host knows and does, without the other hosts; an older host may still list them.
+    pub async fn own_status(&self, to: SocketAddr) -> Result<HostStatus> {
+        self.ask_status(to, StatusRequest { without_hosts: true }).await
+    }
+
+    async fn ask_status(&self, to: SocketAddr, request: StatusRequest) -> Result<HostStatus> {
+        let message = Envelope::seal(&self.member, &request)?;
         let client = self.client(to)?;
         self.call(to, CALL_TIMEOUT, client.status(message)).await
     }
--- a/src/peer/messages.rs
+++ b/src/peer/messages.rs
@@ -11,6 +11,15 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Nothing {}
 
+/// Asks what a host knows and does.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StatusRequest {
+    /// Leaves out the live hosts that it knows. Who asks all hosts needs that list from one of them:
+    /// from 1,700 it would be 1,700 times the fleet. An older host sends it all the same.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub without_hosts: bool,
+}
+
 /// The signed manifest in force at a host.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ManifestReply {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -26,7 +26,7 @@
     keys::PeerKeys,
     messages::{
         DrainOrder, ExplainRequest, HandoverAck, HandoverChunk, ManifestReply, Nothing, PartReply,
-        PartRequest, UndrainOrder,
+        PartRequest, StatusRequest, UndrainOrder,
     },
     server::PeerServer,
 };
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -8,8 +8,14 @@
 use serde::de::DeserializeOwned;
 
 use super::{
-    MAX_MESSAGE, api::PeerApiServer, auth::Caller, envelope::Envelope, error::Result,
-    handler::PeerHandler, keys::PeerKeys, messages::Nothing,
+    MAX_MESSAGE,
+    api::PeerApiServer,
+    auth::Caller,
+    envelope::Envelope,
+    error::Result,
+    handler::PeerHandler,
+    keys::PeerKeys,
+    messages::{Nothing, StatusRequest},
 };
 use crate::{membership::Digest, prelude::*};
 
@@ -124,8 +130,14 @@
     }
 
     async fn status(&self, ext: &Extensions, message: Envelope) -> RpcResult<Envelope> {
-        let Nothing {} = self.open(ext, OPERATORS, &message)?;
-        self.seal(self.handler.status().await)
+        let request: StatusRequest = self.open(ext, OPERATORS, &message)?;
+        let mut status = self.handler.status().await;
+        if let Ok(status) = status.as_mut()
+            && request.without_hosts
+        {
+            status.hosts.clear();
+        }
+        self.seal(status)
     }
 
     async fn explain(&self, ext: &Extensions, message: Envelope) -> RpcResult<Envelope> {
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -12,10 +12,11 @@
     drain::{DrainError, DrainRecord, Drains},
     manifest::Manifest,
     membership::Digest,
-    operator::{DrainStatus, Explanation, HostStatus},
+    operator::{DrainStatus, Explanation, HostStatus, gather},
     peer::{
-        DrainOrder, ExplainRequest, HandoverAck, HandoverChunk, ManifestReply, PartReply,
-        PartRequest, PeerError, PeerHandler, PeerKeys, PeerServer, Result, UndrainOrder,
+        DrainOrder, ExplainRequest, HandoverAck, HandoverChunk, ManifestReply, Nothing, PartReply,
+        PartRequest, PeerClient, PeerError, PeerHandler, PeerKeys, PeerServer, Result,
+        StatusRequest, UndrainOrder,
     },
     settings::Secret,
     timeline::{Event, Filter, HybridTime},
@@ -167,6 +168,40 @@
     assert!(text(&output).contains("the key or token is not the one"), "{}", text(&output));
 }
 
+// An operator asks a fleet of hosts that all know each other. The list of hosts comes from the one
+// that is asked first, with the one that is missing; from each of the others it would be the fleet
+// over and over again.
+#[tokio::test]
+async fn only_the_first_host_lists_the_others() {
+    let dead = view("b", "split-2", ([127, 0, 0, 1], 1).into());
+    let other = bind(vec![dead.clone()]).await;
+    let hosts = vec![dead, view("c", "split-2", other.local_addr())];
+    let server = bind(hosts.clone()).await;
+    let client = PeerClient::open(Secret::new("token"), "agency".into());
+    let fleet = gather(&client, server.local_addr()).await.expect("it answers");
+    assert!(!fleet.is_whole());
+    let listed: Vec<(&str, Option<Vec<HostView>>)> = fleet
+        .hosts
+        .iter()
+        .map(|answer| (&*answer.host.id, answer.status.as_ref().map(|status| status.hosts.clone())))
+        .collect();
+    assert_eq!(listed, [("a", Some(hosts)), ("b", None), ("c", Some(Vec::new()))]);
+}
+
+// During a rolling upgrade old and new hosts and clients meet. An old client's empty question gets
+// the list as before; an old host skips the new field and sends its list.
+#[tokio::test]
+async fn hosts_and_clients_of_the_release_before_are_understood() {
+    let server = bind(vec![view("b", "split-2", ([127, 0, 0, 1], 1).into())]).await;
+    let client = PeerClient::open(Secret::new("token"), "agency".into());
+    assert_eq!(serde_json::to_string(&StatusRequest::default()).expect("it encodes"), "{}");
+    assert_eq!(client.status(server.local_addr()).await.expect("it answers").hosts.len(), 1);
+    assert_eq!(client.own_status(server.local_addr()).await.expect("it answers").hosts.len(), 0);
+    let request = serde_json::to_string(&StatusRequest { without_hosts: true });
+    let read_by_old: Nothing = serde_json::from_str(&request.expect("it encodes")).expect("read");
+    assert_eq!(read_by_old, Nothing {});
+}
+
 // Two operators drain one zone. The second is told who was first. The drain is waited for, and a
 // second undrain finds nothing.
 #[tokio::test(flavor = "multi_thread")]
