Bring about the combined failures of the control side on running hosts

Ruled out on the way: a cut-off zone that refuses its callers with cap-reached; the first form of the test sent callers of another region there, whose cap was held rightly.

--- a/src/standin/linked.rs
+++ b/src/standin/linked.rs
@@ -99,7 +99,7 @@
 
 impl<T: Platform> Linked<T> {
     async fn reach(&self) -> crate::platform::Result<()> {
-        if !self.links.is_cut(&self.place.zone) {
+        if self.links.reaches_platform(&self.place.zone) {
             return Ok(());
         }
         tokio::time::sleep(CUT_PATIENCE).await;
--- a/src/standin/links.rs
+++ b/src/standin/links.rs
@@ -27,6 +27,7 @@
 #[derive(Debug, Default)]
 pub struct Links {
     cut: RwLock<BTreeSet<ZoneId>>,
+    cut_from_platform: RwLock<BTreeSet<ZoneId>>,
     places: RwLock<BTreeMap<SocketAddr, Place>>,
 }
 
@@ -41,9 +42,15 @@
         self.cut.write().expect("no holder panics").insert(zone.clone());
     }
 
+    /// Cuts a zone off from the platform alone.
+    pub fn cut_from_platform(&self, zone: &ZoneId) {
+        self.cut_from_platform.write().expect("no holder panics").insert(zone.clone());
+    }
+
     /// Ends the cut.
     pub fn heal(&self, zone: &ZoneId) {
         self.cut.write().expect("no holder panics").remove(zone);
+        self.cut_from_platform.write().expect("no holder panics").remove(zone);
     }
 
     /// Whether the zone is cut off.
@@ -51,6 +58,12 @@
         self.cut.read().expect("no holder panics").contains(zone)
     }
 
+    /// Whether calls from the zone to the platform get through.
+    pub fn reaches_platform(&self, zone: &ZoneId) -> bool {
+        let alone = self.cut_from_platform.read().expect("no holder panics").contains(zone);
+        !alone && !self.is_cut(zone)
+    }
+
     /// The one-way delay from a place to an address; `None` if nothing gets through.
     pub fn delay(&self, from: &Place, to: SocketAddr) -> Option<Duration> {
         let place = self.places.read().expect("no holder panics").get(&to).cloned();
--- a/tests/support/hosts.rs
+++ b/tests/support/hosts.rs
@@ -79,6 +79,16 @@
         accept(&platform, &proposal, &self.key.verifying_key(), &loads).await.unwrap();
     }
 
+    /// Makes every target that many times slower.
+    pub fn slow_down(&self, factor: u32) {
+        self.targets.iter().for_each(|(_, target)| target.slow_down(factor));
+    }
+
+    /// Requests that the targets run now.
+    pub fn running(&self) -> u32 {
+        self.targets.iter().map(|(_, target)| target.busy()).sum()
+    }
+
     /// Starts a host that knows `peers`, and waits until it serves.
     pub async fn host(&mut self, name: &str, peers: &[&Daemon]) -> Daemon {
         self.seeds += 1;
