Give a host that wakes from a pause no right before it has heard

Cause: after SIGCONT the first tick found the own list of before the pause, took the host for one that nobody confirms at the moment, and gave it its targets at reduced concurrency.

Ruled out: the check of the right before each dispatch, which held (the right itself was given wrongly); an answer from before the pause.

After a gap of 2 s between ticks there is now no right until a word that was asked for afterwards; with the platform away one witness or complete silence is enough, so that an outage takes no zone down.

--- a/src/tenure/keeper.rs
+++ b/src/tenure/keeper.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::{
-    CALL_LOST_AFTER, READ_WHEN_CONFIRMED, READ_WHEN_LAPSING, UNHEARD_GRACE, UNWATCHED_AFTER,
+    CALL_LOST_AFTER, PAUSE, READ_WHEN_CONFIRMED, READ_WHEN_LAPSING, UNHEARD_GRACE, UNWATCHED_AFTER,
     action::Action,
     event::{Event, ReadResult, WriteResult, ZoneHost},
     object::{Holder, ZoneTenure},
@@ -36,10 +36,12 @@
     pub(super) tenure: ZoneTenure,
     /// Since when each listed host is listed and was not heard.
     pub(super) unheard: BTreeMap<HostId, Moment>,
-    last_read: Option<LastRead>,
+    pub(super) last_read: Option<LastRead>,
     pending: Option<Pending>,
     /// Whether the last `tenure` gave a right.
     pub(super) held: bool,
+    /// When this host's ticks last stood still, until its right is confirmed again.
+    pub(super) woken: Option<Moment>,
     version: KnownVersion,
     zone: ZoneId,
 }
@@ -54,9 +56,10 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct LastRead {
-    at: Moment,
-    failed: bool,
+pub(super) struct LastRead {
+    pub(super) at: Moment,
+    pub(super) failed: bool,
+    pub(super) sent: Moment,
 }
 
 #[derive(Clone, Debug)]
@@ -84,6 +87,7 @@
             tenure: ZoneTenure::default(),
             unheard: BTreeMap::new(),
             version: KnownVersion::Unknown,
+            woken: None,
             zone,
         }
     }
@@ -120,6 +124,7 @@
                 actions.extend(self.write(now));
             }
             Event::Tick => {
+                self.note_pause(now);
                 self.last_tick = now;
                 self.expire(now);
                 self.watch_silence(now);
@@ -127,10 +132,26 @@
             }
             Event::Written { result, .. } => self.written(result, now),
         }
+        self.forget_pause();
         actions.extend(self.note_right(now));
         actions
     }
 
+    /// Ticks come once a second; a gap means that the process stood still or the machine slept.
+    fn note_pause(&mut self, now: Moment) {
+        let first = self.last_tick == Moment::ZERO;
+        if !first && self.last_tick + PAUSE <= now {
+            self.woken = Some(now);
+        }
+    }
+
+    fn forget_pause(&mut self) {
+        let confirmed = self.confirmed_at();
+        if self.woken.is_some_and(|woken| Some(woken) <= confirmed) {
+            self.woken = None;
+        }
+    }
+
     /// An answer from a host that knows no newer list confirms that it had not removed this host
     /// when it answered.
     fn acknowledged(&mut self, fence: u64, host: HostId, sent: Moment) {
@@ -144,7 +165,8 @@
         if matches!(self.pending, Some(Pending::Read { .. })) {
             self.pending = None;
         }
-        self.last_read = Some(LastRead { at: now, failed: result == ReadResult::Failed });
+        let failed = result == ReadResult::Failed;
+        self.last_read = Some(LastRead { at: now, failed, sent });
         match result {
             ReadResult::Absent => self.version = KnownVersion::Absent,
             ReadResult::Failed => {}
@@ -225,7 +247,7 @@
         if since + CALL_LOST_AFTER <= now {
             self.pending = None;
             self.version = KnownVersion::Unknown;
-            self.last_read = Some(LastRead { at: now, failed: true });
+            self.last_read = Some(LastRead { at: now, failed: true, sent: since });
         }
     }
 
--- a/src/tenure/mod.rs
+++ b/src/tenure/mod.rs
@@ -36,6 +36,10 @@
 /// How long a confirmed right holds.
 pub const LEASE: Duration = Duration::from_secs(4);
 
+/// A gap between two ticks from which a host counts as having been paused. After a shorter one its
+/// right has not run out: what confirmed it is hardly older than the gap.
+pub const PAUSE: Duration = Duration::from_secs(2);
+
 /// Hosts that watch each host.
 pub const WITNESSES: usize = 2;
 
--- a/src/tenure/right.rs
+++ b/src/tenure/right.rs
@@ -24,6 +24,7 @@
         let confirmed_until = self.confirmed_at().map(|at| at + LEASE);
         let valid_until = match confirmed_until.filter(|until| now < *until) {
             Some(until) => until,
+            None if self.is_unsure_after_pause(&silent, now) => Moment::ZERO,
             None => {
                 if !self.is_isolated(&silent, now) {
                     provisional.insert(self.own.host.clone());
@@ -43,7 +44,7 @@
     }
 
     /// When what last confirmed the right was sent.
-    fn confirmed_at(&self) -> Option<Moment> {
+    pub(super) fn confirmed_at(&self) -> Option<Moment> {
         if !self.tenure.lists(&self.own) {
             return None;
         }
@@ -54,6 +55,21 @@
         by_witness.min().flatten().max(self.confirmed_by_read)
     }
 
+    /// Whether this host was paused and nobody has said since that it is still listed.
+    ///
+    /// Without this a host that wakes takes itself for one that nobody confirms at the moment, and
+    /// sends at reduced concurrency to targets that its successor has long filled: they shed. It
+    /// waits for its witnesses or the platform, a matter of one exchange. Only with the platform
+    /// away, which also keeps others from removing it, is one witness or complete silence enough.
+    fn is_unsure_after_pause(&self, silent: &BTreeSet<HostId>, now: Moment) -> bool {
+        let Some(woken) = self.woken else { return false };
+        let since = |at: &Moment| woken <= *at;
+        let platform_away = self.last_read.is_some_and(|read| read.failed && since(&read.sent));
+        let witnesses = self.tenure.witnesses(&self.own.host);
+        let heard = witnesses.iter().any(|host| self.acknowledged.get(host).is_some_and(since));
+        !platform_away || !(heard || self.is_isolated(silent, now))
+    }
+
     /// A host that hears neither the platform nor any listed peer goes on with its own targets: a
     /// platform outage in which a peer dies must not take the whole zone down. If a peer on the
     /// other side of a cut took them over meanwhile, targets may shed requests, and none runs twice.
--- a/src/tenure/tests.rs
+++ b/src/tenure/tests.rs
@@ -60,6 +60,44 @@
     assert!(0 < world.uses(0).0);
 }
 
+// A host is paused for a minute and removed. When it wakes, its own list still names it, and its
+// first tick comes before any answer: by that list it is merely not confirmed at the moment, which
+// would let it send to its successor's targets at reduced concurrency. It has no right until the
+// platform or its witness has spoken; with the platform away its witness's word is enough.
+#[test]
+fn a_woken_holder_has_no_right_before_it_has_heard() {
+    for platform_up in [true, false] {
+        let mut world = shared();
+        world.platform_up = platform_up;
+        world.hosts[0].paused = true;
+        world.run(secs(60));
+        world.hosts[0].paused = false;
+        let now = world.now;
+        let keeper = &mut world.hosts[0].keeper;
+        keeper.on(Event::Tick, now);
+        assert_eq!(keeper.tenure(now).valid_until, Moment::ZERO);
+        world.run(secs(20));
+        assert_eq!(world.uses(0).0 + world.uses(1).0, 40);
+        assert!(0 < world.uses(0).0);
+    }
+}
+
+// A host is paused with the platform away, and its only peer dies meanwhile. Nobody can say
+// anything to it, and nobody can have removed it: it goes on with its own targets, as it would
+// without the pause.
+#[test]
+fn a_woken_holder_that_is_alone_goes_on() {
+    let mut world = shared();
+    let own = world.uses(0).0;
+    world.platform_up = false;
+    world.hosts[0].paused = true;
+    world.run(secs(30));
+    world.hosts[1].down = true;
+    world.resume(0);
+    world.run(secs(30));
+    assert_eq!(world.uses(0), (own, 40 - own));
+}
+
 // Paused for less than the suspicion time: nobody removes it, and after one exchange it uses its
 // targets as before, without a write.
 #[test]
