Follow an exchange up once, not as long as the peer asks

Cause: a peer whose answer asks for more is asked again at once. A host that has heard the list of its zone's owners went on asking for it until its next tick, because its answers tell the list as of the last tick; so each change of the list set off a ping-pong of up to a second between every two hosts. The membership's own measurement runs its machines on a bus that does not follow up, and showed nothing.

A host now tells what it has heard at once, and a follow-up is not followed up.

--- a/src/daemon/control/exchange.rs
+++ b/src/daemon/control/exchange.rs
@@ -4,7 +4,7 @@
 
 use super::{
     actor::Control,
-    messages::{Exchanged, Leave, Merged},
+    messages::{Exchanged, Leave, Merged, Turn},
 };
 use crate::{
     manifest::DrainScope,
@@ -24,21 +24,21 @@
         if partners.is_empty() || self.parts.membership.hosts(now).len() == 1 {
             let digest = self.parts.membership.digest(now);
             for seed in self.parts.seeds.clone() {
-                self.ask(me.clone(), seed, digest.clone());
+                self.ask(me.clone(), seed, digest.clone(), Turn::First);
             }
         }
         for partner in partners {
             let digest = self.parts.membership.digest_for(&partner, now);
-            self.ask(me.clone(), partner.rpc, digest);
+            self.ask(me.clone(), partner.rpc, digest, Turn::First);
         }
     }
 
-    fn ask(&self, me: WeakAddress<Self>, to: SocketAddr, digest: Digest) {
+    fn ask(&self, me: WeakAddress<Self>, to: SocketAddr, digest: Digest, turn: Turn) {
         let link = self.parts.link.clone();
         let sent = self.now();
         Self::beside(me, async move {
             let answer = link.exchange(to, &digest).await;
-            Some(Merged { answer, sent })
+            Some(Merged { answer, sent, turn })
         });
     }
 
@@ -75,6 +75,8 @@
         }
         if let Some(list) = heard.tenure {
             self.tenure_on(tenure::Event::Heard(list), &me);
+            // Answers until the next tick would still ask for the list that has just come.
+            self.tell_notes();
         }
         if self.drains.merge(&heard.drains, wall_millis()) {
             self.start_drains();
@@ -136,9 +138,12 @@
             let acknowledged = tenure::Event::Acknowledged { fence, host, sent: merged.sent };
             self.tenure_on(acknowledged, &cx.mailbox().address());
         }
-        if self.parts.membership.owes(&from.id) {
+        // A peer whose answer goes on asking, since it can't take what it is given, would otherwise
+        // be asked again as fast as it answers: some thousand exchanges a second between two hosts.
+        // One follow-up saves the wait for the next tick; whatever is left waits for that.
+        if merged.turn == Turn::First && self.parts.membership.owes(&from.id) {
             let digest = self.parts.membership.digest_for(&from, now);
-            self.ask(cx.mailbox().address(), from.rpc, digest);
+            self.ask(cx.mailbox().address(), from.rpc, digest, Turn::FollowUp);
         }
         self.take_heard(cx.mailbox().address());
         self.publish();
@@ -171,7 +176,7 @@
             let first = zones.insert(host.zone.clone());
             if host.id != own.id && (host.zone == own.zone || first) {
                 let digest = self.parts.membership.digest_for(&host, now);
-                self.ask(me.clone(), host.rpc, digest);
+                self.ask(me.clone(), host.rpc, digest, Turn::First);
             }
         }
     }
--- a/src/daemon/control/messages.rs
+++ b/src/daemon/control/messages.rs
@@ -23,6 +23,15 @@
     pub answer: crate::peer::Result<Digest>,
     /// By this host's clock, right before the question was sent.
     pub sent: Moment,
+    pub turn: Turn,
+}
+
+/// Which exchange of a row it was.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Turn {
+    First,
+    /// Begun at once, because the answer to the first asked for more.
+    FollowUp,
 }
 
 /// A manifest came from the platform or from a peer, with the parts that came along.
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -42,6 +42,8 @@
 #[derive(Debug)]
 pub struct PeerClient {
     clients: Mutex<Vec<(SocketAddr, HttpClient)>>,
+    /// Most clients kept.
+    kept: usize,
     key: Secret,
     member: MemberId,
 }
@@ -49,7 +51,12 @@
 impl PeerClient {
     /// A client with the member's peer key, or with the operator token.
     pub fn open(key: Secret, member: MemberId) -> Self {
-        Self { clients: Mutex::default(), key, member }
+        Self { clients: Mutex::default(), kept: KEPT_CLIENTS, key, member }
+    }
+
+    /// Keeps fewer connections, for many hosts in one process with its limit on open files.
+    pub fn keeping(self, kept: usize) -> Self {
+        Self { kept: kept.max(1), ..self }
     }
 
     /// Tells a peer what this host knows; the answer is what it lacks.
@@ -140,7 +147,7 @@
             return Ok(client.clone());
         }
         let client = self.build(to)?;
-        if KEPT_CLIENTS <= clients.len() {
+        if self.kept <= clients.len() {
             clients.remove(0);
         }
         clients.push((to, client.clone()));
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -16,7 +16,7 @@
 };
 use crate::{
     base::BootClock,
-    daemon::{Daemon, DaemonParts},
+    daemon::{Daemon, DaemonParts, PeerLink},
     forward::{ForwardLimits, HttpUpstream},
     manifest::{
         ASSUMED_LOAD, Accepted, ClientBlock, Loads, Manifest, Proposal, Region, Service,
@@ -42,6 +42,10 @@
 /// Share of slots that callers from other regions never get.
 const RESERVE: f64 = 0.2;
 
+/// Connections to peers that each host keeps: hundreds of hosts in one process would otherwise run
+/// into its limit on open files.
+const KEPT_CLIENTS: usize = 8;
+
 /// Events that each host's time line keeps.
 const TIMELINE: usize = 500;
 
@@ -104,9 +108,20 @@
         place: &Place,
         peers: Vec<SocketAddr>,
     ) -> eyre::Result<Daemon> {
-        let key = Secret::new(PEER_KEY);
-        let link = PeerClient::open(key.clone(), MEMBER.into());
+        let link = PeerClient::open(Secret::new(PEER_KEY), MEMBER.into()).keeping(KEPT_CLIENTS);
         let link = Linked::new(link, self.links.clone(), place.clone());
+        let link = Arc::new(Metered::new(link, self.meter.clone()));
+        self.start_over(link, name, place, peers).await
+    }
+
+    /// The same, over another way to the other hosts.
+    pub async fn start_over(
+        &self,
+        link: Arc<dyn PeerLink>,
+        name: &str,
+        place: &Place,
+        peers: Vec<SocketAddr>,
+    ) -> eyre::Result<Daemon> {
         let platform = HttpPlatform::open(self.platform.address())?;
         let upstream = || -> eyre::Result<_> {
             let upstream = HttpUpstream::open(ForwardLimits::default())?;
@@ -115,9 +130,9 @@
         let daemon = Daemon::spawn(DaemonParts {
             clock: Arc::new(BootClock),
             limits: SteerLimits::default(),
-            link: Arc::new(Metered::new(link, self.meter.clone())),
+            link,
             operator_token: Secret::new(OPERATOR_TOKEN),
-            peer_key: key,
+            peer_key: Secret::new(PEER_KEY),
             peers: upstream()?,
             platform: Arc::new(Linked::new(platform, self.links.clone(), place.clone())),
             record: None,
