Let a new host hear a peer before it takes what the platform holds

Cause: a host that starts reads the platform before its first exchange and put whatever verified there in force.

The wait is built. Left open, and said so: a host with no peer to ask.

The new test fails without the wait: manifests [1, 2] in force in place of [2].

--- a/src/daemon/control/actor.rs
+++ b/src/daemon/control/actor.rs
@@ -3,7 +3,10 @@
 use rand_chacha::ChaCha8Rng;
 use xtra::{Actor, Address, Mailbox, WeakAddress};
 
-use super::messages::{PlatformHeard, Tick};
+use super::{
+    manifest::Newcomer,
+    messages::{PlatformHeard, Tick},
+};
 use crate::{
     daemon::{PeerLink, traffic::Traffic},
     drain::{Drains, Progress},
@@ -41,6 +44,7 @@
     pub(super) drains: Drains,
     /// Parts of sealed ledgers that are still incomplete, by the digest of the whole.
     pub(super) handovers: BTreeMap<String, Vec<SealedPart>>,
+    pub(super) newcomer: Newcomer,
     pub(super) parts: ControlParts,
     pub(super) platform_at: Option<Moment>,
     /// Whether the last call to the platform failed; further ones are spaced out.
@@ -64,6 +68,7 @@
             baselines: Baselines::default(),
             drains: Drains::new(own.id.clone()),
             handovers: BTreeMap::new(),
+            newcomer: Newcomer::default(),
             parts,
             platform_at: None,
             platform_fails: false,
@@ -136,6 +141,7 @@
         let events = self.parts.membership.tick(now);
         self.note_members(events);
         let me = cx.mailbox().address();
+        self.tick_newcomer(&me);
         self.tick_tenure(&me);
         self.tick_drains(&me);
         self.tell_notes();
--- a/src/daemon/control/manifest.rs
+++ b/src/daemon/control/manifest.rs
@@ -33,7 +33,51 @@
 /// of nothing newer because they are cut off together with it.
 const READ_EVERY: u32 = 20;
 
+/// Ticks for which a host with nothing in force waits for the word of a peer before it takes what
+/// the platform holds.
+const PEER_PATIENCE: u32 = 5;
+
+/// What a host that has just started does with the platform's manifest before a peer has spoken.
+#[derive(Debug, Default)]
+pub(super) struct Newcomer {
+    held_back: Option<Offered>,
+    ticks: u32,
+}
+
 impl Control {
+    /// Whether the platform's manifest has to wait for the word of a peer.
+    ///
+    /// A rival who can write to the platform may have put an older manifest of the member's own back,
+    /// signature and all. Without the wait a new host would serve by it until its first exchange.
+    /// The peers of its settings know what was in force, so their answer is enough; where none
+    /// answers, only the platform is left.
+    fn waits_for_peers(&self) -> bool {
+        let is_new = self.parts.store.sequence().is_none();
+        is_new && !self.parts.seeds.is_empty() && self.newcomer.ticks < PEER_PATIENCE
+    }
+
+    /// Counts the ticks of the wait.
+    pub(super) fn tick_newcomer(&mut self, me: &WeakAddress<Self>) {
+        self.newcomer.ticks = self.newcomer.ticks.saturating_add(1);
+        if !self.waits_for_peers() {
+            self.take_held_back(me);
+        }
+    }
+
+    /// A peer that has no manifest either ends the wait.
+    pub(super) fn hear_peer(&mut self, sequence: Sequence, me: &WeakAddress<Self>) {
+        if sequence == 0 {
+            self.newcomer.ticks = PEER_PATIENCE;
+            self.take_held_back(me);
+        }
+    }
+
+    fn take_held_back(&mut self, me: &WeakAddress<Self>) {
+        if let Some(offered) = self.newcomer.held_back.take() {
+            Self::beside(me.clone(), async move { Some(offered) });
+        }
+    }
+
     /// Fetches the manifest that a peer holds.
     pub(super) fn pull_manifest(
         &mut self,
@@ -116,6 +160,10 @@
     type Return = ();
 
     async fn handle(&mut self, offered: Offered, cx: &mut xtra::Context<Self>) {
+        if matches!(offered.from, Source::Platform) && self.waits_for_peers() {
+            self.newcomer.held_back = Some(offered);
+            return;
+        }
         self.pulling = None;
         for part in offered.parts {
             self.parts.store.add_part(part);
--- a/tests/combined_failures.rs
+++ b/tests/combined_failures.rs
@@ -15,7 +15,7 @@
 use lavenderplank::{
     base::{BootClock, Sequence},
     daemon::{Daemon, LookupBody},
-    manifest::{AcceptError, Accepted, SignedManifest},
+    manifest::{AcceptError, Accepted, Head, SignedManifest},
     platform::{
         Changes, Expect, HttpPlatform, Limits, Listing, OperationId, Platform, Result as Answer,
         Version, Versioned,
@@ -287,3 +287,27 @@
         assert!(taken_by(host).is_sorted(), "{} went back", host.own().id);
     }
 }
+
+// A rival with write access to the platform puts an older head of the member's own back, signature
+// and all. Running hosts refuse it as older. A host that starts now reads the platform before its
+// first exchange; it would serve by withdrawn targets and caps until a peer told it better. It waits
+// for its peers' word, and never has the older one in force.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_older_head_that_was_put_back_is_not_taken_by_a_new_host() {
+    let fleet = Fleet::open(FleetPlan { regions: 1, zones_per_region: 1 }).await.unwrap();
+    fleet.apply(1).await.unwrap();
+    let key = Head::key(&fleet.manifest(1).member);
+    let older = fleet.platform.door().get(&key).await.unwrap().unwrap();
+    fleet.apply(2).await.unwrap();
+    let mut hosts = start_hosts(&fleet).await;
+    all_have(&hosts.iter().collect::<Vec<_>>(), 2).await;
+    let held = fleet.platform.door().get(&key).await.unwrap();
+    let expect = Expect::unchanged(held.as_ref());
+    fleet.platform.door().put(&key, expect, older.value, "a rival's".into()).await.unwrap();
+    let seeds = vec![hosts[0].rpc_addr()];
+    hosts.push(fleet.start("new", &fleet.places[0], seeds).await.unwrap());
+    all_have(&hosts.iter().collect::<Vec<_>>(), 2).await;
+    for host in &hosts {
+        assert_eq!(taken_by(host), [2], "{}", host.own().id);
+    }
+}
