Measure how long a manifest takes to the last of many running hosts

`measure in-force` starts 30, 100 and 300 real daemons in one process, applies manifests and prints the time from accepted to the first, median and last host, at ease, with one zone without the platform and with both relays of a zone killed right before, and what a host costs at rest. Until now the time was measured on membership machines alone.

--- a/src/cmd/measure.rs
+++ b/src/cmd/measure.rs
@@ -1,5 +1,6 @@
 //! `measure`: what the decisions cost and how well they do.
 
+mod in_force;
 mod ledger;
 mod policies;
 
@@ -27,6 +28,7 @@
 #[derive(Debug, Subcommand)]
 enum What {
     Capacity(CapacityArgs),
+    InForce(in_force::Args),
     Ledger(ledger::Args),
     Membership(MembershipArgs),
     Policies(policies::Args),
@@ -68,6 +70,7 @@
 pub fn run(args: Args) -> Result {
     match args.what {
         What::Capacity(args) => capacity(&args),
+        What::InForce(args) => in_force::run(&args),
         What::Ledger(args) => ledger::run(&args),
         What::Membership(args) => membership(&args),
         What::Policies(args) => policies::run(&args),
--- a/src/measure/membership/mod.rs
+++ b/src/measure/membership/mod.rs
@@ -11,7 +11,7 @@
 
 pub use self::{
     report::{Report, Row},
-    rpc::{RpcCost, measure as measure_rpc},
+    rpc::{RpcCost, measure as measure_rpc, processor_time},
 };
 use crate::{
     drain::DrainRecord,
--- a/src/measure/membership/rpc.rs
+++ b/src/measure/membership/rpc.rs
@@ -105,7 +105,7 @@
 }
 
 /// Processor time of this process so far.
-fn processor_time() -> Duration {
+pub fn processor_time() -> Duration {
     let time = rustix::time::clock_gettime(rustix::time::ClockId::ProcessCPUTime);
     let secs = u64::try_from(time.tv_sec).unwrap_or_default();
     Duration::new(secs, u32::try_from(time.tv_nsec).unwrap_or_default())
