Go on with an interrupted file from another target

Cause: the code that joins the rest of a file was called by a test only. A running host cut off every caller whose target broke off.

The rest is now an attempt of the decisions (`Outcome::Interrupted`): the slot that broke off is released, then budget, right, slots, caps, tried targets, time limit, quarantine and drains hold as for any attempt. The host's streaming side, now a module of its own, asks for the missing range with If-Range and goes on with the same body, also over a slot hop. A body ends well only with a word of its own: the end of its channel alone read like a clean end.

Ruled out: a choice by the shell, which knows neither slots nor budget; a time limit of its own for the rest.

The test of tests/not_run.rs keeps its table of cases; it drives the body itself, since that is what the host calls now.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -9,6 +9,7 @@
 mod outgoing;
 mod probe;
 mod start;
+mod stream;
 mod tape;
 mod traffic;
 
--- a/src/daemon/traffic.rs
+++ b/src/daemon/traffic.rs
@@ -10,7 +10,6 @@
 };
 
 use arc_swap::ArcSwapOption;
-use futures::{SinkExt, StreamExt};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use tokio::{sync::oneshot, task::AbortHandle};
@@ -20,6 +19,7 @@
     Tape, headers,
     incoming::{Incoming, via_text},
     outgoing,
+    stream::{OpenFiles, Rest},
 };
 use crate::{
     base::HeaderLine,
@@ -33,9 +33,6 @@
     view::View,
 };
 
-/// Chunks of a streamed answer that may wait for a slow caller.
-const STREAM_CHUNKS: usize = 4;
-
 /// What the traffic side is built from.
 pub struct TrafficParts {
     pub clock: Arc<dyn Clock>,
@@ -55,6 +52,7 @@
 pub struct Traffic {
     attempts: Mutex<HashMap<AttemptId, AbortHandle>>,
     core: Mutex<Core>,
+    pub(super) files: OpenFiles,
     next_call: AtomicU64,
     parts: Parts,
     pending: Mutex<HashMap<CallId, Pending>>,
@@ -100,6 +98,7 @@
         Arc::new(Self {
             attempts: Mutex::default(),
             core: Mutex::new(core),
+            files: OpenFiles::default(),
             next_call: AtomicU64::new(1),
             parts: Parts {
                 clock: parts.clock,
@@ -229,6 +228,7 @@
     }
 
     fn answer(&self, call: CallId, answer: Answer) {
+        self.files.close(call);
         let Some(pending) = lock(&self.pending).remove(&call) else { return };
         let res = match answer {
             Answer::Error { error, retry_after } => {
@@ -256,6 +256,10 @@
         timeout: Duration,
         hop: Option<Via>,
     ) {
+        if let Some(task) = self.files.give(call, Rest { address, attempt, hop, timeout }) {
+            lock(&self.attempts).insert(attempt, task);
+            return;
+        }
         let pending = lock(&self.pending);
         let Some(entry) = pending.get(&call) else {
             drop(pending);
@@ -274,7 +278,7 @@
     async fn run(self: Arc<Self>, order: Order) {
         let started = self.parts.clock.now();
         let attempt = order.attempt;
-        let sent = self.send(&order).await;
+        let sent = self.send(&order, &[]).await;
         let latency = self.parts.clock.now().saturating_sub(started);
         match sent {
             Ok(reply) => self.reply(order, reply, latency).await,
@@ -282,7 +286,12 @@
         }
     }
 
-    async fn send(&self, order: &Order) -> crate::forward::Result<Reply> {
+    /// Sends the request, with the lines that ask for a file's rest in place of its own.
+    pub(super) async fn send(
+        &self,
+        order: &Order,
+        rest: &[HeaderLine],
+    ) -> crate::forward::Result<Reply> {
         let view = self.view();
         let service = view.as_ref().and_then(|view| view.manifest.service(&order.incoming.service));
         let repeatable = service.is_some_and(|service| service.kind.is_repeatable());
@@ -293,7 +302,7 @@
             body: order.incoming.body.clone(),
             connections: service.map_or(1, |service| service.connections),
             deadline: order.timeout,
-            headers: self.lines(order),
+            headers: self.lines(order, rest),
             method: order.incoming.method.clone(),
             path: order.path(),
             repeatable,
@@ -306,8 +315,10 @@
         }
     }
 
-    fn lines(&self, order: &Order) -> Vec<HeaderLine> {
+    fn lines(&self, order: &Order, rest: &[HeaderLine]) -> Vec<HeaderLine> {
         let mut lines = order.incoming.passed_headers();
+        lines.retain(|line| rest.iter().all(|ours| ours.name != line.name));
+        lines.extend_from_slice(rest);
         let Some(via) = order.hop else { return lines };
         lines.extend(order.incoming.own_headers());
         let has_client = lines.iter().any(|line| &*line.name == headers::CLIENT);
@@ -341,50 +352,35 @@
         }
     }
 
-    /// Gives the head to the caller at once and the body as it comes. The attempt ends with the
-    /// body; until then its slot is in use.
-    async fn stream(
-        self: &Arc<Self>,
-        order: Order,
-        head: Head,
-        mut body: futures::stream::BoxStream<'static, crate::forward::Result<bytes::Bytes>>,
-        latency: Duration,
-    ) {
-        let status = head.status;
-        let (mut tx, rx) = futures::channel::mpsc::channel(STREAM_CHUNKS);
-        if let Some(pending) = lock(&self.pending).remove(&order.call) {
-            let res = outgoing::streamed(status, &head.headers, rx, &pending.request);
-            let _ = pending.tx.send(res);
-        }
-        while let Some(chunk) = body.next().await {
-            let broke = chunk.as_ref().err().copied();
-            let sent = tx.send(chunk.map_err(std::io::Error::other)).await;
-            if let Some(failure) = broke {
-                let error = if sent.is_ok() { failure.kind() } else { ErrorKind::StreamCut };
-                return self.end(order.attempt, cut(error, latency));
-            }
-            if sent.is_err() {
-                return self.end(order.attempt, cut(ErrorKind::StreamCut, latency));
-            }
-        }
-        self.end(order.attempt, Outcome::Answered { kept: None, latency, status });
+    /// The caller's way to its answer, if it still waits for one.
+    pub(super) fn take_caller(&self, call: CallId) -> Option<oneshot::Sender<Response>> {
+        lock(&self.pending).remove(&call).map(|pending| pending.tx)
     }
 
-    fn end(self: &Arc<Self>, attempt: AttemptId, outcome: Outcome) {
+    /// The task that carries out an attempt.
+    pub(super) fn task(&self, attempt: AttemptId) -> Option<AbortHandle> {
+        lock(&self.attempts).get(&attempt).cloned()
+    }
+
+    pub(super) fn now(&self) -> Moment {
+        self.parts.clock.now()
+    }
+
+    pub(super) fn end(self: &Arc<Self>, attempt: AttemptId, outcome: Outcome) {
         lock(&self.attempts).remove(&attempt);
         self.feed(Event::Ended { attempt, outcome });
     }
 }
 
 /// One attempt to be carried out.
-struct Order {
-    address: SocketAddr,
-    attempt: AttemptId,
-    call: CallId,
-    hop: Option<Via>,
-    incoming: Arc<Incoming>,
-    request: RequestId,
-    timeout: Duration,
+pub(super) struct Order {
+    pub address: SocketAddr,
+    pub attempt: AttemptId,
+    pub call: CallId,
+    pub hop: Option<Via>,
+    pub incoming: Arc<Incoming>,
+    pub request: RequestId,
+    pub timeout: Duration,
 }
 
 impl Order {
@@ -398,9 +394,10 @@
     }
 }
 
-struct Head {
-    headers: Vec<HeaderLine>,
-    status: u16,
+/// The head of an answer whose body is streamed.
+pub(super) struct Head {
+    pub headers: Vec<HeaderLine>,
+    pub status: u16,
 }
 
 /// Tells the decisions when the caller leaves before its answer.
@@ -418,23 +415,18 @@
 }
 
 /// The error kind that another host answered with, if it did.
-fn refusal(order: &Order, reply: &Reply) -> Option<ErrorKind> {
+pub(super) fn refusal(order: &Order, reply: &Reply) -> Option<ErrorKind> {
     order.hop?;
     let line = reply.headers.iter().find(|line| &*line.name == headers::ERROR)?;
     let name = serde_json::Value::String(line.value.to_string());
     Some(serde_json::from_value(name).unwrap_or(ErrorKind::AnswerBroken))
 }
 
-fn failed(error: ErrorKind, latency: Duration) -> Outcome {
+pub(super) fn failed(error: ErrorKind, latency: Duration) -> Outcome {
     Outcome::Failed { error, latency, passed: false }
 }
 
-/// The answer broke off behind its head.
-fn cut(error: ErrorKind, latency: Duration) -> Outcome {
-    Outcome::Failed { error, latency, passed: true }
-}
-
 /// A panic while a lock is held must not take the host's other requests with it.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -21,6 +21,6 @@
     http_upstream::HttpUpstream,
     limits::ForwardLimits,
     reply::{Reply, ReplyBody},
-    resume::{Alternatives, resuming},
+    resume::{Alternatives, Edition, ResumedBody, asks_for_whole},
     upstream::Upstream,
 };
--- a/src/forward/resume.rs
+++ b/src/forward/resume.rs
@@ -7,12 +7,10 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use futures::{
-    StreamExt,
-    stream::{self, BoxStream},
-};
+use futures::{StreamExt, stream::BoxStream};
+use http::{HeaderMap, Method};
 
-use super::{Attempt, Failure, Reply, ReplyBody, Result, Upstream};
+use super::{Failure, Reply, ReplyBody, Result};
 use crate::{
     base::{HeaderLine, header},
     prelude::*,
@@ -21,36 +19,36 @@
 /// Where an interrupted file may go on.
 #[async_trait]
 pub trait Alternatives: Send {
-    /// The same request to another target, or `None` when there is none left.
-    async fn next(&mut self) -> Option<Attempt>;
+    /// The answer of another target to the same request with these lines added, or `None` when no
+    /// target may be asked any more. `failure` is why the answer before it was of no use.
+    async fn next(&mut self, failure: Failure, lines: &[HeaderLine]) -> Option<Reply>;
 }
 
-/// Gives `first` with a body that goes on from other targets when it breaks off.
-pub fn resuming(
-    upstream: Arc<dyn Upstream>,
-    first: Reply,
-    alternatives: Box<dyn Alternatives>,
-) -> Reply {
-    let Some(edition) = Edition::of(&first) else { return first };
-    let ReplyBody::Stream(chunks) = first.body else { return first };
-    let file = File { alternatives, chunks, edition, received: 0, upstream };
-    let body = stream::unfold(Some(file), |file| async move { file?.step().await });
-    Reply { body: ReplyBody::Stream(body.boxed()), ..first }
+/// Whether a request asks for a whole file. Only its answer can be told from a part: the rest of a
+/// part that the caller asked for would need another range than the missing one.
+pub fn asks_for_whole(method: &Method, headers: &HeaderMap) -> bool {
+    method == Method::GET && !headers.contains_key(http::header::RANGE)
 }
 
 /// What names one edition of a file.
 #[derive(Clone, Debug, Eq, PartialEq)]
-struct Edition {
+pub struct Edition {
     etag: Arc<str>,
     length: u64,
 }
 
 impl Edition {
     /// The edition of a whole file with a strong validator.
-    fn of(reply: &Reply) -> Option<Self> {
-        let etag = strong(header(&reply.headers, "etag")?)?;
-        let length = header(&reply.headers, "content-length")?.parse().ok()?;
-        (reply.status == 200).then(|| Self { etag: etag.into(), length })
+    pub fn of(status: u16, headers: &[HeaderLine]) -> Option<Self> {
+        let etag = strong(header(headers, "etag")?)?;
+        let length = header(headers, "content-length")?.parse().ok()?;
+        (status == 200).then(|| Self { etag: etag.into(), length })
+    }
+
+    /// The lines that ask for the rest of this edition from `start` on.
+    fn ask(&self, start: u64) -> [HeaderLine; 2] {
+        let range = HeaderLine::new("range", format!("bytes={start}-"));
+        [range, HeaderLine::new("if-range", self.etag.clone())]
     }
 
     /// Whether the reply is the rest of this edition from `start` on.
@@ -67,53 +65,72 @@
     (etag.starts_with('"') && etag.ends_with('"') && 2 < etag.len()).then_some(etag)
 }
 
-struct File {
-    alternatives: Box<dyn Alternatives>,
+/// The body of a streamed answer; it goes on from other targets where its edition allows it.
+pub struct ResumedBody<A> {
+    alternatives: A,
     chunks: BoxStream<'static, Result<Bytes>>,
-    edition: Edition,
+    edition: Option<Edition>,
     received: u64,
-    upstream: Arc<dyn Upstream>,
 }
 
-impl File {
-    /// The next chunk; after an error there is no next step.
-    async fn step(mut self) -> Option<(Result<Bytes>, Option<Self>)> {
+impl<A: Alternatives> ResumedBody<A> {
+    /// A body that has not begun; without an edition it never goes on elsewhere.
+    pub fn new(
+        chunks: BoxStream<'static, Result<Bytes>>,
+        edition: Option<Edition>,
+        alternatives: A,
+    ) -> Self {
+        Self { alternatives, chunks, edition, received: 0 }
+    }
+
+    /// What the body goes on from.
+    pub fn alternatives(&mut self) -> &mut A {
+        &mut self.alternatives
+    }
+
+    /// The next chunk; `None` only behind the last byte of a whole body. An error is final.
+    pub async fn chunk(&mut self) -> Option<Result<Bytes>> {
         loop {
             let failure = match self.chunks.next().await {
-                Some(Ok(chunk)) => {
-                    self.received += chunk.len() as u64;
-                    if self.edition.length < self.received {
-                        return Some((Err(Failure::Broken), None));
-                    }
-                    return Some((Ok(chunk), Some(self)));
-                }
+                Some(Ok(chunk)) => return Some(self.count(chunk)),
                 Some(Err(failure)) => failure,
-                None if self.received == self.edition.length => return None,
+                None if self.is_whole() => return None,
                 None => Failure::Broken,
             };
-            match self.rest().await {
+            match self.rest(failure).await {
                 Some(chunks) => self.chunks = chunks,
-                None => return Some((Err(failure), None)),
+                None => return Some(Err(failure)),
             }
         }
     }
 
+    /// A target that sends more than it announced is not to be trusted with the rest either.
+    fn count(&mut self, chunk: Bytes) -> Result<Bytes> {
+        self.received += chunk.len() as u64;
+        match &self.edition {
+            Some(edition) if edition.length < self.received => Err(Failure::Broken),
+            _ => Ok(chunk),
+        }
+    }
+
+    /// Without an edition the upstream alone tells a whole body from a short one.
+    fn is_whole(&self) -> bool {
+        self.edition.as_ref().is_none_or(|edition| edition.length == self.received)
+    }
+
     /// The missing rest from the first target that has the same edition.
-    async fn rest(&mut self) -> Option<BoxStream<'static, Result<Bytes>>> {
-        while let Some(mut attempt) = self.alternatives.next().await {
-            attempt.headers.retain(|line| !matches!(&*line.name, "if-range" | "range"));
-            let range = format!("bytes={}-", self.received);
-            attempt.headers.push(HeaderLine::new("range", range));
-            attempt.headers.push(HeaderLine::new("if-range", self.edition.etag.clone()));
-            attempt.whole = false;
-            let Ok(reply) = self.upstream.send(attempt).await else { continue };
-            if !self.edition.is_rest(&reply, self.received) {
+    async fn rest(&mut self, mut failure: Failure) -> Option<BoxStream<'static, Result<Bytes>>> {
+        let edition = self.edition.as_ref()?;
+        let lines = edition.ask(self.received);
+        loop {
+            let reply = self.alternatives.next(failure, &lines).await?;
+            failure = Failure::Broken;
+            if !edition.is_rest(&reply, self.received) {
                 continue;
             }
             if let ReplyBody::Stream(chunks) = reply.body {
                 return Some(chunks);
             }
         }
-        None
     }
 }
--- a/src/steer/arrive.rs
+++ b/src/steer/arrive.rs
@@ -62,6 +62,7 @@
             current: None,
             direct: false,
             in_ledger: false,
+            interrupted: false,
             kind: service.kind,
             last_error: None,
             queued: false,
@@ -227,6 +228,7 @@
     /// Ends a call with an error, telling the ledger whether that proves it did not run.
     pub(super) fn fail(&mut self, call: CallId, error: ErrorKind, now: Moment, rng: &mut impl Rng) {
         let Some(state) = self.calls.get(&call) else { return };
+        let error = state.final_error(error);
         if state.in_ledger {
             let end = if error.row().ran == Ran::No { End::NotRun } else { End::Unknown };
             self.close_entry(call, end, now, rng);
--- a/src/steer/call.rs
+++ b/src/steer/call.rs
@@ -18,6 +18,8 @@
     pub direct: bool,
     /// Told to this host's own ledger, which must learn how it ends.
     pub in_ledger: bool,
+    /// The beginning of a file has gone to the caller: only the rest may follow.
+    pub interrupted: bool,
     pub kind: ServiceKind,
     /// The last reason why it was not served.
     pub last_error: Option<ErrorKind>,
--- a/src/steer/event.rs
+++ b/src/steer/event.rs
@@ -55,6 +55,9 @@
         /// The head of the answer has gone to the caller: no other attempt may follow.
         passed: bool,
     },
+    /// Without the end of a streamed body whose beginning has gone to the caller. Another target may
+    /// go on with the rest.
+    Interrupted { error: ErrorKind, latency: Duration },
     /// Another host refused it; its word on whether the request ran is the error's row.
     Refused { error: ErrorKind, latency: Duration },
 }
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -11,6 +11,7 @@
 mod machine;
 mod owners;
 mod place;
+mod resume;
 mod settle;
 mod survey;
 #[cfg(test)]
--- a/src/steer/settle.rs
+++ b/src/steer/settle.rs
@@ -33,6 +33,9 @@
                 Outcome::Answered { kept, .. } => self.answered(call, &place, kept, now, rng),
                 Outcome::Failed { error, passed: true, .. } => self.fail(call, error, now, rng),
                 Outcome::Failed { error, .. } => self.failed(call, &place, error, now, rng),
+                Outcome::Interrupted { error, .. } => {
+                    self.interrupted(call, &place, error, now, rng);
+                }
                 Outcome::Refused { error, .. } => self.refused(call, &place, error, now, rng),
             }
         }
@@ -44,9 +47,9 @@
         let Some(target) = place.target() else { return };
         let (signal, latency, error) = match outcome {
             Outcome::Answered { latency, .. } => (Signal::Succeeded, *latency, None),
-            Outcome::Failed { error, latency, .. } | Outcome::Refused { error, latency } => {
-                (signal_of(*error), *latency, Some(*error))
-            }
+            Outcome::Failed { error, latency, .. }
+            | Outcome::Interrupted { error, latency }
+            | Outcome::Refused { error, latency } => (signal_of(*error), *latency, Some(*error)),
         };
         self.selector.ended(target, signal, latency, now);
         let Some(state) = self.calls.get(&call) else {
@@ -99,7 +102,7 @@
         self.answer(call, Answer::Pass);
     }
 
-    fn failed(
+    pub(super) fn failed(
         &mut self,
         call: CallId,
         place: &Place,
--- a/src/steer/tests.rs
+++ b/src/steer/tests.rs
@@ -10,7 +10,7 @@
 use super::*;
 use crate::{
     ledger::{KeptAnswer, body_digest},
-    manifest::{Manifest, Region, Service, ServiceKind, Target, Weighing},
+    manifest::{DrainScope, Manifest, Region, Service, ServiceKind, Target, Weighing},
     prelude::*,
     selection::LoadReport,
     view::{HostView, Tenure, View},
@@ -87,6 +87,11 @@
         self.on(Event::Ended { attempt, outcome })
     }
 
+    fn interrupt(&mut self, attempt: AttemptId) -> Vec<Action> {
+        let (error, latency) = (ErrorKind::AnswerBroken, Duration::from_millis(5));
+        self.on(Event::Ended { attempt, outcome: Outcome::Interrupted { error, latency } })
+    }
+
     fn answer(&mut self, attempt: AttemptId) -> Vec<Action> {
         let kept = KeptAnswer { body: "ok".into(), headers: Vec::new(), status: 200 };
         let latency = Duration::from_millis(5);
@@ -180,6 +185,62 @@
     }
 }
 
+// A file breaks off behind its head. The rest is one more attempt, at the other target, and the
+// slot of the first is free by then. Past the time limit, with the other target drained, or after
+// the caller has left there is none; and nobody is told that what the caller holds was not run.
+#[test]
+fn the_rest_of_a_file_is_an_attempt_like_any_other() {
+    let mut host = Host::new();
+    let file = host.arrival("read");
+    let first = host.dispatch(file);
+    let actions = host.interrupt(first);
+    let second = attempt(&actions).expect("the rest is asked for");
+    assert_eq!(host.steer.busy_targets().iter().map(|busy| busy.requests).sum::<u32>(), 1);
+    assert_eq!(error(&host.fail(second, ErrorKind::ConnectFailed)), Some(ErrorKind::StreamCut));
+    assert_eq!(host.steer.usage()[0].busy, 0);
+
+    let mut late = Host::new();
+    let file = late.arrival("read");
+    let first = late.dispatch(file);
+    late.pass(Duration::from_secs(6));
+    assert_eq!(error(&late.interrupt(first)), Some(ErrorKind::StreamCut));
+
+    let mut drained = Host::new();
+    let file = drained.arrival("read");
+    let first = drained.dispatch(file);
+    let scopes = ["read-1", "read-2"].map(|target| DrainScope::Target(target.into()));
+    let until = drained.now + Duration::from_secs(60);
+    let view = View { drains: scopes.into(), ..view(until) };
+    drained.on(Event::Viewed { view: Arc::new(view) });
+    let told = error(&drained.interrupt(first)).map(|error| error.row().ran);
+    assert_eq!(told, Some(Ran::Unknown));
+
+    let mut left = Host::new();
+    let file = left.arrival("read");
+    let first = left.dispatch(file);
+    let second = attempt(&left.interrupt(first)).expect("the rest is asked for");
+    let actions = left.on(Event::Cancelled { call: 1 });
+    assert!(actions.contains(&Action::Cancel { attempt: second }));
+    assert_eq!(left.steer.usage()[0].busy, 0);
+}
+
+// Targets break off every file that they begin. Without the retry budget each would be asked for up
+// to three times, and the load that made them break would grow by its own failures.
+#[test]
+fn rests_are_paid_out_of_the_retry_budget() {
+    let mut host = Host::new();
+    let mut rests = 0;
+    for _ in 0..20 {
+        let file = host.arrival("read");
+        let mut next = attempt(&host.on(Event::Arrived(file)));
+        while let Some(under_way) = next {
+            next = attempt(&host.interrupt(under_way));
+            rests += u32::from(next.is_some());
+        }
+    }
+    assert!((1..=5).contains(&rests), "{rests}");
+}
+
 // A second copy of a booking arrives while the first one runs. It waits, and both callers get the
 // one answer; a third copy that comes later gets it from the ledger.
 #[test]
--- a/tests/not_run.rs
+++ b/tests/not_run.rs
@@ -16,13 +16,12 @@
 use assert_matches::assert_matches;
 use async_trait::async_trait;
 use bytes::Bytes;
-use futures::StreamExt;
-use http::Method;
+use http::{HeaderMap, Method};
 use lavenderplank::{
     base::{Binding, HeaderLine, Moment, Ran},
     forward::{
-        Alternatives, Attempt, Failure, ForwardLimits, HttpUpstream, Reply, ReplyBody, Upstream,
-        resuming,
+        Alternatives, Attempt, Edition, Failure, ForwardLimits, HttpUpstream, Reply, ReplyBody,
+        ResumedBody, Upstream, asks_for_whole,
     },
     ledger::{Begin, End, KeptAnswer, Ledger, LedgerLimits, body_digest},
 };
@@ -70,10 +69,9 @@
     Attempt { whole: false, ..read(address) }
 }
 
-async fn collect(reply: Reply) -> (Vec<u8>, Option<Failure>) {
+async fn collect(mut file: ResumedBody<Others>) -> (Vec<u8>, Option<Failure>) {
     let mut body = Vec::new();
-    let ReplyBody::Stream(mut chunks) = reply.body else { panic!("no stream") };
-    while let Some(chunk) = chunks.next().await {
+    while let Some(chunk) = file.chunk().await {
         match chunk {
             Ok(chunk) => body.extend_from_slice(&chunk),
             Err(failure) => return (body, Some(failure)),
@@ -297,18 +295,34 @@
         let client = client();
         let reply = client.send(file(target.address)).await.unwrap();
         let addresses = others.iter().rev().map(|other| other.address).collect();
-        let reply = resuming(client, reply, Box::new(Others(addresses)));
-        let (got, ended) = collect(reply).await;
+        let edition = Edition::of(reply.status, &reply.headers);
+        let ReplyBody::Stream(chunks) = reply.body else { panic!("no stream") };
+        let others = Others { addresses, client };
+        let (got, ended) = collect(ResumedBody::new(chunks, edition, others)).await;
         assert_eq!((String::from_utf8_lossy(&got).as_ref(), ended), (body, failure), "{name}");
     }
 }
 
-struct Others(Vec<SocketAddr>);
+/// A caller that asks for a part, or for the head alone, gets no rest: what is missing of a part is
+/// another range, and a head has no body that could break off.
+#[test]
+fn only_a_whole_file_goes_on() {
+    let part = HeaderMap::from_iter([(http::header::RANGE, "bytes=3-".parse().unwrap())]);
+    assert!(asks_for_whole(&Method::GET, &HeaderMap::new()));
+    assert!(!asks_for_whole(&Method::HEAD, &HeaderMap::new()));
+    assert!(!asks_for_whole(&Method::GET, &part));
+}
+
+struct Others {
+    addresses: Vec<SocketAddr>,
+    client: Arc<HttpUpstream>,
+}
 
 #[async_trait]
 impl Alternatives for Others {
-    async fn next(&mut self) -> Option<Attempt> {
-        self.0.pop().map(file)
+    async fn next(&mut self, _failure: Failure, lines: &[HeaderLine]) -> Option<Reply> {
+        let attempt = Attempt { headers: lines.to_vec(), ..file(self.addresses.pop()?) };
+        self.client.send(attempt).await.ok()
     }
 }
 
--- a/tests/support/hosts.rs
+++ b/tests/support/hosts.rs
@@ -33,6 +33,8 @@
 
 /// One zone of one member.
 pub struct Member {
+    /// Services of files that a test adds, with the addresses of their targets.
+    pub files: Vec<(String, Vec<SocketAddr>)>,
     pub http: reqwest::Client,
     pub log: Arc<RunLog>,
     pub platform: PlatformStandin,
@@ -64,7 +66,7 @@
         let key = SigningKey::from_bytes(&[7; 32]);
         let http = reqwest::Client::builder().no_proxy().retry(reqwest::retry::never());
         let http = http.build().unwrap();
-        let member = Self { clock, http, key, log, platform, seeds: 1, targets };
+        let member = Self { clock, files: Vec::new(), http, key, log, platform, seeds: 1, targets };
         member.apply(1).await;
         member
     }
@@ -84,7 +86,10 @@
         self.seeds += 1;
         let settings = self.settings(name, peers.iter().map(|peer| peer.rpc_addr()).collect());
         let key = Secret::new(PEER_KEY);
-        let upstream = || Arc::new(HttpUpstream::open(ForwardLimits::default()).unwrap());
+        // No test waits for the silence limit: what ends a silent exchange is something else.
+        let limits =
+            ForwardLimits { stream_silence: Duration::from_secs(300), ..ForwardLimits::default() };
+        let upstream = || Arc::new(HttpUpstream::open(limits).unwrap());
         let host = Daemon::spawn(DaemonParts {
             clock: self.clock.clone(),
             limits: SteerLimits::default(),
@@ -162,6 +167,11 @@
             targets: self.targets_of(name),
             timeout_ms: 2000,
         };
+        let files = self.files.iter().map(|(name, addresses)| Service {
+            targets: files_of(name, addresses),
+            ..service(name, ServiceKind::File)
+        });
+        let own = [service(READ, ServiceKind::Read), service(BOOKING, ServiceKind::Booking)];
         Manifest {
             client_blocks: vec![ClientBlock {
                 block: "127.0.0.0/8".parse().unwrap(),
@@ -171,10 +181,7 @@
             member: MEMBER.into(),
             regions: vec![Region { name: REGION.into(), reserve: 0.2, zones: vec![ZONE.into()] }],
             sequence,
-            services: vec![
-                service(READ, ServiceKind::Read),
-                service(BOOKING, ServiceKind::Booking),
-            ],
+            services: own.into_iter().chain(files).collect(),
             weighing: Weighing::Latency,
         }
     }
@@ -191,6 +198,16 @@
     }
 }
 
+fn files_of(service: &str, addresses: &[SocketAddr]) -> Vec<Target> {
+    let targets = addresses.iter().enumerate().map(|(number, address)| Target {
+        address: *address,
+        name: format!("{service}-{number}").into(),
+        slots: 3,
+        zone: ZONE.into(),
+    });
+    targets.collect()
+}
+
 /// An answer, and the key that it is for.
 pub struct Served {
     pub key: String,
