Show why the demo's callers were told `unknown`

The rolling restart told a few callers `unknown`, and its report gave only the error kind, or `no answer` where the caller's own time was over first. The hosts that could have told more were gone by the end of the run.

The report now names the first 20 such requests with each send of the caller and the time lines of all hosts that ever ran, with the starts, stops and hand-overs of the hosts that saw the request.

--- a/src/demo/cluster.rs
+++ b/src/demo/cluster.rs
@@ -24,6 +24,7 @@
         target::{RunLog, TargetModel, TargetStandin},
     },
     steer::SteerLimits,
+    timeline::Recorder,
     trace::SteerRecorder,
 };
 
@@ -52,6 +53,8 @@
     pub links: Arc<Links>,
     pub log: Arc<RunLog>,
     pub plan: MemberPlan,
+    /// Time lines of all hosts that ever ran: the one that explains a doubt may be gone by then.
+    pub recorders: Mutex<Vec<Arc<Recorder>>>,
     pub seats: tokio::sync::Mutex<Vec<HostSeat>>,
     /// HTTP addresses of the hosts that run now; callers start from these.
     pub start: Arc<Mutex<Vec<SocketAddr>>>,
@@ -87,6 +90,7 @@
             peer_key: Secret::new(&format!("peer of {}", plan.name)),
             plan,
             platform,
+            recorders: Mutex::default(),
             seats: tokio::sync::Mutex::default(),
             seeds: AtomicU64::new(seed),
             sequence: AtomicU64::new(0),
@@ -138,6 +142,7 @@
             traffic_threads: 2,
         })
         .await?;
+        self.recorders.lock().expect("no holder panics").push(daemon.recorder().clone());
         self.links.put(daemon.http_addr(), place.clone());
         self.links.put(daemon.rpc_addr(), place.clone());
         Ok(daemon)
--- a/src/demo/load.rs
+++ b/src/demo/load.rs
@@ -60,6 +60,7 @@
     pub at: Duration,
     pub heard: Heard,
     pub home: RegionId,
+    pub request: RequestId,
     pub service: ServiceId,
 }
 
@@ -151,7 +152,8 @@
                 format!("{}: {} bytes for {}", ask.request, heard.body.len(), expected.len())
             });
         }
-        let record = Record { at, heard, home, service: ask.service.clone() };
+        let (request, service) = (ask.request.clone(), ask.service.clone());
+        let record = Record { at, heard, home, request, service };
         self.records.lock().expect("no holder panics").push(record);
     }
 }
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -2,6 +2,7 @@
 //! with what callers were told held against what the targets really ran.
 
 mod cluster;
+mod doubt;
 mod events;
 mod load;
 mod members;
@@ -12,6 +13,7 @@
 mod watch;
 
 pub use self::{
+    doubt::Doubt,
     members::MemberPlan,
     promise::{Promise, Tally},
     report::{MemberReport, Report},
--- a/src/demo/report.rs
+++ b/src/demo/report.rs
@@ -6,6 +6,7 @@
 
 use super::{
     cluster::Cluster,
+    doubt::Doubt,
     load::{Record, WARM_UP},
     members::SHIFT_CAP,
     promise::{Count, Promise, Tally},
@@ -30,6 +31,7 @@
 /// One member's part.
 #[derive(Clone, Debug, Serialize)]
 pub struct MemberReport {
+    pub doubts: Vec<Doubt>,
     pub drain_ms: Option<u64>,
     pub headroom: Headroom,
     pub in_force_ms: Option<u64>,
@@ -93,6 +95,7 @@
             .map(|promise| PromiseReport { count: tally.count(promise), promise })
             .to_vec();
         Self {
+            doubts: Doubt::all(cluster, records),
             drain_ms: drain.map(millis),
             headroom: watch.headroom.clone(),
             in_force_ms: watch.slowest.map(millis),
@@ -231,6 +234,9 @@
         for (outcome, count) in &self.outcomes {
             writeln!(f, "  {count:>8} {outcome}")?;
         }
+        for doubt in &self.doubts {
+            write!(f, "{doubt}")?;
+        }
         for broken in &self.invariants {
             writeln!(f, "  invariant broken: {broken}")?;
         }
--- a/src/standin/caller.rs
+++ b/src/standin/caller.rs
@@ -45,6 +45,20 @@
     /// Name of the target that answered.
     pub served_by: Option<TargetId>,
     pub sends: u32,
+    /// What came of each send, in order.
+    pub trail: Vec<SendRecord>,
+}
+
+/// One send, for those that ask later why a request ended in doubt.
+#[derive(Clone, Debug, Serialize)]
+pub struct SendRecord {
+    pub binding: Binding,
+    /// From the start of the request until this send began and ended.
+    pub from: Duration,
+    pub host: SocketAddr,
+    pub until: Duration,
+    /// Error of an answer, or of the connection; absent if a target answered.
+    pub what: Option<Arc<str>>,
 }
 
 /// One caller, or a group of callers behind one address.
@@ -75,7 +89,19 @@
     },
     Nothing,
     /// Something was sent and no whole answer came.
-    Unsure,
+    Unsure(Arc<str>),
+}
+
+impl Sent {
+    fn what(&self) -> Option<Arc<str>> {
+        match self {
+            Sent::Answered { headers, .. } => {
+                headers.get(headers::ERROR)?.to_str().ok().map(Into::into)
+            }
+            Sent::Nothing => Some("nothing was sent".into()),
+            Sent::Unsure(cause) => Some(cause.clone()),
+        }
+    }
 }
 
 impl Caller {
@@ -129,6 +155,7 @@
             ran: Ran::No,
             sends: 0,
             served_by: None,
+            trail: Vec::new(),
         };
         let mut binding = None;
         let mut turn = 0;
@@ -145,7 +172,11 @@
             let bound = binding.get_or_insert_with(|| ranked.binding.clone()).clone();
             heard.sends += 1;
             let left = ask.deadline.saturating_sub(started.elapsed());
-            match self.send_once(host, ask, heard.keys.last(), &bound, left).await {
+            let from = started.elapsed();
+            let sent = self.send_once(host, ask, heard.keys.last(), &bound, left).await;
+            let (until, what) = (started.elapsed(), sent.what());
+            heard.trail.push(SendRecord { binding: bound, from, host, until, what });
+            match sent {
                 Sent::Answered { body, headers } => {
                     let advice = take(&mut heard, &headers, body);
                     if heard.ran == Ran::Yes || advice == Resend::Never {
@@ -169,7 +200,7 @@
                     tokio::time::sleep(RESEND_PAUSE).await;
                 }
                 Sent::Nothing => turn += 1,
-                Sent::Unsure => {
+                Sent::Unsure(_) => {
                     heard.ran = Ran::Unknown;
                     turn += 1;
                     tokio::time::sleep(RESEND_PAUSE).await;
@@ -228,12 +259,15 @@
         let res = match req.send().await {
             Ok(res) => res,
             Err(error) if error.is_connect() => return Sent::Nothing,
-            Err(_) => return Sent::Unsure,
+            Err(error) => return Sent::Unsure(cause_of(&error)),
         };
         let headers = res.headers().clone();
-        let Ok(body) = res.bytes().await else { return Sent::Unsure };
+        let body = match res.bytes().await {
+            Ok(body) => body,
+            Err(error) => return Sent::Unsure(cause_of(&error)),
+        };
         if self.travel(host).await.is_none() {
-            return Sent::Unsure;
+            return Sent::Unsure("the way back is cut".into());
         }
         Sent::Answered { body, headers }
     }
@@ -269,6 +303,15 @@
     }
 }
 
+/// The innermost cause: the outer ones say little.
+fn cause_of(error: &reqwest::Error) -> Arc<str> {
+    let mut cause: &dyn std::error::Error = error;
+    while let Some(inner) = cause.source() {
+        cause = inner;
+    }
+    cause.to_string().into()
+}
+
 fn pause(headers: &HeaderMap) -> Duration {
     let secs = headers.get(headers::RETRY_AFTER).and_then(|value| value.to_str().ok());
     let secs = secs.and_then(|text| text.parse().ok()).map(Duration::from_secs);
