Move on what waits at a host that loses its targets

In a rolling restart some callers heard `unknown`, or nothing within their time. The time lines of all of them show one course: the request waited for a slot at the owner of a target, the owner stopped and gave up its targets, and the request stayed in its queue until 20 ms before its deadline. Then it was refused, sent to the next owner with a few milliseconds left, and timed out there.

Now a view that takes targets away has what waits for them placed anew, and an eighth of a request's time (at most 500 ms) is kept for the run and the answer's way back. Ruled out as causes by the same time lines: lost ledger entries (none), requests cut by a stop (none), a binding whose owner was not found (none).

Without the call in `viewed`, `what_waits_at_a_host_that_loses_its_targets_goes_on_at_once` failed; without the time kept, `a_booking_is_not_started_in_its_last_moments`.

--- a/src/steer/arrive.rs
+++ b/src/steer/arrive.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Action, Answer, Arrival, CallId, Steer, Via,
-    call::{Attempt, Call, Place},
+    call::{Attempt, Call, Place, latest_start},
 };
 use crate::{
     ledger::{Begin, End, Key},
@@ -78,6 +78,7 @@
             in_ledger: false,
             kind,
             last_error: None,
+            latest_start: latest_start(arrival.deadline, now),
             queued: false,
             shift_cap: service.map_or(0.0, |service| service.shift_cap),
             shifted: false,
--- a/src/steer/call.rs
+++ b/src/steer/call.rs
@@ -21,6 +21,8 @@
     pub kind: ServiceKind,
     /// The last reason why it was not served.
     pub last_error: Option<ErrorKind>,
+    /// From then on a booking is not sent to a target, and nothing waits for a slot.
+    pub latest_start: Moment,
     pub queued: bool,
     pub shift_cap: Share,
     /// A shift was counted against the home region's cap for the attempt under way.
@@ -41,6 +43,20 @@
     }
 }
 
+/// Longest time that is kept for the run and for the answer's way back.
+const MAX_RESERVE: Duration = Duration::from_millis(500);
+
+/// Part of a request's time that is kept for them where that is less.
+const RESERVE_PART: u32 = 8;
+
+/// When a request that came now is no longer to be sent to a target. One that starts in its last
+/// moments runs for a caller that has hung up, and all that anybody hears is `unknown`; refused a
+/// little earlier, it is proven not to have run, and the caller hears that in time.
+pub(super) fn latest_start(deadline: Moment, now: Moment) -> Moment {
+    let left = deadline.saturating_sub(now);
+    deadline.saturating_sub(MAX_RESERVE.min(left / RESERVE_PART))
+}
+
 /// One attempt: where it went and what it holds.
 #[derive(Clone, Debug)]
 pub(super) struct Attempt {
--- a/src/steer/machine.rs
+++ b/src/steer/machine.rs
@@ -277,6 +277,7 @@
             self.owners = Owners::of(&view);
         }
         self.view = Some(view);
+        self.move_queued(now, rng);
         self.drain_queues(now, rng);
     }
 
--- a/src/steer/place.rs
+++ b/src/steer/place.rs
@@ -43,7 +43,8 @@
         let Some(service) = view.manifest.service(&state.arrival.service) else {
             return self.fail(call, ErrorKind::ServiceUnknown, now, rng);
         };
-        if state.arrival.deadline <= now {
+        let latest = if state.is_booking() { state.latest_start } else { state.arrival.deadline };
+        if latest <= now {
             return self.fail(call, ErrorKind::DeadlinePassed, now, rng);
         }
         if MAX_ATTEMPTS <= state.attempts {
@@ -333,7 +334,7 @@
             return self.fail(call, error, now, rng);
         }
         let id = queue_id(call);
-        let deadline = state.arrival.deadline;
+        let deadline = state.latest_start;
         let limit = self.queue_limit;
         let queue = self.queues.entry(service.name.clone());
         let queue = queue.or_insert_with(|| Queue::new(limit, EXPECTED_TIME));
@@ -359,6 +360,28 @@
         self.fail(call, error, now, rng);
     }
 
+    /// A stopping host, or one that lost its targets, gets no slot free for what waits here: a
+    /// request left in the queue would stand there until its deadline, and then be sent to a target
+    /// with too little time, so that its caller hears `unknown`. It goes where the targets went; the
+    /// holder of a booking's entry is told at once, and tries another owner.
+    pub(super) fn move_queued(&mut self, now: Moment, rng: &mut impl Rng) {
+        let Some(view) = self.view.clone() else { return };
+        let is_stuck = |id: CallId, call: &Call| {
+            let service = view.manifest.service(&call.arrival.service);
+            call.queued && !service.is_some_and(|service| self.waits_here(id, service, now))
+        };
+        let calls = self.calls.iter().filter(|(id, call)| is_stuck(**id, call));
+        let stuck: Vec<CallId> = calls.map(|(id, _)| *id).collect();
+        for call in stuck {
+            let service = self.calls[&call].arrival.service.clone();
+            if let Some(queue) = self.queues.get_mut(&service) {
+                queue.remove(&queue_id(call));
+            }
+            self.state(call).queued = false;
+            self.place(call, now, rng);
+        }
+    }
+
     /// Offers freed slots to the requests that wait for one.
     pub(super) fn drain_queues(&mut self, now: Moment, rng: &mut impl Rng) {
         let Some(view) = self.view.clone() else { return };
--- a/src/steer/tests.rs
+++ b/src/steer/tests.rs
@@ -308,3 +308,65 @@
     let bare = host.arrival("read");
     assert_eq!(error(&host.on(Event::Arrived(bare))), Some(ErrorKind::NoManifest));
 }
+
+// A host gets two bookings more than it has slots, one from its caller and one from the host that
+// holds its entry, and both wait. Then it stops, and its targets go to another host: no slot will
+// be free here again. Left in the queue until their deadlines, both ended as `unknown`; now one
+// goes to the new owner at once and the other is refused with proof.
+#[test]
+fn what_waits_at_a_host_that_loses_its_targets_goes_on_at_once() {
+    let mut host = Host::new();
+    for key in ["k-1", "k-2"] {
+        let running = host.booking(key);
+        host.dispatch(running);
+    }
+    let own = host.booking("k-3");
+    let hop = Arrival { via: Via::SlotHop, ..host.booking("k-4") };
+    let (own_call, hop_call) = (own.call, hop.call);
+    for waiting in [own, hop] {
+        let actions = host.on(Event::Arrived(waiting));
+        assert_eq!((attempt(&actions), error(&actions)), (None, None));
+    }
+    let mut given_up = view(Moment::ZERO);
+    let successor = HostView { id: "a-2".into(), incarnation: 2, ..given_up.own.clone() };
+    given_up.hosts.push(successor);
+    given_up.tenure.owners = vec!["a-2".into()];
+    let actions = host.on(Event::Viewed { view: Arc::new(given_up) });
+    let forwarded = actions.iter().any(|action| {
+        matches!(action, Action::Forward { call, via: Via::SlotHop, .. } if *call == own_call)
+    });
+    assert!(forwarded, "{actions:?}");
+    let refused = actions.iter().find_map(|action| match action {
+        Action::Answer { answer: Answer::Error { error, .. }, call } if *call == hop_call => {
+            Some(error.row().ran)
+        }
+        _ => None,
+    });
+    assert_eq!(refused, Some(Ran::No));
+}
+
+// A booking waits for a slot until almost no time is left, or gets its slot then. Sent to a target,
+// it would run for a caller that has hung up and be `unknown` to all; so it is refused with proof,
+// early enough for the caller to hear it.
+#[test]
+fn a_booking_is_not_started_in_its_last_moments() {
+    let mut host = Host::new();
+    for key in ["k-1", "k-2"] {
+        let running = host.booking(key);
+        host.dispatch(running);
+    }
+    let waiting = host.booking("k-3");
+    let deadline = waiting.deadline;
+    host.on(Event::Arrived(waiting));
+    host.pass(Duration::from_millis(4_550));
+    let actions = host.on(Event::Tick);
+    assert_eq!(error(&actions), Some(ErrorKind::DeadlinePassed));
+    assert!(host.now < deadline);
+
+    let mut host = Host::new();
+    let late = host.booking("k-1");
+    let running = host.dispatch(late);
+    host.pass(Duration::from_millis(4_550));
+    let actions = host.fail(running, ErrorKind::ConnectFailed);
+    assert_eq!((attempt(&actions), error(&actions)), (None, Some(ErrorKind::DeadlinePassed)));
+}
