Hand an empty ledger over too

A host that had taken no booking stopped without a hand-over. A copy that was on its way to it, whose connection broke, was then sent to another host with a binding that nobody answered for, and told `unknown`, although nothing ran.

The empty ledger goes to a successor like any other; where nobody takes it, no entry is lost. Without the change `an_empty_ledger_is_handed_over_too` is told `owner-unreachable`, `unknown`.

--- a/src/daemon/host.rs
+++ b/src/daemon/host.rs
@@ -241,7 +241,9 @@
         let cut = self.wait_for_requests().await;
         let sealed = self.traffic.seal();
         let entries = sealed.entries();
-        let taken = entries == 0 || self.hand_over(&sealed).await;
+        // An empty ledger is handed over too: that it holds no entry is proof that nothing ran. A
+        // booking that was on its way to this host would otherwise be `unknown` to all others.
+        let taken = self.hand_over(&sealed).await || entries == 0;
         notice.await;
         tokio::time::sleep(FLUSH).await;
         let entries_lost = if taken { 0 } else { entries };
--- a/tests/host.rs
+++ b/tests/host.rs
@@ -214,3 +214,21 @@
     assert_eq!(header(&new.send().await.unwrap(), "lavender-error"), "binding-closed");
     assert_eq!(member.log.runs("k-new"), 0);
 }
+
+// A host stops that has taken no booking yet. One is on its way to it with its binding, its
+// connection breaks, and the caller sends it again, to the other host. Nothing ran, and only the
+// handed-over ledger, empty as it is, proves that; without it the caller hears `unknown`.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_empty_ledger_is_handed_over_too() {
+    let mut member = Member::open().await;
+    let stays = member.host("a-1", &[]).await;
+    let stops = member.host("a-2", &[&stays]).await;
+    let lookup = member.look_up(&stops, BOOKING).await.unwrap();
+    let bound = lookup.hosts.iter().find(|host| &*host.host == "a-2").unwrap();
+    let report = stops.stop().await;
+    assert_eq!((report.cut, report.entries_lost), (0, 0));
+    let copy = member.book(&stays, "k").header("lavender-binding", bound.binding.to_string());
+    let res = copy.send().await.unwrap();
+    let told = (header(&res, "lavender-error"), header(&res, "lavender-ran"));
+    assert_eq!(told, ("binding-closed", "no"));
+}
