Make the soak break without the seal of a hand-over

Now one answer in 30 does not reach its caller (the connection breaks, or is silent until the caller hangs up), one acknowledgement of a hand-over in 3 is lost, so that two successors hold the ledger, and a stopping host seals once and offers the same ledger to each, as the real one does; before, each offer was a newer one.

--- a/src/soak/host.rs
+++ b/src/soak/host.rs
@@ -10,6 +10,7 @@
     message::{Copy, Intent, Origin, Process},
 };
 use crate::{
+    ledger::SealedLedger,
     manifest::Store,
     membership::{BaselineNote, Membership, MembershipLimits, Notes},
     prelude::*,
@@ -39,6 +40,8 @@
 pub(super) struct Stop {
     pub(super) acknowledged: bool,
     pub(super) asked: Vec<usize>,
+    /// Closed once, as the real host does: each successor is offered the same.
+    pub(super) sealed: Option<Arc<SealedLedger>>,
     pub(super) since: Moment,
 }
 
--- a/src/soak/requests.rs
+++ b/src/soak/requests.rs
@@ -28,6 +28,8 @@
 
 /// Until a retired target must be left alone everywhere.
 const RETIRED_AFTER: Duration = Duration::from_secs(19);
+/// One in so many answers does not reach its caller.
+const LOST_ANSWERS: u32 = 30;
 const LATENCY: Duration = Duration::from_millis(40);
 /// After trouble, owners of targets may differ for a lease and a suspicion; then they agree.
 const OWNERS_AGREE_AFTER: Duration = Duration::from_secs(12);
@@ -195,6 +197,11 @@
         };
         match info.origin {
             Origin::Caller { intent, send } => {
+                // The host has answered and the caller does not know: what it sends next may find
+                // the host gone, and a successor that has to know what became of the request.
+                if self.rng.random_ratio(1, LOST_ANSWERS) {
+                    return self.lose_answer(host, info.origin);
+                }
                 let told = Told::Answer(answer, body);
                 let to = Place::Caller { region: self.callers[intent].region };
                 self.send_to(Place::Host(host), to, Item::Told { intent, send, told });
@@ -207,6 +214,13 @@
         }
     }
 
+    /// The caller's connection breaks under the answer, or stays silent until the caller hangs up.
+    fn lose_answer(&mut self, host: usize, origin: Origin) {
+        if self.rng.random_bool(0.5) {
+            self.break_off(host, origin, true);
+        }
+    }
+
     /// The connection over which a call came breaks, or is refused.
     pub(super) fn break_off(&mut self, host: usize, origin: Origin, sent: bool) {
         match origin {
--- a/src/soak/stop.rs
+++ b/src/soak/stop.rs
@@ -10,6 +10,8 @@
 };
 use crate::{ledger::SealedLedger, prelude::*, steer::Event, tenure};
 
+/// One in so many acknowledgements of a hand-over is lost.
+const LOST_ACKS: u32 = 3;
 const STEP: Duration = Duration::from_millis(200);
 /// Longest time that a stop waits for requests in flight, and then for a successor.
 const MOST: Duration = Duration::from_secs(12);
@@ -22,7 +24,8 @@
             return;
         }
         let process = running.id;
-        running.stop = Some(Stop { acknowledged: false, asked: Vec::new(), since: now });
+        running.stop =
+            Some(Stop { acknowledged: false, asked: Vec::new(), sealed: None, since: now });
         running.membership.leave();
         let local = running.local(now);
         let actions = running.keeper.on(tenure::Event::Leave, local);
@@ -59,14 +62,19 @@
         let steps = stop.asked.len();
         let local = running.local(now);
         let to = successors(process.host)[steps / 5 % successors(process.host).len()];
-        if let Some(stop) = running.stop.as_mut() {
-            stop.asked.push(to);
-        }
         if !steps.is_multiple_of(5) {
+            if let Some(stop) = running.stop.as_mut() {
+                stop.asked.push(to);
+            }
             return;
         }
-        let sealed = running.steer.seal(local);
-        let sealed = SealedLedger::join(sealed.split(4_096)).unwrap_or(sealed);
+        let sealed = stop.sealed.clone().unwrap_or_else(|| Arc::new(running.steer.seal(local)));
+        if let Some(stop) = running.stop.as_mut() {
+            stop.asked.push(to);
+            stop.sealed = Some(sealed.clone());
+        }
+        let whole = SealedLedger::clone(&sealed);
+        let sealed = SealedLedger::join(sealed.split(4_096)).unwrap_or(whole);
         let item = Item::Handover { from: process, sealed, to };
         if self.rng.random_ratio(1, 2) {
             let slow = Duration::from_millis(self.rng.random_range(200..3_000));
@@ -87,6 +95,10 @@
             running.membership.adopt(*incarnation);
         }
         self.line(to, &format!("adopted {incarnations:x?}"));
+        // The successor has it and the stopping host does not know: it asks another one too.
+        if self.rng.random_ratio(1, LOST_ACKS) {
+            return;
+        }
         let item = Item::HandoverDone { from: to, to: from };
         self.send_to(Place::Host(to), Place::Host(from.host), item);
     }
