--- a/src/base/error_kind.rs
+++ b/src/base/error_kind.rs
@@ -72,6 +72,14 @@
     BindingMissing,
     #[error("the request body is larger than this service allows; send a smaller one")]
     BodyTooLarge,
+    #[error("a key or a binding without the other one; send both, as with the first copy")]
+    BookingIncomplete,
+    #[error("this copy was not read whole; correct the header or path that the detail names")]
+    BookingMalformed,
+    #[error("this host serves another member and cannot ask the ledger of this booking")]
+    BookingMisdirected,
+    #[error("this copy was too large to be read; whether an earlier one ran is not known here")]
+    BookingTooLarge,
     #[error("traffic of this region is at its shift cap; come back after Retry-After")]
     CapReached,
     #[error("no connection to a target could be made; send it again")]
@@ -84,6 +92,8 @@
     DispatchTimeout,
     #[error("the ledger generation of this binding is gone; check before booking again")]
     GenerationDropped,
+    #[error("the host holds all the request bodies that it may; come back after Retry-After")]
+    HostBusy,
     #[error("the host is stopping; look up another one")]
     HostLeaving,
     #[error("the same idempotency key came with another body; use a new key")]
@@ -120,19 +130,24 @@
 
 impl ErrorKind {
     /// Every kind, for tests and for the operators' reference.
-    pub const ALL: [ErrorKind; 28] = [
+    pub const ALL: [ErrorKind; 33] = [
         ErrorKind::AnswerBroken,
         ErrorKind::AnswerNotKept,
         ErrorKind::BadRequest,
         ErrorKind::BindingClosed,
         ErrorKind::BindingMissing,
         ErrorKind::BodyTooLarge,
+        ErrorKind::BookingIncomplete,
+        ErrorKind::BookingMalformed,
+        ErrorKind::BookingMisdirected,
+        ErrorKind::BookingTooLarge,
         ErrorKind::CapReached,
         ErrorKind::ConnectFailed,
         ErrorKind::DeadlinePassed,
         ErrorKind::DispatchLost,
         ErrorKind::DispatchTimeout,
         ErrorKind::GenerationDropped,
+        ErrorKind::HostBusy,
         ErrorKind::HostLeaving,
         ErrorKind::KeyConflict,
         ErrorKind::KeyMissing,
@@ -163,12 +178,17 @@
             BindingClosed => row(503, No, Fresh, None),
             BindingMissing => row(428, No, Fresh, None),
             BodyTooLarge => row(413, No, Never, None),
+            BookingIncomplete => row(428, Unknown, Same, None),
+            BookingMalformed => row(400, Unknown, Same, None),
+            BookingMisdirected => row(403, Unknown, Never, None),
+            BookingTooLarge => row(413, Unknown, Never, None),
             CapReached => row(503, No, Same, Some(2)),
             ConnectFailed => row(502, No, Same, Some(1)),
             DeadlinePassed => row(504, No, Same, Some(1)),
             DispatchLost => row(502, Unknown, Same, None),
             DispatchTimeout => row(504, Unknown, Same, None),
             GenerationDropped => row(410, Unknown, Never, None),
+            HostBusy => row(503, No, Same, Some(1)),
             HostLeaving => row(503, No, Same, None),
             KeyConflict => row(422, No, Never, None),
             KeyMissing => row(428, No, Fresh, None),
@@ -187,6 +207,23 @@
             StreamCut => row(502, Unknown, Same, None),
         }
     }
+
+    /// What a copy of a booking is told that this host refused before its ledger was asked.
+    ///
+    /// An earlier copy may have run, by another host or under an older manifest. Told `not run`,
+    /// the caller would book again under a new key, and the booking would run twice. No row that
+    /// this gives says `no`: only the ledger that the binding names does.
+    pub fn before_ledger(self) -> ErrorKind {
+        use ErrorKind::*;
+        match self {
+            BadRequest => BookingMalformed,
+            BindingMissing | KeyMissing => BookingIncomplete,
+            BodyTooLarge => BookingTooLarge,
+            OtherMember => BookingMisdirected,
+            other if other.row().ran == Ran::No => OwnerUnreachable,
+            other => other,
+        }
+    }
 }
 
 fn row(status: u16, ran: Ran, resend: Resend, retry_secs: Option<u64>) -> AnswerRow {
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -16,7 +16,7 @@
     error::{PeerError, Result},
     messages::{
         DrainOrder, ExplainRequest, HandoverAck, HandoverChunk, ManifestReply, Nothing, PartReply,
-        PartRequest, UndrainOrder,
+        PartRequest, StatusRequest, UndrainOrder,
     },
 };
 use crate::{
@@ -42,6 +42,8 @@
 #[derive(Debug)]
 pub struct PeerClient {
     clients: Mutex<Vec<(SocketAddr, HttpClient)>>,
+    /// Most clients kept.
+    kept: usize,
     key: Secret,
     member: MemberId,
 }
@@ -49,7 +51,12 @@
 impl PeerClient {
     /// A client with the member's peer key, or with the operator token.
     pub fn open(key: Secret, member: MemberId) -> Self {
-        Self { clients: Mutex::default(), key, member }
+        Self { clients: Mutex::default(), kept: KEPT_CLIENTS, key, member }
+    }
+
+    /// Keeps fewer connections, for many hosts in one process with its limit on open files.
+    pub fn keeping(self, kept: usize) -> Self {
+        Self { kept: kept.max(1), ..self }
     }
 
     /// Tells a peer what this host knows; the answer is what it lacks.
@@ -87,9 +94,18 @@
         self.call(to, CALL_TIMEOUT, client.events(message)).await
     }
 
-    /// What a host knows and does.
+    /// What a host knows and does, with the live hosts that it knows.
     pub async fn status(&self, to: SocketAddr) -> Result<HostStatus> {
-        let message = Envelope::seal(&self.member, &Nothing {})?;
+        self.ask_status(to, StatusRequest::default()).await
+    }
+
+    /// What a host knows and does, without the other hosts; an older host may still list them.
+    pub async fn own_status(&self, to: SocketAddr) -> Result<HostStatus> {
+        self.ask_status(to, StatusRequest { without_hosts: true }).await
+    }
+
+    async fn ask_status(&self, to: SocketAddr, request: StatusRequest) -> Result<HostStatus> {
+        let message = Envelope::seal(&self.member, &request)?;
         let client = self.client(to)?;
         self.call(to, CALL_TIMEOUT, client.status(message)).await
     }
@@ -140,7 +156,7 @@
             return Ok(client.clone());
         }
         let client = self.build(to)?;
-        if KEPT_CLIENTS <= clients.len() {
+        if self.kept <= clients.len() {
             clients.remove(0);
         }
         clients.push((to, client.clone()));
--- a/src/steer/event.rs
+++ b/src/steer/event.rs
@@ -52,6 +52,19 @@
     pub via: Via,
 }
 
+impl Arrival {
+    /// Whether it names an entry of a ledger, which can say what became of earlier copies. A slot
+    /// hop comes from the holder of that entry and asks for this one attempt.
+    pub fn has_entry(&self) -> bool {
+        self.via != Via::SlotHop && self.binding.is_some() && self.key.is_some()
+    }
+
+    /// Whether an earlier copy of the same booking may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.via != Via::SlotHop && (self.binding.is_some() || self.key.is_some())
+    }
+}
+
 /// How an attempt ended.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", tag = "outcome")]
@@ -65,6 +78,9 @@
         /// The head of the answer has gone to the caller: no other attempt may follow.
         passed: bool,
     },
+    /// Without the end of a streamed body whose beginning has gone to the caller. Another target may
+    /// go on with the rest.
+    Interrupted { error: ErrorKind, latency: Duration },
     /// Another host refused it; its word on whether the request ran is the error's row.
     Refused { error: ErrorKind, latency: Duration },
 }
--- a/src/steer/hedge.rs
+++ b/src/steer/hedge.rs
@@ -122,7 +122,9 @@
     pub(super) fn other_goes_on(&mut self, call: CallId, outcome: &Outcome, now: Moment) -> bool {
         let error = match outcome {
             Outcome::Answered { .. } => None,
-            Outcome::Failed { error, .. } | Outcome::Refused { error, .. } => Some(*error),
+            Outcome::Failed { error, .. }
+            | Outcome::Interrupted { error, .. }
+            | Outcome::Refused { error, .. } => Some(*error),
         };
         // After a whole answer the other attempt is of no use. After a crash the request is a
         // suspect: it must not go on beside innocent ones, and is placed again to run alone.
--- a/src/steer/mod.rs
+++ b/src/steer/mod.rs
@@ -13,6 +13,7 @@
 mod owners;
 mod pace;
 mod place;
+mod resume;
 mod settle;
 mod survey;
 #[cfg(test)]
--- a/tests/hedge.rs
+++ b/tests/hedge.rs
@@ -26,7 +26,7 @@
             served(&format!("w-{number}"), read).await;
         }
     }
-    member.slow_down(READ, 1_000);
+    member.slow_one_down(READ, 1_000);
     for number in 0..20 {
         for host in [&first, &second] {
             let id = format!("r-{number}-{}", host.http_addr().port());
