Free the slot of a caller that stops reading its file

Cause: the stream of a file waited without limit for its caller to take the next chunk. A caller that stopped reading and stayed connected kept one of the three slots of its target for ever. Change: after the host's silence limit the caller counts as gone, by the same way as one that left: the attempt is cancelled, and no failure is counted against the target. Seen: with the limit taken out, callers_that_stop_reading_give_up_their_slots fails (the next caller's time was over after 20 s); with it, it gets its 32 MB.

--- a/src/daemon/start.rs
+++ b/src/daemon/start.rs
@@ -56,6 +56,7 @@
         peer_key: parts.peer_key.clone(),
         peers: parts.peers.clone(),
         seed,
+        silence: parts.settings.ingress.silence(),
         sink,
         steer: Steer::new(own.id.clone(), own.incarnation, parts.limits.clone()),
         tape: tape(parts, own, seed),
--- a/src/daemon/stream.rs
+++ b/src/daemon/stream.rs
@@ -11,7 +11,10 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use futures::{Stream, stream::BoxStream};
-use tokio::{sync::mpsc, task::AbortHandle};
+use tokio::{
+    sync::mpsc::{self, error::SendTimeoutError},
+    task::AbortHandle,
+};
 
 use super::{
     outgoing,
@@ -98,17 +101,37 @@
         let whole = asks_for_whole(&order.incoming.method, &order.incoming.headers);
         let edition = Edition::of(head.status, &head.headers).filter(|_| whole);
         let elsewhere = Elsewhere { ended: false, latency, order, rests, traffic: self.clone() };
-        carry(ResumedBody::new(body, edition, elsewhere), head.status, tx).await;
+        let silence = self.silence();
+        carry(ResumedBody::new(body, edition, elsewhere), head.status, tx, silence).await;
+    }
+
+    /// The caller of a file is gone.
+    fn leave_file(self: &Arc<Self>, call: CallId) {
+        if self.files.close(call) {
+            self.feed(Event::Cancelled { call });
+        }
     }
 }
 
 /// Carries a body to its caller and ends its last attempt.
-async fn carry(mut body: ResumedBody<Elsewhere>, status: u16, tx: mpsc::Sender<Piece>) {
+///
+/// A caller that stops reading, and stays connected, would keep one of the target's few slots for
+/// ever, and three of them the whole target. After `silence` it counts as gone: the target's
+/// connection is closed, which frees the slot there as well.
+async fn carry(
+    mut body: ResumedBody<Elsewhere>,
+    status: u16,
+    tx: mpsc::Sender<Piece>,
+    silence: Duration,
+) {
     let last = loop {
         match body.chunk().await {
             Some(Ok(chunk)) => {
-                if tx.send(Piece::Chunk(chunk)).await.is_err() {
-                    break Piece::Cut(Failure::Lost);
+                let sent = tx.send_timeout(Piece::Chunk(chunk), silence).await;
+                match sent {
+                    Ok(()) => {}
+                    Err(SendTimeoutError::Closed(_)) => break Piece::Cut(Failure::Lost),
+                    Err(SendTimeoutError::Timeout(_)) => return body.alternatives().leave(),
                 }
             }
             Some(Err(failure)) => break Piece::Cut(failure),
@@ -123,7 +146,7 @@
         Piece::Chunk(_) | Piece::End => Outcome::Answered { kept: None, latency, status },
     });
     // A failed send means that the caller is gone.
-    let _ = tx.send(last).await;
+    let _ = tx.send_timeout(last, silence).await;
 }
 
 /// The answer broke off behind its head, and nothing may follow.
@@ -150,6 +173,11 @@
         }
     }
 
+    /// Gives the file up as its caller's leave would.
+    fn leave(&self) {
+        self.traffic.leave_file(self.order.call);
+    }
+
     fn follow(&mut self, rest: Rest) {
         let Rest { address, attempt, hop, timeout } = rest;
         self.order.address = address;
@@ -231,8 +259,6 @@
 
 impl Drop for FileGuard {
     fn drop(&mut self) {
-        if self.traffic.files.close(self.call) {
-            self.traffic.feed(Event::Cancelled { call: self.call });
-        }
+        self.traffic.leave_file(self.call);
     }
 }
--- a/src/daemon/traffic.rs
+++ b/src/daemon/traffic.rs
@@ -42,6 +42,8 @@
     /// The way to other hosts.
     pub peers: Arc<dyn Upstream>,
     pub seed: u64,
+    /// Longest time that the caller of a file takes nothing of it.
+    pub silence: Duration,
     pub sink: Arc<dyn EventSink>,
     pub steer: Steer,
     pub tape: Arc<dyn Tape>,
@@ -73,6 +75,7 @@
     member: MemberId,
     peer_key: Secret,
     peers: Arc<dyn Upstream>,
+    silence: Duration,
     sink: Arc<dyn EventSink>,
     tape: Arc<dyn Tape>,
     targets: Arc<dyn Upstream>,
@@ -106,6 +109,7 @@
                 member: parts.member,
                 peer_key: parts.peer_key,
                 peers: parts.peers,
+                silence: parts.silence,
                 sink: parts.sink,
                 tape: parts.tape,
                 targets: parts.targets,
@@ -378,6 +382,11 @@
         lock(&self.pending).remove(&call).map(|pending| pending.tx)
     }
 
+    /// Longest time that the caller of a file takes nothing of it.
+    pub(super) fn silence(&self) -> Duration {
+        self.parts.silence
+    }
+
     /// The task that carries out an attempt.
     pub(super) fn task(&self, attempt: AttemptId) -> Option<AbortHandle> {
         lock(&self.attempts).get(&attempt).cloned()
--- a/tests/ingress.rs
+++ b/tests/ingress.rs
@@ -10,6 +10,10 @@
 
 #[path = "support/hosts.rs"]
 mod hosts;
+#[path = "support/raw_target.rs"]
+mod raw_target;
+
+use raw_target::{RawTarget, Step};
 
 use hosts::{BOOKING, Member, READ, header, served, until};
 
@@ -87,3 +91,34 @@
     let whole = served("k-2", book).await;
     assert_eq!((whole.res.status().as_u16(), member.log.runs(&whole.key)), (200, 1));
 }
+
+// Three domes begin to pull a file from a target of three slots, and stop reading without closing
+// their connections. They must not keep the target's slots for ever: after their time the slots are
+// free, and the next dome gets its file.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_that_stop_reading_give_up_their_slots() {
+    const SERVICE: &str = "catalog";
+    // More than the buffers of the sockets between target and caller hold.
+    const LENGTH: usize = 32 << 20;
+    let answer =
+        format!("HTTP/1.1 200 OK\r\ncontent-length: {LENGTH}\r\n\r\n{}", "x".repeat(LENGTH));
+    let target = RawTarget::bind(&[&[Step::ReadAll, Step::Write(answer.leak())]]).await;
+    let mut member = Member::open().await;
+    member.ingress = IngressLimits { silence_ms: 1000, ..IngressLimits::default() };
+    member.files.push((SERVICE.into(), vec![target.address]));
+    member.apply(2).await;
+    let host = member.host("zagreb-a-1", &[]).await;
+    until(|| is_read_served(&member, &host)).await;
+    let mut stalled = Vec::new();
+    for _ in 0..3 {
+        let mut stream = connect(&host).await;
+        let head = format!("GET /v1/services/{SERVICE}/ HTTP/1.1\r\nhost: a\r\n\r\n");
+        stream.write_all(head.as_bytes()).await.unwrap();
+        stalled.push(stream);
+    }
+    let url = format!("http://{}/v1/services/{SERVICE}/", host.http_addr());
+    let file = |_: &str| member.http.get(&url).header("lavender-deadline-ms", "20000");
+    let whole = served("file", file).await;
+    assert_eq!(whole.res.bytes().await.unwrap().len(), LENGTH);
+    drop(stalled);
+}
--- a/tests/support/raw_target.rs
+++ b/tests/support/raw_target.rs
@@ -1,5 +1,7 @@
 //! A target made of raw TCP steps, so that each failure comes at a chosen byte.
 
+#![allow(dead_code, reason = "each test uses its part")]
+
 use std::{
     net::SocketAddr,
     sync::{
