--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -18,6 +18,7 @@
     base::BootClock,
     daemon::{Daemon, DaemonParts, PeerLink},
     forward::{ForwardLimits, HttpUpstream},
+    ingress::IngressLimits,
     manifest::{
         ASSUMED_LOAD, Accepted, ClientBlock, Loads, Manifest, Proposal, Region, Service,
         ServiceKind, SignedManifest, Target, Weighing, accept, sign,
@@ -246,6 +247,7 @@
             advertise_rpc: None,
             host: name.into(),
             http: any_port(),
+            ingress: IngressLimits::default(),
             log: LogSettings::default(),
             manifest_key: hex::encode(self.key.verifying_key()).into(),
             member: MEMBER.into(),
