Wait for as many peers without a manifest as the settings name

Cause: a new host took the platform's manifest as soon as one peer said that it had none; that one may have just started as well, next to others that know what was in force. The test has one such peer and a slow one that knows.

--- a/src/daemon/control/exchange.rs
+++ b/src/daemon/control/exchange.rs
@@ -131,7 +131,7 @@
         let Ok(digest) = merged.answer else { return };
         let from = digest.from.view.clone();
         let fence = digest.tenure_fence;
-        self.hear_peer(digest.sequence, &cx.mailbox().address());
+        self.hear_peer(&digest, &cx.mailbox().address());
         let events = self.parts.membership.merge(digest, now);
         self.note_members(events);
         if from.zone == self.parts.membership.own().zone {
--- a/src/daemon/control/manifest.rs
+++ b/src/daemon/control/manifest.rs
@@ -14,6 +14,7 @@
 use crate::{
     lookup::owner_of,
     manifest::{Head, Offer, Part, SignedManifest, fetch_parts},
+    membership::Digest,
     peer::{ManifestReply, PartReply, PartRequest},
     platform::{Platform, PlatformError, Version},
     prelude::*,
@@ -40,6 +41,8 @@
 /// What a host that has just started does with the platform's manifest before a peer has spoken.
 #[derive(Debug, Default)]
 pub(super) struct Newcomer {
+    /// Peers that answered that they have no manifest either.
+    empty: BTreeSet<HostId>,
     held_back: Option<Offered>,
     ticks: u32,
 }
@@ -64,9 +67,14 @@
         }
     }
 
-    /// A peer that has no manifest either ends the wait.
-    pub(super) fn hear_peer(&mut self, sequence: Sequence, me: &WeakAddress<Self>) {
-        if sequence == 0 {
+    /// As many peers without a manifest as the settings name end the wait: one alone may have just
+    /// started as well, next to others that know what was in force.
+    pub(super) fn hear_peer(&mut self, peer: &Digest, me: &WeakAddress<Self>) {
+        if peer.sequence != 0 || !self.waits_for_peers() {
+            return;
+        }
+        self.newcomer.empty.insert(peer.from.view.id.clone());
+        if self.parts.seeds.len() <= self.newcomer.empty.len() {
             self.newcomer.ticks = PEER_PATIENCE;
             self.take_held_back(me);
         }
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -1,10 +1,10 @@
-//! How often a running host exchanges with a peer that never has enough.
+//! What a running host makes of the answers of peers that are not as they should be.
 
 #![allow(clippy::unwrap_used, reason = "a failed step of the set-up fails the test")]
 
 use std::{
     collections::BTreeMap,
-    net::SocketAddr,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -12,9 +12,14 @@
 use async_trait::async_trait;
 use lavenderplank::{
     daemon::PeerLink,
-    membership::{Digest, Membership, MembershipLimits},
+    manifest::SignedManifest,
+    membership::{Digest, Membership, MembershipLimits, Notes},
     peer::{HandoverAck, HandoverChunk, ManifestReply, PartReply, PartRequest, PeerError, Result},
-    standin::fleet::{Fleet, FleetPlan},
+    standin::{
+        fleet::{Fleet, FleetPlan},
+        links::Place,
+    },
+    timeline::{EventKind, Filter},
     view::HostView,
 };
 
@@ -27,6 +32,25 @@
 /// one round more for news, and a follow-up to each.
 const MOST: usize = 16;
 
+const FIRST: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
+const SECOND: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 2);
+
+/// A peer with nothing to tell.
+fn peer(place: &Place, rpc: SocketAddr) -> Mutex<Membership> {
+    let own = HostView {
+        address: rpc,
+        adopted: Vec::new(),
+        generation: 0,
+        id: rpc.to_string().into(),
+        incarnation: 1,
+        leaving: false,
+        region: place.region.clone(),
+        rpc,
+        zone: place.zone.clone(),
+    };
+    Mutex::new(Membership::new(own, MembershipLimits::default()).started_at(1))
+}
+
 /// A peer that answers every exchange and never takes over a list of the zone's owners.
 struct Forgetful {
     /// Exchanges by the asking host's heartbeat, those that could tell it of a list.
@@ -67,23 +91,61 @@
     let fleet = Fleet::open(FleetPlan { regions: 1, zones_per_region: 1 }).await.unwrap();
     fleet.apply(1).await.unwrap();
     let place = &fleet.places[0];
-    let rpc = SocketAddr::from(([127, 0, 0, 1], 1));
-    let own = HostView {
-        address: rpc,
-        adopted: Vec::new(),
-        generation: 0,
-        id: "forgetful".into(),
-        incarnation: 1,
-        leaving: false,
-        region: place.region.clone(),
-        rpc,
-        zone: place.zone.clone(),
-    };
-    let peer = Membership::new(own, MembershipLimits::default()).started_at(1);
-    let link = Arc::new(Forgetful { asked: Mutex::default(), peer: Mutex::new(peer) });
-    let _host = fleet.start_over(link.clone(), "a-1", place, vec![rpc]).await.unwrap();
+    let link = Arc::new(Forgetful { asked: Mutex::default(), peer: peer(place, FIRST) });
+    let _host = fleet.start_over(link.clone(), "a-1", place, vec![FIRST]).await.unwrap();
     until(|| async { 5 < link.asked.lock().unwrap().len() }).await;
     let asked = link.asked.lock().unwrap();
     assert!(asked.values().all(|count| *count <= MOST), "{asked:?}");
     assert!(asked.values().any(|count| 1 < *count), "nothing was owed: {asked:?}");
 }
+
+/// The first peer has just started and answers at once; the second one knows the manifest in force
+/// and is slow.
+struct Unequal {
+    empty: Mutex<Membership>,
+    full: Mutex<Membership>,
+    in_force: SignedManifest,
+}
+
+#[async_trait]
+impl PeerLink for Unequal {
+    async fn exchange(&self, to: SocketAddr, digest: &Digest) -> Result<Digest> {
+        let peer = if to == FIRST { &self.empty } else { &self.full };
+        if to == SECOND {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+        }
+        Ok(peer.lock().unwrap().receive(digest, Duration::ZERO))
+    }
+
+    async fn handover(&self, to: SocketAddr, _chunk: &HandoverChunk) -> Result<HandoverAck> {
+        Err(PeerError::Unreachable { to, why: "unused".into() })
+    }
+
+    async fn manifest(&self, to: SocketAddr) -> Result<ManifestReply> {
+        Ok(ManifestReply { signed: (to == SECOND).then(|| self.in_force.clone()) })
+    }
+
+    async fn part(&self, _to: SocketAddr, _request: &PartRequest) -> Result<PartReply> {
+        Ok(PartReply::default())
+    }
+}
+
+// The platform shows an older manifest that was put back, and of the two peers that a new host asks
+// the one that answers first has just started as well and holds none. If that answer ended the wait,
+// the host would serve by the older manifest until the second peer told it better.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_peer_without_a_manifest_does_not_end_a_new_hosts_wait() {
+    let fleet = Fleet::open(FleetPlan { regions: 1, zones_per_region: 1 }).await.unwrap();
+    fleet.apply(1).await.unwrap();
+    let place = &fleet.places[0];
+    let in_force = fleet.signed(&fleet.manifest(2)).unwrap();
+    let (empty, full) = (peer(place, FIRST), peer(place, SECOND));
+    full.lock().unwrap().set_notes(Notes { sequence: 2, ..Notes::default() });
+    let link = Arc::new(Unequal { empty, full, in_force });
+    let host = fleet.start_over(link, "a-1", place, vec![FIRST, SECOND]).await.unwrap();
+    until(|| async { host.sequence() == Some(2) }).await;
+    let events = host.recorder().events(&Filter::default());
+    let taken =
+        events.iter().filter(|event| matches!(event.kind, EventKind::ManifestInForce { .. }));
+    assert_eq!(taken.count(), 1, "another one was in force before");
+}
