--- a/src/steer/arrive.rs
+++ b/src/steer/arrive.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Action, Answer, Arrival, CallId, Steer, Via,
-    call::{Attempt, Call, Place},
+    call::{Attempt, Call, Place, latest_start},
 };
 use crate::{
     ledger::{Begin, End, Key},
@@ -76,8 +76,10 @@
             current: None,
             direct: false,
             in_ledger: false,
+            interrupted: false,
             kind,
             last_error: None,
+            latest_start: latest_start(arrival.deadline, now),
             queued: false,
             shift_cap: service.map_or(0.0, |service| service.shift_cap),
             shifted: false,
@@ -251,6 +253,7 @@
     /// Ends a call with an error, telling the ledger whether that proves it did not run.
     pub(super) fn fail(&mut self, call: CallId, error: ErrorKind, now: Moment, rng: &mut impl Rng) {
         let Some(state) = self.calls.get(&call) else { return };
+        let error = state.final_error(error);
         if state.in_ledger {
             let end = if error.row().ran == Ran::No { End::NotRun } else { End::Unknown };
             self.close_entry(call, end, now, rng);
