Send a change compressed and in smaller parts; look for it by version

Cause: each change sent the signed text and a part of 218 KB as plain JSON, 19.6 KB/s a host. A host that watches nothing also read the whole text from the platform every 10 s, which the capacity page did not count.

Change: hosts compress answers for those who ask by the HTTP header (tower-http); the limit on a message counts what comes out. Parts hold 2,048 blocks in the mean in place of 8,192. A host that watches nothing reads the head's version, and the head only if it changed or is not in force here. The capacity page counts what a relay reads from the platform.

Ruled out for now: deltas between parts, compressed objects on the platform (docs/design/control.md).

--- a/src/daemon/control/manifest.rs
+++ b/src/daemon/control/manifest.rs
@@ -13,9 +13,9 @@
 };
 use crate::{
     lookup::owner_of,
-    manifest::{Head, Offer, Part, SignedManifest, fetch_parts},
+    manifest::{Head, HeardHead, Offer, Part, SignedManifest, fetch_parts},
     peer::{ManifestReply, PartReply, PartRequest},
-    platform::{Platform, PlatformError, Version},
+    platform::{Platform, PlatformError, Version, Versioned},
     prelude::*,
     timeline::EventKind,
 };
@@ -176,6 +176,7 @@
 ) {
     let key = Head::key(&member);
     let mut version: Option<Version> = None;
+    let mut head: Option<HeardHead> = None;
     let mut idle = 0;
     while !stop.load(Ordering::Relaxed) {
         let relay = control.send(IsRelay).await.unwrap_or_default();
@@ -185,9 +186,10 @@
             continue;
         }
         idle = 0;
-        let heard = match version.filter(|_| relay) {
-            None => read(&control, &*platform, &key).await,
-            Some(from) => watch(&control, &*platform, &key, from).await,
+        let heard = match version {
+            None => read(&control, &*platform, &key, &mut head).await,
+            Some(from) if relay => watch(&control, &*platform, &key, from, &mut head).await,
+            Some(from) => look(&control, &*platform, &key, from, &mut head).await,
         };
         let answered = heard.is_ok();
         if control.send(PlatformHeard { answered }).await.is_err() {
@@ -211,35 +213,57 @@
     control: &Address<Control>,
     platform: &dyn Platform,
     key: &str,
+    head: &mut Option<HeardHead>,
 ) -> crate::platform::Result<Version> {
     let listing = platform.list(key).await?;
     for entry in listing.entries.iter().filter(|entry| &*entry.key == key) {
-        offer(control, &entry.object.value).await;
+        *head = offer(control, &entry.object).await;
     }
     Ok(listing.version)
 }
 
+/// Reads the head if it is not the one that is in force here.
+async fn look(
+    control: &Address<Control>,
+    platform: &dyn Platform,
+    key: &str,
+    from: Version,
+    head: &mut Option<HeardHead>,
+) -> crate::platform::Result<Version> {
+    let Some(heard) = head.as_ref() else { return read(control, platform, key, head).await };
+    let keys = platform.keys(key).await?;
+    let object = keys.iter().find(|found| &*found.key == key).map(|found| found.version);
+    let in_force = control.send(AskManifest).await.ok().and_then(|reply| reply.signed);
+    if heard.is_settled(object, in_force.as_ref()) {
+        return Ok(from);
+    }
+    read(control, platform, key, head).await
+}
+
 async fn watch(
     control: &Address<Control>,
     platform: &dyn Platform,
     key: &str,
     from: Version,
+    head: &mut Option<HeardHead>,
 ) -> crate::platform::Result<Version> {
     let changes = platform.watch(key, from, WATCH).await?;
     for change in changes.changes.iter().filter(|change| &*change.key == key) {
         if let Some(object) = &change.object {
-            offer(control, &object.value).await;
+            *head = offer(control, object).await;
         }
     }
     Ok(changes.version)
 }
 
-async fn offer(control: &Address<Control>, value: &[u8]) {
-    let Some(head) = Head::decode(value) else {
+async fn offer(control: &Address<Control>, object: &Versioned) -> Option<HeardHead> {
+    let Some(head) = Head::decode(&object.value) else {
         log::warn!("the member's object on the platform is no manifest");
-        return;
+        return None;
     };
+    let signed = head.signed.clone();
     let offered = Offered { from: Source::Platform, parts: Vec::new(), signed: head.signed };
     // A failed send means that the host is stopping.
     let _ = control.send(offered).await;
+    Some(HeardHead { signed, version: object.version })
 }
--- a/src/manifest/mod.rs
+++ b/src/manifest/mod.rs
@@ -9,6 +9,7 @@
 mod check;
 mod fetch;
 mod head;
+mod heard;
 mod in_force;
 mod model;
 mod part;
@@ -24,6 +25,7 @@
     change::{ASSUMED_LOAD, Breach, Change, Load, Loads, Move, diff, diff_at},
     fetch::{fetch, fetch_parts},
     head::{Acceptance, Head},
+    heard::HeardHead,
     in_force::{InForce, ZoneInForce},
     model::{
         ClientBlock, DrainScope, Manifest, Region, Service, ServiceKind, Share, Target, Weighing,
--- a/src/manifest/part.rs
+++ b/src/manifest/part.rs
@@ -13,8 +13,9 @@
 /// Largest part, in bytes; the platform holds values up to a megabyte.
 pub const MAX_PART: usize = 900_000;
 
-/// Mean number of blocks between two cuts.
-pub const MEAN_BLOCKS: u64 = 8192;
+/// Mean number of blocks between two cuts. A change sends one part and the names of all: at 770,000
+/// blocks these are about the same at this mean, and their sum is least.
+pub const MEAN_BLOCKS: u64 = 2048;
 
 /// SHA-256 of a part's bytes, as 64 hex digits.
 pub type PartId = Arc<str>;
--- a/src/manifest/tests/mod.rs
+++ b/src/manifest/tests/mod.rs
@@ -4,6 +4,7 @@
 
 mod accept;
 mod change;
+mod heard;
 mod load;
 mod parts;
 
--- a/src/measure/capacity/exchange.rs
+++ b/src/measure/capacity/exchange.rs
@@ -3,7 +3,7 @@
 use super::{
     figure::{Figure, Load, Resource, RoleCost, Scale},
     fit::Point,
-    gauge::thread_time,
+    gauge::{answer_len, plain_len, thread_time},
     rpc, target,
 };
 use crate::{
@@ -63,7 +63,11 @@
         seen.into_iter().map(|(size, seen)| (size, seen.digest)).collect();
     let call = rpc::measure(&digests, at);
     let loads = vec![
-        Load::measured(Resource::ControlWire, bytes.value, "the messages themselves"),
+        Load::measured(
+            Resource::ControlWire,
+            bytes.value,
+            "the messages themselves, answers compressed",
+        ),
         Load::worked_out(
             Resource::ControlWire,
             calls.value * COUNTS_PER_CALL * AROUND,
@@ -88,7 +92,8 @@
 
 fn watch(zones: usize, per_zone: usize) -> Seen {
     let mut fleet = Fleet::new(zones, per_zone, 7);
-    fleet.count = Some(|digest| serde_json::to_vec(digest).map_or(0, |text| text.len()));
+    fleet.count = Some(plain_len);
+    fleet.count_answer = Some(answer_len);
     fleet.run(SETTLE);
     for node in &mut fleet.nodes {
         (node.bytes, node.messages) = (0, 0);
--- a/src/measure/capacity/failures.rs
+++ b/src/measure/capacity/failures.rs
@@ -4,6 +4,7 @@
 
 use super::{
     figure::{Basis, Scale},
+    gauge::{answer_len, plain_len},
     target,
 };
 use crate::{
@@ -140,7 +141,8 @@
 
 fn settled(zones: usize, per_zone: usize) -> Fleet {
     let mut fleet = Fleet::new(zones, per_zone, 7);
-    fleet.count = Some(|digest| serde_json::to_vec(digest).map_or(0, |text| text.len()));
+    fleet.count = Some(plain_len);
+    fleet.count_answer = Some(answer_len);
     fleet.run(SETTLE + MembershipLimits::default().slack(per_zone));
     fleet
 }
--- a/src/measure/capacity/gauge.rs
+++ b/src/measure/capacity/gauge.rs
@@ -1,8 +1,12 @@
 //! Readings of processor time and memory of this process.
 
-use std::time::Duration;
+use std::{io::Write, time::Duration};
 
+use flate2::{Compression, write::GzEncoder};
 use rustix::time::{ClockId, clock_gettime};
+use serde::Serialize;
+
+use crate::peer::COMPRESSED_FROM;
 
 /// Processor time that one round of a measurement takes at least.
 const ROUND: Duration = Duration::from_millis(10);
@@ -42,3 +46,19 @@
     let kilobytes = line.and_then(|rest| rest.split_whitespace().next());
     kilobytes.and_then(|text| text.parse::<f64>().ok()).unwrap_or_default() * 1024.0
 }
+
+/// Bytes of a message as it stands in a request.
+pub fn plain_len<T: Serialize>(message: &T) -> usize {
+    serde_json::to_vec(message).map_or(0, |text| text.len())
+}
+
+/// Bytes of a message in an answer, which hosts compress past a small size.
+pub fn answer_len<T: Serialize>(message: &T) -> usize {
+    let plain = serde_json::to_vec(message).unwrap_or_default();
+    if plain.len() < usize::from(COMPRESSED_FROM) {
+        return plain.len();
+    }
+    let mut encoder = GzEncoder::new(Vec::new(), Compression::default());
+    let packed = encoder.write_all(&plain).and_then(|()| encoder.finish());
+    packed.map_or(plain.len(), |packed| packed.len())
+}
--- a/src/measure/capacity/manifests.rs
+++ b/src/measure/capacity/manifests.rs
@@ -7,11 +7,12 @@
 use super::{
     figure::{Figure, Load, Resource, RoleCost, Scale},
     fleet,
-    gauge::{cost_ns, thread_time},
+    gauge::{answer_len, cost_ns, plain_len, thread_time},
     target,
 };
 use crate::{
-    manifest::{Manifest, Part, SignedManifest, Store, sign_split},
+    manifest::{ClientBlock, Manifest, Part, SignedManifest, Store, sign_split},
+    peer::{ManifestReply, PartReply},
     prelude::*,
 };
 
@@ -21,18 +22,30 @@
 
 const SITE_SIZES: [usize; 4] = [30, 60, 120, target::SITES];
 
+/// What the platform's answers to listings and watches make of each byte.
+const BASE64: f64 = 4.0 / 3.0;
+
+/// Bytes of a question for the head's version and of its answer, with HTTP heads.
+const KEYS: f64 = 600.0;
+
 /// Seconds until a host whose zone's watches stay silent reads the platform for itself.
 const READ_EVERY: f64 = 10.0;
 
 pub fn measure(scale: Scale) -> RoleCost {
     let sites = SITE_SIZES.map(|size| scale.size(size));
+    let names = fleet::blocks(scale.size(target::BLOCKS));
     let mut heads = Vec::new();
     let head = Figure::sweep("signed text", "bytes", "sites", sites, target::SITES, |size| {
-        let head = Head::new(size);
-        let len = head.signed_len();
+        let head = Head::new(size, &names);
+        let len = plain_len(&head.reply()) as f64;
         heads.push(head);
         len
     });
+    let mut packed = heads.iter().map(|head| answer_len(&head.reply()) as f64);
+    let packed_head =
+        Figure::sweep("signed text, compressed", "bytes", "sites", sites, target::SITES, |_| {
+            packed.next().unwrap_or_default()
+        });
     let mut verified = heads.iter();
     let verify =
         Figure::sweep("text verified and read", "ns", "sites", sites, target::SITES, |_| {
@@ -55,12 +68,19 @@
         target::BLOCKS,
         |size| parts(size).iter().map(|part| part.text.len() as f64).sum(),
     );
-    let part_count = parts(scale.size(BLOCK_SIZES[3]));
-    let mean_part =
-        part_count.iter().map(|part| part.text.len() as f64).sum::<f64>() / part_count.len() as f64;
+    let packed_part = Figure::sweep(
+        "one part, compressed",
+        "bytes",
+        "client blocks",
+        blocks,
+        target::BLOCKS,
+        |size| mean(&parts(size), answer_len),
+    );
+    let mean_part = mean(&parts(scale.size(target::BLOCKS)), plain_len);
     let per_change = verify.value + change.value;
-    // Every host fetches the head and one part; in the mean it also hands each on once.
-    let wire = 2.0 * (head.value + mean_part) * target::changes_per_second();
+    let rate = target::changes_per_second();
+    let from_platform = head.value * BASE64 + mean_part;
+    let handed_on = packed_head.value + packed_part.value;
     let loads = vec![
         Load::measured(
             Resource::ControlCpu,
@@ -70,12 +90,23 @@
         ),
         Load::measured(
             Resource::ControlWire,
-            wire,
+            from_platform * rate,
             format!(
-                "each change: the text and one part of {mean_part:.0} bytes, fetched once and \
-                 handed on once",
+                "relays alone: each change read from the platform, the text in base64 and one part \
+                 of {mean_part:.0} bytes; other hosts fetch both from a peer for {:.0} bytes/s",
+                handed_on * rate,
             ),
         ),
+        Load::measured(
+            Resource::ControlWire,
+            handed_on * rate,
+            "each change handed on once in the mean, compressed",
+        ),
+        Load::worked_out(
+            Resource::ControlWire,
+            KEYS / READ_EVERY,
+            format!("the version of the head read every {READ_EVERY} s where nothing is watched"),
+        ),
         Load::measured(Resource::Memory, part.value, "parts kept for peers that lack them"),
         Load::worked_out(
             Resource::InForce,
@@ -87,10 +118,10 @@
         ),
     ];
     RoleCost {
-        figures: vec![head, verify, part, change],
+        figures: vec![head, packed_head, verify, part, packed_part, change],
         loads,
         mechanism: "two relays a zone watch; peers spread it; parts are named by their content",
-        messages: "the signed text and the parts that a host lacks",
+        messages: "the signed text and the parts that a host lacks, compressed between hosts",
         role: "relay and manifest in force",
         state: "the manifest, its signed text, its parts",
     }
@@ -102,16 +133,16 @@
 }
 
 impl Head {
-    fn new(sites: usize) -> Self {
+    fn new(sites: usize, blocks: &[ClientBlock]) -> Self {
         let key = SigningKey::from_bytes(&[7; 32]);
         let manifest = fleet::manifest(sites, Vec::new());
         let text = serde_norway::to_string(&manifest).unwrap_or_default();
-        let (signed, _) = sign_split(&text, &[], &key).expect("the made-up manifest is valid");
+        let (signed, _) = sign_split(&text, blocks, &key).expect("the made-up manifest is valid");
         Self { key, signed }
     }
 
-    fn signed_len(&self) -> f64 {
-        serde_json::to_string(&self.signed).unwrap_or_default().len() as f64
+    fn reply(&self) -> ManifestReply {
+        ManifestReply { signed: Some(self.signed.clone()) }
     }
 
     fn verify_cost(&self) -> f64 {
@@ -126,6 +157,13 @@
     crate::manifest::split(&fleet::blocks(blocks))
 }
 
+/// Mean size of an answer with one part.
+fn mean(parts: &[Part], len: fn(&PartReply) -> usize) -> f64 {
+    let reply = |part: &Part| PartReply { part: Some(part.clone()) };
+    let sum: usize = parts.iter().map(|part| len(&reply(part))).sum();
+    sum as f64 / parts.len() as f64
+}
+
 /// What a host that has `blocks` blocks in force spends on one that changes its home: the signed
 /// text of a small head, the changed part and its place among the others.
 fn change_cost(blocks: usize) -> f64 {
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -4,10 +4,11 @@
 
 use http::{HeaderMap, HeaderValue, header::AUTHORIZATION};
 use jsonrpsee::{
-    core::ClientError,
-    http_client::{HttpClient, HttpClientBuilder},
+    core::{ClientError, middleware::layer::RpcLogger},
+    http_client::{HttpClient, HttpClientBuilder, RpcService, transport::HttpBackend},
 };
 use serde::de::DeserializeOwned;
+use tower_http::decompression::{Decompression, DecompressionLayer};
 
 use super::{
     MAX_MESSAGE,
@@ -38,10 +39,14 @@
 /// connection to each host of a large fleet would cost more than opening one.
 const KEPT_CLIENTS: usize = 64;
 
+/// Asks for compressed answers, and takes plain ones from older hosts. The limit on an answer counts
+/// what comes out of the decompression.
+type Client = HttpClient<RpcLogger<RpcService<Decompression<HttpBackend>>>>;
+
 /// Calls other hosts with one key.
 #[derive(Debug)]
 pub struct PeerClient {
-    clients: Mutex<Vec<(SocketAddr, HttpClient)>>,
+    clients: Mutex<Vec<(SocketAddr, Client)>>,
     key: Secret,
     member: MemberId,
 }
@@ -143,7 +148,7 @@
         answer?.open(&self.member)
     }
 
-    fn client(&self, to: SocketAddr) -> Result<HttpClient> {
+    fn client(&self, to: SocketAddr) -> Result<Client> {
         let mut clients = self.lock();
         if let Some((_, client)) = clients.iter().find(|(addr, _)| *addr == to) {
             return Ok(client.clone());
@@ -156,7 +161,7 @@
         Ok(client)
     }
 
-    fn build(&self, to: SocketAddr) -> Result<HttpClient> {
+    fn build(&self, to: SocketAddr) -> Result<Client> {
         let unreachable = |why: String| PeerError::Unreachable { to, why };
         let value = [b"Bearer ", self.key.expose()].concat();
         let mut value = HeaderValue::from_bytes(&value)
@@ -166,12 +171,13 @@
             .max_request_size(MAX_MESSAGE)
             .max_response_size(MAX_MESSAGE)
             .request_timeout(HANDOVER_TIMEOUT)
+            .set_http_middleware(tower::ServiceBuilder::new().layer(DecompressionLayer::new()))
             .set_headers(HeaderMap::from_iter([(AUTHORIZATION, value)]))
             .build(format!("http://{to}"))
             .map_err(|error| unreachable(error.to_string()))
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<(SocketAddr, HttpClient)>> {
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<(SocketAddr, Client)>> {
         self.clients.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -28,7 +28,7 @@
         DrainOrder, ExplainRequest, HandoverAck, HandoverChunk, ManifestReply, Nothing, PartReply,
         PartRequest, StatusRequest, UndrainOrder,
     },
-    server::PeerServer,
+    server::{COMPRESSED_FROM, PeerServer},
 };
 
 /// Largest message in bytes, either way.
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -6,6 +6,7 @@
     server::{BatchRequestConfig, HttpBody, HttpRequest, Server, ServerConfig, ServerHandle},
 };
 use serde::de::DeserializeOwned;
+use tower_http::compression::{CompressionLayer, predicate::SizeAbove};
 
 use super::{
     MAX_MESSAGE,
@@ -22,6 +23,11 @@
 /// Most connections at a time; past it new ones are refused, so that a flood cannot use up memory.
 const MAX_CONNECTIONS: u32 = 512;
 
+/// Smallest answer in bytes that is compressed, for callers that ask for it: text and parts of a
+/// manifest shrink to a fraction, an answer to an exchange by a third or more. The heads that say
+/// that an answer is compressed outweigh what a shorter one would save.
+pub const COMPRESSED_FROM: u16 = 256;
+
 const OPERATORS: &[Caller] = &[Caller::Operator];
 const PEERS: &[Caller] = &[Caller::Peer];
 const BOTH: &[Caller] = &[Caller::Operator, Caller::Peer];
@@ -54,7 +60,8 @@
             req.extensions_mut().insert(caller);
             req
         };
-        let middleware = tower::ServiceBuilder::new().map_request(identify);
+        let compression = CompressionLayer::new().compress_when(SizeAbove::new(COMPRESSED_FROM));
+        let middleware = tower::ServiceBuilder::new().layer(compression).map_request(identify);
         let server =
             Server::builder().set_config(cfg).set_http_middleware(middleware).build(addr).await?;
         let local = server.local_addr()?;
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -13,6 +13,8 @@
     view::HostView,
 };
 
+mod compression;
+
 struct Host {
     view: HostView,
 }
@@ -51,8 +53,8 @@
         Ok(ManifestReply::default())
     }
 
-    async fn part(&self, _: PartRequest) -> Result<PartReply> {
-        Ok(PartReply::default())
+    async fn part(&self, request: PartRequest) -> Result<PartReply> {
+        Ok(PartReply { part: compression::part(&request.id) })
     }
 
     async fn handover(&self, chunk: HandoverChunk) -> Result<HandoverAck> {
