Don't take a slow reader's time for its target's

Cause: an attempt that is given up counts with its age for the target's mean latency and for the usual time. Of a file whose head had gone out, that age is the time for which the caller read, and one reader that left after a minute raised a mean of 5 ms to 12 s.

An attempt whose answer had begun says nothing when it is given up. The new test failed before, with 12 s.

--- a/src/steer/hedge.rs
+++ b/src/steer/hedge.rs
@@ -114,8 +114,8 @@
         if !self.calls.contains_key(&call) {
             return;
         }
-        self.state(call).begun = true;
         self.stop_attempts(call, Some(attempt), now);
+        self.state(call).begun = true;
     }
 
     /// Whether a call whose attempt ended without an answer waits for its other attempt.
@@ -152,7 +152,7 @@
         let Some(stopped) = self.attempts.remove(&attempt) else { return };
         self.state(stopped.call).end_attempt(attempt);
         self.out.push(Action::Cancel { attempt });
-        let age = now.saturating_sub(stopped.since);
+        let age = self.wasted(&stopped, now);
         self.note_usual(&stopped, age);
         if let Some(target) = stopped.place.target() {
             self.selector.ended(target, Signal::Cancelled, age, now);
@@ -163,6 +163,13 @@
         self.slots.release(target, *slot, now);
     }
 
+    /// Time that a given-up attempt waited for its answer; none where the answer had begun. That
+    /// one went on for as long as its caller read: a slow caller's time would pass for the target's.
+    fn wasted(&self, stopped: &Attempt, now: Moment) -> Duration {
+        let begun = self.calls.get(&stopped.call).is_some_and(|call| call.begun);
+        if begun { Duration::ZERO } else { now.saturating_sub(stopped.since) }
+    }
+
     /// Learns from an ended attempt how long reads usually take.
     pub(super) fn note_pace(&mut self, ended: &Attempt, outcome: &Outcome) {
         match outcome {
@@ -179,7 +186,7 @@
     /// ones would start sooner and sooner.
     fn note_usual(&mut self, attempt: &Attempt, took: Duration) {
         let Some(call) = self.calls.get(&attempt.call) else { return };
-        if attempt.first && call.is_home_read() {
+        if attempt.first && call.is_home_read() && !took.is_zero() {
             self.paces.note(&call.arrival.service, took);
         }
     }
--- a/src/steer/tests/hedge.rs
+++ b/src/steer/tests/hedge.rs
@@ -268,6 +268,22 @@
     assert_eq!(attempt(&tick_after(&mut host, Duration::from_millis(20))), None);
 }
 
+// A caller reads a file for a minute and leaves. The target had answered at once; were the caller's
+// time taken for the target's, it would get next to no work for having served a slow reader.
+#[test]
+fn a_slow_reader_is_no_slow_target() {
+    let mut host = warm_host();
+    let read = host.arrival("read");
+    let call = read.call;
+    let actions = host.on(Event::Arrived(read));
+    let target = dispatched_to(&actions).expect("it is sent");
+    host.on(Event::Begun { attempt: attempt(&actions).expect("it is sent") });
+    host.pass(Duration::from_secs(60));
+    let before = host.steer.selector.latency(&target);
+    host.on(Event::Cancelled { call });
+    assert_eq!(host.steer.selector.latency(&target), before);
+}
+
 // A service gets slower for good. Only the second attempts answer, and were the first ones not
 // counted for having been given up, the usual time would stay what it was and every read be hedged.
 #[test]
