--- a/src/base/binding.rs
+++ b/src/base/binding.rs
@@ -38,11 +38,13 @@
         if parts.next().is_some() {
             return Err(BindingError);
         }
-        Ok(Self {
+        let binding = Self {
             generation: generation.parse().map_err(|_| BindingError)?,
             host: host.into(),
             incarnation: Incarnation::from_str_radix(incarnation, 16).map_err(|_| BindingError)?,
-        })
+        };
+        // Signs, leading zeros and capitals: a binding that somebody rewrote, not one of a look-up.
+        if binding.to_string() == text { Ok(binding) } else { Err(BindingError) }
     }
 }
 
--- a/src/base/tests.rs
+++ b/src/base/tests.rs
@@ -17,6 +17,10 @@
         "/0000000000000abc/1",
         "a/abc/1",
         "a/0000000000000abc/1/2",
+        "a/0000000000000abc/+1",
+        "a/0000000000000abc/01",
+        "a/0000000000000ABC/1",
+        "a/+000000000000abc/1",
     ] {
         assert_eq!(text.parse::<Binding>(), Err(BindingError), "{text:?}");
     }
