--- a/tests/fuzz_head.rs
+++ b/tests/fuzz_head.rs
@@ -154,16 +154,16 @@
 #[test]
 fn copies_are_known_by_what_they_ask_for() {
     let compared = Cell::new(0);
-    let check = |(lines, other, bodies): (Vec<Line>, Vec<Line>, (Vec<u8>, Vec<u8>))| {
+    let check = |(lines, other, bodies): (Vec<Line>, Vec<Line>, [Vec<u8>; 2])| {
         let member = |lines: &[Line]| {
             lines.iter().filter(|line| line.name != headers::MEMBER).cloned().collect::<Vec<_>>()
         };
-        let first = read(&incoming(&member(&lines), &bodies.0));
-        let copy = read(&incoming(&member(&other), &bodies.0));
-        let changed = read(&incoming(&member(&lines), &bodies.1));
+        let first = read(&incoming(&member(&lines), &bodies[0]));
+        let copy = read(&incoming(&member(&other), &bodies[0]));
+        let changed = read(&incoming(&member(&lines), &bodies[1]));
         let (Ok(first), Ok(copy), Ok(changed)) = (first, copy, changed) else { return Ok(()) };
         prop_assert_eq!((first.digest, first.fingerprint), (copy.digest, copy.fingerprint));
-        let same = bodies.0 == bodies.1;
+        let same = bodies[0] == bodies[1];
         compared.set(compared.get() + 1);
         prop_assert_eq!(first.digest == changed.digest, same);
         prop_assert_eq!(first.fingerprint == changed.fingerprint, same);
@@ -171,6 +171,6 @@
     };
     let body = || prop::collection::vec(any::<u8>(), 0..3);
     let lines = || prop::collection::vec(line(), 0..3);
-    runner().run(&(lines(), lines(), (body(), body())), check).unwrap();
+    runner().run(&(lines(), lines(), [body(), body()]), check).unwrap();
     assert!(CASES / 10 <= compared.get(), "{compared:?} pairs were compared");
 }
