Compress questions to hosts that read them; measure capacity anew

Change: a question is compressed for a host that has given a compressed answer, and plain again after a refusal; hosts of the release before are never sent one. The limit on a message counts what comes out. The head is measured as the platform has it.

Ruled out: shorter names and hashes in the digest (hosts of two releases would take each other's zones for changed all the time).

--- a/src/measure/capacity/gauge.rs
+++ b/src/measure/capacity/gauge.rs
@@ -47,13 +47,13 @@
     kilobytes.and_then(|text| text.parse::<f64>().ok()).unwrap_or_default() * 1024.0
 }
 
-/// Bytes of a message as it stands in a request.
+/// Bytes of a message as text.
 pub fn plain_len<T: Serialize>(message: &T) -> usize {
     serde_json::to_vec(message).map_or(0, |text| text.len())
 }
 
-/// Bytes of a message in an answer, which hosts compress past a small size.
-pub fn answer_len<T: Serialize>(message: &T) -> usize {
+/// Bytes of a message between hosts that know each other, which is compressed past a small size.
+pub fn packed_len<T: Serialize>(message: &T) -> usize {
     let plain = serde_json::to_vec(message).unwrap_or_default();
     if plain.len() < usize::from(COMPRESSED_FROM) {
         return plain.len();
--- a/src/measure/capacity/manifests.rs
+++ b/src/measure/capacity/manifests.rs
@@ -7,12 +7,13 @@
 use super::{
     figure::{Figure, Load, Resource, RoleCost, Scale},
     fleet,
-    gauge::{answer_len, cost_ns, plain_len, thread_time},
+    gauge::{cost_ns, packed_len, plain_len, thread_time},
     target,
 };
 use crate::{
-    manifest::{ClientBlock, Manifest, Part, SignedManifest, Store, sign_split},
+    manifest::{self, Acceptance, ClientBlock, Manifest, Part, SignedManifest, Store, sign_split},
     peer::{ManifestReply, PartReply},
+    platform::new_operation,
     prelude::*,
 };
 
@@ -28,6 +29,9 @@
 /// Bytes of a question for the head's version and of its answer, with HTTP heads.
 const KEYS: f64 = 600.0;
 
+/// Acceptances that the head on the platform remembers.
+const HISTORY: usize = 32;
+
 /// Seconds until a host whose zone's watches stay silent reads the platform for itself.
 const READ_EVERY: f64 = 10.0;
 
@@ -35,13 +39,20 @@
     let sites = SITE_SIZES.map(|size| scale.size(size));
     let names = fleet::blocks(scale.size(target::BLOCKS));
     let mut heads = Vec::new();
-    let head = Figure::sweep("signed text", "bytes", "sites", sites, target::SITES, |size| {
-        let head = Head::new(size, &names);
-        let len = plain_len(&head.reply()) as f64;
-        heads.push(head);
-        len
-    });
-    let mut packed = heads.iter().map(|head| answer_len(&head.reply()) as f64);
+    let head = Figure::sweep(
+        "signed text and history, as the platform has it",
+        "bytes",
+        "sites",
+        sites,
+        target::SITES,
+        |size| {
+            let head = Head::new(size, &names);
+            let len = head.object_len();
+            heads.push(head);
+            len
+        },
+    );
+    let mut packed = heads.iter().map(|head| packed_len(&head.reply()) as f64);
     let packed_head =
         Figure::sweep("signed text, compressed", "bytes", "sites", sites, target::SITES, |_| {
             packed.next().unwrap_or_default()
@@ -74,9 +85,10 @@
         "client blocks",
         blocks,
         target::BLOCKS,
-        |size| mean(&parts(size), answer_len),
+        |size| mean(&parts(size), packed_len),
     );
-    let mean_part = mean(&parts(scale.size(target::BLOCKS)), plain_len);
+    let all = parts(scale.size(target::BLOCKS));
+    let mean_part = all.iter().map(|part| part.text.len() as f64).sum::<f64>() / all.len() as f64;
     let per_change = verify.value + change.value;
     let rate = target::changes_per_second();
     let from_platform = head.value * BASE64 + mean_part;
@@ -141,6 +153,17 @@
         Self { key, signed }
     }
 
+    fn object_len(&self) -> f64 {
+        let done = Acceptance {
+            digest: self.signed.digest(),
+            operation: new_operation(),
+            sequence: 1_000_000,
+        };
+        let history = vec![done; HISTORY];
+        let head = manifest::Head { history, signed: self.signed.clone() };
+        plain_len(&head) as f64
+    }
+
     fn reply(&self) -> ManifestReply {
         ManifestReply { signed: Some(self.signed.clone()) }
     }
--- a/src/membership/fleet.rs
+++ b/src/membership/fleet.rs
@@ -22,8 +22,6 @@
 pub struct Fleet {
     /// Called for each message, to count its size on the wire.
     pub count: Option<fn(&Digest) -> usize>,
-    /// The same for answers, if they travel in another form.
-    pub count_answer: Option<fn(&Digest) -> usize>,
     pub nodes: Vec<Node>,
     pub now: Moment,
     by_address: BTreeMap<SocketAddr, Vec<usize>>,
@@ -61,7 +59,6 @@
         let mut fleet = Self {
             by_address: BTreeMap::new(),
             count: None,
-            count_answer: None,
             cuts: BTreeSet::new(),
             due: BinaryHeap::new(),
             limits: MembershipLimits::default(),
@@ -188,13 +185,13 @@
         let Some(at) = at_address.copied().find(|at| !self.nodes[*at].paused) else { return };
         for _ in 0..2 {
             let digest = self.nodes[from].membership.digest_for(to, self.now);
-            self.sent(from, at, self.count, &digest);
+            self.sent(from, at, &digest);
             if self.is_cut(from, at) {
                 return;
             }
             let answer = self.nodes[at].membership.receive(&digest, self.now);
             self.apply_heard(at);
-            self.sent(at, from, self.count_answer.or(self.count), &answer);
+            self.sent(at, from, &answer);
             if self.is_cut(at, from) || self.nodes[at].slow {
                 return;
             }
@@ -213,14 +210,8 @@
         self.cuts.contains(&(zone(from), zone(to)))
     }
 
-    fn sent(
-        &mut self,
-        from: usize,
-        to: usize,
-        count: Option<fn(&Digest) -> usize>,
-        digest: &Digest,
-    ) {
-        let Some(count) = count else { return };
+    fn sent(&mut self, from: usize, to: usize, digest: &Digest) {
+        let Some(count) = self.count else { return };
         let size = count(digest) as u64;
         for at in [from, to] {
             self.nodes[at].bytes += size;
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -1,6 +1,9 @@
 //! Calls to other hosts.
 
-use std::sync::Mutex;
+use std::{
+    collections::HashMap,
+    sync::{Mutex, atomic::AtomicBool},
+};
 
 use http::{HeaderMap, HeaderValue, header::AUTHORIZATION};
 use jsonrpsee::{
@@ -13,6 +16,7 @@
 use super::{
     MAX_MESSAGE,
     api::PeerApiClient,
+    compress::{CompressLayer, CompressService},
     envelope::Envelope,
     error::{PeerError, Result},
     messages::{
@@ -39,9 +43,12 @@
 /// connection to each host of a large fleet would cost more than opening one.
 const KEPT_CLIENTS: usize = 64;
 
+/// Hosts remembered to read compressed questions; past it all are found out anew.
+const KNOWN_HOSTS: usize = 4096;
+
 /// Asks for compressed answers, and takes plain ones from older hosts. The limit on an answer counts
 /// what comes out of the decompression.
-type Client = HttpClient<RpcLogger<RpcService<Decompression<HttpBackend>>>>;
+type Client = HttpClient<RpcLogger<RpcService<Decompression<CompressService<HttpBackend>>>>>;
 
 /// Calls other hosts with one key.
 #[derive(Debug)]
@@ -49,12 +56,15 @@
     clients: Mutex<Vec<(SocketAddr, Client)>>,
     key: Secret,
     member: MemberId,
+    /// Which hosts read compressed questions; outlives the kept clients, since a host of a large
+    /// fleet meets most others less often than it keeps a connection.
+    reads: Mutex<HashMap<SocketAddr, Arc<AtomicBool>>>,
 }
 
 impl PeerClient {
     /// A client with the member's peer key, or with the operator token.
     pub fn open(key: Secret, member: MemberId) -> Self {
-        Self { clients: Mutex::default(), key, member }
+        Self { clients: Mutex::default(), key, member, reads: Mutex::default() }
     }
 
     /// Tells a peer what this host knows; the answer is what it lacks.
@@ -171,12 +181,24 @@
             .max_request_size(MAX_MESSAGE)
             .max_response_size(MAX_MESSAGE)
             .request_timeout(HANDOVER_TIMEOUT)
-            .set_http_middleware(tower::ServiceBuilder::new().layer(DecompressionLayer::new()))
+            .set_http_middleware(
+                tower::ServiceBuilder::new()
+                    .layer(DecompressionLayer::new())
+                    .layer(CompressLayer { reads: self.reads(to) }),
+            )
             .set_headers(HeaderMap::from_iter([(AUTHORIZATION, value)]))
             .build(format!("http://{to}"))
             .map_err(|error| unreachable(error.to_string()))
     }
 
+    fn reads(&self, to: SocketAddr) -> Arc<AtomicBool> {
+        let mut reads = self.reads.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        if KNOWN_HOSTS <= reads.len() && !reads.contains_key(&to) {
+            reads.clear();
+        }
+        reads.entry(to).or_default().clone()
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, Vec<(SocketAddr, Client)>> {
         self.clients.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -9,6 +9,7 @@
 mod api;
 mod auth;
 mod client;
+mod compress;
 mod envelope;
 mod error;
 mod handler;
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -6,7 +6,10 @@
     server::{BatchRequestConfig, HttpBody, HttpRequest, Server, ServerConfig, ServerHandle},
 };
 use serde::de::DeserializeOwned;
-use tower_http::compression::{CompressionLayer, predicate::SizeAbove};
+use tower_http::{
+    compression::{CompressionLayer, predicate::SizeAbove},
+    decompression::RequestDecompressionLayer,
+};
 
 use super::{
     MAX_MESSAGE,
@@ -61,7 +64,11 @@
             req
         };
         let compression = CompressionLayer::new().compress_when(SizeAbove::new(COMPRESSED_FROM));
-        let middleware = tower::ServiceBuilder::new().layer(compression).map_request(identify);
+        // The limit on a question counts what comes out of the decompression.
+        let middleware = tower::ServiceBuilder::new()
+            .layer(compression)
+            .map_request(identify)
+            .layer(RequestDecompressionLayer::new());
         let server =
             Server::builder().set_config(cfg).set_http_middleware(middleware).build(addr).await?;
         let local = server.local_addr()?;
