--- a/src/daemon/http.rs
+++ b/src/daemon/http.rs
@@ -2,8 +2,8 @@
 
 use std::net::IpAddr;
 
-use bytes::{Buf, Bytes, BytesMut};
-use futures::{Stream, StreamExt};
+use bytes::Buf;
+use futures::Stream;
 use http::{HeaderMap, Method};
 use warp::{
     Filter,
@@ -11,11 +11,20 @@
     reply::{Reply as _, Response},
 };
 
-use super::{incoming::Incoming, outgoing, traffic::Traffic};
-use crate::{lookup::Lookup, prelude::*};
+use super::{
+    incoming::{self, DEFAULT_DEADLINE, Incoming},
+    outgoing,
+    traffic::Traffic,
+};
+use crate::{
+    ingress::{BodyMemory, Remote, read_body},
+    lookup::Lookup,
+    prelude::*,
+};
 
-/// Largest body that is read for a service that this host does not know, in bytes.
-const UNKNOWN_BODY: u64 = 64 * 1024;
+/// Largest body that is read whatever the service takes, in bytes: a booking that is too large for
+/// its service goes to its ledger, which can say `not run`.
+const ANY_BODY: u64 = 64 * 1024;
 
 const LOOKUP_PATH: &str = "/v1/lookup";
 const SERVICES_PATH: &str = "/v1/services/";
@@ -42,6 +51,7 @@
 pub(super) fn routes(
     traffic: Arc<Traffic>,
     member: MemberId,
+    memory: BodyMemory,
 ) -> impl Filter<Extract = (Response,), Error = warp::Rejection> + Clone + Send + Sync + 'static {
     let query =
         warp::query::raw().or_else(|_| async { Ok::<_, warp::Rejection>((String::new(),)) });
@@ -49,16 +59,23 @@
         .and(warp::path::full())
         .and(query)
         .and(warp::header::headers_cloned())
-        .and(warp::addr::remote())
+        .and(warp::ext::optional::<Remote>())
         .and(warp::body::stream())
-        .then(move |method, path: FullPath, query, headers, remote, body| {
+        .then(move |method, path: FullPath, query, headers, remote: Option<Remote>, body| {
             let path = path.as_str().to_owned();
+            let remote = remote.map(|Remote(address)| address);
             let raw = Raw { headers, method, path, query, remote };
-            answer(traffic.clone(), member.clone(), raw, body)
+            answer(traffic.clone(), member.clone(), memory.clone(), raw, body)
         })
 }
 
-async fn answer<S, B>(traffic: Arc<Traffic>, member: MemberId, raw: Raw, body: S) -> Response
+async fn answer<S, B>(
+    traffic: Arc<Traffic>,
+    member: MemberId,
+    memory: BodyMemory,
+    raw: Raw,
+    body: S,
+) -> Response
 where
     S: Stream<Item = Result<B, warp::Error>> + Send,
     B: Buf,
@@ -68,14 +85,21 @@
     }
     let Some(rest) = raw.path.strip_prefix(SERVICES_PATH) else {
         let detail = format!("no such path; use {LOOKUP_PATH} or {SERVICES_PATH}SERVICE/...");
-        return refuse(ErrorKind::BadRequest, &detail);
+        let error = traffic.before_ledger(ErrorKind::BadRequest, &raw.headers, &"".into());
+        return refuse(error, &detail);
     };
     let (service, path) = rest.split_at(rest.find('/').unwrap_or(rest.len()));
     let service: ServiceId = service.into();
     let limit = body_limit(&traffic, &service);
-    let body = match read_body(body, limit).await {
-        Ok(body) => body,
-        Err(error) => return refuse(error, "the body"),
+    let (received, time) = (traffic.now(), incoming::time_limit(&raw.headers));
+    // A limit that cannot be read is refused with its name, once the request is whole.
+    let time = time.unwrap_or(DEFAULT_DEADLINE);
+    let (body, hold) = match read_body(body, limit, time, &memory).await {
+        Ok(read) => read,
+        Err(error) => {
+            let error = traffic.before_ledger(error, &raw.headers, &service);
+            return refuse(error, "the body");
+        }
     };
     let path = match (path, raw.query.as_str()) {
         ("", "") => "/".into(),
@@ -83,33 +107,15 @@
         (path, query) => format!("{path}?{query}").into(),
     };
     let headers = raw.headers;
-    let incoming =
-        Incoming { body, headers, method: raw.method, path, remote: raw.remote, service };
+    let (method, remote) = (raw.method, raw.remote);
+    let incoming = Incoming { body, headers, hold, method, path, received, remote, service };
     traffic.serve(incoming).await
 }
 
 fn body_limit(traffic: &Traffic, service: &ServiceId) -> u64 {
     let view = traffic.view();
     let known = view.as_ref().and_then(|view| view.manifest.service(service));
-    known.map_or(UNKNOWN_BODY, |service| service.max_body)
-}
-
-/// Reads the whole body before anything is sent on: a request that breaks off was not run.
-async fn read_body<S, B>(body: S, limit: u64) -> Result<Bytes, ErrorKind>
-where
-    S: Stream<Item = Result<B, warp::Error>> + Send,
-    B: Buf,
-{
-    let mut whole = BytesMut::new();
-    let mut body = std::pin::pin!(body);
-    while let Some(chunk) = body.next().await {
-        let mut chunk = chunk.map_err(|_| ErrorKind::BadRequest)?;
-        if limit < (whole.len() + chunk.remaining()) as u64 {
-            return Err(ErrorKind::BodyTooLarge);
-        }
-        whole.extend_from_slice(&chunk.copy_to_bytes(chunk.remaining()));
-    }
-    Ok(whole.freeze())
+    known.map_or(ANY_BODY, |service| service.max_body.max(ANY_BODY))
 }
 
 fn look_up(traffic: &Traffic, member: &MemberId, raw: &Raw) -> Response {
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -54,6 +54,8 @@
 #[derive(Debug)]
 pub struct PeerClient {
     clients: Mutex<Vec<(SocketAddr, Client)>>,
+    /// Most clients kept.
+    kept: usize,
     key: Secret,
     member: MemberId,
     /// Which hosts read compressed questions; outlives the kept clients, since a host of a large
@@ -64,7 +66,13 @@
 impl PeerClient {
     /// A client with the member's peer key, or with the operator token.
     pub fn open(key: Secret, member: MemberId) -> Self {
-        Self { clients: Mutex::default(), key, member, reads: Mutex::default() }
+        let (clients, reads) = (Mutex::default(), Mutex::default());
+        Self { clients, kept: KEPT_CLIENTS, key, member, reads }
+    }
+
+    /// Keeps fewer connections, for many hosts in one process with its limit on open files.
+    pub fn keeping(self, kept: usize) -> Self {
+        Self { kept: kept.max(1), ..self }
     }
 
     /// Tells a peer what this host knows; the answer is what it lacks.
@@ -164,7 +172,7 @@
             return Ok(client.clone());
         }
         let client = self.build(to)?;
-        if KEPT_CLIENTS <= clients.len() {
+        if self.kept <= clients.len() {
             clients.remove(0);
         }
         clients.push((to, client.clone()));
--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -9,7 +9,7 @@
     operator::{Explanation, HostStatus},
     prelude::*,
     settings::Secret,
-    timeline::{Event, Filter, HybridTime},
+    timeline::HybridTime,
     view::HostView,
 };
 
@@ -61,10 +61,6 @@
         Ok(HandoverAck { complete: true, index: chunk.part.index })
     }
 
-    async fn events(&self, _: Filter) -> Result<Vec<Event>> {
-        Ok(Vec::new())
-    }
-
     async fn status(&self) -> Result<HostStatus> {
         Ok(HostStatus::new(self.view.clone()))
     }
--- a/src/steer/tests.rs
+++ b/src/steer/tests.rs
@@ -10,7 +10,7 @@
 use super::*;
 use crate::{
     ledger::{KeptAnswer, body_digest},
-    manifest::{Manifest, Region, Service, ServiceKind, Target, Weighing},
+    manifest::{DrainScope, Manifest, Region, Service, ServiceKind, Target, Weighing},
     prelude::*,
     selection::LoadReport,
     view::{HostView, Tenure, View},
@@ -87,6 +87,11 @@
         self.on(Event::Ended { attempt, outcome })
     }
 
+    fn interrupt(&mut self, attempt: AttemptId) -> Vec<Action> {
+        let (error, latency) = (ErrorKind::AnswerBroken, Duration::from_millis(5));
+        self.on(Event::Ended { attempt, outcome: Outcome::Interrupted { error, latency } })
+    }
+
     fn answer(&mut self, attempt: AttemptId) -> Vec<Action> {
         let kept = KeptAnswer { body: "ok".into(), headers: Vec::new(), status: 200 };
         let latency = Duration::from_millis(5);
@@ -180,6 +185,62 @@
     }
 }
 
+// A file breaks off behind its head. The rest is one more attempt, at the other target, and the
+// slot of the first is free by then. Past the time limit, with the other target drained, or after
+// the caller has left there is none; and nobody is told that what the caller holds was not run.
+#[test]
+fn the_rest_of_a_file_is_an_attempt_like_any_other() {
+    let mut host = Host::new();
+    let file = host.arrival("read");
+    let first = host.dispatch(file);
+    let actions = host.interrupt(first);
+    let second = attempt(&actions).expect("the rest is asked for");
+    assert_eq!(host.steer.busy_targets().iter().map(|busy| busy.requests).sum::<u32>(), 1);
+    assert_eq!(error(&host.fail(second, ErrorKind::ConnectFailed)), Some(ErrorKind::StreamCut));
+    assert_eq!(host.steer.usage()[0].busy, 0);
+
+    let mut late = Host::new();
+    let file = late.arrival("read");
+    let first = late.dispatch(file);
+    late.pass(Duration::from_secs(6));
+    assert_eq!(error(&late.interrupt(first)), Some(ErrorKind::StreamCut));
+
+    let mut drained = Host::new();
+    let file = drained.arrival("read");
+    let first = drained.dispatch(file);
+    let scopes = ["read-1", "read-2"].map(|target| DrainScope::Target(target.into()));
+    let until = drained.now + Duration::from_secs(60);
+    let view = View { drains: scopes.into(), ..view(until) };
+    drained.on(Event::Viewed { view: Arc::new(view) });
+    let told = error(&drained.interrupt(first)).map(|error| error.row().ran);
+    assert_eq!(told, Some(Ran::Unknown));
+
+    let mut left = Host::new();
+    let file = left.arrival("read");
+    let first = left.dispatch(file);
+    let second = attempt(&left.interrupt(first)).expect("the rest is asked for");
+    let actions = left.on(Event::Cancelled { call: 1 });
+    assert!(actions.contains(&Action::Cancel { attempt: second }));
+    assert_eq!(left.steer.usage()[0].busy, 0);
+}
+
+// Targets break off every file that they begin. Without the retry budget each would be asked for up
+// to three times, and the load that made them break would grow by its own failures.
+#[test]
+fn rests_are_paid_out_of_the_retry_budget() {
+    let mut host = Host::new();
+    let mut rests = 0;
+    for _ in 0..20 {
+        let file = host.arrival("read");
+        let mut next = attempt(&host.on(Event::Arrived(file)));
+        while let Some(under_way) = next {
+            next = attempt(&host.interrupt(under_way));
+            rests += u32::from(next.is_some());
+        }
+    }
+    assert!((1..=5).contains(&rests), "{rests}");
+}
+
 // A second copy of a booking arrives while the first one runs. It waits, and both callers get the
 // one answer; a third copy that comes later gets it from the ledger.
 #[test]
@@ -259,3 +320,114 @@
     assert!(actions.contains(&passed));
     assert_eq!(host.steer.busy(), 0);
 }
+
+// A booking comes before the manifest that opens its service, or is larger than this manifest
+// allows. Its ledger refuses the key for good, so that `not run` stays true when an earlier copy
+// arrives late, under a manifest by which it could run.
+#[test]
+fn a_booking_unfit_for_the_manifest_is_refused_by_its_ledger_for_good() {
+    let mut host = Host::new();
+    let known = host.steer.view.clone().unwrap();
+    let mut closed = Manifest::clone(&known.manifest);
+    closed.services.retain(|service| &*service.name != "book");
+    let without = View { manifest: Arc::new(closed), ..View::clone(&known) };
+    host.on(Event::Viewed { view: Arc::new(without) });
+    let early = host.booking("k-1");
+    assert_eq!(error(&host.on(Event::Arrived(early))), Some(ErrorKind::ServiceUnknown));
+    host.on(Event::Viewed { view: known });
+    let large = Arrival { body_len: 101, ..host.booking("k-2") };
+    assert_eq!(error(&host.on(Event::Arrived(large))), Some(ErrorKind::BodyTooLarge));
+    for key in ["k-1", "k-2"] {
+        let late = host.booking(key);
+        let actions = host.on(Event::Arrived(late));
+        assert_eq!((attempt(&actions), error(&actions)), (None, Some(ErrorKind::KeyRefused)));
+    }
+}
+
+// Another host asks for a slot here, for a booking whose entry it holds, and this host's manifest
+// does not know the service. Its refusal is about this one attempt and proves that it did not run;
+// `unknown` would keep the holder of the entry from trying the next target.
+#[test]
+fn a_refused_slot_is_proof_for_the_holder_of_the_entry() {
+    let mut host = Host::new();
+    let attempt = Arrival { service: "new".into(), via: Via::SlotHop, ..host.booking("k") };
+    assert_eq!(error(&host.on(Event::Arrived(attempt))), Some(ErrorKind::ServiceUnknown));
+}
+
+// A host that has just started has no manifest, and a read with a stray key comes as well as a
+// booking that lost its binding. Only what can be a booking is answered with doubt.
+#[test]
+fn doubt_is_kept_for_what_can_be_a_booking() {
+    let mut host = Host::new();
+    let read = Arrival { key: Some("k".into()), deadline: host.now, ..host.arrival("read") };
+    assert_eq!(error(&host.on(Event::Arrived(read))), Some(ErrorKind::DeadlinePassed));
+    let part = Arrival { key: Some("k".into()), ..host.arrival("book") };
+    assert_eq!(error(&host.on(Event::Arrived(part))), Some(ErrorKind::BookingIncomplete));
+    host.steer = Steer::new("a-1".into(), 1, SteerLimits::default());
+    let early = Arrival { key: Some("k".into()), ..host.arrival("book") };
+    assert_eq!(error(&host.on(Event::Arrived(early))), Some(ErrorKind::OwnerUnreachable));
+    let bare = host.arrival("read");
+    assert_eq!(error(&host.on(Event::Arrived(bare))), Some(ErrorKind::NoManifest));
+}
+
+// A host gets two bookings more than it has slots, one from its caller and one from the host that
+// holds its entry, and both wait. Then it stops, and its targets go to another host: no slot will
+// be free here again. Left in the queue until their deadlines, both ended as `unknown`; now one
+// goes to the new owner at once and the other is refused with proof.
+#[test]
+fn what_waits_at_a_host_that_loses_its_targets_goes_on_at_once() {
+    let mut host = Host::new();
+    for key in ["k-1", "k-2"] {
+        let running = host.booking(key);
+        host.dispatch(running);
+    }
+    let own = host.booking("k-3");
+    let hop = Arrival { via: Via::SlotHop, ..host.booking("k-4") };
+    let (own_call, hop_call) = (own.call, hop.call);
+    for waiting in [own, hop] {
+        let actions = host.on(Event::Arrived(waiting));
+        assert_eq!((attempt(&actions), error(&actions)), (None, None));
+    }
+    let mut given_up = view(Moment::ZERO);
+    let successor = HostView { id: "a-2".into(), incarnation: 2, ..given_up.own.clone() };
+    given_up.hosts.push(successor);
+    given_up.tenure.owners = vec!["a-2".into()];
+    let actions = host.on(Event::Viewed { view: Arc::new(given_up) });
+    let forwarded = actions.iter().any(|action| {
+        matches!(action, Action::Forward { call, via: Via::SlotHop, .. } if *call == own_call)
+    });
+    assert!(forwarded, "{actions:?}");
+    let refused = actions.iter().find_map(|action| match action {
+        Action::Answer { answer: Answer::Error { error, .. }, call } if *call == hop_call => {
+            Some(error.row().ran)
+        }
+        _ => None,
+    });
+    assert_eq!(refused, Some(Ran::No));
+}
+
+// A booking waits for a slot until almost no time is left, or gets its slot then. Sent to a target,
+// it would run for a caller that has hung up and be `unknown` to all; so it is refused with proof,
+// early enough for the caller to hear it.
+#[test]
+fn a_booking_is_not_started_in_its_last_moments() {
+    let mut host = Host::new();
+    for key in ["k-1", "k-2"] {
+        let running = host.booking(key);
+        host.dispatch(running);
+    }
+    let waiting = host.booking("k-3");
+    let deadline = waiting.deadline;
+    host.on(Event::Arrived(waiting));
+    host.pass(Duration::from_millis(4_550));
+    let actions = host.on(Event::Tick);
+    assert_eq!(error(&actions), Some(ErrorKind::DeadlinePassed));
+    assert!(host.now < deadline);
+
+    let mut host = Host::new();
+    let late = host.booking("k-1");
+    let running = host.dispatch(late);
+    host.pass(Duration::from_millis(4_550));
+    let actions = host.fail(running, ErrorKind::ConnectFailed);
+    assert_eq!((attempt(&actions), error(&actions)), (None, Some(ErrorKind::DeadlinePassed)));
+}
--- a/tests/support/hosts.rs
+++ b/tests/support/hosts.rs
@@ -9,6 +9,7 @@
     base::{BootClock, Clock},
     daemon::{Daemon, DaemonParts, LookupBody},
     forward::{ForwardLimits, HttpUpstream},
+    ingress::IngressLimits,
     manifest::{
         ASSUMED_LOAD, ClientBlock, Loads, Manifest, Proposal, Region, Service, ServiceKind, Target,
         Weighing, accept, sign,
@@ -33,10 +34,16 @@
 
 /// One zone of one member.
 pub struct Member {
+    /// Services of files that a test adds, with the addresses of their targets.
+    pub files: Vec<(String, Vec<SocketAddr>)>,
     pub http: reqwest::Client,
+    /// Of the hosts that are started next.
+    pub ingress: IngressLimits,
     pub log: Arc<RunLog>,
     pub platform: PlatformStandin,
     clock: Arc<dyn Clock>,
+    /// Services that later manifests leave out.
+    closed: Vec<&'static str>,
     key: SigningKey,
     seeds: u64,
     targets: Vec<(&'static str, TargetStandin)>,
@@ -64,11 +71,27 @@
         let key = SigningKey::from_bytes(&[7; 32]);
         let http = reqwest::Client::builder().no_proxy().retry(reqwest::retry::never());
         let http = http.build().unwrap();
-        let member = Self { clock, http, key, log, platform, seeds: 1, targets };
+        let member = Self {
+            clock,
+            closed: Vec::new(),
+            files: Vec::new(),
+            http,
+            ingress: IngressLimits::default(),
+            key,
+            log,
+            platform,
+            seeds: 1,
+            targets,
+        };
         member.apply(1).await;
         member
     }
 
+    /// Leaves a service out of the manifests that follow.
+    pub fn close(&mut self, service: &'static str) {
+        self.closed.push(service);
+    }
+
     /// Has the pipeline apply the manifest under a sequence number.
     pub async fn apply(&self, sequence: u64) {
         let text = serde_norway::to_string(&self.manifest(sequence)).unwrap();
@@ -79,12 +102,25 @@
         accept(&platform, &proposal, &self.key.verifying_key(), &loads).await.unwrap();
     }
 
+    /// Makes every target that many times slower.
+    pub fn slow_down(&self, factor: u32) {
+        self.targets.iter().for_each(|(_, target)| target.slow_down(factor));
+    }
+
+    /// Requests that the targets run now.
+    pub fn running(&self) -> u32 {
+        self.targets.iter().map(|(_, target)| target.busy()).sum()
+    }
+
     /// Starts a host that knows `peers`, and waits until it serves.
     pub async fn host(&mut self, name: &str, peers: &[&Daemon]) -> Daemon {
         self.seeds += 1;
         let settings = self.settings(name, peers.iter().map(|peer| peer.rpc_addr()).collect());
         let key = Secret::new(PEER_KEY);
-        let upstream = || Arc::new(HttpUpstream::open(ForwardLimits::default()).unwrap());
+        // No test waits for the silence limit: what ends a silent exchange is something else.
+        let limits =
+            ForwardLimits { stream_silence: Duration::from_secs(300), ..ForwardLimits::default() };
+        let upstream = || Arc::new(HttpUpstream::open(limits).unwrap());
         let host = Daemon::spawn(DaemonParts {
             clock: self.clock.clone(),
             limits: SteerLimits::default(),
@@ -117,6 +153,7 @@
             advertise_rpc: None,
             host: name.into(),
             http: any_port,
+            ingress: self.ingress,
             log: LogSettings::default(),
             manifest_key: hex::encode(self.key.verifying_key()).into(),
             member: MEMBER.into(),
@@ -162,6 +199,14 @@
             targets: self.targets_of(name),
             timeout_ms: 2000,
         };
+        let files = self.files.iter().map(|(name, addresses)| Service {
+            targets: files_of(name, addresses),
+            ..service(name, ServiceKind::File)
+        });
+        let own = [(READ, ServiceKind::Read), (BOOKING, ServiceKind::Booking)]
+            .into_iter()
+            .filter(|(name, _)| !self.closed.contains(name))
+            .map(|(name, kind)| service(name, kind));
         Manifest {
             client_blocks: vec![ClientBlock {
                 block: "127.0.0.0/8".parse().unwrap(),
@@ -172,10 +217,7 @@
             member: MEMBER.into(),
             regions: vec![Region { name: REGION.into(), reserve: 0.2, zones: vec![ZONE.into()] }],
             sequence,
-            services: vec![
-                service(READ, ServiceKind::Read),
-                service(BOOKING, ServiceKind::Booking),
-            ],
+            services: own.chain(files).collect(),
             weighing: Weighing::Latency,
         }
     }
@@ -192,6 +234,16 @@
     }
 }
 
+fn files_of(service: &str, addresses: &[SocketAddr]) -> Vec<Target> {
+    let targets = addresses.iter().enumerate().map(|(number, address)| Target {
+        address: *address,
+        name: format!("{service}-{number}").into(),
+        slots: 3,
+        zone: ZONE.into(),
+    });
+    targets.collect()
+}
+
 /// An answer, and the key that it is for.
 pub struct Served {
     pub key: String,
