--- a/src/peer/tests.rs
+++ b/src/peer/tests.rs
@@ -13,6 +13,8 @@
     view::HostView,
 };
 
+mod compression;
+
 struct Host {
     view: HostView,
 }
@@ -51,6 +53,10 @@
         Ok(ManifestReply::default())
     }
 
+    async fn part(&self, request: PartRequest) -> Result<PartReply> {
+        Ok(PartReply { part: compression::part(&request.id) })
+    }
+
     async fn handover(&self, chunk: HandoverChunk) -> Result<HandoverAck> {
         Ok(HandoverAck { complete: true, index: chunk.part.index })
     }
