Carry a suspicion with the hop and push it at once

Cause: a request that crashes targets was run unaware by the next host, since marks travelled by the exchanges of each second: the system's own second attempt went to another host's target, and the caller's resend to another host.

A hop now carries the mark on its request both ways (`lavender-mark`, believed between hosts only), and a new mark is pushed to the zone and to one host of each other zone, which tells its own; the push runs beside the answer and holds nothing back. `news_for` puts drains and marks into the first message, which saves a round trip. A request that has just proved guilty is answered at once: it waited in the queue for its whole time limit and was told `deadline-passed`, `not run`, though it ran.

Ruled out: holding the answer back (late for ever where a zone is cut off); two crashes in company as proof (a popular read is in flight at both).

--- a/src/daemon/control/actor.rs
+++ b/src/daemon/control/actor.rs
@@ -3,7 +3,7 @@
 use rand_chacha::ChaCha8Rng;
 use xtra::{Actor, Address, Mailbox, WeakAddress};
 
-use super::messages::{PlatformHeard, Tick};
+use super::messages::{Marked, PlatformHeard, Tick};
 use crate::{
     daemon::{PeerLink, traffic::Traffic},
     drain::{Drains, Progress},
@@ -73,7 +73,10 @@
             shown: None,
             tenure: TenureKeeper::new(own.id, own.incarnation, own.zone),
         };
-        xtra::spawn_tokio(control, Mailbox::bounded(MAILBOX))
+        let traffic = control.parts.traffic.clone();
+        let address = xtra::spawn_tokio(control, Mailbox::bounded(MAILBOX));
+        tokio::spawn(tell_marks(traffic, address.downgrade()));
+        address
     }
 
     pub(super) fn now(&self) -> Moment {
@@ -122,6 +125,16 @@
     }
 }
 
+/// Passes new suspicions on until the actor is gone.
+async fn tell_marks(traffic: Arc<Traffic>, control: WeakAddress<Control>) {
+    loop {
+        traffic.marked().await;
+        if control.send(Marked).await.is_err() {
+            return;
+        }
+    }
+}
+
 impl Actor for Control {
     type Stop = ();
 
--- a/src/daemon/control/exchange.rs
+++ b/src/daemon/control/exchange.rs
@@ -4,7 +4,7 @@
 
 use super::{
     actor::Control,
-    messages::{Exchanged, Leave, Merged},
+    messages::{Exchanged, Leave, Marked, Merged},
 };
 use crate::{
     manifest::DrainScope,
@@ -82,7 +82,12 @@
             self.exchange(me.clone());
         }
         if !heard.marks.is_empty() {
+            let known = self.parts.membership.marks_hash();
             self.parts.traffic.feed(Event::Marked { marks: heard.marks });
+            self.tell_notes();
+            if heard.from_afar && known != self.parts.membership.marks_hash() {
+                self.spread_in_zone(&me);
+            }
         }
         if let Some((sequence, holder)) = heard.manifest {
             self.pull_manifest(me, sequence, holder);
@@ -160,21 +165,48 @@
     }
 }
 
+impl xtra::Handler<Marked> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, _marked: Marked, cx: &mut xtra::Context<Self>) {
+        self.tell_notes();
+        self.spread(&cx.mailbox().address());
+    }
+}
+
 impl Control {
     /// Tells the whole zone and one host of each other zone now: with the next heartbeats alone,
-    /// a stopping host or a drained target would get new work for another second or two.
+    /// a stopping host or a drained target would get new work for another second or two, and a
+    /// request that crashes targets would be run by the next host before it is known there.
     pub(super) fn spread(&mut self, me: &WeakAddress<Self>) {
         let now = self.now();
         let own = self.parts.membership.own().clone();
         let mut zones = std::collections::BTreeSet::new();
         for host in self.parts.membership.hosts(now) {
             let first = zones.insert(host.zone.clone());
-            if host.id != own.id && (host.zone == own.zone || first) {
-                let digest = self.parts.membership.digest_for(&host, now);
-                self.ask(me.clone(), host.rpc, digest);
+            if host.zone == own.zone || first {
+                self.tell(me, &host);
             }
         }
     }
+
+    /// Tells the zone what came from another one. Only the host that another zone told does so: if
+    /// each passed it on to each, the messages would grow with the square of the zone.
+    fn spread_in_zone(&mut self, me: &WeakAddress<Self>) {
+        let now = self.now();
+        let own = self.parts.membership.own().zone.clone();
+        for host in self.parts.membership.hosts(now).iter().filter(|host| host.zone == own) {
+            self.tell(me, host);
+        }
+    }
+
+    fn tell(&mut self, me: &WeakAddress<Self>, host: &HostView) {
+        if host.id != self.parts.membership.own().id {
+            let now = self.now();
+            let digest = self.parts.membership.news_for(host, now);
+            self.ask(me.clone(), host.rpc, digest);
+        }
+    }
 }
 
 /// Wall-clock time in milliseconds; compared between hosts only to find the newer of two notes.
--- a/src/daemon/control/messages.rs
+++ b/src/daemon/control/messages.rs
@@ -62,6 +62,10 @@
 #[derive(Debug)]
 pub struct TakeHandover(pub HandoverChunk);
 
+/// A request came under suspicion on this host: told to all at once.
+#[derive(Clone, Copy, Debug)]
+pub struct Marked;
+
 /// Begin of a planned stop: told to all peers at once.
 #[derive(Clone, Copy, Debug)]
 pub struct Leave;
--- a/src/daemon/headers.rs
+++ b/src/daemon/headers.rs
@@ -15,6 +15,9 @@
 /// Chosen by the caller; the same for each resend of one booking.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
+/// What a host knows of a request that crashed targets, told to the host at the other end of a hop.
+pub const MARK: &str = "lavender-mark";
+
 /// Member whose service is asked for.
 pub const MEMBER: &str = "lavender-member";
 
--- a/src/daemon/incoming.rs
+++ b/src/daemon/incoming.rs
@@ -10,7 +10,7 @@
     base::HeaderLine,
     ledger::body_digest,
     prelude::*,
-    quarantine::fingerprint,
+    quarantine::{Fingerprint, Mark, fingerprint},
     settings::Secret,
     steer::{Arrival, CallId, Via},
 };
@@ -90,6 +90,12 @@
         lines.collect()
     }
 
+    /// What the host that sent the request knows of it as one that crashes targets.
+    pub fn mark(&self, fingerprint: Fingerprint) -> Option<Mark> {
+        let text = self.headers.get(headers::MARK)?.to_str().ok()?;
+        read_mark(text, fingerprint)
+    }
+
     /// The caller's address: as a gateway names it, else the connection's.
     pub fn client(&self) -> Result<IpAddr> {
         let bad = BadHeader { expected: "an IP address", header: headers::CLIENT };
@@ -148,6 +154,17 @@
     }
 }
 
+/// A mark on that very request; hosts tell of others by exchange.
+pub fn read_mark(text: &str, fingerprint: Fingerprint) -> Option<Mark> {
+    let mark: Mark = serde_json::from_str(text).ok()?;
+    (mark.fingerprint == fingerprint).then_some(mark)
+}
+
+/// The value of the `lavender-mark` header.
+pub fn mark_text(mark: &Mark) -> String {
+    serde_json::to_string(mark).unwrap_or_default()
+}
+
 /// The value of the `lavender-via` header.
 pub fn via_text(via: Via) -> &'static str {
     match via {
--- a/src/daemon/outgoing.rs
+++ b/src/daemon/outgoing.rs
@@ -3,8 +3,8 @@
 use http::{HeaderName, HeaderValue, StatusCode};
 use warp::reply::{Reply as _, Response};
 
-use super::headers;
-use crate::{base::HeaderLine, base::Resend, ledger::KeptAnswer, prelude::*};
+use super::{headers, incoming::mark_text};
+use crate::{base::HeaderLine, base::Resend, ledger::KeptAnswer, prelude::*, quarantine::Mark};
 
 /// The answer of the table's row for an error kind.
 pub fn error(
@@ -39,6 +39,11 @@
     }
 }
 
+/// Tells the host that sent the request what is known of it.
+pub fn put_mark(res: &mut Response, mark: &Mark) {
+    put(res, headers::MARK, &mark_text(mark));
+}
+
 /// The whole answer of a target, now or from the ledger.
 pub fn whole(answer: &KeptAnswer, request: &str) -> Response {
     let mut res = Response::new(answer.body.clone().into());
--- a/src/daemon/traffic.rs
+++ b/src/daemon/traffic.rs
@@ -12,21 +12,25 @@
 use arc_swap::ArcSwapOption;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use tokio::{sync::oneshot, task::AbortHandle};
+use tokio::{
+    sync::{Notify, oneshot},
+    task::AbortHandle,
+};
 use warp::reply::Response;
 
 use super::{
     Tape, headers,
-    incoming::{Incoming, via_text},
+    incoming::{Incoming, mark_text, read_mark, via_text},
     outgoing,
     stream::{OpenFiles, Rest},
 };
 use crate::{
-    base::HeaderLine,
+    base::{HeaderLine, header},
     forward::{Attempt, Reply, ReplyBody, Upstream},
     ledger::{KeptAnswer, SealedLedger},
     lookup::{BlockTable, HostIndex, Lookup, LookupAsk},
     prelude::*,
+    quarantine::{Fingerprint, Mark},
     settings::Secret,
     steer::{Action, Answer, AttemptId, CallId, Event, Outcome, Steer, Via},
     timeline::{EventKind, EventSink},
@@ -53,6 +57,8 @@
     attempts: Mutex<HashMap<AttemptId, AbortHandle>>,
     core: Mutex<Core>,
     pub(super) files: OpenFiles,
+    /// A request came under suspicion here.
+    marked: Notify,
     next_call: AtomicU64,
     parts: Parts,
     pending: Mutex<HashMap<CallId, Pending>>,
@@ -84,6 +90,7 @@
 
 /// A request whose caller waits.
 struct Pending {
+    fingerprint: Fingerprint,
     incoming: Arc<Incoming>,
     /// The whole answer of the attempt that has just ended.
     reply: Option<Arc<KeptAnswer>>,
@@ -99,6 +106,7 @@
             attempts: Mutex::default(),
             core: Mutex::new(core),
             files: OpenFiles::default(),
+            marked: Notify::new(),
             next_call: AtomicU64::new(1),
             parts: Parts {
                 clock: parts.clock,
@@ -129,8 +137,12 @@
         };
         let request = arrival.request.clone();
         let (tx, rx) = oneshot::channel();
-        let pending =
-            Pending { incoming: Arc::new(incoming), reply: None, request: request.clone(), tx };
+        let fingerprint = arrival.fingerprint;
+        if arrival.via != Via::Caller {
+            self.learn(incoming.mark(fingerprint));
+        }
+        let incoming = Arc::new(incoming);
+        let pending = Pending { fingerprint, incoming, reply: None, request: request.clone(), tx };
         lock(&self.pending).insert(call, pending);
         let guard = CallGuard { call, traffic: self.clone() };
         self.feed(Event::Arrived(arrival));
@@ -189,6 +201,19 @@
         f(&lock(&self.core).steer, now)
     }
 
+    /// Waits until a request has come under suspicion here since the last time.
+    pub async fn marked(&self) {
+        self.marked.notified().await;
+    }
+
+    /// Takes in what a host at the other end of a hop knows of the request that it carries. By the
+    /// exchanges alone the suspicion comes later than the request, which then crashes another target.
+    fn learn(self: &Arc<Self>, mark: Option<Mark>) {
+        if let Some(mark) = mark {
+            self.feed(Event::Marked { marks: vec![mark] });
+        }
+    }
+
     /// Gives one event to the decisions and carries out what they order.
     pub fn feed(self: &Arc<Self>, event: Event) {
         let actions = self.decide(event);
@@ -223,14 +248,19 @@
             Action::Forward { address, attempt, call, timeout, via, .. } => {
                 self.start(call, attempt, address, timeout, Some(via));
             }
-            Action::Note { kind, request } => self.parts.sink.record(request.as_ref(), kind),
+            Action::Note { kind, request } => {
+                if matches!(kind, EventKind::Quarantined { .. }) {
+                    self.marked.notify_one();
+                }
+                self.parts.sink.record(request.as_ref(), kind);
+            }
         }
     }
 
     fn answer(&self, call: CallId, answer: Answer) {
         self.files.close(call);
         let Some(pending) = lock(&self.pending).remove(&call) else { return };
-        let res = match answer {
+        let mut res = match answer {
             Answer::Error { error, retry_after } => {
                 let mut res = outgoing::error(error, &pending.request, None, retry_after);
                 if pending.incoming.headers.contains_key(headers::IDEMPOTENCY_KEY) {
@@ -244,6 +274,11 @@
                 None => outgoing::error(ErrorKind::AnswerNotKept, &pending.request, None, None),
             },
         };
+        if pending.incoming.headers.contains_key(headers::VIA)
+            && let Some(mark) = self.mark(pending.fingerprint)
+        {
+            outgoing::put_mark(&mut res, &mark);
+        }
         // A failed send means that the caller is gone; the ledger keeps what it has to.
         let _ = pending.tx.send(res);
     }
@@ -267,8 +302,9 @@
             return self.feed(Event::Ended { attempt, outcome });
         };
         let (incoming, request) = (entry.incoming.clone(), entry.request.clone());
+        let fingerprint = entry.fingerprint;
         drop(pending);
-        let order = Order { address, attempt, call, hop, incoming, request, timeout };
+        let order = Order { address, attempt, call, fingerprint, hop, incoming, request, timeout };
         let traffic = self.clone();
         let mut attempts = lock(&self.attempts);
         let task = self.runtime.spawn(async move { traffic.run(order).await });
@@ -328,10 +364,21 @@
         let auth = String::from_utf8_lossy(self.parts.peer_key.expose()).into_owned();
         lines.push(HeaderLine::new(headers::PEER_AUTH, auth));
         lines.push(HeaderLine::new(headers::VIA, via_text(via)));
+        if let Some(mark) = self.mark(order.fingerprint) {
+            lines.push(HeaderLine::new(headers::MARK, mark_text(&mark)));
+        }
         lines
     }
 
+    fn mark(&self, fingerprint: Fingerprint) -> Option<Mark> {
+        self.with_steer(|steer, now| steer.mark(fingerprint, now))
+    }
+
     async fn reply(self: &Arc<Self>, order: Order, reply: Reply, latency: Duration) {
+        if order.hop.is_some() {
+            let text = header(&reply.headers, headers::MARK);
+            self.learn(text.and_then(|text| read_mark(text, order.fingerprint)));
+        }
         if let Some(error) = refusal(&order, &reply) {
             return self.end(order.attempt, Outcome::Refused { error, latency });
         }
@@ -377,6 +424,7 @@
     pub address: SocketAddr,
     pub attempt: AttemptId,
     pub call: CallId,
+    pub fingerprint: Fingerprint,
     pub hop: Option<Via>,
     pub incoming: Arc<Incoming>,
     pub request: RequestId,
--- a/src/membership/exchange.rs
+++ b/src/membership/exchange.rs
@@ -29,6 +29,19 @@
         digest
     }
 
+    /// The same with drains and marks, without waiting for the peer to ask for them.
+    pub fn news_for(&mut self, to: &HostView, now: Moment) -> Digest {
+        let owed = self.owed.entry(to.id.clone()).or_default();
+        owed.drains = true;
+        owed.marks = true;
+        self.digest_for(to, now)
+    }
+
+    /// Hash of the marks that this host holds.
+    pub fn marks_hash(&self) -> u64 {
+        self.notes_hashes.marks
+    }
+
     /// Whether that peer asked for more in its answer; a second exchange at once then saves it the
     /// wait for the next tick.
     pub fn owes(&self, peer: &HostId) -> bool {
@@ -221,6 +234,7 @@
         }
         let bound = self.limits.max_entries;
         self.heard.drains.extend(digest.drains.iter().take(bound).cloned());
+        self.heard.from_afar |= !self.is_near(digest) && !digest.marks.is_empty();
         self.heard.marks.extend(digest.marks.iter().take(bound).cloned());
         self.heard.baselines.extend(digest.baselines.iter().take(bound).cloned());
     }
--- a/src/membership/notes.rs
+++ b/src/membership/notes.rs
@@ -57,6 +57,8 @@
 pub struct Heard {
     pub baselines: Vec<BaselineNote>,
     pub drains: Vec<DrainRecord>,
+    /// Whether some of the marks came from another zone.
+    pub from_afar: bool,
     /// The highest manifest sequence above the own one, and where its holder answers RPC.
     pub manifest: Option<(Sequence, SocketAddr)>,
     pub marks: Vec<Mark>,
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -1,5 +1,9 @@
 use super::*;
-use crate::{prelude::*, view::Baseline};
+use crate::{
+    prelude::*,
+    quarantine::{Mark, Verdict},
+    view::Baseline,
+};
 
 fn secs(secs: u64) -> Duration {
     Duration::from_secs(secs)
@@ -51,6 +55,28 @@
     assert_eq!(seen, ["h0004".into(), "h0004".into()], "suspected once, left once");
 }
 
+// A request crashes a target. The next host that it goes to has to know before: it gets the mark in the
+// very first message, without a round trip to ask for it, and knows whether to pass it on in its zone.
+#[test]
+fn news_carries_marks_unasked_and_says_where_they_come_from() {
+    let mut fleet = settled(2, 2);
+    let now = fleet.now;
+    let mark = Mark { fingerprint: 7, left: secs(60), verdict: Verdict::Suspect };
+    let notes = Notes { marks: vec![mark.clone()], ..Notes::default() };
+    fleet.nodes[0].membership.set_notes(notes);
+    let own = fleet.nodes[0].membership.own().clone();
+    for to in 1..4 {
+        let view = fleet.nodes[to].membership.own().clone();
+        let news = fleet.nodes[0].membership.news_for(&view, now);
+        let peer = &mut fleet.nodes[to].membership;
+        peer.take_heard();
+        peer.receive(&news, now);
+        let heard = peer.take_heard();
+        assert_eq!(heard.marks, std::slice::from_ref(&mark));
+        assert_eq!(heard.from_afar, view.zone != own.zone, "{view:?}");
+    }
+}
+
 // A host announces that it stops; peers see the mark at their next exchange, well before silence
 // could tell, and still list it so that resends find the one that took over its ledger.
 #[test]
--- a/src/quarantine/suspects.rs
+++ b/src/quarantine/suspects.rs
@@ -206,7 +206,8 @@
         self.put(fingerprint, record, now);
     }
 
-    fn mark(&self, fingerprint: Fingerprint, now: Moment) -> Option<Mark> {
+    /// What peers should know of one fingerprint.
+    pub fn mark(&self, fingerprint: Fingerprint, now: Moment) -> Option<Mark> {
         let record = self.records.get(&fingerprint)?;
         let left = record.until.checked_sub(now).filter(|left| !left.is_zero())?;
         let verdict = match record.state {
--- a/src/steer/machine.rs
+++ b/src/steer/machine.rs
@@ -16,7 +16,7 @@
     lookup::{BlockTable, owner_of},
     manifest::{Service, Share, Target, Weighing},
     prelude::*,
-    quarantine::{Mark, Quarantine, QuarantineLimits},
+    quarantine::{Fingerprint, Mark, Quarantine, QuarantineLimits},
     selection::{Change, Policy, Rules, Selector},
     shift::{ShiftCaps, ShiftRules},
     timeline::EventKind,
@@ -149,6 +149,11 @@
         self.caps.rates(now)
     }
 
+    /// What a host that gets a request from this one, or gave it, should know of it.
+    pub fn mark(&self, fingerprint: Fingerprint, now: Moment) -> Option<Mark> {
+        self.quarantine.mark(fingerprint, now)
+    }
+
     /// Requests that crash targets, for the peers.
     pub fn marks(&self, now: Moment) -> Vec<Mark> {
         self.quarantine.marks(now)
--- a/src/steer/place.rs
+++ b/src/steer/place.rs
@@ -284,6 +284,13 @@
         }
     }
 
+    /// Whether the quarantine refuses the request. One that has just proved guilty would wait in the
+    /// queue for a slot that it never gets, and be told `deadline-passed` and `not run` though it ran.
+    pub(super) fn is_refused(&self, call: CallId, now: Moment) -> bool {
+        let fingerprint = self.calls[&call].arrival.fingerprint;
+        matches!(self.quarantine.standing(fingerprint, now), Standing::Refused { .. })
+    }
+
     fn runs_suspect(&self, target: &TargetId, now: Moment) -> bool {
         let on_target = self.attempts.values().filter(
             |attempt| matches!(&attempt.place, Place::Own { target: on, .. } if on == target),
--- a/src/steer/settle.rs
+++ b/src/steer/settle.rs
@@ -145,7 +145,7 @@
         state.last_error = Some(error);
         let hopeless = matches!(error, ErrorKind::Quarantined | ErrorKind::BodyTooLarge);
         let may_repeat = not_run || !state.is_booking();
-        if hopeless || !may_repeat || !self.retries.take(now) {
+        if hopeless || self.is_refused(call, now) || !may_repeat || !self.retries.take(now) {
             return self.fail(call, error, now, rng);
         }
         self.place(call, now, rng);
--- a/src/steer/tests.rs
+++ b/src/steer/tests.rs
@@ -12,6 +12,7 @@
     ledger::{KeptAnswer, body_digest},
     manifest::{DrainScope, Manifest, Region, Service, ServiceKind, Target, Weighing},
     prelude::*,
+    quarantine::{Mark, Verdict},
     selection::LoadReport,
     view::{HostView, Tenure, View},
 };
@@ -241,6 +242,24 @@
     assert!((1..=5).contains(&rests), "{rests}");
 }
 
+// A read that is suspect runs alone, crashes its target and is refused from then on. Its caller hears
+// of the crash at once; left in the queue for another target it would wait out its time limit, and be
+// told `not run` of a request that ran.
+#[test]
+fn a_request_that_has_just_proved_guilty_does_not_wait() {
+    let mut host = Host::new();
+    let read = host.arrival("read");
+    let left = Duration::from_secs(50);
+    let mark = Mark { fingerprint: read.fingerprint, left, verdict: Verdict::Suspect };
+    host.on(Event::Marked { marks: vec![mark] });
+    let attempt = host.dispatch(read.clone());
+    assert_eq!(error(&host.fail(attempt, ErrorKind::DispatchLost)), Some(ErrorKind::DispatchLost));
+    let verdict = host.steer.mark(read.fingerprint, host.now).map(|mark| mark.verdict);
+    assert_eq!(verdict, Some(Verdict::Refused));
+    let again = Arrival { call: 99, request: "again".into(), ..read };
+    assert_eq!(error(&host.on(Event::Arrived(again))), Some(ErrorKind::Quarantined));
+}
+
 // A second copy of a booking arrives while the first one runs. It waits, and both callers get the
 // one answer; a third copy that comes later gets it from the ledger.
 #[test]
--- a/tests/support/hosts.rs
+++ b/tests/support/hosts.rs
@@ -28,7 +28,8 @@
 pub const BOOKING: &str = "intake";
 pub const PEER_KEY: &str = "the member's secret";
 pub const OPERATOR_TOKEN: &str = "the operators' token";
-const ZONE: &str = "zagreb-a";
+/// Zones of the region; a test that wants one only has all in the first.
+pub const ZONES: [&str; 2] = ["zagreb-a", "zagreb-b"];
 const REGION: &str = "zagreb";
 
 /// One zone of one member.
@@ -38,6 +39,8 @@
     pub http: reqwest::Client,
     pub log: Arc<RunLog>,
     pub platform: PlatformStandin,
+    /// Zones that the targets of `files` are spread over.
+    pub zones: usize,
     clock: Arc<dyn Clock>,
     key: SigningKey,
     seeds: u64,
@@ -66,7 +69,17 @@
         let key = SigningKey::from_bytes(&[7; 32]);
         let http = reqwest::Client::builder().no_proxy().retry(reqwest::retry::never());
         let http = http.build().unwrap();
-        let member = Self { clock, files: Vec::new(), http, key, log, platform, seeds: 1, targets };
+        let member = Self {
+            clock,
+            files: Vec::new(),
+            http,
+            key,
+            log,
+            platform,
+            seeds: 1,
+            targets,
+            zones: 1,
+        };
         member.apply(1).await;
         member
     }
@@ -83,8 +96,14 @@
 
     /// Starts a host that knows `peers`, and waits until it serves.
     pub async fn host(&mut self, name: &str, peers: &[&Daemon]) -> Daemon {
+        self.host_in(ZONES[0], name, peers).await
+    }
+
+    /// The same in a zone of the test's choice.
+    pub async fn host_in(&mut self, zone: &str, name: &str, peers: &[&Daemon]) -> Daemon {
         self.seeds += 1;
-        let settings = self.settings(name, peers.iter().map(|peer| peer.rpc_addr()).collect());
+        let peers_rpc = peers.iter().map(|peer| peer.rpc_addr()).collect();
+        let settings = Settings { zone: zone.into(), ..self.settings(name, peers_rpc) };
         let key = Secret::new(PEER_KEY);
         // No test waits for the silence limit: what ends a silent exchange is something else.
         let limits =
@@ -132,7 +151,7 @@
             platform: self.platform.address(),
             region: REGION.into(),
             rpc: any_port,
-            zone: ZONE.into(),
+            zone: ZONES[0].into(),
         }
     }
 
@@ -168,7 +187,7 @@
             timeout_ms: 2000,
         };
         let files = self.files.iter().map(|(name, addresses)| Service {
-            targets: files_of(name, addresses),
+            targets: files_of(name, addresses, self.zones),
             ..service(name, ServiceKind::File)
         });
         let own = [service(READ, ServiceKind::Read), service(BOOKING, ServiceKind::Booking)];
@@ -179,7 +198,11 @@
             }],
             drains: Vec::new(),
             member: MEMBER.into(),
-            regions: vec![Region { name: REGION.into(), reserve: 0.2, zones: vec![ZONE.into()] }],
+            regions: vec![Region {
+                name: REGION.into(),
+                reserve: 0.2,
+                zones: ZONES.map(Into::into).into(),
+            }],
             sequence,
             services: own.into_iter().chain(files).collect(),
             weighing: Weighing::Latency,
@@ -192,18 +215,18 @@
             address: standin.address(),
             name: format!("{service}-{number}").into(),
             slots: 3,
-            zone: ZONE.into(),
+            zone: ZONES[0].into(),
         })
         .collect()
     }
 }
 
-fn files_of(service: &str, addresses: &[SocketAddr]) -> Vec<Target> {
+fn files_of(service: &str, addresses: &[SocketAddr], zones: usize) -> Vec<Target> {
     let targets = addresses.iter().enumerate().map(|(number, address)| Target {
         address: *address,
         name: format!("{service}-{number}").into(),
         slots: 3,
-        zone: ZONE.into(),
+        zone: ZONES[number % zones].into(),
     });
     targets.collect()
 }
