--- a/src/daemon/traffic.rs
+++ b/src/daemon/traffic.rs
@@ -10,6 +10,7 @@
 };
 
 use arc_swap::ArcSwapOption;
+use http::HeaderMap;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use tokio::{
@@ -20,7 +21,7 @@
 
 use super::{
     Tape, headers,
-    incoming::{Incoming, mark_text, read_mark, via_text},
+    incoming::{Incoming, mark_text, may_have_run, read_mark, via_text},
     outgoing,
     stream::{OpenFiles, Rest},
 };
@@ -126,13 +127,14 @@
     /// Serves one request to its final answer.
     pub async fn serve(self: &Arc<Self>, incoming: Incoming) -> Response {
         let call = self.next_call.fetch_add(1, Ordering::Relaxed);
-        let now = self.parts.clock.now();
-        let arrival = match incoming.arrival(call, &self.parts.member, &self.parts.peer_key, now) {
+        let arrival = match incoming.arrival(call, &self.parts.member, &self.parts.peer_key) {
             Ok(arrival) => arrival,
             Err(bad) => {
                 let request = incoming.request_id().unwrap_or_else(|_| "-".into());
                 let detail = bad.to_string();
-                return outgoing::error(ErrorKind::BadRequest, &request, Some(&detail), None);
+                let (headers, service) = (&incoming.headers, &incoming.service);
+                let error = self.before_ledger(ErrorKind::BadRequest, headers, service);
+                return outgoing::error(error, &request, Some(&detail), None);
             }
         };
         let request = arrival.request.clone();
@@ -152,6 +154,20 @@
         answer.unwrap_or_else(|_| outgoing::error(ErrorKind::DispatchLost, &request, None, None))
     }
 
+    /// What a request is told that is refused before the decisions saw it.
+    pub(super) fn before_ledger(
+        &self,
+        error: ErrorKind,
+        headers: &HeaderMap,
+        service: &ServiceId,
+    ) -> ErrorKind {
+        let view = self.view();
+        let known = view.as_ref().and_then(|view| view.manifest.service(service));
+        let repeatable = known.is_some_and(|service| service.kind.is_repeatable());
+        let booking = !repeatable && may_have_run(headers, &self.parts.peer_key);
+        if booking { error.before_ledger() } else { error }
+    }
+
     /// Ranked hosts for a caller; `None` until a manifest is in force.
     pub fn look_up(&self, client: IpAddr, service: &ServiceId) -> Option<Lookup> {
         let shown = self.shown.load_full()?;
@@ -164,6 +180,11 @@
         Some(lookup)
     }
 
+    /// This host's clock.
+    pub fn now(&self) -> Moment {
+        self.parts.clock.now()
+    }
+
     /// The view in force.
     pub fn view(&self) -> Option<Arc<View>> {
         self.shown.load().as_ref().map(|shown| shown.view.clone())
@@ -409,10 +430,6 @@
         lock(&self.attempts).get(&attempt).cloned()
     }
 
-    pub(super) fn now(&self) -> Moment {
-        self.parts.clock.now()
-    }
-
     pub(super) fn end(self: &Arc<Self>, attempt: AttemptId, outcome: Outcome) {
         lock(&self.attempts).remove(&attempt);
         self.feed(Event::Ended { attempt, outcome });
--- a/tests/support/hosts.rs
+++ b/tests/support/hosts.rs
@@ -9,6 +9,7 @@
     base::{BootClock, Clock},
     daemon::{Daemon, DaemonParts, LookupBody},
     forward::{ForwardLimits, HttpUpstream},
+    ingress::IngressLimits,
     manifest::{
         ASSUMED_LOAD, ClientBlock, Loads, Manifest, Proposal, Region, Service, ServiceKind, Target,
         Weighing, accept, sign,
@@ -37,11 +38,15 @@
     /// Services of files that a test adds, with the addresses of their targets.
     pub files: Vec<(String, Vec<SocketAddr>)>,
     pub http: reqwest::Client,
+    /// Of the hosts that are started next.
+    pub ingress: IngressLimits,
     pub log: Arc<RunLog>,
     pub platform: PlatformStandin,
     /// Zones that the targets of `files` are spread over.
     pub zones: usize,
     clock: Arc<dyn Clock>,
+    /// Services that later manifests leave out.
+    closed: Vec<&'static str>,
     key: SigningKey,
     seeds: u64,
     targets: Vec<(&'static str, TargetStandin)>,
@@ -71,8 +76,10 @@
         let http = http.build().unwrap();
         let member = Self {
             clock,
+            closed: Vec::new(),
             files: Vec::new(),
             http,
+            ingress: IngressLimits::default(),
             key,
             log,
             platform,
@@ -84,6 +91,11 @@
         member
     }
 
+    /// Leaves a service out of the manifests that follow.
+    pub fn close(&mut self, service: &'static str) {
+        self.closed.push(service);
+    }
+
     /// Has the pipeline apply the manifest under a sequence number.
     pub async fn apply(&self, sequence: u64) {
         let text = serde_norway::to_string(&self.manifest(sequence)).unwrap();
@@ -94,6 +106,16 @@
         accept(&platform, &proposal, &self.key.verifying_key(), &loads).await.unwrap();
     }
 
+    /// Makes every target that many times slower.
+    pub fn slow_down(&self, factor: u32) {
+        self.targets.iter().for_each(|(_, target)| target.slow_down(factor));
+    }
+
+    /// Requests that the targets run now.
+    pub fn running(&self) -> u32 {
+        self.targets.iter().map(|(_, target)| target.busy()).sum()
+    }
+
     /// Starts a host that knows `peers`, and waits until it serves.
     pub async fn host(&mut self, name: &str, peers: &[&Daemon]) -> Daemon {
         self.host_in(ZONES[0], name, peers).await
@@ -141,6 +163,7 @@
             advertise_rpc: None,
             host: name.into(),
             http: any_port,
+            ingress: self.ingress,
             log: LogSettings::default(),
             manifest_key: hex::encode(self.key.verifying_key()).into(),
             member: MEMBER.into(),
@@ -190,12 +213,16 @@
             targets: files_of(name, addresses, self.zones),
             ..service(name, ServiceKind::File)
         });
-        let own = [service(READ, ServiceKind::Read), service(BOOKING, ServiceKind::Booking)];
+        let own = [(READ, ServiceKind::Read), (BOOKING, ServiceKind::Booking)]
+            .into_iter()
+            .filter(|(name, _)| !self.closed.contains(name))
+            .map(|(name, kind)| service(name, kind));
         Manifest {
             client_blocks: vec![ClientBlock {
                 block: "127.0.0.0/8".parse().unwrap(),
                 home: REGION.into(),
-            }],
+            }]
+            .into(),
             drains: Vec::new(),
             member: MEMBER.into(),
             regions: vec![Region {
@@ -204,7 +231,7 @@
                 zones: ZONES.map(Into::into).into(),
             }],
             sequence,
-            services: own.into_iter().chain(files).collect(),
+            services: own.chain(files).collect(),
             weighing: Weighing::Latency,
         }
     }
