--- a/src/daemon/stream.rs
+++ b/src/daemon/stream.rs
@@ -87,6 +87,12 @@
         body: BoxStream<'static, crate::forward::Result<Bytes>>,
         latency: Duration,
     ) {
+        // Of two attempts whose heads come at the same time, the decisions let one go on. Were the
+        // other's body passed, it would break off when its attempt is aborted.
+        self.feed(Event::Begun { attempt: order.attempt });
+        if !self.is_running(order.attempt) {
+            return;
+        }
         let Some(task) = self.task(order.attempt) else { return };
         let call = order.call;
         let rests = self.files.open(call, task);
