--- a/src/daemon/control/actor.rs
+++ b/src/daemon/control/actor.rs
@@ -5,7 +5,7 @@
 
 use super::{
     manifest::Newcomer,
-    messages::{PlatformHeard, Tick},
+    messages::{Marked, PlatformHeard, Tick},
 };
 use crate::{
     daemon::{PeerLink, traffic::Traffic},
@@ -78,7 +78,10 @@
             shown: None,
             tenure: TenureKeeper::new(own.id, own.incarnation, own.zone),
         };
-        xtra::spawn_tokio(control, Mailbox::bounded(MAILBOX))
+        let traffic = control.parts.traffic.clone();
+        let address = xtra::spawn_tokio(control, Mailbox::bounded(MAILBOX));
+        tokio::spawn(tell_marks(traffic, address.downgrade()));
+        address
     }
 
     pub(super) fn now(&self) -> Moment {
@@ -127,6 +130,16 @@
     }
 }
 
+/// Passes new suspicions on until the actor is gone.
+async fn tell_marks(traffic: Arc<Traffic>, control: WeakAddress<Control>) {
+    loop {
+        traffic.marked().await;
+        if control.send(Marked).await.is_err() {
+            return;
+        }
+    }
+}
+
 impl Actor for Control {
     type Stop = ();
 
--- a/src/steer/settle.rs
+++ b/src/steer/settle.rs
@@ -160,7 +160,8 @@
         let hopeless = matches!(error, ErrorKind::Quarantined | ErrorKind::BodyTooLarge);
         let may_repeat = not_run || !state.is_booking();
         let alone = state.arrival.via == Via::HedgeHop;
-        if hopeless || alone || !may_repeat || !self.retries.take(now) {
+        let hopeless = hopeless || alone || self.is_refused(call, now);
+        if hopeless || !may_repeat || !self.retries.take(now) {
             return self.fail(call, error, now, rng);
         }
         self.place(call, now, rng);
--- a/tests/support/hosts.rs
+++ b/tests/support/hosts.rs
@@ -29,7 +29,8 @@
 pub const BOOKING: &str = "intake";
 pub const PEER_KEY: &str = "the member's secret";
 pub const OPERATOR_TOKEN: &str = "the operators' token";
-const ZONE: &str = "zagreb-a";
+/// Zones of the region; a test that wants one only has all in the first.
+pub const ZONES: [&str; 2] = ["zagreb-a", "zagreb-b"];
 const REGION: &str = "zagreb";
 
 /// One zone of one member.
@@ -41,6 +42,8 @@
     pub ingress: IngressLimits,
     pub log: Arc<RunLog>,
     pub platform: PlatformStandin,
+    /// Zones that the targets of `files` are spread over.
+    pub zones: usize,
     clock: Arc<dyn Clock>,
     /// Services that later manifests leave out.
     closed: Vec<&'static str>,
@@ -82,6 +85,7 @@
             platform,
             seeds: 1,
             targets,
+            zones: 1,
         };
         member.apply(1).await;
         member
@@ -114,8 +118,14 @@
 
     /// Starts a host that knows `peers`, and waits until it serves.
     pub async fn host(&mut self, name: &str, peers: &[&Daemon]) -> Daemon {
+        self.host_in(ZONES[0], name, peers).await
+    }
+
+    /// The same in a zone of the test's choice.
+    pub async fn host_in(&mut self, zone: &str, name: &str, peers: &[&Daemon]) -> Daemon {
         self.seeds += 1;
-        let settings = self.settings(name, peers.iter().map(|peer| peer.rpc_addr()).collect());
+        let peers_rpc = peers.iter().map(|peer| peer.rpc_addr()).collect();
+        let settings = Settings { zone: zone.into(), ..self.settings(name, peers_rpc) };
         let key = Secret::new(PEER_KEY);
         // No test waits for the silence limit: what ends a silent exchange is something else.
         let limits =
@@ -164,7 +174,7 @@
             platform: self.platform.address(),
             region: REGION.into(),
             rpc: any_port,
-            zone: ZONE.into(),
+            zone: ZONES[0].into(),
         }
     }
 
@@ -206,7 +216,7 @@
             timeout_ms: 2000,
         };
         let files = self.files.iter().map(|(name, addresses)| Service {
-            targets: files_of(name, addresses),
+            targets: files_of(name, addresses, self.zones),
             ..service(name, ServiceKind::File)
         });
         let own = [(READ, ServiceKind::Read), (BOOKING, ServiceKind::Booking)]
@@ -221,7 +231,11 @@
             .into(),
             drains: Vec::new(),
             member: MEMBER.into(),
-            regions: vec![Region { name: REGION.into(), reserve: 0.2, zones: vec![ZONE.into()] }],
+            regions: vec![Region {
+                name: REGION.into(),
+                reserve: 0.2,
+                zones: ZONES.map(Into::into).into(),
+            }],
             sequence,
             services: own.chain(files).collect(),
             weighing: Weighing::Latency,
@@ -234,18 +248,18 @@
             address: standin.address(),
             name: format!("{service}-{number}").into(),
             slots: 3,
-            zone: ZONE.into(),
+            zone: ZONES[0].into(),
         })
         .collect()
     }
 }
 
-fn files_of(service: &str, addresses: &[SocketAddr]) -> Vec<Target> {
+fn files_of(service: &str, addresses: &[SocketAddr], zones: usize) -> Vec<Target> {
     let targets = addresses.iter().enumerate().map(|(number, address)| Target {
         address: *address,
         name: format!("{service}-{number}").into(),
         slots: 3,
-        zone: ZONE.into(),
+        zone: ZONES[number % zones].into(),
     });
     targets.collect()
 }
