Part the carrying out of attempts from the traffic side

Cause: src/daemon/traffic.rs had grown to 518 lines with two duties: feeding the decisions, and sending one attempt and taking its answer in. The latter is src/daemon/order.rs now; no behaviour changed.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 mod http;
 mod incoming;
 mod link;
+mod order;
 mod outgoing;
 mod probe;
 mod start;
--- a/src/daemon/stream.rs
+++ b/src/daemon/stream.rs
@@ -17,8 +17,9 @@
 };
 
 use super::{
+    order::{Head, Order, failed, refusal},
     outgoing,
-    traffic::{Head, Order, Traffic, failed, lock, refusal},
+    traffic::{Traffic, lock},
 };
 use crate::{
     base::HeaderLine,
--- a/src/daemon/traffic.rs
+++ b/src/daemon/traffic.rs
@@ -21,13 +21,13 @@
 
 use super::{
     Tape, headers,
-    incoming::{Incoming, mark_text, may_have_run, read_mark, via_text},
+    incoming::{Incoming, may_have_run},
+    order::{Order, failed},
     outgoing,
     stream::{OpenFiles, Rest},
 };
 use crate::{
-    base::{HeaderLine, header},
-    forward::{Attempt, Reply, ReplyBody, Upstream},
+    forward::Upstream,
     ledger::{KeptAnswer, SealedLedger},
     lookup::{BlockTable, HostIndex, Lookup, LookupAsk},
     prelude::*,
@@ -63,8 +63,8 @@
     /// A request came under suspicion here.
     marked: Notify,
     next_call: AtomicU64,
-    parts: Parts,
-    pending: Mutex<HashMap<CallId, Pending>>,
+    pub(super) parts: Parts,
+    pub(super) pending: Mutex<HashMap<CallId, Pending>>,
     runtime: tokio::runtime::Handle,
     shown: ArcSwapOption<Shown>,
 }
@@ -76,15 +76,15 @@
     view: Arc<View>,
 }
 
-struct Parts {
-    clock: Arc<dyn Clock>,
+pub(super) struct Parts {
+    pub clock: Arc<dyn Clock>,
     member: MemberId,
-    peer_key: Secret,
-    peers: Arc<dyn Upstream>,
+    pub peer_key: Secret,
+    pub peers: Arc<dyn Upstream>,
     silence: Duration,
     sink: Arc<dyn EventSink>,
     tape: Arc<dyn Tape>,
-    targets: Arc<dyn Upstream>,
+    pub targets: Arc<dyn Upstream>,
 }
 
 struct Core {
@@ -93,11 +93,11 @@
 }
 
 /// A request whose caller waits.
-struct Pending {
+pub(super) struct Pending {
     fingerprint: Fingerprint,
     incoming: Arc<Incoming>,
     /// The whole answer of the attempt that has just ended.
-    reply: Option<Arc<KeptAnswer>>,
+    pub reply: Option<Arc<KeptAnswer>>,
     request: RequestId,
     tx: oneshot::Sender<Response>,
 }
@@ -233,7 +233,7 @@
 
     /// Takes in what a host at the other end of a hop knows of the request that it carries. By the
     /// exchanges alone the suspicion comes later than the request, which then crashes another target.
-    fn learn(self: &Arc<Self>, mark: Option<Mark>) {
+    pub(super) fn learn(self: &Arc<Self>, mark: Option<Mark>) {
         if let Some(mark) = mark {
             self.feed(Event::Marked { marks: vec![mark] });
         }
@@ -348,94 +348,10 @@
         }
     }
 
-    async fn run(self: Arc<Self>, order: Order) {
-        let started = self.parts.clock.now();
-        let attempt = order.attempt;
-        let sent = self.send(&order, &[]).await;
-        let latency = self.parts.clock.now().saturating_sub(started);
-        match sent {
-            Ok(reply) => self.reply(order, reply, latency).await,
-            Err(failure) => self.end(attempt, failed(failure.kind(), latency)),
-        }
-    }
-
-    /// Sends the request, with the lines that ask for a file's rest in place of its own.
-    pub(super) async fn send(
-        &self,
-        order: &Order,
-        rest: &[HeaderLine],
-    ) -> crate::forward::Result<Reply> {
-        let view = self.view();
-        let service = view.as_ref().and_then(|view| view.manifest.service(&order.incoming.service));
-        let repeatable = service.is_some_and(|service| service.kind.is_repeatable());
-        let streams =
-            service.is_some_and(|service| service.kind == crate::manifest::ServiceKind::File);
-        let attempt = Attempt {
-            address: order.address,
-            body: order.incoming.body.clone(),
-            connections: service.map_or(1, |service| service.connections),
-            deadline: order.timeout,
-            headers: self.lines(order, rest),
-            method: order.incoming.method.clone(),
-            path: order.path(),
-            repeatable,
-            request: order.request.clone(),
-            whole: !streams,
-        };
-        match order.hop {
-            Some(_) => self.parts.peers.send(attempt).await,
-            None => self.parts.targets.send(attempt).await,
-        }
-    }
-
-    fn lines(&self, order: &Order, rest: &[HeaderLine]) -> Vec<HeaderLine> {
-        let mut lines = order.incoming.passed_headers();
-        lines.retain(|line| rest.iter().all(|ours| ours.name != line.name));
-        lines.extend_from_slice(rest);
-        let Some(via) = order.hop else { return lines };
-        lines.extend(order.incoming.own_headers());
-        let has_client = lines.iter().any(|line| &*line.name == headers::CLIENT);
-        if let (false, Ok(client)) = (has_client, order.incoming.client()) {
-            lines.push(HeaderLine::new(headers::CLIENT, client.to_string()));
-        }
-        let auth = String::from_utf8_lossy(self.parts.peer_key.expose()).into_owned();
-        lines.push(HeaderLine::new(headers::PEER_AUTH, auth));
-        lines.push(HeaderLine::new(headers::VIA, via_text(via)));
-        if let Some(mark) = self.mark(order.fingerprint) {
-            lines.push(HeaderLine::new(headers::MARK, mark_text(&mark)));
-        }
-        lines
-    }
-
-    fn mark(&self, fingerprint: Fingerprint) -> Option<Mark> {
+    pub(super) fn mark(&self, fingerprint: Fingerprint) -> Option<Mark> {
         self.with_steer(|steer, now| steer.mark(fingerprint, now))
     }
 
-    async fn reply(self: &Arc<Self>, order: Order, reply: Reply, latency: Duration) {
-        if order.hop.is_some() {
-            let text = header(&reply.headers, headers::MARK);
-            self.learn(text.and_then(|text| read_mark(text, order.fingerprint)));
-        }
-        if let Some(error) = refusal(&order, &reply) {
-            return self.end(order.attempt, Outcome::Refused { error, latency });
-        }
-        match reply.body {
-            ReplyBody::Stream(body) => {
-                let head = Head { headers: reply.headers, status: reply.status };
-                self.stream(order, head, body, latency).await;
-            }
-            ReplyBody::Whole(body) => {
-                let status = reply.status;
-                let kept = Arc::new(KeptAnswer { body, headers: reply.headers, status });
-                if let Some(pending) = lock(&self.pending).get_mut(&order.call) {
-                    pending.reply = Some(kept.clone());
-                }
-                let outcome = Outcome::Answered { kept: Some(kept), latency, status };
-                self.end(order.attempt, outcome);
-            }
-        }
-    }
-
     /// The caller's way to its answer, if it still waits for one.
     pub(super) fn take_caller(&self, call: CallId) -> Option<oneshot::Sender<Response>> {
         lock(&self.pending).remove(&call).map(|pending| pending.tx)
@@ -457,35 +373,6 @@
     }
 }
 
-/// One attempt to be carried out.
-pub(super) struct Order {
-    pub address: SocketAddr,
-    pub attempt: AttemptId,
-    pub call: CallId,
-    pub fingerprint: Fingerprint,
-    pub hop: Option<Via>,
-    pub incoming: Arc<Incoming>,
-    pub request: RequestId,
-    pub timeout: Duration,
-}
-
-impl Order {
-    fn path(&self) -> Arc<str> {
-        match self.hop {
-            Some(_) => {
-                format!("/v1/services/{}{}", self.incoming.service, self.incoming.path).into()
-            }
-            None => self.incoming.path.clone(),
-        }
-    }
-}
-
-/// The head of an answer whose body is streamed.
-pub(super) struct Head {
-    pub headers: Vec<HeaderLine>,
-    pub status: u16,
-}
-
 /// Tells the decisions when the caller leaves before its answer.
 struct CallGuard {
     call: CallId,
@@ -500,18 +387,6 @@
     }
 }
 
-/// The error kind that another host answered with, if it did.
-pub(super) fn refusal(order: &Order, reply: &Reply) -> Option<ErrorKind> {
-    order.hop?;
-    let line = reply.headers.iter().find(|line| &*line.name == headers::ERROR)?;
-    let name = serde_json::Value::String(line.value.to_string());
-    Some(serde_json::from_value(name).unwrap_or(ErrorKind::AnswerBroken))
-}
-
-pub(super) fn failed(error: ErrorKind, latency: Duration) -> Outcome {
-    Outcome::Failed { error, latency, passed: false }
-}
-
 /// A panic while a lock is held must not take the host's other requests with it.
 pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
