See the invariants of bookings fire

Cause: three invariants of the request decisions (one attempt, entry before dispatch, one owner) had no test in which they fire by name; a check that never fires would go unseen. Each state is forced and the note seen.

--- a/src/steer/tests.rs
+++ b/src/steer/tests.rs
@@ -7,13 +7,14 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use super::*;
+use super::{call::Place, *};
 use crate::{
     ledger::{KeptAnswer, body_digest},
     manifest::{DrainScope, Manifest, Region, Service, ServiceKind, Target, Weighing},
     prelude::*,
     quarantine::{Mark, Verdict},
     selection::LoadReport,
+    timeline::EventKind,
     view::{HostView, Tenure, View},
 };
 
@@ -452,3 +453,41 @@
     let actions = host.fail(running, ErrorKind::ConnectFailed);
     assert_eq!((attempt(&actions), error(&actions)), (None, Some(ErrorKind::DeadlinePassed)));
 }
+
+/// Names of the invariants that were noted as broken.
+fn fired(actions: &[Action]) -> Vec<Arc<str>> {
+    let name = |action: &Action| match action {
+        Action::Note { kind: EventKind::InvariantBroken { name, .. }, .. } => Some(name.clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(name).collect()
+}
+
+// A booking is sent twice at a time, or without its entry, or is answered by another owner although
+// it has an entry here. No input leads there; each state is forced, to see that it would be noted.
+#[test]
+fn broken_safeguards_of_bookings_are_noted() {
+    let mut host = Host::new();
+    let booking = host.booking("k-1");
+    let call = booking.call;
+    host.dispatch(booking);
+    let now = host.now;
+    host.steer.new_attempt(call, Place::Owner, now);
+    assert_eq!(fired(&host.on(Event::Tick)), ["one-attempt-a-booking".into()]);
+
+    let mut host = Host::new();
+    let booking = host.booking("k-1");
+    let call = booking.call;
+    let attempt = host.dispatch(booking);
+    host.steer.calls.get_mut(&call).unwrap().in_ledger = false;
+    assert_eq!(
+        fired(&host.fail(attempt, ErrorKind::ConnectFailed)),
+        ["entry-before-dispatch".into()]
+    );
+
+    let mut host = Host::new();
+    let booking = host.booking("k-1");
+    let attempt = host.dispatch(booking);
+    host.steer.attempts.get_mut(&attempt).unwrap().place = Place::Owner;
+    assert_eq!(fired(&host.answer(attempt)), ["one-owner-a-booking".into()]);
+}
