--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -14,8 +14,8 @@
     },
     operator::HostStatus,
     peer::PeerClient,
-    platform::{HttpPlatform, Limits, Platform},
     prelude::*,
+    store::{HttpPlatform, Limits, Platform},
     yaml,
 };
 
--- a/src/cmd/run.rs
+++ b/src/cmd/run.rs
@@ -11,10 +11,10 @@
     forward::{ForwardLimits, HttpUpstream},
     logging::LineFormat,
     peer::PeerClient,
-    platform::HttpPlatform,
     prelude::*,
     settings::{LogFormat, Settings},
     steer::SteerLimits,
+    store::HttpPlatform,
 };
 
 /// Runs the host that a settings file describes, until SIGTERM or SIGINT.
--- a/src/daemon/control/manifest.rs
+++ b/src/daemon/control/manifest.rs
@@ -16,8 +16,8 @@
     manifest::{Head, HeardHead, Offer, Part, SignedManifest, fetch_parts},
     membership::Digest,
     peer::{ManifestReply, PartReply, PartRequest},
-    platform::{Platform, PlatformError, Version, Versioned},
     prelude::*,
+    store::{Platform, PlatformError, Version, Versioned},
     timeline::EventKind,
 };
 
@@ -270,7 +270,7 @@
     platform: &dyn Platform,
     key: &str,
     head: &mut Option<HeardHead>,
-) -> crate::platform::Result<Version> {
+) -> crate::store::Result<Version> {
     let listing = platform.list(key).await?;
     for entry in listing.entries.iter().filter(|entry| &*entry.key == key) {
         *head = offer(control, &entry.object).await;
@@ -285,7 +285,7 @@
     key: &str,
     from: Version,
     head: &mut Option<HeardHead>,
-) -> crate::platform::Result<Version> {
+) -> crate::store::Result<Version> {
     let Some(heard) = head.as_ref() else { return read(control, platform, key, head).await };
     let keys = platform.keys(key).await?;
     let object = keys.iter().find(|found| &*found.key == key).map(|found| found.version);
@@ -302,7 +302,7 @@
     key: &str,
     from: Version,
     head: &mut Option<HeardHead>,
-) -> crate::platform::Result<Version> {
+) -> crate::store::Result<Version> {
     let changes = platform.watch(key, from, WATCH).await?;
     for change in changes.changes.iter().filter(|change| &*change.key == key) {
         if let Some(object) = &change.object {
--- a/src/demo/cluster.rs
+++ b/src/demo/cluster.rs
@@ -16,7 +16,6 @@
     ingress::IngressLimits,
     manifest::{Manifest, SignedManifest, Target, sign},
     peer::PeerClient,
-    platform::HttpPlatform,
     prelude::*,
     settings::{LogSettings, Secret, Settings},
     standin::{
@@ -25,6 +24,7 @@
         target::{RunLog, TargetModel, TargetStandin},
     },
     steer::SteerLimits,
+    store::HttpPlatform,
     timeline::Recorder,
     trace::SteerRecorder,
 };
--- a/src/demo/events.rs
+++ b/src/demo/events.rs
@@ -15,7 +15,6 @@
     drain::DrainId,
     manifest::{ASSUMED_LOAD, DrainScope, Loads, Proposal, accept},
     peer::DrainOrder,
-    platform::HttpPlatform,
     prelude::*,
     standin::{
         caller::{Ask, Caller},
@@ -23,6 +22,7 @@
         platform::{Faults, Outage, PlatformStandin},
         target::CRASH_PATH,
     },
+    store::HttpPlatform,
 };
 
 /// Time until a replaced host is there.
--- a/src/drain/settle.rs
+++ b/src/drain/settle.rs
@@ -4,8 +4,8 @@
 
 use super::record::{DrainRecord, Undrain};
 use crate::{
-    platform::{Expect, Platform, PlatformError, Settled, new_operation, put_settled},
     prelude::*,
+    store::{Expect, Platform, PlatformError, Settled, new_operation, put_settled},
 };
 
 /// Writes against other hosts before giving up until the next time.
--- a/src/manifest/accept.rs
+++ b/src/manifest/accept.rs
@@ -7,11 +7,11 @@
     fetch::fetch_parts,
 };
 use crate::{
-    platform::{
+    prelude::*,
+    store::{
         Expect, OperationId, Platform, PlatformError, Settled, Version, Versioned, new_operation,
         put_settled,
     },
-    prelude::*,
 };
 
 /// Result of an attempt at acceptance.
@@ -193,7 +193,7 @@
     member: &MemberId,
     head: &Head,
     replaced: &Held,
-) -> crate::platform::Result<()> {
+) -> crate::store::Result<()> {
     let Some(before) = &replaced.object else { return Ok(()) };
     let kept = replaced.head.as_ref().map(|head| &head.signed.parts[..]).unwrap_or_default();
     let prefix = Head::parts_prefix(member);
--- a/src/manifest/fetch.rs
+++ b/src/manifest/fetch.rs
@@ -2,8 +2,8 @@
 
 use super::{Head, Offer, Part, PartId, Reason, Store};
 use crate::{
-    platform::{Platform, Result},
     prelude::*,
+    store::{Platform, Result},
 };
 
 /// Reads the member's head and offers it, with the parts that it needs. `None` when there is none.
--- a/src/manifest/head.rs
+++ b/src/manifest/head.rs
@@ -4,8 +4,8 @@
 
 use super::{PartId, SignedManifest};
 use crate::{
-    platform::{MAX_VALUE, OperationId},
     prelude::*,
+    store::{MAX_VALUE, OperationId},
 };
 
 /// Acceptances that the head remembers: enough for a writer whose answer was lost to find its own
--- a/src/manifest/heard.rs
+++ b/src/manifest/heard.rs
@@ -1,7 +1,7 @@
 //! The head as a host last heard of it from the platform.
 
 use super::SignedManifest;
-use crate::platform::Version;
+use crate::store::Version;
 
 /// A head that was read. A host that watches nothing looks every few seconds for a change; the whole
 /// text each time would be half of what a host may send and receive.
--- a/src/manifest/tests/accept.rs
+++ b/src/manifest/tests/accept.rs
@@ -6,12 +6,12 @@
 
 use super::*;
 use crate::{
-    platform::{
+    prelude::*,
+    standin::platform::{Door, Faults, Outage, PlatformStandin},
+    store::{
         Changes, Expect, Listing, OperationId, Platform, PlatformError, Result as Answer, Version,
         Versioned, new_operation,
     },
-    prelude::*,
-    standin::platform::{Door, Faults, Outage, PlatformStandin},
 };
 
 fn proposal(sequence: u64) -> Proposal {
--- a/src/measure/capacity/manifests.rs
+++ b/src/measure/capacity/manifests.rs
@@ -13,8 +13,8 @@
 use crate::{
     manifest::{self, Acceptance, ClientBlock, Manifest, Part, SignedManifest, Store, sign_split},
     peer::{ManifestReply, PartReply},
-    platform::new_operation,
     prelude::*,
+    store::new_operation,
 };
 
 const BLOCK_SIZES: [usize; 4] = [50_000, 100_000, 200_000, 400_000];
--- a/src/measure/in_force/mod.rs
+++ b/src/measure/in_force/mod.rs
@@ -13,9 +13,9 @@
     daemon::Daemon,
     lookup::owner_of,
     measure::{capacity::gauge::resident, membership::processor_time},
-    platform::CallCounts,
     prelude::*,
     standin::fleet::{Fleet, FleetPlan},
+    store::CallCounts,
 };
 
 /// What the requirement allows from accepted to in force everywhere.
--- a/src/measure/in_force/report.rs
+++ b/src/measure/in_force/report.rs
@@ -1,7 +1,7 @@
 //! The figures.
 
 use super::{Case, LIMIT, Size};
-use crate::{operator::Table, platform::CallCounts, prelude::*};
+use crate::{operator::Table, prelude::*, store::CallCounts};
 
 /// Everything that one run gave.
 #[derive(Clone, Debug, Default, Serialize)]
--- a/src/measure/ledger.rs
+++ b/src/measure/ledger.rs
@@ -14,9 +14,9 @@
 };
 use crate::{
     ledger::{Begin, End, KeptAnswer, Ledger, LedgerLimits, body_digest},
-    platform::{Expect, HttpPlatform, Limits, Platform, new_operation},
     prelude::*,
     standin::platform::{Faults, PlatformStandin},
+    store::{Expect, HttpPlatform, Limits, Platform, new_operation},
 };
 
 /// Writes a second that the platform takes, as its users name it ("several hundred").
--- a/src/soak/control.rs
+++ b/src/soak/control.rs
@@ -12,9 +12,9 @@
 use crate::{
     manifest::{Offer, SignedManifest},
     membership::Digest,
-    platform::{Expect, Version},
     prelude::*,
     steer::Event,
+    store::{Expect, Version},
     tenure::{self, Action, ReadResult, WriteResult, ZoneTenure},
 };
 
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -24,10 +24,10 @@
         ServiceKind, SignedManifest, Target, Weighing, accept, sign,
     },
     peer::PeerClient,
-    platform::{HttpPlatform, Limits, Platform},
     prelude::*,
     settings::{LogSettings, Secret, Settings},
     steer::SteerLimits,
+    store::{HttpPlatform, Limits, Platform},
 };
 
 /// The read service of every fleet.
--- a/src/standin/linked.rs
+++ b/src/standin/linked.rs
@@ -11,10 +11,8 @@
     peer::{
         HandoverAck, HandoverChunk, ManifestReply, PartReply, PartRequest, PeerClient, PeerError,
     },
-    platform::{
-        Changes, Expect, Listing, OperationId, Platform, PlatformError, Version, Versioned,
-    },
     prelude::*,
+    store::{Changes, Expect, Listing, OperationId, Platform, PlatformError, Version, Versioned},
 };
 
 /// How long a cut link seems to be only slow.
@@ -98,7 +96,7 @@
 }
 
 impl<T: Platform> Linked<T> {
-    async fn reach(&self) -> crate::platform::Result<()> {
+    async fn reach(&self) -> crate::store::Result<()> {
         if self.links.reaches_platform(&self.place.zone) {
             return Ok(());
         }
@@ -114,17 +112,17 @@
         key: &str,
         expect: Expect,
         operation: OperationId,
-    ) -> crate::platform::Result<Version> {
+    ) -> crate::store::Result<Version> {
         self.reach().await?;
         self.inner.delete(key, expect, operation).await
     }
 
-    async fn get(&self, key: &str) -> crate::platform::Result<Option<Versioned>> {
+    async fn get(&self, key: &str) -> crate::store::Result<Option<Versioned>> {
         self.reach().await?;
         self.inner.get(key).await
     }
 
-    async fn list(&self, prefix: &str) -> crate::platform::Result<Listing> {
+    async fn list(&self, prefix: &str) -> crate::store::Result<Listing> {
         self.reach().await?;
         self.inner.list(prefix).await
     }
@@ -135,7 +133,7 @@
         expect: Expect,
         value: Bytes,
         operation: OperationId,
-    ) -> crate::platform::Result<Version> {
+    ) -> crate::store::Result<Version> {
         self.reach().await?;
         self.inner.put(key, expect, value, operation).await
     }
@@ -145,7 +143,7 @@
         prefix: &str,
         from: Version,
         wait: Duration,
-    ) -> crate::platform::Result<Changes> {
+    ) -> crate::store::Result<Changes> {
         self.reach().await?;
         let changes = self.inner.watch(prefix, from, wait).await?;
         self.reach().await?;
--- a/src/standin/platform/door.rs
+++ b/src/standin/platform/door.rs
@@ -11,11 +11,11 @@
 
 use super::{Faults, ObjectStore, Outage, http};
 use crate::{
-    platform::{
+    prelude::*,
+    store::{
         CallCounts, CallKind, Changes, Expect, Listing, OperationId, Platform, PlatformError,
         Result, Version, Versioned,
     },
-    prelude::*,
 };
 
 /// Keys whose writes show late.
--- a/src/standin/platform/http.rs
+++ b/src/standin/platform/http.rs
@@ -9,8 +9,8 @@
 
 use super::{Faults, door::DoorCore};
 use crate::{
-    platform::{Expect, MAX_VALUE, PlatformError, Version, Versioned, wire},
     prelude::*,
+    store::{Expect, MAX_VALUE, PlatformError, Version, Versioned, wire},
 };
 
 /// Room for headers and encoding past the largest value.
--- a/src/standin/platform/store.rs
+++ b/src/standin/platform/store.rs
@@ -5,11 +5,11 @@
 use bytes::Bytes;
 
 use crate::{
-    platform::{
+    prelude::*,
+    store::{
         Change, Changes, Entry, Expect, Listing, MAX_VALUE, OperationId, PlatformError, Result,
         Version, Versioned, is_key,
     },
-    prelude::*,
 };
 
 /// Changes kept for watches.
--- a/src/standin/platform/tests.rs
+++ b/src/standin/platform/tests.rs
@@ -2,11 +2,11 @@
 
 use super::*;
 use crate::{
-    platform::{
+    prelude::*,
+    store::{
         BreakerState, Expect, HttpPlatform, Limits, Platform, PlatformError, Settled,
         new_operation, put_settled,
     },
-    prelude::*,
 };
 
 async fn standin() -> (PlatformStandin, HttpPlatform) {
@@ -66,7 +66,7 @@
         client.watch("", 1000, Duration::ZERO).await,
         Err(PlatformError::TooOld { .. })
     );
-    let large = vec![0; crate::platform::MAX_VALUE + 1].into();
+    let large = vec![0; crate::store::MAX_VALUE + 1].into();
     let too_large = client.put("a", Expect::Absent, large, new_operation()).await;
     assert_eq!(too_large, Err(PlatformError::TooLarge));
     standin.set_faults(Faults { writes_per_second: 1, ..Faults::default() });
--- a/src/tenure/action.rs
+++ b/src/tenure/action.rs
@@ -1,7 +1,7 @@
 //! What the keeper asks for.
 
 use super::object::ZoneTenure;
-use crate::{platform::Expect, timeline::EventKind};
+use crate::{store::Expect, timeline::EventKind};
 
 /// One output.
 #[derive(Clone, Debug, PartialEq)]
--- a/src/tenure/event.rs
+++ b/src/tenure/event.rs
@@ -1,7 +1,7 @@
 //! What the keeper is told.
 
 use super::object::ZoneTenure;
-use crate::{platform::Version, prelude::*};
+use crate::{prelude::*, store::Version};
 
 /// One input.
 #[derive(Clone, Debug, PartialEq)]
--- a/src/tenure/keeper.rs
+++ b/src/tenure/keeper.rs
@@ -10,8 +10,8 @@
 };
 use crate::{
     base::invariant,
-    platform::{Expect, Version},
     prelude::*,
+    store::{Expect, Version},
     timeline::EventKind,
 };
 
--- a/src/tenure/shell.rs
+++ b/src/tenure/shell.rs
@@ -8,8 +8,8 @@
     object::ZoneTenure,
 };
 use crate::{
-    platform::{Platform, Settled, new_operation, put_settled},
     prelude::*,
+    store::{Platform, Settled, new_operation, put_settled},
 };
 
 /// Carries out a read or write and gives the event that tells the keeper of its end. The time is
--- a/src/tenure/tests/world.rs
+++ b/src/tenure/tests/world.rs
@@ -5,8 +5,8 @@
 use super::super::*;
 use crate::{
     lookup::owner_of,
-    platform::{Expect, Version},
     prelude::*,
+    store::{Expect, Version},
     view::Tenure,
 };
 
--- a/tests/acceptance_lag.rs
+++ b/tests/acceptance_lag.rs
@@ -23,8 +23,8 @@
         Accepted, Head, Loads, Offer, Part, Proposal, SignedManifest, Store, accept, fetch_parts,
         parse_blocks, sign_split,
     },
-    platform::{Expect, Followed, Follower, Platform, new_operation},
     standin::platform::{Door, Faults, Outage, PlatformStandin},
+    store::{Expect, Followed, Follower, Platform, new_operation},
 };
 use tokio::{sync::mpsc, task::JoinHandle, time::Instant};
 
--- a/tests/combined_failures.rs
+++ b/tests/combined_failures.rs
@@ -16,14 +16,14 @@
     base::{BootClock, Sequence},
     daemon::{Daemon, LookupBody},
     manifest::{AcceptError, Accepted, Head, SignedManifest},
-    platform::{
-        Changes, Expect, HttpPlatform, Limits, Listing, OperationId, Platform, Result as Answer,
-        Version, Versioned,
-    },
     standin::{
         fleet::{BOOKING, Fleet, FleetPlan, READ},
         platform::{Door, Faults, Outage},
     },
+    store::{
+        Changes, Expect, HttpPlatform, Limits, Listing, OperationId, Platform, Result as Answer,
+        Version, Versioned,
+    },
     timeline::{EventKind, Filter},
 };
 use tokio::sync::Barrier;
--- a/tests/large_manifest.rs
+++ b/tests/large_manifest.rs
@@ -12,8 +12,8 @@
         Accepted, Head, Loads, MAX_PART, Offer, Proposal, Store, accept, fetch, parse_blocks,
         sign_split,
     },
-    platform::Platform,
     standin::platform::PlatformStandin,
+    store::Platform,
 };
 
 const MANIFEST: &str = include_str!("../examples/himalaya-tara/manifest.yaml");
--- a/tests/support/hosts.rs
+++ b/tests/support/hosts.rs
@@ -15,13 +15,13 @@
         Weighing, accept, sign,
     },
     peer::PeerClient,
-    platform::HttpPlatform,
     settings::{LogSettings, Secret, Settings},
     standin::{
         platform::PlatformStandin,
         target::{RunLog, TargetModel, TargetStandin},
     },
     steer::SteerLimits,
+    store::HttpPlatform,
 };
 
 pub const MEMBER: &str = "gradski-servis";
