--- a/src/base/mod.rs
+++ b/src/base/mod.rs
@@ -7,6 +7,7 @@
 mod ids;
 pub mod invariant;
 mod ran;
+pub mod span_text;
 #[cfg(test)]
 mod tests;
 
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 mod connect;
 mod demo;
 mod drain;
+mod entry;
 mod exit;
 mod explain;
 mod key;
@@ -42,6 +43,7 @@
     Completions(completions::Args),
     Demo(demo::Args),
     Drain(drain::Args),
+    Entry(entry::Args),
     Explain(explain::Args),
     Key(key::Args),
     Measure(measure::Args),
@@ -63,6 +65,7 @@
             Command::Completions(args) => completions::run(args),
             Command::Demo(args) => demo::run(args),
             Command::Drain(args) => drain::run(args),
+            Command::Entry(args) => entry::run(args),
             Command::Explain(args) => explain::run(args),
             Command::Key(args) => key::run(args),
             Command::Measure(args) => measure::run(args),
--- /dev/null
+++ b/src/entry/beliefs.rs
@@ -0,0 +1,180 @@
+//! What a host believes of the store's objects, and what it makes of news, losses and returns.
+
+use std::collections::{BTreeSet, btree_map};
+
+use super::{Declared, DeclaredVersion, KnownTarget, TargetEntry, target};
+use crate::prelude::*;
+
+/// Time after the store's return in which a target that lapsed meanwhile is still used. Targets
+/// that live write their entries again within about two seconds; without the wait a whole service
+/// would be gone right after an outage.
+const RETURN_WAIT: Duration = Duration::from_millis(2_200);
+
+/// A shorter silence of the store can't have let an entry lapse: targets write every 1.5 s and
+/// entries go after three missed writes.
+const LAPSE_LEAST: Duration = Duration::from_millis(1_500);
+
+/// A short summary of what a host believes, to be compared with other hosts'.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Stamp {
+    pub declared: DeclaredVersion,
+    /// Hash of all targets and evacuated zones with their versions.
+    pub digest: u64,
+    /// The store's version of the newest object that is known.
+    pub revision: u64,
+}
+
+/// The objects a host knows.
+#[derive(Debug, Default)]
+pub struct Beliefs {
+    declared: Option<Arc<Declared>>,
+    evacuated: BTreeSet<ZoneId>,
+    /// Targets that a listing after an outage no longer had, and until when they are used.
+    lapsed: BTreeMap<TargetId, Moment>,
+    /// When the store fell silent, as far as it is known.
+    lost_since: Option<Moment>,
+    revision: u64,
+    targets: BTreeMap<TargetId, KnownTarget>,
+}
+
+impl Beliefs {
+    /// The declaration in force.
+    pub fn declared(&self) -> Option<&Arc<Declared>> {
+        self.declared.as_ref()
+    }
+
+    /// Targets that take new work: ready and in no evacuated zone.
+    pub fn usable(&self) -> impl Iterator<Item = &KnownTarget> {
+        let kept =
+            |known: &&KnownTarget| known.entry.ready && !self.evacuated.contains(&known.entry.zone);
+        self.targets.values().filter(kept)
+    }
+
+    /// Whether a zone's targets are to get nothing.
+    pub fn is_evacuated(&self, zone: &ZoneId) -> bool {
+        self.evacuated.contains(zone)
+    }
+
+    /// Summary for other hosts.
+    pub fn stamp(&self) -> Stamp {
+        let mut hash = xxhash_rust::xxh3::Xxh3Default::new();
+        for known in self.targets.values() {
+            hash.update(known.entry.id.as_bytes());
+            hash.update(&[u8::from(known.entry.ready)]);
+            hash.update(&known.entry.started.to_le_bytes());
+        }
+        self.evacuated.iter().for_each(|zone| hash.update(zone.as_bytes()));
+        let declared = self.declared.as_ref().map_or(0, |declared| declared.version);
+        Stamp { declared, digest: hash.digest(), revision: self.revision }
+    }
+
+    /// Takes a declaration; an older one than that in force changes nothing.
+    ///
+    /// A store that answers with seconds-old data, or another host that is behind, would otherwise
+    /// bring back routes that operators had already replaced.
+    pub fn declare(&mut self, declared: Declared) -> bool {
+        let newer = self.declared.as_ref().is_none_or(|known| known.version < declared.version);
+        if newer {
+            self.declared = Some(Arc::new(declared));
+        }
+        newer
+    }
+
+    /// A zone is to get nothing, or may be used again.
+    pub fn evacuate(&mut self, zone: ZoneId, wanted: bool) -> bool {
+        if wanted { self.evacuated.insert(zone) } else { self.evacuated.remove(&zone) }
+    }
+
+    /// All evacuations there are.
+    pub fn evacuations(&mut self, zones: BTreeSet<ZoneId>) -> bool {
+        let changed = self.evacuated != zones;
+        self.evacuated = zones;
+        changed
+    }
+
+    /// One target's entry was written.
+    pub fn write(&mut self, entry: TargetEntry, region: RegionId, now: Moment) -> bool {
+        self.lapsed.remove(&entry.id);
+        let known = KnownTarget {
+            cold_until: now + entry.cold,
+            region,
+            tag: target::tag(&entry),
+            entry: entry.clone(),
+        };
+        match self.targets.entry(entry.id.clone()) {
+            btree_map::Entry::Occupied(mut slot) if same(slot.get(), &known) => {
+                slot.get_mut().cold_until = known.cold_until;
+                false
+            }
+            btree_map::Entry::Occupied(mut slot) => {
+                slot.insert(known);
+                true
+            }
+            btree_map::Entry::Vacant(slot) => {
+                slot.insert(known);
+                true
+            }
+        }
+    }
+
+    /// One target's entry was removed, or can no longer be read.
+    pub fn remove(&mut self, id: &TargetId) -> bool {
+        self.lapsed.remove(id);
+        self.targets.remove(id).is_some()
+    }
+
+    /// Every entry there is. After an outage that may have let entries lapse, those that are
+    /// missing are used a little longer.
+    pub fn list(&mut self, entries: Vec<(TargetEntry, RegionId)>, now: Moment) -> bool {
+        let outage = self.lost_since.is_some_and(|since| LAPSE_LEAST <= now.saturating_sub(since));
+        let listed: BTreeSet<TargetId> =
+            entries.iter().map(|(entry, _)| entry.id.clone()).collect();
+        let missing: Vec<TargetId> =
+            self.targets.keys().filter(|id| !listed.contains(*id)).cloned().collect();
+        let mut changed = false;
+        for id in missing {
+            if outage {
+                self.lapsed.entry(id).or_insert(now + RETURN_WAIT);
+            } else if !self.lapsed.contains_key(&id) {
+                changed |= self.targets.remove(&id).is_some();
+            }
+        }
+        for (entry, region) in entries {
+            changed |= self.write(entry, region, now);
+        }
+        self.lost_since = None;
+        changed
+    }
+
+    /// The store did not answer.
+    pub fn lost(&mut self, now: Moment) {
+        self.lost_since.get_or_insert(now);
+    }
+
+    /// Drops targets whose entries did not come back in time.
+    pub fn tick(&mut self, now: Moment) -> bool {
+        let due: Vec<TargetId> = self
+            .lapsed
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(id, _)| id.clone())
+            .collect();
+        let mut changed = false;
+        for id in &due {
+            self.lapsed.remove(id);
+            changed |= self.targets.remove(id).is_some();
+        }
+        changed
+    }
+
+    /// The store's version of something that was told.
+    pub fn saw(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+}
+
+/// Whether two entries of one target differ in nothing but the time that it stays cold.
+fn same(old: &KnownTarget, new: &KnownTarget) -> bool {
+    let entry = |known: &KnownTarget| TargetEntry { cold: Duration::ZERO, ..known.entry.clone() };
+    entry(old) == entry(new) && (old.cold_until == new.cold_until || new.entry.cold.is_zero())
+}
--- /dev/null
+++ b/src/entry/caller_io.rs
@@ -0,0 +1,143 @@
+//! A caller's connection that notices when the caller leaves.
+//!
+//! The HTTP library reads no further while a request is being served, so a caller that left while
+//! another of its requests lay unread would go unnoticed and targets would work for nobody. Here
+//! bytes are read ahead, up to a bound, while a request is served.
+
+use std::{
+    cell::RefCell,
+    io,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll, Waker, ready},
+};
+
+use bytes::{Buf, BytesMut};
+use hyper::rt::{Read, ReadBufCursor, Write};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+/// Most bytes that are read ahead; a caller that sends more is read on when its turn comes.
+const AHEAD: usize = 64 * 1024;
+
+/// Bytes that one read asks for.
+const CHUNK: usize = 4 * 1024;
+
+/// The connection, as the HTTP library reads and writes it.
+pub struct CallerIo {
+    shared: Rc<RefCell<Shared>>,
+}
+
+/// Notices the caller's leaving.
+#[derive(Clone)]
+pub struct Presence {
+    shared: Rc<RefCell<Shared>>,
+}
+
+struct Shared {
+    ahead: BytesMut,
+    ended: bool,
+    reader: Option<Waker>,
+    stream: TcpStream,
+}
+
+impl CallerIo {
+    /// Wraps an accepted connection.
+    pub fn new(stream: TcpStream) -> (Self, Presence) {
+        let shared = Shared { ahead: BytesMut::new(), ended: false, reader: None, stream };
+        let shared = Rc::new(RefCell::new(shared));
+        (Self { shared: shared.clone() }, Presence { shared })
+    }
+}
+
+impl Presence {
+    /// Ends when the caller has closed the connection, or it broke.
+    pub async fn gone(&self) {
+        std::future::poll_fn(|cx| self.shared.borrow_mut().poll_gone(cx)).await;
+    }
+}
+
+impl Shared {
+    fn poll_gone(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        loop {
+            if self.ended {
+                return Poll::Ready(());
+            }
+            if AHEAD <= self.ahead.len() {
+                return Poll::Pending;
+            }
+            if let Err(error) = ready!(self.fill(cx)) {
+                log::debug!("caller's connection: {error}");
+                self.ended = true;
+            }
+            if let Some(reader) = self.reader.take() {
+                reader.wake();
+            }
+        }
+    }
+
+    fn fill(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut space = [0; CHUNK];
+        let mut buf = ReadBuf::new(&mut space);
+        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf))?;
+        if buf.filled().is_empty() {
+            self.ended = true;
+        }
+        self.ahead.extend_from_slice(buf.filled());
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Read for CallerIo {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut shared = self.shared.borrow_mut();
+        if shared.ahead.is_empty() && !shared.ended {
+            shared.reader = Some(cx.waker().clone());
+            ready!(shared.fill(cx))?;
+        }
+        let count = shared.ahead.len().min(buf.remaining());
+        buf.put_slice(&shared.ahead[..count]);
+        shared.ahead.advance(count);
+        if shared.ahead.is_empty() {
+            // An idle connection keeps no buffer.
+            shared.ahead = BytesMut::new();
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Write for CallerIo {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.shared.borrow_mut().stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.shared.borrow_mut().stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.shared.borrow_mut().stream).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.shared.borrow_mut().stream).poll_write_vectored(cx, bufs)
+    }
+}
--- /dev/null
+++ b/src/entry/condition.rs
@@ -0,0 +1,119 @@
+//! What a host has seen of one target by its own requests.
+
+use crate::prelude::*;
+
+/// First pause after failures in a row; doubles up to `LONGEST_PAUSE`.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+
+/// Failures in a row after which a target is left alone: one can be chance, as with a lost answer.
+const FAILURES: u32 = 2;
+
+/// Time for which a target that had no room gets nothing more from this host.
+const FULL_PAUSE: Duration = Duration::from_millis(80);
+
+/// Weight of the newest sample in a mean; five samples carry two thirds.
+const NEWEST: f64 = 0.2;
+
+/// Time in which an unused mean loses half of its distance from the usual, so that a target that
+/// was slow or failing is tried again.
+const FORGET_HALF: f64 = 3.0;
+
+/// How an attempt at a target ended, as far as the target's state goes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ended {
+    /// A whole answer, after that time.
+    Answered(Duration),
+    /// The target's own failure, or a broken or lost answer.
+    Failed,
+    /// It refused the request since it had no room.
+    Full,
+    /// Nobody could be reached at its address.
+    Unreachable,
+    /// Cancelled; says nothing, or that it took at least that long.
+    Cancelled(Duration),
+}
+
+/// The condition of one target.
+#[derive(Clone, Debug, Default)]
+pub struct Condition {
+    failures: u32,
+    /// Share of recent attempts that failed.
+    failing: f64,
+    full_until: Moment,
+    /// Requests of this host in flight.
+    pub in_flight: u32,
+    paused_until: Moment,
+    pauses: u32,
+    /// Recent time of an answer as a multiple of what was expected.
+    slow: Option<f64>,
+    touched: Moment,
+}
+
+impl Condition {
+    /// An attempt ended; `expected` is the time that an answer usually takes there.
+    pub fn ended(&mut self, ended: Ended, expected: Duration, now: Moment) {
+        let ratio = |took: Duration| took.as_secs_f64() / expected.as_secs_f64().max(0.001);
+        match ended {
+            Ended::Answered(took) => {
+                self.failures = 0;
+                self.pauses = 0;
+                self.paused_until = Moment::ZERO;
+                self.sample(0.0, now);
+                self.paced(ratio(took));
+            }
+            Ended::Cancelled(took) if expected < took => self.paced(ratio(took)),
+            Ended::Cancelled(_) => {}
+            Ended::Full => self.full_until = now + FULL_PAUSE,
+            Ended::Failed => self.failed(1, now),
+            Ended::Unreachable => self.failed(FAILURES, now),
+        }
+    }
+
+    /// How much the time of an answer is stretched here, for slowness and failures.
+    pub fn stretch(&self, now: Moment) -> f64 {
+        let keep = self.keep(now);
+        let slow = 1.0 + (self.slow.unwrap_or(1.0).max(1.0) - 1.0) * keep;
+        let failing = (self.failing * keep).min(0.9);
+        slow / ((1.0 - failing) * (1.0 - failing))
+    }
+
+    /// Whether it is to be left alone for now.
+    pub fn is_paused(&self, now: Moment) -> bool {
+        now < self.paused_until
+    }
+
+    /// A target whose pause is over gets one request at a time until it answers.
+    pub fn is_on_trial(&self, now: Moment) -> bool {
+        FAILURES <= self.failures && !self.is_paused(now)
+    }
+
+    /// Whether it just said that it has no room.
+    pub fn is_full(&self, now: Moment) -> bool {
+        now < self.full_until
+    }
+
+    fn failed(&mut self, count: u32, now: Moment) {
+        self.sample(1.0, now);
+        self.failures = self.failures.saturating_add(count);
+        if FAILURES <= self.failures {
+            let pause = FIRST_PAUSE.saturating_mul(1 << self.pauses.min(8)).min(LONGEST_PAUSE);
+            self.paused_until = now + pause;
+            self.pauses += 1;
+        }
+    }
+
+    fn keep(&self, now: Moment) -> f64 {
+        0.5_f64.powf(now.saturating_sub(self.touched).as_secs_f64() / FORGET_HALF)
+    }
+
+    fn sample(&mut self, failed: f64, now: Moment) {
+        self.failing = self.failing * self.keep(now) * (1.0 - NEWEST) + failed * NEWEST;
+        self.touched = now;
+    }
+
+    fn paced(&mut self, ratio: f64) {
+        let ratio = ratio.min(10.0);
+        self.slow = Some(self.slow.map_or(ratio, |slow| slow + (ratio - slow) * NEWEST));
+    }
+}
--- /dev/null
+++ b/src/entry/declared.rs
@@ -0,0 +1,66 @@
+//! The operators' declared intent: which route sends which requests to which services.
+
+use crate::prelude::*;
+
+/// Version of a declaration; in force it only rises.
+pub type DeclaredVersion = u64;
+
+/// One whole declaration.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Declared {
+    /// Largest request body, in bytes.
+    pub body_bytes: usize,
+    /// Routes by host name, each list longest prefix first.
+    pub hosts: BTreeMap<Arc<str>, Vec<Arc<Route>>>,
+    /// Time that a caller's idle connection may be kept.
+    pub idle: Duration,
+    pub services: BTreeMap<ServiceId, ServiceRules>,
+    pub version: DeclaredVersion,
+}
+
+/// Requests of one prefix.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Most targets that one request may be sent to.
+    pub attempts: u32,
+    /// Begins and ends with a slash.
+    pub prefix: Arc<str>,
+    /// Time within which an answer is worth most.
+    pub objective: Duration,
+    /// Rank; 0 goes first.
+    pub priority: u32,
+    /// Regions that may serve these requests; empty for all.
+    pub regions: Vec<RegionId>,
+    pub repeat: Repeat,
+    /// Services and their weights.
+    pub split: Vec<(ServiceId, f64)>,
+    /// Requests about one object are faster at a target that handled it before.
+    pub sticky: bool,
+    /// Longest time that a caller is kept waiting.
+    pub timeout: Duration,
+}
+
+/// Whether a request may run more than once.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Repeat {
+    Idempotent,
+    Once,
+}
+
+/// What is declared of a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceRules {
+    /// Requests a second that a cold target takes, from all hosts together.
+    pub cold_rate: f64,
+    /// Most connections that one target takes, from all hosts together.
+    pub connections: u32,
+}
+
+impl Declared {
+    /// The route of a request: of its host's routes the one with the longest prefix of its path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let name = host.split(':').next().unwrap_or(host);
+        let routes = self.hosts.get(name).or_else(|| self.hosts.get(host))?;
+        routes.iter().find(|route| path.starts_with(&*route.prefix))
+    }
+}
--- /dev/null
+++ b/src/entry/desk.rs
@@ -0,0 +1,428 @@
+//! The traffic thread's state: what this host runs, has seen and may still spend.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{HashMap, HashSet},
+    rc::Rc,
+};
+
+use super::{
+    ColdRates, Condition, Dialect, Ended, EntrySettings, KnownTarget, Poison, Pool, RegionLoad,
+    Route, Shares, View, ViewCell,
+    cold::is_sender,
+    place::{Ask, Candidate, Choice, ObjectHash, choose},
+    upstream::connect,
+    view::service_tag,
+};
+use crate::{admission::RetryBudget, prelude::*};
+
+/// Usual time of an answer before any was measured.
+const WORK_ASSUMED: Duration = Duration::from_millis(150);
+
+/// Weight of the newest answer in a service's usual time; the last fifty count.
+const WORK_NEWEST: f64 = 0.02;
+
+/// Weight of the newest second in the measured demand.
+const DEMAND_NEWEST: f64 = 0.3;
+
+/// Part of requests that may leave the region that the shares name: they add to the shift.
+const SPILL_PART: f64 = 0.03;
+
+/// Usual slots of a cold target, as a part of a warm one's.
+const COLD_SLOTS: f64 = 0.3;
+
+/// Figures of one service.
+#[derive(Debug)]
+struct ServiceDesk {
+    arrivals: u32,
+    budget: RetryBudget,
+    /// Busy slots that this host's callers ask for.
+    demand: f64,
+    /// Counts up to choose the parts of a split in turn.
+    spill: f64,
+    shares: Option<Shares>,
+    work: Duration,
+}
+
+impl Default for ServiceDesk {
+    fn default() -> Self {
+        Self {
+            arrivals: 0,
+            budget: RetryBudget::new(),
+            demand: 0.0,
+            spill: 0.0,
+            shares: None,
+            work: WORK_ASSUMED,
+        }
+    }
+}
+
+/// Everything that one traffic thread decides with.
+pub struct Desk {
+    pub clock: Arc<dyn Clock>,
+    pub dialect: Arc<dyn Dialect>,
+    pub settings: Arc<EntrySettings>,
+    cold: RefCell<ColdRates>,
+    conditions: RefCell<HashMap<u32, Condition>>,
+    counted: Cell<Moment>,
+    /// Targets that are being looked at after a lost answer.
+    looking: RefCell<HashSet<u32>>,
+    pub poison: RefCell<Poison>,
+    pub pool: RefCell<Pool>,
+    /// Fingerprints of requests in flight, by target.
+    running: RefCell<HashMap<u32, Vec<u64>>>,
+    services: RefCell<HashMap<ServiceId, ServiceDesk>>,
+    splits: RefCell<HashMap<Arc<str>, Vec<f64>>>,
+    /// Callers' open connections.
+    pub open: Cell<usize>,
+    /// A planned stop has begun, and when.
+    pub leaving: Cell<Option<Moment>>,
+    view: ViewCell,
+}
+
+/// What a request is, as far as placement goes.
+#[derive(Clone, Debug)]
+pub struct Errand {
+    pub deadline: Moment,
+    pub object: ObjectHash,
+    pub route: Arc<Route>,
+    pub service: ServiceId,
+    pub tried: Vec<u32>,
+}
+
+impl Desk {
+    /// An idle desk.
+    pub fn open(
+        settings: Arc<EntrySettings>,
+        clock: Arc<dyn Clock>,
+        dialect: Arc<dyn Dialect>,
+        view: ViewCell,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            clock,
+            cold: RefCell::default(),
+            conditions: RefCell::default(),
+            counted: Cell::default(),
+            dialect,
+            leaving: Cell::default(),
+            looking: RefCell::default(),
+            open: Cell::new(0),
+            poison: RefCell::default(),
+            pool: RefCell::default(),
+            running: RefCell::default(),
+            services: RefCell::default(),
+            settings,
+            splits: RefCell::default(),
+            view,
+        })
+    }
+
+    /// The control side's view; `None` before the first.
+    pub fn view(&self) -> Option<Arc<View>> {
+        self.view.load_full()
+    }
+
+    /// The service of a new request: the parts of a split take turns by their weights.
+    pub fn service(&self, route: &Route) -> Option<ServiceId> {
+        if let [(service, _)] = &*route.split {
+            return Some(service.clone());
+        }
+        let total: f64 = route.split.iter().map(|(_, weight)| weight).sum();
+        let mut splits = self.splits.borrow_mut();
+        let credit = splits.entry(route.prefix.clone()).or_default();
+        credit.resize(route.split.len(), 0.0);
+        for (credit, (_, weight)) in credit.iter_mut().zip(&route.split) {
+            *credit += weight / total.max(f64::MIN_POSITIVE);
+        }
+        let most = (0..credit.len()).max_by(|a, b| credit[*a].total_cmp(&credit[*b]))?;
+        credit[most] -= 1.0;
+        Some(route.split[most].0.clone())
+    }
+
+    /// Counts a new request for a service.
+    pub fn arrived(&self, service: &ServiceId) {
+        let now = self.clock.now();
+        let mut services = self.services.borrow_mut();
+        let desk = services.entry(service.clone()).or_default();
+        desk.arrivals += 1;
+        desk.spill = (desk.spill + SPILL_PART).min(2.0);
+        desk.budget.noted(now);
+    }
+
+    /// Takes one further attempt out of a service's budget.
+    pub fn take_retry(&self, service: &ServiceId) -> bool {
+        let now = self.clock.now();
+        self.services.borrow_mut().entry(service.clone()).or_default().budget.take(now)
+    }
+
+    /// Usual time of an answer.
+    pub fn work(&self, service: &ServiceId) -> Duration {
+        self.services.borrow().get(service).map_or(WORK_ASSUMED, |desk| desk.work)
+    }
+
+    /// Chooses a target.
+    pub fn place(&self, view: &View, errand: &Errand) -> (Choice, Option<Arc<KnownTarget>>) {
+        let now = self.clock.now();
+        let Some(targets) = view.targets.get(&errand.service) else {
+            return (Choice::Nothing, None);
+        };
+        let regions = &errand.route.regions;
+        let allowed = |target: &&Arc<KnownTarget>| {
+            (regions.is_empty() || regions.contains(&target.region))
+                && !errand.tried.contains(&target.tag)
+        };
+        let rate = view
+            .declared
+            .as_ref()
+            .and_then(|declared| declared.services.get(&errand.service))
+            .map_or(1.0, |rules| rules.cold_rate);
+        let candidates: Vec<Candidate<'_>> = targets
+            .iter()
+            .filter(allowed)
+            .map(|target| self.candidate(view, target, rate, now))
+            .collect();
+        let mut services = self.services.borrow_mut();
+        let desk = services.entry(errand.service.clone()).or_default();
+        let home = &self.settings.region;
+        let loads = || region_loads(view, targets, &errand.service, desk.demand, home, now);
+        let shares = match &mut desk.shares {
+            Some(shares) => shares,
+            none => none.insert(Shares::new(home.clone(), &loads(), now)),
+        };
+        let place = (errand.object >> 11) as f64 / (1_u64 << 53) as f64;
+        let mut region = shares.pick(place).cloned().unwrap_or_else(|| home.clone());
+        if !candidates.iter().any(|candidate| candidate.target.region == region) {
+            let share = |candidate: &&Candidate<'_>| shares.of(&candidate.target.region);
+            let next = candidates.iter().max_by(|a, b| share(a).total_cmp(&share(b)));
+            match next {
+                Some(next) => region = next.target.region.clone(),
+                None => return (Choice::Nothing, None),
+            }
+        }
+        let left = errand.deadline.saturating_sub(now);
+        let ask = Ask {
+            home,
+            left,
+            may_spill: 1.0 <= desk.spill,
+            object: errand.object,
+            patience: errand.route.objective.mul_f64(PATIENCE),
+            region: &region,
+            work: desk.work,
+            zone: &self.settings.zone,
+        };
+        let choice = choose(&candidates, &ask);
+        let target = match choice {
+            Choice::Send { at, .. } => Some(candidates[at].target.clone()),
+            _ => None,
+        };
+        if let Some(target) = &target
+            && target.region != region
+        {
+            desk.spill -= 1.0;
+        }
+        (choice, target)
+    }
+
+    fn candidate<'a>(
+        &self,
+        view: &View,
+        target: &'a Arc<KnownTarget>,
+        cold_rate: f64,
+        now: Moment,
+    ) -> Candidate<'a> {
+        let conditions = self.conditions.borrow();
+        let condition = conditions.get(&target.tag);
+        let own = condition.map_or(0, |condition| condition.in_flight);
+        let elsewhere = view.elsewhere.get(&target.tag).copied().unwrap_or_default();
+        let cold = target.is_cold(now);
+        let cold_shut = cold
+            && (!is_sender(target, &self.settings.host, &view.hosts)
+                || !self.cold.borrow_mut().may_send(target, cold_rate, now));
+        let shut = condition.is_some_and(|condition| {
+            condition.is_paused(now)
+                || condition.is_full(now)
+                || (condition.is_on_trial(now) && 0 < own)
+        });
+        Candidate {
+            cold,
+            load: f64::from(own + elsewhere),
+            shut: shut || cold_shut,
+            stretch: condition.map_or(1.0, |condition| condition.stretch(now)),
+            target,
+        }
+    }
+
+    /// A request goes to a target; it counts as in flight until the guard is dropped.
+    pub fn start(self: &Rc<Self>, target: &Arc<KnownTarget>, fingerprint: u64) -> Running {
+        let now = self.clock.now();
+        if target.is_cold(now) {
+            self.cold.borrow_mut().sent(target);
+        }
+        self.conditions.borrow_mut().entry(target.tag).or_default().in_flight += 1;
+        self.running.borrow_mut().entry(target.tag).or_default().push(fingerprint);
+        Running { desk: self.clone(), fingerprint, started: now, tag: target.tag }
+    }
+
+    /// An attempt ended.
+    pub fn ended(&self, target: &KnownTarget, service: &ServiceId, ended: Ended) {
+        let now = self.clock.now();
+        let mut services = self.services.borrow_mut();
+        let desk = services.entry(service.clone()).or_default();
+        let mut conditions = self.conditions.borrow_mut();
+        conditions.entry(target.tag).or_default().ended(ended, desk.work, now);
+        if let Ended::Answered(took) = ended {
+            let trip = if target.region == self.settings.region {
+                Duration::ZERO
+            } else {
+                Duration::from_millis(110)
+            };
+            let took = took.saturating_sub(trip).as_secs_f64();
+            let work = desk.work.as_secs_f64();
+            let work = work + (took - work) * WORK_NEWEST;
+            desk.work = Duration::from_secs_f64(work.max(0.005));
+        }
+        if ended == Ended::Unreachable {
+            self.pool.borrow_mut().forget(target.tag);
+        }
+    }
+
+    /// A request came to a good end.
+    pub fn cleared(&self, fingerprint: u64) {
+        let elsewhere = self.view().and_then(|view| view.crashes.get(&fingerprint).copied());
+        let elsewhere = elsewhere.unwrap_or_default();
+        if elsewhere == 0 && self.poison.borrow().is_empty() {
+            return;
+        }
+        self.poison.borrow_mut().cleared(fingerprint, elsewhere, self.clock.now());
+    }
+
+    /// After a lost answer: whether the target is still there. If not, all that ran there when the
+    /// answer was lost may have been what crashed it.
+    pub fn look_for_crash(self: &Rc<Self>, target: &Arc<KnownTarget>, service: &ServiceId) {
+        if !self.looking.borrow_mut().insert(target.tag) {
+            return;
+        }
+        let prints = self.running.borrow().get(&target.tag).cloned().unwrap_or_default();
+        let (desk, target, service) = (self.clone(), target.clone(), service.clone());
+        tokio::task::spawn_local(async move {
+            let reached = connect(target.entry.addr).await;
+            desk.looking.borrow_mut().remove(&target.tag);
+            if let Err(error) = reached {
+                log::info!("{} is gone: {error}", target.entry.id);
+                let now = desk.clock.now();
+                let mut poison = desk.poison.borrow_mut();
+                prints.into_iter().for_each(|print| poison.crashed(print, now));
+                drop(poison);
+                desk.ended(&target, &service, Ended::Unreachable);
+            }
+        });
+    }
+
+    /// Keeps figures up to date; called several times a second.
+    pub fn tick(&self) {
+        let now = self.clock.now();
+        let Some(view) = self.view() else { return };
+        self.cold.borrow_mut().tick(now);
+        self.poison.borrow_mut().tick(now);
+        let spent = now.saturating_sub(self.counted.get());
+        if spent < Duration::from_millis(500) {
+            return;
+        }
+        self.counted.set(now);
+        let known: HashSet<u32> =
+            view.targets.values().flatten().map(|target| target.tag).collect();
+        self.pool.borrow_mut().tick(now, |tag| known.contains(&tag));
+        self.conditions
+            .borrow_mut()
+            .retain(|tag, condition| 0 < condition.in_flight || known.contains(tag));
+        for (service, desk) in self.services.borrow_mut().iter_mut() {
+            let rate = f64::from(desk.arrivals) / spent.as_secs_f64().max(0.1);
+            desk.arrivals = 0;
+            let demand = rate * desk.work.as_secs_f64();
+            desk.demand += (demand - desk.demand) * DEMAND_NEWEST;
+            let Some(targets) = view.targets.get(service) else { continue };
+            let home = &self.settings.region;
+            let loads = region_loads(&view, targets, service, desk.demand, home, now);
+            if let Some(shares) = &mut desk.shares {
+                shares.step(&loads, self.settings.bounds.max_shift, now);
+            }
+        }
+    }
+
+    /// What other hosts are told: requests in flight by target, demand by service, crashes.
+    pub fn report(&self) -> Report {
+        let conditions = self.conditions.borrow();
+        let busy = conditions.iter().filter(|(_, condition)| 0 < condition.in_flight);
+        let running =
+            busy.map(|(tag, condition)| (*tag, condition.in_flight.min(255) as u8)).collect();
+        let services = self.services.borrow();
+        let demand =
+            services.iter().map(|(name, desk)| (service_tag(name), desk.demand as f32)).collect();
+        Report { crashes: self.poison.borrow().marks(), demand, running }
+    }
+}
+
+/// Expected time of an answer that is still accepted, as a multiple of the route's objective.
+const PATIENCE: f64 = 1.0;
+
+/// What the control side tells other hosts.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    pub crashes: Vec<(u64, u8)>,
+    pub demand: Vec<(u32, f32)>,
+    pub running: Vec<(u32, u8)>,
+}
+
+/// A request in flight at a target.
+pub struct Running {
+    desk: Rc<Desk>,
+    fingerprint: u64,
+    pub started: Moment,
+    tag: u32,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if let Some(condition) = self.desk.conditions.borrow_mut().get_mut(&self.tag) {
+            condition.in_flight = condition.in_flight.saturating_sub(1);
+        }
+        let mut running = self.desk.running.borrow_mut();
+        if let Some(prints) = running.get_mut(&self.tag) {
+            if let Some(at) = prints.iter().position(|print| *print == self.fingerprint) {
+                prints.swap_remove(at);
+            }
+            if prints.is_empty() {
+                running.remove(&self.tag);
+            }
+        }
+    }
+}
+
+/// Slots and demand of each region that has targets of a service.
+fn region_loads(
+    view: &View,
+    targets: &[Arc<KnownTarget>],
+    service: &ServiceId,
+    own_demand: f64,
+    home: &RegionId,
+    now: Moment,
+) -> Vec<RegionLoad> {
+    let mut slots: BTreeMap<&RegionId, f64> = BTreeMap::new();
+    for host in &view.hosts {
+        slots.entry(&host.region).or_default();
+    }
+    for target in targets {
+        let part = if target.is_cold(now) { COLD_SLOTS } else { 1.0 };
+        *slots.entry(&target.region).or_default() += f64::from(target.entry.slots) * part;
+    }
+    let tag = service_tag(service);
+    let demand = |region: &RegionId| {
+        let told = view.demand.get(&(region.clone(), tag)).copied().unwrap_or_default();
+        let sum = if region == home { told + own_demand } else { told };
+        (0.0 < sum).then_some(sum)
+    };
+    slots
+        .into_iter()
+        .map(|(region, slots)| RegionLoad { demand: demand(region), region: region.clone(), slots })
+        .collect()
+}
--- /dev/null
+++ b/src/entry/dialect.rs
@@ -0,0 +1,106 @@
+//! The border to the platform's own spellings: headers, paths and stored objects.
+
+use std::collections::BTreeSet;
+
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode, Uri};
+
+use super::{Declared, TargetEntry};
+use crate::prelude::*;
+
+/// Result of reading a stored object.
+pub type Result<T> = std::result::Result<T, Unreadable>;
+
+/// Why a stored object could not be read.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("{0}")]
+pub struct Unreadable(pub Arc<str>);
+
+/// What a caller says beside its request.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct CallerNote {
+    /// The caller's id of this attempt.
+    pub attempt: Option<RequestId>,
+    /// The object that the request is about.
+    pub object: Option<Arc<str>>,
+    /// Time that the caller will wait.
+    pub time_left: Option<Duration>,
+}
+
+/// What a target says beside its answer.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ReplyNote {
+    /// Id of the attempt that it answers.
+    pub attempt: Option<RequestId>,
+    /// Time that the target stays cold.
+    pub cold: Option<Duration>,
+    /// Running and waiting requests.
+    pub load: Option<(u32, u32)>,
+    /// The target did not run the request.
+    pub not_run: bool,
+    /// The answer bears the target's signature.
+    pub signed: bool,
+    /// The address belongs to another target.
+    pub other_target: bool,
+}
+
+/// Where a caller that looks hosts up is.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LookupPlace {
+    pub region: RegionId,
+    pub zone: ZoneId,
+}
+
+/// Prefixes of keys in the platform's store.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreKeys {
+    /// The one object of the declaration.
+    pub declared: &'static str,
+    pub evacuations: &'static str,
+    pub hosts: &'static str,
+    pub targets: &'static str,
+}
+
+/// Reads and writes what the platform spells.
+pub trait Dialect: Send + Sync {
+    /// What the caller says.
+    fn caller(&self, headers: &HeaderMap) -> CallerNote;
+
+    /// What the target says.
+    fn reply(&self, status: StatusCode, headers: &HeaderMap) -> ReplyNote;
+
+    /// Marks a request for one target, which has `left` to answer.
+    fn mark(&self, headers: &mut HeaderMap, target: &TargetId, left: Duration);
+
+    /// Marks an answer of the host's own.
+    fn mark_own(&self, headers: &mut HeaderMap, note: &CallerNote);
+
+    /// The place that a look-up names; `None` if the request is none.
+    fn lookup(&self, uri: &Uri) -> Option<LookupPlace>;
+
+    /// The answer to a look-up.
+    fn found(&self, callers: &[SocketAddr], ttl: Duration) -> Bytes;
+
+    /// Whether a request asks for readiness.
+    fn asks_ready(&self, uri: &Uri) -> bool;
+
+    /// Keys in the store.
+    fn keys(&self) -> StoreKeys;
+
+    /// Reads the declaration.
+    fn declared(&self, object: &[u8]) -> Result<Declared>;
+
+    /// Reads one target's entry.
+    fn target(&self, id: &str, object: &[u8]) -> Result<TargetEntry>;
+
+    /// Zones to be emptied, of the names of their objects.
+    fn zones(&self, names: &[Arc<str>]) -> BTreeSet<ZoneId> {
+        names.iter().cloned().collect()
+    }
+
+    /// Writes what other hosts read of this one.
+    fn host_object(&self, gossip: SocketAddr) -> Bytes;
+
+    /// Reads another host's gossip address.
+    fn host(&self, object: &[u8]) -> Result<SocketAddr>;
+}
--- /dev/null
+++ b/src/entry/host.rs
@@ -0,0 +1,293 @@
+//! A running entry host: the control thread, the traffic thread and their ends.
+
+use std::{rc::Rc, thread::JoinHandle};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use http_body_util::Full;
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    sync::{mpsc, oneshot, watch},
+    task::LocalSet,
+};
+use xtra::Address;
+
+use super::{
+    Desk, Dialect, EntryControl, EntrySettings, Report, ViewCell,
+    control::{BEAT, ControlParts, Datagram, Leave, Part, Pulse, Share, Told},
+    serve::{accept, callers, look_up, ready, small},
+    sync::STATE_PATH,
+};
+use crate::{
+    prelude::*,
+    store::{FollowPace, Followed, Follower, Platform},
+};
+
+/// How often the store is asked. Hosts tell each other when one of them has seen more, so nothing
+/// has to be compared; the wait bounds how long a watch on a silent connection is believed.
+const PACE: FollowPace =
+    FollowPace { compare_every: Duration::from_secs(86_400), wait: Duration::from_secs(3) };
+
+/// Time between two updates of the traffic side's figures.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Least time between the signal to stop and the end: callers hear of it by look-ups meanwhile.
+const LEAVE_LEAST: Duration = Duration::from_millis(2_500);
+
+/// Time kept between the end of the process and the moment at which it would be killed.
+const LEAVE_MARGIN: Duration = Duration::from_millis(300);
+
+/// Largest datagram.
+const DATAGRAM: usize = 16 * 1024;
+
+/// Result of opening a host.
+pub type Result<T> = std::result::Result<T, OpenError>;
+
+/// Why a host could not be opened.
+#[derive(Debug, thiserror::Error)]
+pub enum OpenError {
+    #[error("{what} {addr} can't be bound: {error}; free the address or change the settings")]
+    Bind { addr: SocketAddr, error: std::io::Error, what: &'static str },
+    #[error("no thread could be started: {0}")]
+    Thread(#[from] std::io::Error),
+}
+
+/// What a host is built from.
+pub struct EntryParts {
+    pub clock: Arc<dyn Clock>,
+    pub dialect: Arc<dyn Dialect>,
+    pub settings: EntrySettings,
+    pub store: Arc<dyn Platform>,
+}
+
+/// A running host.
+pub struct EntryHost {
+    control: Address<EntryControl>,
+    leave: watch::Sender<bool>,
+    traffic: JoinHandle<()>,
+    stopped: oneshot::Receiver<()>,
+}
+
+impl EntryHost {
+    /// Starts the host; control runs on the current runtime, traffic on a thread of its own.
+    pub async fn spawn(parts: EntryParts) -> Result<Self> {
+        let settings = Arc::new(parts.settings);
+        let view: ViewCell = Arc::new(ArcSwapOption::empty());
+        let report = Arc::new(ArcSwap::from_pointee(Report::default()));
+        let listen = &settings.listen;
+        let gossip = UdpSocket::bind(listen.gossip);
+        let socket = Arc::new(gossip.await.map_err(|error| bind("gossip", listen.gossip, error))?);
+        let state = listener("control", listen.control).await?;
+        let control = EntryControl::spawn(ControlParts {
+            clock: parts.clock.clone(),
+            dialect: parts.dialect.clone(),
+            report: report.clone(),
+            settings: settings.clone(),
+            socket: socket.clone(),
+            store: parts.store.clone(),
+            view: view.clone(),
+        });
+        tokio::task::spawn_local(hear(socket, control.clone()));
+        tokio::task::spawn_local(pulse(control.clone()));
+        tokio::task::spawn_local(serve_state(state, control.clone()));
+        let keys = parts.dialect.keys();
+        for (part, prefix) in [
+            (Part::Declared, keys.declared),
+            (Part::Targets, keys.targets),
+            (Part::Evacuations, keys.evacuations),
+        ] {
+            let (store, clock) = (parts.store.clone(), parts.clock.clone());
+            tokio::task::spawn_local(follow(store, clock, part, prefix, control.clone()));
+        }
+        let (leave, leaving) = watch::channel(false);
+        let (tx, stopped) = oneshot::channel();
+        let traffic =
+            Traffic { clock: parts.clock, dialect: parts.dialect, leaving, report, settings, view };
+        let (bound_tx, bound) = oneshot::channel();
+        let thread = std::thread::Builder::new().name("traffic".into());
+        let traffic = thread.spawn(move || {
+            traffic.run(bound_tx);
+            let _ = tx.send(());
+        })?;
+        let ended = || std::io::Error::other("the traffic thread ended");
+        bound.await.map_err(|_| ended())??;
+        Ok(Self { control, leave, stopped, traffic })
+    }
+
+    /// Stops as planned: takes no new callers, answers what it has read, then ends.
+    pub async fn stop(self) {
+        if self.control.send(Leave).await.is_err() {
+            log::error!("the control side has ended");
+        }
+        let _ = self.leave.send(true);
+        let _ = self.stopped.await;
+        if self.traffic.join().is_err() {
+            log::error!("the traffic thread has panicked");
+        }
+    }
+}
+
+fn bind(what: &'static str, addr: SocketAddr, error: std::io::Error) -> OpenError {
+    OpenError::Bind { addr, error, what }
+}
+
+async fn listener(what: &'static str, addr: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(addr).await.map_err(|error| bind(what, addr, error))
+}
+
+/// Passes datagrams on to control.
+async fn hear(socket: Arc<UdpSocket>, control: Address<EntryControl>) {
+    let mut buf = vec![0; DATAGRAM];
+    loop {
+        match socket.recv_from(&mut buf).await {
+            Ok((size, _)) => {
+                if control.send(Datagram(buf[..size].to_vec())).await.is_err() {
+                    return;
+                }
+            }
+            Err(error) => {
+                log::debug!("gossip: {error}");
+                tokio::time::sleep(BEAT).await;
+            }
+        }
+    }
+}
+
+async fn pulse(control: Address<EntryControl>) {
+    let mut interval = tokio::time::interval(BEAT);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+    loop {
+        interval.tick().await;
+        if control.send(Pulse).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn follow(
+    store: Arc<dyn Platform>,
+    clock: Arc<dyn Clock>,
+    part: Part,
+    prefix: &'static str,
+    control: Address<EntryControl>,
+) {
+    let (tx, mut rx) = mpsc::channel::<Followed>(16);
+    let _follower = Follower::spawn(store, clock, prefix, PACE, tx);
+    while let Some(told) = rx.recv().await {
+        if control.send(Told(part, told)).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Tells other hosts what this one knows.
+async fn serve_state(listener: TcpListener, control: Address<EntryControl>) {
+    accept(listener, |stream| {
+        let control = control.clone();
+        async move {
+            let snapshot = match control.send(Share).await {
+                Ok(snapshot) => snapshot,
+                Err(error) => return log::error!("state: {error}"),
+            };
+            let bytes = serde_json::to_vec(&snapshot).unwrap_or_default();
+            let bytes = Bytes::from(bytes);
+            small(stream, move |req| {
+                let mut answer = Response::new(Full::new(bytes.clone()));
+                if req.uri().path() != STATE_PATH {
+                    *answer.status_mut() = StatusCode::NOT_FOUND;
+                }
+                answer
+            })
+            .await;
+        }
+    })
+    .await;
+}
+
+/// What the traffic thread is built from.
+struct Traffic {
+    clock: Arc<dyn Clock>,
+    dialect: Arc<dyn Dialect>,
+    leaving: watch::Receiver<bool>,
+    report: Arc<ArcSwap<Report>>,
+    settings: Arc<EntrySettings>,
+    view: ViewCell,
+}
+
+impl Traffic {
+    fn run(self, bound: oneshot::Sender<Result<()>>) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = match runtime {
+            Ok(runtime) => runtime,
+            Err(error) => {
+                let _ = bound.send(Err(OpenError::Thread(error)));
+                return;
+            }
+        };
+        runtime.block_on(LocalSet::new().run_until(self.serve(bound)));
+    }
+
+    async fn serve(mut self, bound: oneshot::Sender<Result<()>>) {
+        let listen = &self.settings.listen;
+        let opened = async {
+            Ok((
+                listener("callers", listen.callers).await?,
+                listener("readiness", listen.ready).await?,
+                listener("look-ups", listen.lookup).await?,
+            ))
+        };
+        let (for_callers, for_ready, for_lookups) = match opened.await {
+            Ok(listeners) => listeners,
+            Err(error) => {
+                let _ = bound.send(Err(error));
+                return;
+            }
+        };
+        let desk = Desk::open(self.settings.clone(), self.clock, self.dialect, self.view);
+        let _ = bound.send(Ok(()));
+        let leaving = self.leaving.clone();
+        let at = desk.clone();
+        tokio::task::spawn_local(accept(for_callers, move |stream| {
+            callers(at.clone(), stream, leaving.clone())
+        }));
+        let at = desk.clone();
+        tokio::task::spawn_local(accept(for_ready, move |stream| {
+            let desk = at.clone();
+            async move { small(stream, |req| ready(&desk, req)).await }
+        }));
+        let at = desk.clone();
+        tokio::task::spawn_local(accept(for_lookups, move |stream| {
+            let desk = at.clone();
+            async move { small(stream, |req| look_up(&desk, req)).await }
+        }));
+        tokio::task::spawn_local(tick(desk.clone(), self.report));
+        let _ = self.leaving.wait_for(|leaving| *leaving).await;
+        leave(&desk).await;
+    }
+}
+
+async fn tick(desk: Rc<Desk>, report: Arc<ArcSwap<Report>>) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+    loop {
+        interval.tick().await;
+        desk.tick();
+        report.store(Arc::new(desk.report()));
+    }
+}
+
+/// Waits until nothing is being served, or the process is about to be killed.
+async fn leave(desk: &Desk) {
+    let since = desk.clock.now();
+    desk.leaving.set(Some(since));
+    let last = since + desk.settings.bounds.grace.saturating_sub(LEAVE_MARGIN);
+    loop {
+        tokio::time::sleep(TICK).await;
+        let now = desk.clock.now();
+        let idle = desk.open.get() == 0 && LEAVE_LEAST <= now.saturating_sub(since);
+        if idle || last <= now {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/place.rs
@@ -0,0 +1,147 @@
+//! Where one request goes: the target that is expected to answer first.
+//!
+//! Requests about one object go to the same target as long as it has room, since a target that has
+//! handled an object is several times faster. Every host ranks the targets by the same hash, so
+//! they agree without asking each other, and a lost target moves only its own objects.
+//!
+//! Load pattern: more requests than slots for seconds on end. What is in flight at a target bounds
+//! the wait there; beyond the bound a request is refused at once, since it would only make those
+//! behind it late as well.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::KnownTarget;
+use crate::prelude::*;
+
+/// Work of an object's second and of any further target, as a multiple of that of its first: a
+/// target that does not know an object takes about three times as long, the second often knows it.
+const SECOND_CHOICE: f64 = 1.5;
+const OTHER_CHOICE: f64 = 2.4;
+
+/// Work of a cold target as a multiple of a warm one's.
+const COLD: f64 = 2.0;
+
+/// Requests that may wait at a target, as a multiple of its slots.
+const WAITING: f64 = 2.0;
+
+/// Part of the time left that the expected answer may take: estimates are means.
+const CERTAIN: f64 = 0.9;
+
+/// Extra time that a request to another zone of the region is charged, for the bytes between zones.
+const ZONE_CHARGE: Duration = Duration::from_millis(6);
+
+/// Extra time for a region other than the one that the shares name: such a move counts as a shift.
+const SPILL_CHARGE: Duration = Duration::from_millis(150);
+
+/// Round trip between regions.
+const REGION_TRIP: Duration = Duration::from_millis(110);
+
+/// Hash of the object that a request is about.
+pub type ObjectHash = u64;
+
+/// One target that could take the request.
+#[derive(Clone, Debug)]
+pub struct Candidate<'a> {
+    /// Requests in flight there, of all hosts.
+    pub load: f64,
+    /// A cold target whose rate is used up, one that is paused or just had no room.
+    pub shut: bool,
+    /// See `Condition::stretch`.
+    pub stretch: f64,
+    pub cold: bool,
+    pub target: &'a Arc<KnownTarget>,
+}
+
+/// What is asked.
+#[derive(Clone, Debug)]
+pub struct Ask<'a> {
+    pub home: &'a RegionId,
+    /// Time that the caller still waits.
+    pub left: Duration,
+    /// Hash of the object, or of the request where it has none.
+    pub object: ObjectHash,
+    /// The region that the shares name.
+    pub region: &'a RegionId,
+    pub may_spill: bool,
+    /// Longest time that a new request may be expected to take.
+    pub patience: Duration,
+    /// Usual time of an answer at a target that knows the object.
+    pub work: Duration,
+    pub zone: &'a ZoneId,
+}
+
+/// The outcome.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Choice {
+    /// Position of the candidate, and the time its answer is expected to take.
+    Send { at: usize, expected: Duration },
+    /// There is room, but not in time; it is there after about that long.
+    Busy { room_in: Duration },
+    /// No target is there at all.
+    Nothing,
+}
+
+/// Chooses among the candidates.
+pub fn choose(candidates: &[Candidate<'_>], ask: &Ask<'_>) -> Choice {
+    let ranks = ranks(candidates, ask.object);
+    let mut best: Option<(usize, f64)> = None;
+    let mut least_wait: Option<f64> = None;
+    for (at, candidate) in candidates.iter().enumerate() {
+        let region = &candidate.target.region;
+        let spills = region != ask.region;
+        let wait = wait(candidate, ask);
+        least_wait = Some(least_wait.map_or(wait, |least: f64| least.min(wait)));
+        let room = f64::from(candidate.target.entry.slots) * (1.0 + WAITING);
+        if candidate.shut || room <= candidate.load || (spills && !ask.may_spill) {
+            continue;
+        }
+        let choice = match ranks[at] {
+            0 => 1.0,
+            1 => SECOND_CHOICE,
+            _ => OTHER_CHOICE,
+        };
+        let cold = if candidate.cold { COLD } else { 1.0 };
+        let work = ask.work.as_secs_f64() * choice * cold * candidate.stretch;
+        let mut cost = wait * candidate.stretch + work;
+        if region != ask.home {
+            cost += REGION_TRIP.as_secs_f64();
+        } else if candidate.target.entry.zone != *ask.zone {
+            cost += ZONE_CHARGE.as_secs_f64();
+        }
+        if spills {
+            cost += SPILL_CHARGE.as_secs_f64();
+        }
+        if best.is_none_or(|(_, least)| cost < least) {
+            best = Some((at, cost));
+        }
+    }
+    let limit = ask.patience.min(ask.left.mul_f64(CERTAIN)).as_secs_f64();
+    match (best, least_wait) {
+        (Some((at, cost)), _) if cost <= limit => {
+            Choice::Send { at, expected: Duration::from_secs_f64(cost) }
+        }
+        (_, Some(wait)) => Choice::Busy { room_in: Duration::from_secs_f64(wait.min(60.0)) },
+        (_, None) => Choice::Nothing,
+    }
+}
+
+/// Expected wait for a slot, in seconds.
+fn wait(candidate: &Candidate<'_>, ask: &Ask<'_>) -> f64 {
+    let slots = f64::from(candidate.target.entry.slots.max(1));
+    (candidate.load + 1.0 - slots).max(0.0) / slots * ask.work.as_secs_f64()
+}
+
+/// Rank of each candidate for an object within its region; 0 comes first.
+fn ranks(candidates: &[Candidate<'_>], object: ObjectHash) -> Vec<usize> {
+    let weight =
+        |candidate: &Candidate<'_>| xxh3_64_with_seed(&candidate.target.tag.to_le_bytes(), object);
+    let weights: Vec<u64> = candidates.iter().map(weight).collect();
+    let rank = |at: usize| {
+        let region = &candidates[at].target.region;
+        let before = |other: &usize| {
+            candidates[*other].target.region == *region && weights[at] < weights[*other]
+        };
+        (0..candidates.len()).filter(before).count()
+    };
+    (0..candidates.len()).map(rank).collect()
+}
--- /dev/null
+++ b/src/entry/serve.rs
@@ -0,0 +1,169 @@
+//! The listeners of the traffic thread: callers, look-ups, readiness.
+
+use std::{convert::Infallible, future::Future, rc::Rc};
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
+
+use super::{Desk, answer::Answer, caller_io::CallerIo, exchange, lookup};
+use crate::prelude::*;
+
+/// Pause after a connection could not be accepted, for want of descriptors most likely.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Idle time of callers' connections before any was declared.
+const IDLE_ASSUMED: Duration = Duration::from_secs(60);
+
+/// Longer than declared by this much: a caller that uses a connection to the last moment is served.
+const IDLE_SLACK: Duration = Duration::from_secs(5);
+
+/// Buffer of one connection: above the largest head that is declared.
+const BUFFER: usize = 32 * 1024;
+
+/// Time that a caller keeps the answer to a look-up, before the platform's own bound.
+const LOOKUP_TTL: Duration = Duration::from_secs(2);
+
+/// Time after the signal to stop in which idle connections are kept: callers hear of the leaving by
+/// the next answer or look-up, and a connection closed under a request costs them a retry.
+const CLOSE_AFTER: Duration = Duration::from_millis(1_500);
+
+/// Accepts connections until the listener is dropped.
+pub async fn accept<F>(listener: TcpListener, mut serve: impl FnMut(TcpStream) -> F)
+where
+    F: Future<Output = ()> + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve(stream));
+            }
+            Err(error) => {
+                log::warn!("a connection was not accepted: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves one caller's connection.
+pub async fn callers(desk: Rc<Desk>, stream: TcpStream, mut leaving: watch::Receiver<bool>) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("caller's connection: {error}");
+        return;
+    }
+    let _open = Open::new(&desk);
+    let (io, presence) = CallerIo::new(stream);
+    let idle = desk.view().and_then(|view| view.declared.clone());
+    let idle = idle.map_or(IDLE_ASSUMED, |declared| declared.idle + IDLE_SLACK);
+    let service = service_fn(|req| one(desk.clone(), presence.clone(), req));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(BUFFER)
+        .serve_connection(io, service);
+    let mut connection = std::pin::pin!(connection);
+    let left = async {
+        let _ = leaving.wait_for(|leaving| *leaving).await;
+        tokio::time::sleep(CLOSE_AFTER).await;
+    };
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = left => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("caller's connection: {error}");
+    }
+}
+
+/// The caller has left: there is nobody to answer.
+#[derive(Debug, thiserror::Error)]
+#[error("the caller has left")]
+struct Gone;
+
+async fn one(
+    desk: Rc<Desk>,
+    presence: super::caller_io::Presence,
+    req: Request<Incoming>,
+) -> Result<Answer, Gone> {
+    let mut answer = exchange::serve(desk.clone(), presence, req).await.ok_or(Gone)?;
+    if desk.leaving.get().is_some() {
+        answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(answer)
+}
+
+/// Counts an open connection, so that a planned stop waits until all have their answers.
+struct Open(Rc<Desk>);
+
+impl Open {
+    fn new(desk: &Rc<Desk>) -> Self {
+        desk.open.set(desk.open.get() + 1);
+        Self(desk.clone())
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+/// Serves a connection of the platform's own: readiness, or a look-up.
+pub async fn small(
+    stream: TcpStream,
+    answer: impl Fn(&Request<Incoming>) -> Response<Full<Bytes>>,
+) {
+    let service = service_fn(|req| {
+        let answer = answer(&req);
+        async move { Ok::<_, Infallible>(answer) }
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE_ASSUMED)
+        .max_buf_size(BUFFER)
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = served.await {
+        log::debug!("connection: {error}");
+    }
+}
+
+/// The answer to a question for readiness.
+pub fn ready(desk: &Desk, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+    if !desk.dialect.asks_ready(req.uri()) {
+        return status(StatusCode::NOT_FOUND);
+    }
+    let knows = desk.view().is_some_and(|view| view.declared.is_some());
+    let ready = knows && desk.leaving.get().is_none();
+    status(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+}
+
+/// The answer to a look-up.
+pub fn look_up(desk: &Desk, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let Some(place) = desk.dialect.lookup(req.uri()) else { return status(StatusCode::NOT_FOUND) };
+    let Some(view) = desk.view() else { return status(StatusCode::SERVICE_UNAVAILABLE) };
+    let found = lookup::addresses(&view.hosts, &place);
+    if found.is_empty() {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let ttl = LOOKUP_TTL.min(desk.settings.bounds.lookup_ttl);
+    let mut answer = Response::new(Full::new(desk.dialect.found(&found, ttl)));
+    let json = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(header::CONTENT_TYPE, json);
+    answer
+}
+
+fn status(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::default());
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/src/entry/settings.rs
@@ -0,0 +1,80 @@
+//! Settings of one entry host, in YAML.
+
+use std::path::Path;
+
+use crate::{
+    base::span_text,
+    prelude::*,
+    settings::LogSettings,
+    yaml::{self, MAX_FILE, Result},
+};
+
+/// Settings of one entry host. Unknown fields are left alone: the fleet may be told of more than
+/// this version knows.
+#[derive(Clone, Debug, Deserialize)]
+pub struct EntrySettings {
+    pub bounds: Bounds,
+    pub host: HostId,
+    pub listen: Listen,
+    #[serde(default)]
+    pub log: LogSettings,
+    pub region: RegionId,
+    /// Addresses of a few hosts' control listeners, to start from; may be out of date.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Availability zone of this host.
+    pub zone: ZoneId,
+    /// Region of each availability zone.
+    pub zones: BTreeMap<ZoneId, RegionId>,
+}
+
+/// Where this host listens.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Listen {
+    /// Callers' requests.
+    pub callers: SocketAddr,
+    /// Other hosts: the state that this one knows.
+    pub control: SocketAddr,
+    /// Datagrams of other hosts.
+    pub gossip: SocketAddr,
+    /// Look-ups.
+    pub lookup: SocketAddr,
+    /// Readiness.
+    pub ready: SocketAddr,
+}
+
+/// Promises that the deployment asks for.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Bounds {
+    /// Time within which a retiring target gets no new work.
+    #[serde(with = "span_text::field")]
+    pub drain: Duration,
+    /// Time between the signal to stop and the end of the process.
+    #[serde(with = "span_text::field")]
+    pub grace: Duration,
+    /// Largest share of a region's requests that may run elsewhere from one window of two seconds
+    /// to the next.
+    pub max_shift: f64,
+    /// Longest time that a look-up's answer is kept.
+    #[serde(with = "span_text::field")]
+    pub lookup_ttl: Duration,
+    /// Retries allowed as a share of requests, over all hosts.
+    pub retry_ratio: f64,
+    /// Retries allowed beyond that share in each window, over all hosts.
+    pub retry_slack: f64,
+}
+
+impl EntrySettings {
+    /// Reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Self> {
+        let text = yaml::read_file(path, MAX_FILE)?;
+        yaml::decode(&text, &path.display().to_string())
+    }
+
+    /// Region of a zone; a zone that the settings do not name is its own region.
+    pub fn region_of(&self, zone: &ZoneId) -> RegionId {
+        self.zones.get(zone).cloned().unwrap_or_else(|| zone.clone())
+    }
+}
--- /dev/null
+++ b/src/entry/shares.rs
@@ -0,0 +1,123 @@
+//! Which part of this host's requests for a service each region runs.
+//!
+//! Every host works its shares out from the same figures, so that nobody has to be asked: what all
+//! hosts of a region were asked for, and the slots of each region. Requests stay in their own
+//! region up to a level that all regions have in common; what is beyond goes where there is room.
+//!
+//! Load pattern: callers' numbers rise and fall by half within a minute, by region in turn, and
+//! some regions have a tenth of the targets that their own callers need.
+
+use crate::prelude::*;
+
+/// Part of a region's slots that its own callers fill before any go elsewhere: beyond it, requests
+/// that find their target busy wait longer than a round trip to another region takes.
+const FILL: f64 = 0.6;
+
+/// Demand that every region is assumed to have before anything was measured, as a part of all
+/// slots.
+const ASSUMED: f64 = 0.6;
+
+/// Part of the largest shift that a host uses: requests are few in two seconds, and their chance
+/// order adds to the shift that is seen.
+const STEP_PART: f64 = 0.4;
+
+/// Span over which a shift is bounded.
+const SHIFT_SPAN: Duration = Duration::from_secs(2);
+
+/// Slots asked for and slots there, of one region.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RegionLoad {
+    pub demand: Option<f64>,
+    pub region: RegionId,
+    pub slots: f64,
+}
+
+/// Shares of one service; they add up to 1.
+#[derive(Clone, Debug)]
+pub struct Shares {
+    at: Moment,
+    home: RegionId,
+    parts: Vec<(RegionId, f64)>,
+}
+
+impl Shares {
+    /// Shares to begin with.
+    pub fn new(home: RegionId, loads: &[RegionLoad], now: Moment) -> Self {
+        let parts = wished(&home, loads);
+        Self { at: now, home, parts }
+    }
+
+    /// Moves the shares towards what the loads ask for, at most as fast as `max_shift` allows.
+    pub fn step(&mut self, loads: &[RegionLoad], max_shift: f64, now: Moment) {
+        let wish = wished(&self.home, loads);
+        let spent = now.saturating_sub(self.at).min(SHIFT_SPAN);
+        let most = max_shift * STEP_PART * spent.as_secs_f64() / SHIFT_SPAN.as_secs_f64();
+        self.at = now;
+        let old = |region: &RegionId| {
+            self.parts.iter().find(|(name, _)| name == region).map_or(0.0, |(_, part)| *part)
+        };
+        let moved: f64 = wish.iter().map(|(region, part)| (part - old(region)).max(0.0)).sum();
+        let pace = if moved <= most { 1.0 } else { most / moved };
+        let gone: f64 = self
+            .parts
+            .iter()
+            .filter(|(region, _)| wish.iter().all(|(name, _)| name != region))
+            .map(|(_, part)| *part)
+            .sum();
+        // A region without targets can keep no share: its part goes at once.
+        let pace = if 0.0 < gone { pace.max(gone.min(1.0)) } else { pace };
+        self.parts = wish
+            .iter()
+            .map(|(region, part)| (region.clone(), old(region) + (part - old(region)) * pace))
+            .collect();
+        let sum: f64 = self.parts.iter().map(|(_, part)| part).sum();
+        if 0.0 < sum {
+            self.parts.iter_mut().for_each(|(_, part)| *part /= sum);
+        }
+    }
+
+    /// The region for a place between 0 and 1. The same place stays in its region while the shares
+    /// hold, and only places near a border move with them.
+    pub fn pick(&self, place: f64) -> Option<&RegionId> {
+        let mut sum = 0.0;
+        for (region, part) in &self.parts {
+            sum += part;
+            if place < sum {
+                return Some(region);
+            }
+        }
+        self.parts.last().map(|(region, _)| region)
+    }
+
+    /// The share of a region.
+    pub fn of(&self, region: &RegionId) -> f64 {
+        self.parts.iter().find(|(name, _)| name == region).map_or(0.0, |(_, part)| *part)
+    }
+}
+
+/// The shares that the loads ask for, the home region first.
+fn wished(home: &RegionId, loads: &[RegionLoad]) -> Vec<(RegionId, f64)> {
+    let slots: f64 = loads.iter().map(|load| load.slots).sum();
+    if slots <= 0.0 {
+        return vec![(home.clone(), 1.0)];
+    }
+    let assumed = ASSUMED * slots / loads.len() as f64;
+    let demand = |load: &RegionLoad| load.demand.unwrap_or(assumed).max(0.01);
+    let total: f64 = loads.iter().map(demand).sum();
+    let fill = FILL.max(total / slots);
+    let spare = |load: &RegionLoad| (fill * load.slots - demand(load)).max(0.0);
+    let all_spare: f64 = loads.iter().map(spare).sum();
+    let own = loads.iter().find(|load| load.region == *home);
+    let away = own.map_or(1.0, |own| 1.0 - (fill * own.slots / demand(own)).min(1.0));
+    let mut parts = vec![(home.clone(), 1.0 - away)];
+    for load in loads.iter().filter(|load| load.region != *home) {
+        let part = if 0.0 < all_spare { spare(load) / all_spare } else { load.slots / slots };
+        parts.push((load.region.clone(), away * part));
+    }
+    let sum: f64 = parts.iter().map(|(_, part)| part).sum();
+    if sum <= 0.0 {
+        return vec![(home.clone(), 1.0)];
+    }
+    parts.iter_mut().for_each(|(_, part)| *part /= sum);
+    parts
+}
--- /dev/null
+++ b/src/entry/view.rs
@@ -0,0 +1,41 @@
+//! What the control side publishes for the traffic side.
+
+use std::collections::HashMap;
+
+use arc_swap::ArcSwapOption;
+
+use super::{Declared, KnownTarget};
+use crate::prelude::*;
+
+/// Everything that a request's decisions read of the control side.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    pub declared: Option<Arc<Declared>>,
+    /// Other living hosts and this one, by region and name.
+    pub hosts: Vec<LiveHost>,
+    /// Requests that other hosts have in flight, by target's tag.
+    pub elsewhere: HashMap<u32, u32>,
+    /// Busy slots asked for, by region and hash of the service; this host's share is left out.
+    pub demand: HashMap<(RegionId, u32), f64>,
+    /// Crashes that other hosts saw, by fingerprint.
+    pub crashes: HashMap<u64, u8>,
+    /// Usable targets by service, in the order of their ids.
+    pub targets: BTreeMap<ServiceId, Vec<Arc<KnownTarget>>>,
+}
+
+/// A host that takes callers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LiveHost {
+    pub callers: SocketAddr,
+    pub host: HostId,
+    pub region: RegionId,
+    pub zone: ZoneId,
+}
+
+/// The published view.
+pub type ViewCell = Arc<ArcSwapOption<View>>;
+
+/// Hash of a service's name, as beats carry it.
+pub fn service_tag(service: &str) -> u32 {
+    xxhash_rust::xxh3::xxh3_64(service.as_bytes()) as u32
+}
--- /dev/null
+++ b/src/platform/config.rs
@@ -0,0 +1,155 @@
+//! The operators' configuration, as it lies in the store.
+
+use crate::{
+    base::span_text,
+    entry::{Declared, Repeat, Route, ServiceRules, Unreadable},
+    prelude::*,
+};
+
+/// An object of the store; `spec` holds what its writer wrote.
+#[derive(Deserialize)]
+struct Object {
+    spec: Config,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Config {
+    #[serde(default)]
+    clusters: Vec<Cluster>,
+    limits: Limits,
+    #[serde(default)]
+    listeners: Vec<Listener>,
+    /// Eight hexadecimal digits.
+    version: String,
+}
+
+/// Bounds of what callers send.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Limits {
+    #[serde(with = "span_text::field")]
+    idle_timeout: Duration,
+    max_body_bytes: usize,
+}
+
+/// One host name.
+#[derive(Deserialize)]
+struct Listener {
+    hostname: Arc<str>,
+    #[serde(default)]
+    rules: Vec<Rule>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Rule {
+    action: Action,
+    /// What may be repeated: `unsafe` for requests that may not.
+    kind: String,
+    #[serde(rename = "match")]
+    matches: Match,
+    #[serde(default)]
+    priority: u32,
+    #[serde(default)]
+    session_affinity: bool,
+    /// Time within which an answer earns its full worth.
+    #[serde(with = "span_text::field")]
+    target_latency: Duration,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Match {
+    path_prefix: Arc<str>,
+}
+
+/// Where a request goes.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Action {
+    #[serde(default)]
+    allowed_regions: Vec<RegionId>,
+    #[serde(default = "one")]
+    max_attempts: u32,
+    service: Option<ServiceId>,
+    #[serde(with = "span_text::field")]
+    timeout: Duration,
+    /// In place of `service`.
+    #[serde(default)]
+    traffic_split: Vec<Part>,
+}
+
+#[derive(Deserialize)]
+struct Part {
+    service: ServiceId,
+    weight: f64,
+}
+
+/// A service.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Cluster {
+    /// Requests a second that a cold target takes.
+    #[serde(default = "one_a_second")]
+    cold_per_s: f64,
+    #[serde(default)]
+    max_connections: u32,
+    name: ServiceId,
+}
+
+fn one() -> u32 {
+    1
+}
+
+/// Slow enough for any target, where the configuration names no rate.
+fn one_a_second() -> f64 {
+    1.0
+}
+
+/// Reads the configuration.
+pub fn read(object: &[u8]) -> Result<Declared, Unreadable> {
+    let object: Object =
+        serde_json::from_slice(object).map_err(|error| Unreadable(error.to_string().into()))?;
+    let config = object.spec;
+    let version = u64::from_str_radix(&config.version, 16)
+        .map_err(|_| Unreadable(format!("`{}` is no version", config.version).into()))?;
+    let mut hosts: BTreeMap<Arc<str>, Vec<Arc<Route>>> = BTreeMap::new();
+    for listener in config.listeners {
+        let routes = hosts.entry(listener.hostname).or_default();
+        routes.extend(listener.rules.into_iter().map(|rule| Arc::new(route(rule))));
+        routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+    }
+    let rules = |cluster: Cluster| {
+        let rules =
+            ServiceRules { cold_rate: cluster.cold_per_s, connections: cluster.max_connections };
+        (cluster.name, rules)
+    };
+    Ok(Declared {
+        body_bytes: config.limits.max_body_bytes,
+        hosts,
+        idle: config.limits.idle_timeout,
+        services: config.clusters.into_iter().map(rules).collect(),
+        version,
+    })
+}
+
+fn route(rule: Rule) -> Route {
+    let action = rule.action;
+    let split = match action.service {
+        Some(service) => vec![(service, 1.0)],
+        None => action.traffic_split.into_iter().map(|part| (part.service, part.weight)).collect(),
+    };
+    let idempotent = matches!(rule.kind.as_str(), "safe" | "download");
+    Route {
+        attempts: action.max_attempts,
+        objective: rule.target_latency,
+        prefix: rule.matches.path_prefix,
+        priority: rule.priority,
+        regions: action.allowed_regions,
+        repeat: if idempotent { Repeat::Idempotent } else { Repeat::Once },
+        split,
+        sticky: rule.session_affinity,
+        timeout: action.timeout,
+    }
+}
--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -10,12 +10,21 @@
 use super::{Change, Changes, Entry, KeyVersion, Listing, Platform, PlatformError, Version};
 use crate::prelude::*;
 
-/// Longest time that one watch waits.
-const WATCH_WAIT: Duration = Duration::from_secs(4);
+/// How often a follower asks.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FollowPace {
+    /// Time between two comparisons of all versions.
+    pub compare_every: Duration,
+    /// Longest time that one watch waits.
+    pub wait: Duration,
+}
 
-/// Time between two comparisons of all versions. With the longest wait of a watch that stays silent
-/// (`WATCH_WAIT` and the client's grace) it bounds how long a missed write goes unnoticed: 12 s.
-const COMPARE_EVERY: Duration = Duration::from_secs(6);
+impl FollowPace {
+    /// Where nothing else tells that a watch misses writes. With the longest wait of a watch that
+    /// stays silent (`wait` and the client's grace) a missed write goes unnoticed for 12 s at most.
+    pub const ALONE: Self =
+        Self { compare_every: Duration::from_secs(6), wait: Duration::from_secs(4) };
+}
 
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
@@ -42,9 +51,10 @@
         platform: Arc<dyn Platform>,
         clock: Arc<dyn Clock>,
         prefix: &str,
+        pace: FollowPace,
         tx: mpsc::Sender<Followed>,
     ) -> Self {
-        let task = tokio::spawn(follow(platform, clock, prefix.to_owned(), tx));
+        let task = tokio::spawn(follow(platform, clock, prefix.to_owned(), pace, tx));
         Self { task }
     }
 }
@@ -70,16 +80,17 @@
     backoff: ExponentialBackoff,
     compared: Moment,
     known: BTreeMap<Arc<str>, Version>,
+    pace: FollowPace,
     pause: Option<Duration>,
     seed: u64,
     version: Option<Version>,
 }
 
 impl FollowState {
-    pub(super) fn new(seed: u64) -> Self {
+    pub(super) fn new(seed: u64, pace: FollowPace) -> Self {
         let backoff = pauses(seed);
         let (compared, known) = (Duration::ZERO, BTreeMap::new());
-        Self { backoff, compared, known, pause: None, seed, version: None }
+        Self { backoff, compared, known, pace, pause: None, seed, version: None }
     }
 
     pub(super) fn next(&mut self, now: Moment) -> Step {
@@ -88,7 +99,9 @@
         }
         match self.version {
             None => Step::List,
-            Some(_) if COMPARE_EVERY <= now.saturating_sub(self.compared) => Step::Compare,
+            Some(_) if self.pace.compare_every <= now.saturating_sub(self.compared) => {
+                Step::Compare
+            }
             Some(from) => Step::Watch { from },
         }
     }
@@ -149,9 +162,10 @@
     platform: Arc<dyn Platform>,
     clock: Arc<dyn Clock>,
     prefix: String,
+    pace: FollowPace,
     tx: mpsc::Sender<Followed>,
 ) {
-    let mut state = FollowState::new(rand::random());
+    let mut state = FollowState::new(rand::random(), pace);
     loop {
         let told = match state.next(clock.now()) {
             Step::Compare => match platform.keys(&prefix).await {
@@ -172,7 +186,7 @@
                 tokio::time::sleep(pause).await;
                 None
             }
-            Step::Watch { from } => match platform.watch(&prefix, from, WATCH_WAIT).await {
+            Step::Watch { from } => match platform.watch(&prefix, from, pace.wait).await {
                 Ok(changes) => {
                     state.changed(&changes);
                     (!changes.changes.is_empty()).then_some(Followed::Changed(changes.changes))
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -22,7 +22,7 @@
     breaker::{Breaker, BreakerState},
     budget::{Budget, CallCounts, CallKind, Limits},
     error::{PlatformError, Result},
-    follow::{Followed, Follower},
+    follow::{FollowPace, Followed, Follower},
     http::{HttpPlatform, PlatformState},
     model::{
         Change, Changes, Entry, Expect, KeyVersion, Listing, MAX_KEY, MAX_VALUE, OperationId,
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -56,7 +56,7 @@
 fn a_follower_lists_again_when_a_watch_missed_something() {
     // The watch stays open and tells nothing while a manifest is accepted. Comparing the versions
     // finds it; a store that forgot the version asked for is listed again as well.
-    let mut state = FollowState::new(1);
+    let mut state = FollowState::new(1, FollowPace::ALONE);
     assert_eq!(state.next(SECOND), Step::List);
     let versioned = |version| Versioned { operation: "op".into(), value: "x".into(), version };
     let entry = |version| Entry { key: "a".into(), object: versioned(version) };
@@ -101,7 +101,7 @@
         let standin = std::sync::Arc::new(standin);
         let clock = std::sync::Arc::new(PausedClock(tokio::time::Instant::now()));
         let reader = std::sync::Arc::new(Hurried(standin.clone()));
-        let _follower = Follower::spawn(reader, clock, "p/", tx);
+        let _follower = Follower::spawn(reader, clock, "p/", FollowPace::ALONE, tx);
         assert_matches!(rx.recv().await, Some(Followed::Listed(_)), "{what}");
         fault(&standin);
         put("p/2").await.unwrap();
--- a/tests/acceptance_lag.rs
+++ b/tests/acceptance_lag.rs
@@ -98,7 +98,7 @@
 ) {
     let (tx, mut rx) = mpsc::channel(8);
     let clock = Arc::new(TokioClock(Instant::now()));
-    let _follower = Follower::spawn(door.clone(), clock, "manifests/", tx);
+    let _follower = Follower::spawn(door.clone(), clock, "manifests/", FollowPace::ALONE, tx);
     let mut kept: BTreeMap<Arc<str>, Part> = BTreeMap::new();
     while let Some(told) = rx.recv().await {
         let objects: Vec<_> = match told {
