--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -14,7 +14,7 @@
 use xtra::Address;
 
 use super::{
-    Desk, Dialect, EntryControl, EntrySettings, Report, ViewCell,
+    Desk, Dialect, EntryControl, EntrySettings, Listen, Report, ViewCell,
     control::{BEAT, ControlParts, Datagram, Leave, Part, Pulse, Share, Told},
     serve::{accept, callers, look_up, ready, small},
     sync::STATE_PATH,
@@ -49,8 +49,8 @@
 pub enum OpenError {
     #[error("{what} {addr} can't be bound: {error}; free the address or change the settings")]
     Bind { addr: SocketAddr, error: std::io::Error, what: &'static str },
-    #[error("no thread could be started: {0}")]
-    Thread(#[from] std::io::Error),
+    #[error("the host could not be started: {0}")]
+    Start(#[from] std::io::Error),
 }
 
 /// What a host is built from.
@@ -65,20 +65,31 @@
 pub struct EntryHost {
     control: Address<EntryControl>,
     leave: watch::Sender<bool>,
+    listen: Listen,
     traffic: JoinHandle<()>,
     stopped: oneshot::Receiver<()>,
 }
 
 impl EntryHost {
     /// Starts the host; control runs on the current runtime, traffic on a thread of its own.
+    ///
+    /// Addresses with port 0 are told as they were bound.
     pub async fn spawn(parts: EntryParts) -> Result<Self> {
-        let settings = Arc::new(parts.settings);
+        let mut settings = parts.settings;
+        let listen = &mut settings.listen;
+        let gossip = UdpSocket::bind(listen.gossip);
+        let socket = gossip.await.map_err(|error| bind("gossip", listen.gossip, error))?;
+        listen.gossip = socket.local_addr()?;
+        let socket = Arc::new(socket);
+        let state = listener("control", &mut listen.control).await?;
+        let listeners = Listeners {
+            callers: listener("callers", &mut listen.callers).await?.into_std()?,
+            lookups: listener("look-ups", &mut listen.lookup).await?.into_std()?,
+            ready: listener("readiness", &mut listen.ready).await?.into_std()?,
+        };
+        let settings = Arc::new(settings);
         let view: ViewCell = Arc::new(ArcSwapOption::empty());
         let report = Arc::new(ArcSwap::from_pointee(Report::default()));
-        let listen = &settings.listen;
-        let gossip = UdpSocket::bind(listen.gossip);
-        let socket = Arc::new(gossip.await.map_err(|error| bind("gossip", listen.gossip, error))?);
-        let state = listener("control", listen.control).await?;
         let control = EntryControl::spawn(ControlParts {
             clock: parts.clock.clone(),
             dialect: parts.dialect.clone(),
@@ -102,17 +113,28 @@
         }
         let (leave, leaving) = watch::channel(false);
         let (tx, stopped) = oneshot::channel();
-        let traffic =
-            Traffic { clock: parts.clock, dialect: parts.dialect, leaving, report, settings, view };
-        let (bound_tx, bound) = oneshot::channel();
+        let traffic = Traffic {
+            clock: parts.clock,
+            dialect: parts.dialect,
+            leaving,
+            listeners,
+            report,
+            settings: settings.clone(),
+            view,
+        };
         let thread = std::thread::Builder::new().name("traffic".into());
         let traffic = thread.spawn(move || {
-            traffic.run(bound_tx);
+            if let Err(error) = traffic.run() {
+                log::error!("the traffic thread has ended: {error}");
+            }
             let _ = tx.send(());
         })?;
-        let ended = || std::io::Error::other("the traffic thread ended");
-        bound.await.map_err(|_| ended())??;
-        Ok(Self { control, leave, stopped, traffic })
+        Ok(Self { control, leave, listen: settings.listen.clone(), stopped, traffic })
+    }
+
+    /// Where it listens.
+    pub fn listen(&self) -> &Listen {
+        &self.listen
     }
 
     /// Stops as planned: takes no new callers, answers what it has read, then ends.
@@ -132,8 +154,10 @@
     OpenError::Bind { addr, error, what }
 }
 
-async fn listener(what: &'static str, addr: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(addr).await.map_err(|error| bind(what, addr, error))
+async fn listener(what: &'static str, addr: &mut SocketAddr) -> Result<TcpListener> {
+    let bound = TcpListener::bind(*addr).await.map_err(|error| bind(what, *addr, error))?;
+    *addr = bound.local_addr()?;
+    Ok(bound)
 }
 
 /// Passes datagrams on to control.
@@ -205,47 +229,35 @@
     .await;
 }
 
+/// Bound sockets on their way to the traffic thread.
+struct Listeners {
+    callers: std::net::TcpListener,
+    lookups: std::net::TcpListener,
+    ready: std::net::TcpListener,
+}
+
 /// What the traffic thread is built from.
 struct Traffic {
     clock: Arc<dyn Clock>,
     dialect: Arc<dyn Dialect>,
     leaving: watch::Receiver<bool>,
+    listeners: Listeners,
     report: Arc<ArcSwap<Report>>,
     settings: Arc<EntrySettings>,
     view: ViewCell,
 }
 
 impl Traffic {
-    fn run(self, bound: oneshot::Sender<Result<()>>) {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let runtime = match runtime {
-            Ok(runtime) => runtime,
-            Err(error) => {
-                let _ = bound.send(Err(OpenError::Thread(error)));
-                return;
-            }
-        };
-        runtime.block_on(LocalSet::new().run_until(self.serve(bound)));
+    fn run(self) -> std::io::Result<()> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        runtime.block_on(LocalSet::new().run_until(self.serve()))
     }
 
-    async fn serve(mut self, bound: oneshot::Sender<Result<()>>) {
-        let listen = &self.settings.listen;
-        let opened = async {
-            Ok((
-                listener("callers", listen.callers).await?,
-                listener("readiness", listen.ready).await?,
-                listener("look-ups", listen.lookup).await?,
-            ))
-        };
-        let (for_callers, for_ready, for_lookups) = match opened.await {
-            Ok(listeners) => listeners,
-            Err(error) => {
-                let _ = bound.send(Err(error));
-                return;
-            }
-        };
+    async fn serve(mut self) -> std::io::Result<()> {
+        let for_callers = TcpListener::from_std(self.listeners.callers)?;
+        let for_ready = TcpListener::from_std(self.listeners.ready)?;
+        let for_lookups = TcpListener::from_std(self.listeners.lookups)?;
         let desk = Desk::open(self.settings.clone(), self.clock, self.dialect, self.view);
-        let _ = bound.send(Ok(()));
         let leaving = self.leaving.clone();
         let at = desk.clone();
         tokio::task::spawn_local(accept(for_callers, move |stream| {
@@ -264,6 +276,7 @@
         tokio::task::spawn_local(tick(desk.clone(), self.report));
         let _ = self.leaving.wait_for(|leaving| *leaving).await;
         leave(&desk).await;
+        Ok(())
     }
 }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -26,6 +26,8 @@
 mod shares;
 mod sync;
 mod target;
+#[cfg(test)]
+mod tests;
 mod upstream;
 mod view;
 
--- /dev/null
+++ b/src/entry/tests.rs
@@ -0,0 +1,35 @@
+//! Tests of the decisions, without clocks and sockets.
+
+mod beliefs;
+mod hosts;
+mod place;
+mod shares;
+mod targets;
+
+use super::{KnownTarget, TargetEntry, target::tag};
+use crate::prelude::*;
+
+/// A ready target with three slots.
+fn entry(id: &str, zone: &str) -> TargetEntry {
+    TargetEntry {
+        addr: "127.0.0.1:1".parse().expect("an address"),
+        cold: Duration::ZERO,
+        id: id.into(),
+        ready: true,
+        service: "desk".into(),
+        slots: 3,
+        started: 1,
+        zone: zone.into(),
+    }
+}
+
+/// The same, as a host knows it.
+fn known(id: &str, region: &str) -> Arc<KnownTarget> {
+    let entry = entry(id, &format!("{region}-a"));
+    let tag = tag(&entry);
+    Arc::new(KnownTarget { cold_until: Moment::ZERO, entry, region: region.into(), tag })
+}
+
+fn secs(secs: f64) -> Duration {
+    Duration::from_secs_f64(secs)
+}
--- /dev/null
+++ b/src/entry/tests/beliefs.rs
@@ -0,0 +1,116 @@
+//! News, losses and returns of the store's objects.
+
+use super::{entry, secs};
+use crate::{
+    entry::{Beliefs, Declared},
+    prelude::*,
+};
+
+fn region() -> RegionId {
+    "north".into()
+}
+
+fn listed(ids: &[&str]) -> Vec<(crate::entry::TargetEntry, RegionId)> {
+    ids.iter().map(|id| (entry(id, "north-a"), region())).collect()
+}
+
+fn usable(beliefs: &Beliefs) -> Vec<String> {
+    beliefs.usable().map(|known| known.entry.id.to_string()).collect()
+}
+
+/// A store that answers with old data, or another host that is behind, names an older declaration.
+/// Callers would be served by routes that operators have replaced.
+#[test]
+fn a_declaration_only_rises() {
+    let mut beliefs = Beliefs::default();
+    let of = |version| Declared { version, ..Declared::default() };
+    assert!(beliefs.declare(of(4)));
+    assert!(!beliefs.declare(of(4)));
+    assert!(!beliefs.declare(of(3)));
+    assert_eq!(beliefs.stamp().declared, 4);
+    assert!(beliefs.declare(of(9)));
+}
+
+/// The store was away for seconds and lost entries whose targets could not write. Dropped at once,
+/// all targets of a service could be gone although every one of them lives.
+#[test]
+fn entries_that_lapsed_with_the_store_are_used_a_little_longer() {
+    let mut beliefs = Beliefs::default();
+    beliefs.list(listed(&["t-1", "t-2"]), secs(1.0));
+    beliefs.lost(secs(10.0));
+    beliefs.lost(secs(14.0));
+    beliefs.list(listed(&["t-1"]), secs(15.0));
+    assert_eq!(usable(&beliefs), ["t-1", "t-2"]);
+    beliefs.tick(secs(17.0));
+    assert_eq!(usable(&beliefs), ["t-1", "t-2"]);
+    beliefs.tick(secs(17.3));
+    assert_eq!(usable(&beliefs), ["t-1"]);
+}
+
+/// One of them is written again in time and stays; a second listing does not prolong the wait of
+/// the other.
+#[test]
+fn an_entry_that_comes_back_stays() {
+    let mut beliefs = Beliefs::default();
+    beliefs.list(listed(&["t-1", "t-2"]), secs(1.0));
+    beliefs.lost(secs(10.0));
+    beliefs.list(listed(&[]), secs(15.0));
+    beliefs.write(entry("t-2", "north-a"), region(), secs(16.0));
+    beliefs.lost(secs(16.1));
+    beliefs.list(listed(&["t-2"]), secs(16.2));
+    beliefs.tick(secs(17.3));
+    assert_eq!(usable(&beliefs), ["t-2"]);
+}
+
+/// The store forgot its history for an instant while a target left. Its entry is missing from the
+/// next listing and could not have lapsed: the target gets nothing more.
+#[test]
+fn without_an_outage_a_missing_entry_is_gone_at_once() {
+    let mut beliefs = Beliefs::default();
+    beliefs.list(listed(&["t-1", "t-2"]), secs(1.0));
+    beliefs.list(listed(&["t-1"]), secs(5.0));
+    assert_eq!(usable(&beliefs), ["t-1"]);
+    beliefs.lost(secs(6.0));
+    beliefs.list(listed(&[]), secs(6.5));
+    assert!(usable(&beliefs).is_empty());
+}
+
+/// A removal that the store tells is one, also while other entries are waited for.
+#[test]
+fn a_removal_is_not_waited_for() {
+    let mut beliefs = Beliefs::default();
+    beliefs.list(listed(&["t-1"]), secs(1.0));
+    beliefs.lost(secs(10.0));
+    beliefs.list(listed(&[]), secs(15.0));
+    assert!(beliefs.remove(&"t-1".into()));
+    assert!(usable(&beliefs).is_empty());
+}
+
+/// Draining targets and those of evacuated zones take no new work; hosts can tell by the stamp.
+#[test]
+fn draining_and_evacuated_targets_are_not_usable() {
+    let mut beliefs = Beliefs::default();
+    beliefs.list(listed(&["t-1"]), secs(1.0));
+    beliefs.write(entry("t-2", "north-b"), region(), secs(1.0));
+    let before = beliefs.stamp();
+    let draining = crate::entry::TargetEntry { ready: false, ..entry("t-1", "north-a") };
+    assert!(beliefs.write(draining, region(), secs(2.0)));
+    assert_eq!(usable(&beliefs), ["t-2"]);
+    assert!(beliefs.evacuate("north-b".into(), true));
+    assert!(usable(&beliefs).is_empty());
+    assert_ne!(beliefs.stamp().digest, before.digest);
+    assert!(beliefs.evacuate("north-b".into(), false));
+    assert_eq!(usable(&beliefs), ["t-2"]);
+}
+
+/// A target starts again under its id: what was known of the earlier start does not count.
+#[test]
+fn the_same_id_started_again_is_another_target() {
+    let mut beliefs = Beliefs::default();
+    beliefs.list(listed(&["t-1"]), secs(1.0));
+    let tag = |beliefs: &Beliefs| beliefs.usable().map(|known| known.tag).next();
+    let before = tag(&beliefs);
+    let again = crate::entry::TargetEntry { started: 2, ..entry("t-1", "north-a") };
+    assert!(beliefs.write(again, region(), secs(2.0)));
+    assert_ne!(tag(&beliefs), before);
+}
--- /dev/null
+++ b/src/entry/tests/place.rs
@@ -0,0 +1,139 @@
+//! Which target a request goes to.
+
+use super::{known, secs};
+use crate::{
+    entry::{
+        KnownTarget,
+        place::{Ask, Candidate, Choice, choose},
+    },
+    prelude::*,
+};
+
+const OBJECTS: u64 = 200;
+
+struct World {
+    home: RegionId,
+    targets: Vec<Arc<KnownTarget>>,
+    zone: ZoneId,
+}
+
+impl World {
+    fn new(north: usize, south: usize) -> Self {
+        let of = |region: &str, count: usize| {
+            let region = region.to_owned();
+            (0..count).map(move |at| known(&format!("{region}-{at}"), &region)).collect::<Vec<_>>()
+        };
+        let targets = [of("north", north), of("south", south)].concat();
+        Self { home: "north".into(), targets, zone: "north-a".into() }
+    }
+
+    fn idle(&self) -> Vec<Candidate<'_>> {
+        let candidate =
+            |target| Candidate { cold: false, load: 0.0, shut: false, stretch: 1.0, target };
+        self.targets.iter().map(candidate).collect()
+    }
+
+    fn ask(&self, object: u64) -> Ask<'_> {
+        Ask {
+            home: &self.home,
+            left: secs(2.0),
+            may_spill: false,
+            object: object.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+            patience: secs(1.0),
+            region: &self.home,
+            work: secs(0.1),
+            zone: &self.zone,
+        }
+    }
+}
+
+fn sent(choice: Choice) -> usize {
+    match choice {
+        Choice::Send { at, .. } => at,
+        other => panic!("not sent: {other:?}"),
+    }
+}
+
+/// Every host sends an object's requests to the same target, and all targets get objects.
+#[test]
+fn an_object_has_one_target_and_targets_share_the_objects() {
+    let world = World::new(6, 0);
+    let mut counts = [0; 6];
+    for object in 0..OBJECTS {
+        let at = sent(choose(&world.idle(), &world.ask(object)));
+        assert_eq!(at, sent(choose(&world.idle(), &world.ask(object))));
+        counts[at] += 1;
+    }
+    assert!(counts.iter().all(|count| 15 < *count && *count < 60), "{counts:?}");
+}
+
+/// A target is lost: its objects move, all others stay where they are known.
+#[test]
+fn a_lost_target_moves_only_its_own_objects() {
+    let world = World::new(6, 0);
+    for object in 0..OBJECTS {
+        let before = sent(choose(&world.idle(), &world.ask(object)));
+        let mut fewer = world.idle();
+        fewer.remove(2);
+        let after = sent(choose(&fewer, &world.ask(object)));
+        let after = if after < 2 { after } else { after + 1 };
+        assert!(before == 2 || before == after);
+    }
+}
+
+/// Load pattern: a few requests more than slots, for a moment. They wait at the target that knows
+/// their object; far more than slots, and they go to another one.
+#[test]
+fn a_short_queue_is_better_than_a_target_that_does_not_know_the_object() {
+    let world = World::new(3, 0);
+    let ask = world.ask(1);
+    let first = sent(choose(&world.idle(), &ask));
+    let mut loaded = world.idle();
+    loaded[first].load = 5.0;
+    assert_eq!(sent(choose(&loaded, &ask)), first);
+    loaded[first].load = 12.0;
+    assert_ne!(sent(choose(&loaded, &ask)), first);
+}
+
+/// Load pattern: more work than all targets together do in time. What can't be answered in time is
+/// refused at once, with the time after which there is room; it would only delay those behind it.
+#[test]
+fn what_can_not_be_answered_in_time_is_refused() {
+    let world = World::new(2, 0);
+    let mut full = world.idle();
+    full.iter_mut().for_each(|candidate| candidate.load = 11.0);
+    let late = Ask { left: secs(0.25), ..world.ask(1) };
+    let Choice::Busy { room_in } = choose(&full, &late) else { panic!("it was sent") };
+    assert_eq!(room_in, secs(0.3));
+    assert!(matches!(choose(&full, &world.ask(1)), Choice::Send { .. }));
+    full.iter_mut().for_each(|candidate| candidate.load = 12.0);
+    assert!(matches!(choose(&full, &world.ask(1)), Choice::Busy { .. }));
+    assert_eq!(choose(&[], &world.ask(1)), Choice::Nothing);
+}
+
+/// A slow or failing target gets fewer objects, one that is shut gets none.
+#[test]
+fn slow_and_shut_targets_are_avoided() {
+    let world = World::new(2, 0);
+    for object in 0..OBJECTS {
+        let mut candidates = world.idle();
+        candidates[0].stretch = 8.0;
+        assert_eq!(sent(choose(&candidates, &world.ask(object))), 1);
+        candidates[1].shut = true;
+        assert_eq!(sent(choose(&candidates, &world.ask(object))), 0);
+        candidates[0].shut = true;
+        assert!(matches!(choose(&candidates, &world.ask(object)), Choice::Busy { .. }));
+    }
+}
+
+/// A request stays in the region that the shares name, also when that is full, unless a few may
+/// leave it.
+#[test]
+fn requests_leave_their_region_by_allowance_only() {
+    let world = World::new(1, 2);
+    let mut candidates = world.idle();
+    candidates[0].load = 12.0;
+    assert!(matches!(choose(&candidates, &world.ask(1)), Choice::Busy { .. }));
+    let may = Ask { may_spill: true, ..world.ask(1) };
+    assert_ne!(sent(choose(&candidates, &may)), 0);
+}
--- /dev/null
+++ b/src/entry/tests/targets.rs
@@ -0,0 +1,125 @@
+//! Conditions of targets, cold ones, and requests that crash them.
+
+use super::{known, secs};
+use crate::{
+    entry::{ColdRates, Condition, Ended, LiveHost, Poison, cold::is_sender},
+    prelude::*,
+};
+
+const WORK: Duration = Duration::from_millis(100);
+
+/// A target fails twice in a row and is left alone for a while, then tried with one request; when
+/// that fails too, it is left alone for longer.
+#[test]
+fn a_failing_target_is_left_alone_and_tried_again() {
+    let mut condition = Condition::default();
+    condition.ended(Ended::Failed, WORK, secs(1.0));
+    assert!(!condition.is_paused(secs(1.1)), "one failure can be chance");
+    condition.ended(Ended::Failed, WORK, secs(1.1));
+    assert!(condition.is_paused(secs(1.5)));
+    assert!(!condition.is_paused(secs(1.7)) && condition.is_on_trial(secs(1.7)));
+    condition.ended(Ended::Failed, WORK, secs(1.7));
+    assert!(condition.is_paused(secs(2.5)));
+    condition.ended(Ended::Answered(WORK), WORK, secs(3.0));
+    assert!(!condition.is_paused(secs(3.0)) && !condition.is_on_trial(secs(3.0)));
+}
+
+/// An address that nobody answers at is left alone after one attempt.
+#[test]
+fn an_unreachable_target_is_left_alone_at_once() {
+    let mut condition = Condition::default();
+    condition.ended(Ended::Unreachable, WORK, secs(1.0));
+    assert!(condition.is_paused(secs(1.2)));
+}
+
+/// Slow answers, and attempts given up for slowness, stretch what is expected of a target; that is
+/// forgotten when nothing more is heard of it, or it would never be tried again.
+#[test]
+fn slowness_counts_and_is_forgotten() {
+    let mut condition = Condition::default();
+    for _ in 0..10 {
+        condition.ended(Ended::Answered(WORK * 8), WORK, secs(1.0));
+    }
+    assert!(5.0 < condition.stretch(secs(1.0)));
+    assert!(condition.stretch(secs(30.0)) < 1.1);
+    let mut given_up = Condition::default();
+    given_up.ended(Ended::Cancelled(WORK / 2), WORK, secs(1.0));
+    assert_eq!(given_up.stretch(secs(1.0)), 1.0);
+    given_up.ended(Ended::Cancelled(WORK * 5), WORK, secs(1.0));
+    assert!(1.0 < given_up.stretch(secs(1.0)));
+}
+
+/// Twelve hosts send to one cold target as fast as they may, not asking each other. Together they
+/// stay below its rate.
+#[test]
+fn hosts_together_keep_a_cold_targets_rate() {
+    let target = known("t-1", "north");
+    let host = |at: usize| LiveHost {
+        callers: "127.0.0.1:1".parse().expect("an address"),
+        host: format!("h-{at}").into(),
+        region: if at < 6 { "north" } else { "south" }.into(),
+        zone: "x".into(),
+    };
+    let hosts: Vec<LiveHost> = (0..12).map(host).collect();
+    let mut rates: Vec<ColdRates> = (0..12).map(|_| ColdRates::default()).collect();
+    let mut sent = Vec::new();
+    for tick in 0..10_000 {
+        let now = secs(f64::from(tick) / 1000.0);
+        for (host, rate) in hosts.iter().zip(&mut rates) {
+            if is_sender(&target, &host.host, &hosts) && rate.may_send(&target, 6.0, now) {
+                rate.sent(&target);
+                sent.push(now);
+            }
+        }
+    }
+    let most = sent
+        .iter()
+        .map(|from| sent.iter().filter(|at| *from <= **at && **at < *from + secs(1.0)).count());
+    let most = most.max().unwrap_or_default();
+    assert!((3..=6).contains(&most), "{most} in one second");
+    let senders = hosts.iter().filter(|host| is_sender(&target, &host.host, &hosts));
+    assert!(senders.clone().all(|host| &*host.region == "north"));
+    assert_eq!(senders.count(), 2);
+}
+
+/// The region's hosts are all lost: others may send to its cold targets.
+#[test]
+fn a_cold_target_without_near_hosts_has_senders() {
+    let target = known("t-1", "north");
+    let far = LiveHost {
+        callers: "127.0.0.1:1".parse().expect("an address"),
+        host: "h".into(),
+        region: "south".into(),
+        zone: "x".into(),
+    };
+    assert!(is_sender(&target, &"h".into(), &[far]));
+}
+
+/// A request crashes three targets, by what hosts know together: it is refused everywhere. One that
+/// merely ran beside it comes to a good end and is not.
+#[test]
+fn a_request_that_crashes_targets_is_refused() {
+    let mut poison = Poison::default();
+    poison.crashed(7, secs(1.0));
+    poison.crashed(7, secs(2.0));
+    assert!(poison.may_run(7, 0));
+    assert!(!poison.may_run(7, 1));
+    poison.crashed(8, secs(2.0));
+    poison.cleared(8, 2, secs(3.0));
+    assert!(poison.may_run(8, 2));
+    assert_eq!(poison.marks(), [(7, 2)]);
+    poison.crashed(7, secs(3.0));
+    assert!(!poison.may_run(7, 0));
+    poison.tick(secs(70.0));
+    assert!(poison.may_run(7, 0) && poison.is_empty());
+}
+
+/// More fingerprints than are kept: the oldest go, the memory is bounded.
+#[test]
+fn crashes_are_remembered_within_a_bound() {
+    let mut poison = Poison::default();
+    for print in 0..2000 {
+        poison.crashed(print, secs(print as f64 / 1000.0));
+    }
+    assert_eq!(poison.marks().len(), 512);
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -9,6 +9,7 @@
 mod objects;
 mod server;
 mod spelling;
+pub mod standin;
 #[cfg(test)]
 mod tests;
 
--- /dev/null
+++ b/src/platform/standin/mod.rs
@@ -0,0 +1,10 @@
+//! Small stand-ins of the users' platform, for tests and for the demonstration on loopback: its
+//! store and its targets, as far as a host sees them.
+
+mod store;
+mod target;
+
+pub use self::{
+    store::StoreStandin,
+    target::{Conduct, Seen, TargetDraft, TargetStandin},
+};
--- /dev/null
+++ b/src/platform/standin/target.rs
@@ -0,0 +1,298 @@
+//! A stand-in of a target, which may misbehave in each way that real ones do.
+
+use std::{
+    collections::VecDeque,
+    io,
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+
+use bytes::{Buf, Bytes, BytesMut};
+use serde_json::{Value, json};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+};
+
+use crate::prelude::*;
+
+/// Most headers of a request.
+const HEADERS_MOST: usize = 64;
+
+/// What a target does with one request.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Conduct {
+    /// Runs it and answers.
+    #[default]
+    Serve,
+    /// Runs it, answers, and answers it once more.
+    Extra,
+    /// Runs it and answers 500.
+    Fail,
+    /// Runs it and never answers.
+    Hang,
+    /// Does not run it, for want of room.
+    Shed,
+    /// Runs it and closes the connection.
+    Reset,
+    /// Is not the target that was meant.
+    Stranger,
+    /// Runs it, answers with half of the body and closes the connection.
+    Truncate,
+    /// Runs it and answers without a signature.
+    Unsigned,
+    /// Runs it and answers without a length; the connection's end is the body's.
+    Unframed,
+}
+
+/// A request as the target got it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Seen {
+    pub attempt: String,
+    pub body: Bytes,
+    /// Which connection it came on.
+    pub connection: usize,
+    pub method: String,
+    /// Id of the target that was meant.
+    pub meant: String,
+    pub path: String,
+    /// Milliseconds that the caller still waits.
+    pub time_left: Option<u64>,
+}
+
+/// Who a target says that it is.
+#[derive(Clone, Debug)]
+pub struct TargetDraft {
+    pub id: &'static str,
+    pub service: &'static str,
+    pub zone: &'static str,
+}
+
+/// A running target; ends when dropped.
+pub struct TargetStandin {
+    addr: SocketAddr,
+    draft: TargetDraft,
+    shared: Arc<Shared>,
+    task: JoinHandle<()>,
+}
+
+#[derive(Default)]
+struct Shared {
+    body: Mutex<Bytes>,
+    conducts: Mutex<VecDeque<Conduct>>,
+    /// Connections that the other side closed while a request was at work.
+    left: AtomicUsize,
+    seen: Mutex<Vec<Seen>>,
+    work: Mutex<Duration>,
+}
+
+impl TargetStandin {
+    /// A target on a free port of loopback, that answers at once.
+    pub async fn spawn(draft: TargetDraft) -> io::Result<Self> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let addr = listener.local_addr()?;
+        let shared = Arc::new(Shared::default());
+        *locked(&shared.body) = Bytes::from(format!("answer of {}", draft.id));
+        let task = tokio::spawn(serve(listener, draft.id, shared.clone()));
+        Ok(Self { addr, draft, shared, task })
+    }
+
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Its id.
+    pub fn id(&self) -> &'static str {
+        self.draft.id
+    }
+
+    /// What it says of itself in the store.
+    pub fn entry(&self, state: &str, born: u64) -> Value {
+        json!({
+            "address": self.addr,
+            "born": born,
+            "info": {
+                "service": self.draft.service, "slots": 3, "version": "v1",
+                "zone": self.draft.zone,
+            },
+            "status": { "coldRemaining": "0ms", "sequence": 1, "state": state },
+        })
+    }
+
+    /// What it does with the next requests; it serves those after them.
+    pub fn then(&self, conducts: &[Conduct]) {
+        locked(&self.shared.conducts).extend(conducts);
+    }
+
+    /// The body of its answers.
+    pub fn set_body(&self, body: impl Into<Bytes>) {
+        *locked(&self.shared.body) = body.into();
+    }
+
+    /// Time that it takes for each request.
+    pub fn set_work(&self, work: Duration) {
+        *locked(&self.shared.work) = work;
+    }
+
+    /// The requests that it got.
+    pub fn seen(&self) -> Vec<Seen> {
+        locked(&self.shared.seen).clone()
+    }
+
+    /// How often the other side left while a request was at work.
+    pub fn left(&self) -> usize {
+        self.shared.left.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for TargetStandin {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("no holder of this lock panics")
+}
+
+async fn serve(listener: TcpListener, id: &'static str, shared: Arc<Shared>) {
+    let mut connections = tokio::task::JoinSet::new();
+    let mut count = 0;
+    while let Ok((stream, _)) = listener.accept().await {
+        count += 1;
+        connections.spawn(connection(stream, id, count, shared.clone()));
+    }
+}
+
+async fn connection(mut stream: TcpStream, id: &'static str, number: usize, shared: Arc<Shared>) {
+    let mut buf = BytesMut::new();
+    loop {
+        match next(&mut stream, &mut buf, number).await {
+            Ok(Some(seen)) => {
+                if !answer(&mut stream, id, seen, &shared).await.unwrap_or(false) {
+                    return;
+                }
+            }
+            Ok(None) => return,
+            Err(error) => return log::debug!("{id}: {error}"),
+        }
+    }
+}
+
+/// Reads one request.
+async fn next(
+    stream: &mut TcpStream,
+    buf: &mut BytesMut,
+    connection: usize,
+) -> io::Result<Option<Seen>> {
+    loop {
+        if let Some(seen) = parse(buf, connection)? {
+            return Ok(Some(seen));
+        }
+        if stream.read_buf(buf).await? == 0 {
+            return Ok(None);
+        }
+    }
+}
+
+fn parse(buf: &mut BytesMut, connection: usize) -> io::Result<Option<Seen>> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
+    let mut req = httparse::Request::new(&mut headers);
+    let httparse::Status::Complete(head) = req.parse(buf).map_err(io::Error::other)? else {
+        return Ok(None);
+    };
+    let text = |name: &str| {
+        let header = req.headers.iter().find(|header| header.name.eq_ignore_ascii_case(name));
+        header.map(|header| String::from_utf8_lossy(header.value).into_owned())
+    };
+    let length: usize =
+        text("content-length").and_then(|length| length.parse().ok()).unwrap_or_default();
+    if buf.len() < head + length {
+        return Ok(None);
+    }
+    let mut seen = Seen {
+        attempt: text("lavenderplank-attempt-id").unwrap_or_default(),
+        body: Bytes::new(),
+        connection,
+        meant: text("lavenderplank-expected-instance").unwrap_or_default(),
+        method: req.method.unwrap_or_default().to_owned(),
+        path: req.path.unwrap_or_default().to_owned(),
+        time_left: text("lavenderplank-time-remaining").and_then(|left| left.parse().ok()),
+    };
+    buf.advance(head);
+    seen.body = buf.split_to(length).freeze();
+    Ok(Some(seen))
+}
+
+/// Answers one request; false when the connection is over.
+async fn answer(stream: &mut TcpStream, id: &str, seen: Seen, shared: &Shared) -> io::Result<bool> {
+    let conduct = locked(&shared.conducts).pop_front().unwrap_or_default();
+    let attempt = seen.attempt.clone();
+    locked(&shared.seen).push(seen);
+    let work = *locked(&shared.work);
+    let work = if conduct == Conduct::Hang { Duration::MAX } else { work };
+    if !work.is_zero() && !rested(stream, work).await {
+        shared.left.fetch_add(1, Ordering::Relaxed);
+        return Ok(false);
+    }
+    let body = locked(&shared.body).clone();
+    let length = body.len();
+    let head = |status: &str, more: &str| {
+        format!("HTTP/1.1 {status}\r\nLavenderplank-Attempt-Id: {attempt}\r\n{more}")
+    };
+    let seal = "Lavenderplank-Server-Seal: 3e1b.07\r\n";
+    let mut whole = BytesMut::new();
+    match conduct {
+        Conduct::Serve | Conduct::Extra | Conduct::Hang => {
+            let head = head("200 OK", &format!("{seal}Content-Length: {length}\r\n\r\n"));
+            let times = if conduct == Conduct::Extra { 2 } else { 1 };
+            for _ in 0..times {
+                whole.extend_from_slice(head.as_bytes());
+                whole.extend_from_slice(&body);
+            }
+        }
+        Conduct::Fail => {
+            let more = format!("{seal}Content-Length: 0\r\n\r\n");
+            whole.extend_from_slice(head("500 Internal Server Error", &more).as_bytes());
+        }
+        Conduct::Reset => return Ok(false),
+        Conduct::Shed => {
+            let more = "Lavenderplank-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+            whole.extend_from_slice(head("503 Service Unavailable", more).as_bytes());
+        }
+        Conduct::Stranger => {
+            let more = format!("Lavenderplank-Instance-Id: not-{id}\r\nContent-Length: 0\r\n\r\n");
+            whole.extend_from_slice(head("421 Misdirected Request", &more).as_bytes());
+        }
+        Conduct::Truncate => {
+            let more = format!("{seal}Content-Length: {length}\r\n\r\n");
+            whole.extend_from_slice(head("200 OK", &more).as_bytes());
+            whole.extend_from_slice(&body[..length / 2]);
+        }
+        Conduct::Unsigned => {
+            let more = format!("Content-Length: {length}\r\n\r\n");
+            whole.extend_from_slice(head("200 OK", &more).as_bytes());
+            whole.extend_from_slice(&body);
+        }
+        Conduct::Unframed => {
+            let more = format!("{seal}Connection: close\r\n\r\n");
+            whole.extend_from_slice(head("200 OK", &more).as_bytes());
+            whole.extend_from_slice(&body);
+        }
+    }
+    stream.write_all(&whole).await?;
+    Ok(!matches!(conduct, Conduct::Truncate | Conduct::Unframed))
+}
+
+/// Works for a while; false when the other side left meanwhile.
+async fn rested(stream: &mut TcpStream, work: Duration) -> bool {
+    let mut byte = [0];
+    tokio::select! {
+        read = stream.peek(&mut byte) => read.is_ok_and(|size| 0 < size),
+        () = tokio::time::sleep(work) => true,
+    }
+}
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -1,1 +1,210 @@
+//! What the platform writes, and what becomes of it when it is damaged.
 
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, Uri};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+use serde_json::{Value, json};
+
+use super::Spelling;
+use crate::{
+    entry::{CallerNote, Dialect, LookupPlace, Repeat},
+    prelude::Duration,
+};
+
+fn server() -> Value {
+    json!({
+        "metadata": { "name": "i-1", "revision": 7 },
+        "spec": {
+            "address": "10.1.0.9:8080",
+            "born": 1_700_000_000_000_u64,
+            "info": { "service": "desk", "version": "v1", "zone": "north-a", "slots": 3 },
+        },
+        "status": { "state": "ready", "sequence": 4, "coldRemaining": "2.5s" },
+    })
+}
+
+fn config() -> Value {
+    json!({ "metadata": { "name": "main", "revision": 3 }, "spec": {
+        "version": "0000001c",
+        "limits": {
+            "maxHeaderBytes": 16384, "maxBodyBytes": 1000, "headerTimeout": "3s",
+            "idleTimeout": "15000ms",
+        },
+        "listeners": [{ "hostname": "a.example", "rules": [
+            { "name": "r-1", "kind": "safe", "targetLatency": "400ms", "priority": 2,
+              "sessionAffinity": true, "match": { "pathPrefix": "/a/" },
+              "action": { "trafficSplit": [
+                  { "service": "s", "weight": 90 }, { "service": "t", "weight": 10 },
+              ], "timeout": "2s", "maxAttempts": 2, "allowedRegions": ["north"] } },
+            { "name": "r-2", "kind": "unsafe", "targetLatency": "400ms",
+              "match": { "pathPrefix": "/a/b/" },
+              "action": { "service": "t", "timeout": "2500ms" } },
+        ] }],
+        "clusters": [{ "name": "s", "coldPerS": 6.4, "maxConnections": 390 }],
+    } })
+}
+
+fn bytes(value: &Value) -> Vec<u8> {
+    serde_json::to_vec(value).expect("JSON")
+}
+
+#[test]
+fn a_targets_entry_is_read() {
+    let entry = Spelling.target("i-1", &bytes(&server())).expect("an entry");
+    assert_eq!(entry.addr, "10.1.0.9:8080".parse().expect("an address"));
+    assert_eq!((&*entry.id, &*entry.service, &*entry.zone), ("i-1", "desk", "north-a"));
+    assert_eq!((entry.slots, entry.started, entry.ready), (3, 1_700_000_000_000, true));
+    assert_eq!(entry.cold, Duration::from_millis(2500));
+}
+
+/// Another writer left fields out, gave them another type, or named a state or zone that there is
+/// not. The entry names no target; a guess could send work to an address that is not the service's.
+#[test]
+fn a_doubtful_entry_names_no_target() {
+    let without = |pointer: &str, value: Value| {
+        let mut entry = server();
+        *entry.pointer_mut(pointer).expect("a field") = value;
+        Spelling.target("i-1", &bytes(&entry))
+    };
+    for (pointer, value) in [
+        ("/spec/address", json!("nowhere")),
+        ("/spec/address", Value::Null),
+        ("/spec/info", json!([])),
+        ("/spec/info/service", json!(4)),
+        ("/spec/info/slots", json!("3")),
+        ("/spec/info/slots", json!(0)),
+        ("/spec/info/zone", Value::Null),
+        ("/spec/born", json!("yesterday")),
+        ("/status/state", json!("dreaming")),
+        ("/status", Value::Null),
+        ("/status/coldRemaining", json!("soon")),
+    ] {
+        assert!(without(pointer, value.clone()).is_err(), "{pointer} = {value}");
+    }
+    assert!(Spelling.target("i-1", b"\xff\x00").is_err());
+}
+
+#[test]
+fn a_configuration_is_read() {
+    let declared = Spelling.declared(&bytes(&config())).expect("a configuration");
+    assert_eq!(declared.version, 0x1c);
+    assert_eq!(declared.body_bytes, 1000);
+    let long = declared.route("a.example:80", "/a/b/c").expect("a route");
+    assert_eq!((long.repeat, long.attempts), (Repeat::Once, 1));
+    assert_eq!(long.split, [("t".into(), 1.0)]);
+    let short = declared.route("a.example", "/a/c").expect("a route");
+    assert_eq!((short.repeat, short.attempts, short.sticky), (Repeat::Idempotent, 2, true));
+    assert_eq!(short.regions, ["north".into()]);
+    assert_eq!(short.split.len(), 2);
+    assert!(declared.route("a.example", "/other").is_none());
+    assert!(declared.route("b.example", "/a/").is_none());
+    assert_eq!(declared.services["s"].cold_rate, 6.4);
+}
+
+#[test]
+fn headers_are_read_and_written() {
+    let mut headers = HeaderMap::new();
+    headers.insert("lavenderplank-attempt-id", HeaderValue::from_static("x1"));
+    headers.insert("lavenderplank-time-remaining", HeaderValue::from_static("1500"));
+    headers.insert("cookie", HeaderValue::from_static("a=b; Lavenderplank-Affinity-Key=17"));
+    let note = Spelling.caller(&headers);
+    let wanted = CallerNote {
+        attempt: Some("x1".into()),
+        object: Some("17".into()),
+        time_left: Some(Duration::from_millis(1500)),
+    };
+    assert_eq!(note, wanted);
+    Spelling.mark(&mut headers, &"i-1".into(), Duration::from_millis(900));
+    assert_eq!(headers["lavenderplank-expected-instance"], "i-1");
+    assert_eq!(headers["lavenderplank-time-remaining"], "900");
+    let mut reply = HeaderMap::new();
+    reply.insert("lavenderplank-not-executed", HeaderValue::from_static("1"));
+    reply.insert("lavenderplank-server-load", HeaderValue::from_static("3,1,8"));
+    let note = Spelling.reply(StatusCode::SERVICE_UNAVAILABLE, &reply);
+    assert!(note.not_run && !note.signed && !note.other_target);
+    assert_eq!(note.load, Some((3, 1)));
+    assert!(Spelling.reply(StatusCode::MISDIRECTED_REQUEST, &reply).other_target);
+}
+
+#[test]
+fn look_ups_are_read_and_answered() {
+    let uri: Uri = "/api/resolve?name=a&region=north&zone=north-a".parse().expect("a path");
+    let place = LookupPlace { region: "north".into(), zone: "north-a".into() };
+    assert_eq!(Spelling.lookup(&uri), Some(place));
+    assert_eq!(Spelling.lookup(&"/other".parse().expect("a path")), None);
+    let found =
+        Spelling.found(&["10.0.0.1:80".parse().expect("an address")], Duration::from_secs(2));
+    let found: Value = serde_json::from_slice(&found).expect("JSON");
+    assert_eq!(found, json!({ "addresses": ["10.0.0.1:80"], "ttl": "2000ms" }));
+}
+
+/// Entries, configurations and headers from anywhere: read or refused, never a panic.
+#[test]
+fn damage_is_read_or_refused() {
+    let config_run = Config { cases: 2000, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[5; 32]);
+    let mut runner = TestRunner::new_with_rng(config_run, rng);
+    let texts = [bytes(&server()), bytes(&config())];
+    let damage = (0..2_usize, any::<prop::sample::Index>(), 0..9_usize, any::<[u8; 3]>());
+    runner
+        .run(&damage, |(which, at, cut, put)| {
+            let mut text = texts[which].clone();
+            let at = at.index(text.len());
+            let end = (at + cut).min(text.len());
+            text.splice(at..end, put);
+            let _ = Spelling.target("i-1", &text);
+            let _ = Spelling.declared(&text);
+            let _ = Spelling.host(&text);
+            let mut headers = HeaderMap::new();
+            for name in ["cookie", "lavenderplank-time-remaining", "lavenderplank-server-load"] {
+                if let Ok(value) = HeaderValue::from_bytes(&text[at..(at + 20).min(text.len())]) {
+                    headers.insert(HeaderName::from_static(name), value);
+                }
+            }
+            let _ = Spelling.caller(&headers);
+            let _ = Spelling.reply(StatusCode::OK, &headers);
+            Ok(())
+        })
+        .expect("no panic");
+}
+
+/// Only this folder may know the platform's spellings: elsewhere they would bind the product to
+/// one platform.
+#[test]
+fn no_other_folder_knows_the_platforms_names() {
+    const NAMES: [&str; 12] = [
+        "lavenderplank-attempt",
+        "lavenderplank-time",
+        "lavenderplank-expected",
+        "lavenderplank-server",
+        "lavenderplank-not-exec",
+        "lavenderplank-affinity",
+        "trafficsplit",
+        "pathprefix",
+        "coldremaining",
+        "allowedregions",
+        "/api/objects",
+        "/api/re",
+    ];
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
+    let mut dirs = vec![root.clone()];
+    let mut read = 0;
+    while let Some(dir) = dirs.pop() {
+        for item in std::fs::read_dir(dir).expect("a folder") {
+            let path = item.expect("an item").path();
+            if path.is_dir() {
+                if path != root.join("platform") {
+                    dirs.push(path);
+                }
+                continue;
+            }
+            read += 1;
+            let text = std::fs::read_to_string(&path).expect("a text").to_lowercase();
+            let found: Vec<&str> = NAMES.into_iter().filter(|name| text.contains(name)).collect();
+            assert!(found.is_empty(), "{} knows {found:?}", path.display());
+        }
+    }
+    assert!(100 < read, "only {read} files were looked at");
+}
--- /dev/null
+++ b/tests/entry.rs
@@ -0,0 +1,435 @@
+//! Entry hosts end to end over loopback, against stand-ins of the store and the targets.
+
+#[path = "support/entry.rs"]
+mod support;
+
+use std::time::Duration;
+
+use lavenderplank::{entry::EntryHost, platform::standin::Conduct};
+use serde_json::json;
+use support::{Ask, HOST, World, booking, config, config_with, read, run, settings, until};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+const ONE: &[&str] = &["north-a"];
+const TWO: &[&str] = &["north-a", "north-b"];
+
+/// The caller gets the target's own answer, and the target the caller's own request.
+#[test]
+fn a_request_and_its_answer_pass_unchanged() {
+    run(async {
+        let world = World::spawn(ONE).await;
+        let host = world.host("a").await;
+        let answer = world.ask(&host, booking("b-1")).await.expect("an answer");
+        assert_eq!(answer.status(), 200);
+        assert_eq!(answer.headers()["lavenderplank-attempt-id"], "b-1");
+        assert!(answer.headers().contains_key("lavenderplank-server-seal"));
+        assert_eq!(answer.text().await.expect("a whole body"), "answer of t-1");
+        let seen = world.targets[0].seen();
+        let [seen] = &*seen else { panic!("one request, not {seen:?}") };
+        assert_eq!((&*seen.method, &*seen.path), ("POST", "/bookings/one"));
+        assert_eq!(seen.body, "two seats");
+        assert_eq!((&*seen.attempt, &*seen.meant), ("b-1", "t-1"));
+        assert!(seen.time_left.is_some_and(|left| (1..=2000).contains(&left)));
+    });
+}
+
+/// A host that knows no configuration can't say that a path has no route: callers are told to come
+/// back. Once it knows one, an unknown path is refused for good.
+#[test]
+fn without_a_configuration_nothing_is_not_found() {
+    run(async {
+        let world = World::bare(ONE).await;
+        let host = world.host_of(settings("a", world.store.addr(), Vec::new())).await;
+        assert!(!world.is_ready(&host).await);
+        assert_eq!(world.ask(&host, read("r-1")).await.expect("an answer").status(), 503);
+        world.store.put("config", "main", config(1));
+        world.until_ready(&host).await;
+        let other = Ask { path: "/other/", ..read("r-2") };
+        assert_eq!(world.ask(&host, other).await.expect("an answer").status(), 404);
+    });
+}
+
+/// A target takes a booking and its connection breaks: it may have run. The caller is not told that
+/// it has not, and no other target gets it.
+#[test]
+fn a_booking_that_may_have_run_is_not_sent_again() {
+    run(async {
+        let world = World::spawn(TWO).await;
+        let host = world.host("a").await;
+        world.targets.iter().for_each(|target| target.then(&[Conduct::Reset]));
+        let answer = world.ask(&host, booking("b-1")).await.expect("an answer");
+        assert_eq!(answer.status(), 502);
+        assert!(!answer.headers().contains_key("retry-after"));
+        assert_eq!(world.arrivals(), 1);
+    });
+}
+
+/// A read is lost, cut, unsigned or failed at its first target: another one answers it.
+#[test]
+fn a_read_that_was_lost_is_sent_to_another_target() {
+    run(async {
+        for conduct in [Conduct::Reset, Conduct::Truncate, Conduct::Unsigned, Conduct::Fail] {
+            let world = World::spawn(TWO).await;
+            let host = world.host("a").await;
+            let first = first(&world, &host).await;
+            world.targets[first].then(&[conduct]);
+            let answer = world.ask(&host, read("r-2")).await.expect("an answer");
+            assert_eq!(answer.status(), 200, "{conduct:?}");
+            let body = answer.text().await.expect("a whole body");
+            assert_eq!(body, format!("answer of {}", world.targets[1 - first].id()));
+        }
+    });
+}
+
+/// Which of two targets a request about the usual object goes to.
+async fn first(world: &World, host: &EntryHost) -> usize {
+    let answer = world.ask(host, booking("first")).await.expect("an answer");
+    assert_eq!(answer.status(), 200);
+    usize::from(world.targets[0].seen().is_empty())
+}
+
+/// A target without room says that it has not run a booking: another one may.
+#[test]
+fn a_booking_that_was_shed_goes_to_another_target() {
+    run(async {
+        let world = World::spawn(TWO).await;
+        let host = world.host("a").await;
+        let first = first(&world, &host).await;
+        world.targets[first].then(&[Conduct::Shed]);
+        let answer = world.ask(&host, booking("b-2")).await.expect("an answer");
+        assert_eq!(answer.status(), 200);
+        assert_eq!(world.targets[1 - first].seen().len(), 1);
+    });
+}
+
+/// All targets shed a booking: it has run nowhere, so the caller is told so, and when to come back.
+#[test]
+fn a_booking_that_all_shed_has_not_run() {
+    run(async {
+        let world = World::spawn(TWO).await;
+        let host = world.host("a").await;
+        world.targets.iter().for_each(|target| target.then(&[Conduct::Shed]));
+        let answer = world.ask(&host, booking("b-1")).await.expect("an answer");
+        assert_eq!(answer.status(), 503);
+        let wait = answer.headers()["retry-after"].to_str().expect("a text");
+        assert!(wait.parse::<f64>().is_ok_and(|secs| 0.0 < secs && secs < 1.0), "{wait}");
+    });
+}
+
+/// An address was taken over by another target, which says so: the right one is not there, and
+/// the request goes to another target of the service.
+#[test]
+fn a_reused_address_gets_no_work() {
+    run(async {
+        let world = World::spawn(TWO).await;
+        let host = world.host("a").await;
+        let first = first(&world, &host).await;
+        world.targets[first].then(&[Conduct::Stranger]);
+        let answer = world.ask(&host, booking("b-2")).await.expect("an answer");
+        assert_eq!(answer.status(), 200);
+        assert_eq!(world.targets[1 - first].seen().len(), 1);
+    });
+}
+
+/// A target answers one request twice. The second answer lies on the connection when the next
+/// request goes out; that request's caller must not get it.
+#[test]
+fn an_extra_answer_reaches_nobody() {
+    run(async {
+        let world = World::spawn(ONE).await;
+        let host = world.host("a").await;
+        for number in 0..20 {
+            world.targets[0].then(&[Conduct::Extra]);
+            let attempt = format!("r-{number}");
+            let answer = world.ask(&host, read(&attempt)).await.expect("an answer");
+            if answer.status() == 200 {
+                assert_eq!(answer.headers()["lavenderplank-attempt-id"], *attempt);
+                assert_eq!(answer.text().await.expect("a whole body"), "answer of t-1");
+            }
+        }
+    });
+}
+
+/// A large answer breaks off after its head has gone out: the caller sees that it is not whole.
+#[test]
+fn a_cut_answer_never_looks_whole() {
+    run(async {
+        let world = World::spawn(ONE).await;
+        let host = world.host("a").await;
+        world.targets[0].set_body(vec![b'x'; 300_000]);
+        world.targets[0].then(&[Conduct::Serve, Conduct::Unframed, Conduct::Truncate]);
+        for whole in [true, true, false] {
+            let answer = world.ask(&host, read("r-1")).await.expect("a head");
+            assert_eq!(answer.status(), 200);
+            let body = answer.bytes().await;
+            assert_eq!(body.as_ref().is_ok_and(|body| body.len() == 300_000), whole, "{body:?}");
+        }
+    });
+}
+
+/// A target takes a booking and is silent. The caller is answered within its time, and not told
+/// that the booking has not run.
+#[test]
+fn silence_ends_with_the_callers_time() {
+    run(async {
+        let world = World::spawn(ONE).await;
+        let host = world.host("a").await;
+        world.targets[0].then(&[Conduct::Hang]);
+        let answer = world.ask(&host, Ask { time_left: 1000, ..booking("b-1") }).await;
+        assert_eq!(answer.expect("an answer").status(), 504);
+        until("the target is left alone", async || world.targets[0].left() == 1).await;
+    });
+}
+
+/// No target is there: nothing is waited for.
+#[test]
+fn what_nobody_can_serve_is_refused_at_once() {
+    run(async {
+        let world = World::bare(ONE).await;
+        world.store.put("config", "main", config(1));
+        let host = world.host("a").await;
+        let answer = world.ask(&host, Ask { time_left: 600_000, ..booking("b-1") }).await;
+        assert_eq!(answer.expect("an answer").status(), 503);
+    });
+}
+
+/// A caller sends two requests behind each other and leaves while the first is at work. The second
+/// lies unread; the leaving is noticed all the same, and the target is left.
+#[test]
+fn a_caller_that_leaves_with_a_request_unread_is_noticed() {
+    run(async {
+        let world = World::spawn(ONE).await;
+        let host = world.host("a").await;
+        world.targets[0].then(&[Conduct::Hang]);
+        let mut caller = TcpStream::connect(host.listen().callers).await.expect("a connection");
+        let one = |attempt| {
+            format!(
+                "GET /reads/one HTTP/1.1\r\nHost: {HOST}\r\nLavenderplank-Attempt-Id: {attempt}\r\n\
+                 Lavenderplank-Time-Remaining: 60000\r\n\r\n"
+            )
+        };
+        let both = one("r-1") + &one("r-2");
+        caller.write_all(both.as_bytes()).await.expect("sent");
+        until("the first is at work", async || world.arrivals() == 1).await;
+        drop(caller);
+        until("the target is left", async || world.targets[0].left() == 1).await;
+        assert_eq!(world.arrivals(), 1, "the second reached a target though nobody waits for it");
+    });
+}
+
+/// Requests sent behind each other are answered in their order, each with its own answer.
+#[test]
+fn requests_behind_each_other_are_answered_in_order() {
+    run(async {
+        let world = World::spawn(TWO).await;
+        let host = world.host("a").await;
+        let mut caller = TcpStream::connect(host.listen().callers).await.expect("a connection");
+        let one = |number: u32, close: &str| {
+            format!(
+                "GET /reads/{number} HTTP/1.1\r\nHost: {HOST}\r\n{close}\
+                 Lavenderplank-Attempt-Id: r-{number}\r\n\r\n"
+            )
+        };
+        let all = one(1, "") + &one(2, "") + &one(3, "Connection: close\r\n");
+        caller.write_all(all.as_bytes()).await.expect("sent");
+        let mut answers = String::new();
+        caller.read_to_string(&mut answers).await.expect("three answers");
+        let ids = answers.lines().filter_map(|line| {
+            let (name, value) = line.split_once(": ")?;
+            name.eq_ignore_ascii_case("lavenderplank-attempt-id").then_some(value)
+        });
+        assert_eq!(ids.collect::<Vec<_>>(), ["r-1", "r-2", "r-3"]);
+    });
+}
+
+/// A body above the declared bound is refused; one in chunks reaches the target whole.
+#[test]
+fn bodies_are_bounded_and_chunks_are_joined() {
+    run(async {
+        let world = World::spawn(ONE).await;
+        let host = world.host("a").await;
+        let large = vec![b'x'; 5000];
+        let answer = world.ask(&host, Ask { body: &large, ..booking("b-1") }).await;
+        assert_eq!(answer.expect("an answer").status(), 413);
+        let mut caller = TcpStream::connect(host.listen().callers).await.expect("a connection");
+        let chunked = format!(
+            "POST /bookings/two HTTP/1.1\r\nHost: {HOST}\r\nLavenderplank-Attempt-Id: b-2\r\n\
+             Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ntwo\r\n6\r\n seats\r\n0\r\n\r\n"
+        );
+        caller.write_all(chunked.as_bytes()).await.expect("sent");
+        let mut answer = String::new();
+        caller.read_to_string(&mut answer).await.expect("an answer");
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        assert_eq!(world.targets[0].seen()[0].body, "two seats");
+    });
+}
+
+/// A target that is draining, gone, or in a zone that is to be emptied gets nothing new; once the
+/// zone may be used again, it does.
+#[test]
+fn retiring_targets_and_evacuated_zones_get_no_work() {
+    run(async {
+        let world = World::spawn(TWO).await;
+        let host = world.host("a").await;
+        let only = async |at: usize, what: &str| {
+            until(what, async || {
+                let before = world.targets[1 - at].seen().len();
+                for object in ["1", "2", "3", "4", "5", "6", "7", "8"] {
+                    let ask = Ask { object: Some(object), ..read("r-1") };
+                    assert_eq!(world.ask(&host, ask).await.expect("an answer").status(), 200);
+                }
+                before == world.targets[1 - at].seen().len()
+            })
+            .await;
+        };
+        world.store.put("servers", "t-1", world.targets[0].entry("draining", 1));
+        only(1, "the draining target gets nothing").await;
+        world.store.put("servers", "t-1", world.targets[0].entry("ready", 2));
+        world.store.put("evacuations", "north-b", json!({}));
+        only(0, "the evacuated zone gets nothing").await;
+        world.store.remove("evacuations", "north-b");
+        world.store.remove("servers", "t-1");
+        only(1, "the removed target gets nothing, the zone is used again").await;
+    });
+}
+
+/// One entry can't be read. It names no target; the others are used.
+#[test]
+fn a_spoiled_entry_hides_no_other() {
+    run(async {
+        let world = World::spawn(TWO).await;
+        let host = world.host("a").await;
+        world.store.spoil("servers", "t-1");
+        world.store.spoil("servers", "odd");
+        until("the spoiled entry's target gets nothing", async || {
+            let before = world.targets[0].seen().len();
+            for object in ["1", "2", "3", "4", "5", "6", "7", "8"] {
+                let ask = Ask { object: Some(object), ..read("r-1") };
+                assert_eq!(world.ask(&host, ask).await.expect("an answer").status(), 200);
+            }
+            before == world.targets[0].seen().len()
+        })
+        .await;
+    });
+}
+
+/// The store forgets its history while a configuration changes, then is away. The host lists anew,
+/// goes on serving meanwhile, and never takes an older configuration back.
+#[test]
+fn a_forgetful_store_is_listed_anew_and_nothing_goes_back() {
+    run(async {
+        let world = World::spawn(ONE).await;
+        let host = world.host("a").await;
+        world.store.put("config", "main", config_with(5, "elsewhere", json!([])));
+        world.store.forget();
+        let status = async || world.ask(&host, read("r-1")).await.expect("an answer").status();
+        until("the new configuration is in force", async || status().await == 503).await;
+        world.store.put("config", "main", config(4));
+        world.store.put("servers", "t-1", world.targets[0].entry("draining", 1));
+        world.store.put("servers", "t-1", world.targets[0].entry("ready", 3));
+        world.store.put("config", "main", config(6));
+        until("the newest configuration is in force", async || status().await == 200).await;
+        world.store.set_down(true);
+        for _ in 0..5 {
+            assert_eq!(status().await, 200);
+        }
+        world.store.put("config", "main", config_with(7, "elsewhere", json!([])));
+        world.store.set_down(false);
+        until("what changed meanwhile is in force", async || status().await == 503).await;
+    });
+}
+
+/// A route may be served in one region only, and no target is there: the request is refused rather
+/// than sent abroad.
+#[test]
+fn allowed_regions_bind() {
+    run(async {
+        let world = World::spawn(ONE).await;
+        let host = world.host("a").await;
+        world.store.put("config", "main", config_with(2, "desk", json!(["south"])));
+        let status = async || world.ask(&host, read("r-1")).await.expect("an answer").status();
+        until("the region binds", async || status().await == 503).await;
+        let before = world.arrivals();
+        assert_eq!(status().await, 503);
+        assert_eq!(world.arrivals(), before);
+    });
+}
+
+/// A planned stop: the host is unready at once and no longer named, the request at work gets its
+/// answer, and the connection is closed with notice.
+#[test]
+fn a_planned_stop_cuts_nothing() {
+    run(async {
+        let world = World::spawn(ONE).await;
+        let host = world.host("a").await;
+        let listen = host.listen().clone();
+        world.targets[0].set_work(Duration::from_millis(700));
+        let url = format!("http://{}/bookings/one", listen.callers);
+        let req =
+            world.http.post(url).header("Host", HOST).header("Lavenderplank-Attempt-Id", "b-1");
+        let at_work = tokio::task::spawn_local(req.body("two seats").send());
+        until("the booking is at work", async || world.arrivals() == 1).await;
+        let stopped = tokio::task::spawn_local(host.stop());
+        let ready = format!("http://{}/api/ready", listen.ready);
+        until("the host is unready", async || {
+            world.http.get(&ready).send().await.is_ok_and(|answer| answer.status() == 503)
+        })
+        .await;
+        let answer = at_work.await.expect("no panic").expect("an answer");
+        assert_eq!(answer.status(), 200);
+        assert_eq!(answer.headers()["connection"], "close");
+        stopped.await.expect("the host ends");
+    });
+}
+
+/// A look-up names the living hosts of the caller's region; a host that leaves is named no longer.
+#[test]
+fn look_ups_name_living_hosts() {
+    run(async {
+        let world = World::spawn(ONE).await;
+        let first = world.host("a").await;
+        let mut second = settings("b", world.store.addr(), Vec::new());
+        second.zone = "south-a".into();
+        second.region = "south".into();
+        let second = world.host_of(second).await;
+        let named = async |region: &str| {
+            let url = format!(
+                "http://{}/api/resolve?name={HOST}&region={region}&zone=x",
+                first.listen().lookup
+            );
+            let answer = world.http.get(url).send().await.expect("an answer");
+            answer.json::<serde_json::Value>().await.expect("JSON")["addresses"].clone()
+        };
+        let south = json!([second.listen().callers]);
+        until("the other region's host is named", async || named("south").await == south).await;
+        assert_eq!(named("north").await, json!([first.listen().callers]));
+        second.stop().await;
+        let north = json!([first.listen().callers]);
+        until("it is named no longer", async || named("south").await == north).await;
+    });
+}
+
+/// A host starts while the store is away. It learns everything from another host, and serves.
+#[test]
+fn a_host_without_the_store_learns_from_another() {
+    run(async {
+        let world = World::spawn(ONE).await;
+        let first = world.host("a").await;
+        // The seeds' hosts share one gossip port; on loopback the second is told to the first.
+        let store = lavenderplank::platform::standin::StoreStandin::spawn().await.expect("a port");
+        let second = world.host_of(settings("b", store.addr(), Vec::new())).await;
+        assert!(!world.is_ready(&second).await);
+        let record = json!({ "gossip": second.listen().gossip });
+        world.store.put("lavenderplank-hosts", "b", record.clone());
+        store.put("lavenderplank-hosts", "a", json!({ "gossip": first.listen().gossip }));
+        store.set_down(true);
+        let third = world.host_of(settings("c", world.store.addr(), Vec::new())).await;
+        world.until_ready(&third).await;
+        world.until_ready(&second).await;
+        let answer = world.ask(&second, read("r-1")).await.expect("an answer");
+        assert_eq!(answer.status(), 200);
+    });
+}
--- /dev/null
+++ b/tests/support/entry.rs
@@ -0,0 +1,200 @@
+//! A small deployment of entry hosts on loopback: the store's stand-in, targets, hosts, callers.
+
+#![allow(dead_code, reason = "each test uses its part")]
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use lavenderplank::{
+    base::BootClock,
+    entry::{Bounds, EntryHost, EntryParts, EntrySettings, Listen},
+    platform::{
+        ObjectStore, Spelling,
+        standin::{StoreStandin, TargetDraft, TargetStandin},
+    },
+    settings::LogSettings,
+};
+use reqwest::{Method, Response};
+use serde_json::{Value, json};
+use tokio::task::LocalSet;
+
+pub const HOST: &str = "counter.example";
+pub const READS: &str = "/reads/";
+pub const BOOKINGS: &str = "/bookings/";
+const FREE: &str = "127.0.0.1:0";
+/// Longest wait for something that must come; far above what it takes.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// The whole deployment.
+pub struct World {
+    pub http: reqwest::Client,
+    pub store: StoreStandin,
+    pub targets: Vec<TargetStandin>,
+}
+
+/// A configuration with one idempotent and one other route.
+pub fn config(version: u64) -> Value {
+    config_with(version, "desk", json!([]))
+}
+
+/// The same, to another service and with allowed regions.
+pub fn config_with(version: u64, service: &str, regions: Value) -> Value {
+    let rule = |kind: &str, prefix: &str| {
+        json!({
+            "name": kind, "kind": kind, "targetLatency": "400ms", "priority": 1,
+            "sessionAffinity": true, "match": { "pathPrefix": prefix },
+            "action": {
+                "service": service, "timeout": "2000ms", "maxAttempts": 2,
+                "allowedRegions": regions,
+            },
+        })
+    };
+    json!({
+        "version": format!("{version:08x}"),
+        "limits": {
+            "maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeout": "3000ms",
+            "idleTimeout": "15000ms",
+        },
+        "listeners": [{
+            "hostname": HOST, "rules": [rule("safe", READS), rule("unsafe", BOOKINGS)],
+        }],
+        "clusters": [{
+            "name": service, "healthCheckPath": "/health", "maxConnections": 100,
+            "coldStart": "3s", "coldPerS": 5.0,
+        }],
+    })
+}
+
+/// Settings of a host on free ports.
+pub fn settings(name: &str, store: SocketAddr, seeds: Vec<SocketAddr>) -> EntrySettings {
+    let free: SocketAddr = FREE.parse().expect("an address");
+    EntrySettings {
+        bounds: Bounds {
+            drain: Duration::from_secs(2),
+            grace: Duration::from_secs(6),
+            lookup_ttl: Duration::from_secs(5),
+            max_shift: 0.15,
+            retry_ratio: 0.2,
+            retry_slack: 60.0,
+        },
+        host: name.into(),
+        listen: Listen { callers: free, control: free, gossip: free, lookup: free, ready: free },
+        log: LogSettings::default(),
+        region: "north".into(),
+        seeds,
+        store,
+        zone: "north-a".into(),
+        zones: BTreeMap::from([
+            ("north-a".into(), "north".into()),
+            ("north-b".into(), "north".into()),
+            ("south-a".into(), "south".into()),
+        ]),
+    }
+}
+
+impl World {
+    /// A store and targets of one service, ready and listed, with the first configuration.
+    pub async fn spawn(zones: &[&'static str]) -> Self {
+        let world = Self::bare(zones).await;
+        world.store.put("config", "main", config(1));
+        world.enlist();
+        world
+    }
+
+    /// The same, with an empty store.
+    pub async fn bare(zones: &[&'static str]) -> Self {
+        const IDS: [&str; 4] = ["t-1", "t-2", "t-3", "t-4"];
+        let mut targets = Vec::new();
+        for (id, zone) in IDS.into_iter().zip(zones) {
+            let draft = TargetDraft { id, service: "desk", zone };
+            targets.push(TargetStandin::spawn(draft).await.expect("loopback has free ports"));
+        }
+        let store = StoreStandin::spawn().await.expect("loopback has free ports");
+        Self { http: reqwest::Client::new(), store, targets }
+    }
+
+    /// Writes all targets' entries.
+    pub fn enlist(&self) {
+        for target in &self.targets {
+            self.store.put("servers", target.id(), target.entry("ready", 1));
+        }
+    }
+
+    /// A host that serves.
+    pub async fn host(&self, name: &str) -> EntryHost {
+        let host = self.host_of(settings(name, self.store.addr(), Vec::new())).await;
+        self.until_ready(&host).await;
+        host
+    }
+
+    /// A host that may not serve yet.
+    pub async fn host_of(&self, settings: EntrySettings) -> EntryHost {
+        let store = Arc::new(ObjectStore::open(settings.store).expect("a client"));
+        let (clock, dialect) = (Arc::new(BootClock), Arc::new(Spelling));
+        EntryHost::spawn(EntryParts { clock, dialect, settings, store }).await.expect("free ports")
+    }
+
+    pub async fn is_ready(&self, host: &EntryHost) -> bool {
+        let url = format!("http://{}/api/ready", host.listen().ready);
+        self.http.get(url).send().await.is_ok_and(|answer| answer.status() == 200)
+    }
+
+    pub async fn until_ready(&self, host: &EntryHost) {
+        until("the host is ready", async || self.is_ready(host).await).await;
+    }
+
+    /// Sends one request.
+    pub async fn ask(&self, host: &EntryHost, ask: Ask<'_>) -> reqwest::Result<Response> {
+        let url = format!("http://{}{}", host.listen().callers, ask.path);
+        let mut req = self.http.request(ask.method, url).header("Host", HOST);
+        req = req.header("Lavenderplank-Attempt-Id", ask.attempt);
+        req = req.header("Lavenderplank-Time-Remaining", ask.time_left.to_string());
+        if let Some(object) = ask.object {
+            req = req.header("Cookie", format!("Lavenderplank-Affinity-Key={object}"));
+        }
+        req.body(ask.body.to_vec()).send().await
+    }
+
+    /// Requests that any target got, but for those of health.
+    pub fn arrivals(&self) -> usize {
+        self.targets.iter().map(|target| target.seen().len()).sum()
+    }
+}
+
+/// A request of a caller.
+#[derive(Clone, Debug)]
+pub struct Ask<'a> {
+    pub attempt: &'a str,
+    pub body: &'a [u8],
+    pub method: Method,
+    pub object: Option<&'a str>,
+    pub path: &'a str,
+    pub time_left: u64,
+}
+
+/// A read about one object.
+pub fn read(attempt: &str) -> Ask<'_> {
+    let path = "/reads/one?page=2";
+    Ask { attempt, body: b"", method: Method::GET, object: Some("7"), path, time_left: 2000 }
+}
+
+/// A booking about one object.
+pub fn booking(attempt: &str) -> Ask<'_> {
+    let (path, body) = ("/bookings/one", b"two seats".as_slice());
+    Ask { attempt, body, method: Method::POST, object: Some("7"), path, time_left: 2000 }
+}
+
+/// Waits until something holds.
+pub async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let wait = async {
+        while !holds().await {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    assert!(tokio::time::timeout(PATIENCE, wait).await.is_ok(), "it never came to pass: {what}");
+}
+
+/// Runs a test on one thread, as the hosts' control side needs it.
+pub fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("a runtime").block_on(LocalSet::new().run_until(test));
+}
