Let two hosts of a region watch the store, and tell the others

Change: watchers are chosen by hash among living hosts that reach the store; the others see by beats that a watcher knows more, and ask it for the difference. A host that hears nobody watches itself.

--- a/src/entry/beliefs.rs
+++ b/src/entry/beliefs.rs
@@ -2,7 +2,9 @@
 
 use std::collections::{BTreeSet, btree_map};
 
-use super::{Declared, DeclaredVersion, KnownTarget, TargetEntry, target};
+use super::{Declared, DeclaredVersion, KnownTarget, Part, TargetEntry, target};
+use xxhash_rust::xxh3::Xxh3Default;
+
 use crate::prelude::*;
 
 /// Time after the store's return in which a target that lapsed meanwhile is still used. Targets
@@ -18,10 +20,59 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Stamp {
     pub declared: DeclaredVersion,
-    /// Hash of all targets and evacuated zones with their versions.
-    pub digest: u64,
-    /// The store's version of the newest object that is known.
-    pub revision: u64,
+    /// Hash of the evacuated zones.
+    pub evacuations: u64,
+    /// Hash of all targets and their states.
+    pub targets: u64,
+    /// The store's versions up to which each part is known.
+    pub revisions: Revisions,
+}
+
+/// The store's versions up to which each part of its objects is known.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Revisions {
+    pub declared: u64,
+    pub evacuations: u64,
+    pub targets: u64,
+}
+
+impl Revisions {
+    /// That of one part.
+    pub fn of(&self, part: Part) -> u64 {
+        match part {
+            Part::Declared => self.declared,
+            Part::Evacuations => self.evacuations,
+            Part::Targets => self.targets,
+        }
+    }
+
+    fn of_mut(&mut self, part: Part) -> &mut u64 {
+        match part {
+            Part::Declared => &mut self.declared,
+            Part::Evacuations => &mut self.evacuations,
+            Part::Targets => &mut self.targets,
+        }
+    }
+}
+
+impl Stamp {
+    /// Whether its host knows something of a part that the other's does not.
+    ///
+    /// A higher version alone is none: a listing tells the version of the whole store, which rises
+    /// with every object of other kinds.
+    pub fn is_ahead_of(&self, other: &Stamp, part: Part) -> bool {
+        let differs = match part {
+            Part::Declared => return other.declared < self.declared,
+            Part::Evacuations => self.evacuations != other.evacuations,
+            Part::Targets => self.targets != other.targets,
+        };
+        differs && other.revisions.of(part) < self.revisions.of(part)
+    }
+
+    /// The parts in which its host knows something that the other's does not.
+    pub fn parts_ahead_of(&self, other: &Stamp) -> Vec<Part> {
+        Part::ALL.into_iter().filter(|part| self.is_ahead_of(other, *part)).collect()
+    }
 }
 
 /// The objects a host knows.
@@ -33,7 +84,7 @@
     lapsed: BTreeMap<TargetId, Moment>,
     /// When the store fell silent, as far as it is known.
     lost_since: Option<Moment>,
-    revision: u64,
+    revisions: Revisions,
     targets: BTreeMap<TargetId, KnownTarget>,
 }
 
@@ -57,15 +108,20 @@
 
     /// Summary for other hosts.
     pub fn stamp(&self) -> Stamp {
-        let mut hash = xxhash_rust::xxh3::Xxh3Default::new();
+        let mut targets = Xxh3Default::new();
         for known in self.targets.values() {
-            hash.update(known.entry.id.as_bytes());
-            hash.update(&[u8::from(known.entry.ready)]);
-            hash.update(&known.entry.started.to_le_bytes());
+            targets.update(known.entry.id.as_bytes());
+            targets.update(&[u8::from(known.entry.ready)]);
+            targets.update(&known.entry.started.to_le_bytes());
+        }
+        let mut evacuations = Xxh3Default::new();
+        self.evacuated.iter().for_each(|zone| evacuations.update(zone.as_bytes()));
+        Stamp {
+            declared: self.declared.as_ref().map_or(0, |declared| declared.version),
+            evacuations: evacuations.digest(),
+            targets: targets.digest(),
+            revisions: self.revisions,
         }
-        self.evacuated.iter().for_each(|zone| hash.update(zone.as_bytes()));
-        let declared = self.declared.as_ref().map_or(0, |declared| declared.version);
-        Stamp { declared, digest: hash.digest(), revision: self.revision }
     }
 
     /// Takes a declaration; an older one than that in force changes nothing.
@@ -167,9 +223,10 @@
         changed
     }
 
-    /// The store's version of something that was told.
-    pub fn saw(&mut self, revision: u64) {
-        self.revision = self.revision.max(revision);
+    /// A part is known up to that version of the store.
+    pub fn saw(&mut self, part: Part, revision: u64) {
+        let known = self.revisions.of_mut(part);
+        *known = revision.max(*known);
     }
 }
 
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -3,16 +3,21 @@
 use std::collections::{BTreeSet, HashMap};
 
 use arc_swap::ArcSwap;
-use tokio::net::UdpSocket;
+use tokio::{net::UdpSocket, sync::mpsc};
 use xtra::{Actor, Address, Handler, Mailbox, WeakAddress};
 
 use super::{
-    Beat, Beliefs, Dialect, EntrySettings, LiveHost, Peers, Report, Stamp, View, ViewCell,
-    sync::{Snapshot, fetch},
+    Beat, Beliefs, Dialect, EntrySettings, LiveHost, Part, Peers, Report, Revisions, View,
+    ViewCell,
+    sync::{Asker, Difference, RawObjects},
+    watchers::Watching,
 };
 use crate::{
     prelude::*,
-    store::{Change, Entry, Expect, Followed, Platform, PlatformError, new_operation},
+    store::{
+        Change, Entry, Expect, FollowPace, Followed, Follower, Listing, Platform, PlatformError,
+        new_operation,
+    },
 };
 
 /// Messages that may wait for the actor; past it senders wait.
@@ -32,28 +37,24 @@
 /// Addresses of other hosts in one beat: enough to find all within a second or two.
 const TOLD_PEERS: usize = 3;
 
-/// A host that believes otherwise than this one for longer is asked: the store's own word takes
-/// less time where it comes at all.
+/// A watcher that knows less than another host for longer asks it: the store's own word takes less
+/// time where it comes at all. Hosts that do not watch ask at once.
 const LAG: Duration = Duration::from_millis(400);
 
-/// Pause between two questions to other hosts.
+/// Pause between two questions to other hosts while they are not answered.
 const ASK_PAUSE: Duration = Duration::from_millis(500);
 
+/// How often the store is asked. Hosts tell each other when one of them has seen more, so nothing
+/// has to be compared; the wait bounds how long a watch on a silent connection is believed.
+const PACE: FollowPace =
+    FollowPace { compare_every: Duration::from_secs(86_400), wait: Duration::from_secs(3) };
+
 /// Pause before the own record is written again after a failure.
 const ENROL_PAUSE: Duration = Duration::from_secs(2);
 
 /// Pause between two readings of the hosts' records; beats tell the rest.
 const ROLL_PAUSE: Duration = Duration::from_secs(30);
 
-/// Which objects of the store something is about.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Part {
-    Declared,
-    Evacuations,
-    Targets,
-}
-
 /// News from the store.
 pub struct Told(pub Part, pub Followed);
 
@@ -66,11 +67,11 @@
 /// A planned stop begins.
 pub struct Leave;
 
-/// Another host asks for everything that this one knows.
-pub struct Share;
+/// Another host asks for what is newer than it knows.
+pub struct Share(pub Revisions);
 
-/// Another host's knowledge, or that it did not answer.
-pub struct Shared(pub Option<Snapshot>);
+/// What another host knows, or that it did not answer.
+pub struct Shared(pub Option<Difference>);
 
 /// The hosts' records were read, or could not be.
 pub struct Roll(pub Option<Vec<SocketAddr>>);
@@ -91,30 +92,45 @@
 
 /// The actor's state.
 pub struct EntryControl {
+    asker: Asker,
     /// When a question to another host may be asked again.
     ask_at: Moment,
     beliefs: Beliefs,
     enrol_at: Option<Moment>,
+    /// The tasks that follow the store, while this host watches.
+    followers: Vec<FollowTask>,
     /// Since when another host has known more.
     lags_since: Option<Moment>,
     leaving: bool,
     parts: ControlParts,
     peers: Peers,
-    raw: BTreeMap<(Part, Arc<str>), bytes::Bytes>,
+    raw: RawObjects,
     roll_at: Moment,
     rolled: Vec<SocketAddr>,
     start: u64,
     turn: u64,
+    watching: Watching,
+}
+
+/// Ends its task when dropped.
+struct FollowTask(tokio::task::AbortHandle);
+
+impl Drop for FollowTask {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
 }
 
 impl EntryControl {
     /// Starts the actor on the current runtime.
-    pub fn spawn(parts: ControlParts) -> Address<Self> {
+    pub fn spawn(parts: ControlParts, asker: Asker) -> Address<Self> {
         let start = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let control = Self {
+            asker,
             ask_at: Moment::ZERO,
             beliefs: Beliefs::default(),
             enrol_at: Some(Moment::ZERO),
+            followers: Vec::new(),
             lags_since: None,
             leaving: false,
             peers: Peers::default(),
@@ -123,6 +139,7 @@
             rolled: Vec::new(),
             start: start.map_or(0, |since| since.as_millis() as u64),
             turn: 0,
+            watching: Watching::default(),
             parts,
         };
         xtra::spawn_tokio(control, Mailbox::bounded(MAILBOX))
@@ -133,10 +150,10 @@
     }
 
     /// Decodes and keeps one object; true when something that matters changed.
-    fn written(&mut self, part: Part, key: &Arc<str>, object: bytes::Bytes) -> bool {
+    fn written(&mut self, part: Part, key: &Arc<str>, version: u64, object: bytes::Bytes) -> bool {
         let now = self.now();
         let dialect = self.parts.dialect.clone();
-        self.raw.insert((part, key.clone()), object.clone());
+        self.raw.insert((part, key.clone()), (version, object.clone()));
         match part {
             Part::Declared => match dialect.declared(&object) {
                 Ok(declared) => {
@@ -180,24 +197,24 @@
         }
     }
 
-    fn listed(&mut self, part: Part, objects: Vec<(Arc<str>, bytes::Bytes)>) -> bool {
+    fn listed(&mut self, part: Part, objects: Vec<(Arc<str>, u64, bytes::Bytes)>) -> bool {
         let now = self.now();
         self.raw.retain(|(kept, _), _| *kept != part);
         match part {
-            Part::Declared => objects
-                .into_iter()
-                .fold(false, |sum, (key, object)| self.written(part, &key, object) || sum),
+            Part::Declared => objects.into_iter().fold(false, |sum, (key, version, object)| {
+                self.written(part, &key, version, object) || sum
+            }),
             Part::Evacuations => {
-                let names: Vec<Arc<str>> = objects.iter().map(|(key, _)| key.clone()).collect();
-                for (key, object) in objects {
-                    self.raw.insert((part, key), object);
+                let names: Vec<Arc<str>> = objects.iter().map(|(key, _, _)| key.clone()).collect();
+                for (key, version, object) in objects {
+                    self.raw.insert((part, key), (version, object));
                 }
                 let zones: BTreeSet<ZoneId> = self.parts.dialect.zones(&names);
                 self.beliefs.evacuations(zones)
             }
             Part::Targets => {
                 let mut entries = Vec::new();
-                for (key, object) in objects {
+                for (key, version, object) in objects {
                     match self.parts.dialect.target(&key, &object) {
                         Ok(entry) => {
                             let region = self.parts.settings.region_of(&entry.zone);
@@ -205,7 +222,7 @@
                         }
                         Err(error) => log::warn!("target {key} is left out: {error}"),
                     }
-                    self.raw.insert((part, key), object);
+                    self.raw.insert((part, key), (version, object));
                 }
                 log::info!("{} targets listed", entries.len());
                 self.beliefs.list(entries, now)
@@ -216,10 +233,10 @@
     fn changed(&mut self, part: Part, changes: Vec<Change>) -> bool {
         let mut changed = false;
         for change in changes {
-            self.beliefs.saw(change.version);
+            self.beliefs.saw(part, change.version);
             let key = name(&change.key);
             changed |= match change.object {
-                Some(object) => self.written(part, &key, object.value),
+                Some(object) => self.written(part, &key, object.version, object.value),
                 None => self.removed(part, &key),
             };
         }
@@ -228,19 +245,25 @@
 
     fn told(&mut self, part: Part, told: Followed) -> bool {
         match told {
-            Followed::Changed(changes) => self.changed(part, changes),
-            Followed::Listed(entries) => {
-                let object = |entry: Entry| {
-                    self.beliefs.saw(entry.object.version);
-                    (name(&entry.key), entry.object.value)
-                };
-                let objects = entries.into_iter().map(object).collect();
-                self.listed(part, objects)
+            Followed::Changed(changes) => {
+                self.watching.reached();
+                self.changed(part, changes)
+            }
+            Followed::Listed(Listing { entries, version }) => {
+                self.watching.reached();
+                self.beliefs.saw(part, version);
+                let object =
+                    |entry: Entry| (name(&entry.key), entry.object.version, entry.object.value);
+                self.listed(part, entries.into_iter().map(object).collect())
             }
             Followed::Lost(error) => {
                 log::info!("store, {part:?}: {error}");
-                if part == Part::Targets && !matches!(error, PlatformError::TooOld { .. }) {
-                    let now = self.now();
+                if matches!(error, PlatformError::TooOld { .. }) {
+                    return false;
+                }
+                let now = self.now();
+                self.watching.lost(now);
+                if part == Part::Targets {
                     self.beliefs.lost(now);
                 }
                 false
@@ -307,6 +330,7 @@
             host: settings.host.clone(),
             leaving: self.leaving,
             peers: told.copied().collect(),
+            reaches_store: self.watching.reaches_store(self.now()),
             running: report.running.clone(),
             stamp: self.beliefs.stamp(),
             start: self.start,
@@ -346,24 +370,28 @@
         }
     }
 
-    /// Asks another host that has known more for a while.
+    /// Asks another host that knows more.
     fn ask(&mut self, own: &WeakAddress<Self>) {
         let now = self.now();
         let mine = self.beliefs.stamp();
-        let ahead = self.peers.live(now).find(|peer| is_ahead(&peer.beat.stamp, &mine));
-        let Some(peer) = ahead else {
+        let region = &self.parts.settings.region;
+        let ahead = self.peers.live(now).filter(|peer| {
+            Part::ALL.into_iter().any(|part| peer.beat.stamp.is_ahead_of(&mine, part))
+        });
+        // The nearest one answers soonest.
+        let Some(peer) = ahead.max_by_key(|peer| peer.region == *region) else {
             self.lags_since = None;
             return;
         };
         let since = *self.lags_since.get_or_insert(now);
-        let unknowing = mine.declared == 0;
-        if (now.saturating_sub(since) < LAG && !unknowing) || now < self.ask_at {
+        let patient = !self.followers.is_empty() && mine.declared != 0;
+        if (patient && now.saturating_sub(since) < LAG) || now < self.ask_at {
             return;
         }
         self.ask_at = now + ASK_PAUSE;
-        let (addr, own) = (peer.beat.control, own.clone());
+        let (asker, addr, own) = (self.asker.clone(), peer.beat.control, own.clone());
         tokio::spawn(async move {
-            let answer = fetch(addr).await;
+            let answer = asker.ask(addr, mine.revisions).await;
             if let Err(error) = &answer {
                 log::info!("host {addr} does not tell what it knows: {error}");
             }
@@ -371,6 +399,32 @@
         });
     }
 
+    /// Starts or ends following the store.
+    fn watch(&mut self, own: &WeakAddress<Self>) {
+        let now = self.now();
+        let settings = &self.parts.settings;
+        let peers = self.peers.live(now);
+        let wanted = self.watching.decide(&settings.host, &settings.region, peers, now);
+        if wanted != self.followers.is_empty() {
+            return;
+        }
+        log::info!("{} the store", if wanted { "watching" } else { "no longer watching" });
+        self.followers.clear();
+        if !wanted {
+            return;
+        }
+        let keys = self.parts.dialect.keys();
+        for (part, prefix) in [
+            (Part::Declared, keys.declared),
+            (Part::Targets, keys.targets),
+            (Part::Evacuations, keys.evacuations),
+        ] {
+            let (store, clock) = (self.parts.store.clone(), self.parts.clock.clone());
+            let task = tokio::spawn(follow(store, clock, part, prefix, own.clone()));
+            self.followers.push(FollowTask(task.abort_handle()));
+        }
+    }
+
     /// Writes this host's record, or reads all.
     fn enrol(&mut self, own: &WeakAddress<Self>) {
         let now = self.now();
@@ -421,10 +475,21 @@
     }
 }
 
-/// Whether another host has seen something that this one has not.
-fn is_ahead(theirs: &Stamp, mine: &Stamp) -> bool {
-    mine.declared < theirs.declared
-        || (mine.revision < theirs.revision && mine.digest != theirs.digest)
+/// Passes on what the store tells of one part.
+async fn follow(
+    store: Arc<dyn Platform>,
+    clock: Arc<dyn Clock>,
+    part: Part,
+    prefix: &'static str,
+    control: WeakAddress<EntryControl>,
+) {
+    let (tx, mut rx) = mpsc::channel::<Followed>(16);
+    let _follower = Follower::spawn(store, clock, prefix, PACE, tx);
+    while let Some(told) = rx.recv().await {
+        if control.send(Told(part, told)).await.is_err() {
+            return;
+        }
+    }
 }
 
 /// The name of an object, without its prefix.
@@ -444,6 +509,8 @@
     async fn handle(&mut self, Told(part, told): Told, _: &mut xtra::Context<Self>) {
         if self.told(part, told) {
             self.publish();
+            // Hosts that do not watch hear of it now, not with the next beat.
+            self.send_beats();
         }
     }
 }
@@ -451,7 +518,7 @@
 impl Handler<Datagram> for EntryControl {
     type Return = ();
 
-    async fn handle(&mut self, Datagram(bytes): Datagram, _: &mut xtra::Context<Self>) {
+    async fn handle(&mut self, Datagram(bytes): Datagram, cx: &mut xtra::Context<Self>) {
         let beat: Beat = match postcard::from_bytes(&bytes) {
             Ok(beat) => beat,
             Err(error) => return log::debug!("a datagram is no beat: {error}"),
@@ -466,6 +533,9 @@
         if self.peers.heard(beat, region, now) {
             log::info!("host {host} is heard");
         }
+        if self.followers.is_empty() {
+            self.ask(&cx.mailbox().address());
+        }
         for addr in told {
             if !self.rolled.contains(&addr) && self.rolled.len() < 4096 {
                 self.rolled.push(addr);
@@ -483,6 +553,7 @@
         self.peers.tick(now);
         self.send_beats();
         let own = cx.mailbox().address();
+        self.watch(&own);
         self.ask(&own);
         self.enrol(&own);
         self.publish();
@@ -501,27 +572,27 @@
 }
 
 impl Handler<Share> for EntryControl {
-    type Return = Snapshot;
+    type Return = Difference;
 
-    async fn handle(&mut self, Share: Share, _: &mut xtra::Context<Self>) -> Snapshot {
-        Snapshot::of(&self.raw, self.beliefs.stamp().revision)
+    async fn handle(&mut self, Share(since): Share, _: &mut xtra::Context<Self>) -> Difference {
+        Difference::of(&self.raw, self.beliefs.stamp().revisions, since)
     }
 }
 
 impl Handler<Shared> for EntryControl {
     type Return = ();
 
-    async fn handle(&mut self, Shared(snapshot): Shared, _: &mut xtra::Context<Self>) {
-        let Some(snapshot) = snapshot else { return };
-        let mine = self.beliefs.stamp();
-        log::info!("taking over what another host knows: revision {}", snapshot.revision);
-        let (revision, parts) = snapshot.into_parts();
-        for (part, objects) in parts {
-            if part == Part::Declared || mine.revision < revision {
+    async fn handle(&mut self, Shared(told): Shared, _: &mut xtra::Context<Self>) {
+        let Some(told) = told else { return };
+        self.ask_at = Moment::ZERO;
+        let mine = self.beliefs.stamp().revisions;
+        for part in Part::ALL {
+            if mine.of(part) < told.revisions.of(part) {
+                let objects = told.applied(part, &self.raw);
                 self.listed(part, objects);
+                self.beliefs.saw(part, told.revisions.of(part));
             }
         }
-        self.beliefs.saw(revision);
         self.publish();
     }
 }
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -4,30 +4,23 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bytes::Bytes;
-use http::{Response, StatusCode};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
+use hyper::body::Incoming;
 use tokio::{
     net::{TcpListener, UdpSocket},
-    sync::{mpsc, oneshot, watch},
+    sync::{oneshot, watch},
     task::LocalSet,
 };
 use xtra::Address;
 
 use super::{
     Desk, Dialect, EntryControl, EntrySettings, Listen, Report, ViewCell,
-    control::{BEAT, ControlParts, Datagram, Leave, Part, Pulse, Share, Told},
-    serve::{accept, callers, look_up, ready, small},
-    sync::STATE_PATH,
+    control::{BEAT, ControlParts, Datagram, Leave, Pulse, Share},
+    serve::{accept, callers, look_up, ready, small, status},
+    sync::{Asker, STATE_PATH, since},
 };
-use crate::{
-    prelude::*,
-    store::{FollowPace, Followed, Follower, Platform},
-};
-
-/// How often the store is asked. Hosts tell each other when one of them has seen more, so nothing
-/// has to be compared; the wait bounds how long a watch on a silent connection is believed.
-const PACE: FollowPace =
-    FollowPace { compare_every: Duration::from_secs(86_400), wait: Duration::from_secs(3) };
+use crate::{prelude::*, store::Platform};
 
 /// Time between two updates of the traffic side's figures.
 const TICK: Duration = Duration::from_millis(100);
@@ -49,6 +42,8 @@
 pub enum OpenError {
     #[error("{what} {addr} can't be bound: {error}; free the address or change the settings")]
     Bind { addr: SocketAddr, error: std::io::Error, what: &'static str },
+    #[error("no client for other hosts: {0}")]
+    Client(#[from] reqwest::Error),
     #[error("the host could not be started: {0}")]
     Start(#[from] std::io::Error),
 }
@@ -90,27 +85,19 @@
         let settings = Arc::new(settings);
         let view: ViewCell = Arc::new(ArcSwapOption::empty());
         let report = Arc::new(ArcSwap::from_pointee(Report::default()));
-        let control = EntryControl::spawn(ControlParts {
+        let control = ControlParts {
             clock: parts.clock.clone(),
             dialect: parts.dialect.clone(),
             report: report.clone(),
             settings: settings.clone(),
             socket: socket.clone(),
-            store: parts.store.clone(),
+            store: parts.store,
             view: view.clone(),
-        });
+        };
+        let control = EntryControl::spawn(control, Asker::open()?);
         tokio::task::spawn_local(hear(socket, control.clone()));
         tokio::task::spawn_local(pulse(control.clone()));
         tokio::task::spawn_local(serve_state(state, control.clone()));
-        let keys = parts.dialect.keys();
-        for (part, prefix) in [
-            (Part::Declared, keys.declared),
-            (Part::Targets, keys.targets),
-            (Part::Evacuations, keys.evacuations),
-        ] {
-            let (store, clock) = (parts.store.clone(), parts.clock.clone());
-            tokio::task::spawn_local(follow(store, clock, part, prefix, control.clone()));
-        }
         let (leave, leaving) = watch::channel(false);
         let (tx, stopped) = oneshot::channel();
         let traffic = Traffic {
@@ -189,46 +176,30 @@
     }
 }
 
-async fn follow(
-    store: Arc<dyn Platform>,
-    clock: Arc<dyn Clock>,
-    part: Part,
-    prefix: &'static str,
-    control: Address<EntryControl>,
-) {
-    let (tx, mut rx) = mpsc::channel::<Followed>(16);
-    let _follower = Follower::spawn(store, clock, prefix, PACE, tx);
-    while let Some(told) = rx.recv().await {
-        if control.send(Told(part, told)).await.is_err() {
-            return;
-        }
-    }
-}
-
 /// Tells other hosts what this one knows.
 async fn serve_state(listener: TcpListener, control: Address<EntryControl>) {
     accept(listener, |stream| {
         let control = control.clone();
-        async move {
-            let snapshot = match control.send(Share).await {
-                Ok(snapshot) => snapshot,
-                Err(error) => return log::error!("state: {error}"),
-            };
-            let bytes = serde_json::to_vec(&snapshot).unwrap_or_default();
-            let bytes = Bytes::from(bytes);
-            small(stream, move |req| {
-                let mut answer = Response::new(Full::new(bytes.clone()));
-                if req.uri().path() != STATE_PATH {
-                    *answer.status_mut() = StatusCode::NOT_FOUND;
-                }
-                answer
-            })
-            .await;
-        }
+        async move { small(stream, |req| state(control.clone(), req)).await }
     })
     .await;
 }
 
+async fn state(control: Address<EntryControl>, req: Request<Incoming>) -> Response<Full<Bytes>> {
+    if req.uri().path() != STATE_PATH {
+        return status(StatusCode::NOT_FOUND);
+    }
+    let told = control.send(Share(since(req.uri().query()))).await;
+    let told = told.map_err(|error| error.to_string());
+    match told.and_then(|told| serde_json::to_vec(&told).map_err(|error| error.to_string())) {
+        Ok(bytes) => Response::new(Full::new(bytes.into())),
+        Err(error) => {
+            log::error!("this host's state can't be told: {error}");
+            status(StatusCode::SERVICE_UNAVAILABLE)
+        }
+    }
+}
+
 /// Bound sockets on their way to the traffic thread.
 struct Listeners {
     callers: std::net::TcpListener,
@@ -266,12 +237,12 @@
         let at = desk.clone();
         tokio::task::spawn_local(accept(for_ready, move |stream| {
             let desk = at.clone();
-            async move { small(stream, |req| ready(&desk, req)).await }
+            async move { small(stream, async |req| ready(&desk, &req)).await }
         }));
         let at = desk.clone();
         tokio::task::spawn_local(accept(for_lookups, move |stream| {
             let desk = at.clone();
-            async move { small(stream, |req| look_up(&desk, req)).await }
+            async move { small(stream, async |req| look_up(&desk, &req)).await }
         }));
         tokio::task::spawn_local(tick(desk.clone(), self.report));
         let _ = self.leaving.wait_for(|leaving| *leaving).await;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -18,6 +18,7 @@
 mod flight;
 mod host;
 mod lookup;
+mod part;
 mod peers;
 mod place;
 mod poison;
@@ -30,9 +31,10 @@
 mod tests;
 mod upstream;
 mod view;
+mod watchers;
 
 pub use self::{
-    beliefs::{Beliefs, Stamp},
+    beliefs::{Beliefs, Revisions, Stamp},
     cold::ColdRates,
     condition::{Condition, Ended},
     control::EntryControl,
@@ -40,6 +42,7 @@
     desk::{Desk, Report},
     dialect::{CallerNote, Dialect, LookupPlace, ReplyNote, StoreKeys, Unreadable},
     host::{EntryHost, EntryParts, OpenError},
+    part::Part,
     peers::{Beat, Peer, Peers},
     poison::Poison,
     settings::{Bounds, EntrySettings, Listen},
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -20,6 +20,8 @@
     pub leaving: bool,
     /// Gossip addresses of hosts that it hears.
     pub peers: Vec<SocketAddr>,
+    /// The store answers it.
+    pub reaches_store: bool,
     /// Requests in flight by target.
     pub running: Vec<(u32, u8)>,
     pub stamp: Stamp,
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -119,13 +119,13 @@
 }
 
 /// Serves a connection of the platform's own: readiness, or a look-up.
-pub async fn small(
-    stream: TcpStream,
-    answer: impl Fn(&Request<Incoming>) -> Response<Full<Bytes>>,
-) {
+pub async fn small<F>(stream: TcpStream, answer: impl Fn(Request<Incoming>) -> F)
+where
+    F: Future<Output = Response<Full<Bytes>>>,
+{
     let service = service_fn(|req| {
-        let answer = answer(&req);
-        async move { Ok::<_, Infallible>(answer) }
+        let answer = answer(req);
+        async { Ok::<_, Infallible>(answer.await) }
     });
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -162,7 +162,8 @@
     answer
 }
 
-fn status(status: StatusCode) -> Response<Full<Bytes>> {
+/// An answer that is a status only.
+pub fn status(status: StatusCode) -> Response<Full<Bytes>> {
     let mut answer = Response::new(Full::default());
     *answer.status_mut() = status;
     answer
--- a/src/entry/tests/beliefs.rs
+++ b/src/entry/tests/beliefs.rs
@@ -98,7 +98,8 @@
     assert_eq!(usable(&beliefs), ["t-2"]);
     assert!(beliefs.evacuate("north-b".into(), true));
     assert!(usable(&beliefs).is_empty());
-    assert_ne!(beliefs.stamp().digest, before.digest);
+    assert_ne!(beliefs.stamp().targets, before.targets);
+    assert_ne!(beliefs.stamp().evacuations, before.evacuations);
     assert!(beliefs.evacuate("north-b".into(), false));
     assert_eq!(usable(&beliefs), ["t-2"]);
 }
--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -2,7 +2,12 @@
 
 use super::secs;
 use crate::{
-    entry::{Beat, LiveHost, LookupPlace, Peers, Stamp, lookup::addresses},
+    entry::{
+        Beat, LiveHost, LookupPlace, Part, Peer, Peers, Revisions, Stamp,
+        lookup::addresses,
+        sync::{Difference, RawObjects, since},
+        watchers::Watching,
+    },
     prelude::*,
 };
 
@@ -20,6 +25,7 @@
         host: host.into(),
         leaving: false,
         peers: Vec::new(),
+        reaches_store: true,
         running: Vec::new(),
         stamp: Stamp::default(),
         start,
@@ -92,3 +98,107 @@
         }
     }
 }
+
+fn peer(host: &str, region: &str, reaches_store: bool) -> Peer {
+    let beat = Beat { reaches_store, ..beat(host, 1, 1) };
+    Peer { beat, heard: secs(1.0), region: region.into() }
+}
+
+/// Six hosts of a region: two watch the store, and each finds out by itself whether it is one of
+/// them. One of the two no longer reaches the store: a third takes its place.
+#[test]
+fn two_hosts_of_a_region_watch() {
+    let names = ["a", "b", "c", "d", "e", "f"];
+    let watchers = |unreached: Option<&str>| -> Vec<&str> {
+        let watches = |host: &&str| {
+            let others = names.iter().filter(|name| *name != host);
+            let mut peers: Vec<Peer> =
+                others.map(|name| peer(name, "north", Some(*name) != unreached)).collect();
+            peers.push(peer("far", "south", true));
+            Watching::default().decide(&(*host).into(), &"north".into(), peers.iter(), secs(1.0))
+        };
+        names.into_iter().filter(watches).collect()
+    };
+    let two = watchers(None);
+    assert_eq!(two.len(), 2);
+    let three = watchers(Some(two[0]));
+    assert_eq!(three.len(), 3, "the one that does not know of its own trouble, and two others");
+    assert!(two.iter().all(|host| three.contains(host)));
+}
+
+/// Right after a start a host hears nobody and watches; when it hears enough others it goes on for
+/// a while, since who lives changes often then.
+#[test]
+fn a_host_alone_watches_and_stops_late() {
+    let mut watching = Watching::default();
+    let (host, region) = ("z".into(), "north".into());
+    assert!(watching.decide(&host, &region, std::iter::empty(), secs(1.0)));
+    let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    let peers: Vec<Peer> = names.iter().map(|name| peer(name, "north", true)).collect();
+    let mut decide = |at| watching.decide(&host, &region, peers.iter(), secs(at));
+    assert!(decide(2.0));
+    assert!(decide(4.9));
+    assert!(!decide(5.1));
+}
+
+/// A watcher whose store does not answer says so, and may be chosen again later.
+#[test]
+fn a_host_without_the_store_says_so() {
+    let mut watching = Watching::default();
+    assert!(watching.reaches_store(secs(1.0)));
+    watching.lost(secs(1.0));
+    watching.lost(secs(5.0));
+    assert!(!watching.reaches_store(secs(8.9)));
+    assert!(watching.reaches_store(secs(9.1)));
+    watching.lost(secs(10.0));
+    watching.reached();
+    assert!(watching.reaches_store(secs(10.0)));
+}
+
+/// What a host asks another for holds what changed, and the names of all there is, so that what is
+/// gone goes.
+#[test]
+fn a_difference_brings_a_host_up_to_date() {
+    let object = |part, name: &str, revision: u64| {
+        ((part, Arc::from(name)), (revision, bytes::Bytes::from(revision.to_string())))
+    };
+    let old: RawObjects = [
+        object(Part::Targets, "t-1", 1),
+        object(Part::Targets, "t-2", 2),
+        object(Part::Declared, "main", 3),
+    ]
+    .into();
+    let new: RawObjects = [
+        object(Part::Targets, "t-2", 2),
+        object(Part::Targets, "t-3", 7),
+        object(Part::Declared, "main", 3),
+    ]
+    .into();
+    let at = |revision| Revisions { declared: 3, evacuations: 0, targets: revision };
+    let told = Difference::of(&new, at(7), at(2));
+    let text = serde_json::to_string(&told).expect("JSON");
+    let told: Difference = serde_json::from_str(&text).expect("a difference");
+    assert!(!text.contains("\"text\":\"2\"") && text.contains("\"text\":\"7\""));
+    let all = told.applied(Part::Targets, &old);
+    let names: Vec<&str> = all.iter().map(|(name, _, _)| &**name).collect();
+    assert_eq!(names, ["t-2", "t-3"]);
+    assert_eq!(told.applied(Part::Declared, &old).len(), 1);
+    assert_eq!(since(Some("3-0-2")), at(2));
+    assert_eq!(since(Some("x")), Revisions::default());
+}
+
+/// A stamp of a later version says more only where it says something else: a listing tells the
+/// version of the whole store, which rises with objects of other kinds.
+#[test]
+fn a_later_version_of_the_same_is_not_ahead() {
+    let stamp = |revision, targets, declared| Stamp {
+        declared,
+        evacuations: 0,
+        targets,
+        revisions: Revisions { declared: 1, evacuations: 1, targets: revision },
+    };
+    assert!(stamp(9, 1, 1).parts_ahead_of(&stamp(5, 1, 1)).is_empty());
+    assert_eq!(stamp(9, 1, 1).parts_ahead_of(&stamp(5, 2, 1)), [Part::Targets]);
+    assert!(stamp(5, 2, 1).parts_ahead_of(&stamp(9, 1, 1)).is_empty());
+    assert_eq!(stamp(1, 1, 4).parts_ahead_of(&stamp(9, 1, 3)), [Part::Declared]);
+}
--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -35,7 +35,7 @@
     /// Writes since what was told before.
     Changed(Vec<Change>),
     /// Everything there is, in place of what was told before.
-    Listed(Vec<Entry>),
+    Listed(Listing),
     /// The platform did not answer; what was told before stands, and may be out of date.
     Lost(PlatformError),
 }
@@ -178,7 +178,7 @@
             Step::List => match platform.list(&prefix).await {
                 Ok(listing) => {
                     state.listed(&listing, clock.now());
-                    Some(Followed::Listed(listing.entries))
+                    Some(Followed::Listed(listing))
                 }
                 Err(err) => Some(lost(&mut state, err)),
             },
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -107,7 +107,7 @@
         put("p/2").await.unwrap();
         let is_told = |told: &Followed| match told {
             Followed::Changed(changes) => changes.iter().any(|change| &*change.key == "p/2"),
-            Followed::Listed(entries) => entries.iter().any(|entry| &*entry.key == "p/2"),
+            Followed::Listed(listing) => listing.entries.iter().any(|entry| &*entry.key == "p/2"),
             Followed::Lost(_) => false,
         };
         let told = tokio::time::timeout(15 * SECOND, async {
--- a/tests/acceptance_lag.rs
+++ b/tests/acceptance_lag.rs
@@ -24,7 +24,7 @@
         parse_blocks, sign_split,
     },
     standin::platform::{Door, Faults, Outage, PlatformStandin},
-    store::{Expect, Followed, Follower, Platform, new_operation},
+    store::{Expect, FollowPace, Followed, Follower, Platform, new_operation},
 };
 use tokio::{sync::mpsc, task::JoinHandle, time::Instant};
 
@@ -105,8 +105,8 @@
             Followed::Changed(changes) => {
                 changes.into_iter().filter_map(|it| Some((it.key, it.object?))).collect()
             }
-            Followed::Listed(entries) => {
-                entries.into_iter().map(|it| (it.key, it.object)).collect()
+            Followed::Listed(listing) => {
+                listing.entries.into_iter().map(|it| (it.key, it.object)).collect()
             }
             Followed::Lost(_) => continue,
         };
