Let changes settle before the next watch

Cause: changes come several at once, and each watch that they wake is a call. Change: a pause of 150 ms after a change.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -46,8 +46,11 @@
 
 /// How often the store is asked. Hosts tell each other when one of them has seen more, so nothing
 /// has to be compared; the wait bounds how long a watch on a silent connection is believed.
-const PACE: FollowPace =
-    FollowPace { compare_every: Duration::from_secs(86_400), wait: Duration::from_secs(3) };
+const PACE: FollowPace = FollowPace {
+    compare_every: Duration::from_secs(86_400),
+    settle: Duration::from_millis(150),
+    wait: Duration::from_secs(3),
+};
 
 /// Pause before the own record is written again after a failure.
 const ENROL_PAUSE: Duration = Duration::from_secs(2);
--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -15,6 +15,8 @@
 pub struct FollowPace {
     /// Time between two comparisons of all versions.
     pub compare_every: Duration,
+    /// Pause after a change: changes often come several at once, and each watch is a call.
+    pub settle: Duration,
     /// Longest time that one watch waits.
     pub wait: Duration,
 }
@@ -22,8 +24,11 @@
 impl FollowPace {
     /// Where nothing else tells that a watch misses writes. With the longest wait of a watch that
     /// stays silent (`wait` and the client's grace) a missed write goes unnoticed for 12 s at most.
-    pub const ALONE: Self =
-        Self { compare_every: Duration::from_secs(6), wait: Duration::from_secs(4) };
+    pub const ALONE: Self = Self {
+        compare_every: Duration::from_secs(6),
+        settle: Duration::ZERO,
+        wait: Duration::from_secs(4),
+    };
 }
 
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
@@ -194,11 +199,14 @@
                 Err(err) => Some(lost(&mut state, err)),
             },
         };
-        if let Some(told) = told
-            && tx.send(told).await.is_err()
-        {
+        let Some(told) = told else { continue };
+        let changed = matches!(told, Followed::Changed(_));
+        if tx.send(told).await.is_err() {
             return;
         }
+        if changed && !pace.settle.is_zero() {
+            tokio::time::sleep(pace.settle).await;
+        }
     }
 }
 
