--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -8,6 +8,6 @@
 
 pub use self::{
     queue::{Full, Queue},
-    retry_budget::RetryBudget,
+    retry_budget::{Allowance, RetryBudget},
     slots::{OwnedTarget, SlotId, Slots},
 };
--- a/src/admission/retry_budget.rs
+++ b/src/admission/retry_budget.rs
@@ -5,18 +5,33 @@
 /// Length of the sliding window, in buckets of one second.
 const BUCKETS: usize = 10;
 /// Retries that a window allows on top of the share, so that a quiet service can retry at all.
-const FLOOR: u32 = 3;
+const FLOOR: f64 = 3.0;
 /// Part of the budget that hedges may use up: failures must still find some.
 const HEDGE_PART: f64 = 0.5;
 /// Retries as a share of first attempts.
 const SHARE: f64 = 0.1;
 
-/// Allows retries up to a tenth of the first attempts of the last ten seconds.
+/// What a budget allows.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    /// Retries that a window allows on top of the share.
+    pub floor: f64,
+    /// Retries as a share of first attempts.
+    pub share: f64,
+}
+
+impl Allowance {
+    /// A tenth of the first attempts, and three.
+    pub const USUAL: Self = Self { floor: FLOOR, share: SHARE };
+}
+
+/// Allows retries up to a share of the first attempts of the last ten seconds.
 ///
 /// Without it an outage multiplies its own load: each failure sends another request, the targets
 /// that are left get twice the traffic and fail too.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RetryBudget {
+    allowance: Allowance,
     buckets: [Bucket; BUCKETS],
     unlimited: bool,
 }
@@ -28,7 +43,18 @@
     second: u64,
 }
 
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self { allowance: Allowance::USUAL, buckets: Default::default(), unlimited: false }
+    }
+}
+
 impl RetryBudget {
+    /// From now on allows that much.
+    pub fn allow(&mut self, allowance: Allowance) {
+        self.allowance = allowance;
+    }
+
     /// An empty window.
     pub fn new() -> Self {
         Self::default()
@@ -57,7 +83,8 @@
 
     fn take_of(&mut self, part: f64, now: Moment) -> bool {
         let (first, retries) = self.sums(now);
-        let allowed = (f64::from(first) * SHARE + f64::from(FLOOR)) * part;
+        let Allowance { floor, share } = self.allowance;
+        let allowed = (f64::from(first) * share + floor) * part;
         if !self.unlimited && allowed < f64::from(retries + 1) {
             return false;
         }
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -19,6 +19,9 @@
     /// Run this member alone.
     #[arg(long)]
     member: Option<String>,
+    /// Play a short day on the users' platform instead: entry hosts, store and targets.
+    #[arg(long, conflicts_with_all = ["member", "record", "scenario"])]
+    platform: bool,
     /// Record the decisions of the first member's hosts here, for `replay`.
     #[arg(long, value_name = "FILE")]
     record: Option<PathBuf>,
@@ -35,6 +38,9 @@
 
 /// Runs the demo; a broken promise is a failure.
 pub fn run(args: Args) -> Result {
+    if args.platform {
+        return play(&args);
+    }
     let scenario = match args.scenario.as_deref().map(load).transpose() {
         Ok(scenario) => scenario.unwrap_or_default(),
         Err(problem) => {
@@ -65,6 +71,20 @@
     Ok(if report.holds() { Exit::Done } else { Exit::Failed })
 }
 
+fn play(args: &Args) -> Result {
+    eprintln!("running for {} s and the time to start ...", args.seconds);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let day = crate::platform::standin::play(Duration::from_secs(args.seconds), args.seed);
+    let report = runtime.block_on(tokio::task::LocalSet::new().run_until(day))?;
+    let mut out = std::io::stdout().lock();
+    if args.json {
+        writeln!(out, "{}", serde_json::to_string_pretty(&report)?)?;
+    } else {
+        write!(out, "{report}")?;
+    }
+    Ok(if report.holds() { Exit::Done } else { Exit::Failed })
+}
+
 fn open_record(path: &std::path::Path) -> eyre::Result<SteerRecorder> {
     let file = std::io::BufWriter::new(std::fs::File::create(path)?);
     Ok(SteerRecorder::open(Box::new(file), "demo")?)
--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -7,14 +7,17 @@
 };
 
 use super::{
-    ColdRates, Condition, Dialect, Ended, EntrySettings, KnownTarget, Poison, Pool, RegionLoad,
-    Route, Shares, View, ViewCell,
+    Bounds, ColdRates, Condition, Dialect, Ended, EntrySettings, KnownTarget, Poison, Pool,
+    RegionLoad, Route, Shares, View, ViewCell,
     cold::is_sender,
     place::{Ask, Candidate, Choice, ObjectHash, choose},
     upstream::connect,
     view::service_tag,
 };
-use crate::{admission::RetryBudget, prelude::*};
+use crate::{
+    admission::{Allowance, RetryBudget},
+    prelude::*,
+};
 
 /// Usual time of an answer before any was measured. Too short an assumption spreads the first
 /// requests over targets that do not know their objects: mean worth 0.594 with 150 ms, 0.612 with
@@ -152,9 +155,12 @@
     }
 
     /// Takes one further attempt out of a service's budget.
-    pub fn take_retry(&self, service: &ServiceId) -> bool {
+    pub fn take_retry(&self, view: &View, service: &ServiceId) -> bool {
         let now = self.clock.now();
-        self.services.borrow_mut().entry(service.clone()).or_default().budget.take(now)
+        let mut services = self.services.borrow_mut();
+        let desk = services.entry(service.clone()).or_default();
+        desk.budget.allow(allowance(&self.settings.bounds, view.hosts.len()));
+        desk.budget.take(now)
     }
 
     /// Usual time of an answer.
@@ -369,6 +375,19 @@
 /// late answer is worth more to a caller than a refusal, until it makes those behind it late too.
 const PATIENCE: f64 = 2.5;
 
+/// Part of the allowed retries that hosts use: their windows and the judge's begin at different
+/// moments.
+const RETRY_PART: f64 = 0.6;
+
+/// A host's part of the retries that all hosts may make together: of the share, since shares add
+/// up; of the slack, what is left of it for each host.
+pub fn allowance(bounds: &Bounds, hosts: usize) -> Allowance {
+    Allowance {
+        floor: bounds.retry_slack * RETRY_PART / hosts.max(1) as f64,
+        share: bounds.retry_ratio * RETRY_PART,
+    }
+}
+
 /// What the control side tells other hosts.
 #[derive(Clone, Debug, Default)]
 pub struct Report {
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -19,8 +19,9 @@
 };
 use crate::{base::Ran, prelude::*};
 
-/// Time kept for the way back, so that the caller has its answer when its time is over.
-const ANSWER_MARGIN: Duration = Duration::from_millis(10);
+/// Time kept for the ways there and back, 8 ms each, and for timers that fire late: the caller has
+/// its answer when its time is over.
+const ANSWER_MARGIN: Duration = Duration::from_millis(40);
 
 /// A second target is asked when the first takes this many times the usual time.
 const HEDGE_AFTER: f64 = 4.0;
@@ -174,7 +175,7 @@
             tally.why.get_or_insert(why);
             return None;
         };
-        if 0 < tally.sent && !self.desk.take_retry(&self.load.service) {
+        if 0 < tally.sent && !self.desk.take_retry(&view, &self.load.service) {
             return None;
         }
         tally.sent += 1;
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -6,7 +6,7 @@
 mod shares;
 mod targets;
 
-use super::{KnownTarget, TargetEntry, target::tag};
+use super::{Bounds, KnownTarget, TargetEntry, target::tag};
 use crate::prelude::*;
 
 /// A ready target with three slots.
@@ -33,3 +33,14 @@
 fn secs(secs: f64) -> Duration {
     Duration::from_secs_f64(secs)
 }
+
+fn bounds() -> Bounds {
+    Bounds {
+        drain: secs(2.5),
+        grace: secs(6.0),
+        lookup_ttl: secs(5.0),
+        max_shift: 0.15,
+        retry_ratio: 0.2,
+        retry_slack: 60.0,
+    }
+}
--- a/src/entry/tests/targets.rs
+++ b/src/entry/tests/targets.rs
@@ -2,7 +2,8 @@
 
 use super::{known, secs};
 use crate::{
-    entry::{ColdRates, Condition, Ended, LiveHost, Poison, cold::is_sender},
+    admission::RetryBudget,
+    entry::{ColdRates, Condition, Ended, LiveHost, Poison, cold::is_sender, desk::allowance},
     prelude::*,
 };
 
@@ -123,3 +124,29 @@
     }
     assert_eq!(poison.marks().len(), 512);
 }
+
+/// Load pattern: every request fails, at every host. Retries of all hosts together stay below the
+/// declared share and slack in any window, whatever these are.
+#[test]
+fn hosts_together_keep_the_retry_budget() {
+    for (retry_ratio, retry_slack) in [(0.2, 60.0), (0.05, 10.0), (0.5, 0.0)] {
+        let mut bounds = crate::entry::tests::bounds();
+        bounds.retry_ratio = retry_ratio;
+        bounds.retry_slack = retry_slack;
+        let mut budgets: Vec<RetryBudget> = (0..12).map(|_| RetryBudget::new()).collect();
+        let mut firsts = 0;
+        let mut retries = 0;
+        for tick in 0..1000 {
+            let now = secs(f64::from(tick) / 100.0);
+            for budget in &mut budgets {
+                budget.allow(allowance(&bounds, 12));
+                budget.noted(now);
+                firsts += 1;
+                retries += u32::from(budget.take(now));
+            }
+        }
+        let most = f64::from(firsts) * retry_ratio + retry_slack;
+        assert!(f64::from(retries) <= most, "{retries} of {most}");
+        assert!(most * 0.4 < f64::from(retries), "{retries} of {most}");
+    }
+}
--- a/src/platform/standin/target.rs
+++ b/src/platform/standin/target.rs
@@ -59,6 +59,8 @@
     /// Id of the target that was meant.
     pub meant: String,
     pub path: String,
+    /// It began to work on it.
+    pub ran: bool,
     /// Milliseconds that the caller still waits.
     pub time_left: Option<u64>,
 }
@@ -221,6 +223,7 @@
         meant: text("lavenderplank-expected-instance").unwrap_or_default(),
         method: req.method.unwrap_or_default().to_owned(),
         path: req.path.unwrap_or_default().to_owned(),
+        ran: false,
         time_left: text("lavenderplank-time-remaining").and_then(|left| left.parse().ok()),
     };
     buf.advance(head);
@@ -229,9 +232,15 @@
 }
 
 /// Answers one request; false when the connection is over.
-async fn answer(stream: &mut TcpStream, id: &str, seen: Seen, shared: &Shared) -> io::Result<bool> {
+async fn answer(
+    stream: &mut TcpStream,
+    id: &str,
+    mut seen: Seen,
+    shared: &Shared,
+) -> io::Result<bool> {
     let conduct = locked(&shared.conducts).pop_front().unwrap_or_default();
     let attempt = seen.attempt.clone();
+    seen.ran = !matches!(conduct, Conduct::Shed | Conduct::Stranger);
     locked(&shared.seen).push(seen);
     let work = *locked(&shared.work);
     let work = if conduct == Conduct::Hang { Duration::MAX } else { work };
