List at once on a start, watch later

Change: it lists at once; the first watch follows 0.6 s after the listing, when it has heard who watches.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -46,7 +46,11 @@
 
 /// How often the store is asked. Hosts tell each other when one of them has seen more, so nothing
 /// has to be compared; the wait bounds how long a watch on a silent connection is believed.
+///
+/// A new host lists at once, so that it can serve, but watches only when it has had time to hear of
+/// others that do: beats come every 100 ms, a new host's greetings every 200 ms.
 const PACE: FollowPace = FollowPace {
+    after_list: Duration::from_millis(600),
     compare_every: Duration::from_secs(86_400),
     settle: Duration::from_millis(150),
     wait: Duration::from_secs(3),
--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -141,6 +141,18 @@
     assert!(!decide(5.1));
 }
 
+/// All hosts start at once, and each lists to be able to serve. As soon as they hear each other
+/// only the chosen go on, before the others' first watch.
+#[test]
+fn a_new_host_stops_at_once_when_it_hears_enough_others() {
+    let mut watching = Watching::new(secs(1.0));
+    let (host, region) = ("z".into(), "north".into());
+    assert!(watching.decide(&host, &region, std::iter::empty(), secs(1.0)));
+    let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    let peers: Vec<Peer> = names.iter().map(|name| peer(name, "north", true)).collect();
+    assert!(!watching.decide(&host, &region, peers.iter(), secs(1.4)));
+}
+
 /// A watcher whose store does not answer says so, and may be chosen again later.
 #[test]
 fn a_host_without_the_store_says_so() {
--- a/src/entry/watchers.rs
+++ b/src/entry/watchers.rs
@@ -17,9 +17,8 @@
 /// right after a start.
 const LINGER: Duration = Duration::from_secs(3);
 
-/// Time after a start in which a host only listens: all that start at once would watch and list
-/// until they have heard each other. Beats come every 100 ms, greetings every 200 ms.
-const LISTEN: Duration = Duration::from_millis(700);
+/// Time after a start in which it does not go on: all that start at once would watch.
+const NEW: Duration = Duration::from_millis(1_500);
 
 /// Time after which a host that did not reach the store may be chosen again.
 const UNREACHED: Duration = Duration::from_secs(8);
@@ -47,9 +46,6 @@
         peers: impl Iterator<Item = &'a Peer>,
         now: Moment,
     ) -> bool {
-        if now.saturating_sub(self.started) < LISTEN {
-            return false;
-        }
         let weight = |host: &HostId| (xxh3_64(host.as_bytes()), host.clone());
         let own = weight(host);
         let before = peers.filter(|peer| {
@@ -61,7 +57,8 @@
             self.spare_since = None;
         } else if self.is_on {
             let since = *self.spare_since.get_or_insert(now);
-            self.is_on = now.saturating_sub(since) < LINGER;
+            let is_new = now.saturating_sub(self.started) < NEW;
+            self.is_on = !is_new && now.saturating_sub(since) < LINGER;
         }
         self.is_on
     }
--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -13,6 +13,8 @@
 /// How often a follower asks.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct FollowPace {
+    /// Pause between a listing and the first watch after it; what changes meanwhile is told by that.
+    pub after_list: Duration,
     /// Time between two comparisons of all versions.
     pub compare_every: Duration,
     /// Pause after a change: changes often come several at once, and each watch is a call.
@@ -25,6 +27,7 @@
     /// Where nothing else tells that a watch misses writes. With the longest wait of a watch that
     /// stays silent (`wait` and the client's grace) a missed write goes unnoticed for 12 s at most.
     pub const ALONE: Self = Self {
+        after_list: Duration::ZERO,
         compare_every: Duration::from_secs(6),
         settle: Duration::ZERO,
         wait: Duration::from_secs(4),
@@ -200,12 +203,16 @@
             },
         };
         let Some(told) = told else { continue };
-        let changed = matches!(told, Followed::Changed(_));
+        let pause = match told {
+            Followed::Changed(_) => pace.settle,
+            Followed::Listed(_) => pace.after_list,
+            Followed::Lost(_) => Duration::ZERO,
+        };
         if tx.send(told).await.is_err() {
             return;
         }
-        if changed && !pace.settle.is_zero() {
-            tokio::time::sleep(pace.settle).await;
+        if !pause.is_zero() {
+            tokio::time::sleep(pause).await;
         }
     }
 }
