--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -6,6 +6,7 @@
 
 use super::{Exit, Result, output};
 use crate::{
+    entry::EntrySettings,
     manifest::Manifest,
     prelude::*,
     settings::Settings,
@@ -24,9 +25,11 @@
     json: bool,
 }
 
-/// The fields that only a manifest has.
+/// The fields that tell the kinds of files from each other.
 #[derive(Deserialize)]
 struct Kind {
+    /// Only an entry host's settings have it.
+    listen: Option<IgnoredAny>,
     regions: Option<IgnoredAny>,
     sequence: Option<IgnoredAny>,
     services: Option<IgnoredAny>,
@@ -55,6 +58,11 @@
 fn check(path: &Path) -> std::result::Result<String, Vec<Problem>> {
     let file = path.display().to_string();
     let text = yaml::read_file(path, MAX_FILE).map_err(|problem| vec![problem])?;
+    if serde_norway::from_str::<Kind>(&text).is_ok_and(|kind| kind.listen.is_some()) {
+        let settings: EntrySettings =
+            yaml::decode(&text, &file).map_err(|problem| vec![problem])?;
+        return Ok(format!("{file}: settings of entry host {}", settings.host));
+    }
     let is_manifest = serde_norway::from_str::<Kind>(&text).is_ok_and(|kind| {
         kind.regions.is_some() || kind.sequence.is_some() || kind.services.is_some()
     });
--- /dev/null
+++ b/tests/deploy.rs
@@ -0,0 +1,69 @@
+//! The files with which the users' platform starts hosts.
+
+use lavenderplank::entry::EntrySettings;
+use serde_json::{Value, json};
+
+/// What the platform fills in.
+fn fields() -> Value {
+    json!({
+        "nodeName": "edge-ktm-a-1", "ip": "10.1.0.34", "zone": "ktm-a", "region": "bagmati",
+        "zones": { "ktm-a": "bagmati", "pkr-a": "gandaki" },
+        "seeds": ["10.1.0.34:8544", "10.2.0.34:8544"],
+        "listen": {
+            "frontend": "10.1.0.34:8548", "ready": "10.1.0.34:8542",
+            "control": "10.1.0.34:8544", "directory": "10.1.0.34:8546",
+        },
+        "internalPortRange": [7540, 7555],
+        "provider": { "address": "10.200.1.7:8541" },
+        "bounds": {
+            "drain": "2500ms", "grace": "6s", "ttl_max": "5s", "maxShift": 0.15,
+            "budgetRatio": 0.2, "budgetSlack": 64.0,
+        },
+    })
+}
+
+fn render(template: &str) -> String {
+    let mut out = String::new();
+    let mut rest = template;
+    while let Some((before, after)) = rest.split_once("{{") {
+        let (name, after) = after.split_once("}}").expect("a placeholder ends");
+        let (name, as_json) = match name.strip_suffix("|json") {
+            Some(name) => (name, true),
+            None => (name, false),
+        };
+        let pointer = format!("/{}", name.replace('.', "/"));
+        let fields = fields();
+        let value = fields.pointer(&pointer).unwrap_or_else(|| panic!("no field {name}"));
+        out.push_str(before);
+        match value {
+            Value::String(text) if !as_json => out.push_str(text),
+            other => out.push_str(&other.to_string()),
+        }
+        rest = after;
+    }
+    out + rest
+}
+
+/// The platform fills the template in; the result must be settings that a host accepts. Otherwise
+/// no host starts.
+#[test]
+fn the_filled_template_is_read() {
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    let template = std::fs::read_to_string(root.join("deploy/host.yaml.in")).expect("the template");
+    let path = std::env::temp_dir().join(format!("lavenderplank-host-{}.yaml", std::process::id()));
+    std::fs::write(&path, render(&template)).expect("a file");
+    let settings = EntrySettings::load(&path);
+    std::fs::remove_file(&path).expect("the file is there");
+    let settings = settings.expect("settings");
+    assert_eq!(&*settings.host, "edge-ktm-a-1");
+    assert_eq!(settings.listen.gossip, "10.1.0.34:7540".parse().expect("an address"));
+    assert_eq!(&*settings.region_of(&"pkr-a".into()), "gandaki");
+    assert_eq!(settings.seeds.len(), 2);
+    assert_eq!(settings.bounds.drain.as_millis(), 2500);
+}
+
+#[test]
+fn the_example_is_read() {
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    EntrySettings::load(&root.join("examples/entry/host.yaml")).expect("settings");
+}
