--- a/src/entry/beliefs.rs
+++ b/src/entry/beliefs.rs
@@ -151,20 +151,15 @@
     /// One target's entry was written.
     pub fn write(&mut self, entry: TargetEntry, region: RegionId, now: Moment) -> bool {
         self.lapsed.remove(&entry.id);
-        let known = KnownTarget {
-            cold_until: now + entry.cold,
-            region,
-            tag: target::tag(&entry),
-            entry: entry.clone(),
-        };
-        match self.targets.entry(entry.id.clone()) {
-            btree_map::Entry::Occupied(mut slot) if same(slot.get(), &known) => {
-                slot.get_mut().cold_until = known.cold_until;
-                false
-            }
+        let known =
+            KnownTarget { cold_until: now + entry.cold, region, tag: target::tag(&entry), entry };
+        match self.targets.entry(known.entry.id.clone()) {
+            // Read again, as with each listing: what is cold stays so from the first reading on.
+            btree_map::Entry::Occupied(slot) if slot.get().entry == known.entry => false,
             btree_map::Entry::Occupied(mut slot) => {
+                let matters = differs(&slot.get().entry, &known.entry);
                 slot.insert(known);
-                true
+                matters
             }
             btree_map::Entry::Vacant(slot) => {
                 slot.insert(known);
@@ -230,8 +225,7 @@
     }
 }
 
-/// Whether two entries of one target differ in nothing but the time that it stays cold.
-fn same(old: &KnownTarget, new: &KnownTarget) -> bool {
-    let entry = |known: &KnownTarget| TargetEntry { cold: Duration::ZERO, ..known.entry.clone() };
-    entry(old) == entry(new) && (old.cold_until == new.cold_until || new.entry.cold.is_zero())
+/// Whether two entries of one target differ in more than the time that it stays cold.
+fn differs(old: &TargetEntry, new: &TargetEntry) -> bool {
+    *old != TargetEntry { cold: old.cold, ..new.clone() }
 }
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -19,9 +19,9 @@
 };
 use crate::{base::Ran, prelude::*};
 
-/// Time kept for the ways there and back, 8 ms each, and for timers that fire late: the caller has
-/// its answer when its time is over.
-const ANSWER_MARGIN: Duration = Duration::from_millis(40);
+/// Time kept for the ways there and back, 8 ms each, for a new connection and for timers that fire
+/// late: the caller has its answer when its time is over.
+const ANSWER_MARGIN: Duration = Duration::from_millis(60);
 
 /// A second target is asked when the first takes this many times the usual time.
 const HEDGE_AFTER: f64 = 4.0;
--- a/src/entry/tests/beliefs.rs
+++ b/src/entry/tests/beliefs.rs
@@ -115,3 +115,18 @@
     assert!(beliefs.write(again, region(), secs(2.0)));
     assert_ne!(tag(&beliefs), before);
 }
+
+/// A cold target's entry is read again with every listing. Its cold time runs from when it was
+/// first read: counted anew each time, a target would stay cold as long as others come and go.
+#[test]
+fn an_entry_that_is_read_again_stays_cold_no_longer() {
+    let mut beliefs = Beliefs::default();
+    let cold = crate::entry::TargetEntry { cold: secs(3.0), ..entry("t-1", "north-a") };
+    let is_cold = |beliefs: &Beliefs, now| beliefs.usable().any(|known| known.is_cold(now));
+    beliefs.list(vec![(cold.clone(), region())], secs(1.0));
+    assert!(!beliefs.list(vec![(cold.clone(), region())], secs(3.0)));
+    assert!(is_cold(&beliefs, secs(3.9)) && !is_cold(&beliefs, secs(4.0)));
+    let colder = crate::entry::TargetEntry { cold: secs(2.0), ..cold };
+    assert!(!beliefs.list(vec![(colder, region())], secs(5.0)));
+    assert!(is_cold(&beliefs, secs(6.9)) && !is_cold(&beliefs, secs(7.0)));
+}
