--- a/src/entry/declared.rs
+++ b/src/entry/declared.rs
@@ -23,6 +23,8 @@
 pub struct Route {
     /// Most targets that one request may be sent to.
     pub attempts: u32,
+    /// Host name and prefix: unlike the prefix alone, no other route has it.
+    pub key: Arc<str>,
     /// Begins and ends with a slash.
     pub prefix: Arc<str>,
     /// Time within which an answer is worth most.
--- a/src/entry/desk.rs
+++ b/src/entry/desk.rs
@@ -134,7 +134,7 @@
         }
         let total: f64 = route.split.iter().map(|(_, weight)| weight).sum();
         let mut splits = self.splits.borrow_mut();
-        let credit = splits.entry(route.prefix.clone()).or_default();
+        let credit = splits.entry(route.key.clone()).or_default();
         credit.resize(route.split.len(), 0.0);
         for (credit, (_, weight)) in credit.iter_mut().zip(&route.split) {
             *credit += weight / total.max(f64::MIN_POSITIVE);
--- a/src/entry/tests/targets.rs
+++ b/src/entry/tests/targets.rs
@@ -3,7 +3,12 @@
 use super::{known, secs};
 use crate::{
     admission::RetryBudget,
-    entry::{ColdRates, Condition, Ended, LiveHost, Poison, cold::is_sender, desk::allowance},
+    base::ManualClock,
+    entry::{
+        ColdRates, Condition, Desk, Ended, LiveHost, Poison, Repeat, Route, cold::is_sender,
+        desk::allowance,
+    },
+    platform::{Spelling, standin::loopback_settings},
     prelude::*,
 };
 
@@ -150,3 +155,32 @@
         assert!(most * 0.4 < f64::from(retries), "{retries} of {most}");
     }
 }
+
+/// Two hosts' routes have one prefix and different splits. Each route's parts get their weights, to
+/// within one request, however the requests are mixed.
+#[test]
+fn parts_of_a_split_get_their_weights() {
+    let clock = Arc::new(ManualClock::default());
+    let settings = loopback_settings("h", "z", "r", &[("z", "r")], "127.0.0.1:1".parse().unwrap());
+    let view = Arc::new(arc_swap::ArcSwapOption::empty());
+    let desk = Desk::open(Arc::new(settings), clock, Arc::new(Spelling), view);
+    let route = |host: &str, weights: [f64; 2]| Route {
+        attempts: 1,
+        key: format!("{host}/a/").into(),
+        objective: secs(1.0),
+        prefix: "/a/".into(),
+        priority: 0,
+        regions: Vec::new(),
+        repeat: Repeat::Idempotent,
+        split: vec![("s".into(), weights[0]), ("t".into(), weights[1])],
+        sticky: true,
+        timeout: secs(1.0),
+    };
+    let (even, skew) = (route("x", [50.0, 50.0]), route("y", [90.0, 10.0]));
+    let mut counts = [0, 0];
+    for _ in 0..200 {
+        counts[0] += usize::from(desk.service(&even).as_deref() == Some("s"));
+        counts[1] += usize::from(desk.service(&skew).as_deref() == Some("s"));
+    }
+    assert!(counts[0].abs_diff(100) <= 1 && counts[1].abs_diff(180) <= 1, "{counts:?}");
+}
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -116,8 +116,9 @@
         .map_err(|_| Unreadable(format!("`{}` is no version", config.version).into()))?;
     let mut hosts: BTreeMap<Arc<str>, Vec<Arc<Route>>> = BTreeMap::new();
     for listener in config.listeners {
+        let name = listener.hostname.clone();
         let routes = hosts.entry(listener.hostname).or_default();
-        routes.extend(listener.rules.into_iter().map(|rule| Arc::new(route(rule))));
+        routes.extend(listener.rules.into_iter().map(|rule| Arc::new(route(&name, rule))));
         routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
     }
     let rules = |cluster: Cluster| {
@@ -134,7 +135,7 @@
     })
 }
 
-fn route(rule: Rule) -> Route {
+fn route(host: &str, rule: Rule) -> Route {
     let action = rule.action;
     let split = match action.service {
         Some(service) => vec![(service, 1.0)],
@@ -143,6 +144,7 @@
     let idempotent = matches!(rule.kind.as_str(), "safe" | "download");
     Route {
         attempts: action.max_attempts,
+        key: format!("{host}{}", rule.matches.path_prefix).into(),
         objective: rule.target_latency,
         prefix: rule.matches.path_prefix,
         priority: rule.priority,
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -98,6 +98,7 @@
     assert_eq!((short.repeat, short.attempts, short.sticky), (Repeat::Idempotent, 2, true));
     assert_eq!(short.regions, ["north".into()]);
     assert_eq!(short.split.len(), 2);
+    assert_eq!(&*short.key, "a.example/a/");
     assert!(declared.route("a.example", "/other").is_none());
     assert!(declared.route("b.example", "/a/").is_none());
     assert_eq!(declared.services["s"].cold_rate, 6.4);
