--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -11,7 +11,7 @@
     base::BootClock,
     cmd::{Exit, Result},
     entry::{EntryHost, EntryParts, EntrySettings},
-    platform::{ObjectStore, SETTINGS_VARIABLE, Spelling},
+    platform::{ObjectStore, PlatformProtocol, SETTINGS_VARIABLE},
     prelude::*,
 };
 
@@ -42,9 +42,9 @@
     let mut int = signal(SignalKind::interrupt())?;
     let mut hup = signal(SignalKind::hangup())?;
     let store = Arc::new(ObjectStore::open(settings.store)?);
-    let (clock, dialect) = (Arc::new(BootClock), Arc::new(Spelling));
+    let (clock, protocol) = (Arc::new(BootClock), Arc::new(PlatformProtocol));
     log::info!("starting {} in {}", settings.host, settings.zone);
-    let host = EntryHost::spawn(EntryParts { clock, dialect, settings, store }).await?;
+    let host = EntryHost::spawn(EntryParts { clock, protocol, settings, store }).await?;
     loop {
         tokio::select! {
             _ = term.recv() => break,
--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -12,7 +12,9 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 
-use super::{CallerNote, Desk, Ended, KnownTarget, desk::Running, upstream::Line};
+use super::{
+    CallerNote, Ended, KnownTarget, TrafficState, traffic_state::InFlight, upstream::Line,
+};
 use crate::{base::Ran, prelude::*};
 
 /// An answer with either kind of body.
@@ -64,10 +66,10 @@
 
 /// What is done when a body ends.
 pub struct RelayEnd {
-    pub desk: Rc<Desk>,
+    pub state: Rc<TrafficState>,
     pub keep: Option<Duration>,
     pub line: Line,
-    pub running: Running,
+    pub running: InFlight,
     pub service: ServiceId,
     pub target: Arc<KnownTarget>,
 }
@@ -80,7 +82,7 @@
             Some(Err(error)) => {
                 log::warn!("a target's answer broke off: {error}");
                 if let Some(end) = self.ended.take() {
-                    end.desk.ended(&end.target, &end.service, Ended::Failed);
+                    end.state.ended(&end.target, &end.service, Ended::Failed);
                 }
             }
             _ => {
@@ -96,15 +98,20 @@
 impl RelayEnd {
     /// The answer was whole: its connection serves again.
     pub fn finish(self) {
-        let now = self.desk.clock.now();
-        self.desk.pool.borrow_mut().put(&self.target, self.line, self.keep, now);
+        let now = self.state.clock.now();
+        self.state.pool.borrow_mut().put(&self.target, self.line, self.keep, now);
         drop(self.running);
     }
 }
 
 /// The host's own answer. Its status says whether the request has run: 503 promises that it has not
 /// and never will; 502 and 504 promise nothing.
-pub fn own(desk: &Desk, note: &CallerNote, kind: ErrorKind, come_back: Option<Duration>) -> Answer {
+pub fn own(
+    state: &TrafficState,
+    note: &CallerNote,
+    kind: ErrorKind,
+    come_back: Option<Duration>,
+) -> Answer {
     let row = kind.row();
     let status = match kind {
         ErrorKind::ServiceUnknown | ErrorKind::BodyTooLarge | ErrorKind::BadRequest => row.status,
@@ -115,7 +122,7 @@
     let mut answer = Response::new(AnswerBody::Whole(Full::new(body)));
     *answer.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     let headers = answer.headers_mut();
-    desk.dialect.mark_own(headers, note);
+    state.protocol.mark_own(headers, note);
     if let Some(span) = come_back
         && status == StatusCode::SERVICE_UNAVAILABLE.as_u16()
         && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", span.as_secs_f64()))
--- a/src/entry/flight.rs
+++ b/src/entry/attempt.rs
@@ -8,9 +8,9 @@
 use hyper::body::Incoming;
 
 use super::{
-    CallerNote, Desk, Ended, KnownTarget, ReplyNote,
+    CallerNote, Ended, KnownTarget, ReplyNote, TrafficState,
     answer::{Answer, AnswerBody, Relay, RelayEnd, strip},
-    desk::Running,
+    traffic_state::InFlight,
     upstream::{Line, SendError, connect, keep_alive},
 };
 use crate::prelude::*;
@@ -20,7 +20,7 @@
 const WHOLE_BYTES: u64 = 64 * 1024;
 
 /// How an attempt ended.
-pub enum Landing {
+pub enum AttemptOutcome {
     /// The target's answer, whole or on its way.
     Answer(Answer),
     /// The target's own failure, whole; another target may do better.
@@ -32,7 +32,7 @@
 }
 
 /// One request, as each attempt needs it.
-pub struct Load {
+pub struct OutboundRequest {
     pub body: Bytes,
     pub deadline: Moment,
     pub fingerprint: u64,
@@ -42,24 +42,24 @@
 }
 
 /// Sends the request to a target and takes its answer in.
-pub async fn fly(
-    desk: Rc<Desk>,
-    load: Rc<Load>,
+pub async fn send_attempt(
+    state: Rc<TrafficState>,
+    request: Rc<OutboundRequest>,
     target: Arc<KnownTarget>,
-    running: Running,
-) -> Landing {
-    let mut watch = Watch {
-        desk: desk.clone(),
-        load: load.clone(),
+    running: InFlight,
+) -> AttemptOutcome {
+    let mut guard = AttemptGuard {
+        state: state.clone(),
+        request: request.clone(),
         target: target.clone(),
         started: running.started,
         done: false,
     };
-    let mut line = match line(&desk, &target).await {
+    let mut line = match line(&state, &target).await {
         Ok(line) => line,
-        Err(error) => return watch.unsent(&error),
+        Err(error) => return guard.unsent(&error),
     };
-    let mut sent = line.send(order(&desk, &load, &target)).await;
+    let mut sent = line.send(order(&state, &request, &target)).await;
     if let Err(SendError::NotSent(reason)) = &sent
         && line.reused
     {
@@ -67,31 +67,31 @@
         log::debug!("{}: idle connection was closed: {reason}", target.entry.id);
         line = match connect(target.entry.addr).await {
             Ok(line) => line,
-            Err(error) => return watch.unsent(&error),
+            Err(error) => return guard.unsent(&error),
         };
-        sent = line.send(order(&desk, &load, &target)).await;
+        sent = line.send(order(&state, &request, &target)).await;
     }
     let answer = match sent {
         Ok(answer) => answer,
-        Err(SendError::Lost(reason)) => return watch.lost(&reason),
-        Err(error) => return watch.unsent(&error),
+        Err(SendError::Lost(reason)) => return guard.lost(&reason),
+        Err(error) => return guard.unsent(&error),
     };
-    let note = desk.dialect.reply(answer.status(), answer.headers());
+    let note = state.protocol.reply(answer.status(), answer.headers());
     if note.not_run || note.other_target {
-        return watch.refused(&note, answer, line).await;
+        return guard.refused(&note, answer, line).await;
     }
-    let strange = note.attempt != load.note.attempt;
+    let strange = note.attempt != request.note.attempt;
     if strange || (answer.status().is_success() && !note.signed) {
         // An answer to an earlier request, or one that no target gave. Whatever comes on this
         // connection next can't be told from it, so the connection is closed.
-        return watch.lost("the answer is another request's");
+        return guard.lost("the answer is another request's");
     }
-    watch.take(note, answer, line, running).await
+    guard.take(note, answer, line, running).await
 }
 
 /// An idle connection, or a new one.
-async fn line(desk: &Desk, target: &KnownTarget) -> super::upstream::Result<Line> {
-    let idle = desk.pool.borrow_mut().take(target, desk.clock.now());
+async fn line(state: &TrafficState, target: &KnownTarget) -> super::upstream::Result<Line> {
+    let idle = state.pool.borrow_mut().take(target, state.clock.now());
     match idle {
         Some(line) => Ok(line),
         None => connect(target.entry.addr).await,
@@ -99,30 +99,34 @@
 }
 
 /// The request as the target gets it.
-fn order(desk: &Desk, load: &Load, target: &KnownTarget) -> Request<Full<Bytes>> {
-    let mut req = Request::new(Full::new(load.body.clone()));
-    *req.method_mut() = load.head.method.clone();
-    *req.uri_mut() = load.head.uri.clone();
+fn order(
+    state: &TrafficState,
+    request: &OutboundRequest,
+    target: &KnownTarget,
+) -> Request<Full<Bytes>> {
+    let mut req = Request::new(Full::new(request.body.clone()));
+    *req.method_mut() = request.head.method.clone();
+    *req.uri_mut() = request.head.uri.clone();
     let headers = req.headers_mut();
-    *headers = load.head.headers.clone();
+    *headers = request.head.headers.clone();
     strip(headers);
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::EXPECT);
-    let left = load.deadline.saturating_sub(desk.clock.now());
-    desk.dialect.mark(headers, &target.entry.id, left);
+    let left = request.deadline.saturating_sub(state.clock.now());
+    state.protocol.mark(headers, &target.entry.id, left);
     req
 }
 
-/// Tells the desk how the attempt ended, also when it is dropped half way.
-struct Watch {
-    desk: Rc<Desk>,
+/// Tells the state how the attempt ended, also when it is dropped half way.
+struct AttemptGuard {
+    state: Rc<TrafficState>,
     done: bool,
-    load: Rc<Load>,
+    request: Rc<OutboundRequest>,
     started: Moment,
     target: Arc<KnownTarget>,
 }
 
-impl Drop for Watch {
+impl Drop for AttemptGuard {
     fn drop(&mut self) {
         if !self.done {
             let took = self.took();
@@ -131,30 +135,30 @@
     }
 }
 
-impl Watch {
+impl AttemptGuard {
     fn took(&self) -> Duration {
-        self.desk.clock.now().saturating_sub(self.started)
+        self.state.clock.now().saturating_sub(self.started)
     }
 
     fn ended(&mut self, ended: Ended) {
         self.done = true;
-        self.desk.ended(&self.target, &self.load.service, ended);
+        self.state.ended(&self.target, &self.request.service, ended);
     }
 
-    fn unsent(&mut self, error: &SendError) -> Landing {
+    fn unsent(&mut self, error: &SendError) -> AttemptOutcome {
         log::info!("{}: {error}", self.target.entry.id);
         match error {
             SendError::Unreachable(_) => self.ended(Ended::Unreachable),
             _ => self.ended(Ended::Failed),
         }
-        Landing::NotRun(ErrorKind::ConnectFailed)
+        AttemptOutcome::NotRun(ErrorKind::ConnectFailed)
     }
 
-    fn lost(&mut self, reason: &str) -> Landing {
+    fn lost(&mut self, reason: &str) -> AttemptOutcome {
         log::info!("{}: {reason}", self.target.entry.id);
         self.ended(Ended::Failed);
-        self.desk.look_for_crash(&self.target, &self.load.service);
-        Landing::Lost(ErrorKind::DispatchLost)
+        self.state.check_for_crash(&self.target, &self.request.service);
+        AttemptOutcome::Lost(ErrorKind::DispatchLost)
     }
 
     async fn refused(
@@ -162,19 +166,19 @@
         note: &ReplyNote,
         answer: Response<Incoming>,
         line: Line,
-    ) -> Landing {
+    ) -> AttemptOutcome {
         if note.other_target {
             // The address has a new owner: the entry is out of date.
             self.ended(Ended::Unreachable);
-            return Landing::NotRun(ErrorKind::NoTarget);
+            return AttemptOutcome::NotRun(ErrorKind::NoTarget);
         }
         self.ended(Ended::Full);
         let keep = keep_alive(answer.headers());
         if answer.into_body().collect().await.is_ok() {
-            let now = self.desk.clock.now();
-            self.desk.pool.borrow_mut().put(&self.target, line, keep, now);
+            let now = self.state.clock.now();
+            self.state.pool.borrow_mut().put(&self.target, line, keep, now);
         }
-        Landing::NotRun(ErrorKind::Shed)
+        AttemptOutcome::NotRun(ErrorKind::Shed)
     }
 
     async fn take(
@@ -182,8 +186,8 @@
         note: ReplyNote,
         answer: Response<Incoming>,
         line: Line,
-        running: Running,
-    ) -> Landing {
+        running: InFlight,
+    ) -> AttemptOutcome {
         let status = answer.status();
         let (mut head, body) = answer.into_parts();
         let keep = keep_alive(&head.headers);
@@ -193,37 +197,37 @@
             let took = self.took();
             self.ended(Ended::Answered(took));
             let end = RelayEnd {
-                desk: self.desk.clone(),
+                state: self.state.clone(),
                 keep,
                 line,
                 running,
-                service: self.load.service.clone(),
+                service: self.request.service.clone(),
                 target: self.target.clone(),
             };
             let relay = Relay { body, ended: Some(end) };
-            return Landing::Answer(Response::from_parts(head, AnswerBody::Stream(relay)));
+            return AttemptOutcome::Answer(Response::from_parts(head, AnswerBody::Stream(relay)));
         }
         let whole = match body.collect().await {
             Ok(whole) => whole.to_bytes(),
             Err(error) => return self.lost(&format!("the answer broke off: {error}")),
         };
-        let now = self.desk.clock.now();
-        self.desk.pool.borrow_mut().put(&self.target, line, keep, now);
+        let now = self.state.clock.now();
+        self.state.pool.borrow_mut().put(&self.target, line, keep, now);
         let took = self.took();
         let answer = Response::from_parts(head, AnswerBody::Whole(Full::new(whole)));
         if status.is_server_error() {
             self.ended(Ended::Failed);
             return if note.signed {
-                Landing::Poor(answer)
+                AttemptOutcome::Poor(answer)
             } else {
-                Landing::Lost(ErrorKind::AnswerBroken)
+                AttemptOutcome::Lost(ErrorKind::AnswerBroken)
             };
         }
         self.ended(Ended::Answered(took));
-        self.desk.cleared(self.load.fingerprint);
+        self.state.cleared(self.request.fingerprint);
         if status != StatusCode::OK {
             log::debug!("{}: answered {status}", self.target.entry.id);
         }
-        Landing::Answer(answer)
+        AttemptOutcome::Answer(answer)
     }
 }
--- a/src/entry/caller_io.rs
+++ b/src/entry/caller_io.rs
@@ -35,7 +35,7 @@
 ///
 /// Only the connection's own task may wait on it: the socket wakes one task.
 #[derive(Clone)]
-pub struct Presence {
+pub struct Disconnect {
     /// `None` where somebody else notices and ends the task.
     shared: Option<Rc<RefCell<Shared>>>,
 }
@@ -52,7 +52,7 @@
 
 impl CallerIo {
     /// Wraps an accepted connection.
-    pub fn new(stream: TcpStream) -> (Self, Presence) {
+    pub fn new(stream: TcpStream) -> (Self, Disconnect) {
         let shared = Shared {
             ahead: BytesMut::new(),
             ended: false,
@@ -62,11 +62,11 @@
             stream,
         };
         let shared = Rc::new(RefCell::new(shared));
-        (Self { shared: shared.clone() }, Presence { shared: Some(shared) })
+        (Self { shared: shared.clone() }, Disconnect { shared: Some(shared) })
     }
 }
 
-impl Presence {
+impl Disconnect {
     /// For a task that is ended when the caller leaves.
     pub fn assumed() -> Self {
         Self { shared: None }
--- a/src/entry/condition.rs
+++ b/src/entry/condition.rs
@@ -41,7 +41,7 @@
     /// Share of recent attempts that failed.
     failing: f64,
     full_until: Moment,
-    /// Requests of this host in flight.
+    /// Requests of this host in attempt.
     pub in_flight: u32,
     paused_until: Moment,
     pauses: u32,
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -11,13 +11,13 @@
 use tokio::{net::UdpSocket, sync::mpsc};
 use xtra::{Address, Mailbox, WeakAddress};
 
-pub use self::messages::{Datagram, Enrolled, Leave, Pulse, Roll, Share, Shared, Told};
+pub use self::messages::{Datagram, HostsListed, Leave, Registered, Share, Shared, Tick, Told};
 
-use self::talk::ROLL_FIRST;
+use self::talk::LIST_HOSTS_FIRST;
 use super::{
-    Beliefs, Dialect, EntrySettings, LiveHost, Part, Peers, Report, View, ViewCell,
-    sync::{Asker, RawObjects},
-    watchers::Watching,
+    EntrySettings, KnownState, LiveHost, Part, Peers, Protocol, Report, View, ViewCell,
+    sync::{PeerClient, RawObjects},
+    watchers::WatcherElection,
 };
 use crate::{
     prelude::*,
@@ -27,15 +27,15 @@
 /// Messages that may wait for the actor; past it senders wait.
 const MAILBOX: usize = 256;
 
-/// Time between beats to hosts of the own region: they share targets, and what is in flight there
+/// Time between heartbeats to hosts of the own region: they share targets, and what is in attempt there
 /// bounds the wait.
-pub const BEAT: Duration = Duration::from_millis(100);
+pub const HEARTBEAT: Duration = Duration::from_millis(100);
 
 /// How often the store is asked. Hosts tell each other when one of them has seen more, so nothing
 /// has to be compared; the wait bounds how long a watch on a silent connection is believed.
 ///
 /// A new host lists at once, so that it can serve, but watches only when it has had time to hear of
-/// others that do: beats come every 100 ms, a new host's greetings every 200 ms.
+/// others that do: heartbeats come every 100 ms, a new host's greetings every 200 ms.
 const PACE: FollowPace = FollowPace {
     after_list: Duration::from_millis(600),
     compare_every: Duration::from_secs(86_400),
@@ -46,7 +46,7 @@
 /// What the control side is built from.
 pub struct ControlParts {
     pub clock: Arc<dyn Clock>,
-    pub dialect: Arc<dyn Dialect>,
+    pub protocol: Arc<dyn Protocol>,
     pub report: Arc<ArcSwap<Report>>,
     pub settings: Arc<EntrySettings>,
     pub socket: Arc<UdpSocket>,
@@ -56,11 +56,11 @@
 
 /// The actor's state.
 pub struct EntryControl {
-    asker: Asker,
+    peer_client: PeerClient,
     /// When a question to another host may be asked again.
     ask_at: Moment,
-    beliefs: Beliefs,
-    enrol_at: Option<Moment>,
+    known_state: KnownState,
+    register_at: Option<Moment>,
     /// The tasks that follow the store, while this host watches.
     followers: Vec<FollowTask>,
     /// Since when another host has known more.
@@ -69,11 +69,11 @@
     parts: ControlParts,
     peers: Peers,
     raw: RawObjects,
-    roll_at: Moment,
-    rolled: Vec<SocketAddr>,
+    list_hosts_at: Moment,
+    listed_hosts: Vec<SocketAddr>,
     start: u64,
     turn: u64,
-    watching: Watching,
+    election: WatcherElection,
 }
 
 /// Ends its task when dropped.
@@ -87,24 +87,24 @@
 
 impl EntryControl {
     /// Starts the actor on the current runtime.
-    pub fn spawn(parts: ControlParts, asker: Asker) -> Address<Self> {
+    pub fn spawn(parts: ControlParts, peer_client: PeerClient) -> Address<Self> {
         let start = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let now = parts.clock.now();
         let control = Self {
-            asker,
+            peer_client,
             ask_at: Moment::ZERO,
-            beliefs: Beliefs::default(),
-            enrol_at: Some(Moment::ZERO),
+            known_state: KnownState::default(),
+            register_at: Some(Moment::ZERO),
             followers: Vec::new(),
             lags_since: None,
             leaving: false,
             peers: Peers::default(),
             raw: BTreeMap::new(),
-            roll_at: now + ROLL_FIRST,
-            rolled: Vec::new(),
+            list_hosts_at: now + LIST_HOSTS_FIRST,
+            listed_hosts: Vec::new(),
             start: start.map_or(0, |since| since.as_millis() as u64),
             turn: 0,
-            watching: Watching::new(now),
+            election: WatcherElection::new(now),
             parts,
         };
         xtra::spawn_tokio(control, Mailbox::bounded(MAILBOX))
@@ -118,8 +118,8 @@
     fn publish(&mut self) {
         let now = self.now();
         let settings = &self.parts.settings;
-        let mut view = View { declared: self.beliefs.declared().cloned(), ..View::default() };
-        for known in self.beliefs.usable() {
+        let mut view = View { declared: self.known_state.declared().cloned(), ..View::default() };
+        for known in self.known_state.usable() {
             let service = known.entry.service.clone();
             view.targets.entry(service).or_default().push(Arc::new(known.clone()));
         }
@@ -133,22 +133,22 @@
         }
         let mut demand: HashMap<(RegionId, u32), f64> = HashMap::new();
         for peer in self.peers.live(now) {
-            for (tag, count) in &peer.beat.running {
+            for (tag, count) in &peer.heartbeat.running {
                 *view.elsewhere.entry(*tag).or_default() += u32::from(*count);
             }
-            for (service, slots) in &peer.beat.demand {
+            for (service, slots) in &peer.heartbeat.demand {
                 *demand.entry((peer.region.clone(), *service)).or_default() += f64::from(*slots);
             }
-            for (print, crashes) in &peer.beat.crashes {
+            for (print, crashes) in &peer.heartbeat.crashes {
                 let sum = view.crashes.entry(*print).or_default();
                 *sum = sum.saturating_add(*crashes);
             }
-            if !peer.beat.leaving {
+            if !peer.heartbeat.leaving {
                 view.hosts.push(LiveHost {
-                    callers: peer.beat.callers,
-                    host: peer.beat.host.clone(),
+                    callers: peer.heartbeat.callers,
+                    host: peer.heartbeat.host.clone(),
                     region: peer.region.clone(),
-                    zone: peer.beat.zone.clone(),
+                    zone: peer.heartbeat.zone.clone(),
                 });
             }
         }
@@ -161,16 +161,16 @@
         let now = self.now();
         let settings = &self.parts.settings;
         let peers = self.peers.live(now);
-        let wanted = self.watching.decide(&settings.host, &settings.region, peers, now);
+        let wanted = self.election.decide(&settings.host, &settings.region, peers, now);
         if wanted != self.followers.is_empty() {
             return;
         }
-        log::info!("{} the store", if wanted { "watching" } else { "no longer watching" });
+        log::info!("{} the store", if wanted { "election" } else { "no longer election" });
         self.followers.clear();
         if !wanted {
             return;
         }
-        let keys = self.parts.dialect.keys();
+        let keys = self.parts.protocol.keys();
         for (part, prefix) in [
             (Part::Declared, keys.declared),
             (Part::Targets, keys.targets),
--- a/src/entry/control/handlers.rs
+++ b/src/entry/control/handlers.rs
@@ -3,11 +3,11 @@
 use xtra::{Actor, Handler};
 
 use super::{
-    Datagram, Enrolled, EntryControl, Leave, Pulse, Roll, Share, Shared, Told,
-    talk::{ENROL_PAUSE, FAR_BEATS},
+    Datagram, EntryControl, HostsListed, Leave, Registered, Share, Shared, Tick, Told,
+    talk::{FAR_HEARTBEATS, REGISTER_PAUSE},
 };
 use crate::{
-    entry::{Beat, Part, sync::Difference},
+    entry::{Heartbeat, Part, sync::Difference},
     prelude::*,
 };
 
@@ -23,8 +23,8 @@
     async fn handle(&mut self, Told(part, told): Told, _: &mut xtra::Context<Self>) {
         if self.told(part, told) {
             self.publish();
-            // Hosts that do not watch hear of it now, not with the next beat.
-            self.send_beats();
+            // Hosts that do not watch hear of it now, not with the next heartbeat.
+            self.send_heartbeats();
         }
     }
 }
@@ -33,43 +33,43 @@
     type Return = ();
 
     async fn handle(&mut self, Datagram(bytes): Datagram, cx: &mut xtra::Context<Self>) {
-        let beat: Beat = match postcard::from_bytes(&bytes) {
-            Ok(beat) => beat,
-            Err(error) => return log::debug!("a datagram is no beat: {error}"),
+        let heartbeat: Heartbeat = match postcard::from_bytes(&bytes) {
+            Ok(heartbeat) => heartbeat,
+            Err(error) => return log::debug!("a datagram is no heartbeat: {error}"),
         };
-        if beat.host == self.parts.settings.host {
+        if heartbeat.host == self.parts.settings.host {
             return;
         }
         let now = self.now();
-        let region = self.parts.settings.region_of(&beat.zone);
-        let told: Vec<SocketAddr> = beat.peers.clone();
-        let host = beat.host.clone();
-        if self.peers.heard(beat, region, now) {
+        let region = self.parts.settings.region_of(&heartbeat.zone);
+        let told: Vec<SocketAddr> = heartbeat.peers.clone();
+        let host = heartbeat.host.clone();
+        if self.peers.heard(heartbeat, region, now) {
             log::info!("host {host} is heard");
         }
         if self.followers.is_empty() {
             self.ask(&cx.mailbox().address());
         }
         for addr in told {
-            if !self.rolled.contains(&addr) && self.rolled.len() < 4096 {
-                self.rolled.push(addr);
+            if !self.listed_hosts.contains(&addr) && self.listed_hosts.len() < 4096 {
+                self.listed_hosts.push(addr);
             }
         }
     }
 }
 
-impl Handler<Pulse> for EntryControl {
+impl Handler<Tick> for EntryControl {
     type Return = ();
 
-    async fn handle(&mut self, Pulse: Pulse, cx: &mut xtra::Context<Self>) {
+    async fn handle(&mut self, Tick: Tick, cx: &mut xtra::Context<Self>) {
         let now = self.now();
-        self.beliefs.tick(now);
+        self.known_state.tick(now);
         self.peers.tick(now);
-        self.send_beats();
+        self.send_heartbeats();
         let own = cx.mailbox().address();
         self.watch(&own);
         self.ask(&own);
-        self.enrol(&own);
+        self.register(&own);
         self.publish();
     }
 }
@@ -79,8 +79,8 @@
 
     async fn handle(&mut self, Leave: Leave, _: &mut xtra::Context<Self>) {
         self.leaving = true;
-        self.turn = self.turn.next_multiple_of(FAR_BEATS) - 1;
-        self.send_beats();
+        self.turn = self.turn.next_multiple_of(FAR_HEARTBEATS) - 1;
+        self.send_heartbeats();
         self.publish();
     }
 }
@@ -89,7 +89,7 @@
     type Return = Difference;
 
     async fn handle(&mut self, Share(since): Share, _: &mut xtra::Context<Self>) -> Difference {
-        Difference::of(&self.raw, self.beliefs.stamp().revisions, since)
+        Difference::of(&self.raw, self.known_state.stamp().revisions, since)
     }
 }
 
@@ -99,33 +99,33 @@
     async fn handle(&mut self, Shared(told): Shared, _: &mut xtra::Context<Self>) {
         let Some(told) = told else { return };
         self.ask_at = Moment::ZERO;
-        let mine = self.beliefs.stamp().revisions;
+        let mine = self.known_state.stamp().revisions;
         for part in Part::ALL {
             if mine.of(part) < told.revisions.of(part) {
                 let objects = told.applied(part, &self.raw);
                 self.listed(part, objects);
-                self.beliefs.saw(part, told.revisions.of(part));
+                self.known_state.saw(part, told.revisions.of(part));
             }
         }
         self.publish();
     }
 }
 
-impl Handler<Roll> for EntryControl {
+impl Handler<HostsListed> for EntryControl {
     type Return = ();
 
-    async fn handle(&mut self, Roll(roll): Roll, _: &mut xtra::Context<Self>) {
-        match roll {
-            Some(roll) => self.rolled = roll,
-            None => self.roll_at = self.now() + ENROL_PAUSE,
+    async fn handle(&mut self, HostsListed(hosts): HostsListed, _: &mut xtra::Context<Self>) {
+        match hosts {
+            Some(hosts) => self.listed_hosts = hosts,
+            None => self.list_hosts_at = self.now() + REGISTER_PAUSE,
         }
     }
 }
 
-impl Handler<Enrolled> for EntryControl {
+impl Handler<Registered> for EntryControl {
     type Return = ();
 
-    async fn handle(&mut self, Enrolled(done): Enrolled, _: &mut xtra::Context<Self>) {
-        self.enrol_at = if done { None } else { Some(self.now() + ENROL_PAUSE) };
+    async fn handle(&mut self, Registered(done): Registered, _: &mut xtra::Context<Self>) {
+        self.register_at = if done { None } else { Some(self.now() + REGISTER_PAUSE) };
     }
 }
--- a/src/entry/control/messages.rs
+++ b/src/entry/control/messages.rs
@@ -12,8 +12,8 @@
 /// A datagram from another host.
 pub struct Datagram(pub Vec<u8>);
 
-/// Time for a beat.
-pub struct Pulse;
+/// Time for a heartbeat.
+pub struct Tick;
 
 /// A planned stop begins.
 pub struct Leave;
@@ -25,7 +25,7 @@
 pub struct Shared(pub Option<Difference>);
 
 /// The hosts' records were read, or could not be.
-pub struct Roll(pub Option<Vec<SocketAddr>>);
+pub struct HostsListed(pub Option<Vec<SocketAddr>>);
 
 /// The own record was written, or could not be.
-pub struct Enrolled(pub bool);
+pub struct Registered(pub bool);
--- a/src/entry/control/news.rs
+++ b/src/entry/control/news.rs
@@ -13,13 +13,13 @@
     /// Decodes and keeps one object; true when something that matters changed.
     fn written(&mut self, part: Part, key: &Arc<str>, version: u64, object: bytes::Bytes) -> bool {
         let now = self.now();
-        let dialect = self.parts.dialect.clone();
+        let protocol = self.parts.protocol.clone();
         self.raw.insert((part, key.clone()), (version, object.clone()));
         match part {
-            Part::Declared => match dialect.declared(&object) {
+            Part::Declared => match protocol.declared(&object) {
                 Ok(declared) => {
                     let version = declared.version;
-                    let newer = self.beliefs.declare(declared);
+                    let newer = self.known_state.declare(declared);
                     if newer {
                         log::info!("declaration {version:08x} in force");
                     }
@@ -32,17 +32,17 @@
             },
             Part::Evacuations => {
                 log::info!("zone {key} is evacuated");
-                self.beliefs.evacuate(key.clone(), true)
+                self.known_state.evacuate(key.clone(), true)
             }
-            Part::Targets => match dialect.target(key, &object) {
+            Part::Targets => match protocol.target(key, &object) {
                 Ok(entry) => {
                     let region = self.parts.settings.region_of(&entry.zone);
                     log::info!("target {key}: {entry:?}");
-                    self.beliefs.write(entry, region, now)
+                    self.known_state.write(entry, region, now)
                 }
                 Err(error) => {
                     log::warn!("target {key} is left out: {error}");
-                    self.beliefs.remove(key)
+                    self.known_state.remove(key)
                 }
             },
         }
@@ -53,8 +53,8 @@
         log::info!("{part:?} {key} removed");
         match part {
             Part::Declared => false,
-            Part::Evacuations => self.beliefs.evacuate(key.clone(), false),
-            Part::Targets => self.beliefs.remove(key),
+            Part::Evacuations => self.known_state.evacuate(key.clone(), false),
+            Part::Targets => self.known_state.remove(key),
         }
     }
 
@@ -74,13 +74,13 @@
                 for (key, version, object) in objects {
                     self.raw.insert((part, key), (version, object));
                 }
-                let zones: BTreeSet<ZoneId> = self.parts.dialect.zones(&names);
-                self.beliefs.evacuations(zones)
+                let zones: BTreeSet<ZoneId> = self.parts.protocol.zones(&names);
+                self.known_state.evacuations(zones)
             }
             Part::Targets => {
                 let mut entries = Vec::new();
                 for (key, version, object) in objects {
-                    match self.parts.dialect.target(&key, &object) {
+                    match self.parts.protocol.target(&key, &object) {
                         Ok(entry) => {
                             let region = self.parts.settings.region_of(&entry.zone);
                             entries.push((entry, region));
@@ -90,7 +90,7 @@
                     self.raw.insert((part, key), (version, object));
                 }
                 log::info!("{} targets listed", entries.len());
-                self.beliefs.list(entries, now)
+                self.known_state.list(entries, now)
             }
         }
     }
@@ -98,7 +98,7 @@
     fn changed(&mut self, part: Part, changes: Vec<Change>) -> bool {
         let mut changed = false;
         for change in changes {
-            self.beliefs.saw(part, change.version);
+            self.known_state.saw(part, change.version);
             let key = name(&change.key);
             changed |= match change.object {
                 Some(object) => self.written(part, &key, object.version, object.value),
@@ -111,12 +111,12 @@
     pub(super) fn told(&mut self, part: Part, told: Followed) -> bool {
         match told {
             Followed::Changed(changes) => {
-                self.watching.reached();
+                self.election.reached();
                 self.changed(part, changes)
             }
             Followed::Listed(Listing { entries, version }) => {
-                self.watching.reached();
-                self.beliefs.saw(part, version);
+                self.election.reached();
+                self.known_state.saw(part, version);
                 let object =
                     |entry: Entry| (name(&entry.key), entry.object.version, entry.object.value);
                 self.listed(part, entries.into_iter().map(object).collect())
@@ -127,9 +127,9 @@
                     return false;
                 }
                 let now = self.now();
-                self.watching.lost(now);
+                self.election.lost(now);
                 if part == Part::Targets {
-                    self.beliefs.lost(now);
+                    self.known_state.lost(now);
                 }
                 false
             }
--- a/src/entry/control/talk.rs
+++ b/src/entry/control/talk.rs
@@ -4,21 +4,21 @@
 
 use xtra::WeakAddress;
 
-use super::{Enrolled, EntryControl, Roll, Shared};
+use super::{EntryControl, HostsListed, Registered, Shared};
 use crate::{
-    entry::{Beat, Part},
+    entry::{Heartbeat, Part},
     prelude::*,
     store::{Entry, Expect, Platform, PlatformError, new_operation},
 };
 
 /// Beats between two to a host of another region, which needs to know little more than that this
 /// one lives.
-pub(super) const FAR_BEATS: u64 = 5;
+pub(super) const FAR_HEARTBEATS: u64 = 5;
 
 /// Beats between two greetings of addresses that nobody was heard from.
-const GREET_BEATS: u64 = 10;
+const GREET_HEARTBEATS: u64 = 10;
 
-/// Addresses of other hosts in one beat: enough to find all within a second or two.
+/// Addresses of other hosts in one heartbeat: enough to find all within a second or two.
 const TOLD_PEERS: usize = 3;
 
 /// A watcher that knows less than another host for longer asks it: the store's own word takes less
@@ -29,19 +29,19 @@
 const ASK_PAUSE: Duration = Duration::from_millis(500);
 
 /// Pause before the own record is written again after a failure.
-pub(super) const ENROL_PAUSE: Duration = Duration::from_secs(2);
+pub(super) const REGISTER_PAUSE: Duration = Duration::from_secs(2);
 
 /// Pause between two readings of the hosts' records, and the time from the start to the first:
-/// beats tell the rest, and a host that was heard by then tells of the others.
-const ROLL_PAUSE: Duration = Duration::from_secs(60);
-pub(super) const ROLL_FIRST: Duration = Duration::from_millis(1_000);
+/// heartbeats tell the rest, and a host that was heard by then tells of the others.
+const LIST_HOSTS_PAUSE: Duration = Duration::from_secs(60);
+pub(super) const LIST_HOSTS_FIRST: Duration = Duration::from_millis(1_000);
 
 /// Beats in which a new host greets all the time, and the number between two greetings then.
-pub(super) const NEW_BEATS: u64 = 20;
-const NEW_GREET_BEATS: u64 = 2;
+pub(super) const NEW_HEARTBEATS: u64 = 20;
+const NEW_GREET_HEARTBEATS: u64 = 2;
 
 impl EntryControl {
-    pub(super) fn beat(&mut self) -> Beat {
+    pub(super) fn heartbeat(&mut self) -> Heartbeat {
         self.turn += 1;
         let settings = &self.parts.settings;
         let report = self.parts.report.load();
@@ -49,7 +49,7 @@
         let first = self.turn as usize * TOLD_PEERS;
         let told =
             all.iter().cycle().skip(first % all.len().max(1)).take(TOLD_PEERS.min(all.len()));
-        Beat {
+        Heartbeat {
             callers: settings.listen.callers,
             control: settings.listen.control,
             crashes: report.crashes.clone(),
@@ -58,43 +58,44 @@
             host: settings.host.clone(),
             leaving: self.leaving,
             peers: told.copied().collect(),
-            reaches_store: self.watching.reaches_store(self.now()),
+            reaches_store: self.election.reaches_store(self.now()),
             running: report.running.clone(),
-            stamp: self.beliefs.stamp(),
+            stamp: self.known_state.stamp(),
             start: self.start,
             turn: self.turn,
             zone: settings.zone.clone(),
         }
     }
 
-    /// Sends a beat to all whose turn it is.
-    pub(super) fn send_beats(&mut self) {
+    /// Sends a heartbeat to all whose turn it is.
+    pub(super) fn send_heartbeats(&mut self) {
         let now = self.now();
-        let beat = self.beat();
-        let bytes = match postcard::to_allocvec(&beat) {
+        let heartbeat = self.heartbeat();
+        let bytes = match postcard::to_allocvec(&heartbeat) {
             Ok(bytes) => bytes,
-            Err(error) => return log::error!("a beat can't be encoded: {error}"),
+            Err(error) => return log::error!("a heartbeat can't be encoded: {error}"),
         };
-        let far = self.turn.is_multiple_of(FAR_BEATS);
+        let far = self.turn.is_multiple_of(FAR_HEARTBEATS);
         let region = &self.parts.settings.region;
         let mut to: BTreeSet<SocketAddr> = self
             .peers
             .live(now)
             .filter(|peer| far || peer.region == *region)
-            .map(|peer| peer.beat.gossip)
+            .map(|peer| peer.heartbeat.gossip)
             .collect();
-        let greet = if self.turn < NEW_BEATS { NEW_GREET_BEATS } else { GREET_BEATS };
+        let greet =
+            if self.turn < NEW_HEARTBEATS { NEW_GREET_HEARTBEATS } else { GREET_HEARTBEATS };
         if self.turn % greet == 1 {
             let port = self.parts.settings.listen.gossip.port();
             let seeds = self.parts.settings.seeds.iter();
             to.extend(seeds.map(|seed| SocketAddr::new(seed.ip(), port)));
-            to.extend(self.rolled.iter().copied());
+            to.extend(self.listed_hosts.iter().copied());
             to.extend(self.peers.addresses());
         }
         to.remove(&self.parts.settings.listen.gossip);
         for addr in to {
             if let Err(error) = self.parts.socket.try_send_to(&bytes, addr) {
-                log::debug!("beat to {addr}: {error}");
+                log::debug!("heartbeat to {addr}: {error}");
             }
         }
     }
@@ -102,10 +103,10 @@
     /// Asks another host that knows more.
     pub(super) fn ask(&mut self, own: &WeakAddress<Self>) {
         let now = self.now();
-        let mine = self.beliefs.stamp();
+        let mine = self.known_state.stamp();
         let region = &self.parts.settings.region;
         let ahead = self.peers.live(now).filter(|peer| {
-            Part::ALL.into_iter().any(|part| peer.beat.stamp.is_ahead_of(&mine, part))
+            Part::ALL.into_iter().any(|part| peer.heartbeat.stamp.is_ahead_of(&mine, part))
         });
         // The nearest one answers soonest.
         let Some(peer) = ahead.max_by_key(|peer| peer.region == *region) else {
@@ -118,9 +119,10 @@
             return;
         }
         self.ask_at = now + ASK_PAUSE;
-        let (asker, addr, own) = (self.asker.clone(), peer.beat.control, own.clone());
+        let (peer_client, addr, own) =
+            (self.peer_client.clone(), peer.heartbeat.control, own.clone());
         tokio::spawn(async move {
-            let answer = asker.ask(addr, mine.revisions).await;
+            let answer = peer_client.ask(addr, mine.revisions).await;
             if let Err(error) = &answer {
                 log::info!("host {addr} does not tell what it knows: {error}");
             }
@@ -129,14 +131,14 @@
     }
 
     /// Writes this host's record, or reads all.
-    pub(super) fn enrol(&mut self, own: &WeakAddress<Self>) {
+    pub(super) fn register(&mut self, own: &WeakAddress<Self>) {
         let now = self.now();
-        let keys = self.parts.dialect.keys();
+        let keys = self.parts.protocol.keys();
         let store = self.parts.store.clone();
-        if self.enrol_at.is_some_and(|at| at <= now) {
-            self.enrol_at = Some(now + ENROL_PAUSE * 4);
+        if self.register_at.is_some_and(|at| at <= now) {
+            self.register_at = Some(now + REGISTER_PAUSE * 4);
             let key = format!("{}{}", keys.hosts, self.parts.settings.host);
-            let value = self.parts.dialect.host_object(self.parts.settings.listen.gossip);
+            let value = self.parts.protocol.host_object(self.parts.settings.listen.gossip);
             let own = own.clone();
             let store = store.clone();
             tokio::spawn(async move {
@@ -144,25 +146,25 @@
                 if let Err(error) = &done {
                     log::info!("this host's record is not written: {error}");
                 }
-                let _ = own.send(Enrolled(done.is_ok())).await;
+                let _ = own.send(Registered(done.is_ok())).await;
             });
         }
-        if self.roll_at <= now {
-            self.roll_at = now + ROLL_PAUSE;
-            let is_first = self.turn <= NEW_BEATS;
+        if self.list_hosts_at <= now {
+            self.list_hosts_at = now + LIST_HOSTS_PAUSE;
+            let is_first = self.turn <= NEW_HEARTBEATS;
             if is_first && self.peers.live(now).next().is_some() {
                 return;
             }
-            let dialect = self.parts.dialect.clone();
+            let protocol = self.parts.protocol.clone();
             let own = own.clone();
             tokio::spawn(async move {
-                let roll = store.list(keys.hosts).await;
-                if let Err(error) = &roll {
+                let hosts = store.list(keys.hosts).await;
+                if let Err(error) = &hosts {
                     log::info!("the hosts' records are not read: {error}");
                 }
-                let read = |entry: &Entry| dialect.host(&entry.object.value).ok();
-                let roll = roll.ok().map(|roll| roll.entries.iter().filter_map(read).collect());
-                let _ = own.send(Roll(roll)).await;
+                let read = |entry: &Entry| protocol.host(&entry.object.value).ok();
+                let hosts = hosts.ok().map(|hosts| hosts.entries.iter().filter_map(read).collect());
+                let _ = own.send(HostsListed(hosts)).await;
             });
         }
     }
--- a/src/entry/poison.rs
+++ b/src/entry/crash_suspects.rs
@@ -22,7 +22,7 @@
 
 /// Crashes by fingerprint.
 #[derive(Debug, Default)]
-pub struct Poison {
+pub struct CrashSuspects {
     crashes: HashMap<Fingerprint, Record>,
 }
 
@@ -32,7 +32,7 @@
     count: u8,
 }
 
-impl Poison {
+impl CrashSuspects {
     /// Whether there is nothing to look for.
     pub fn is_empty(&self) -> bool {
         self.crashes.is_empty()
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -10,12 +10,12 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::{
-    Declared, Desk, Repeat, Route, View,
+    Declared, Repeat, Route, TrafficState, View,
     answer::{Answer, own},
-    caller_io::Presence,
-    desk::Errand,
-    flight::{Landing, Load, fly},
+    attempt::{AttemptOutcome, OutboundRequest, send_attempt},
+    caller_io::Disconnect,
     place::Choice,
+    traffic_state::PlacementRequest,
 };
 use crate::{base::Ran, prelude::*};
 
@@ -44,8 +44,8 @@
 /// Targets that may turn out to be unreachable before a request is refused.
 const UNREACHED_MOST: u32 = 3;
 
-type Flight = Pin<Box<dyn Future<Output = Landing>>>;
-type Flights = FuturesUnordered<Flight>;
+type Attempt = Pin<Box<dyn Future<Output = AttemptOutcome>>>;
+type Attempts = FuturesUnordered<Attempt>;
 
 /// A request that may be on its way in.
 pub enum Body {
@@ -54,31 +54,35 @@
 }
 
 /// Serves one request. `None` when the caller has left.
-pub async fn serve(desk: Rc<Desk>, presence: Presence, req: Request<Body>) -> Option<Answer> {
-    let since = desk.clock.now();
+pub async fn serve(
+    state: Rc<TrafficState>,
+    disconnect: Disconnect,
+    req: Request<Body>,
+) -> Option<Answer> {
+    let since = state.clock.now();
     let (mut head, body) = req.into_parts();
-    let note = desk.dialect.caller(&head.headers);
-    let refuse = |kind, come_back| Some(own(&desk, &note, kind, come_back));
-    let Some(view) = desk.view() else { return refuse(ErrorKind::NoManifest, None) };
+    let note = state.protocol.caller(&head.headers);
+    let refuse = |kind, come_back| Some(own(&state, &note, kind, come_back));
+    let Some(view) = state.view() else { return refuse(ErrorKind::NoManifest, None) };
     let Some(declared) = view.declared.clone() else { return refuse(ErrorKind::NoManifest, None) };
     let Some(route) = route(&declared, &head) else {
         return refuse(ErrorKind::ServiceUnknown, None);
     };
-    if leaves_too_soon(&desk) {
+    if leaves_too_soon(&state) {
         return refuse(ErrorKind::HostLeaving, Some(COME_BACK_LEAST));
     }
     let body = tokio::select! {
         body = read(&declared, body) => body,
-        () = presence.gone() => return None,
+        () = disconnect.gone() => return None,
     };
     let body = match body {
         Ok(body) => body,
         Err(kind) => return refuse(kind, None),
     };
-    let Some(service) = desk.service(&route) else { return refuse(ErrorKind::NoTarget, None) };
-    desk.arrived(&service);
+    let Some(service) = state.service(&route) else { return refuse(ErrorKind::NoTarget, None) };
+    state.arrived(&service);
     let fingerprint = fingerprint(&head, &body);
-    if is_poison(&desk, &view, fingerprint) {
+    if is_crash_suspect(&state, &view, fingerprint) {
         log::warn!("request {:?} is refused: it crashed targets", note.attempt);
         return refuse(ErrorKind::Quarantined, None);
     }
@@ -87,14 +91,14 @@
     }
     let wait = note.time_left.unwrap_or(route.timeout).min(route.timeout);
     let deadline = since + wait.saturating_sub(ANSWER_MARGIN);
-    let load = Load { body, deadline, fingerprint, head, note, service };
-    let call = Call { desk, load: Rc::new(load), route, tried: Vec::new() };
-    call.run(presence).await
+    let request = OutboundRequest { body, deadline, fingerprint, head, note, service };
+    let call = Call { state, request: Rc::new(request), route, tried: Vec::new() };
+    call.run(disconnect).await
 }
 
 /// Whether a request may be started before its turn.
-pub fn may_start_ahead(desk: &Desk, head: &Parts) -> bool {
-    let declared = desk.view().and_then(|view| view.declared.clone());
+pub fn may_start_ahead(state: &TrafficState, head: &Parts) -> bool {
+    let declared = state.view().and_then(|view| view.declared.clone());
     let route = declared.and_then(|declared| route(&declared, head));
     route.is_some_and(|route| route.repeat == Repeat::Idempotent)
 }
@@ -104,15 +108,15 @@
 }
 
 struct Call {
-    desk: Rc<Desk>,
-    load: Rc<Load>,
+    state: Rc<TrafficState>,
+    request: Rc<OutboundRequest>,
     route: Arc<Route>,
     tried: Vec<u32>,
 }
 
 /// What has come of the attempts so far.
 #[derive(Default)]
-struct Tally {
+struct CallProgress {
     /// An attempt may have run.
     maybe_ran: bool,
     /// A target's own failure, to be passed on if nothing better comes.
@@ -125,83 +129,83 @@
 }
 
 impl Call {
-    async fn run(mut self, presence: Presence) -> Option<Answer> {
-        let mut flights = Flights::new();
-        let mut tally = Tally::default();
+    async fn run(mut self, disconnect: Disconnect) -> Option<Answer> {
+        let mut attempts = Attempts::new();
+        let mut progress = CallProgress::default();
         let mut may_hedge = self.route.repeat == Repeat::Idempotent;
-        let usual = self.desk.work(&self.load.service);
+        let usual = self.state.work(&self.request.service);
         let hedge_after = usual.mul_f64(HEDGE_AFTER).max(HEDGE_LEAST);
-        let mut hedge_at = self.desk.clock.now() + hedge_after;
+        let mut hedge_at = self.state.clock.now() + hedge_after;
         loop {
-            if flights.is_empty() {
-                match self.launch(&mut tally) {
-                    Some(flight) => flights.push(flight),
-                    None => return Some(self.give_up(tally)),
+            if attempts.is_empty() {
+                match self.launch(&mut progress) {
+                    Some(attempt) => attempts.push(attempt),
+                    None => return Some(self.give_up(progress)),
                 }
             }
-            let now = self.desk.clock.now();
+            let now = self.state.clock.now();
             let wake =
-                if may_hedge { hedge_at.min(self.load.deadline) } else { self.load.deadline };
+                if may_hedge { hedge_at.min(self.request.deadline) } else { self.request.deadline };
             tokio::select! {
                 biased;
-                Some(landing) = flights.next() => {
-                    if let Some(answer) = tally.landed(landing) {
+                Some(outcome) = attempts.next() => {
+                    if let Some(answer) = progress.record(outcome) {
                         return Some(answer);
                     }
                     // What may have run once may not be sent again.
-                    if tally.maybe_ran && self.route.repeat == Repeat::Once {
-                        return Some(self.give_up(tally));
+                    if progress.maybe_ran && self.route.repeat == Repeat::Once {
+                        return Some(self.give_up(progress));
                     }
                 }
-                () = presence.gone() => return None,
+                () = disconnect.gone() => return None,
                 () = tokio::time::sleep(wake.saturating_sub(now)) => {
-                    if self.load.deadline <= self.desk.clock.now() {
-                        tally.maybe_ran = true;
-                        tally.why = Some(ErrorKind::DispatchTimeout);
-                        return Some(self.give_up(tally));
+                    if self.request.deadline <= self.state.clock.now() {
+                        progress.maybe_ran = true;
+                        progress.why = Some(ErrorKind::DispatchTimeout);
+                        return Some(self.give_up(progress));
                     }
                     may_hedge = false;
-                    hedge_at = self.load.deadline;
-                    flights.extend(self.launch(&mut tally));
+                    hedge_at = self.request.deadline;
+                    attempts.extend(self.launch(&mut progress));
                 }
             }
         }
     }
 
     /// Starts one more attempt, if the route, the retry budget and the targets allow it.
-    fn launch(&mut self, tally: &mut Tally) -> Option<Flight> {
-        if self.route.attempts.max(1) <= tally.sent || UNREACHED_MOST <= tally.unreached {
+    fn launch(&mut self, progress: &mut CallProgress) -> Option<Attempt> {
+        if self.route.attempts.max(1) <= progress.sent || UNREACHED_MOST <= progress.unreached {
             return None;
         }
-        let view = self.desk.view()?;
-        let errand = Errand {
-            deadline: self.load.deadline,
+        let view = self.state.view()?;
+        let wanted = PlacementRequest {
+            deadline: self.request.deadline,
             object: self.object(),
             route: self.route.clone(),
-            service: self.load.service.clone(),
+            service: self.request.service.clone(),
             tried: self.tried.clone(),
         };
-        let (choice, target) = self.desk.place(&view, &errand);
+        let (choice, target) = self.state.place(&view, &wanted);
         let Some(target) = target else {
             let (why, room_in) = match choice {
                 Choice::Busy { room_in } => (ErrorKind::NoSlots, Some(room_in)),
                 _ => (ErrorKind::NoTarget, None),
             };
-            tally.room_in = room_in;
-            tally.why.get_or_insert(why);
+            progress.room_in = room_in;
+            progress.why.get_or_insert(why);
             return None;
         };
-        if 0 < tally.sent && !self.desk.take_retry(&view, &self.load.service) {
+        if 0 < progress.sent && !self.state.take_retry(&view, &self.request.service) {
             return None;
         }
-        tally.sent += 1;
+        progress.sent += 1;
         self.tried.push(target.tag);
-        let running = self.desk.start(&target, self.load.fingerprint);
-        Some(Box::pin(fly(self.desk.clone(), self.load.clone(), target, running)))
+        let running = self.state.start(&target, self.request.fingerprint);
+        Some(Box::pin(send_attempt(self.state.clone(), self.request.clone(), target, running)))
     }
 
     fn object(&self) -> u64 {
-        let object = self.load.note.object.as_ref().filter(|_| self.route.sticky);
+        let object = self.request.note.object.as_ref().filter(|_| self.route.sticky);
         match object {
             Some(object) => {
                 xxh3_64_with_seed(object.as_bytes(), xxh3_64(self.route.prefix.as_bytes()))
@@ -210,38 +214,38 @@
         }
     }
 
-    fn give_up(&self, mut tally: Tally) -> Answer {
-        if let Some(poor) = tally.poor.take() {
+    fn give_up(&self, mut progress: CallProgress) -> Answer {
+        if let Some(poor) = progress.poor.take() {
             return poor;
         }
-        let why = tally.why.unwrap_or(ErrorKind::NoSlots);
+        let why = progress.why.unwrap_or(ErrorKind::NoSlots);
         let why = match why.row().ran {
-            Ran::No if tally.maybe_ran => ErrorKind::DispatchLost,
+            Ran::No if progress.maybe_ran => ErrorKind::DispatchLost,
             _ => why,
         };
         let spread = 0.75 + rand::random::<f64>() / 2.0;
-        let come_back = tally.room_in.unwrap_or(COME_BACK_USUAL).mul_f64(spread);
+        let come_back = progress.room_in.unwrap_or(COME_BACK_USUAL).mul_f64(spread);
         let come_back = come_back.clamp(COME_BACK_LEAST, COME_BACK_MOST);
-        own(&self.desk, &self.load.note, why, Some(come_back))
+        own(&self.state, &self.request.note, why, Some(come_back))
     }
 }
 
-impl Tally {
+impl CallProgress {
     /// Takes an attempt's end in; the answer, if it is one for the caller.
-    fn landed(&mut self, landing: Landing) -> Option<Answer> {
-        match landing {
-            Landing::Answer(answer) => return Some(answer),
-            Landing::Poor(answer) => {
+    fn record(&mut self, outcome: AttemptOutcome) -> Option<Answer> {
+        match outcome {
+            AttemptOutcome::Answer(answer) => return Some(answer),
+            AttemptOutcome::Poor(answer) => {
                 self.maybe_ran = true;
                 self.poor = Some(answer);
             }
-            Landing::NotRun(ErrorKind::ConnectFailed) => {
+            AttemptOutcome::NotRun(ErrorKind::ConnectFailed) => {
                 self.sent -= 1;
                 self.unreached += 1;
                 self.why = Some(ErrorKind::ConnectFailed);
             }
-            Landing::NotRun(kind) => self.why = Some(kind),
-            Landing::Lost(kind) => {
+            AttemptOutcome::NotRun(kind) => self.why = Some(kind),
+            AttemptOutcome::Lost(kind) => {
                 self.maybe_ran = true;
                 self.why = Some(kind);
             }
@@ -275,13 +279,13 @@
     xxh3_64_with_seed(body, seed)
 }
 
-fn is_poison(desk: &Desk, view: &View, fingerprint: u64) -> bool {
+fn is_crash_suspect(state: &TrafficState, view: &View, fingerprint: u64) -> bool {
     let elsewhere = view.crashes.get(&fingerprint).copied().unwrap_or_default();
-    !desk.poison.borrow().may_run(fingerprint, elsewhere)
+    !state.crash_suspects.borrow().may_run(fingerprint, elsewhere)
 }
 
 /// Whether the process ends before an answer could be expected.
-fn leaves_too_soon(desk: &Desk) -> bool {
-    let serves = desk.settings.bounds.grace.mul_f64(LEAVING_SERVES);
-    desk.leaving.get().is_some_and(|since| since + serves <= desk.clock.now())
+fn leaves_too_soon(state: &TrafficState) -> bool {
+    let serves = state.settings.bounds.grace.mul_f64(LEAVING_SERVES);
+    state.leaving.get().is_some_and(|since| since + serves <= state.clock.now())
 }
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -15,10 +15,10 @@
 use xtra::Address;
 
 use super::{
-    Desk, Dialect, EntryControl, EntrySettings, Listen, Report, ViewCell,
-    control::{BEAT, ControlParts, Datagram, Leave, Pulse, Share},
+    EntryControl, EntrySettings, Listen, Protocol, Report, TrafficState, ViewCell,
+    control::{ControlParts, Datagram, HEARTBEAT, Leave, Share, Tick},
     serve::{accept, callers, look_up, ready, small, status},
-    sync::{Asker, STATE_PATH, since},
+    sync::{PeerClient, STATE_PATH, since},
 };
 use crate::{prelude::*, store::Platform};
 
@@ -51,7 +51,7 @@
 /// What a host is built from.
 pub struct EntryParts {
     pub clock: Arc<dyn Clock>,
-    pub dialect: Arc<dyn Dialect>,
+    pub protocol: Arc<dyn Protocol>,
     pub settings: EntrySettings,
     pub store: Arc<dyn Platform>,
 }
@@ -87,22 +87,22 @@
         let report = Arc::new(ArcSwap::from_pointee(Report::default()));
         let control = ControlParts {
             clock: parts.clock.clone(),
-            dialect: parts.dialect.clone(),
+            protocol: parts.protocol.clone(),
             report: report.clone(),
             settings: settings.clone(),
             socket: socket.clone(),
             store: parts.store,
             view: view.clone(),
         };
-        let control = EntryControl::spawn(control, Asker::open()?);
+        let control = EntryControl::spawn(control, PeerClient::open()?);
         tokio::task::spawn_local(hear(socket, control.clone()));
-        tokio::task::spawn_local(pulse(control.clone()));
+        tokio::task::spawn_local(tick_control(control.clone()));
         tokio::task::spawn_local(serve_state(state, control.clone()));
         let (leave, leaving) = watch::channel(false);
         let (tx, stopped) = oneshot::channel();
         let traffic = Traffic {
             clock: parts.clock,
-            dialect: parts.dialect,
+            protocol: parts.protocol,
             leaving,
             listeners,
             report,
@@ -159,18 +159,18 @@
             }
             Err(error) => {
                 log::debug!("gossip: {error}");
-                tokio::time::sleep(BEAT).await;
+                tokio::time::sleep(HEARTBEAT).await;
             }
         }
     }
 }
 
-async fn pulse(control: Address<EntryControl>) {
-    let mut interval = tokio::time::interval(BEAT);
+async fn tick_control(control: Address<EntryControl>) {
+    let mut interval = tokio::time::interval(HEARTBEAT);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
     loop {
         interval.tick().await;
-        if control.send(Pulse).await.is_err() {
+        if control.send(Tick).await.is_err() {
             return;
         }
     }
@@ -210,7 +210,7 @@
 /// What the traffic thread is built from.
 struct Traffic {
     clock: Arc<dyn Clock>,
-    dialect: Arc<dyn Dialect>,
+    protocol: Arc<dyn Protocol>,
     leaving: watch::Receiver<bool>,
     listeners: Listeners,
     report: Arc<ArcSwap<Report>>,
@@ -228,48 +228,48 @@
         let for_callers = TcpListener::from_std(self.listeners.callers)?;
         let for_ready = TcpListener::from_std(self.listeners.ready)?;
         let for_lookups = TcpListener::from_std(self.listeners.lookups)?;
-        let desk = Desk::open(self.settings.clone(), self.clock, self.dialect, self.view);
+        let state = TrafficState::open(self.settings.clone(), self.clock, self.protocol, self.view);
         let leaving = self.leaving.clone();
-        let at = desk.clone();
+        let at = state.clone();
         tokio::task::spawn_local(accept(for_callers, move |stream| {
             callers(at.clone(), stream, leaving.clone())
         }));
-        let at = desk.clone();
+        let at = state.clone();
         tokio::task::spawn_local(accept(for_ready, move |stream| {
-            let desk = at.clone();
-            async move { small(stream, async |req| ready(&desk, &req)).await }
+            let state = at.clone();
+            async move { small(stream, async |req| ready(&state, &req)).await }
         }));
-        let at = desk.clone();
+        let at = state.clone();
         tokio::task::spawn_local(accept(for_lookups, move |stream| {
-            let desk = at.clone();
-            async move { small(stream, async |req| look_up(&desk, &req)).await }
+            let state = at.clone();
+            async move { small(stream, async |req| look_up(&state, &req)).await }
         }));
-        tokio::task::spawn_local(tick(desk.clone(), self.report));
+        tokio::task::spawn_local(tick(state.clone(), self.report));
         let _ = self.leaving.wait_for(|leaving| *leaving).await;
-        leave(&desk).await;
+        leave(&state).await;
         Ok(())
     }
 }
 
-async fn tick(desk: Rc<Desk>, report: Arc<ArcSwap<Report>>) {
+async fn tick(state: Rc<TrafficState>, report: Arc<ArcSwap<Report>>) {
     let mut interval = tokio::time::interval(TICK);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
     loop {
         interval.tick().await;
-        desk.tick();
-        report.store(Arc::new(desk.report()));
+        state.tick();
+        report.store(Arc::new(state.report()));
     }
 }
 
 /// Waits until nothing is being served, or the process is about to be killed.
-async fn leave(desk: &Desk) {
-    let since = desk.clock.now();
-    desk.leaving.set(Some(since));
-    let last = since + desk.settings.bounds.grace.saturating_sub(LEAVE_MARGIN);
+async fn leave(state: &TrafficState) {
+    let since = state.clock.now();
+    state.leaving.set(Some(since));
+    let last = since + state.settings.bounds.grace.saturating_sub(LEAVE_MARGIN);
     loop {
         tokio::time::sleep(TICK).await;
-        let now = desk.clock.now();
-        let idle = desk.open.get() == 0 && LEAVE_LEAST <= now.saturating_sub(since);
+        let now = state.clock.now();
+        let idle = state.open.get() == 0 && LEAVE_LEAST <= now.saturating_sub(since);
         if idle || last <= now {
             return;
         }
--- a/src/entry/beliefs.rs
+++ b/src/entry/known_state.rs
@@ -77,7 +77,7 @@
 
 /// The objects a host knows.
 #[derive(Debug, Default)]
-pub struct Beliefs {
+pub struct KnownState {
     declared: Option<Arc<Declared>>,
     evacuated: BTreeSet<ZoneId>,
     /// Targets that a listing after an outage no longer had, and until when they are used.
@@ -88,7 +88,7 @@
     targets: BTreeMap<TargetId, KnownTarget>,
 }
 
-impl Beliefs {
+impl KnownState {
     /// The declaration in force.
     pub fn declared(&self) -> Option<&Arc<Declared>> {
         self.declared.as_ref()
--- a/src/entry/lookup.rs
+++ b/src/entry/lookup.rs
@@ -1,6 +1,6 @@
 //! Which hosts a caller may use.
 
-use super::{LiveHost, dialect::LookupPlace};
+use super::{LiveHost, protocol::LookupPlace};
 use crate::prelude::*;
 
 /// Most addresses in one answer.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,27 +2,26 @@
 //!
 //! Every host takes any request and sends it to a target itself. What has to be agreed between
 //! hosts is agreed by hashing what all of them know; what has to last lies in the platform's store.
-//! Decisions (`shares`, `place`, `condition`, `cold`, `poison`, `beliefs`, `peers`) neither read
+//! Decisions (`shares`, `place`, `condition`, `cold`, `crash_suspects`, `known_state`, `peers`) neither read
 //! clocks nor do I/O; the rest of the slice carries them out.
 
 mod answer;
-mod beliefs;
+mod attempt;
 mod caller_io;
 mod cold;
 mod condition;
 mod control;
+mod crash_suspects;
 mod declared;
-mod desk;
-mod dialect;
 mod exchange;
-mod flight;
 mod host;
+mod known_state;
 mod lookup;
 mod part;
 mod peers;
 mod pipeline;
 mod place;
-mod poison;
+mod protocol;
 mod serve;
 mod settings;
 mod shares;
@@ -30,25 +29,26 @@
 mod target;
 #[cfg(test)]
 mod tests;
+mod traffic_state;
 mod upstream;
 mod view;
 mod watchers;
 
 pub use self::{
-    beliefs::{Beliefs, Revisions, Stamp},
     cold::ColdRates,
     condition::{Condition, Ended},
     control::EntryControl,
+    crash_suspects::CrashSuspects,
     declared::{Declared, DeclaredVersion, Repeat, Route, ServiceRules},
-    desk::{Desk, Report},
-    dialect::{CallerNote, Dialect, LookupPlace, ReplyNote, StoreKeys, Unreadable},
     host::{EntryHost, EntryParts, OpenError},
+    known_state::{KnownState, Revisions, Stamp},
     part::Part,
-    peers::{Beat, Peer, Peers},
-    poison::Poison,
+    peers::{Heartbeat, Peer, Peers},
+    protocol::{CallerNote, LookupPlace, Protocol, ReplyNote, StoreKeys, Unreadable},
     settings::{Bounds, EntrySettings, Listen},
     shares::{RegionLoad, Shares},
     target::{KnownTarget, TargetEntry},
+    traffic_state::{Report, TrafficState},
     upstream::Pool,
     view::{LiveHost, View, ViewCell},
 };
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -5,7 +5,7 @@
 
 /// What a host tells others, several times a second.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct Beat {
+pub struct Heartbeat {
     /// Address of its callers' listener.
     pub callers: SocketAddr,
     /// Address of its control listener.
@@ -22,12 +22,12 @@
     pub peers: Vec<SocketAddr>,
     /// The store answers it.
     pub reaches_store: bool,
-    /// Requests in flight by target.
+    /// Requests in attempt by target.
     pub running: Vec<(u32, u8)>,
     pub stamp: Stamp,
     /// Wall clock at its start, in milliseconds: a restarted host has a higher one.
     pub start: u64,
-    /// Rises with each beat of one start.
+    /// Rises with each heartbeat of one start.
     pub turn: u64,
     pub zone: ZoneId,
 }
@@ -42,7 +42,7 @@
 /// A host as it was last heard.
 #[derive(Clone, Debug)]
 pub struct Peer {
-    pub beat: Beat,
+    pub heartbeat: Heartbeat,
     pub heard: Moment,
     pub region: RegionId,
 }
@@ -54,20 +54,22 @@
 }
 
 impl Peers {
-    /// Takes a beat in; true when it comes from a host that did not count as living.
-    pub fn heard(&mut self, beat: Beat, region: RegionId, now: Moment) -> bool {
-        let host = beat.host.clone();
+    /// Takes a heartbeat in; true when it comes from a host that did not count as living.
+    pub fn heard(&mut self, heartbeat: Heartbeat, region: RegionId, now: Moment) -> bool {
+        let host = heartbeat.host.clone();
         if let Some(known) = self.peers.get(&host) {
-            let order = |beat: &Beat| (beat.start, beat.turn);
+            let order = |heartbeat: &Heartbeat| (heartbeat.start, heartbeat.turn);
             // Datagrams overtake each other, and a start before the last has nothing to say. A
             // clock that was set back would silence the host for good, so after a while any word
             // counts.
-            if order(&beat) <= order(&known.beat) && now.saturating_sub(known.heard) < SILENCE {
+            if order(&heartbeat) <= order(&known.heartbeat)
+                && now.saturating_sub(known.heard) < SILENCE
+            {
                 return false;
             }
         }
         let new = !self.is_live(&host, now);
-        self.peers.insert(host, Peer { beat, heard: now, region });
+        self.peers.insert(host, Peer { heartbeat, heard: now, region });
         new
     }
 
@@ -78,7 +80,7 @@
 
     /// Addresses of all hosts that were heard not too long ago.
     pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
-        self.peers.values().map(|peer| peer.beat.gossip)
+        self.peers.values().map(|peer| peer.heartbeat.gossip)
     }
 
     /// Forgets hosts that were silent for long.
--- a/src/entry/place.rs
+++ b/src/entry/place.rs
@@ -4,7 +4,7 @@
 //! handled an object is several times faster. Every host ranks the targets by the same hash, so
 //! they agree without asking each other, and a lost target moves only its own objects.
 //!
-//! Load pattern: more requests than slots for seconds on end. What is in flight at a target bounds
+//! OutboundRequest pattern: more requests than slots for seconds on end. What is in attempt at a target bounds
 //! the wait there; beyond the bound a request is refused at once, since it would only make those
 //! behind it late as well.
 
@@ -45,7 +45,7 @@
 /// One target that could take the request.
 #[derive(Clone, Debug)]
 pub struct Candidate<'a> {
-    /// Requests in flight there, of all hosts.
+    /// Requests in attempt there, of all hosts.
     pub load: f64,
     /// A cold target whose rate is used up, one that is paused or just had no room.
     pub shut: bool,
--- a/src/entry/dialect.rs
+++ b/src/entry/protocol.rs
@@ -34,7 +34,7 @@
     pub attempt: Option<RequestId>,
     /// Time that the target stays cold.
     pub cold: Option<Duration>,
-    /// Running and waiting requests.
+    /// InFlight and waiting requests.
     pub load: Option<(u32, u32)>,
     /// The target did not run the request.
     pub not_run: bool,
@@ -62,7 +62,7 @@
 }
 
 /// Reads and writes what the platform spells.
-pub trait Dialect: Send + Sync {
+pub trait Protocol: Send + Sync {
     /// What the caller says.
     fn caller(&self, headers: &HeaderMap) -> CallerNote;
 
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -14,9 +14,9 @@
 };
 
 use super::{
-    Desk,
+    TrafficState,
     answer::Answer,
-    caller_io::{CallerIo, Presence},
+    caller_io::{CallerIo, Disconnect},
     exchange, lookup,
     pipeline::{self, Scanner, Seen},
 };
@@ -60,17 +60,21 @@
 }
 
 /// Serves one caller's connection.
-pub async fn callers(desk: Rc<Desk>, stream: TcpStream, mut leaving: watch::Receiver<bool>) {
+pub async fn callers(
+    state: Rc<TrafficState>,
+    stream: TcpStream,
+    mut leaving: watch::Receiver<bool>,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("caller's connection: {error}");
         return;
     }
-    let _open = Open::new(&desk);
-    let (io, presence) = CallerIo::new(stream);
-    let idle = desk.view().and_then(|view| view.declared.clone());
+    let _open = Open::new(&state);
+    let (io, disconnect) = CallerIo::new(stream);
+    let idle = state.view().and_then(|view| view.declared.clone());
     let idle = idle.map_or(IDLE_ASSUMED, |declared| declared.idle + IDLE_SLACK);
     let started = RefCell::default();
-    let caller = Rc::new(Caller { desk: desk.clone(), presence, started });
+    let caller = Rc::new(Caller { state: state.clone(), disconnect, started });
     let service = service_fn(|req| one(caller.clone(), req));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -100,9 +104,9 @@
 struct Gone;
 
 async fn one(caller: Rc<Caller>, req: Request<Incoming>) -> Result<Answer, Gone> {
-    let desk = &caller.desk;
+    let state = &caller.state;
     let mut answer = caller.answer(req).await.ok_or(Gone)?;
-    if desk.leaving.get().is_some() {
+    if state.leaving.get().is_some() {
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(answer)
@@ -110,8 +114,8 @@
 
 /// One caller's connection.
 struct Caller {
-    desk: Rc<Desk>,
-    presence: Presence,
+    state: Rc<TrafficState>,
+    disconnect: Disconnect,
     /// Requests that were started before their turn, in their order.
     started: RefCell<VecDeque<Started>>,
 }
@@ -132,25 +136,25 @@
 
 impl Caller {
     async fn answer(&self, req: Request<Incoming>) -> Option<Answer> {
-        self.presence.with_scanner(Scanner::turn);
+        self.disconnect.with_scanner(Scanner::turn);
         let started = self.started.borrow_mut().pop_front();
-        let attempt = self.desk.dialect.caller(req.headers()).attempt;
+        let attempt = self.state.protocol.caller(req.headers()).attempt;
         let own = async {
             match started {
                 Some(mut started) if started.uri == *req.uri() && started.attempt == attempt => {
                     tokio::select! {
                         answer = &mut started.task => answer.ok().flatten(),
-                        () = self.presence.gone() => None,
+                        () = self.disconnect.gone() => None,
                     }
                 }
                 other => {
                     if other.is_some() {
                         log::warn!("requests started ahead are out of order; they are served anew");
-                        self.presence.with_scanner(Scanner::lose);
+                        self.disconnect.with_scanner(Scanner::lose);
                         self.started.borrow_mut().clear();
                     }
                     let req = req.map(exchange::Body::Incoming);
-                    exchange::serve(self.desk.clone(), self.presence.clone(), req).await
+                    exchange::serve(self.state.clone(), self.disconnect.clone(), req).await
                 }
             }
         };
@@ -165,8 +169,8 @@
     async fn look_ahead(&self) {
         loop {
             self.start_waiting();
-            self.presence.more().await;
-            if self.presence.is_gone() {
+            self.disconnect.more().await;
+            if self.disconnect.is_gone() {
                 // Who serves the request notices too, and ends.
                 std::future::pending::<()>().await;
             }
@@ -176,7 +180,7 @@
     fn start_waiting(&self) {
         let mut started = self.started.borrow_mut();
         let skip = started.len();
-        let heads = self.presence.with_scanner(|scanner| {
+        let heads = self.disconnect.with_scanner(|scanner| {
             let heads = scanner.waiting().skip(skip).map(|seen| match seen {
                 Seen::Ready(head) => Some(head.clone()),
                 Seen::Plain => None,
@@ -187,26 +191,26 @@
             // What may not be started holds up those behind it.
             let Some(head) = head.as_deref().and_then(pipeline::read) else { return };
             let (head, ()) = head.into_parts();
-            if !exchange::may_start_ahead(&self.desk, &head) {
+            if !exchange::may_start_ahead(&self.state, &head) {
                 return;
             }
-            let attempt = self.desk.dialect.caller(&head.headers).attempt;
+            let attempt = self.state.protocol.caller(&head.headers).attempt;
             let uri = head.uri.clone();
             let req = Request::from_parts(head, exchange::Body::None);
             // If the caller leaves, `Started` is dropped and ends the task.
-            let serve = exchange::serve(self.desk.clone(), Presence::assumed(), req);
+            let serve = exchange::serve(self.state.clone(), Disconnect::assumed(), req);
             started.push_back(Started { attempt, task: tokio::task::spawn_local(serve), uri });
         }
     }
 }
 
 /// Counts an open connection, so that a planned stop waits until all have their answers.
-struct Open(Rc<Desk>);
+struct Open(Rc<TrafficState>);
 
 impl Open {
-    fn new(desk: &Rc<Desk>) -> Self {
-        desk.open.set(desk.open.get() + 1);
-        Self(desk.clone())
+    fn new(state: &Rc<TrafficState>) -> Self {
+        state.open.set(state.open.get() + 1);
+        Self(state.clone())
     }
 }
 
@@ -236,25 +240,27 @@
 }
 
 /// The answer to a question for readiness.
-pub fn ready(desk: &Desk, req: &Request<Incoming>) -> Response<Full<Bytes>> {
-    if !desk.dialect.asks_ready(req.uri()) {
+pub fn ready(state: &TrafficState, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+    if !state.protocol.asks_ready(req.uri()) {
         return status(StatusCode::NOT_FOUND);
     }
-    let knows = desk.view().is_some_and(|view| view.declared.is_some());
-    let ready = knows && desk.leaving.get().is_none();
+    let knows = state.view().is_some_and(|view| view.declared.is_some());
+    let ready = knows && state.leaving.get().is_none();
     status(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
 }
 
 /// The answer to a look-up.
-pub fn look_up(desk: &Desk, req: &Request<Incoming>) -> Response<Full<Bytes>> {
-    let Some(place) = desk.dialect.lookup(req.uri()) else { return status(StatusCode::NOT_FOUND) };
-    let Some(view) = desk.view() else { return status(StatusCode::SERVICE_UNAVAILABLE) };
+pub fn look_up(state: &TrafficState, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let Some(place) = state.protocol.lookup(req.uri()) else {
+        return status(StatusCode::NOT_FOUND);
+    };
+    let Some(view) = state.view() else { return status(StatusCode::SERVICE_UNAVAILABLE) };
     let found = lookup::addresses(&view.hosts, &place);
     if found.is_empty() {
         return status(StatusCode::SERVICE_UNAVAILABLE);
     }
-    let ttl = LOOKUP_TTL.min(desk.settings.bounds.lookup_ttl);
-    let mut answer = Response::new(Full::new(desk.dialect.found(&found, ttl)));
+    let ttl = LOOKUP_TTL.min(state.settings.bounds.lookup_ttl);
+    let mut answer = Response::new(Full::new(state.protocol.found(&found, ttl)));
     let json = HeaderValue::from_static("application/json");
     answer.headers_mut().insert(header::CONTENT_TYPE, json);
     answer
--- a/src/entry/shares.rs
+++ b/src/entry/shares.rs
@@ -4,7 +4,7 @@
 //! hosts of a region were asked for, and the slots of each region. Requests stay in their own
 //! region up to a level that all regions have in common; what is beyond goes where there is room.
 //!
-//! Load pattern: callers' numbers rise and fall by half within a minute, by region in turn, and
+//! OutboundRequest pattern: callers' numbers rise and fall by half within a minute, by region in turn, and
 //! some regions have a tenth of the targets that their own callers need.
 
 use crate::prelude::*;
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -79,11 +79,11 @@
 
 /// Asks other hosts.
 #[derive(Clone)]
-pub struct Asker {
+pub struct PeerClient {
     client: Client,
 }
 
-impl Asker {
+impl PeerClient {
     /// A client that keeps no connections: it is seldom needed.
     pub fn open() -> Result<Self> {
         let client = Client::builder()
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of the decisions, without clocks and sockets.
 
-mod beliefs;
 mod hosts;
+mod known_state;
 mod pipeline;
 mod place;
 mod shares;
--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -3,10 +3,10 @@
 use super::secs;
 use crate::{
     entry::{
-        Beat, LiveHost, LookupPlace, Part, Peer, Peers, Revisions, Stamp,
+        Heartbeat, LiveHost, LookupPlace, Part, Peer, Peers, Revisions, Stamp,
         lookup::addresses,
         sync::{Difference, RawObjects, since},
-        watchers::Watching,
+        watchers::WatcherElection,
     },
     prelude::*,
 };
@@ -15,8 +15,8 @@
     SocketAddr::from(([127, 0, 0, 1], port))
 }
 
-fn beat(host: &str, start: u64, turn: u64) -> Beat {
-    Beat {
+fn heartbeat(host: &str, start: u64, turn: u64) -> Heartbeat {
+    Heartbeat {
         callers: addr(1),
         control: addr(2),
         crashes: Vec::new(),
@@ -38,11 +38,11 @@
 #[test]
 fn silence_is_loss() {
     let mut peers = Peers::default();
-    assert!(peers.heard(beat("h", 1, 1), "north".into(), secs(1.0)));
-    assert!(!peers.heard(beat("h", 1, 2), "north".into(), secs(1.5)));
+    assert!(peers.heard(heartbeat("h", 1, 1), "north".into(), secs(1.0)));
+    assert!(!peers.heard(heartbeat("h", 1, 2), "north".into(), secs(1.5)));
     assert_eq!(peers.live(secs(3.0)).count(), 1);
     assert_eq!(peers.live(secs(3.3)).count(), 0);
-    assert!(peers.heard(beat("h", 1, 3), "north".into(), secs(4.0)));
+    assert!(peers.heard(heartbeat("h", 1, 3), "north".into(), secs(4.0)));
     assert_eq!(peers.live(secs(4.0)).count(), 1);
 }
 
@@ -50,10 +50,10 @@
 #[test]
 fn old_words_do_not_count() {
     let mut peers = Peers::default();
-    peers.heard(beat("h", 2, 5), "north".into(), secs(1.0));
-    peers.heard(Beat { leaving: true, ..beat("h", 2, 4) }, "north".into(), secs(1.1));
-    peers.heard(Beat { leaving: true, ..beat("h", 1, 9) }, "north".into(), secs(1.2));
-    assert!(peers.live(secs(1.3)).all(|peer| !peer.beat.leaving));
+    peers.heard(heartbeat("h", 2, 5), "north".into(), secs(1.0));
+    peers.heard(Heartbeat { leaving: true, ..heartbeat("h", 2, 4) }, "north".into(), secs(1.1));
+    peers.heard(Heartbeat { leaving: true, ..heartbeat("h", 1, 9) }, "north".into(), secs(1.2));
+    assert!(peers.live(secs(1.3)).all(|peer| !peer.heartbeat.leaving));
 }
 
 /// A host starts again after its wall clock was set back: by its start it would be older than
@@ -61,9 +61,9 @@
 #[test]
 fn a_host_whose_clock_went_back_is_heard_again() {
     let mut peers = Peers::default();
-    peers.heard(beat("h", 9_000, 5), "north".into(), secs(1.0));
-    peers.heard(beat("h", 4_000, 1), "north".into(), secs(3.0));
-    assert_eq!(peers.live(secs(3.0)).map(|peer| peer.beat.start).collect::<Vec<_>>(), [4_000]);
+    peers.heard(heartbeat("h", 9_000, 5), "north".into(), secs(1.0));
+    peers.heard(heartbeat("h", 4_000, 1), "north".into(), secs(3.0));
+    assert_eq!(peers.live(secs(3.0)).map(|peer| peer.heartbeat.start).collect::<Vec<_>>(), [4_000]);
 }
 
 /// Callers are sent to all hosts of their region, and to the others only where that has none.
@@ -81,27 +81,27 @@
     assert_eq!(addresses(&hosts, &place("west")), [addr(1), addr(2), addr(3)]);
 }
 
-/// A beat is read back as it was written, and damaged ones are refused or read, never a panic.
+/// A heartbeat is read back as it was written, and damaged ones are refused or read, never a panic.
 #[test]
 fn beats_survive_the_way_and_damage() {
-    let mut sent = beat("h", 1, 2);
+    let mut sent = heartbeat("h", 1, 2);
     sent.running = vec![(7, 3)];
     sent.peers = vec![addr(9)];
-    let bytes = postcard::to_allocvec(&sent).expect("a beat can be encoded");
-    assert_eq!(postcard::from_bytes::<Beat>(&bytes).expect("a beat"), sent);
+    let bytes = postcard::to_allocvec(&sent).expect("a heartbeat can be encoded");
+    assert_eq!(postcard::from_bytes::<Heartbeat>(&bytes).expect("a heartbeat"), sent);
     for at in 0..bytes.len() {
         for value in [0, 1, 127, 128, 255] {
             let mut damaged = bytes.clone();
             damaged[at] = value;
-            let _ = postcard::from_bytes::<Beat>(&damaged);
-            let _ = postcard::from_bytes::<Beat>(&damaged[..at]);
+            let _ = postcard::from_bytes::<Heartbeat>(&damaged);
+            let _ = postcard::from_bytes::<Heartbeat>(&damaged[..at]);
         }
     }
 }
 
 fn peer(host: &str, region: &str, reaches_store: bool) -> Peer {
-    let beat = Beat { reaches_store, ..beat(host, 1, 1) };
-    Peer { beat, heard: secs(1.0), region: region.into() }
+    let heartbeat = Heartbeat { reaches_store, ..heartbeat(host, 1, 1) };
+    Peer { heartbeat, heard: secs(1.0), region: region.into() }
 }
 
 /// Six hosts of a region: two watch the store, and each finds out by itself whether it is one of
@@ -115,7 +115,12 @@
             let mut peers: Vec<Peer> =
                 others.map(|name| peer(name, "north", Some(*name) != unreached)).collect();
             peers.push(peer("far", "south", true));
-            Watching::default().decide(&(*host).into(), &"north".into(), peers.iter(), secs(1.0))
+            WatcherElection::default().decide(
+                &(*host).into(),
+                &"north".into(),
+                peers.iter(),
+                secs(1.0),
+            )
         };
         names.into_iter().filter(watches).collect()
     };
@@ -130,12 +135,12 @@
 /// a while, since who lives changes often then.
 #[test]
 fn a_host_alone_watches_and_stops_late() {
-    let mut watching = Watching::default();
+    let mut election = WatcherElection::default();
     let (host, region) = ("z".into(), "north".into());
-    assert!(watching.decide(&host, &region, std::iter::empty(), secs(1.0)));
+    assert!(election.decide(&host, &region, std::iter::empty(), secs(1.0)));
     let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
     let peers: Vec<Peer> = names.iter().map(|name| peer(name, "north", true)).collect();
-    let mut decide = |at| watching.decide(&host, &region, peers.iter(), secs(at));
+    let mut decide = |at| election.decide(&host, &region, peers.iter(), secs(at));
     assert!(decide(2.0));
     assert!(decide(4.9));
     assert!(!decide(5.1));
@@ -145,26 +150,26 @@
 /// only the chosen go on, before the others' first watch.
 #[test]
 fn a_new_host_stops_at_once_when_it_hears_enough_others() {
-    let mut watching = Watching::new(secs(1.0));
+    let mut election = WatcherElection::new(secs(1.0));
     let (host, region) = ("z".into(), "north".into());
-    assert!(watching.decide(&host, &region, std::iter::empty(), secs(1.0)));
+    assert!(election.decide(&host, &region, std::iter::empty(), secs(1.0)));
     let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
     let peers: Vec<Peer> = names.iter().map(|name| peer(name, "north", true)).collect();
-    assert!(!watching.decide(&host, &region, peers.iter(), secs(1.4)));
+    assert!(!election.decide(&host, &region, peers.iter(), secs(1.4)));
 }
 
 /// A watcher whose store does not answer says so, and may be chosen again later.
 #[test]
 fn a_host_without_the_store_says_so() {
-    let mut watching = Watching::default();
-    assert!(watching.reaches_store(secs(1.0)));
-    watching.lost(secs(1.0));
-    watching.lost(secs(5.0));
-    assert!(!watching.reaches_store(secs(8.9)));
-    assert!(watching.reaches_store(secs(9.1)));
-    watching.lost(secs(10.0));
-    watching.reached();
-    assert!(watching.reaches_store(secs(10.0)));
+    let mut election = WatcherElection::default();
+    assert!(election.reaches_store(secs(1.0)));
+    election.lost(secs(1.0));
+    election.lost(secs(5.0));
+    assert!(!election.reaches_store(secs(8.9)));
+    assert!(election.reaches_store(secs(9.1)));
+    election.lost(secs(10.0));
+    election.reached();
+    assert!(election.reaches_store(secs(10.0)));
 }
 
 /// What a host asks another for holds what changed, and the names of all there is, so that what is
--- /dev/null
+++ b/src/entry/tests/known_state.rs
@@ -0,0 +1,133 @@
+//! News, losses and returns of the store's objects.
+
+use super::{entry, secs};
+use crate::{
+    entry::{Declared, KnownState},
+    prelude::*,
+};
+
+fn region() -> RegionId {
+    "north".into()
+}
+
+fn listed(ids: &[&str]) -> Vec<(crate::entry::TargetEntry, RegionId)> {
+    ids.iter().map(|id| (entry(id, "north-a"), region())).collect()
+}
+
+fn usable(known_state: &KnownState) -> Vec<String> {
+    known_state.usable().map(|known| known.entry.id.to_string()).collect()
+}
+
+/// A store that answers with old data, or another host that is behind, names an older declaration.
+/// Callers would be served by routes that operators have replaced.
+#[test]
+fn a_declaration_only_rises() {
+    let mut known_state = KnownState::default();
+    let of = |version| Declared { version, ..Declared::default() };
+    assert!(known_state.declare(of(4)));
+    assert!(!known_state.declare(of(4)));
+    assert!(!known_state.declare(of(3)));
+    assert_eq!(known_state.stamp().declared, 4);
+    assert!(known_state.declare(of(9)));
+}
+
+/// The store was away for seconds and lost entries whose targets could not write. Dropped at once,
+/// all targets of a service could be gone although every one of them lives.
+#[test]
+fn entries_that_lapsed_with_the_store_are_used_a_little_longer() {
+    let mut known_state = KnownState::default();
+    known_state.list(listed(&["t-1", "t-2"]), secs(1.0));
+    known_state.lost(secs(10.0));
+    known_state.lost(secs(14.0));
+    known_state.list(listed(&["t-1"]), secs(15.0));
+    assert_eq!(usable(&known_state), ["t-1", "t-2"]);
+    known_state.tick(secs(17.0));
+    assert_eq!(usable(&known_state), ["t-1", "t-2"]);
+    known_state.tick(secs(17.3));
+    assert_eq!(usable(&known_state), ["t-1"]);
+}
+
+/// One of them is written again in time and stays; a second listing does not prolong the wait of
+/// the other.
+#[test]
+fn an_entry_that_comes_back_stays() {
+    let mut known_state = KnownState::default();
+    known_state.list(listed(&["t-1", "t-2"]), secs(1.0));
+    known_state.lost(secs(10.0));
+    known_state.list(listed(&[]), secs(15.0));
+    known_state.write(entry("t-2", "north-a"), region(), secs(16.0));
+    known_state.lost(secs(16.1));
+    known_state.list(listed(&["t-2"]), secs(16.2));
+    known_state.tick(secs(17.3));
+    assert_eq!(usable(&known_state), ["t-2"]);
+}
+
+/// The store forgot its history for an instant while a target left. Its entry is missing from the
+/// next listing and could not have lapsed: the target gets nothing more.
+#[test]
+fn without_an_outage_a_missing_entry_is_gone_at_once() {
+    let mut known_state = KnownState::default();
+    known_state.list(listed(&["t-1", "t-2"]), secs(1.0));
+    known_state.list(listed(&["t-1"]), secs(5.0));
+    assert_eq!(usable(&known_state), ["t-1"]);
+    known_state.lost(secs(6.0));
+    known_state.list(listed(&[]), secs(6.5));
+    assert!(usable(&known_state).is_empty());
+}
+
+/// A removal that the store tells is one, also while other entries are waited for.
+#[test]
+fn a_removal_is_not_waited_for() {
+    let mut known_state = KnownState::default();
+    known_state.list(listed(&["t-1"]), secs(1.0));
+    known_state.lost(secs(10.0));
+    known_state.list(listed(&[]), secs(15.0));
+    assert!(known_state.remove(&"t-1".into()));
+    assert!(usable(&known_state).is_empty());
+}
+
+/// Draining targets and those of evacuated zones take no new work; hosts can tell by the stamp.
+#[test]
+fn draining_and_evacuated_targets_are_not_usable() {
+    let mut known_state = KnownState::default();
+    known_state.list(listed(&["t-1"]), secs(1.0));
+    known_state.write(entry("t-2", "north-b"), region(), secs(1.0));
+    let before = known_state.stamp();
+    let draining = crate::entry::TargetEntry { ready: false, ..entry("t-1", "north-a") };
+    assert!(known_state.write(draining, region(), secs(2.0)));
+    assert_eq!(usable(&known_state), ["t-2"]);
+    assert!(known_state.evacuate("north-b".into(), true));
+    assert!(usable(&known_state).is_empty());
+    assert_ne!(known_state.stamp().targets, before.targets);
+    assert_ne!(known_state.stamp().evacuations, before.evacuations);
+    assert!(known_state.evacuate("north-b".into(), false));
+    assert_eq!(usable(&known_state), ["t-2"]);
+}
+
+/// A target starts again under its id: what was known of the earlier start does not count.
+#[test]
+fn the_same_id_started_again_is_another_target() {
+    let mut known_state = KnownState::default();
+    known_state.list(listed(&["t-1"]), secs(1.0));
+    let tag = |known_state: &KnownState| known_state.usable().map(|known| known.tag).next();
+    let before = tag(&known_state);
+    let again = crate::entry::TargetEntry { started: 2, ..entry("t-1", "north-a") };
+    assert!(known_state.write(again, region(), secs(2.0)));
+    assert_ne!(tag(&known_state), before);
+}
+
+/// A cold target's entry is read again with every listing. Its cold time runs from when it was
+/// first read: counted anew each time, a target would stay cold as long as others come and go.
+#[test]
+fn an_entry_that_is_read_again_stays_cold_no_longer() {
+    let mut known_state = KnownState::default();
+    let cold = crate::entry::TargetEntry { cold: secs(3.0), ..entry("t-1", "north-a") };
+    let is_cold =
+        |known_state: &KnownState, now| known_state.usable().any(|known| known.is_cold(now));
+    known_state.list(vec![(cold.clone(), region())], secs(1.0));
+    assert!(!known_state.list(vec![(cold.clone(), region())], secs(3.0)));
+    assert!(is_cold(&known_state, secs(3.9)) && !is_cold(&known_state, secs(4.0)));
+    let colder = crate::entry::TargetEntry { cold: secs(2.0), ..cold };
+    assert!(!known_state.list(vec![(colder, region())], secs(5.0)));
+    assert!(is_cold(&known_state, secs(6.9)) && !is_cold(&known_state, secs(7.0)));
+}
--- a/src/entry/tests/targets.rs
+++ b/src/entry/tests/targets.rs
@@ -5,10 +5,10 @@
     admission::RetryBudget,
     base::ManualClock,
     entry::{
-        ColdRates, Condition, Desk, Ended, LiveHost, Poison, Repeat, Route, cold::is_sender,
-        desk::allowance,
+        ColdRates, Condition, CrashSuspects, Ended, LiveHost, Repeat, Route, TrafficState,
+        cold::is_sender, traffic_state::allowance,
     },
-    platform::{Spelling, standin::loopback_settings},
+    platform::{PlatformProtocol, standin::loopback_settings},
     prelude::*,
 };
 
@@ -105,32 +105,32 @@
 /// merely ran beside it comes to a good end and is not.
 #[test]
 fn a_request_that_crashes_targets_is_refused() {
-    let mut poison = Poison::default();
-    poison.crashed(7, secs(1.0));
-    poison.crashed(7, secs(2.0));
-    assert!(poison.may_run(7, 0));
-    assert!(!poison.may_run(7, 1));
-    poison.crashed(8, secs(2.0));
-    poison.cleared(8, 2, secs(3.0));
-    assert!(poison.may_run(8, 2));
-    assert_eq!(poison.marks(), [(7, 2)]);
-    poison.crashed(7, secs(3.0));
-    assert!(!poison.may_run(7, 0));
-    poison.tick(secs(70.0));
-    assert!(poison.may_run(7, 0) && poison.is_empty());
+    let mut crash_suspects = CrashSuspects::default();
+    crash_suspects.crashed(7, secs(1.0));
+    crash_suspects.crashed(7, secs(2.0));
+    assert!(crash_suspects.may_run(7, 0));
+    assert!(!crash_suspects.may_run(7, 1));
+    crash_suspects.crashed(8, secs(2.0));
+    crash_suspects.cleared(8, 2, secs(3.0));
+    assert!(crash_suspects.may_run(8, 2));
+    assert_eq!(crash_suspects.marks(), [(7, 2)]);
+    crash_suspects.crashed(7, secs(3.0));
+    assert!(!crash_suspects.may_run(7, 0));
+    crash_suspects.tick(secs(70.0));
+    assert!(crash_suspects.may_run(7, 0) && crash_suspects.is_empty());
 }
 
 /// More fingerprints than are kept: the oldest go, the memory is bounded.
 #[test]
 fn crashes_are_remembered_within_a_bound() {
-    let mut poison = Poison::default();
+    let mut crash_suspects = CrashSuspects::default();
     for print in 0..2000 {
-        poison.crashed(print, secs(print as f64 / 1000.0));
+        crash_suspects.crashed(print, secs(print as f64 / 1000.0));
     }
-    assert_eq!(poison.marks().len(), 512);
+    assert_eq!(crash_suspects.marks().len(), 512);
 }
 
-/// Load pattern: every request fails, at every host. Retries of all hosts together stay below the
+/// OutboundRequest pattern: every request fails, at every host. Retries of all hosts together stay below the
 /// declared share and slack in any window, whatever these are.
 #[test]
 fn hosts_together_keep_the_retry_budget() {
@@ -163,7 +163,7 @@
     let clock = Arc::new(ManualClock::default());
     let settings = loopback_settings("h", "z", "r", &[("z", "r")], "127.0.0.1:1".parse().unwrap());
     let view = Arc::new(arc_swap::ArcSwapOption::empty());
-    let desk = Desk::open(Arc::new(settings), clock, Arc::new(Spelling), view);
+    let state = TrafficState::open(Arc::new(settings), clock, Arc::new(PlatformProtocol), view);
     let route = |host: &str, weights: [f64; 2]| Route {
         attempts: 1,
         key: format!("{host}/a/").into(),
@@ -179,8 +179,8 @@
     let (even, skew) = (route("x", [50.0, 50.0]), route("y", [90.0, 10.0]));
     let mut counts = [0, 0];
     for _ in 0..200 {
-        counts[0] += usize::from(desk.service(&even).as_deref() == Some("s"));
-        counts[1] += usize::from(desk.service(&skew).as_deref() == Some("s"));
+        counts[0] += usize::from(state.service(&even).as_deref() == Some("s"));
+        counts[1] += usize::from(state.service(&skew).as_deref() == Some("s"));
     }
     assert!(counts[0].abs_diff(100) <= 1 && counts[1].abs_diff(180) <= 1, "{counts:?}");
 }
--- a/src/entry/desk.rs
+++ b/src/entry/traffic_state.rs
@@ -7,7 +7,7 @@
 };
 
 use super::{
-    Bounds, ColdRates, Condition, Dialect, Ended, EntrySettings, KnownTarget, Poison, Pool,
+    Bounds, ColdRates, Condition, CrashSuspects, Ended, EntrySettings, KnownTarget, Pool, Protocol,
     RegionLoad, Route, Shares, View, ViewCell,
     cold::is_sender,
     place::{Ask, Candidate, Choice, ObjectHash, choose},
@@ -38,7 +38,7 @@
 
 /// Figures of one service.
 #[derive(Debug)]
-struct ServiceDesk {
+struct ServiceState {
     arrivals: u32,
     budget: RetryBudget,
     /// Busy slots that this host's callers ask for.
@@ -49,7 +49,7 @@
     work: Duration,
 }
 
-impl Default for ServiceDesk {
+impl Default for ServiceState {
     fn default() -> Self {
         Self {
             arrivals: 0,
@@ -63,20 +63,20 @@
 }
 
 /// Everything that one traffic thread decides with.
-pub struct Desk {
+pub struct TrafficState {
     pub clock: Arc<dyn Clock>,
-    pub dialect: Arc<dyn Dialect>,
+    pub protocol: Arc<dyn Protocol>,
     pub settings: Arc<EntrySettings>,
     cold: RefCell<ColdRates>,
     conditions: RefCell<HashMap<u32, Condition>>,
     counted: Cell<Moment>,
     /// Targets that are being looked at after a lost answer.
     looking: RefCell<HashSet<u32>>,
-    pub poison: RefCell<Poison>,
+    pub crash_suspects: RefCell<CrashSuspects>,
     pub pool: RefCell<Pool>,
-    /// Fingerprints of requests in flight, by target.
+    /// Fingerprints of requests in attempt, by target.
     running: RefCell<HashMap<u32, Vec<u64>>>,
-    services: RefCell<HashMap<ServiceId, ServiceDesk>>,
+    services: RefCell<HashMap<ServiceId, ServiceState>>,
     splits: RefCell<HashMap<Arc<str>, Vec<f64>>>,
     /// Callers' open connections.
     pub open: Cell<usize>,
@@ -87,7 +87,7 @@
 
 /// What a request is, as far as placement goes.
 #[derive(Clone, Debug)]
-pub struct Errand {
+pub struct PlacementRequest {
     pub deadline: Moment,
     pub object: ObjectHash,
     pub route: Arc<Route>,
@@ -95,12 +95,12 @@
     pub tried: Vec<u32>,
 }
 
-impl Desk {
-    /// An idle desk.
+impl TrafficState {
+    /// An idle state.
     pub fn open(
         settings: Arc<EntrySettings>,
         clock: Arc<dyn Clock>,
-        dialect: Arc<dyn Dialect>,
+        protocol: Arc<dyn Protocol>,
         view: ViewCell,
     ) -> Rc<Self> {
         Rc::new(Self {
@@ -108,11 +108,11 @@
             cold: RefCell::default(),
             conditions: RefCell::default(),
             counted: Cell::default(),
-            dialect,
+            protocol,
             leaving: Cell::default(),
             looking: RefCell::default(),
             open: Cell::new(0),
-            poison: RefCell::default(),
+            crash_suspects: RefCell::default(),
             pool: RefCell::default(),
             running: RefCell::default(),
             services: RefCell::default(),
@@ -148,41 +148,45 @@
     pub fn arrived(&self, service: &ServiceId) {
         let now = self.clock.now();
         let mut services = self.services.borrow_mut();
-        let desk = services.entry(service.clone()).or_default();
-        desk.arrivals += 1;
-        desk.spill = (desk.spill + SPILL_PART).min(2.0);
-        desk.budget.noted(now);
+        let state = services.entry(service.clone()).or_default();
+        state.arrivals += 1;
+        state.spill = (state.spill + SPILL_PART).min(2.0);
+        state.budget.noted(now);
     }
 
     /// Takes one further attempt out of a service's budget.
     pub fn take_retry(&self, view: &View, service: &ServiceId) -> bool {
         let now = self.clock.now();
         let mut services = self.services.borrow_mut();
-        let desk = services.entry(service.clone()).or_default();
-        desk.budget.allow(allowance(&self.settings.bounds, view.hosts.len()));
-        desk.budget.take(now)
+        let state = services.entry(service.clone()).or_default();
+        state.budget.allow(allowance(&self.settings.bounds, view.hosts.len()));
+        state.budget.take(now)
     }
 
     /// Usual time of an answer.
     pub fn work(&self, service: &ServiceId) -> Duration {
-        self.services.borrow().get(service).map_or(WORK_ASSUMED, |desk| desk.work)
+        self.services.borrow().get(service).map_or(WORK_ASSUMED, |state| state.work)
     }
 
     /// Chooses a target.
-    pub fn place(&self, view: &View, errand: &Errand) -> (Choice, Option<Arc<KnownTarget>>) {
+    pub fn place(
+        &self,
+        view: &View,
+        wanted: &PlacementRequest,
+    ) -> (Choice, Option<Arc<KnownTarget>>) {
         let now = self.clock.now();
-        let Some(targets) = view.targets.get(&errand.service) else {
+        let Some(targets) = view.targets.get(&wanted.service) else {
             return (Choice::Nothing, None);
         };
-        let regions = &errand.route.regions;
+        let regions = &wanted.route.regions;
         let allowed = |target: &&Arc<KnownTarget>| {
             (regions.is_empty() || regions.contains(&target.region))
-                && !errand.tried.contains(&target.tag)
+                && !wanted.tried.contains(&target.tag)
         };
         let rate = view
             .declared
             .as_ref()
-            .and_then(|declared| declared.services.get(&errand.service))
+            .and_then(|declared| declared.services.get(&wanted.service))
             .map_or(1.0, |rules| rules.cold_rate);
         let candidates: Vec<Candidate<'_>> = targets
             .iter()
@@ -190,14 +194,14 @@
             .map(|target| self.candidate(view, target, rate, now))
             .collect();
         let mut services = self.services.borrow_mut();
-        let desk = services.entry(errand.service.clone()).or_default();
+        let state = services.entry(wanted.service.clone()).or_default();
         let home = &self.settings.region;
-        let loads = || region_loads(view, targets, &errand.service, desk.demand, home, now);
-        let shares = match &mut desk.shares {
+        let loads = || region_loads(view, targets, &wanted.service, state.demand, home, now);
+        let shares = match &mut state.shares {
             Some(shares) => shares,
             none => none.insert(Shares::new(home.clone(), &loads(), now)),
         };
-        let place = (errand.object >> 11) as f64 / (1_u64 << 53) as f64;
+        let place = (wanted.object >> 11) as f64 / (1_u64 << 53) as f64;
         let mut region = shares.pick(place).cloned().unwrap_or_else(|| home.clone());
         if !candidates.iter().any(|candidate| candidate.target.region == region) {
             let share = |candidate: &&Candidate<'_>| shares.of(&candidate.target.region);
@@ -207,15 +211,15 @@
                 None => return (Choice::Nothing, None),
             }
         }
-        let left = errand.deadline.saturating_sub(now);
+        let left = wanted.deadline.saturating_sub(now);
         let ask = Ask {
             home,
             left,
-            may_spill: 1.0 <= desk.spill,
-            object: errand.object,
-            patience: errand.route.objective.mul_f64(PATIENCE),
+            may_spill: 1.0 <= state.spill,
+            object: wanted.object,
+            patience: wanted.route.objective.mul_f64(PATIENCE),
             region: &region,
-            work: desk.work,
+            work: state.work,
             zone: &self.settings.zone,
         };
         let choice = choose(&candidates, &ask);
@@ -226,7 +230,7 @@
         if let Some(target) = &target
             && target.region != region
         {
-            desk.spill -= 1.0;
+            state.spill -= 1.0;
         }
         (choice, target)
     }
@@ -260,24 +264,24 @@
         }
     }
 
-    /// A request goes to a target; it counts as in flight until the guard is dropped.
-    pub fn start(self: &Rc<Self>, target: &Arc<KnownTarget>, fingerprint: u64) -> Running {
+    /// A request goes to a target; it counts as in attempt until the guard is dropped.
+    pub fn start(self: &Rc<Self>, target: &Arc<KnownTarget>, fingerprint: u64) -> InFlight {
         let now = self.clock.now();
         if target.is_cold(now) {
             self.cold.borrow_mut().sent(target);
         }
         self.conditions.borrow_mut().entry(target.tag).or_default().in_flight += 1;
         self.running.borrow_mut().entry(target.tag).or_default().push(fingerprint);
-        Running { desk: self.clone(), fingerprint, started: now, tag: target.tag }
+        InFlight { state: self.clone(), fingerprint, started: now, tag: target.tag }
     }
 
     /// An attempt ended.
     pub fn ended(&self, target: &KnownTarget, service: &ServiceId, ended: Ended) {
         let now = self.clock.now();
         let mut services = self.services.borrow_mut();
-        let desk = services.entry(service.clone()).or_default();
+        let state = services.entry(service.clone()).or_default();
         let mut conditions = self.conditions.borrow_mut();
-        conditions.entry(target.tag).or_default().ended(ended, desk.work, now);
+        conditions.entry(target.tag).or_default().ended(ended, state.work, now);
         if let Ended::Answered(took) = ended {
             let trip = if target.region == self.settings.region {
                 Duration::ZERO
@@ -285,9 +289,9 @@
                 Duration::from_millis(110)
             };
             let took = took.saturating_sub(trip).as_secs_f64();
-            let work = desk.work.as_secs_f64();
+            let work = state.work.as_secs_f64();
             let work = work + (took - work) * WORK_NEWEST;
-            desk.work = Duration::from_secs_f64(work.max(0.005));
+            state.work = Duration::from_secs_f64(work.max(0.005));
         }
         if ended == Ended::Unreachable {
             self.pool.borrow_mut().forget(target.tag);
@@ -298,30 +302,30 @@
     pub fn cleared(&self, fingerprint: u64) {
         let elsewhere = self.view().and_then(|view| view.crashes.get(&fingerprint).copied());
         let elsewhere = elsewhere.unwrap_or_default();
-        if elsewhere == 0 && self.poison.borrow().is_empty() {
+        if elsewhere == 0 && self.crash_suspects.borrow().is_empty() {
             return;
         }
-        self.poison.borrow_mut().cleared(fingerprint, elsewhere, self.clock.now());
+        self.crash_suspects.borrow_mut().cleared(fingerprint, elsewhere, self.clock.now());
     }
 
     /// After a lost answer: whether the target is still there. If not, all that ran there when the
     /// answer was lost may have been what crashed it.
-    pub fn look_for_crash(self: &Rc<Self>, target: &Arc<KnownTarget>, service: &ServiceId) {
+    pub fn check_for_crash(self: &Rc<Self>, target: &Arc<KnownTarget>, service: &ServiceId) {
         if !self.looking.borrow_mut().insert(target.tag) {
             return;
         }
         let prints = self.running.borrow().get(&target.tag).cloned().unwrap_or_default();
-        let (desk, target, service) = (self.clone(), target.clone(), service.clone());
+        let (state, target, service) = (self.clone(), target.clone(), service.clone());
         tokio::task::spawn_local(async move {
             let reached = connect(target.entry.addr).await;
-            desk.looking.borrow_mut().remove(&target.tag);
+            state.looking.borrow_mut().remove(&target.tag);
             if let Err(error) = reached {
                 log::info!("{} is gone: {error}", target.entry.id);
-                let now = desk.clock.now();
-                let mut poison = desk.poison.borrow_mut();
-                prints.into_iter().for_each(|print| poison.crashed(print, now));
-                drop(poison);
-                desk.ended(&target, &service, Ended::Unreachable);
+                let now = state.clock.now();
+                let mut crash_suspects = state.crash_suspects.borrow_mut();
+                prints.into_iter().for_each(|print| crash_suspects.crashed(print, now));
+                drop(crash_suspects);
+                state.ended(&target, &service, Ended::Unreachable);
             }
         });
     }
@@ -331,7 +335,7 @@
         let now = self.clock.now();
         let Some(view) = self.view() else { return };
         self.cold.borrow_mut().tick(now);
-        self.poison.borrow_mut().tick(now);
+        self.crash_suspects.borrow_mut().tick(now);
         let spent = now.saturating_sub(self.counted.get());
         if spent < Duration::from_millis(500) {
             return;
@@ -343,21 +347,21 @@
         self.conditions
             .borrow_mut()
             .retain(|tag, condition| 0 < condition.in_flight || known.contains(tag));
-        for (service, desk) in self.services.borrow_mut().iter_mut() {
-            let rate = f64::from(desk.arrivals) / spent.as_secs_f64().max(0.1);
-            desk.arrivals = 0;
-            let demand = rate * desk.work.as_secs_f64();
-            desk.demand += (demand - desk.demand) * DEMAND_NEWEST;
+        for (service, state) in self.services.borrow_mut().iter_mut() {
+            let rate = f64::from(state.arrivals) / spent.as_secs_f64().max(0.1);
+            state.arrivals = 0;
+            let demand = rate * state.work.as_secs_f64();
+            state.demand += (demand - state.demand) * DEMAND_NEWEST;
             let Some(targets) = view.targets.get(service) else { continue };
             let home = &self.settings.region;
-            let loads = region_loads(&view, targets, service, desk.demand, home, now);
-            if let Some(shares) = &mut desk.shares {
+            let loads = region_loads(&view, targets, service, state.demand, home, now);
+            if let Some(shares) = &mut state.shares {
                 shares.step(&loads, self.settings.bounds.max_shift, now);
             }
         }
     }
 
-    /// What other hosts are told: requests in flight by target, demand by service, crashes.
+    /// What other hosts are told: requests in attempt by target, demand by service, crashes.
     pub fn report(&self) -> Report {
         let conditions = self.conditions.borrow();
         let busy = conditions.iter().filter(|(_, condition)| 0 < condition.in_flight);
@@ -365,8 +369,8 @@
             busy.map(|(tag, condition)| (*tag, condition.in_flight.min(255) as u8)).collect();
         let services = self.services.borrow();
         let demand =
-            services.iter().map(|(name, desk)| (service_tag(name), desk.demand as f32)).collect();
-        Report { crashes: self.poison.borrow().marks(), demand, running }
+            services.iter().map(|(name, state)| (service_tag(name), state.demand as f32)).collect();
+        Report { crashes: self.crash_suspects.borrow().marks(), demand, running }
     }
 }
 
@@ -396,20 +400,20 @@
     pub running: Vec<(u32, u8)>,
 }
 
-/// A request in flight at a target.
-pub struct Running {
-    desk: Rc<Desk>,
+/// A request in attempt at a target.
+pub struct InFlight {
+    state: Rc<TrafficState>,
     fingerprint: u64,
     pub started: Moment,
     tag: u32,
 }
 
-impl Drop for Running {
+impl Drop for InFlight {
     fn drop(&mut self) {
-        if let Some(condition) = self.desk.conditions.borrow_mut().get_mut(&self.tag) {
+        if let Some(condition) = self.state.conditions.borrow_mut().get_mut(&self.tag) {
             condition.in_flight = condition.in_flight.saturating_sub(1);
         }
-        let mut running = self.desk.running.borrow_mut();
+        let mut running = self.state.running.borrow_mut();
         if let Some(prints) = running.get_mut(&self.tag) {
             if let Some(at) = prints.iter().position(|print| *print == self.fingerprint) {
                 prints.swap_remove(at);
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -13,7 +13,7 @@
     pub declared: Option<Arc<Declared>>,
     /// Other living hosts and this one, by region and name.
     pub hosts: Vec<LiveHost>,
-    /// Requests that other hosts have in flight, by target's tag.
+    /// Requests that other hosts have in attempt, by target's tag.
     pub elsewhere: HashMap<u32, u32>,
     /// Busy slots asked for, by region and hash of the service; this host's share is left out.
     pub demand: HashMap<(RegionId, u32), f64>,
@@ -35,7 +35,7 @@
 /// The published view.
 pub type ViewCell = Arc<ArcSwapOption<View>>;
 
-/// Hash of a service's name, as beats carry it.
+/// Hash of a service's name, as heartbeats carry it.
 pub fn service_tag(service: &str) -> u32 {
     xxhash_rust::xxh3::xxh3_64(service.as_bytes()) as u32
 }
--- a/src/entry/watchers.rs
+++ b/src/entry/watchers.rs
@@ -2,7 +2,7 @@
 //!
 //! A waiting watch counts as a call, and every change makes each watcher call again. So two hosts
 //! of a region watch, chosen by hash among the living that reach the store; the others hear of
-//! changes by beats and ask. A host that hears nobody watches itself. Twelve hosts that all watched
+//! changes by heartbeats and ask. A host that hears nobody watches itself. Twelve hosts that all watched
 //! made 986 to 1,106 calls in a day of 40 s.
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -13,7 +13,7 @@
 /// Watchers in a region: while one is lost unnoticed, the other still tells.
 const WATCHERS: usize = 2;
 
-/// Time for which a host goes on watching when others seem to be enough: who lives changes often
+/// Time for which a host goes on election when others seem to be enough: who lives changes often
 /// right after a start.
 const LINGER: Duration = Duration::from_secs(3);
 
@@ -25,14 +25,14 @@
 
 /// Whether this host watches.
 #[derive(Debug, Default)]
-pub struct Watching {
+pub struct WatcherElection {
     is_on: bool,
     lost_at: Option<Moment>,
     spare_since: Option<Moment>,
     started: Moment,
 }
 
-impl Watching {
+impl WatcherElection {
     /// A host that starts now.
     pub fn new(now: Moment) -> Self {
         Self { started: now, ..Self::default() }
@@ -49,7 +49,9 @@
         let weight = |host: &HostId| (xxh3_64(host.as_bytes()), host.clone());
         let own = weight(host);
         let before = peers.filter(|peer| {
-            peer.region == *region && peer.beat.reaches_store && own < weight(&peer.beat.host)
+            peer.region == *region
+                && peer.heartbeat.reaches_store
+                && own < weight(&peer.heartbeat.host)
         });
         let needed = before.take(WATCHERS).count() < WATCHERS;
         if needed {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,19 +1,19 @@
 //! The users' platform: its names and spellings, translated into the product's own.
 //!
 //! Nothing outside this folder knows how the platform spells a header, a path, an object or a
-//! field; nothing in it decides anything. `Spelling` is the border for requests and objects,
+//! field; nothing in it decides anything. `PlatformProtocol` is the border for requests and objects,
 //! `ObjectStore` the client of the store.
 
 mod config;
 mod headers;
 mod objects;
+mod protocol;
 mod server;
-mod spelling;
 pub mod standin;
 #[cfg(test)]
 mod tests;
 
-pub use self::{objects::ObjectStore, spelling::Spelling};
+pub use self::{objects::ObjectStore, protocol::PlatformProtocol};
 
 /// Environment variable with the path of the settings file.
 pub const SETTINGS_VARIABLE: &str = "LAVENDERPLANK_NODE_FILE";
--- a/src/platform/spelling.rs
+++ b/src/platform/protocol.rs
@@ -7,7 +7,7 @@
 use crate::{
     base::span_text,
     entry::{
-        CallerNote, Declared, Dialect, LookupPlace, ReplyNote, StoreKeys, TargetEntry, Unreadable,
+        CallerNote, Declared, LookupPlace, Protocol, ReplyNote, StoreKeys, TargetEntry, Unreadable,
     },
     prelude::*,
 };
@@ -26,9 +26,9 @@
     targets: "servers/",
 };
 
-/// The platform's spelling of everything.
+/// The platform's protocol of everything.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Spelling;
+pub struct PlatformProtocol;
 
 #[derive(Serialize)]
 struct Found<'a> {
@@ -46,7 +46,7 @@
     gossip: SocketAddr,
 }
 
-impl Dialect for Spelling {
+impl Protocol for PlatformProtocol {
     fn caller(&self, headers: &HeaderMap) -> CallerNote {
         headers::caller(headers)
     }
--- a/src/platform/standin/day.rs
+++ b/src/platform/standin/day.rs
@@ -18,7 +18,7 @@
 use crate::{
     base::BootClock,
     entry::{EntryHost, EntryParts},
-    platform::{ObjectStore, Spelling},
+    platform::{ObjectStore, PlatformProtocol},
     prelude::*,
 };
 
@@ -303,8 +303,8 @@
     let zones = HOSTS.map(|(_, zone, region)| (zone, region));
     let settings = loopback_settings(name, zone, region, &zones, store.addr());
     let store = Arc::new(ObjectStore::open(store.addr())?);
-    let (clock, dialect) = (Arc::new(BootClock), Arc::new(Spelling));
-    Ok(EntryHost::spawn(EntryParts { clock, dialect, settings, store }).await?)
+    let (clock, protocol) = (Arc::new(BootClock), Arc::new(PlatformProtocol));
+    Ok(EntryHost::spawn(EntryParts { clock, protocol, settings, store }).await?)
 }
 
 fn config(version: u64) -> Value {
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -7,9 +7,9 @@
 };
 use serde_json::{Value, json};
 
-use super::Spelling;
+use super::PlatformProtocol;
 use crate::{
-    entry::{CallerNote, Dialect, LookupPlace, Repeat},
+    entry::{CallerNote, LookupPlace, Protocol, Repeat},
     prelude::Duration,
 };
 
@@ -52,7 +52,7 @@
 
 #[test]
 fn a_targets_entry_is_read() {
-    let entry = Spelling.target("i-1", &bytes(&server())).expect("an entry");
+    let entry = PlatformProtocol.target("i-1", &bytes(&server())).expect("an entry");
     assert_eq!(entry.addr, "10.1.0.9:8080".parse().expect("an address"));
     assert_eq!((&*entry.id, &*entry.service, &*entry.zone), ("i-1", "desk", "north-a"));
     assert_eq!((entry.slots, entry.started, entry.ready), (3, 1_700_000_000_000, true));
@@ -66,7 +66,7 @@
     let without = |pointer: &str, value: Value| {
         let mut entry = server();
         *entry.pointer_mut(pointer).expect("a field") = value;
-        Spelling.target("i-1", &bytes(&entry))
+        PlatformProtocol.target("i-1", &bytes(&entry))
     };
     for (pointer, value) in [
         ("/spec/address", json!("nowhere")),
@@ -83,12 +83,12 @@
     ] {
         assert!(without(pointer, value.clone()).is_err(), "{pointer} = {value}");
     }
-    assert!(Spelling.target("i-1", b"\xff\x00").is_err());
+    assert!(PlatformProtocol.target("i-1", b"\xff\x00").is_err());
 }
 
 #[test]
 fn a_configuration_is_read() {
-    let declared = Spelling.declared(&bytes(&config())).expect("a configuration");
+    let declared = PlatformProtocol.declared(&bytes(&config())).expect("a configuration");
     assert_eq!(declared.version, 0x1c);
     assert_eq!(declared.body_bytes, 1000);
     let long = declared.route("a.example:80", "/a/b/c").expect("a route");
@@ -110,33 +110,33 @@
     headers.insert("lavenderplank-attempt-id", HeaderValue::from_static("x1"));
     headers.insert("lavenderplank-time-remaining", HeaderValue::from_static("1500"));
     headers.insert("cookie", HeaderValue::from_static("a=b; Lavenderplank-Affinity-Key=17"));
-    let note = Spelling.caller(&headers);
+    let note = PlatformProtocol.caller(&headers);
     let wanted = CallerNote {
         attempt: Some("x1".into()),
         object: Some("17".into()),
         time_left: Some(Duration::from_millis(1500)),
     };
     assert_eq!(note, wanted);
-    Spelling.mark(&mut headers, &"i-1".into(), Duration::from_millis(900));
+    PlatformProtocol.mark(&mut headers, &"i-1".into(), Duration::from_millis(900));
     assert_eq!(headers["lavenderplank-expected-instance"], "i-1");
     assert_eq!(headers["lavenderplank-time-remaining"], "900");
     let mut reply = HeaderMap::new();
     reply.insert("lavenderplank-not-executed", HeaderValue::from_static("1"));
     reply.insert("lavenderplank-server-load", HeaderValue::from_static("3,1,8"));
-    let note = Spelling.reply(StatusCode::SERVICE_UNAVAILABLE, &reply);
+    let note = PlatformProtocol.reply(StatusCode::SERVICE_UNAVAILABLE, &reply);
     assert!(note.not_run && !note.signed && !note.other_target);
     assert_eq!(note.load, Some((3, 1)));
-    assert!(Spelling.reply(StatusCode::MISDIRECTED_REQUEST, &reply).other_target);
+    assert!(PlatformProtocol.reply(StatusCode::MISDIRECTED_REQUEST, &reply).other_target);
 }
 
 #[test]
 fn look_ups_are_read_and_answered() {
     let uri: Uri = "/api/resolve?name=a&region=north&zone=north-a".parse().expect("a path");
     let place = LookupPlace { region: "north".into(), zone: "north-a".into() };
-    assert_eq!(Spelling.lookup(&uri), Some(place));
-    assert_eq!(Spelling.lookup(&"/other".parse().expect("a path")), None);
-    let found =
-        Spelling.found(&["10.0.0.1:80".parse().expect("an address")], Duration::from_secs(2));
+    assert_eq!(PlatformProtocol.lookup(&uri), Some(place));
+    assert_eq!(PlatformProtocol.lookup(&"/other".parse().expect("a path")), None);
+    let found = PlatformProtocol
+        .found(&["10.0.0.1:80".parse().expect("an address")], Duration::from_secs(2));
     let found: Value = serde_json::from_slice(&found).expect("JSON");
     assert_eq!(found, json!({ "addresses": ["10.0.0.1:80"], "ttl": "2000ms" }));
 }
@@ -155,17 +155,17 @@
             let at = at.index(text.len());
             let end = (at + cut).min(text.len());
             text.splice(at..end, put);
-            let _ = Spelling.target("i-1", &text);
-            let _ = Spelling.declared(&text);
-            let _ = Spelling.host(&text);
+            let _ = PlatformProtocol.target("i-1", &text);
+            let _ = PlatformProtocol.declared(&text);
+            let _ = PlatformProtocol.host(&text);
             let mut headers = HeaderMap::new();
             for name in ["cookie", "lavenderplank-time-remaining", "lavenderplank-server-load"] {
                 if let Ok(value) = HeaderValue::from_bytes(&text[at..(at + 20).min(text.len())]) {
                     headers.insert(HeaderName::from_static(name), value);
                 }
             }
-            let _ = Spelling.caller(&headers);
-            let _ = Spelling.reply(StatusCode::OK, &headers);
+            let _ = PlatformProtocol.caller(&headers);
+            let _ = PlatformProtocol.reply(StatusCode::OK, &headers);
             Ok(())
         })
         .expect("no panic");
--- a/tests/support/entry.rs
+++ b/tests/support/entry.rs
@@ -8,7 +8,7 @@
     base::BootClock,
     entry::{EntryHost, EntryParts, EntrySettings},
     platform::{
-        ObjectStore, Spelling,
+        ObjectStore, PlatformProtocol,
         standin::{StoreStandin, TargetDraft, TargetStandin, loopback_settings},
     },
 };
@@ -106,8 +106,8 @@
     /// A host that may not serve yet.
     pub async fn host_of(&self, settings: EntrySettings) -> EntryHost {
         let store = Arc::new(ObjectStore::open(settings.store).expect("a client"));
-        let (clock, dialect) = (Arc::new(BootClock), Arc::new(Spelling));
-        EntryHost::spawn(EntryParts { clock, dialect, settings, store }).await.expect("free ports")
+        let (clock, protocol) = (Arc::new(BootClock), Arc::new(PlatformProtocol));
+        EntryHost::spawn(EntryParts { clock, protocol, settings, store }).await.expect("free ports")
     }
 
     pub async fn is_ready(&self, host: &EntryHost) -> bool {
