--- a/src/entry/place.rs
+++ b/src/entry/place.rs
@@ -16,7 +16,7 @@
 /// What an object's second and any further target is charged, as a multiple of the work at its
 /// first. A target that does not know an object takes about three times as long; the rest is for
 /// the object that it forgets in turn. Mean worth over twelve standard days: 0.513 with 1.5 and
-/// 2.4, 0.563 with 2.2 and 3.2, 0.587 with 4 and 6 (and less waiting room).
+/// 2.4, 0.563 with 2.2 and 3.2, 0.585 with 4 and 6, at twice the slots waiting.
 const SECOND_CHOICE: f64 = 4.0;
 const OTHER_CHOICE: f64 = 6.0;
 
--- a/src/entry/traffic_state.rs
+++ b/src/entry/traffic_state.rs
@@ -379,8 +379,8 @@
 /// late answer is worth more to a caller than a refusal, until it makes those behind it late too.
 const PATIENCE: f64 = 2.5;
 
-/// Part of the allowed retries that hosts use: their windows and the judge's begin at different
-/// moments.
+/// Part of the allowed retries that hosts use: the bound holds in any window of its length, and
+/// theirs begin at moments of their own.
 const RETRY_PART: f64 = 0.6;
 
 /// A host's part of the retries that all hosts may make together: of the share, since shares add
