--- a/src/base/error_kind.rs
+++ b/src/base/error_kind.rs
@@ -56,9 +56,11 @@
     PartialEq,
     PartialOrd,
     Serialize,
+    strum::IntoStaticStr,
     thiserror::Error,
 )]
 #[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
 pub enum ErrorKind {
     #[error("the target's answer was not whole or not for this request; ask for its state")]
     AnswerBroken,
--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -15,7 +15,11 @@
 use super::{
     CallerNote, Ended, KnownTarget, TrafficState, traffic_state::InFlight, upstream::Line,
 };
-use crate::{base::Ran, prelude::*};
+use crate::{
+    base::Ran,
+    event_log::{Event, RequestKey},
+    prelude::*,
+};
 
 /// An answer with either kind of body.
 pub type Answer = Response<AnswerBody>;
@@ -68,6 +72,7 @@
 pub struct RelayEnd {
     pub state: Rc<TrafficState>,
     pub keep: Option<Duration>,
+    pub key: RequestKey,
     pub line: Line,
     pub running: InFlight,
     pub service: ServiceId,
@@ -80,8 +85,13 @@
         match &frame {
             Some(Ok(_)) if !self.body.is_end_stream() => {}
             Some(Err(error)) => {
-                log::warn!("a target's answer broke off: {error}");
                 if let Some(end) = self.ended.take() {
+                    let event = Event::StreamBroken {
+                        reason: error.to_string().into(),
+                        service: end.service.clone(),
+                        target: end.target.entry.id.clone(),
+                    };
+                    end.state.tell(&end.key, event);
                     end.state.ended(&end.target, &end.service, Ended::Failed);
                 }
             }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode, header, request::Parts};
+use http::{Request, Response, header, request::Parts};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
@@ -13,7 +13,10 @@
     traffic_state::InFlight,
     upstream::{Line, SendError, connect, keep_alive},
 };
-use crate::prelude::*;
+use crate::{
+    event_log::{AttemptEnd, Event, RequestKey},
+    prelude::*,
+};
 
 /// Largest answer that is held whole before its head goes out: it can then be asked for again
 /// elsewhere if it breaks off. Larger ones are passed on as they arrive.
@@ -37,6 +40,8 @@
     pub deadline: Moment,
     pub fingerprint: u64,
     pub head: Parts,
+    /// Names it in the log.
+    pub key: RequestKey,
     pub note: CallerNote,
     pub service: ServiceId,
 }
@@ -53,12 +58,15 @@
         request: request.clone(),
         target: target.clone(),
         started: running.started,
+        connect: None,
         done: false,
+        first_byte: None,
     };
     let mut line = match line(&state, &target).await {
         Ok(line) => line,
         Err(error) => return guard.unsent(&error),
     };
+    guard.connect = (!line.reused).then(|| guard.took());
     let mut sent = line.send(order(&state, &request, &target)).await;
     if let Err(SendError::NotSent(reason)) = &sent
         && line.reused
@@ -76,6 +84,7 @@
         Err(SendError::Lost(reason)) => return guard.lost(&reason),
         Err(error) => return guard.unsent(&error),
     };
+    guard.first_byte = Some(guard.took());
     let note = state.protocol.reply(answer.status(), answer.headers());
     if note.not_run || note.other_target {
         return guard.refused(&note, answer, line).await;
@@ -120,7 +129,11 @@
 /// Tells the state how the attempt ended, also when it is dropped half way.
 struct AttemptGuard {
     state: Rc<TrafficState>,
+    /// Time to a new connection.
+    connect: Option<Duration>,
     done: bool,
+    /// Time to the head of the answer.
+    first_byte: Option<Duration>,
     request: Rc<OutboundRequest>,
     started: Moment,
     target: Arc<KnownTarget>,
@@ -130,7 +143,11 @@
     fn drop(&mut self) {
         if !self.done {
             let took = self.took();
-            self.ended(Ended::Cancelled(took));
+            self.ended(
+                Ended::Cancelled(took),
+                AttemptEnd::Cancelled,
+                "nobody waits for it any more",
+            );
         }
     }
 }
@@ -140,23 +157,34 @@
         self.state.clock.now().saturating_sub(self.started)
     }
 
-    fn ended(&mut self, ended: Ended) {
+    fn ended(&mut self, ended: Ended, end: AttemptEnd, detail: &str) {
         self.done = true;
+        let left = self.request.deadline.saturating_sub(self.state.clock.now());
+        let event = Event::AttemptEnded {
+            connect_ms: self.connect.map(|took| took.as_millis() as u64),
+            left_ms: left.as_millis() as u64,
+            end,
+            first_byte_ms: self.first_byte.map(|took| took.as_millis() as u64),
+            detail: detail.into(),
+            service: self.request.service.clone(),
+            target: self.target.entry.id.clone(),
+            took_ms: self.took().as_millis() as u64,
+        };
+        self.state.tell(&self.request.key, event);
         self.state.ended(&self.target, &self.request.service, ended);
     }
 
     fn unsent(&mut self, error: &SendError) -> AttemptOutcome {
-        log::info!("{}: {error}", self.target.entry.id);
-        match error {
-            SendError::Unreachable(_) => self.ended(Ended::Unreachable),
-            _ => self.ended(Ended::Failed),
-        }
+        let ended = match error {
+            SendError::Unreachable(_) => Ended::Unreachable,
+            _ => Ended::Failed,
+        };
+        self.ended(ended, AttemptEnd::Unreachable, &error.to_string());
         AttemptOutcome::NotRun(ErrorKind::ConnectFailed)
     }
 
     fn lost(&mut self, reason: &str) -> AttemptOutcome {
-        log::info!("{}: {reason}", self.target.entry.id);
-        self.ended(Ended::Failed);
+        self.ended(Ended::Failed, AttemptEnd::Lost, reason);
         self.state.check_for_crash(&self.target, &self.request.service);
         AttemptOutcome::Lost(ErrorKind::DispatchLost)
     }
@@ -169,10 +197,10 @@
     ) -> AttemptOutcome {
         if note.other_target {
             // The address has a new owner: the entry is out of date.
-            self.ended(Ended::Unreachable);
+            self.ended(Ended::Unreachable, AttemptEnd::WrongTarget, "another target is there");
             return AttemptOutcome::NotRun(ErrorKind::NoTarget);
         }
-        self.ended(Ended::Full);
+        self.ended(Ended::Full, AttemptEnd::Shed, answer.status().as_str());
         let keep = keep_alive(answer.headers());
         if answer.into_body().collect().await.is_ok() {
             let now = self.state.clock.now();
@@ -195,11 +223,12 @@
         let size = http_body::Body::size_hint(&body).exact();
         if size.is_none_or(|size| WHOLE_BYTES < size) && status.is_success() {
             let took = self.took();
-            self.ended(Ended::Answered(took));
+            self.ended(Ended::Answered(took), AttemptEnd::Answered, status.as_str());
             let end = RelayEnd {
                 state: self.state.clone(),
                 keep,
                 line,
+                key: self.request.key.clone(),
                 running,
                 service: self.request.service.clone(),
                 target: self.target.clone(),
@@ -216,18 +245,15 @@
         let took = self.took();
         let answer = Response::from_parts(head, AnswerBody::Whole(Full::new(whole)));
         if status.is_server_error() {
-            self.ended(Ended::Failed);
+            self.ended(Ended::Failed, AttemptEnd::Failed, status.as_str());
             return if note.signed {
                 AttemptOutcome::Poor(answer)
             } else {
                 AttemptOutcome::Lost(ErrorKind::AnswerBroken)
             };
         }
-        self.ended(Ended::Answered(took));
+        self.ended(Ended::Answered(took), AttemptEnd::Answered, status.as_str());
         self.state.cleared(self.request.fingerprint);
-        if status != StatusCode::OK {
-            log::debug!("{}: answered {status}", self.target.entry.id);
-        }
         AttemptOutcome::Answer(answer)
     }
 }
--- a/src/entry/condition.rs
+++ b/src/entry/condition.rs
@@ -34,6 +34,15 @@
     Cancelled(Duration),
 }
 
+/// What an attempt's end changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ConditionChange {
+    /// The target gets nothing for that long, after so many failures in a row.
+    Paused { failures: u32, pause: Duration },
+    /// It answers again after a pause.
+    Trusted,
+}
+
 /// The condition of one target.
 #[derive(Clone, Debug, Default)]
 pub struct Condition {
@@ -52,22 +61,30 @@
 
 impl Condition {
     /// An attempt ended; `expected` is the time that an answer usually takes there.
-    pub fn ended(&mut self, ended: Ended, expected: Duration, now: Moment) {
+    pub fn ended(
+        &mut self,
+        ended: Ended,
+        expected: Duration,
+        now: Moment,
+    ) -> Option<ConditionChange> {
         let ratio = |took: Duration| took.as_secs_f64() / expected.as_secs_f64().max(0.001);
         match ended {
             Ended::Answered(took) => {
+                let was_paused = 0 < self.pauses;
                 self.failures = 0;
                 self.pauses = 0;
                 self.paused_until = Moment::ZERO;
                 self.sample(0.0, now);
                 self.paced(ratio(took));
+                return was_paused.then_some(ConditionChange::Trusted);
             }
             Ended::Cancelled(took) if expected < took => self.paced(ratio(took)),
             Ended::Cancelled(_) => {}
             Ended::Full => self.full_until = now + FULL_PAUSE,
-            Ended::Failed => self.failed(1, now),
-            Ended::Unreachable => self.failed(FAILURES, now),
+            Ended::Failed => return self.failed(1, now),
+            Ended::Unreachable => return self.failed(FAILURES, now),
         }
+        None
     }
 
     /// How much the time of an answer is stretched here, for slowness and failures.
@@ -93,14 +110,16 @@
         now < self.full_until
     }
 
-    fn failed(&mut self, count: u32, now: Moment) {
+    fn failed(&mut self, count: u32, now: Moment) -> Option<ConditionChange> {
         self.sample(1.0, now);
         self.failures = self.failures.saturating_add(count);
-        if FAILURES <= self.failures {
-            let pause = FIRST_PAUSE.saturating_mul(1 << self.pauses.min(8)).min(LONGEST_PAUSE);
-            self.paused_until = now + pause;
-            self.pauses += 1;
+        if self.failures < FAILURES {
+            return None;
         }
+        let pause = FIRST_PAUSE.saturating_mul(1 << self.pauses.min(8)).min(LONGEST_PAUSE);
+        self.paused_until = now + pause;
+        self.pauses += 1;
+        Some(ConditionChange::Paused { failures: self.failures, pause })
     }
 
     fn keep(&self, now: Moment) -> f64 {
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -11,7 +11,9 @@
 use tokio::{net::UdpSocket, sync::mpsc};
 use xtra::{Address, Mailbox, WeakAddress};
 
-pub use self::messages::{Datagram, HostsListed, Leave, Registered, Share, Shared, Tick, Told};
+pub use self::messages::{
+    Datagram, HostsListed, Leave, Registered, Reload, Share, Shared, Tick, Told,
+};
 
 use self::talk::LIST_HOSTS_FIRST;
 use super::{
@@ -21,6 +23,8 @@
     watchers::WatcherElection,
 };
 use crate::{
+    event_log::{Event, EventSink, WatchReason},
+    metrics::{ControlFigures, EntryMetrics},
     prelude::*,
     store::{FollowPace, Followed, Follower, Platform},
 };
@@ -47,6 +51,8 @@
 /// What the control side is built from.
 pub struct ControlParts {
     pub clock: Arc<dyn Clock>,
+    pub events: Arc<dyn EventSink>,
+    pub metrics: Arc<EntryMetrics>,
     pub protocol: Arc<dyn Protocol>,
     pub report: Arc<ArcSwap<Report>>,
     pub settings: Arc<EntrySettings>,
@@ -64,6 +70,8 @@
     /// The tasks that follow the store, while this host watches.
     followers: Vec<FollowTask>,
     leaving: bool,
+    /// Parts of the store that do not answer, and since when.
+    lost_parts: BTreeMap<Part, Moment>,
     parts: ControlParts,
     peers: Peers,
     questions: Questions,
@@ -71,6 +79,8 @@
     list_hosts_at: Moment,
     listed_hosts: Vec<SocketAddr>,
     start: u64,
+    /// When the store's word last came, by itself or another host.
+    told_at: Moment,
     turn: u64,
     election: WatcherElection,
 }
@@ -96,12 +106,14 @@
             register_at: Some(Moment::ZERO),
             followers: Vec::new(),
             leaving: false,
+            lost_parts: BTreeMap::new(),
             peers: Peers::default(),
             questions: Questions::default(),
             raw: BTreeMap::new(),
             list_hosts_at: now + LIST_HOSTS_FIRST,
             listed_hosts: Vec::new(),
             start: start.map_or(0, |since| since.as_millis() as u64),
+            told_at: now,
             turn: 0,
             election: WatcherElection::new(now),
             parts,
@@ -109,6 +121,11 @@
         xtra::spawn_tokio(control, Mailbox::bounded(MAILBOX))
     }
 
+    /// Records an event of the host itself.
+    fn tell(&self, event: Event) {
+        self.parts.events.record(None, event);
+    }
+
     fn now(&self) -> Moment {
         self.parts.clock.now()
     }
@@ -117,7 +134,8 @@
     fn publish(&mut self) {
         let now = self.now();
         let settings = &self.parts.settings;
-        let mut view = View { declared: self.known_state.declared().cloned(), ..View::default() };
+        let declared = self.known_state.declared().cloned();
+        let mut view = View { at: now, declared, ..View::default() };
         for known in self.known_state.usable() {
             let service = known.entry.service.clone();
             view.targets.entry(service).or_default().push(Arc::new(known));
@@ -152,9 +170,23 @@
             }
         }
         view.demand = demand;
+        self.parts.metrics.control(self.figures(&view));
         self.parts.view.store(Some(Arc::new(view)));
     }
 
+    fn figures(&self, view: &View) -> ControlFigures {
+        let now = self.now();
+        let (cold, warm): (Vec<_>, Vec<_>) =
+            view.targets.values().flatten().partition(|target| target.is_cold(now));
+        ControlFigures {
+            declaration: view.declared.as_ref().map_or(0, |declared| declared.version),
+            hosts: view.hosts.len(),
+            store_age: now.saturating_sub(self.told_at),
+            targets_cold: cold.len(),
+            targets_warm: warm.len(),
+        }
+    }
+
     /// Starts or ends following the store.
     fn watch(&mut self, own: &WeakAddress<Self>) {
         let now = self.now();
@@ -165,11 +197,13 @@
         if wanted != self.followers.is_empty() {
             return;
         }
-        log::info!("{} the store", if wanted { "watches" } else { "no longer watches" });
         self.followers.clear();
         if !wanted {
-            return;
+            self.lost_parts.clear();
+            return self.tell(Event::WatchEnded);
         }
+        let reason = if untold { WatchReason::Untold } else { WatchReason::Elected };
+        self.tell(Event::WatchBegun { reason });
         let keys = self.parts.protocol.keys();
         for (part, prefix) in [
             (Part::Declared, keys.declared),
--- a/src/entry/control/handlers.rs
+++ b/src/entry/control/handlers.rs
@@ -6,11 +6,12 @@
 use xtra::{Actor, Handler};
 
 use super::{
-    Datagram, EntryControl, HostsListed, Leave, Registered, Share, Shared, Tick, Told,
+    Datagram, EntryControl, HostsListed, Leave, Registered, Reload, Share, Shared, Tick, Told,
     talk::{FAR_HEARTBEATS, REGISTER_PAUSE},
 };
 use crate::{
-    entry::{Heartbeat, Part},
+    entry::{EntrySettings, Heartbeat, Part},
+    event_log::{Event, Source},
     prelude::*,
 };
 
@@ -47,8 +48,9 @@
         let region = self.parts.settings.region_of(&heartbeat.zone);
         let told: Vec<SocketAddr> = heartbeat.peers.clone();
         let host = heartbeat.host.clone();
+        let zone = heartbeat.zone.clone();
         if self.peers.heard(heartbeat, region, now) {
-            log::info!("host {host} is heard");
+            self.tell(Event::HostHeard { peer: host, zone });
         }
         if self.followers.is_empty() {
             self.ask(&cx.mailbox().address());
@@ -66,8 +68,16 @@
 
     async fn handle(&mut self, Tick: Tick, cx: &mut xtra::Context<Self>) {
         let now = self.now();
-        self.known_state.tick(now);
-        self.peers.tick(now);
+        for target in self.known_state.tick(now) {
+            self.target_gone(target, Source::Listing);
+        }
+        for peer in self.peers.tick(now) {
+            self.tell(Event::HostLost {
+                peer: peer.heartbeat.host,
+                silent_ms: now.saturating_sub(peer.heard).as_millis() as u64,
+                zone: peer.heartbeat.zone,
+            });
+        }
         self.send_heartbeats();
         let own = cx.mailbox().address();
         self.watch(&own);
@@ -88,11 +98,21 @@
     }
 }
 
+impl Handler<Reload> for EntryControl {
+    type Return = ();
+
+    async fn handle(&mut self, Reload(settings): Reload, _: &mut xtra::Context<Self>) {
+        let EntrySettings { bounds, seeds, zones, .. } = settings;
+        let known = EntrySettings::clone(&self.parts.settings);
+        self.parts.settings = Arc::new(EntrySettings { bounds, seeds, zones, ..known });
+    }
+}
+
 impl Handler<Share> for EntryControl {
     type Return = io::Result<Bytes>;
 
     async fn handle(&mut self, Share(since): Share, _: &mut xtra::Context<Self>) -> Self::Return {
-        let known = self.known_state.stamp().revisions;
+        let known = self.known_state.revisions();
         self.last_answer.packed(&self.raw, known, since)
     }
 }
@@ -108,11 +128,12 @@
             self.watch(&own);
             return self.ask(&own);
         };
-        let mine = self.known_state.stamp().revisions;
+        self.told_at = now;
+        let mine = self.known_state.revisions();
         for part in Part::ALL {
             if mine.of(part) < told.revisions.of(part) {
                 let objects = told.applied(part, &self.raw);
-                self.listed(part, objects);
+                self.listed(part, objects, Source::Host);
                 self.known_state.saw(part, told.revisions.of(part));
             }
         }
--- a/src/entry/control/messages.rs
+++ b/src/entry/control/messages.rs
@@ -1,7 +1,7 @@
 //! Messages to the control actor.
 
 use crate::{
-    entry::{Part, Revisions, sync::Difference},
+    entry::{EntrySettings, Part, Revisions, sync::Difference},
     prelude::*,
     store::Followed,
 };
@@ -18,6 +18,9 @@
 /// A planned stop begins.
 pub struct Leave;
 
+/// Settings that were read again.
+pub struct Reload(pub EntrySettings);
+
 /// Another host asks for what is newer than it knows.
 pub struct Share(pub Revisions);
 
--- a/src/entry/control/news.rs
+++ b/src/entry/control/news.rs
@@ -2,97 +2,162 @@
 
 use std::collections::BTreeSet;
 
+use bytes::Bytes;
+
 use super::EntryControl;
 use crate::{
-    entry::Part,
+    entry::{
+        Declared, KnownTarget, Part,
+        known_state::{RETURN_WAIT, Removal},
+    },
+    event_log::{Event, Source},
     prelude::*,
     store::{Change, Entry, Followed, Listing, PlatformError},
 };
 
 impl EntryControl {
     /// Decodes and keeps one object; true when something that matters changed.
-    fn written(&mut self, part: Part, key: &Arc<str>, version: u64, object: bytes::Bytes) -> bool {
-        let now = self.now();
-        let protocol = self.parts.protocol.clone();
+    fn written(&mut self, part: Part, key: &Arc<str>, version: u64, object: Bytes) -> bool {
         self.raw.insert((part, key.clone()), (version, object.clone()));
         match part {
-            Part::Declared => match protocol.declared(&object) {
-                Ok(declared) => {
-                    let version = declared.version;
-                    let newer = self.known_state.declare(declared);
-                    if newer {
-                        log::info!("declaration {version:08x} in force");
-                    }
-                    newer
-                }
-                Err(error) => {
-                    log::warn!("declaration is left out: {error}");
-                    false
-                }
-            },
+            Part::Declared => self.declared(key, &object, Source::Watch),
             Part::Evacuations => {
-                log::info!("zone {key} is evacuated");
-                self.known_state.evacuate(key.clone(), true, now)
-            }
-            Part::Targets => match protocol.target(key, &object) {
-                Ok(entry) => {
-                    let region = self.parts.settings.region_of(&entry.zone);
-                    log::info!("target {key}: {entry:?}");
-                    self.known_state.write(entry, region, now)
+                let evacuated = self.known_state.evacuate(key.clone(), true, self.now());
+                if evacuated {
+                    self.zone_evacuated(key.clone(), Source::Watch);
                 }
-                Err(error) => {
-                    log::warn!("target {key} is left out: {error}");
-                    self.known_state.remove(key)
+                evacuated
+            }
+            Part::Targets => self.target_written(key, &object),
+        }
+    }
+
+    fn declared(&mut self, key: &Arc<str>, object: &[u8], source: Source) -> bool {
+        let declared = match self.parts.protocol.declared(object) {
+            Ok(declared) => declared,
+            Err(error) => {
+                self.unreadable(Part::Declared, key, &error.0, source);
+                return false;
+            }
+        };
+        let before = self.known_state.declared().map_or(0, |declared| declared.version);
+        let version = declared.version;
+        let routes = routes(&declared);
+        if self.known_state.declare(declared) {
+            let store_version = self.known_state.revisions().declared;
+            let event =
+                Event::DeclarationInForce { before, routes, source, store_version, version };
+            self.tell(event);
+            return true;
+        }
+        if version < before {
+            self.tell(Event::DeclarationStale { known: before, source, version });
+        }
+        false
+    }
+
+    fn target_written(&mut self, key: &Arc<str>, object: &[u8]) -> bool {
+        let now = self.now();
+        match self.parts.protocol.target(key, object) {
+            Ok(entry) => {
+                let region = self.parts.settings.region_of(&entry.zone);
+                let changed = self.known_state.write(entry, region, now);
+                if changed {
+                    self.target_known(key, Source::Watch);
                 }
-            },
+                changed
+            }
+            Err(error) => {
+                self.unreadable(Part::Targets, key, &error.0, Source::Watch);
+                self.target_removed(key)
+            }
         }
     }
 
+    fn target_removed(&mut self, key: &Arc<str>) -> bool {
+        match self.known_state.remove(key, self.now()) {
+            Removal::Gone => self.target_gone(key.clone(), Source::Watch),
+            Removal::Kept => self.target_kept(key.clone()),
+            Removal::Unknown => return false,
+        }
+        true
+    }
+
     fn removed(&mut self, part: Part, key: &Arc<str>) -> bool {
         self.raw.remove(&(part, key.clone()));
-        log::info!("{part:?} {key} removed");
         match part {
-            Part::Declared => false,
-            Part::Evacuations => self.known_state.evacuate(key.clone(), false, self.now()),
-            Part::Targets => self.known_state.remove(key),
+            Part::Declared => {
+                log::warn!("the declaration was removed; the one in force stands");
+                false
+            }
+            Part::Evacuations => {
+                let back = self.known_state.evacuate(key.clone(), false, self.now());
+                if back {
+                    self.zone_taken_back(key.clone(), Source::Watch);
+                }
+                back
+            }
+            Part::Targets => self.target_removed(key),
         }
     }
 
+    /// Takes all objects of a part in place of those known before.
     pub(super) fn listed(
         &mut self,
         part: Part,
-        objects: Vec<(Arc<str>, u64, bytes::Bytes)>,
+        objects: Vec<(Arc<str>, u64, Bytes)>,
+        source: Source,
     ) -> bool {
-        let now = self.now();
         self.raw.retain(|(kept, _), _| *kept != part);
+        for (key, version, object) in &objects {
+            self.raw.insert((part, key.clone()), (*version, object.clone()));
+        }
         match part {
-            Part::Declared => objects.into_iter().fold(false, |sum, (key, version, object)| {
-                self.written(part, &key, version, object) || sum
-            }),
-            Part::Evacuations => {
-                let names: Vec<Arc<str>> = objects.iter().map(|(key, _, _)| key.clone()).collect();
-                for (key, version, object) in objects {
-                    self.raw.insert((part, key), (version, object));
-                }
-                let zones: BTreeSet<ZoneId> = self.parts.protocol.zones(&names);
-                self.known_state.evacuations(zones, now)
-            }
-            Part::Targets => {
-                let mut entries = Vec::new();
-                for (key, version, object) in objects {
-                    match self.parts.protocol.target(&key, &object) {
-                        Ok(entry) => {
-                            let region = self.parts.settings.region_of(&entry.zone);
-                            entries.push((entry, region));
-                        }
-                        Err(error) => log::warn!("target {key} is left out: {error}"),
-                    }
-                    self.raw.insert((part, key), (version, object));
+            Part::Declared => objects
+                .iter()
+                .fold(false, |sum, (key, _, object)| self.declared(key, object, source) || sum),
+            Part::Evacuations => self.evacuations_listed(&objects, source),
+            Part::Targets => self.targets_listed(&objects, source),
+        }
+    }
+
+    fn evacuations_listed(&mut self, objects: &[(Arc<str>, u64, Bytes)], source: Source) -> bool {
+        let names: Vec<Arc<str>> = objects.iter().map(|(key, _, _)| key.clone()).collect();
+        let zones: BTreeSet<ZoneId> = self.parts.protocol.zones(&names);
+        let changes = self.known_state.evacuations(zones, self.now());
+        let changed = !changes.evacuated.is_empty() || !changes.taken_back.is_empty();
+        for zone in changes.evacuated {
+            self.zone_evacuated(zone, source);
+        }
+        for zone in changes.taken_back {
+            self.zone_taken_back(zone, source);
+        }
+        changed
+    }
+
+    fn targets_listed(&mut self, objects: &[(Arc<str>, u64, Bytes)], source: Source) -> bool {
+        let mut entries = Vec::new();
+        for (key, _, object) in objects {
+            match self.parts.protocol.target(key, object) {
+                Ok(entry) => {
+                    let region = self.parts.settings.region_of(&entry.zone);
+                    entries.push((entry, region));
                 }
-                log::info!("{} targets listed", entries.len());
-                self.known_state.list(entries, now)
+                Err(error) => self.unreadable(Part::Targets, key, &error.0, source),
             }
         }
+        let changes = self.known_state.list(entries, self.now());
+        let changed = !changes.gone.is_empty() || !changes.known.is_empty();
+        for target in &changes.known {
+            self.target_known(target, source);
+        }
+        for target in changes.gone {
+            self.target_gone(target, source);
+        }
+        for target in changes.kept {
+            self.target_kept(target);
+        }
+        changed
     }
 
     fn changed(&mut self, part: Part, changes: Vec<Change>) -> bool {
@@ -111,30 +176,94 @@
     pub(super) fn told(&mut self, part: Part, told: Followed) -> bool {
         match told {
             Followed::Changed(changes) => {
-                self.election.reached();
+                self.reached(part);
                 self.changed(part, changes)
             }
             Followed::Listed(Listing { entries, version }) => {
-                self.election.reached();
+                self.reached(part);
                 self.known_state.saw(part, version);
                 let object =
                     |entry: Entry| (name(&entry.key), entry.object.version, entry.object.value);
-                self.listed(part, entries.into_iter().map(object).collect())
+                self.listed(part, entries.into_iter().map(object).collect(), Source::Listing)
             }
             Followed::Lost(error) => {
-                log::info!("store, {part:?}: {error}");
-                if matches!(error, PlatformError::TooOld { .. }) {
-                    return false;
-                }
-                let now = self.now();
-                self.election.lost(now);
-                if part == Part::Targets {
-                    self.known_state.lost(now);
-                }
+                self.lost(part, &error);
                 false
             }
         }
     }
+
+    fn reached(&mut self, part: Part) {
+        self.election.reached();
+        let now = self.now();
+        self.told_at = now;
+        if part == Part::Targets {
+            self.known_state.reached(now);
+        }
+        if let Some(since) = self.lost_parts.remove(&part) {
+            let away_ms = now.saturating_sub(since).as_millis() as u64;
+            self.tell(Event::StoreRegained { away_ms, part });
+        }
+    }
+
+    fn lost(&mut self, part: Part, error: &PlatformError) {
+        if matches!(error, PlatformError::TooOld { .. }) {
+            log::info!("the store forgot what {part:?} was watched from; it is listed anew");
+            return;
+        }
+        let now = self.now();
+        if let std::collections::btree_map::Entry::Vacant(slot) = self.lost_parts.entry(part) {
+            slot.insert(now);
+            self.tell(Event::StoreLost { part, reason: error.to_string().into() });
+        }
+        self.election.lost(now);
+        if part == Part::Targets {
+            self.known_state.lost(now);
+        }
+    }
+
+    fn unreadable(&self, part: Part, name: &Arc<str>, reason: &Arc<str>, source: Source) {
+        let (name, reason) = (name.clone(), reason.clone());
+        self.tell(Event::EntryUnreadable { name, part, reason, source });
+    }
+
+    fn target_known(&self, target: &TargetId, source: Source) {
+        let Some(KnownTarget { entry, .. }) = self.known_state.target(target) else { return };
+        self.tell(Event::TargetKnown {
+            cold_ms: entry.cold.as_millis() as u64,
+            ready: entry.ready,
+            service: entry.service.clone(),
+            slots: entry.slots,
+            source,
+            store_version: self.known_state.revisions().targets,
+            target: target.clone(),
+            zone: entry.zone.clone(),
+        });
+    }
+
+    /// Tells that a target's entry is gone.
+    pub(super) fn target_gone(&self, target: TargetId, source: Source) {
+        let store_version = self.known_state.revisions().targets;
+        self.tell(Event::TargetGone { source, store_version, target });
+    }
+
+    fn target_kept(&self, target: TargetId) {
+        self.tell(Event::TargetKept { for_ms: RETURN_WAIT.as_millis() as u64, target });
+    }
+
+    fn zone_evacuated(&self, zone: ZoneId, source: Source) {
+        let store_version = self.known_state.revisions().evacuations;
+        self.tell(Event::ZoneEvacuated { source, store_version, zone });
+    }
+
+    fn zone_taken_back(&self, zone: ZoneId, source: Source) {
+        let store_version = self.known_state.revisions().evacuations;
+        self.tell(Event::ZoneTakenBack { source, store_version, zone });
+    }
+}
+
+fn routes(declared: &Declared) -> usize {
+    declared.hosts.values().map(Vec::len).sum()
 }
 
 /// The name of an object, without its prefix.
--- a/src/entry/control/talk.rs
+++ b/src/entry/control/talk.rs
@@ -7,6 +7,7 @@
 use super::{EntryControl, HostsListed, Registered, Shared};
 use crate::{
     entry::Heartbeat,
+    event_log::Event,
     prelude::*,
     store::{Entry, Expect, Platform, PlatformError, new_operation},
 };
@@ -102,10 +103,12 @@
         let live = self.peers.live(now);
         let Some(addr) = self.questions.next(&mine, live, region, watches, now) else { return };
         let (peer_client, own) = (self.peer_client.clone(), own.clone());
+        let events = self.parts.events.clone();
         tokio::spawn(async move {
             let answer = peer_client.ask(addr, mine.revisions).await;
             if let Err(error) = &answer {
-                log::info!("host {addr} does not tell what it knows: {error}");
+                let reason = error.to_string().into();
+                events.record(None, Event::HostUnanswering { addr, reason });
             }
             let _ = own.send(Shared { addr, told: answer.ok() }).await;
         });
--- a/src/entry/crash_suspects.rs
+++ b/src/entry/crash_suspects.rs
@@ -38,8 +38,8 @@
         self.crashes.is_empty()
     }
 
-    /// A target went down under a request.
-    pub fn crashed(&mut self, fingerprint: Fingerprint, now: Moment) {
+    /// A target went down under a request; tells how often that was.
+    pub fn crashed(&mut self, fingerprint: Fingerprint, now: Moment) -> u8 {
         if MOST <= self.crashes.len() {
             let oldest = self.crashes.iter().min_by_key(|(print, record)| (record.at, **print));
             let oldest = oldest.map(|(print, _)| *print);
@@ -48,6 +48,7 @@
         let record = self.crashes.entry(fingerprint).or_insert(Record { at: now, count: 0 });
         record.at = now;
         record.count = record.count.saturating_add(1);
+        record.count
     }
 
     /// A request came to a good end: what was counted against it, here or `elsewhere`, was chance.
@@ -59,6 +60,11 @@
         }
     }
 
+    /// Whether a crash counts against a request.
+    pub fn counts(&self, fingerprint: Fingerprint) -> bool {
+        self.crashes.get(&fingerprint).is_some_and(|record| 0 < record.count)
+    }
+
     /// Whether a request may run; `elsewhere` is what other hosts saw.
     pub fn may_run(&self, fingerprint: Fingerprint, elsewhere: u8) -> bool {
         match self.crashes.get(&fingerprint) {
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -1,6 +1,6 @@
 //! One request of a caller, from its head to the answer.
 
-use std::{future::Future, pin::Pin, rc::Rc};
+use std::{cell::Cell, future::Future, pin::Pin, rc::Rc};
 
 use bytes::Bytes;
 use futures::{StreamExt, stream::FuturesUnordered};
@@ -15,9 +15,14 @@
     attempt::{AttemptOutcome, OutboundRequest, send_attempt},
     caller_io::Disconnect,
     place::Choice,
+    request_log::{Outcome, RequestLog},
     traffic_state::PlacementRequest,
 };
-use crate::{base::Ran, prelude::*};
+use crate::{
+    base::Ran,
+    event_log::{AttemptReason, Event},
+    prelude::*,
+};
 
 /// Time kept for the ways there and back, 8 ms each, for a new connection and for timers that fire
 /// late: the caller has its answer when its time is over.
@@ -44,7 +49,7 @@
 /// Targets that may turn out to be unreachable before a request is refused.
 const UNREACHED_MOST: u32 = 3;
 
-type Attempt = Pin<Box<dyn Future<Output = AttemptOutcome>>>;
+type Attempt = Pin<Box<dyn Future<Output = (TargetId, AttemptOutcome)>>>;
 type Attempts = FuturesUnordered<Attempt>;
 
 /// A request that may be on its way in.
@@ -62,9 +67,22 @@
     let since = state.clock.now();
     let (mut head, body) = req.into_parts();
     let note = state.protocol.caller(&head.headers);
-    let refuse = |kind, come_back| Some(own(&state, &note, kind, come_back));
+    let key = state.key(note.attempt.as_ref());
+    let version = Cell::new(0);
+    let refuse = |kind: ErrorKind, come_back| {
+        let answer = own(&state, &note, kind, come_back);
+        let event = Event::Refused {
+            declaration: version.get(),
+            error: kind,
+            status: answer.status().as_u16(),
+            took_ms: state.clock.now().saturating_sub(since).as_millis() as u64,
+        };
+        state.tell(&key, event);
+        Some(answer)
+    };
     let Some(view) = state.view() else { return refuse(ErrorKind::NoManifest, None) };
     let Some(declared) = view.declared.clone() else { return refuse(ErrorKind::NoManifest, None) };
+    version.set(declared.version);
     let Some(route) = route(&declared, &head) else {
         return refuse(ErrorKind::ServiceUnknown, None);
     };
@@ -83,7 +101,6 @@
     state.arrived(&service);
     let fingerprint = fingerprint(&head, &body);
     if is_crash_suspect(&state, &view, fingerprint) {
-        log::warn!("request {:?} is refused: it crashed targets", note.attempt);
         return refuse(ErrorKind::Quarantined, None);
     }
     if let Some(path) = head.uri.path_and_query() {
@@ -91,8 +108,20 @@
     }
     let wait = note.time_left.unwrap_or(route.timeout).min(route.timeout);
     let deadline = since + wait.saturating_sub(ANSWER_MARGIN);
-    let request = OutboundRequest { body, deadline, fingerprint, head, note, service };
-    let call = Call { state, request: Rc::new(request), route, tried: Vec::new() };
+    let taken = Event::Taken {
+        body_bytes: body.len(),
+        declaration: declared.version,
+        fingerprint,
+        idempotent: route.repeat == Repeat::Idempotent,
+        left_ms: wait.as_millis() as u64,
+        route: route.key.clone(),
+        service: service.clone(),
+    };
+    state.tell(&key, taken);
+    let log = RequestLog::new(state.clone(), key, service.clone(), route.objective, since);
+    let key = log.key().clone();
+    let request = OutboundRequest { body, deadline, fingerprint, head, key, note, service };
+    let call = Call { log, state, request: Rc::new(request), route, tried: Vec::new() };
     call.run(disconnect).await
 }
 
@@ -108,6 +137,7 @@
 }
 
 struct Call {
+    log: RequestLog,
     state: Rc<TrafficState>,
     request: Rc<OutboundRequest>,
     route: Arc<Route>,
@@ -124,6 +154,8 @@
     room_in: Option<Duration>,
     /// Attempts that reached a target, or may have.
     sent: u32,
+    /// The target whose answer is passed on.
+    target: Option<TargetId>,
     unreached: u32,
     why: Option<ErrorKind>,
 }
@@ -138,7 +170,9 @@
         let mut hedge_at = self.state.clock.now() + hedge_after;
         loop {
             if attempts.is_empty() {
-                match self.launch(&mut progress) {
+                let reason =
+                    if progress.is_new() { AttemptReason::First } else { AttemptReason::Retry };
+                match self.launch(&mut progress, reason) {
                     Some(attempt) => attempts.push(attempt),
                     None => return Some(self.give_up(progress)),
                 }
@@ -148,9 +182,10 @@
                 if may_hedge { hedge_at.min(self.request.deadline) } else { self.request.deadline };
             tokio::select! {
                 biased;
-                Some(outcome) = attempts.next() => {
-                    if let Some(answer) = progress.record(outcome) {
-                        return Some(answer);
+                Some((target, outcome)) = attempts.next() => {
+                    if let Some(answer) = progress.record(&target, outcome) {
+                        let outcome = Outcome::of_target(target, progress.sent);
+                        return Some(self.log.answered(answer, outcome));
                     }
                     // What may have run once may not be sent again.
                     if progress.maybe_ran && self.route.repeat == Repeat::Once {
@@ -166,16 +201,19 @@
                     }
                     may_hedge = false;
                     hedge_at = self.request.deadline;
-                    attempts.extend(self.launch(&mut progress));
+                    attempts.extend(self.launch(&mut progress, AttemptReason::Hedge));
                 }
             }
         }
     }
 
     /// Starts one more attempt, if the route, the retry budget and the targets allow it.
-    fn launch(&mut self, progress: &mut CallProgress) -> Option<Attempt> {
-        if self.route.attempts.max(1) <= progress.sent || UNREACHED_MOST <= progress.unreached {
-            return None;
+    fn launch(&mut self, progress: &mut CallProgress, reason: AttemptReason) -> Option<Attempt> {
+        if self.route.attempts.max(1) <= progress.sent {
+            return self.denied(progress, "attempts of the route");
+        }
+        if UNREACHED_MOST <= progress.unreached {
+            return self.denied(progress, "unreachable targets");
         }
         let view = self.state.view()?;
         let wanted = PlacementRequest {
@@ -185,23 +223,35 @@
             service: self.request.service.clone(),
             tried: self.tried.clone(),
         };
-        let (choice, target) = self.state.place(&view, &wanted);
-        let Some(target) = target else {
-            let (why, room_in) = match choice {
+        let placement = self.state.place(&view, &wanted);
+        let Some(target) = placement.target.clone() else {
+            let (why, room_in) = match placement.choice {
                 Choice::Busy { room_in } => (ErrorKind::NoSlots, Some(room_in)),
                 _ => (ErrorKind::NoTarget, None),
             };
             progress.room_in = room_in;
             progress.why.get_or_insert(why);
+            self.log.not_placed(&view, &placement, why, room_in);
             return None;
         };
         if 0 < progress.sent && !self.state.take_retry(&view, &self.request.service) {
-            return None;
+            return self.denied(progress, "retry budget");
         }
         progress.sent += 1;
+        self.log.sent(&view, &placement, &target, self.request.deadline, progress.sent, reason);
         self.tried.push(target.tag);
         let running = self.state.start(&target, self.request.fingerprint);
-        Some(Box::pin(send_attempt(self.state.clone(), self.request.clone(), target, running)))
+        let (state, request) = (self.state.clone(), self.request.clone());
+        Some(Box::pin(async move {
+            let id = target.entry.id.clone();
+            (id, send_attempt(state, request, target, running).await)
+        }))
+    }
+
+    /// A further attempt is not allowed by a limit.
+    fn denied(&self, progress: &CallProgress, limit: &str) -> Option<Attempt> {
+        self.log.retry_denied(limit, progress.sent);
+        None
     }
 
     fn object(&self) -> u64 {
@@ -216,7 +266,11 @@
 
     fn give_up(&self, mut progress: CallProgress) -> Answer {
         if let Some(poor) = progress.poor.take() {
-            return poor;
+            let outcome = match progress.target.take() {
+                Some(target) => Outcome::of_target(target, progress.sent),
+                None => Outcome::own(ErrorKind::AnswerBroken, progress.sent, None),
+            };
+            return self.log.answered(poor, outcome);
         }
         let why = progress.why.unwrap_or(ErrorKind::NoSlots);
         let why = match why.row().ran {
@@ -226,18 +280,25 @@
         let spread = 0.75 + rand::random::<f64>() / 2.0;
         let come_back = progress.room_in.unwrap_or(COME_BACK_USUAL).mul_f64(spread);
         let come_back = come_back.clamp(COME_BACK_LEAST, COME_BACK_MOST);
-        own(&self.state, &self.request.note, why, Some(come_back))
+        let answer = own(&self.state, &self.request.note, why, Some(come_back));
+        self.log.answered(answer, Outcome::own(why, progress.sent, Some(come_back)))
     }
 }
 
 impl CallProgress {
+    /// Nothing was tried yet.
+    fn is_new(&self) -> bool {
+        self.sent == 0 && self.unreached == 0
+    }
+
     /// Takes an attempt's end in; the answer, if it is one for the caller.
-    fn record(&mut self, outcome: AttemptOutcome) -> Option<Answer> {
+    fn record(&mut self, target: &TargetId, outcome: AttemptOutcome) -> Option<Answer> {
         match outcome {
             AttemptOutcome::Answer(answer) => return Some(answer),
             AttemptOutcome::Poor(answer) => {
                 self.maybe_ran = true;
                 self.poor = Some(answer);
+                self.target = Some(target.clone());
             }
             AttemptOutcome::NotRun(ErrorKind::ConnectFailed) => {
                 self.sent -= 1;
@@ -286,6 +347,6 @@
 
 /// Whether the process ends before an answer could be expected.
 fn leaves_too_soon(state: &TrafficState) -> bool {
-    let serves = state.settings.bounds.grace.mul_f64(LEAVING_SERVES);
+    let serves = state.bounds().grace.mul_f64(LEAVING_SERVES);
     state.leaving.get().is_some_and(|since| since + serves <= state.clock.now())
 }
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -4,7 +4,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::{
@@ -16,11 +16,17 @@
 
 use super::{
     EntryControl, EntrySettings, Listen, Protocol, Report, TrafficState, ViewCell,
-    control::{ControlParts, Datagram, HEARTBEAT, Leave, Share, Tick},
+    control::{ControlParts, Datagram, HEARTBEAT, Leave, Reload, Share, Tick},
     serve::{accept, callers, look_up, ready, small, status},
     sync::{PeerClient, STATE_PATH, since},
+    traffic_state::BoundsCell,
+};
+use crate::{
+    event_log::{Event, EventSink},
+    metrics::{EntryMetrics, MeteredEvents},
+    prelude::*,
+    store::Platform,
 };
-use crate::{prelude::*, store::Platform};
 
 /// Time between two updates of the traffic side's figures.
 const TICK: Duration = Duration::from_millis(100);
@@ -31,6 +37,10 @@
 /// Time kept between the end of the process and the moment at which it would be killed.
 const LEAVE_MARGIN: Duration = Duration::from_millis(300);
 
+/// Path of the metrics, and the media type of their text.
+const METRICS_PATH: &str = "/metrics";
+const METRICS_FORM: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
 /// Largest datagram.
 const DATAGRAM: usize = 16 * 1024;
 
@@ -51,6 +61,7 @@
 /// What a host is built from.
 pub struct EntryParts {
     pub clock: Arc<dyn Clock>,
+    pub events: Arc<dyn EventSink>,
     pub protocol: Arc<dyn Protocol>,
     pub settings: EntrySettings,
     pub store: Arc<dyn Platform>,
@@ -58,6 +69,7 @@
 
 /// A running host.
 pub struct EntryHost {
+    bounds: BoundsCell,
     control: Address<EntryControl>,
     leave: watch::Sender<bool>,
     listen: Listen,
@@ -82,11 +94,21 @@
             lookups: listener("look-ups", &mut listen.lookup).await?.into_std()?,
             ready: listener("readiness", &mut listen.ready).await?.into_std()?,
         };
+        let metrics_listener = match &mut settings.listen.metrics {
+            Some(addr) => Some(listener("metrics", addr).await?),
+            None => None,
+        };
+        let metrics = Arc::new(EntryMetrics::default());
+        let events: Arc<dyn EventSink> =
+            Arc::new(MeteredEvents::new(parts.events, metrics.clone()));
+        let bounds: BoundsCell = Arc::new(ArcSwap::from_pointee(settings.bounds.clone()));
         let settings = Arc::new(settings);
         let view: ViewCell = Arc::new(ArcSwapOption::empty());
         let report = Arc::new(ArcSwap::from_pointee(Report::default()));
         let control = ControlParts {
             clock: parts.clock.clone(),
+            events: events.clone(),
+            metrics: metrics.clone(),
             protocol: parts.protocol.clone(),
             report: report.clone(),
             settings: settings.clone(),
@@ -98,10 +120,16 @@
         tokio::task::spawn_local(hear(socket, control.clone()));
         tokio::task::spawn_local(tick_control(control.clone()));
         tokio::task::spawn_local(serve_state(state, control.clone()));
+        if let Some(listener) = metrics_listener {
+            tokio::task::spawn_local(serve_metrics(listener, metrics.clone(), events.clone()));
+        }
         let (leave, leaving) = watch::channel(false);
         let (tx, stopped) = oneshot::channel();
         let traffic = Traffic {
+            bounds: bounds.clone(),
             clock: parts.clock,
+            events: events.clone(),
+            metrics: metrics.clone(),
             protocol: parts.protocol,
             leaving,
             listeners,
@@ -116,7 +144,8 @@
             }
             let _ = tx.send(());
         })?;
-        Ok(Self { control, leave, listen: settings.listen.clone(), stopped, traffic })
+        let listen = settings.listen.clone();
+        Ok(Self { bounds, control, leave, listen, stopped, traffic })
     }
 
     /// Where it listens.
@@ -124,6 +153,14 @@
         &self.listen
     }
 
+    /// Takes new bounds, seeds and zones; other fields count at the next start.
+    pub async fn reload(&self, settings: EntrySettings) {
+        self.bounds.store(Arc::new(settings.bounds.clone()));
+        if self.control.send(Reload(settings)).await.is_err() {
+            log::error!("the control side has ended; new settings are left out");
+        }
+    }
+
     /// Stops as planned: takes no new callers, answers what it has read, then ends.
     pub async fn stop(self) {
         if self.control.send(Leave).await.is_err() {
@@ -200,6 +237,41 @@
     }
 }
 
+/// Serves the metrics as text.
+async fn serve_metrics(
+    listener: TcpListener,
+    metrics: Arc<EntryMetrics>,
+    events: Arc<dyn EventSink>,
+) {
+    accept(listener, |stream| {
+        let (metrics, events) = (metrics.clone(), events.clone());
+        async move { small(stream, async |req| scrape(&req, &metrics, &*events)).await }
+    })
+    .await;
+}
+
+fn scrape(
+    req: &Request<Incoming>,
+    metrics: &EntryMetrics,
+    events: &dyn EventSink,
+) -> Response<Full<Bytes>> {
+    if req.uri().path() != METRICS_PATH {
+        return status(StatusCode::NOT_FOUND);
+    }
+    match metrics.text(events.dropped()) {
+        Ok(text) => {
+            let mut answer = Response::new(Full::new(text.into()));
+            let form = HeaderValue::from_static(METRICS_FORM);
+            answer.headers_mut().insert(header::CONTENT_TYPE, form);
+            answer
+        }
+        Err(error) => {
+            log::error!("the metrics can't be written: {error}");
+            status(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
 /// Bound sockets on their way to the traffic thread.
 struct Listeners {
     callers: std::net::TcpListener,
@@ -209,7 +281,10 @@
 
 /// What the traffic thread is built from.
 struct Traffic {
+    bounds: BoundsCell,
     clock: Arc<dyn Clock>,
+    events: Arc<dyn EventSink>,
+    metrics: Arc<EntryMetrics>,
     protocol: Arc<dyn Protocol>,
     leaving: watch::Receiver<bool>,
     listeners: Listeners,
@@ -228,7 +303,14 @@
         let for_callers = TcpListener::from_std(self.listeners.callers)?;
         let for_ready = TcpListener::from_std(self.listeners.ready)?;
         let for_lookups = TcpListener::from_std(self.listeners.lookups)?;
-        let state = TrafficState::open(self.settings.clone(), self.clock, self.protocol, self.view);
+        let state = TrafficState::open(
+            self.settings.clone(),
+            self.bounds,
+            self.clock,
+            self.protocol,
+            self.view,
+            self.events,
+        );
         let leaving = self.leaving.clone();
         let at = state.clone();
         tokio::task::spawn_local(accept(for_callers, move |stream| {
@@ -244,20 +326,21 @@
             let state = at.clone();
             async move { small(stream, async |req| look_up(&state, &req)).await }
         }));
-        tokio::task::spawn_local(tick(state.clone(), self.report));
+        tokio::task::spawn_local(tick(state.clone(), self.report, self.metrics));
         let _ = self.leaving.wait_for(|leaving| *leaving).await;
         leave(&state).await;
         Ok(())
     }
 }
 
-async fn tick(state: Rc<TrafficState>, report: Arc<ArcSwap<Report>>) {
+async fn tick(state: Rc<TrafficState>, report: Arc<ArcSwap<Report>>, metrics: Arc<EntryMetrics>) {
     let mut interval = tokio::time::interval(TICK);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
     loop {
         interval.tick().await;
         state.tick();
         report.store(Arc::new(state.report()));
+        metrics.traffic(state.figures());
     }
 }
 
@@ -265,13 +348,17 @@
 async fn leave(state: &TrafficState) {
     let since = state.clock.now();
     state.leaving.set(Some(since));
-    let last = since + state.settings.bounds.grace.saturating_sub(LEAVE_MARGIN);
+    let grace_ms = state.bounds().grace.as_millis() as u64;
+    state.events.record(None, Event::Stopping { grace_ms, open: state.open.get() });
+    let last = since + state.bounds().grace.saturating_sub(LEAVE_MARGIN);
     loop {
         tokio::time::sleep(TICK).await;
         let now = state.clock.now();
         let idle = state.open.get() == 0 && LEAVE_LEAST <= now.saturating_sub(since);
         if idle || last <= now {
-            return;
+            let took_ms = now.saturating_sub(since).as_millis() as u64;
+            let open = state.open.get();
+            return state.events.record(None, Event::Stopped { open, took_ms });
         }
     }
 }
--- a/src/entry/known_state.rs
+++ b/src/entry/known_state.rs
@@ -10,7 +10,7 @@
 /// Time after the store's return in which a target that lapsed meanwhile is still used. Targets
 /// that live write their entries again within about two seconds; without the wait a whole service
 /// would be gone right after an outage.
-const RETURN_WAIT: Duration = Duration::from_millis(2_200);
+pub const RETURN_WAIT: Duration = Duration::from_millis(2_200);
 
 /// A shorter silence of the store can't have let an entry lapse: targets write every 1.5 s and
 /// entries go after three missed writes.
@@ -78,6 +78,34 @@
     }
 }
 
+/// What became of a target whose entry was removed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Removal {
+    Gone,
+    /// It may only have lapsed, and is used a little longer.
+    Kept,
+    /// It was not known.
+    Unknown,
+}
+
+/// What a listing of targets changed.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct TargetChanges {
+    /// Their entries are gone.
+    pub gone: Vec<TargetId>,
+    /// Their entries lapsed while the store was away; they are used a little longer.
+    pub kept: Vec<TargetId>,
+    /// Their entries are new, or changed in more than the time that they stay cold.
+    pub known: Vec<TargetId>,
+}
+
+/// What a listing of evacuations changed.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ZoneChanges {
+    pub evacuated: Vec<ZoneId>,
+    pub taken_back: Vec<ZoneId>,
+}
+
 /// The objects a host knows.
 #[derive(Debug, Default)]
 pub struct KnownState {
@@ -87,6 +115,8 @@
     lapsed: BTreeMap<TargetId, Moment>,
     /// When the store fell silent, as far as it is known.
     lost_since: Option<Moment>,
+    /// When the store last returned from a silence in which entries may have lapsed.
+    returned_at: Option<Moment>,
     revisions: Revisions,
     /// When each zone was last taken back into use.
     taken_back: BTreeMap<ZoneId, Moment>,
@@ -119,11 +149,21 @@
         *since + rules.and_then(|rules| rules.cold_start).unwrap_or(COLD_ASSUMED)
     }
 
+    /// What is known of one target.
+    pub fn target(&self, id: &TargetId) -> Option<&KnownTarget> {
+        self.targets.get(id)
+    }
+
     /// Whether a zone's targets are to get nothing.
     pub fn is_evacuated(&self, zone: &ZoneId) -> bool {
         self.evacuated.contains(zone)
     }
 
+    /// The store's versions up to which each part is known.
+    pub fn revisions(&self) -> Revisions {
+        self.revisions
+    }
+
     /// Summary for other hosts.
     pub fn stamp(&self) -> Stamp {
         let mut targets = Xxh3Default::new();
@@ -167,13 +207,15 @@
     }
 
     /// All evacuations there are.
-    pub fn evacuations(&mut self, zones: BTreeSet<ZoneId>, now: Moment) -> bool {
-        let changed = self.evacuated != zones;
-        for zone in self.evacuated.difference(&zones) {
-            self.taken_back.insert(zone.clone(), now);
-        }
+    pub fn evacuations(&mut self, zones: BTreeSet<ZoneId>, now: Moment) -> ZoneChanges {
+        let changes = ZoneChanges {
+            evacuated: zones.difference(&self.evacuated).cloned().collect(),
+            taken_back: self.evacuated.difference(&zones).cloned().collect(),
+        };
+        let back = changes.taken_back.iter().map(|zone| (zone.clone(), now));
+        self.taken_back.extend(back);
         self.evacuated = zones;
-        changed
+        changes
     }
 
     /// One target's entry was written.
@@ -197,32 +239,69 @@
     }
 
     /// One target's entry was removed, or can no longer be read.
-    pub fn remove(&mut self, id: &TargetId) -> bool {
+    ///
+    /// Right after an outage it may have lapsed since the target could not write: its removal is
+    /// told before the target's next word, and all targets of a service could be gone at once.
+    pub fn remove(&mut self, id: &TargetId, now: Moment) -> Removal {
+        if !self.targets.contains_key(id) {
+            return Removal::Unknown;
+        }
+        if let Some(until) = self.return_wait(now) {
+            self.lapsed.entry(id.clone()).or_insert(until);
+            return Removal::Kept;
+        }
         self.lapsed.remove(id);
-        self.targets.remove(id).is_some()
+        self.targets.remove(id);
+        Removal::Gone
+    }
+
+    /// The store answers; `true` if it was away for long enough to let entries lapse.
+    pub fn reached(&mut self, now: Moment) -> bool {
+        let outage =
+            self.lost_since.take().is_some_and(|since| LAPSE_LEAST <= now.saturating_sub(since));
+        if outage {
+            self.returned_at = Some(now);
+        }
+        outage
+    }
+
+    /// Until when targets are used whose entries are missing, if the store has just returned.
+    fn return_wait(&self, now: Moment) -> Option<Moment> {
+        self.returned_at.map(|at| at + RETURN_WAIT).filter(|until| now < *until)
     }
 
     /// Every entry there is. After an outage that may have let entries lapse, those that are
     /// missing are used a little longer.
-    pub fn list(&mut self, entries: Vec<(TargetEntry, RegionId)>, now: Moment) -> bool {
-        let outage = self.lost_since.is_some_and(|since| LAPSE_LEAST <= now.saturating_sub(since));
+    pub fn list(&mut self, entries: Vec<(TargetEntry, RegionId)>, now: Moment) -> TargetChanges {
+        self.reached(now);
+        let wait = self.return_wait(now);
         let listed: BTreeSet<TargetId> =
             entries.iter().map(|(entry, _)| entry.id.clone()).collect();
         let missing: Vec<TargetId> =
             self.targets.keys().filter(|id| !listed.contains(*id)).cloned().collect();
-        let mut changed = false;
+        let mut changes = TargetChanges::default();
         for id in missing {
-            if outage {
-                self.lapsed.entry(id).or_insert(now + RETURN_WAIT);
-            } else if !self.lapsed.contains_key(&id) {
-                changed |= self.targets.remove(&id).is_some();
+            if self.lapsed.contains_key(&id) {
+                continue;
+            }
+            match wait {
+                Some(until) => {
+                    self.lapsed.insert(id.clone(), until);
+                    changes.kept.push(id);
+                }
+                None => {
+                    self.targets.remove(&id);
+                    changes.gone.push(id);
+                }
             }
         }
         for (entry, region) in entries {
-            changed |= self.write(entry, region, now);
+            let id = entry.id.clone();
+            if self.write(entry, region, now) {
+                changes.known.push(id);
+            }
         }
-        self.lost_since = None;
-        changed
+        changes
     }
 
     /// The store did not answer.
@@ -230,20 +309,15 @@
         self.lost_since.get_or_insert(now);
     }
 
-    /// Drops targets whose entries did not come back in time.
-    pub fn tick(&mut self, now: Moment) -> bool {
-        let due: Vec<TargetId> = self
-            .lapsed
-            .iter()
-            .filter(|(_, until)| **until <= now)
-            .map(|(id, _)| id.clone())
-            .collect();
-        let mut changed = false;
+    /// Drops targets whose entries did not come back in time, and tells which.
+    pub fn tick(&mut self, now: Moment) -> Vec<TargetId> {
+        let due = self.lapsed.iter().filter(|(_, until)| **until <= now);
+        let mut due: Vec<TargetId> = due.map(|(id, _)| id.clone()).collect();
         for id in &due {
             self.lapsed.remove(id);
-            changed |= self.targets.remove(id).is_some();
         }
-        changed
+        due.retain(|id| self.targets.remove(id).is_some());
+        due
     }
 
     /// A part is known up to that version of the store.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -23,8 +23,10 @@
 mod place;
 mod protocol;
 mod questions;
+mod request_log;
 mod serve;
 mod settings;
+mod settings_file;
 mod shares;
 mod sync;
 mod target;
@@ -37,7 +39,7 @@
 
 pub use self::{
     cold::ColdRates,
-    condition::{Condition, Ended},
+    condition::{Condition, ConditionChange, Ended},
     control::EntryControl,
     crash_suspects::CrashSuspects,
     declared::{Declared, DeclaredVersion, Repeat, Route, ServiceRules},
@@ -47,9 +49,10 @@
     peers::{Heartbeat, Peer, Peers},
     protocol::{CallerNote, LookupPlace, Protocol, ReplyNote, StoreKeys, Unreadable},
     settings::{Bounds, EntrySettings, Listen},
+    settings_file::{Look, SettingsFile, reloaded},
     shares::{RegionLoad, Shares},
     target::{KnownTarget, TargetEntry},
-    traffic_state::{Report, TrafficState},
+    traffic_state::{BoundsCell, Report, TrafficState},
     upstream::Pool,
     view::{LiveHost, View, ViewCell},
 };
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -44,6 +44,8 @@
 pub struct Peer {
     pub heartbeat: Heartbeat,
     pub heard: Moment,
+    /// It was told to be lost.
+    pub is_lost: bool,
     pub region: RegionId,
 }
 
@@ -69,7 +71,7 @@
             }
         }
         let new = !self.is_live(&host, now);
-        self.peers.insert(host, Peer { heartbeat, heard: now, region });
+        self.peers.insert(host, Peer { heartbeat, heard: now, is_lost: false, region });
         new
     }
 
@@ -83,9 +85,18 @@
         self.peers.values().map(|peer| peer.heartbeat.gossip)
     }
 
-    /// Forgets hosts that were silent for long.
-    pub fn tick(&mut self, now: Moment) {
+    /// Tells which hosts have fallen silent since the last call, and forgets those that were silent
+    /// for long.
+    pub fn tick(&mut self, now: Moment) -> Vec<Peer> {
+        let mut lost = Vec::new();
+        for peer in self.peers.values_mut() {
+            if !peer.is_lost && SILENCE <= now.saturating_sub(peer.heard) {
+                peer.is_lost = true;
+                lost.push(peer.clone());
+            }
+        }
         self.peers.retain(|_, peer| now.saturating_sub(peer.heard) < FORGET);
+        lost
     }
 
     fn is_live(&self, host: &HostId, now: Moment) -> bool {
--- a/src/entry/place.rs
+++ b/src/entry/place.rs
@@ -4,7 +4,7 @@
 //! handled an object is several times faster. Every host ranks the targets by the same hash, so
 //! they agree without asking each other, and a lost target moves only its own objects.
 //!
-//! OutboundRequest pattern: more requests than slots for seconds on end. What is in attempt at a target bounds
+//! Load pattern: more requests than slots for seconds on end. What is in attempt at a target bounds
 //! the wait there; beyond the bound a request is refused at once, since it would only make those
 //! behind it late as well.
 
@@ -73,6 +73,13 @@
     pub zone: &'a ZoneId,
 }
 
+impl Ask<'_> {
+    /// Longest time that an answer may be expected to take.
+    pub fn limit(&self) -> Duration {
+        self.patience.min(self.left.mul_f64(CERTAIN))
+    }
+}
+
 /// The outcome.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Choice {
@@ -108,7 +115,7 @@
             best = Some(offer);
         }
     }
-    let limit = ask.patience.min(ask.left.mul_f64(CERTAIN)).as_secs_f64();
+    let limit = ask.limit().as_secs_f64();
     match (best, least_wait) {
         (Some(offer), _) if offer.takes <= limit => {
             Choice::Send { at: offer.at, expected: Duration::from_secs_f64(offer.takes) }
--- a/src/entry/protocol.rs
+++ b/src/entry/protocol.rs
@@ -34,7 +34,7 @@
     pub attempt: Option<RequestId>,
     /// Time that the target stays cold.
     pub cold: Option<Duration>,
-    /// InFlight and waiting requests.
+    /// Running and waiting requests.
     pub load: Option<(u32, u32)>,
     /// The target did not run the request.
     pub not_run: bool,
--- /dev/null
+++ b/src/entry/request_log.rs
@@ -0,0 +1,186 @@
+//! The log of one request on one host, from its acceptance to its end.
+
+use std::{cell::Cell, rc::Rc};
+
+use super::{
+    KnownTarget, TrafficState, View, answer::Answer, place::Choice, traffic_state::Placement,
+};
+use crate::{
+    base::Ran,
+    event_log::{AttemptReason, End, Event, RequestKey},
+    prelude::*,
+};
+
+/// How a request ended, beside the answer itself.
+pub struct Outcome {
+    /// The host's own reason; `None` where the target's answer is passed on.
+    error: Option<ErrorKind>,
+    ran: Ran,
+    retry_after: Option<Duration>,
+    sent: u32,
+    target: Option<TargetId>,
+}
+
+impl Outcome {
+    /// A target's answer is passed on.
+    pub fn of_target(target: TargetId, sent: u32) -> Self {
+        Self { error: None, ran: Ran::Yes, retry_after: None, sent, target: Some(target) }
+    }
+
+    /// The host answers itself.
+    pub fn own(error: ErrorKind, sent: u32, retry_after: Option<Duration>) -> Self {
+        let ran = error.row().ran;
+        let retry_after = retry_after.filter(|_| ran == Ran::No);
+        Self { error: Some(error), ran, retry_after, sent, target: None }
+    }
+
+    fn end(&self, is_success: bool, is_late: bool) -> End {
+        match (self.error, self.ran) {
+            (None, _) if is_success && is_late => End::Late,
+            (None, _) if is_success => End::Served,
+            (None, _) => End::TargetFailed,
+            (Some(_), Ran::No) => End::Refused,
+            (Some(_), _) => End::Failed,
+        }
+    }
+}
+
+/// Tells of one request; dropped before an answer, it tells that the caller has left.
+pub struct RequestLog {
+    state: Rc<TrafficState>,
+    ended: Cell<bool>,
+    key: RequestKey,
+    objective: Duration,
+    sent: Cell<u32>,
+    service: ServiceId,
+    since: Moment,
+}
+
+impl RequestLog {
+    /// The log of a request that was accepted at `since`.
+    pub fn new(
+        state: Rc<TrafficState>,
+        key: RequestKey,
+        service: ServiceId,
+        objective: Duration,
+        since: Moment,
+    ) -> Self {
+        let (ended, sent) = (Cell::new(false), Cell::new(0));
+        Self { state, ended, key, objective, sent, service, since }
+    }
+
+    /// Names the request.
+    pub fn key(&self) -> &RequestKey {
+        &self.key
+    }
+
+    /// It goes to a target.
+    pub fn sent(
+        &self,
+        view: &View,
+        placement: &Placement,
+        target: &KnownTarget,
+        deadline: Moment,
+        attempt: u32,
+        reason: AttemptReason,
+    ) {
+        self.sent.set(attempt);
+        let now = self.state.clock.now();
+        let expected = match placement.choice {
+            Choice::Send { expected, .. } => expected,
+            _ => Duration::ZERO,
+        };
+        let event = Event::Sent {
+            attempt,
+            cold: target.is_cold(now),
+            declaration: version(view),
+            expected_ms: millis(expected),
+            left_ms: millis(deadline.saturating_sub(now)),
+            load: placement.load,
+            reason,
+            region: target.region.clone(),
+            service: self.service.clone(),
+            slots: target.entry.slots,
+            target: target.entry.id.clone(),
+            view_age_ms: millis(now.saturating_sub(view.at)),
+            zone: target.entry.zone.clone(),
+        };
+        self.state.tell(&self.key, event);
+    }
+
+    /// No target can take it.
+    pub fn not_placed(
+        &self,
+        view: &View,
+        placement: &Placement,
+        error: ErrorKind,
+        room_in: Option<Duration>,
+    ) {
+        let event = Event::NotPlaced {
+            candidates: placement.candidates,
+            cold: placement.cold,
+            declaration: version(view),
+            error,
+            limit_ms: millis(placement.limit),
+            room_in_ms: room_in.map(millis),
+            service: self.service.clone(),
+            shut: placement.shut,
+            view_age_ms: millis(self.state.clock.now().saturating_sub(view.at)),
+            work_ms: millis(placement.work),
+        };
+        self.state.tell(&self.key, event);
+    }
+
+    /// A further attempt is not allowed by `limit`.
+    pub fn retry_denied(&self, limit: &str, sent: u32) {
+        let event = Event::RetryDenied { limit: limit.into(), sent, service: self.service.clone() };
+        self.state.tell(&self.key, event);
+    }
+
+    /// Its answer goes out.
+    pub fn answered(&self, answer: Answer, outcome: Outcome) -> Answer {
+        self.ended.set(true);
+        let took = self.took();
+        let status = answer.status();
+        let event = Event::Answered {
+            end: outcome.end(status.is_success(), self.objective < took),
+            error: outcome.error,
+            objective_ms: millis(self.objective),
+            ran: outcome.ran,
+            retry_after_ms: outcome.retry_after.map(millis),
+            sent: outcome.sent,
+            service: self.service.clone(),
+            status: status.as_u16(),
+            target: outcome.target,
+            took_ms: millis(took),
+        };
+        self.state.tell(&self.key, event);
+        answer
+    }
+
+    fn took(&self) -> Duration {
+        self.state.clock.now().saturating_sub(self.since)
+    }
+}
+
+impl Drop for RequestLog {
+    fn drop(&mut self) {
+        if self.ended.get() {
+            return;
+        }
+        let event = Event::CallerLeft {
+            sent: self.sent.get(),
+            service: self.service.clone(),
+            took_ms: millis(self.took()),
+        };
+        self.state.tell(&self.key, event);
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    span.as_millis() as u64
+}
+
+fn version(view: &View) -> u64 {
+    view.declared.as_ref().map_or(0, |declared| declared.version)
+}
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -259,7 +259,7 @@
     if found.is_empty() {
         return status(StatusCode::SERVICE_UNAVAILABLE);
     }
-    let ttl = LOOKUP_TTL.min(state.settings.bounds.lookup_ttl);
+    let ttl = LOOKUP_TTL.min(state.bounds().lookup_ttl);
     let mut answer = Response::new(Full::new(state.protocol.found(&found, ttl)));
     let json = HeaderValue::from_static("application/json");
     answer.headers_mut().insert(header::CONTENT_TYPE, json);
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     base::span_text,
+    event_log::EventLogSettings,
     prelude::*,
     settings::LogSettings,
     yaml::{self, MAX_FILE, Result},
@@ -11,9 +12,12 @@
 
 /// Settings of one entry host. Unknown fields are left alone: the fleet may be told of more than
 /// this version knows.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 pub struct EntrySettings {
     pub bounds: Bounds,
+    /// Bounds of the structured log.
+    #[serde(default)]
+    pub event_log: EventLogSettings,
     pub host: HostId,
     pub listen: Listen,
     #[serde(default)]
@@ -31,7 +35,7 @@
 }
 
 /// Where this host listens.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 pub struct Listen {
     /// Callers' requests.
     pub callers: SocketAddr,
@@ -41,12 +45,15 @@
     pub gossip: SocketAddr,
     /// Look-ups.
     pub lookup: SocketAddr,
+    /// Metrics as text; nowhere without it.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
     /// Readiness.
     pub ready: SocketAddr,
 }
 
 /// Promises that the deployment asks for.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 pub struct Bounds {
     /// Time between the signal to stop and the end of the process.
     #[serde(with = "span_text::field")]
@@ -70,6 +77,21 @@
         yaml::decode(&text, &path.display().to_string())
     }
 
+    /// Names of the fields that differ from `other` and bind sockets, threads or the host's identity:
+    /// they count at the next start only.
+    pub fn fixed_changes(&self, other: &Self) -> Vec<&'static str> {
+        let fields = [
+            ("event_log", self.event_log != other.event_log),
+            ("host", self.host != other.host),
+            ("listen", self.listen != other.listen),
+            ("log", self.log != other.log),
+            ("region", self.region != other.region),
+            ("store", self.store != other.store),
+            ("zone", self.zone != other.zone),
+        ];
+        fields.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
+    }
+
     /// Region of a zone; a zone that the settings do not name is its own region.
     pub fn region_of(&self, zone: &ZoneId) -> RegionId {
         self.zones.get(zone).cloned().unwrap_or_else(|| zone.clone())
--- a/src/entry/shares.rs
+++ b/src/entry/shares.rs
@@ -4,7 +4,7 @@
 //! hosts of a region were asked for, and the slots of each region. Requests stay in their own
 //! region up to a level that all regions have in common; what is beyond goes where there is room.
 //!
-//! OutboundRequest pattern: callers' numbers rise and fall by half within a minute, by region in turn, and
+//! Load pattern: callers' numbers rise and fall by half within a minute, by region in turn, and
 //! some regions have a tenth of the targets that their own callers need.
 
 use crate::prelude::*;
@@ -89,6 +89,11 @@
         self.parts.last().map(|(region, _)| region)
     }
 
+    /// All regions and their shares.
+    pub fn parts(&self) -> impl Iterator<Item = (&RegionId, f64)> {
+        self.parts.iter().map(|(region, part)| (region, *part))
+    }
+
     /// The share of a region.
     pub fn of(&self, region: &RegionId) -> f64 {
         self.parts.iter().find(|(name, _)| name == region).map_or(0.0, |(_, part)| *part)
--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -47,6 +47,19 @@
     assert_eq!(peers.live(secs(4.0)).count(), 1);
 }
 
+/// A lost host is told once, and again only after it was heard.
+#[test]
+fn a_loss_is_told_once() {
+    let mut peers = Peers::default();
+    peers.heard(heartbeat("h", 1, 1), "north".into(), secs(1.0));
+    assert!(peers.tick(secs(2.0)).is_empty());
+    assert_eq!(peers.tick(secs(3.0)).len(), 1);
+    assert!(peers.tick(secs(4.0)).is_empty());
+    peers.heard(heartbeat("h", 1, 2), "north".into(), secs(5.0));
+    assert!(peers.tick(secs(5.1)).is_empty());
+    assert_eq!(peers.tick(secs(7.0)).len(), 1);
+}
+
 /// A datagram that was overtaken, or comes from the start before the last, says nothing.
 #[test]
 fn old_words_do_not_count() {
@@ -102,7 +115,7 @@
 
 fn peer(host: &str, region: &str, reaches_store: bool) -> Peer {
     let heartbeat = Heartbeat { reaches_store, ..heartbeat(host, 1, 1) };
-    Peer { heartbeat, heard: secs(1.0), region: region.into() }
+    Peer { heartbeat, heard: secs(1.0), is_lost: false, region: region.into() }
 }
 
 /// Six hosts of a region: two watch the store, and each finds out by itself whether it is one of
@@ -233,6 +246,7 @@
             ..heartbeat(host, 1, 1)
         },
         heard: secs(1.0),
+        is_lost: false,
         region: region.into(),
     };
     let peers = [ahead("far", 1, "south"), ahead("near", 2, "north")];
@@ -267,7 +281,7 @@
     }
     let rule = |at: u32| {
         format!(
-            r#"{{"name":"r{at}","match":{{"pathPrefix":"/{:x}/"}},"action":{{"service":"s","timeout":"1200ms","maxAttempts":2}},"kind":"safe"}}"#,
+            r#"{{"name":"r{at}","match":{{"prefix":"/{:x}/"}},"action":{{"service":"s","timeout":"1200ms","maxAttempts":2}},"kind":"safe"}}"#,
             at.wrapping_mul(2_654_435_761)
         )
     };
--- a/src/entry/tests/known_state.rs
+++ b/src/entry/tests/known_state.rs
@@ -2,7 +2,10 @@
 
 use super::{entry, secs};
 use crate::{
-    entry::{Declared, KnownState, ServiceRules, TargetEntry},
+    entry::{
+        Declared, KnownState, ServiceRules, TargetEntry,
+        known_state::{Removal, TargetChanges},
+    },
     prelude::*,
 };
 
@@ -82,7 +85,7 @@
     known_state.list(listed(&["t-1"]), secs(1.0));
     known_state.lost(secs(10.0));
     known_state.list(listed(&[]), secs(15.0));
-    assert!(known_state.remove(&"t-1".into()));
+    assert_eq!(known_state.remove(&"t-1".into(), secs(20.0)), Removal::Gone);
     assert!(usable(&known_state).is_empty());
 }
 
@@ -125,10 +128,13 @@
     let is_cold =
         |known_state: &KnownState, now| known_state.usable().any(|known| known.is_cold(now));
     known_state.list(vec![(cold.clone(), region())], secs(1.0));
-    assert!(!known_state.list(vec![(cold.clone(), region())], secs(3.0)));
+    assert_eq!(
+        known_state.list(vec![(cold.clone(), region())], secs(3.0)),
+        TargetChanges::default()
+    );
     assert!(is_cold(&known_state, secs(3.9)) && !is_cold(&known_state, secs(4.0)));
     let colder = crate::entry::TargetEntry { cold: secs(2.0), ..cold };
-    assert!(!known_state.list(vec![(colder, region())], secs(5.0)));
+    assert_eq!(known_state.list(vec![(colder, region())], secs(5.0)), TargetChanges::default());
     assert!(is_cold(&known_state, secs(6.9)) && !is_cold(&known_state, secs(7.0)));
 }
 
@@ -142,7 +148,10 @@
     type Return = fn(&mut KnownState);
     let ways: [Return; 2] = [
         |known_state| assert!(known_state.evacuate("north-a".into(), false, secs(9.0))),
-        |known_state| assert!(known_state.evacuations(Default::default(), secs(9.0))),
+        |known_state| {
+            let changes = known_state.evacuations(Default::default(), secs(9.0));
+            assert_eq!(changes.taken_back, [ZoneId::from("north-a")]);
+        },
     ];
     for take_back in ways {
         let mut known_state = KnownState::default();
@@ -166,3 +175,27 @@
         assert!(cold(&known_state, secs(11.6)).is_empty());
     }
 }
+
+/// The store returns after an outage, and the first thing that its watch tells is that a target's
+/// entry has lapsed. The target lives and writes it again two seconds later: without the wait its
+/// service would have no target until then. One that does not come back is gone in time.
+#[test]
+fn a_removal_right_after_an_outage_waits() {
+    let mut known_state = KnownState::default();
+    known_state.list(listed(&["t-1", "t-2", "t-3"]), secs(1.0));
+    known_state.lost(secs(10.0));
+    assert!(known_state.reached(secs(15.0)));
+    for id in ["t-1", "t-2"] {
+        assert_eq!(known_state.remove(&id.into(), secs(15.1)), Removal::Kept);
+    }
+    known_state.write(entry("t-1", "north-a"), region(), secs(16.9));
+    assert_eq!(usable(&known_state), ["t-1", "t-2", "t-3"]);
+    assert_eq!(known_state.tick(secs(17.3)), [TargetId::from("t-2")]);
+    assert_eq!(usable(&known_state), ["t-1", "t-3"]);
+    assert_eq!(known_state.remove(&"t-3".into(), secs(17.3)), Removal::Gone);
+    assert_eq!(known_state.remove(&"t-9".into(), secs(17.3)), Removal::Unknown);
+    // A short silence can't have let an entry lapse.
+    known_state.lost(secs(20.0));
+    assert!(!known_state.reached(secs(21.0)));
+    assert_eq!(known_state.remove(&"t-1".into(), secs(21.0)), Removal::Gone);
+}
--- a/src/entry/tests/place.rs
+++ b/src/entry/tests/place.rs
@@ -81,7 +81,7 @@
     }
 }
 
-/// OutboundRequest pattern: a few requests more than slots, for a moment. They wait at the target that knows
+/// Load pattern: a few requests more than slots, for a moment. They wait at the target that knows
 /// their object; far more than slots, and they go to another one.
 #[test]
 fn a_short_queue_is_better_than_a_target_that_does_not_know_the_object() {
@@ -95,7 +95,7 @@
     assert_ne!(sent(choose(&loaded, &ask)), first);
 }
 
-/// OutboundRequest pattern: more work than all targets together do in time. What can't be answered in time is
+/// Load pattern: more work than all targets together do in time. What can't be answered in time is
 /// refused at once, with the time after which there is room; it would only delay those behind it.
 #[test]
 fn what_can_not_be_answered_in_time_is_refused() {
--- a/src/entry/tests/shares.rs
+++ b/src/entry/tests/shares.rs
@@ -14,7 +14,7 @@
     "north".into()
 }
 
-/// OutboundRequest pattern: a region with a tenth of the slots and a third of the callers. What it can't run
+/// Load pattern: a region with a tenth of the slots and a third of the callers. What it can't run
 /// goes where there is room, in proportion.
 #[test]
 fn surplus_goes_where_there_is_room() {
@@ -25,7 +25,7 @@
     assert!((shares.of(&"west".into()) - 0.375).abs() < 0.01);
 }
 
-/// OutboundRequest pattern: callers' numbers jump. Shares follow, but never faster than the bound, however
+/// Load pattern: callers' numbers jump. Shares follow, but never faster than the bound, however
 /// often they are worked out.
 #[test]
 fn shares_move_within_the_bound() {
--- a/src/entry/tests/targets.rs
+++ b/src/entry/tests/targets.rs
@@ -8,6 +8,7 @@
         ColdRates, Condition, CrashSuspects, Ended, LiveHost, Repeat, Route, TrafficState,
         cold::is_sender, traffic_state::allowance,
     },
+    event_log::NoEvents,
     platform::{PlatformProtocol, standin::loopback_settings},
     prelude::*,
 };
@@ -130,7 +131,7 @@
     assert_eq!(crash_suspects.marks().len(), 512);
 }
 
-/// OutboundRequest pattern: every request fails, at every host. Retries of all hosts together stay below the
+/// Load pattern: every request fails, at every host. Retries of all hosts together stay below the
 /// declared share and slack in any window, whatever these are.
 #[test]
 fn hosts_together_keep_the_retry_budget() {
@@ -163,7 +164,9 @@
     let clock = Arc::new(ManualClock::default());
     let settings = loopback_settings("h", "z", "r", &[("z", "r")], "127.0.0.1:1".parse().unwrap());
     let view = Arc::new(arc_swap::ArcSwapOption::empty());
-    let state = TrafficState::open(Arc::new(settings), clock, Arc::new(PlatformProtocol), view);
+    let bounds = Arc::new(arc_swap::ArcSwap::from_pointee(settings.bounds.clone()));
+    let (protocol, events) = (Arc::new(PlatformProtocol), Arc::new(NoEvents));
+    let state = TrafficState::open(Arc::new(settings), bounds, clock, protocol, view, events);
     let route = |host: &str, weights: [f64; 2]| Route {
         attempts: 1,
         key: format!("{host}/a/").into(),
--- a/src/entry/traffic_state.rs
+++ b/src/entry/traffic_state.rs
@@ -6,9 +6,11 @@
     rc::Rc,
 };
 
+use arc_swap::ArcSwap;
+
 use super::{
-    Bounds, ColdRates, Condition, CrashSuspects, Ended, EntrySettings, KnownTarget, Pool, Protocol,
-    RegionLoad, Route, Shares, View, ViewCell,
+    Bounds, ColdRates, Condition, ConditionChange, CrashSuspects, Ended, EntrySettings,
+    KnownTarget, Pool, Protocol, RegionLoad, Route, Shares, View, ViewCell,
     cold::is_sender,
     place::{Ask, Candidate, Choice, ObjectHash, choose},
     upstream::connect,
@@ -16,6 +18,8 @@
 };
 use crate::{
     admission::{Allowance, RetryBudget},
+    event_log::{Event, EventSink, PauseReason, RequestKey},
+    metrics::TrafficFigures,
     prelude::*,
 };
 
@@ -36,6 +40,9 @@
 /// Usual slots of a cold target, as a part of a warm one's.
 const COLD_SLOTS: f64 = 0.3;
 
+/// The bounds in force; settings that are read again replace them.
+pub type BoundsCell = Arc<ArcSwap<Bounds>>;
+
 /// Figures of one service.
 #[derive(Debug)]
 struct ServiceState {
@@ -46,6 +53,8 @@
     /// Counts up to choose the parts of a split in turn.
     spill: f64,
     shares: Option<Shares>,
+    /// The shares that were last told.
+    told_shares: BTreeMap<RegionId, f64>,
     work: Duration,
 }
 
@@ -57,6 +66,7 @@
             demand: 0.0,
             spill: 0.0,
             shares: None,
+            told_shares: BTreeMap::new(),
             work: WORK_ASSUMED,
         }
     }
@@ -65,8 +75,10 @@
 /// Everything that one traffic thread decides with.
 pub struct TrafficState {
     pub clock: Arc<dyn Clock>,
+    pub events: Arc<dyn EventSink>,
     pub protocol: Arc<dyn Protocol>,
     pub settings: Arc<EntrySettings>,
+    bounds: BoundsCell,
     cold: RefCell<ColdRates>,
     conditions: RefCell<HashMap<u32, Condition>>,
     counted: Cell<Moment>,
@@ -80,6 +92,8 @@
     splits: RefCell<HashMap<Arc<str>, Vec<f64>>>,
     /// Callers' open connections.
     pub open: Cell<usize>,
+    /// Requests since the start.
+    requests: Cell<u64>,
     /// A planned stop has begun, and when.
     pub leaving: Cell<Option<Moment>>,
     view: ViewCell,
@@ -99,12 +113,16 @@
     /// An idle state.
     pub fn open(
         settings: Arc<EntrySettings>,
+        bounds: BoundsCell,
         clock: Arc<dyn Clock>,
         protocol: Arc<dyn Protocol>,
         view: ViewCell,
+        events: Arc<dyn EventSink>,
     ) -> Rc<Self> {
         Rc::new(Self {
+            bounds,
             clock,
+            events,
             cold: RefCell::default(),
             conditions: RefCell::default(),
             counted: Cell::default(),
@@ -112,6 +130,7 @@
             leaving: Cell::default(),
             looking: RefCell::default(),
             open: Cell::new(0),
+            requests: Cell::new(0),
             crash_suspects: RefCell::default(),
             pool: RefCell::default(),
             running: RefCell::default(),
@@ -122,11 +141,27 @@
         })
     }
 
+    /// The bounds in force.
+    pub fn bounds(&self) -> Arc<Bounds> {
+        self.bounds.load_full()
+    }
+
     /// The control side's view; `None` before the first.
     pub fn view(&self) -> Option<Arc<View>> {
         self.view.load_full()
     }
 
+    /// Names a new request in the log.
+    pub fn key(&self, attempt: Option<&RequestId>) -> RequestKey {
+        self.requests.set(self.requests.get() + 1);
+        RequestKey { attempt: attempt.cloned(), own: Some(self.requests.get()) }
+    }
+
+    /// Records an event of a request.
+    pub fn tell(&self, request: &RequestKey, event: Event) {
+        self.events.record(Some(request), event);
+    }
+
     /// The service of a new request: the parts of a split take turns by their weights.
     pub fn service(&self, route: &Route) -> Option<ServiceId> {
         if let [(service, _)] = &*route.split {
@@ -159,7 +194,7 @@
         let now = self.clock.now();
         let mut services = self.services.borrow_mut();
         let state = services.entry(service.clone()).or_default();
-        state.budget.allow(allowance(&self.settings.bounds, view.hosts.len()));
+        state.budget.allow(allowance(&self.bounds(), view.hosts.len()));
         state.budget.take(now)
     }
 
@@ -169,14 +204,10 @@
     }
 
     /// Chooses a target.
-    pub fn place(
-        &self,
-        view: &View,
-        wanted: &PlacementRequest,
-    ) -> (Choice, Option<Arc<KnownTarget>>) {
+    pub fn place(&self, view: &View, wanted: &PlacementRequest) -> Placement {
         let now = self.clock.now();
         let Some(targets) = view.targets.get(&wanted.service) else {
-            return (Choice::Nothing, None);
+            return Placement::none();
         };
         let regions = &wanted.route.regions;
         let allowed = |target: &&Arc<KnownTarget>| {
@@ -208,7 +239,7 @@
             let next = candidates.iter().max_by(|a, b| share(a).total_cmp(&share(b)));
             match next {
                 Some(next) => region = next.target.region.clone(),
-                None => return (Choice::Nothing, None),
+                None => return Placement::none(),
             }
         }
         let left = wanted.deadline.saturating_sub(now);
@@ -223,16 +254,23 @@
             zone: &self.settings.zone,
         };
         let choice = choose(&candidates, &ask);
-        let target = match choice {
-            Choice::Send { at, .. } => Some(candidates[at].target.clone()),
+        let chosen = match choice {
+            Choice::Send { at, .. } => Some(&candidates[at]),
             _ => None,
         };
-        if let Some(target) = &target
-            && target.region != region
-        {
+        if chosen.is_some_and(|chosen| chosen.target.region != region) {
             state.spill -= 1.0;
         }
-        (choice, target)
+        Placement {
+            candidates: candidates.len(),
+            choice,
+            cold: candidates.iter().filter(|candidate| candidate.cold).count(),
+            limit: ask.limit(),
+            load: chosen.map_or(0, |chosen| chosen.load as u32),
+            shut: candidates.iter().filter(|candidate| candidate.shut).count(),
+            target: chosen.map(|chosen| chosen.target.clone()),
+            work: ask.work,
+        }
     }
 
     fn candidate<'a>(
@@ -281,7 +319,10 @@
         let mut services = self.services.borrow_mut();
         let state = services.entry(service.clone()).or_default();
         let mut conditions = self.conditions.borrow_mut();
-        conditions.entry(target.tag).or_default().ended(ended, state.work, now);
+        let change = conditions.entry(target.tag).or_default().ended(ended, state.work, now);
+        if let Some(change) = change {
+            self.events.record(None, paused_or_trusted(target, ended, change));
+        }
         if let Ended::Answered(took) = ended {
             let trip = if target.region == self.settings.region {
                 Duration::ZERO
@@ -305,7 +346,11 @@
         if elsewhere == 0 && self.crash_suspects.borrow().is_empty() {
             return;
         }
-        self.crash_suspects.borrow_mut().cleared(fingerprint, elsewhere, self.clock.now());
+        let mut suspects = self.crash_suspects.borrow_mut();
+        if 0 < elsewhere || suspects.counts(fingerprint) {
+            self.events.record(None, Event::CrashCleared { fingerprint });
+        }
+        suspects.cleared(fingerprint, elsewhere, self.clock.now());
     }
 
     /// After a lost answer: whether the target is still there. If not, all that ran there when the
@@ -320,16 +365,23 @@
             let reached = connect(target.entry.addr).await;
             state.looking.borrow_mut().remove(&target.tag);
             if let Err(error) = reached {
-                log::info!("{} is gone: {error}", target.entry.id);
-                let now = state.clock.now();
-                let mut crash_suspects = state.crash_suspects.borrow_mut();
-                prints.into_iter().for_each(|print| crash_suspects.crashed(print, now));
-                drop(crash_suspects);
+                log::debug!("{} is gone: {error}", target.entry.id);
+                state.count_crashes(&target, prints);
                 state.ended(&target, &service, Ended::Unreachable);
             }
         });
     }
 
+    /// All that ran on a target when it went down may have been what crashed it.
+    fn count_crashes(&self, target: &KnownTarget, fingerprints: Vec<u64>) {
+        let now = self.clock.now();
+        for fingerprint in fingerprints {
+            let crashes = self.crash_suspects.borrow_mut().crashed(fingerprint, now);
+            let target = target.entry.id.clone();
+            self.events.record(None, Event::CrashCounted { crashes, fingerprint, target });
+        }
+    }
+
     /// Keeps figures up to date; called several times a second.
     pub fn tick(&self) {
         let now = self.clock.now();
@@ -347,6 +399,7 @@
         self.conditions
             .borrow_mut()
             .retain(|tag, condition| 0 < condition.in_flight || known.contains(tag));
+        let max_shift = self.bounds().max_shift;
         for (service, state) in self.services.borrow_mut().iter_mut() {
             let rate = f64::from(state.arrivals) / spent.as_secs_f64().max(0.1);
             state.arrivals = 0;
@@ -356,11 +409,23 @@
             let home = &self.settings.region;
             let loads = region_loads(&view, targets, service, state.demand, home, now);
             if let Some(shares) = &mut state.shares {
-                shares.step(&loads, self.settings.bounds.max_shift, now);
+                shares.step(&loads, max_shift, now);
+                tell_shares(&*self.events, service, shares, &mut state.told_shares);
             }
         }
     }
 
+    /// What the metrics are told.
+    pub fn figures(&self) -> TrafficFigures {
+        let now = self.clock.now();
+        let conditions = self.conditions.borrow();
+        TrafficFigures {
+            connections: self.open.get(),
+            in_flight: conditions.values().map(|condition| condition.in_flight).sum(),
+            paused: conditions.values().filter(|condition| condition.is_paused(now)).count(),
+        }
+    }
+
     /// What other hosts are told: requests in attempt by target, demand by service, crashes.
     pub fn report(&self) -> Report {
         let conditions = self.conditions.borrow();
@@ -392,6 +457,76 @@
     }
 }
 
+/// Where a request goes, and what decided it.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    /// Targets that the route allows and that were not tried yet.
+    pub candidates: usize,
+    pub choice: Choice,
+    /// Of the candidates, how many are cold.
+    pub cold: usize,
+    /// Longest expected time that was acceptable.
+    pub limit: Duration,
+    /// Requests in flight at the chosen target, of all hosts.
+    pub load: u32,
+    /// Of the candidates, how many take nothing now.
+    pub shut: usize,
+    pub target: Option<Arc<KnownTarget>>,
+    /// Usual time of an answer.
+    pub work: Duration,
+}
+
+impl Placement {
+    /// There is no target at all.
+    fn none() -> Self {
+        Self {
+            candidates: 0,
+            choice: Choice::Nothing,
+            cold: 0,
+            limit: Duration::ZERO,
+            load: 0,
+            shut: 0,
+            target: None,
+            work: Duration::ZERO,
+        }
+    }
+}
+
+/// Least move of a region's share that is told: a tenth of a second's usual move is noise.
+const SHARE_TOLD: f64 = 0.05;
+
+fn tell_shares(
+    events: &dyn EventSink,
+    service: &ServiceId,
+    shares: &Shares,
+    told: &mut BTreeMap<RegionId, f64>,
+) {
+    let now: BTreeMap<RegionId, f64> =
+        shares.parts().map(|(region, part)| (region.clone(), (part * 1e3).round() / 1e3)).collect();
+    let moved = |(region, part): (&RegionId, &f64)| {
+        SHARE_TOLD <= (part - told.get(region).copied().unwrap_or_default()).abs()
+    };
+    if now.iter().any(moved) {
+        *told = now.clone();
+        events.record(None, Event::SharesMoved { service: service.clone(), shares: now });
+    }
+}
+
+/// The event of a target's pause, or of its end.
+fn paused_or_trusted(target: &KnownTarget, ended: Ended, change: ConditionChange) -> Event {
+    let target = target.entry.id.clone();
+    match change {
+        ConditionChange::Trusted => Event::TargetTrusted { target },
+        ConditionChange::Paused { failures, pause } => {
+            let reason = match ended {
+                Ended::Unreachable => PauseReason::Unreachable,
+                _ => PauseReason::Failing,
+            };
+            Event::TargetPaused { failures, pause_ms: pause.as_millis() as u64, reason, target }
+        }
+    }
+}
+
 /// What the control side tells other hosts.
 #[derive(Clone, Debug, Default)]
 pub struct Report {
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -10,6 +10,8 @@
 /// Everything that a request's decisions read of the control side.
 #[derive(Clone, Debug, Default)]
 pub struct View {
+    /// When it was published.
+    pub at: Moment,
     pub declared: Option<Arc<Declared>>,
     /// Other living hosts and this one, by region and name.
     pub hosts: Vec<LiveHost>,
--- a/src/entry/watchers.rs
+++ b/src/entry/watchers.rs
@@ -13,7 +13,7 @@
 /// Watchers in a region: while one is lost unnoticed, the other still tells.
 const WATCHERS: usize = 2;
 
-/// Time for which a host goes on election when others seem to be enough: who lives changes often
+/// Time for which a host goes on watching when others seem to be enough: who lives changes often
 /// right after a start.
 const LINGER: Duration = Duration::from_secs(3);
 
--- /dev/null
+++ b/src/event_log/kind.rs
@@ -0,0 +1,94 @@
+//! What is said of each kind of event: its meaning, its weight, the thing it is about.
+
+use super::{End, Event, EventKind, event::AttemptEnd};
+
+/// Which lines go first when the queue is full.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Weight {
+    /// Steps of requests; the first to be dropped.
+    Usual,
+    /// Failures and what the host believes.
+    Kept,
+}
+
+impl Event {
+    /// Its kind.
+    pub fn kind(&self) -> EventKind {
+        self.into()
+    }
+
+    /// What its rate is bounded by: refusals by their reason, so that one does not hide another.
+    pub fn cause(&self) -> &'static str {
+        match self {
+            Event::Answered { error: Some(error), .. }
+            | Event::NotPlaced { error, .. }
+            | Event::Refused { error, .. } => (*error).into(),
+            Event::Answered { end, .. } => (*end).into(),
+            Event::AttemptEnded { end, .. } => (*end).into(),
+            other => other.kind().into(),
+        }
+    }
+
+    /// Which lines go first.
+    pub fn weight(&self) -> Weight {
+        match self {
+            Event::Answered { end: End::Served, .. }
+            | Event::AttemptEnded { end: AttemptEnd::Answered | AttemptEnd::Cancelled, .. }
+            | Event::CallerLeft { .. }
+            | Event::Note { .. }
+            | Event::Sent { .. }
+            | Event::Taken { .. } => Weight::Usual,
+            _ => Weight::Kept,
+        }
+    }
+}
+
+impl EventKind {
+    /// Its name in the log.
+    pub fn name(self) -> &'static str {
+        self.into()
+    }
+
+    /// One line for the operators' reference.
+    pub fn doc(self) -> &'static str {
+        match self {
+            EventKind::Answered => "the answer to a request, with its time and whether it ran",
+            EventKind::AttemptEnded => "an attempt at one target ended",
+            EventKind::CallerLeft => "the caller closed its connection before it had an answer",
+            EventKind::CrashCleared => "a suspect request came to a good end",
+            EventKind::CrashCounted => "a target went down under a request",
+            EventKind::DeclarationInForce => "a newer declaration took effect",
+            EventKind::DeclarationStale => "an older declaration was told and left out",
+            EventKind::EntryUnreadable => {
+                "an object of the store can't be read and counts for nothing"
+            }
+            EventKind::HostHeard => "another host lives",
+            EventKind::HostLost => "another host fell silent",
+            EventKind::HostUnanswering => "another host did not tell what it knows of the store",
+            EventKind::LinesDropped => "lines of this log that were dropped, by kind",
+            EventKind::Note => "a line of a library",
+            EventKind::NotPlaced => "no target could take a request in time",
+            EventKind::Refused => "a request was refused before a target was looked for",
+            EventKind::Reloaded => "the settings were read again",
+            EventKind::RetryDenied => "a further attempt was wanted and not allowed",
+            EventKind::Sent => "a request goes to a target",
+            EventKind::SharesMoved => "a service's requests move between regions",
+            EventKind::Started => "the host starts",
+            EventKind::Stopped => "the host has stopped",
+            EventKind::Stopping => "a planned stop begins",
+            EventKind::StoreLost => "the store does not answer",
+            EventKind::StoreRegained => "the store answers again",
+            EventKind::StreamBroken => "a large answer broke off on its way",
+            EventKind::Taken => "a request was accepted",
+            EventKind::TargetGone => "a target's entry is gone",
+            EventKind::TargetKept => "a lapsed target is used a little longer",
+            EventKind::TargetKnown => "a target's entry is new or has changed",
+            EventKind::TargetPaused => "a target gets nothing for a while",
+            EventKind::TargetTrusted => "a paused target answered again",
+            EventKind::WatchBegun => "this host follows the store",
+            EventKind::WatchEnded => "this host leaves the store to others",
+            EventKind::ZoneEvacuated => "a zone's targets are to get nothing",
+            EventKind::ZoneTakenBack => "a zone's targets may be used again",
+        }
+    }
+}
--- /dev/null
+++ b/src/event_log/tests.rs
@@ -0,0 +1,167 @@
+use std::{
+    io::{self, Write},
+    sync::{
+        Mutex,
+        mpsc::{Receiver, Sender, channel},
+    },
+    time::Instant,
+};
+
+use strum::IntoEnumIterator;
+
+use super::{kind::Weight, *};
+use crate::{base::BootClock, prelude::*};
+
+fn offer(kind: EventKind, weight: Weight, text: &str) -> Offer {
+    Offer { cause: kind.name(), kind, text: text.as_bytes().to_vec(), weight }
+}
+
+fn secs(secs: f64) -> Duration {
+    Duration::from_secs_f64(secs)
+}
+
+/// An overload refuses a thousand requests a second. The first hundred lines of each second are
+/// written, by cause, the others counted; another cause is not hidden by the first.
+#[test]
+fn the_rate_is_bounded_by_kind_and_cause() {
+    let settings = EventLogSettings { lines_per_second: 100, queue_bytes: 1 << 20 };
+    let mut queue = LineQueue::new(settings);
+    let mut admitted = 0;
+    for at in 0..3_000 {
+        let now = secs(10.0 + f64::from(at) / 1_000.0);
+        admitted += u32::from(queue.admits(EventKind::Refused, "no-slots", now));
+    }
+    assert_eq!(admitted, 300);
+    assert!(queue.admits(EventKind::Refused, "no-target", secs(12.9)));
+    assert_eq!(queue.take_dropped(), [(EventKind::Refused, 2_700)].into());
+    assert!(queue.take_dropped().is_empty(), "each is told once");
+}
+
+/// Nobody reads the output and the queue is full. Steps of requests that go well give way to what
+/// failed; what failed first stays; memory is bounded.
+#[test]
+fn a_full_queue_keeps_failures() {
+    let settings = EventLogSettings { lines_per_second: 1_000, queue_bytes: 100 };
+    let mut queue = LineQueue::new(settings);
+    for _ in 0..10 {
+        queue.push(offer(EventKind::Sent, Weight::Usual, "sent.....\n"));
+    }
+    queue.push(offer(EventKind::Taken, Weight::Usual, "taken....\n"));
+    for at in 0..12 {
+        queue.push(offer(EventKind::Refused, Weight::Kept, &format!("refused {at}\n")));
+    }
+    let text = String::from_utf8(queue.take()).expect("it is text");
+    assert!(text.len() <= 100 && !text.contains("sent"), "{text}");
+    assert!(text.starts_with("refused 0\nrefused 1\n"), "{text}");
+    let dropped = queue.take_dropped();
+    assert_eq!(dropped[&EventKind::Sent], 10);
+    assert_eq!(dropped[&EventKind::Taken], 1);
+    assert_eq!(dropped[&EventKind::Refused], 12 - text.lines().count() as u64);
+}
+
+/// An output that takes nothing until it is told to.
+struct Blocked {
+    open: Mutex<Receiver<()>>,
+    out: Sender<Vec<u8>>,
+}
+
+impl Write for Blocked {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        let _ = self.open.lock().expect("one reader").recv();
+        let _ = self.out.send(buf.to_vec());
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Standard output is a pipe that nobody reads. Recording goes on at once, memory is bounded, and
+/// when the pipe is read again the log tells what it has dropped.
+#[test]
+fn a_blocked_output_stops_nobody() {
+    let (unblock, open) = channel();
+    let (out, written) = channel();
+    let blocked = Blocked { open: Mutex::new(open), out };
+    let settings = EventLogSettings { lines_per_second: 1_000_000, queue_bytes: 8 * 1024 };
+    let log = EventLog::open("h".into(), settings, Arc::new(BootClock), blocked).expect("a thread");
+    let event = || Event::TargetTrusted { target: "t-1".into() };
+    let since = Instant::now();
+    for _ in 0..5_000 {
+        log.record(None, event());
+    }
+    assert!(since.elapsed() < Duration::from_secs(2), "{:?}", since.elapsed());
+    drop(unblock);
+    let mut text = Vec::new();
+    while let Ok(more) = written.recv_timeout(Duration::from_secs(3)) {
+        text.extend(more);
+        if String::from_utf8_lossy(&text).contains("lines-dropped") {
+            break;
+        }
+    }
+    let lines: Vec<Line> = String::from_utf8(text)
+        .expect("it is text")
+        .lines()
+        .map(|line| serde_json::from_str(line).expect("a line can be read"))
+        .collect();
+    let whole = lines.iter().filter(|line| line.event == event()).count() as u64;
+    let dropped: u64 = lines
+        .iter()
+        .filter_map(|line| match &line.event {
+            Event::LinesDropped { counts } => counts.get("target-trusted"),
+            _ => None,
+        })
+        .sum();
+    assert!(0 < dropped, "{} lines", lines.len());
+    assert!(whole + dropped <= 5_000 && log.dropped() == dropped, "{whole} + {dropped}");
+}
+
+/// Nobody ever reads the output: the end of the process does not wait for it.
+#[test]
+fn the_end_does_not_wait_for_a_blocked_output() {
+    let (unblock, open) = channel();
+    let (out, _written) = channel();
+    let blocked = Blocked { open: Mutex::new(open), out };
+    let settings = EventLogSettings::default();
+    let log = EventLog::open("h".into(), settings, Arc::new(BootClock), blocked).expect("a thread");
+    log.record(None, Event::WatchEnded);
+    let since = Instant::now();
+    drop(log);
+    assert!(since.elapsed() < Duration::from_secs(2), "{:?}", since.elapsed());
+    drop(unblock);
+}
+
+/// The last lines are written when the log ends.
+#[test]
+fn the_last_lines_are_written() {
+    let (unblock, open) = channel();
+    let (out, written) = channel();
+    drop(unblock);
+    let blocked = Blocked { open: Mutex::new(open), out };
+    let settings = EventLogSettings::default();
+    let log = EventLog::open("h".into(), settings, Arc::new(BootClock), blocked).expect("a thread");
+    let key = RequestKey { attempt: Some("r-1".into()), own: Some(7) };
+    log.record(Some(&key), Event::WatchEnded);
+    drop(log);
+    let text: Vec<u8> = written.try_iter().flatten().collect();
+    let line: Line = serde_json::from_slice(&text).expect("one line");
+    assert_eq!((&*line.host, line.request, line.event), ("h", key, Event::WatchEnded));
+}
+
+/// Every kind has a name of its own and a line in the reference.
+#[test]
+fn kinds_are_named_and_documented() {
+    let names: std::collections::BTreeSet<_> = EventKind::iter().map(EventKind::name).collect();
+    assert_eq!(names.len(), EventKind::iter().count());
+    assert!(EventKind::iter().all(|kind| !kind.doc().is_empty()));
+}
+
+/// The name in a line is the kind's.
+#[test]
+fn a_line_names_its_kind() {
+    let event = Event::StoreRegained { away_ms: 5, part: crate::entry::Part::Targets };
+    let kind = event.kind().name();
+    let value = serde_json::to_value(&event).expect("it has a form");
+    assert_eq!(value["event"], kind);
+}
--- /dev/null
+++ b/src/event_log/writer.rs
@@ -0,0 +1,175 @@
+//! The log of one host: makes lines and hands them to a thread that writes them.
+
+use std::{
+    io::{self, Write},
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread::JoinHandle,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use super::{
+    Event, EventKind, EventLogSettings, EventSink, Line, LineQueue, Offer, RequestKey, kind::Weight,
+};
+use crate::prelude::*;
+
+/// Time between two writes: few, since each costs a system call, and short enough that a killed
+/// process loses little.
+const FLUSH: Duration = Duration::from_millis(100);
+
+/// Time between two lines about dropped ones.
+const TELL_DROPPED: Duration = Duration::from_secs(1);
+
+/// Longest time that the end of the process waits for the last lines.
+const LAST_LINES: Duration = Duration::from_millis(200);
+
+/// Stack of the writing thread, in bytes: it only copies.
+const STACK: usize = 64 * 1024;
+
+/// Result of opening a log.
+pub type Result<T> = std::result::Result<T, LogWriterError>;
+
+/// The writing thread could not be started.
+#[derive(Debug, thiserror::Error)]
+#[error("the log's thread could not be started: {0}")]
+pub struct LogWriterError(#[from] io::Error);
+
+/// A running log; its last lines are written when it is dropped, if the output takes them.
+pub struct EventLog {
+    clock: Arc<dyn Clock>,
+    host: HostId,
+    shared: Arc<Shared>,
+    started: Moment,
+    thread: Option<JoinHandle<()>>,
+}
+
+struct Shared {
+    dropped: AtomicU64,
+    ended: AtomicBool,
+    queue: Mutex<LineQueue>,
+    written: AtomicBool,
+}
+
+impl Shared {
+    fn queue(&self) -> MutexGuard<'_, LineQueue> {
+        self.queue.lock().expect("no holder of this lock panics")
+    }
+}
+
+impl EventLog {
+    /// A log of `host` that writes to `out`.
+    pub fn open(
+        host: HostId,
+        settings: EventLogSettings,
+        clock: Arc<dyn Clock>,
+        out: impl Write + Send + 'static,
+    ) -> Result<Self> {
+        let shared = Arc::new(Shared {
+            dropped: AtomicU64::new(0),
+            ended: AtomicBool::new(false),
+            queue: Mutex::new(LineQueue::new(settings)),
+            written: AtomicBool::new(false),
+        });
+        let started = clock.now();
+        let teller = Teller { clock: clock.clone(), host: host.clone(), started };
+        let thread = std::thread::Builder::new().name("log".into()).stack_size(STACK);
+        let of_thread = shared.clone();
+        let thread = thread.spawn(move || write_all(&of_thread, &teller, out))?;
+        Ok(Self { clock, host, shared, started, thread: Some(thread) })
+    }
+}
+
+impl EventSink for EventLog {
+    fn record(&self, request: Option<&RequestKey>, event: Event) {
+        let (kind, cause, weight) = (event.kind(), event.cause(), event.weight());
+        if !self.shared.queue().admits(kind, cause, self.clock.now()) {
+            return;
+        }
+        let teller =
+            Teller { clock: self.clock.clone(), host: self.host.clone(), started: self.started };
+        let text = teller.line(request.cloned().unwrap_or_default(), event);
+        self.shared.queue().push(Offer { cause, kind, text, weight });
+    }
+
+    fn dropped(&self) -> u64 {
+        self.shared.dropped.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for EventLog {
+    fn drop(&mut self) {
+        self.shared.ended.store(true, Ordering::Relaxed);
+        let Some(thread) = self.thread.take() else { return };
+        thread.thread().unpark();
+        let last = std::time::Instant::now() + LAST_LINES;
+        // An output that nobody reads must not hold up the end of the process.
+        while !self.shared.written.load(Ordering::Relaxed) && std::time::Instant::now() < last {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+/// Makes lines.
+struct Teller {
+    clock: Arc<dyn Clock>,
+    host: HostId,
+    started: Moment,
+}
+
+impl Teller {
+    fn line(&self, request: RequestKey, event: Event) -> Vec<u8> {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let line = Line {
+            at_ms: wall.as_millis() as u64,
+            up_ms: self.clock.now().saturating_sub(self.started).as_millis() as u64,
+            host: self.host.clone(),
+            request,
+            event,
+        };
+        let mut text = serde_json::to_vec(&line).expect("a line is plain text and numbers");
+        text.push(b'\n');
+        text
+    }
+}
+
+/// Writes until the log ends. What can't be written is lost, and counted with what was dropped.
+fn write_all(shared: &Shared, teller: &Teller, mut out: impl Write) {
+    let mut told = teller.clock.now();
+    let mut unwritten = 0;
+    loop {
+        std::thread::park_timeout(FLUSH);
+        let ended = shared.ended.load(Ordering::Relaxed);
+        let now = teller.clock.now();
+        if ended || TELL_DROPPED <= now.saturating_sub(told) {
+            told = now;
+            tell_dropped(shared, teller, std::mem::take(&mut unwritten));
+        }
+        let text = shared.queue().take();
+        if !text.is_empty() && out.write_all(&text).and_then(|()| out.flush()).is_err() {
+            let lines = text.iter().filter(|byte| **byte == b'\n').count() as u64;
+            unwritten += lines;
+            shared.dropped.fetch_add(lines, Ordering::Relaxed);
+        }
+        if ended {
+            return shared.written.store(true, Ordering::Relaxed);
+        }
+    }
+}
+
+fn tell_dropped(shared: &Shared, teller: &Teller, unwritten: u64) {
+    let dropped = shared.queue().take_dropped();
+    let mut counts: BTreeMap<Arc<str>, u64> =
+        dropped.iter().map(|(kind, count)| (kind.name().into(), *count)).collect();
+    shared.dropped.fetch_add(dropped.values().sum(), Ordering::Relaxed);
+    if 0 < unwritten {
+        counts.insert("unwritten".into(), unwritten);
+    }
+    if counts.is_empty() {
+        return;
+    }
+    let text = teller.line(RequestKey::default(), Event::LinesDropped { counts });
+    let kind = EventKind::LinesDropped;
+    shared.queue().push(Offer { cause: kind.name(), kind, text, weight: Weight::Kept });
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod demo;
 pub mod drain;
 pub mod entry;
+pub mod event_log;
 pub mod forward;
 pub mod ingress;
 pub mod ledger;
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -1,5 +1,6 @@
 //! Counters, gauges and timings, sent as statsd datagrams to an address from the settings.
 
+mod entry;
 mod metered_sink;
 mod metric;
 mod statsd;
@@ -7,6 +8,7 @@
 mod tests;
 
 pub use self::{
+    entry::{ControlFigures, EntryMetrics, MeteredEvents, TrafficFigures},
     metered_sink::MeteredSink,
     metric::{Metric, Shape},
     statsd::{MetricsError, Result, Tags, open},
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -17,7 +17,7 @@
 const SEAL: HeaderName = HeaderName::from_static("lavenderplank-server-seal");
 /// Present where the target has not run the request.
 const NOT_RUN: HeaderName = HeaderName::from_static("lavenderplank-not-executed");
-/// InFlight and waiting requests and slots, with commas.
+/// Running and waiting requests and slots, with commas.
 const LOAD: HeaderName = HeaderName::from_static("lavenderplank-server-load");
 /// Time that the target stays cold.
 const COLD: HeaderName = HeaderName::from_static("lavenderplank-cold-remaining");
--- a/src/platform/standin/day.rs
+++ b/src/platform/standin/day.rs
@@ -18,6 +18,7 @@
 use crate::{
     base::BootClock,
     entry::{EntryHost, EntryParts},
+    event_log::NoEvents,
     platform::{ObjectStore, PlatformProtocol},
     prelude::*,
 };
@@ -304,7 +305,8 @@
     let settings = loopback_settings(name, zone, region, &zones, store.addr());
     let store = Arc::new(ObjectStore::open(store.addr())?);
     let (clock, protocol) = (Arc::new(BootClock), Arc::new(PlatformProtocol));
-    Ok(EntryHost::spawn(EntryParts { clock, protocol, settings, store }).await?)
+    let events = Arc::new(NoEvents);
+    Ok(EntryHost::spawn(EntryParts { clock, events, protocol, settings, store }).await?)
 }
 
 fn config(version: u64) -> Value {
--- a/src/platform/standin/settings.rs
+++ b/src/platform/standin/settings.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     entry::{Bounds, EntrySettings, Listen},
+    event_log::EventLogSettings,
     prelude::*,
     settings::LogSettings,
 };
@@ -25,7 +26,15 @@
             retry_slack: 60.0,
         },
         host: host.into(),
-        listen: Listen { callers: free, control: free, gossip: free, lookup: free, ready: free },
+        event_log: EventLogSettings::default(),
+        listen: Listen {
+            callers: free,
+            control: free,
+            gossip: free,
+            lookup: free,
+            metrics: Some(free),
+            ready: free,
+        },
         log: LogSettings::default(),
         region: region.into(),
         seeds: Vec::new(),
--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -40,7 +40,8 @@
 /// What a follower tells.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Followed {
-    /// Writes since what was told before.
+    /// Writes since what was told before; none where the platform merely answers again after a
+    /// loss.
     Changed(Vec<Change>),
     /// Everything there is, in place of what was told before.
     Listed(Listing),
@@ -174,6 +175,7 @@
     tx: mpsc::Sender<Followed>,
 ) {
     let mut state = FollowState::new(rand::random(), pace);
+    let mut is_lost = false;
     loop {
         let told = match state.next(clock.now()) {
             Step::Compare => match platform.keys(&prefix).await {
@@ -197,13 +199,16 @@
             Step::Watch { from } => match platform.watch(&prefix, from, pace.wait).await {
                 Ok(changes) => {
                     state.changed(&changes);
-                    (!changes.changes.is_empty()).then_some(Followed::Changed(changes.changes))
+                    let matters = is_lost || !changes.changes.is_empty();
+                    matters.then_some(Followed::Changed(changes.changes))
                 }
                 Err(err) => Some(lost(&mut state, err)),
             },
         };
         let Some(told) = told else { continue };
-        let pause = match told {
+        is_lost = matches!(told, Followed::Lost(_));
+        let pause = match &told {
+            Followed::Changed(changes) if changes.is_empty() => Duration::ZERO,
             Followed::Changed(_) => pace.settle,
             Followed::Listed(_) => pace.after_list,
             Followed::Lost(_) => Duration::ZERO,
--- a/tests/deploy.rs
+++ b/tests/deploy.rs
@@ -57,6 +57,11 @@
     let settings = settings.expect("settings");
     assert_eq!(&*settings.host, "edge-ktm-a-1");
     assert_eq!(settings.listen.gossip, "10.1.0.34:7540".parse().expect("an address"));
+    let metrics = settings.listen.metrics.expect("an address of the metrics");
+    let system = std::fs::read_to_string(root.join("deploy/system.toml")).expect("the deploy file");
+    assert!(system.contains(&format!("metrics = \"{}/metrics\"", metrics.port())), "{metrics}");
+    let first_free = settings.listen.gossip.port();
+    assert!(metrics.port() != first_free && (first_free..=7555).contains(&metrics.port()));
     assert_eq!(&*settings.region_of(&"pkr-a".into()), "gandaki");
     assert_eq!(settings.seeds.len(), 2);
     assert_eq!(settings.bounds.grace.as_millis(), 6000);
--- a/tests/support/entry.rs
+++ b/tests/support/entry.rs
@@ -2,11 +2,16 @@
 
 #![allow(dead_code, reason = "each test uses its part")]
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use lavenderplank::{
     base::BootClock,
     entry::{EntryHost, EntryParts, EntrySettings},
+    event_log::{Event, EventSink, RequestKey},
     platform::{
         ObjectStore, PlatformProtocol,
         standin::{StoreStandin, TargetDraft, TargetStandin, loopback_settings},
@@ -24,6 +29,8 @@
 
 /// The whole deployment.
 pub struct World {
+    /// What all hosts have told.
+    pub events: Arc<KeptEvents>,
     pub http: reqwest::Client,
     pub store: StoreStandin,
     pub targets: Vec<TargetStandin>,
@@ -86,7 +93,8 @@
             targets.push(TargetStandin::spawn(draft).await.expect("loopback has free ports"));
         }
         let store = StoreStandin::spawn().await.expect("loopback has free ports");
-        Self { http: reqwest::Client::new(), store, targets }
+        let events = Arc::new(KeptEvents::default());
+        Self { events, http: reqwest::Client::new(), store, targets }
     }
 
     /// Writes all targets' entries.
@@ -107,7 +115,10 @@
     pub async fn host_of(&self, settings: EntrySettings) -> EntryHost {
         let store = Arc::new(ObjectStore::open(settings.store).expect("a client"));
         let (clock, protocol) = (Arc::new(BootClock), Arc::new(PlatformProtocol));
-        EntryHost::spawn(EntryParts { clock, protocol, settings, store }).await.expect("free ports")
+        let events = self.events.clone();
+        EntryHost::spawn(EntryParts { clock, events, protocol, settings, store })
+            .await
+            .expect("free ports")
     }
 
     pub async fn is_ready(&self, host: &EntryHost) -> bool {
@@ -137,6 +148,32 @@
     }
 }
 
+/// Keeps all events in memory.
+#[derive(Default)]
+pub struct KeptEvents(Mutex<Vec<(Option<RequestKey>, Event)>>);
+
+impl EventSink for KeptEvents {
+    fn record(&self, request: Option<&RequestKey>, event: Event) {
+        self.0.lock().expect("no holder panics").push((request.cloned(), event));
+    }
+}
+
+impl KeptEvents {
+    /// Events of one request, in their order.
+    pub fn of(&self, attempt: &str) -> Vec<Event> {
+        let kept = self.0.lock().expect("no holder panics");
+        let of = |key: &Option<RequestKey>| {
+            key.as_ref().and_then(|key| key.attempt.as_deref()) == Some(attempt)
+        };
+        kept.iter().filter(|(key, _)| of(key)).map(|(_, event)| event.clone()).collect()
+    }
+
+    /// Whether an event of the hosts themselves has come.
+    pub fn has(&self, is: impl Fn(&Event) -> bool) -> bool {
+        self.0.lock().expect("no holder panics").iter().any(|(_, event)| is(event))
+    }
+}
+
 /// A request of a caller.
 #[derive(Clone, Debug)]
 pub struct Ask<'a> {
