--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -20,6 +20,7 @@
 mod status;
 mod timeline;
 mod undrain;
+mod why;
 
 use clap::{Parser, Subcommand};
 
@@ -54,6 +55,7 @@
     Status(status::Args),
     Timeline(timeline::Args),
     Undrain(undrain::Args),
+    Why(why::Args),
 }
 
 impl Cli {
@@ -76,6 +78,7 @@
             Command::Status(args) => status::run(args),
             Command::Timeline(args) => timeline::run(args),
             Command::Undrain(args) => undrain::run(args),
+            Command::Why(args) => why::run(args),
         }
     }
 }
--- a/src/event_log/event.rs
+++ b/src/event_log/event.rs
@@ -23,28 +23,33 @@
     /// An answer went to the caller, or began to.
     Answered {
         /// The host's own reason; `None` where it is the target's answer.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
         error: Option<ErrorKind>,
         end: End,
         /// Time within which the answer is worth most.
         objective_ms: u64,
         /// Whether the request ran, as the answer says.
         ran: Ran,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
         retry_after_ms: Option<u64>,
         /// Attempts that reached a target, or may have.
         sent: u32,
         service: ServiceId,
         status: u16,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
         target: Option<TargetId>,
         took_ms: u64,
     },
     /// One attempt at a target ended.
     AttemptEnded {
         /// Time to the connection; `None` where one was kept or none came about.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
         connect_ms: Option<u64>,
         /// What was left of the caller's time.
         left_ms: u64,
         end: AttemptEnd,
         /// Time to the head of the answer.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
         first_byte_ms: Option<u64>,
         /// The target's status, or what went wrong.
         detail: Arc<str>,
@@ -92,6 +97,7 @@
         /// Longest expected time that was acceptable.
         limit_ms: u64,
         /// Least expected wait for a slot.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
         room_in_ms: Option<u64>,
         service: ServiceId,
         /// Of the candidates, how many take nothing now: paused, full or at their cold rate.
--- a/src/event_log/writer.rs
+++ b/src/event_log/writer.rs
@@ -17,7 +17,7 @@
 
 /// Time between two writes: few, since each costs a system call, and short enough that a killed
 /// process loses little.
-const FLUSH: Duration = Duration::from_millis(100);
+const FLUSH: Duration = Duration::from_millis(250);
 
 /// Time between two lines about dropped ones.
 const TELL_DROPPED: Duration = Duration::from_secs(1);
@@ -28,6 +28,9 @@
 /// Stack of the writing thread, in bytes: it only copies.
 const STACK: usize = 64 * 1024;
 
+/// Bytes of most lines.
+const LINE_USUAL: usize = 320;
+
 /// Result of opening a log.
 pub type Result<T> = std::result::Result<T, LogWriterError>;
 
@@ -38,10 +41,8 @@
 
 /// A running log; its last lines are written when it is dropped, if the output takes them.
 pub struct EventLog {
-    clock: Arc<dyn Clock>,
-    host: HostId,
     shared: Arc<Shared>,
-    started: Moment,
+    teller: Arc<Teller>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -73,23 +74,22 @@
             written: AtomicBool::new(false),
         });
         let started = clock.now();
-        let teller = Teller { clock: clock.clone(), host: host.clone(), started };
+        let teller = Arc::new(Teller { clock, host, started });
         let thread = std::thread::Builder::new().name("log".into()).stack_size(STACK);
-        let of_thread = shared.clone();
-        let thread = thread.spawn(move || write_all(&of_thread, &teller, out))?;
-        Ok(Self { clock, host, shared, started, thread: Some(thread) })
+        let (of_thread, of_teller) = (shared.clone(), teller.clone());
+        let thread = thread.spawn(move || write_all(&of_thread, &of_teller, out))?;
+        Ok(Self { shared, teller, thread: Some(thread) })
     }
 }
 
 impl EventSink for EventLog {
     fn record(&self, request: Option<&RequestKey>, event: Event) {
         let (kind, cause, weight) = (event.kind(), event.cause(), event.weight());
-        if !self.shared.queue().admits(kind, cause, self.clock.now()) {
+        let now = self.teller.clock.now();
+        if !self.shared.queue().admits(kind, cause, now) {
             return;
         }
-        let teller =
-            Teller { clock: self.clock.clone(), host: self.host.clone(), started: self.started };
-        let text = teller.line(request.cloned().unwrap_or_default(), event);
+        let text = self.teller.line(request.cloned().unwrap_or_default(), event, now);
         self.shared.queue().push(Offer { cause, kind, text, weight });
     }
 
@@ -119,16 +119,17 @@
 }
 
 impl Teller {
-    fn line(&self, request: RequestKey, event: Event) -> Vec<u8> {
+    fn line(&self, request: RequestKey, event: Event, now: Moment) -> Vec<u8> {
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let line = Line {
             at_ms: wall.as_millis() as u64,
-            up_ms: self.clock.now().saturating_sub(self.started).as_millis() as u64,
+            up_ms: now.saturating_sub(self.started).as_millis() as u64,
             host: self.host.clone(),
             request,
             event,
         };
-        let mut text = serde_json::to_vec(&line).expect("a line is plain text and numbers");
+        let mut text = Vec::with_capacity(LINE_USUAL);
+        serde_json::to_writer(&mut text, &line).expect("a line is plain text and numbers");
         text.push(b'\n');
         text
     }
@@ -169,7 +170,8 @@
     if counts.is_empty() {
         return;
     }
-    let text = teller.line(RequestKey::default(), Event::LinesDropped { counts });
+    let event = Event::LinesDropped { counts };
+    let text = teller.line(RequestKey::default(), event, teller.clock.now());
     let kind = EventKind::LinesDropped;
     shared.queue().push(Offer { cause: kind.name(), kind, text, weight: Weight::Kept });
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod timer;
 pub mod trace;
 pub mod view;
+pub mod why;
 pub mod yaml;
 
 /// Parses the arguments, runs the subcommand and maps its result to an exit code.
