Tell refused callers of room where they may go; keep lines whole; say why a region is full

The line names the region and how many targets are free elsewhere.

Lines of several hosts on one pipe were torn, and a story ended without its last line. Writes are whole lines of at most 4,096 bytes, which a pipe takes whole.

--- a/src/entry/place.rs
+++ b/src/entry/place.rs
@@ -85,8 +85,9 @@
 pub enum Choice {
     /// Position of the candidate, and the time its answer is expected to take.
     Send { at: usize, expected: Duration },
-    /// There is room, but not in time; it is there after about that long.
-    Busy { room_in: Duration },
+    /// There is no room in time where the request may go; there is after about that long, as far as
+    /// it is known: a paused target's queue tells nothing.
+    Busy { room_in: Option<Duration> },
     /// No target is there at all.
     Nothing,
 }
@@ -100,9 +101,13 @@
         let region = &candidate.target.region;
         let spills = region != ask.region;
         let wait = wait(candidate, ask);
+        if candidate.shut || (spills && !ask.may_spill) {
+            // Told to come back for room that it may not use, a caller would only be refused again.
+            continue;
+        }
         least_wait = Some(least_wait.map_or(wait, |least: f64| least.min(wait)));
         let room = f64::from(candidate.target.entry.slots) * (1.0 + WAITING);
-        if candidate.shut || room <= candidate.load || (spills && !ask.may_spill) {
+        if room <= candidate.load {
             continue;
         }
         let choice = match ranks[at] {
@@ -120,8 +125,10 @@
         (Some(offer), _) if offer.takes <= limit => {
             Choice::Send { at: offer.at, expected: Duration::from_secs_f64(offer.takes) }
         }
-        (_, Some(wait)) => Choice::Busy { room_in: Duration::from_secs_f64(wait.min(60.0)) },
-        (_, None) => Choice::Nothing,
+        _ if candidates.is_empty() => Choice::Nothing,
+        (_, wait) => {
+            Choice::Busy { room_in: wait.map(|wait| Duration::from_secs_f64(wait.min(60.0))) }
+        }
     }
 }
 
--- a/src/entry/tests/place.rs
+++ b/src/entry/tests/place.rs
@@ -104,13 +104,35 @@
     full.iter_mut().for_each(|candidate| candidate.load = 11.0);
     let late = Ask { left: secs(0.25), ..world.ask(1) };
     let Choice::Busy { room_in } = choose(&full, &late) else { panic!("it was sent") };
-    assert_eq!(room_in, secs(0.3));
+    assert_eq!(room_in, Some(secs(0.3)));
     assert!(matches!(choose(&full, &world.ask(1)), Choice::Send { .. }));
     full.iter_mut().for_each(|candidate| candidate.load = 12.0);
     assert!(matches!(choose(&full, &world.ask(1)), Choice::Busy { .. }));
     assert_eq!(choose(&[], &world.ask(1)), Choice::Nothing);
 }
 
+/// Load pattern: a region's own targets are full while others have room that this request may not
+/// use, for the bound of shifts. The caller is told when its own region has room, not that there is
+/// room now.
+#[test]
+fn room_is_told_of_the_region_that_a_request_may_use() {
+    let world = World::new(2, 2);
+    let mut candidates = world.idle();
+    candidates[..2].iter_mut().for_each(|candidate| candidate.load = 12.0);
+    let refused = choose(&candidates, &world.ask(1));
+    let room_in = Some(Duration::from_secs_f64(10.0 / 3.0 * 0.1));
+    assert_eq!(refused, Choice::Busy { room_in });
+    // A paused target has nothing in flight, and yet no room.
+    candidates[0].load = 0.0;
+    candidates[0].shut = true;
+    assert_eq!(choose(&candidates, &world.ask(1)), Choice::Busy { room_in });
+    candidates[1].shut = true;
+    assert_eq!(choose(&candidates, &world.ask(1)), Choice::Busy { room_in: None });
+    candidates[..2].iter_mut().for_each(|candidate| candidate.shut = false);
+    let may_spill = Ask { may_spill: true, ..world.ask(1) };
+    assert!(matches!(choose(&candidates, &may_spill), Choice::Send { at: 2..=3, .. }));
+}
+
 /// A slow or failing target gets fewer objects, one that is shut gets none.
 #[test]
 fn slow_and_shut_targets_are_avoided() {
--- a/src/entry/traffic_state.rs
+++ b/src/entry/traffic_state.rs
@@ -207,7 +207,7 @@
     pub fn place(&self, view: &View, wanted: &PlacementRequest) -> Placement {
         let now = self.clock.now();
         let Some(targets) = view.targets.get(&wanted.service) else {
-            return Placement::none();
+            return Placement::none(&self.settings.region);
         };
         let regions = &wanted.route.regions;
         let allowed = |target: &&Arc<KnownTarget>| {
@@ -239,7 +239,7 @@
             let next = candidates.iter().max_by(|a, b| share(a).total_cmp(&share(b)));
             match next {
                 Some(next) => region = next.target.region.clone(),
-                None => return Placement::none(),
+                None => return Placement::none(&region),
             }
         }
         let left = wanted.deadline.saturating_sub(now);
@@ -265,8 +265,10 @@
             candidates: candidates.len(),
             choice,
             cold: candidates.iter().filter(|candidate| candidate.cold).count(),
+            free_elsewhere: candidates.iter().filter(|it| is_free_elsewhere(it, &region)).count(),
             limit: ask.limit(),
             load: chosen.map_or(0, |chosen| chosen.load as u32),
+            region: region.clone(),
             shut: candidates.iter().filter(|candidate| candidate.shut).count(),
             target: chosen.map(|chosen| chosen.target.clone()),
             work: ask.work,
@@ -465,10 +467,14 @@
     pub choice: Choice,
     /// Of the candidates, how many are cold.
     pub cold: usize,
+    /// Of the candidates, how many have a free slot in another region than the one named.
+    pub free_elsewhere: usize,
     /// Longest expected time that was acceptable.
     pub limit: Duration,
     /// Requests in flight at the chosen target, of all hosts.
     pub load: u32,
+    /// The region that the shares name.
+    pub region: RegionId,
     /// Of the candidates, how many take nothing now.
     pub shut: usize,
     pub target: Option<Arc<KnownTarget>>,
@@ -478,13 +484,15 @@
 
 impl Placement {
     /// There is no target at all.
-    fn none() -> Self {
+    fn none(region: &RegionId) -> Self {
         Self {
             candidates: 0,
             choice: Choice::Nothing,
             cold: 0,
+            free_elsewhere: 0,
             limit: Duration::ZERO,
             load: 0,
+            region: region.clone(),
             shut: 0,
             target: None,
             work: Duration::ZERO,
@@ -492,6 +500,11 @@
     }
 }
 
+fn is_free_elsewhere(candidate: &Candidate<'_>, region: &RegionId) -> bool {
+    let target = candidate.target;
+    target.region != *region && !candidate.shut && candidate.load < f64::from(target.entry.slots)
+}
+
 /// Least move of a region's share that is told: a tenth of a second's usual move is noise.
 const SHARE_TOLD: f64 = 0.05;
 
--- a/src/event_log/event.rs
+++ b/src/event_log/event.rs
@@ -94,9 +94,13 @@
         cold: usize,
         declaration: DeclaredVersion,
         error: ErrorKind,
+        /// Of the candidates, how many have a free slot in regions that the request may not use.
+        free_elsewhere: usize,
         /// Longest expected time that was acceptable.
         limit_ms: u64,
-        /// Least expected wait for a slot.
+        /// The region that the shares name for it.
+        region: RegionId,
+        /// Least expected wait for a slot there.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         room_in_ms: Option<u64>,
         service: ServiceId,
--- a/src/event_log/tests.rs
+++ b/src/event_log/tests.rs
@@ -117,6 +117,26 @@
     assert!(whole + dropped <= 5_000 && log.dropped() == dropped, "{whole} + {dropped}");
 }
 
+/// Each write holds whole lines, and no more than a pipe takes whole.
+#[test]
+fn writes_hold_whole_lines() {
+    let (unblock, open) = channel();
+    let (out, written) = channel();
+    drop(unblock);
+    let blocked = Blocked { open: Mutex::new(open), out };
+    let settings = EventLogSettings { lines_per_second: 1_000, queue_bytes: 1 << 20 };
+    let log = EventLog::open("h".into(), settings, Arc::new(BootClock), blocked).expect("a thread");
+    for _ in 0..200 {
+        log.record(None, Event::TargetTrusted { target: "t-1".into() });
+    }
+    drop(log);
+    let writes: Vec<Vec<u8>> = written.try_iter().collect();
+    assert!(1 < writes.len());
+    assert!(writes.iter().all(|write| write.len() <= 4_096 && write.ends_with(b"\n")));
+    let lines: usize = writes.iter().flatten().filter(|byte| **byte == b'\n').count();
+    assert_eq!(lines, 200);
+}
+
 /// Nobody ever reads the output: the end of the process does not wait for it.
 #[test]
 fn the_end_does_not_wait_for_a_blocked_output() {
--- a/src/event_log/writer.rs
+++ b/src/event_log/writer.rs
@@ -25,6 +25,10 @@
 /// Longest time that the end of the process waits for the last lines.
 const LAST_LINES: Duration = Duration::from_millis(200);
 
+/// Most bytes of one write: a pipe takes that many whole (`PIPE_BUF`), so that lines of processes
+/// that share one do not mix.
+const WRITE_MOST: usize = 4_096;
+
 /// Stack of the writing thread, in bytes: it only copies.
 const STACK: usize = 64 * 1024;
 
@@ -148,10 +152,12 @@
             tell_dropped(shared, teller, std::mem::take(&mut unwritten));
         }
         let text = shared.queue().take();
-        if !text.is_empty() && out.write_all(&text).and_then(|()| out.flush()).is_err() {
-            let lines = text.iter().filter(|byte| **byte == b'\n').count() as u64;
-            unwritten += lines;
-            shared.dropped.fetch_add(lines, Ordering::Relaxed);
+        for part in whole_lines(&text) {
+            if out.write_all(part).and_then(|()| out.flush()).is_err() {
+                let lines = part.iter().filter(|byte| **byte == b'\n').count() as u64;
+                unwritten += lines;
+                shared.dropped.fetch_add(lines, Ordering::Relaxed);
+            }
         }
         if ended {
             return shared.written.store(true, Ordering::Relaxed);
@@ -159,6 +165,24 @@
     }
 }
 
+/// Parts of whole lines, each as large as one write may be; a longer line is a part of its own.
+fn whole_lines(text: &[u8]) -> Vec<&[u8]> {
+    let mut parts = Vec::new();
+    let mut begin = 0;
+    let mut end = 0;
+    for line in text.split_inclusive(|byte| *byte == b'\n') {
+        if begin < end && WRITE_MOST < end + line.len() - begin {
+            parts.push(&text[begin..end]);
+            begin = end;
+        }
+        end += line.len();
+    }
+    if begin < end {
+        parts.push(&text[begin..end]);
+    }
+    parts
+}
+
 fn tell_dropped(shared: &Shared, teller: &Teller, unwritten: u64) {
     let dropped = shared.queue().take_dropped();
     let mut counts: BTreeMap<Arc<str>, u64> =
--- a/src/why/cause.rs
+++ b/src/why/cause.rs
@@ -137,13 +137,24 @@
 fn no_room(request: &[&Event]) -> Vec<String> {
     let told = request.iter().filter_map(|event| match event {
         Event::NotPlaced {
-            candidates, cold, limit_ms, room_in_ms, shut, work_ms, view_age_ms, ..
+            candidates,
+            cold,
+            free_elsewhere,
+            limit_ms,
+            region,
+            room_in_ms,
+            shut,
+            view_age_ms,
+            work_ms,
+            ..
         } => {
             let wait = room_in_ms.map_or("unknown".to_owned(), |wait| format!("{wait} ms"));
             Some(format!(
                 "of {candidates} targets {shut} took nothing (paused, full or at their cold rate; \
-                 {cold} cold); least wait {wait} and usual work {work_ms} ms, against {limit_ms} ms \
-                 that an answer may take; other hosts' load known {view_age_ms} ms ago"
+                 {cold} cold); least wait in {region} {wait} and usual work {work_ms} ms, against \
+                 {limit_ms} ms that an answer may take; {free_elsewhere} had a free slot in other \
+                 regions, beyond what `max_shift` lets go there now; other hosts' load known \
+                 {view_age_ms} ms ago"
             ))
         }
         Event::RetryDenied { limit, sent, .. } => {
--- a/src/why/read.rs
+++ b/src/why/read.rs
@@ -181,7 +181,7 @@
             | Event::TargetPaused { target, .. }
             | Event::TargetTrusted { target }
             | Event::CrashCounted { target, .. }
-                if self.targets.is_empty() || self.targets.contains(target) =>
+                if self.targets.contains(target) =>
             {
                 Some(Subject::Target(target.clone()))
             }
--- a/src/why/tests.rs
+++ b/src/why/tests.rs
@@ -101,7 +101,9 @@
         cold: 1,
         declaration: 3,
         error: ErrorKind::NoSlots,
+        free_elsewhere: 1,
         limit_ms: 900,
+        region: "north".into(),
         room_in_ms: Some(1_300),
         service: "desk".into(),
         shut: 2,
@@ -161,7 +163,10 @@
     assert_eq!(story.cause.verdict, Verdict::Refused);
     let behind = story.cause.behind.join("\n");
     assert!(behind.contains("of 4 targets 2 took nothing"), "{behind}");
-    assert!(behind.contains("least wait 1300 ms") && behind.contains("900 ms"), "{behind}");
+    assert!(
+        behind.contains("least wait in north 1300 ms") && behind.contains("900 ms"),
+        "{behind}"
+    );
     assert!(behind.contains("north-b was evacuated at -4100 ms"), "{behind}");
 }
 
