Bound the memory of all request bodies together

Each body was bounded by what is declared (64 MiB on the deployments of today), and thousands of connections are open: a host of 160 MB could be killed for its memory, and every request on it lost. Counting what is declared up front was ruled out: a body in chunks declares the most. Test: bodies_together_are_bounded.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -10,6 +10,7 @@
 use super::{
     CallerNote, Ended, KnownTarget, ReplyNote, TrafficState,
     answer::{Answer, AnswerBody, Relay, RelayEnd, strip},
+    bodies::HeldBody,
     traffic_state::InFlight,
     upstream::{Line, SendError, connect, keep_alive},
 };
@@ -37,6 +38,8 @@
 /// One request, as each attempt needs it.
 pub struct OutboundRequest {
     pub body: Bytes,
+    /// Its memory; free again when the last attempt has ended.
+    pub _held: HeldBody,
     pub deadline: Moment,
     pub fingerprint: u64,
     pub head: Parts,
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -2,10 +2,10 @@
 
 use std::{cell::Cell, future::Future, pin::Pin, rc::Rc};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures::{StreamExt, stream::FuturesUnordered};
 use http::{Request, header, request::Parts};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -13,6 +13,7 @@
     Declared, Repeat, Route, TrafficState, View,
     answer::{Answer, own},
     attempt::{AttemptOutcome, OutboundRequest, send_attempt},
+    bodies::HeldBody,
     caller_io::Disconnect,
     place::Choice,
     request_log::{Outcome, RequestLog},
@@ -90,11 +91,12 @@
         return refuse(ErrorKind::HostLeaving, Some(COME_BACK_LEAST));
     }
     let body = tokio::select! {
-        body = read(&declared, body) => body,
+        body = read(&state, &declared, body) => body,
         () = disconnect.gone() => return None,
     };
-    let body = match body {
-        Ok(body) => body,
+    let (body, held) = match body {
+        Ok(read) => read,
+        Err(kind @ ErrorKind::HostBusy) => return refuse(kind, Some(COME_BACK_USUAL)),
         Err(kind) => return refuse(kind, None),
     };
     let Some(service) = state.service(&route) else { return refuse(ErrorKind::NoTarget, None) };
@@ -120,7 +122,8 @@
     state.tell(&key, taken);
     let log = RequestLog::new(state.clone(), key, service.clone(), route.objective, since);
     let key = log.key().clone();
-    let request = OutboundRequest { body, deadline, fingerprint, head, key, note, service };
+    let request =
+        OutboundRequest { body, deadline, fingerprint, head, _held: held, key, note, service };
     let call = Call { log, state, request: Rc::new(request), route, tried: Vec::new() };
     call.run(disconnect).await
 }
@@ -321,17 +324,28 @@
     named.or_else(|| head.uri.host())
 }
 
-/// The whole body, within the declared bound.
-async fn read(declared: &Declared, body: Body) -> Result<Bytes, ErrorKind> {
-    let Body::Incoming(body) = body else { return Ok(Bytes::new()) };
-    if http_body::Body::is_end_stream(&body) {
-        return Ok(Bytes::new());
+/// The whole body, within the declared bound and that of all bodies together.
+async fn read(
+    state: &TrafficState,
+    declared: &Declared,
+    body: Body,
+) -> Result<(Bytes, HeldBody), ErrorKind> {
+    let mut held = state.bodies.hold();
+    let Body::Incoming(mut body) = body else { return Ok((Bytes::new(), held)) };
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| ErrorKind::BadRequest)?;
+        // Trailers concern one connection only.
+        let Ok(bytes) = frame.into_data() else { continue };
+        if declared.body_bytes < whole.len() + bytes.len() {
+            return Err(ErrorKind::BodyTooLarge);
+        }
+        if !held.grow(bytes.len()) {
+            return Err(ErrorKind::HostBusy);
+        }
+        whole.extend_from_slice(&bytes);
     }
-    let read = Limited::new(body, declared.body_bytes).collect().await;
-    read.map(|whole| whole.to_bytes()).map_err(|error| {
-        let too_large = error.is::<http_body_util::LengthLimitError>();
-        if too_large { ErrorKind::BodyTooLarge } else { ErrorKind::BadRequest }
-    })
+    Ok((whole.freeze(), held))
 }
 
 fn fingerprint(head: &Parts, body: &[u8]) -> u64 {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -7,6 +7,7 @@
 
 mod answer;
 mod attempt;
+mod bodies;
 mod caller_io;
 mod cold;
 mod condition;
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions, without clocks and sockets.
 
+mod bodies;
 mod hosts;
 mod known_state;
 mod pipeline;
--- a/src/entry/traffic_state.rs
+++ b/src/entry/traffic_state.rs
@@ -11,6 +11,7 @@
 use super::{
     Bounds, ColdRates, Condition, ConditionChange, CrashSuspects, Ended, EntrySettings,
     KnownTarget, Pool, Protocol, RegionLoad, Route, Shares, View, ViewCell,
+    bodies::BodyMemory,
     cold::is_sender,
     place::{Ask, Candidate, Choice, ObjectHash, choose},
     upstream::connect,
@@ -78,6 +79,7 @@
     pub events: Arc<dyn EventSink>,
     pub protocol: Arc<dyn Protocol>,
     pub settings: Arc<EntrySettings>,
+    pub bodies: BodyMemory,
     bounds: BoundsCell,
     cold: RefCell<ColdRates>,
     conditions: RefCell<HashMap<u32, Condition>>,
@@ -120,6 +122,7 @@
         events: Arc<dyn EventSink>,
     ) -> Rc<Self> {
         Rc::new(Self {
+            bodies: BodyMemory::default(),
             bounds,
             clock,
             events,
