--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -16,8 +16,8 @@
     bodies::HeldBody,
     caller_io::Disconnect,
     place::Choice,
+    placement::PlacementRequest,
     request_log::{Outcome, RequestLog},
-    traffic_state::PlacementRequest,
 };
 use crate::{
     base::Ran,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -22,6 +22,7 @@
 mod peers;
 mod pipeline;
 mod place;
+mod placement;
 mod protocol;
 mod questions;
 mod records;
--- /dev/null
+++ b/src/entry/placement.rs
@@ -0,0 +1,216 @@
+//! Which target a request goes to, by what this host sees and others tell.
+
+use super::{
+    KnownTarget, RegionLoad, Route, Shares, TrafficState, View,
+    cold::is_sender,
+    place::{Ask, Candidate, Choice, ObjectHash, choose},
+    view::service_tag,
+};
+use crate::prelude::*;
+
+/// Usual slots of a cold target, as a part of a warm one's.
+const COLD_SLOTS: f64 = 0.3;
+
+/// Expected time of an answer that is still accepted, as a multiple of the route's objective. Mean
+/// worth over twelve standard days: 0.40 with 1, 0.51 with 2, 0.50 with 4 (before other changes): a
+/// late answer is worth more to a caller than a refusal, until it makes those behind it late too.
+const PATIENCE: f64 = 2.5;
+
+/// What a request is, as far as placement goes.
+#[derive(Clone, Debug)]
+pub struct PlacementRequest {
+    pub deadline: Moment,
+    pub object: ObjectHash,
+    pub route: Arc<Route>,
+    pub service: ServiceId,
+    pub tried: Vec<u32>,
+}
+
+/// Where a request goes, and what decided it.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    /// Targets that the route allows and that were not tried yet.
+    pub candidates: usize,
+    pub choice: Choice,
+    /// Of the candidates, how many are cold.
+    pub cold: usize,
+    /// The target that the request should have gone to, and the time its answer was expected to
+    /// take, which is too long.
+    pub crowded: Option<(TargetId, Duration)>,
+    /// Of the candidates, how many have a free slot in another region than the one named.
+    pub free_elsewhere: usize,
+    /// Longest expected time that was acceptable.
+    pub limit: Duration,
+    /// Requests in flight at the chosen target, of all hosts.
+    pub load: u32,
+    /// The region that the shares name.
+    pub region: RegionId,
+    /// Of the candidates, how many take nothing now.
+    pub shut: usize,
+    pub target: Option<Arc<KnownTarget>>,
+    /// Usual time of an answer.
+    pub work: Duration,
+}
+
+impl Placement {
+    /// There is no target at all.
+    fn none(region: &RegionId) -> Self {
+        Self {
+            candidates: 0,
+            choice: Choice::Nothing,
+            cold: 0,
+            crowded: None,
+            free_elsewhere: 0,
+            limit: Duration::ZERO,
+            load: 0,
+            region: region.clone(),
+            shut: 0,
+            target: None,
+            work: Duration::ZERO,
+        }
+    }
+}
+
+fn is_free_elsewhere(candidate: &Candidate<'_>, region: &RegionId) -> bool {
+    let target = candidate.target;
+    target.region != *region && !candidate.shut && candidate.load < f64::from(target.entry.slots)
+}
+
+impl TrafficState {
+    /// Chooses a target.
+    pub fn place(&self, view: &View, wanted: &PlacementRequest) -> Placement {
+        let now = self.clock.now();
+        let Some(targets) = view.targets.get(&wanted.service) else {
+            return Placement::none(&self.settings.region);
+        };
+        let regions = &wanted.route.regions;
+        let allowed = |target: &&Arc<KnownTarget>| {
+            (regions.is_empty() || regions.contains(&target.region))
+                && !wanted.tried.contains(&target.tag)
+        };
+        let rate = view
+            .declared
+            .as_ref()
+            .and_then(|declared| declared.services.get(&wanted.service))
+            .map_or(1.0, |rules| rules.cold_rate);
+        let candidates: Vec<Candidate<'_>> = targets
+            .iter()
+            .filter(allowed)
+            .map(|target| self.candidate(view, target, rate, now))
+            .collect();
+        let mut services = self.services.borrow_mut();
+        let state = services.entry(wanted.service.clone()).or_default();
+        let home = &self.settings.region;
+        let loads = || region_loads(view, targets, &wanted.service, state.demand, home, now);
+        let shares = match &mut state.shares {
+            Some(shares) => shares,
+            none => none.insert(Shares::new(home.clone(), &loads(), now)),
+        };
+        let place = (wanted.object >> 11) as f64 / (1_u64 << 53) as f64;
+        let mut region = shares.pick(place).cloned().unwrap_or_else(|| home.clone());
+        if !candidates.iter().any(|candidate| candidate.target.region == region) {
+            let share = |candidate: &&Candidate<'_>| shares.of(&candidate.target.region);
+            let next = candidates.iter().max_by(|a, b| share(a).total_cmp(&share(b)));
+            match next {
+                Some(next) => region = next.target.region.clone(),
+                None => return Placement::none(&region),
+            }
+        }
+        let left = wanted.deadline.saturating_sub(now);
+        let ask = Ask {
+            home,
+            left,
+            may_spill: 1.0 <= state.spill,
+            object: wanted.object,
+            patience: wanted.route.objective.mul_f64(PATIENCE),
+            region: &region,
+            work: state.work,
+            zone: &self.settings.zone,
+        };
+        let choice = choose(&candidates, &ask);
+        let chosen = match choice {
+            Choice::Send { at, .. } => Some(&candidates[at]),
+            _ => None,
+        };
+        let crowded = match choice {
+            Choice::Busy { crowded: Some((at, expected)), .. } => {
+                Some((candidates[at].target.entry.id.clone(), expected))
+            }
+            _ => None,
+        };
+        if chosen.is_some_and(|chosen| chosen.target.region != region) {
+            state.spill -= 1.0;
+        }
+        Placement {
+            candidates: candidates.len(),
+            choice,
+            cold: candidates.iter().filter(|candidate| candidate.cold).count(),
+            crowded,
+            free_elsewhere: candidates.iter().filter(|it| is_free_elsewhere(it, &region)).count(),
+            limit: ask.limit(),
+            load: chosen.map_or(0, |chosen| chosen.load as u32),
+            region: region.clone(),
+            shut: candidates.iter().filter(|candidate| candidate.shut).count(),
+            target: chosen.map(|chosen| chosen.target.clone()),
+            work: ask.work,
+        }
+    }
+
+    fn candidate<'a>(
+        &self,
+        view: &View,
+        target: &'a Arc<KnownTarget>,
+        cold_rate: f64,
+        now: Moment,
+    ) -> Candidate<'a> {
+        let conditions = self.conditions.borrow();
+        let condition = conditions.get(&target.tag);
+        let own = condition.map_or(0, |condition| condition.in_flight);
+        let elsewhere = view.elsewhere.get(&target.tag).copied().unwrap_or_default();
+        let cold = target.is_cold(now);
+        let cold_shut = cold
+            && (!is_sender(target, &self.settings.host, &view.hosts)
+                || !self.cold.borrow_mut().may_send(target, cold_rate, now));
+        let shut = condition.is_some_and(|condition| {
+            condition.is_paused(now)
+                || condition.is_full(now)
+                || (condition.is_on_trial(now) && 0 < own)
+        });
+        Candidate {
+            cold,
+            load: f64::from(own + elsewhere),
+            shut: shut || cold_shut,
+            stretch: condition.map_or(1.0, |condition| condition.stretch(now)),
+            target,
+        }
+    }
+}
+
+/// Slots and demand of each region that has targets of a service.
+pub(super) fn region_loads(
+    view: &View,
+    targets: &[Arc<KnownTarget>],
+    service: &ServiceId,
+    own_demand: f64,
+    home: &RegionId,
+    now: Moment,
+) -> Vec<RegionLoad> {
+    let mut slots: BTreeMap<&RegionId, f64> = BTreeMap::new();
+    for host in &view.hosts {
+        slots.entry(&host.region).or_default();
+    }
+    for target in targets {
+        let part = if target.is_cold(now) { COLD_SLOTS } else { 1.0 };
+        *slots.entry(&target.region).or_default() += f64::from(target.entry.slots) * part;
+    }
+    let tag = service_tag(service);
+    let demand = |region: &RegionId| {
+        let told = view.demand.get(&(region.clone(), tag)).copied().unwrap_or_default();
+        let sum = if region == home { told + own_demand } else { told };
+        (0.0 < sum).then_some(sum)
+    };
+    slots
+        .into_iter()
+        .map(|(region, slots)| RegionLoad { demand: demand(region), region: region.clone(), slots })
+        .collect()
+}
--- a/src/entry/request_log.rs
+++ b/src/entry/request_log.rs
@@ -2,9 +2,7 @@
 
 use std::{cell::Cell, rc::Rc};
 
-use super::{
-    KnownTarget, TrafficState, View, answer::Answer, place::Choice, traffic_state::Placement,
-};
+use super::{KnownTarget, TrafficState, View, answer::Answer, place::Choice, placement::Placement};
 use crate::{
     base::Ran,
     event_log::{AttemptReason, End, Event, RequestKey},
--- a/src/entry/traffic_state.rs
+++ b/src/entry/traffic_state.rs
@@ -10,12 +10,8 @@
 
 use super::{
     Bounds, ColdRates, Condition, ConditionChange, CrashSuspects, Ended, EntrySettings,
-    KnownTarget, Pool, Protocol, RegionLoad, Route, Shares, View, ViewCell,
-    bodies::BodyMemory,
-    cold::is_sender,
-    place::{Ask, Candidate, Choice, ObjectHash, choose},
-    upstream::connect,
-    view::service_tag,
+    KnownTarget, Pool, Protocol, Route, Shares, View, ViewCell, bodies::BodyMemory,
+    placement::region_loads, upstream::connect, view::service_tag,
 };
 use crate::{
     admission::{Allowance, RetryBudget},
@@ -38,25 +34,22 @@
 /// Part of requests that may leave the region that the shares name: they add to the shift.
 const SPILL_PART: f64 = 0.005;
 
-/// Usual slots of a cold target, as a part of a warm one's.
-const COLD_SLOTS: f64 = 0.3;
-
 /// The bounds in force; settings that are read again replace them.
 pub type BoundsCell = Arc<ArcSwap<Bounds>>;
 
 /// Figures of one service.
 #[derive(Debug)]
-struct ServiceState {
+pub(super) struct ServiceState {
     arrivals: u32,
     budget: RetryBudget,
     /// Busy slots that this host's callers ask for.
-    demand: f64,
-    /// Counts up to choose the parts of a split in turn.
-    spill: f64,
-    shares: Option<Shares>,
+    pub(super) demand: f64,
+    /// Requests that may leave the region that the shares name; rises with each request.
+    pub(super) spill: f64,
+    pub(super) shares: Option<Shares>,
     /// The shares that were last told.
     told_shares: BTreeMap<RegionId, f64>,
-    work: Duration,
+    pub(super) work: Duration,
 }
 
 impl Default for ServiceState {
@@ -81,8 +74,8 @@
     pub settings: Arc<EntrySettings>,
     pub bodies: BodyMemory,
     bounds: BoundsCell,
-    cold: RefCell<ColdRates>,
-    conditions: RefCell<HashMap<u32, Condition>>,
+    pub(super) cold: RefCell<ColdRates>,
+    pub(super) conditions: RefCell<HashMap<u32, Condition>>,
     counted: Cell<Moment>,
     /// Targets that are being looked at after a lost answer.
     looking: RefCell<HashSet<u32>>,
@@ -90,7 +83,7 @@
     pub pool: RefCell<Pool>,
     /// Fingerprints of requests in attempt, by target.
     running: RefCell<HashMap<u32, Vec<u64>>>,
-    services: RefCell<HashMap<ServiceId, ServiceState>>,
+    pub(super) services: RefCell<HashMap<ServiceId, ServiceState>>,
     splits: RefCell<HashMap<Arc<str>, Vec<f64>>>,
     /// Callers' open connections.
     pub open: Cell<usize>,
@@ -101,16 +94,6 @@
     view: ViewCell,
 }
 
-/// What a request is, as far as placement goes.
-#[derive(Clone, Debug)]
-pub struct PlacementRequest {
-    pub deadline: Moment,
-    pub object: ObjectHash,
-    pub route: Arc<Route>,
-    pub service: ServiceId,
-    pub tried: Vec<u32>,
-}
-
 impl TrafficState {
     /// An idle state.
     pub fn open(
@@ -206,114 +189,6 @@
         self.services.borrow().get(service).map_or(WORK_ASSUMED, |state| state.work)
     }
 
-    /// Chooses a target.
-    pub fn place(&self, view: &View, wanted: &PlacementRequest) -> Placement {
-        let now = self.clock.now();
-        let Some(targets) = view.targets.get(&wanted.service) else {
-            return Placement::none(&self.settings.region);
-        };
-        let regions = &wanted.route.regions;
-        let allowed = |target: &&Arc<KnownTarget>| {
-            (regions.is_empty() || regions.contains(&target.region))
-                && !wanted.tried.contains(&target.tag)
-        };
-        let rate = view
-            .declared
-            .as_ref()
-            .and_then(|declared| declared.services.get(&wanted.service))
-            .map_or(1.0, |rules| rules.cold_rate);
-        let candidates: Vec<Candidate<'_>> = targets
-            .iter()
-            .filter(allowed)
-            .map(|target| self.candidate(view, target, rate, now))
-            .collect();
-        let mut services = self.services.borrow_mut();
-        let state = services.entry(wanted.service.clone()).or_default();
-        let home = &self.settings.region;
-        let loads = || region_loads(view, targets, &wanted.service, state.demand, home, now);
-        let shares = match &mut state.shares {
-            Some(shares) => shares,
-            none => none.insert(Shares::new(home.clone(), &loads(), now)),
-        };
-        let place = (wanted.object >> 11) as f64 / (1_u64 << 53) as f64;
-        let mut region = shares.pick(place).cloned().unwrap_or_else(|| home.clone());
-        if !candidates.iter().any(|candidate| candidate.target.region == region) {
-            let share = |candidate: &&Candidate<'_>| shares.of(&candidate.target.region);
-            let next = candidates.iter().max_by(|a, b| share(a).total_cmp(&share(b)));
-            match next {
-                Some(next) => region = next.target.region.clone(),
-                None => return Placement::none(&region),
-            }
-        }
-        let left = wanted.deadline.saturating_sub(now);
-        let ask = Ask {
-            home,
-            left,
-            may_spill: 1.0 <= state.spill,
-            object: wanted.object,
-            patience: wanted.route.objective.mul_f64(PATIENCE),
-            region: &region,
-            work: state.work,
-            zone: &self.settings.zone,
-        };
-        let choice = choose(&candidates, &ask);
-        let chosen = match choice {
-            Choice::Send { at, .. } => Some(&candidates[at]),
-            _ => None,
-        };
-        let crowded = match choice {
-            Choice::Busy { crowded: Some((at, expected)), .. } => {
-                Some((candidates[at].target.entry.id.clone(), expected))
-            }
-            _ => None,
-        };
-        if chosen.is_some_and(|chosen| chosen.target.region != region) {
-            state.spill -= 1.0;
-        }
-        Placement {
-            candidates: candidates.len(),
-            choice,
-            cold: candidates.iter().filter(|candidate| candidate.cold).count(),
-            crowded,
-            free_elsewhere: candidates.iter().filter(|it| is_free_elsewhere(it, &region)).count(),
-            limit: ask.limit(),
-            load: chosen.map_or(0, |chosen| chosen.load as u32),
-            region: region.clone(),
-            shut: candidates.iter().filter(|candidate| candidate.shut).count(),
-            target: chosen.map(|chosen| chosen.target.clone()),
-            work: ask.work,
-        }
-    }
-
-    fn candidate<'a>(
-        &self,
-        view: &View,
-        target: &'a Arc<KnownTarget>,
-        cold_rate: f64,
-        now: Moment,
-    ) -> Candidate<'a> {
-        let conditions = self.conditions.borrow();
-        let condition = conditions.get(&target.tag);
-        let own = condition.map_or(0, |condition| condition.in_flight);
-        let elsewhere = view.elsewhere.get(&target.tag).copied().unwrap_or_default();
-        let cold = target.is_cold(now);
-        let cold_shut = cold
-            && (!is_sender(target, &self.settings.host, &view.hosts)
-                || !self.cold.borrow_mut().may_send(target, cold_rate, now));
-        let shut = condition.is_some_and(|condition| {
-            condition.is_paused(now)
-                || condition.is_full(now)
-                || (condition.is_on_trial(now) && 0 < own)
-        });
-        Candidate {
-            cold,
-            load: f64::from(own + elsewhere),
-            shut: shut || cold_shut,
-            stretch: condition.map_or(1.0, |condition| condition.stretch(now)),
-            target,
-        }
-    }
-
     /// A request goes to a target; it counts as in attempt until the guard is dropped.
     pub fn start(self: &Rc<Self>, target: &Arc<KnownTarget>, fingerprint: u64) -> InFlight {
         let now = self.clock.now();
@@ -451,11 +326,6 @@
     }
 }
 
-/// Expected time of an answer that is still accepted, as a multiple of the route's objective. Mean
-/// worth over twelve standard days: 0.40 with 1, 0.51 with 2, 0.50 with 4 (before other changes): a
-/// late answer is worth more to a caller than a refusal, until it makes those behind it late too.
-const PATIENCE: f64 = 2.5;
-
 /// Part of the allowed retries that hosts use: the bound holds in any window of its length, and
 /// theirs begin at moments of their own.
 const RETRY_PART: f64 = 0.6;
@@ -469,56 +339,6 @@
     }
 }
 
-/// Where a request goes, and what decided it.
-#[derive(Clone, Debug)]
-pub struct Placement {
-    /// Targets that the route allows and that were not tried yet.
-    pub candidates: usize,
-    pub choice: Choice,
-    /// Of the candidates, how many are cold.
-    pub cold: usize,
-    /// The target that the request should have gone to, and the time its answer was expected to
-    /// take, which is too long.
-    pub crowded: Option<(TargetId, Duration)>,
-    /// Of the candidates, how many have a free slot in another region than the one named.
-    pub free_elsewhere: usize,
-    /// Longest expected time that was acceptable.
-    pub limit: Duration,
-    /// Requests in flight at the chosen target, of all hosts.
-    pub load: u32,
-    /// The region that the shares name.
-    pub region: RegionId,
-    /// Of the candidates, how many take nothing now.
-    pub shut: usize,
-    pub target: Option<Arc<KnownTarget>>,
-    /// Usual time of an answer.
-    pub work: Duration,
-}
-
-impl Placement {
-    /// There is no target at all.
-    fn none(region: &RegionId) -> Self {
-        Self {
-            candidates: 0,
-            choice: Choice::Nothing,
-            cold: 0,
-            crowded: None,
-            free_elsewhere: 0,
-            limit: Duration::ZERO,
-            load: 0,
-            region: region.clone(),
-            shut: 0,
-            target: None,
-            work: Duration::ZERO,
-        }
-    }
-}
-
-fn is_free_elsewhere(candidate: &Candidate<'_>, region: &RegionId) -> bool {
-    let target = candidate.target;
-    target.region != *region && !candidate.shut && candidate.load < f64::from(target.entry.slots)
-}
-
 /// Least move of a region's share that is told: a tenth of a second's usual move is noise.
 const SHARE_TOLD: f64 = 0.05;
 
@@ -586,32 +406,3 @@
         }
     }
 }
-
-/// Slots and demand of each region that has targets of a service.
-fn region_loads(
-    view: &View,
-    targets: &[Arc<KnownTarget>],
-    service: &ServiceId,
-    own_demand: f64,
-    home: &RegionId,
-    now: Moment,
-) -> Vec<RegionLoad> {
-    let mut slots: BTreeMap<&RegionId, f64> = BTreeMap::new();
-    for host in &view.hosts {
-        slots.entry(&host.region).or_default();
-    }
-    for target in targets {
-        let part = if target.is_cold(now) { COLD_SLOTS } else { 1.0 };
-        *slots.entry(&target.region).or_default() += f64::from(target.entry.slots) * part;
-    }
-    let tag = service_tag(service);
-    let demand = |region: &RegionId| {
-        let told = view.demand.get(&(region.clone(), tag)).copied().unwrap_or_default();
-        let sum = if region == home { told + own_demand } else { told };
-        (0.0 < sum).then_some(sum)
-    };
-    slots
-        .into_iter()
-        .map(|(region, slots)| RegionLoad { demand: demand(region), region: region.clone(), slots })
-        .collect()
-}
--- /dev/null
+++ b/tests/entry_log.rs
@@ -0,0 +1,164 @@
+//! What entry hosts tell of requests and of themselves, by events and metrics.
+
+#[path = "support/entry.rs"]
+mod support;
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use lavenderplank::{
+    base::{ErrorKind, Ran},
+    event_log::{AttemptEnd, End, Event},
+    platform::standin::Conduct,
+};
+use serde_json::json;
+use support::{Ask, World, booking, read, run, until};
+
+const ONE: &[&str] = &["north-a"];
+const TWO: &[&str] = &["north-a", "north-b"];
+
+/// What the log tells of a request that was answered, one that nobody could take, and one whose
+/// target broke off: each step with the inputs that decided it.
+#[test]
+fn the_log_tells_what_became_of_each_request() {
+    run(async {
+        let world = World::spawn(ONE).await;
+        let host = world.host("a").await;
+        world.ask(&host, read("good")).await.expect("an answer");
+        let good = world.events.of("good");
+        assert_matches!(&good[0], Event::Taken { declaration: 1, idempotent: true, .. });
+        assert_matches!(&good[1], Event::Sent { attempt: 1, load: 0, slots: 3, .. });
+        assert_matches!(
+            &good[2],
+            Event::AttemptEnded { end: AttemptEnd::Answered, first_byte_ms: Some(_), .. }
+        );
+        assert_matches!(&good[3], Event::Answered { end: End::Served, sent: 1, status: 200, .. });
+        assert_eq!(good.len(), 4, "{good:?}");
+
+        world.targets[0].then(&[Conduct::Reset]);
+        world.ask(&host, booking("lost")).await.expect("an answer");
+        let lost = world.events.of("lost");
+        assert_matches!(&lost[2], Event::AttemptEnded { end: AttemptEnd::Lost, .. });
+        assert_matches!(
+            &lost[3],
+            Event::Answered { end: End::Failed, ran: Ran::Unknown, status: 502, .. }
+        );
+
+        world.store.remove("servers", "t-1");
+        let refused = async || world.ask(&host, read("none")).await.expect("an answer").status();
+        until("nobody can take it", async || refused().await == 503).await;
+        let none = world.events.of("none");
+        let [.., not_placed, answered] = &*none else { panic!("{none:?}") };
+        assert_matches!(
+            not_placed,
+            Event::NotPlaced { candidates: 0, error: ErrorKind::NoTarget, .. }
+        );
+        assert_matches!(
+            answered,
+            Event::Answered { end: End::Refused, ran: Ran::No, retry_after_ms: Some(_), .. }
+        );
+        assert!(
+            world.events.has(
+                |event| matches!(event, Event::TargetGone { target, .. } if &**target == "t-1")
+            )
+        );
+
+        let unknown = Ask { path: "/other/", ..read("unknown") };
+        world.ask(&host, unknown).await.expect("an answer");
+        let unknown = world.events.of("unknown");
+        assert_matches!(
+            &*unknown,
+            [Event::Refused { error: ErrorKind::ServiceUnknown, status: 404, .. }]
+        );
+    });
+}
+
+/// A caller leaves while its request is at a target: the log says so, and that the attempt was
+/// cancelled.
+#[test]
+fn the_log_tells_that_a_caller_left() {
+    run(async {
+        let world = World::spawn(ONE).await;
+        let host = world.host("a").await;
+        world.targets[0].then(&[Conduct::Hang]);
+        let asked = tokio::time::timeout(Duration::from_millis(200), world.ask(&host, read("r-1")));
+        assert!(asked.await.is_err(), "the target is silent");
+        until("the leaving is told", async || {
+            world.events.of("r-1").iter().any(|event| matches!(event, Event::CallerLeft { .. }))
+        })
+        .await;
+        let told = world.events.of("r-1");
+        assert!(told.iter().any(|event| {
+            matches!(event, Event::AttemptEnded { end: AttemptEnd::Cancelled, .. })
+        }));
+    });
+}
+
+/// The store goes away and returns, a target is listed and an evacuation is wanted: the log tells
+/// what the host believes, once for each change.
+#[test]
+fn the_log_tells_what_a_host_believes() {
+    run(async {
+        let world = World::spawn(TWO).await;
+        let _host = world.host("a").await;
+        let known = |name: &'static str| move |event: &Event| matches!(event, Event::TargetKnown { target, ready: true, .. } if &**target == name);
+        until("both targets are told", async || {
+            world.events.has(known("t-1")) && world.events.has(known("t-2"))
+        })
+        .await;
+        assert!(
+            world.events.has(|event| matches!(event, Event::DeclarationInForce { version: 1, .. }))
+        );
+        assert!(world.events.has(|event| matches!(event, Event::WatchBegun { .. })));
+        world.store.put("evacuations", "north-b", json!({}));
+        until("the evacuation is told", async || {
+            world.events.has(
+                |event| matches!(event, Event::ZoneEvacuated { zone, .. } if &**zone == "north-b"),
+            )
+        })
+        .await;
+        world.store.set_down(true);
+        until("the loss is told", async || {
+            world.events.has(|event| matches!(event, Event::StoreLost { .. }))
+        })
+        .await;
+        world.store.set_down(false);
+        until("the return is told", async || {
+            world.events.has(|event| matches!(event, Event::StoreRegained { .. }))
+        })
+        .await;
+    });
+}
+
+/// The metrics of a host count what it did, and can be read as text.
+#[test]
+fn metrics_count_requests_and_refusals() {
+    run(async {
+        let world = World::spawn(ONE).await;
+        let host = world.host("a").await;
+        world.ask(&host, read("r-1")).await.expect("an answer");
+        world.ask(&host, Ask { path: "/other/", ..read("r-2") }).await.expect("an answer");
+        let addr = host.listen().metrics.expect("an address of the metrics");
+        let scrape = async || {
+            let answer = world.http.get(format!("http://{addr}/metrics")).send().await;
+            answer.expect("an answer").text().await.expect("a text")
+        };
+        let text = scrape().await;
+        for line in [
+            r#"lavenderplank_requests_total{end="served",service="desk"} 1"#,
+            r#"lavenderplank_refusals_total{error="service-unknown"} 1"#,
+            r#"lavenderplank_attempt_seconds_count{end="answered",service="desk",stage="whole"} 1"#,
+            r#"lavenderplank_request_seconds_count{end="served",service="desk"} 1"#,
+            "lavenderplank_log_lines_dropped 0",
+            "# EOF",
+        ] {
+            assert!(text.lines().any(|found| found == line), "{line} is not in\n{text}");
+        }
+        until("the gauges follow", async || {
+            let text = scrape().await;
+            text.contains("lavenderplank_declaration_version 1")
+                && text.contains(r#"lavenderplank_targets{state="warm"} 1"#)
+        })
+        .await;
+    });
+}
