--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -320,3 +320,17 @@
     let newer = last.packed(&raw, known, known).expect("it can be packed");
     assert!(newer.len() < packed.len());
 }
+
+proptest::proptest! {
+    /// A damaged or foreign answer of another host is no difference, and ends nothing.
+    #[test]
+    fn damaged_answers_are_refused(bytes in proptest::collection::vec(0_u8..=255, 0..400), at in 0..200_usize) {
+        proptest::prop_assert!(Difference::unpack(&bytes).is_err());
+        let raw = RawObjects::from([((Part::Targets, "t-1".into()), (3, "{}".into()))]);
+        let whole = Difference::of(&raw, Revisions::default(), Revisions::default());
+        let mut packed = whole.pack().expect("it can be packed").to_vec();
+        let at = at % packed.len();
+        packed.truncate(at);
+        proptest::prop_assert!(Difference::unpack(&packed).is_err());
+    }
+}
--- a/src/why/tests.rs
+++ b/src/why/tests.rs
@@ -265,3 +265,24 @@
         assert_eq!(story("r-1", &[&log]).cause.verdict, verdict);
     }
 }
+
+proptest::proptest! {
+    /// Logs are cut, mixed and damaged on their way. Whatever they hold, reading them ends, counts
+    /// every line and never fails.
+    #[test]
+    fn damaged_logs_are_read(noise in proptest::collection::vec(0_u8..=255, 0..200), at in 0..400_usize) {
+        let whole = [line("a", 1_000, Some("r-1"), taken()), line("a", 1_001, Some("r-1"), sent("t-1"))];
+        let mut text: Vec<u8> = Vec::new();
+        for line in &whole {
+            serde_json::to_writer(&mut text, line).expect("it has a form");
+            text.push(b'\n');
+        }
+        let at = at.min(text.len());
+        text.splice(at..at, noise);
+        let log = Log::write("");
+        fs::write(&log.0, &text).expect("a temporary file");
+        let found = find("r-1", std::slice::from_ref(&log.0)).expect("the log can be read");
+        proptest::prop_assert!(found.request.len() <= 2);
+        proptest::prop_assert!(found.strange <= found.lines);
+    }
+}
