--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -91,7 +91,7 @@
                         service: end.service.clone(),
                         target: end.target.entry.id.clone(),
                     };
-                    end.state.tell(&end.key, event);
+                    end.state.record(&end.key, event);
                     end.state.ended(&end.target, &end.service, Ended::Failed);
                 }
             }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -173,7 +173,7 @@
             target: self.target.entry.id.clone(),
             took_ms: self.took().as_millis() as u64,
         };
-        self.state.tell(&self.request.key, event);
+        self.state.record(&self.request.key, event);
         self.state.ended(&self.target, &self.request.service, ended);
     }
 
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -125,7 +125,7 @@
     }
 
     /// Records an event of the host itself.
-    fn tell(&self, event: Event) {
+    fn record(&self, event: Event) {
         self.parts.events.record(None, event);
     }
 
@@ -195,18 +195,19 @@
         let now = self.now();
         let settings = &self.parts.settings;
         let peers = self.peers.live(now);
-        let untold = self.questions.is_untold(now);
-        let wanted = self.election.decide(&settings.host, &settings.region, peers, now) || untold;
+        let unanswered = self.questions.is_unanswered(now);
+        let wanted =
+            self.election.decide(&settings.host, &settings.region, peers, now) || unanswered;
         if wanted != self.followers.is_empty() {
             return;
         }
         self.followers.clear();
         if !wanted {
             self.lost_parts.clear();
-            return self.tell(Event::WatchEnded);
+            return self.record(Event::WatchEnded);
         }
-        let reason = if untold { WatchReason::Untold } else { WatchReason::Elected };
-        self.tell(Event::WatchBegun { reason });
+        let reason = if unanswered { WatchReason::Unanswered } else { WatchReason::Elected };
+        self.record(Event::WatchBegun { reason });
         let keys = self.parts.protocol.keys();
         for (part, prefix) in [
             (Part::Declared, keys.declared),
--- a/src/entry/control/handlers.rs
+++ b/src/entry/control/handlers.rs
@@ -50,7 +50,7 @@
         let host = heartbeat.host.clone();
         let zone = heartbeat.zone.clone();
         if self.peers.heard(heartbeat, region, now) {
-            self.tell(Event::HostHeard { peer: host, zone });
+            self.record(Event::HostHeard { peer: host, zone });
         }
         if self.followers.is_empty() {
             self.ask(&cx.mailbox().address());
@@ -72,7 +72,7 @@
             self.target_gone(target, Source::Listing);
         }
         for peer in self.peers.tick(now) {
-            self.tell(Event::HostLost {
+            self.record(Event::HostLost {
                 peer: peer.heartbeat.host,
                 silent_ms: now.saturating_sub(peer.heard).as_millis() as u64,
                 zone: peer.heartbeat.zone,
--- a/src/entry/control/news.rs
+++ b/src/entry/control/news.rs
@@ -47,11 +47,11 @@
             let store_version = self.known_state.revisions().declared;
             let event =
                 Event::DeclarationInForce { before, routes, source, store_version, version };
-            self.tell(event);
+            self.record(event);
             return true;
         }
         if version < before {
-            self.tell(Event::DeclarationStale { known: before, source, version });
+            self.record(Event::DeclarationStale { known: before, source, version });
         }
         false
     }
@@ -202,7 +202,7 @@
         }
         if let Some(since) = self.lost_parts.remove(&part) {
             let away_ms = now.saturating_sub(since).as_millis() as u64;
-            self.tell(Event::StoreRegained { away_ms, part });
+            self.record(Event::StoreRegained { away_ms, part });
         }
     }
 
@@ -214,7 +214,7 @@
         let now = self.now();
         if let std::collections::btree_map::Entry::Vacant(slot) = self.lost_parts.entry(part) {
             slot.insert(now);
-            self.tell(Event::StoreLost { part, reason: error.to_string().into() });
+            self.record(Event::StoreLost { part, reason: error.to_string().into() });
         }
         self.election.lost(now);
         if part == Part::Targets {
@@ -224,12 +224,12 @@
 
     fn unreadable(&self, part: Part, name: &Arc<str>, reason: &Arc<str>, source: Source) {
         let (name, reason) = (name.clone(), reason.clone());
-        self.tell(Event::EntryUnreadable { name, part, reason, source });
+        self.record(Event::EntryUnreadable { name, part, reason, source });
     }
 
     fn target_known(&self, target: &TargetId, source: Source) {
         let Some(KnownTarget { entry, .. }) = self.known_state.target(target) else { return };
-        self.tell(Event::TargetKnown {
+        self.record(Event::TargetKnown {
             cold_ms: entry.cold.as_millis() as u64,
             ready: entry.ready,
             service: entry.service.clone(),
@@ -244,21 +244,21 @@
     /// Tells that a target's entry is gone.
     pub(super) fn target_gone(&self, target: TargetId, source: Source) {
         let store_version = self.known_state.revisions().targets;
-        self.tell(Event::TargetGone { source, store_version, target });
+        self.record(Event::TargetGone { source, store_version, target });
     }
 
     fn target_kept(&self, target: TargetId) {
-        self.tell(Event::TargetKept { for_ms: RETURN_WAIT.as_millis() as u64, target });
+        self.record(Event::TargetKept { for_ms: RETURN_WAIT.as_millis() as u64, target });
     }
 
     fn zone_evacuated(&self, zone: ZoneId, source: Source) {
         let store_version = self.known_state.revisions().evacuations;
-        self.tell(Event::ZoneEvacuated { source, store_version, zone });
+        self.record(Event::ZoneEvacuated { source, store_version, zone });
     }
 
     fn zone_taken_back(&self, zone: ZoneId, source: Source) {
         let store_version = self.known_state.revisions().evacuations;
-        self.tell(Event::ZoneTakenBack { source, store_version, zone });
+        self.record(Event::ZoneTakenBack { source, store_version, zone });
     }
 }
 
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -78,7 +78,7 @@
             status: answer.status().as_u16(),
             took_ms: state.clock.now().saturating_sub(since).as_millis() as u64,
         };
-        state.tell(&key, event);
+        state.record(&key, event);
         Some(answer)
     };
     let Some(view) = state.view() else { return refuse(ErrorKind::NoManifest, None) };
@@ -119,7 +119,7 @@
         route: route.key.clone(),
         service: service.clone(),
     };
-    state.tell(&key, taken);
+    state.record(&key, taken);
     let log = RequestLog::new(state.clone(), key, service.clone(), route.objective, since);
     let key = log.key().clone();
     let request =
--- a/src/entry/questions.rs
+++ b/src/entry/questions.rs
@@ -14,9 +14,9 @@
 /// Pause after a round in which every host that knows more failed to answer.
 const ROUND_PAUSE: Duration = Duration::from_millis(500);
 
-/// Time after an unanswered question in which this host counts as untold. Twice the longest
+/// Time after an unanswered question in which this host follows the store itself. Twice the longest
 /// question, and longer than a watcher lingers, so that a crowded link is not asked again at once.
-const UNTOLD: Duration = Duration::from_secs(8);
+const UNANSWERED: Duration = Duration::from_secs(8);
 
 /// A question that was not heard of for longer counts as failed; above the client's own timeout.
 const OVERDUE: Duration = Duration::from_secs(2);
@@ -32,7 +32,7 @@
     /// When the question under way was sent.
     sent_at: Option<Moment>,
     /// When a question was last left without an answer.
-    untold_at: Option<Moment>,
+    unanswered_at: Option<Moment>,
 }
 
 impl Questions {
@@ -76,10 +76,10 @@
         self.sent_at = None;
         if answered {
             self.failed.clear();
-            self.untold_at = None;
+            self.unanswered_at = None;
         } else {
             self.failed.push(addr);
-            self.untold_at = Some(now);
+            self.unanswered_at = Some(now);
         }
     }
 
@@ -87,7 +87,7 @@
     ///
     /// Without it a host behind crowded links went on asking the same watcher for five seconds,
     /// sent work to a target that was retiring and used an old declaration all the while.
-    pub fn is_untold(&self, now: Moment) -> bool {
-        self.untold_at.is_some_and(|at| now.saturating_sub(at) < UNTOLD)
+    pub fn is_unanswered(&self, now: Moment) -> bool {
+        self.unanswered_at.is_some_and(|at| now.saturating_sub(at) < UNANSWERED)
     }
 }
--- a/src/entry/request_log.rs
+++ b/src/entry/request_log.rs
@@ -103,7 +103,7 @@
             view_age_ms: millis(now.saturating_sub(view.at)),
             zone: target.entry.zone.clone(),
         };
-        self.state.tell(&self.key, event);
+        self.state.record(&self.key, event);
     }
 
     /// No target can take it.
@@ -130,13 +130,13 @@
             view_age_ms: millis(self.state.clock.now().saturating_sub(view.at)),
             work_ms: millis(placement.work),
         };
-        self.state.tell(&self.key, event);
+        self.state.record(&self.key, event);
     }
 
     /// A further attempt is not allowed by `limit`.
     pub fn retry_denied(&self, limit: &str, sent: u32) {
         let event = Event::RetryDenied { limit: limit.into(), sent, service: self.service.clone() };
-        self.state.tell(&self.key, event);
+        self.state.record(&self.key, event);
     }
 
     /// Its answer goes out.
@@ -156,7 +156,7 @@
             target: outcome.target,
             took_ms: millis(took),
         };
-        self.state.tell(&self.key, event);
+        self.state.record(&self.key, event);
         answer
     }
 
@@ -175,7 +175,7 @@
             service: self.service.clone(),
             took_ms: millis(self.took()),
         };
-        self.state.tell(&self.key, event);
+        self.state.record(&self.key, event);
     }
 }
 
--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -254,7 +254,7 @@
 }
 
 /// One of two hosts that know more does not answer: the other is asked at once, and this host
-/// counts as untold until one answers. With nobody left to ask there is a pause.
+/// counts as unanswered until one answers. With nobody left to ask there is a pause.
 #[test]
 fn a_host_that_does_not_answer_is_not_asked_again_at_once() {
     let region = RegionId::from("north");
@@ -276,14 +276,14 @@
     assert_eq!(next(&mut questions, 1.0), Some(addr(2)));
     assert_eq!(next(&mut questions, 1.1), None, "one question at a time");
     questions.ended(addr(2), false, secs(1.2));
-    assert!(questions.is_untold(secs(1.2)));
+    assert!(questions.is_unanswered(secs(1.2)));
     assert_eq!(next(&mut questions, 1.2), Some(addr(1)));
     questions.ended(addr(1), false, secs(1.3));
     assert_eq!(next(&mut questions, 1.3), None);
     assert_eq!(next(&mut questions, 1.4), None, "both failed: a pause");
     assert_eq!(next(&mut questions, 1.9), Some(addr(2)));
     questions.ended(addr(2), true, secs(2.0));
-    assert!(!questions.is_untold(secs(2.0)));
+    assert!(!questions.is_unanswered(secs(2.0)));
 }
 
 /// A declaration with many routes and the entries of many targets go to every host of a region at
--- a/src/entry/traffic_state.rs
+++ b/src/entry/traffic_state.rs
@@ -48,7 +48,7 @@
     pub(super) spill: f64,
     pub(super) shares: Option<Shares>,
     /// The shares that were last told.
-    told_shares: BTreeMap<RegionId, f64>,
+    reported_shares: BTreeMap<RegionId, f64>,
     pub(super) work: Duration,
 }
 
@@ -60,7 +60,7 @@
             demand: 0.0,
             spill: 0.0,
             shares: None,
-            told_shares: BTreeMap::new(),
+            reported_shares: BTreeMap::new(),
             work: WORK_ASSUMED,
         }
     }
@@ -144,7 +144,7 @@
     }
 
     /// Records an event of a request.
-    pub fn tell(&self, request: &RequestKey, event: Event) {
+    pub fn record(&self, request: &RequestKey, event: Event) {
         self.events.record(Some(request), event);
     }
 
@@ -297,7 +297,7 @@
             let loads = region_loads(&view, targets, service, state.demand, home, now);
             if let Some(shares) = &mut state.shares {
                 shares.step(&loads, max_shift, now);
-                tell_shares(&*self.events, service, shares, &mut state.told_shares);
+                report_shares(&*self.events, service, shares, &mut state.reported_shares);
             }
         }
     }
@@ -340,9 +340,9 @@
 }
 
 /// Least move of a region's share that is told: a tenth of a second's usual move is noise.
-const SHARE_TOLD: f64 = 0.05;
+const SHARE_REPORTED: f64 = 0.05;
 
-fn tell_shares(
+fn report_shares(
     events: &dyn EventSink,
     service: &ServiceId,
     shares: &Shares,
@@ -351,7 +351,7 @@
     let now: BTreeMap<RegionId, f64> =
         shares.parts().map(|(region, part)| (region.clone(), (part * 1e3).round() / 1e3)).collect();
     let moved = |(region, part): (&RegionId, &f64)| {
-        SHARE_TOLD <= (part - told.get(region).copied().unwrap_or_default()).abs()
+        SHARE_REPORTED <= (part - told.get(region).copied().unwrap_or_default()).abs()
     };
     if now.iter().any(moved) {
         *told = now.clone();
--- a/src/event_log/event.rs
+++ b/src/event_log/event.rs
@@ -280,5 +280,5 @@
     /// It is one of its region's watchers.
     Elected,
     /// Other hosts know more and do not tell.
-    Untold,
+    Unanswered,
 }
--- a/src/event_log/kind.rs
+++ b/src/event_log/kind.rs
@@ -1,10 +1,10 @@
-//! What is said of each kind of event: its meaning, its weight, the thing it is about.
+//! What is said of each kind of event: its meaning, its priority, the thing it is about.
 
 use super::{End, Event, EventKind, event::AttemptEnd};
 
 /// Which lines go first when the queue is full.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Weight {
+pub enum Priority {
     /// Steps of requests; the first to be dropped.
     Usual,
     /// Failures and what the host believes.
@@ -30,15 +30,15 @@
     }
 
     /// Which lines go first.
-    pub fn weight(&self) -> Weight {
+    pub fn priority(&self) -> Priority {
         match self {
             Event::Answered { end: End::Served, .. }
             | Event::AttemptEnded { end: AttemptEnd::Answered | AttemptEnd::Cancelled, .. }
             | Event::CallerLeft { .. }
             | Event::Note { .. }
             | Event::Sent { .. }
-            | Event::Taken { .. } => Weight::Usual,
-            _ => Weight::Kept,
+            | Event::Taken { .. } => Priority::Usual,
+            _ => Priority::Kept,
         }
     }
 }
--- a/src/event_log/mod.rs
+++ b/src/event_log/mod.rs
@@ -23,7 +23,7 @@
     },
     line::{Line, RequestKey},
     log_bridge::start_bridge,
-    queue::{LineQueue, Offer},
+    queue::{LineQueue, PendingLine},
     settings::EventLogSettings,
     writer::{EventLog, LogWriterError},
 };
--- a/src/event_log/queue.rs
+++ b/src/event_log/queue.rs
@@ -7,7 +7,7 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use super::{EventKind, EventLogSettings, kind::Weight};
+use super::{EventKind, EventLogSettings, kind::Priority};
 use crate::prelude::*;
 
 /// Span of the rate bound.
@@ -15,12 +15,12 @@
 
 /// One line that asks to be kept.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Offer {
+pub struct PendingLine {
     /// With `kind`, what the rate is bounded by.
     pub cause: &'static str,
     pub kind: EventKind,
     pub text: Vec<u8>,
-    pub weight: Weight,
+    pub priority: Priority,
 }
 
 /// The queue; a pure state machine.
@@ -29,7 +29,7 @@
     bytes: usize,
     /// Lines dropped since they were last told, by kind.
     dropped: BTreeMap<EventKind, u64>,
-    lines: VecDeque<Offer>,
+    lines: VecDeque<PendingLine>,
     rates: HashMap<(EventKind, &'static str), u32>,
     second: Moment,
     settings: EventLogSettings,
@@ -65,18 +65,18 @@
     }
 
     /// Keeps a line, in place of lighter ones where there is no room.
-    pub fn push(&mut self, offer: Offer) {
+    pub fn push(&mut self, pending: PendingLine) {
         let room = self.settings.queue_bytes;
-        while room < self.bytes + offer.text.len() {
-            let light = self.lines.iter().position(|line| line.weight < offer.weight);
-            let Some(at) = light else { return self.drop_one(offer.kind) };
+        while room < self.bytes + pending.text.len() {
+            let light = self.lines.iter().position(|line| line.priority < pending.priority);
+            let Some(at) = light else { return self.drop_one(pending.kind) };
             if let Some(line) = self.lines.remove(at) {
                 self.bytes -= line.text.len();
                 self.drop_one(line.kind);
             }
         }
-        self.bytes += offer.text.len();
-        self.lines.push_back(offer);
+        self.bytes += pending.text.len();
+        self.lines.push_back(pending);
     }
 
     /// Takes all lines out, oldest first, each with its line feed.
--- a/src/event_log/tests.rs
+++ b/src/event_log/tests.rs
@@ -9,11 +9,11 @@
 
 use strum::IntoEnumIterator;
 
-use super::{kind::Weight, *};
+use super::{kind::Priority, *};
 use crate::{base::BootClock, prelude::*};
 
-fn offer(kind: EventKind, weight: Weight, text: &str) -> Offer {
-    Offer { cause: kind.name(), kind, text: text.as_bytes().to_vec(), weight }
+fn pending(kind: EventKind, priority: Priority, text: &str) -> PendingLine {
+    PendingLine { cause: kind.name(), kind, text: text.as_bytes().to_vec(), priority }
 }
 
 fn secs(secs: f64) -> Duration {
@@ -44,11 +44,11 @@
     let settings = EventLogSettings { lines_per_second: 1_000, queue_bytes: 100 };
     let mut queue = LineQueue::new(settings);
     for _ in 0..10 {
-        queue.push(offer(EventKind::Sent, Weight::Usual, "sent.....\n"));
+        queue.push(pending(EventKind::Sent, Priority::Usual, "sent.....\n"));
     }
-    queue.push(offer(EventKind::Taken, Weight::Usual, "taken....\n"));
+    queue.push(pending(EventKind::Taken, Priority::Usual, "taken....\n"));
     for at in 0..12 {
-        queue.push(offer(EventKind::Refused, Weight::Kept, &format!("refused {at}\n")));
+        queue.push(pending(EventKind::Refused, Priority::Kept, &format!("refused {at}\n")));
     }
     let text = String::from_utf8(queue.take()).expect("it is text");
     assert!(text.len() <= 100 && !text.contains("sent"), "{text}");
--- a/src/event_log/writer.rs
+++ b/src/event_log/writer.rs
@@ -11,7 +11,8 @@
 };
 
 use super::{
-    Event, EventKind, EventLogSettings, EventSink, Line, LineQueue, Offer, RequestKey, kind::Weight,
+    Event, EventKind, EventLogSettings, EventSink, Line, LineQueue, PendingLine, RequestKey,
+    kind::Priority,
 };
 use crate::prelude::*;
 
@@ -20,7 +21,7 @@
 const FLUSH: Duration = Duration::from_millis(250);
 
 /// Time between two lines about dropped ones.
-const TELL_DROPPED: Duration = Duration::from_secs(1);
+const REPORT_DROPPED: Duration = Duration::from_secs(1);
 
 /// Longest time that the end of the process waits for the last lines.
 const LAST_LINES: Duration = Duration::from_millis(200);
@@ -46,7 +47,7 @@
 /// A running log; its last lines are written when it is dropped, if the output takes them.
 pub struct EventLog {
     shared: Arc<Shared>,
-    teller: Arc<Teller>,
+    formatter: Arc<LineFormatter>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -78,23 +79,23 @@
             written: AtomicBool::new(false),
         });
         let started = clock.now();
-        let teller = Arc::new(Teller { clock, host, started });
+        let formatter = Arc::new(LineFormatter { clock, host, started });
         let thread = std::thread::Builder::new().name("log".into()).stack_size(STACK);
-        let (of_thread, of_teller) = (shared.clone(), teller.clone());
-        let thread = thread.spawn(move || write_all(&of_thread, &of_teller, out))?;
-        Ok(Self { shared, teller, thread: Some(thread) })
+        let (of_thread, of_formatter) = (shared.clone(), formatter.clone());
+        let thread = thread.spawn(move || write_all(&of_thread, &of_formatter, out))?;
+        Ok(Self { shared, formatter, thread: Some(thread) })
     }
 }
 
 impl EventSink for EventLog {
     fn record(&self, request: Option<&RequestKey>, event: Event) {
-        let (kind, cause, weight) = (event.kind(), event.cause(), event.weight());
-        let now = self.teller.clock.now();
+        let (kind, cause, priority) = (event.kind(), event.cause(), event.priority());
+        let now = self.formatter.clock.now();
         if !self.shared.queue().admits(kind, cause, now) {
             return;
         }
-        let text = self.teller.line(request.cloned().unwrap_or_default(), event, now);
-        self.shared.queue().push(Offer { cause, kind, text, weight });
+        let text = self.formatter.line(request.cloned().unwrap_or_default(), event, now);
+        self.shared.queue().push(PendingLine { cause, kind, text, priority });
     }
 
     fn dropped(&self) -> u64 {
@@ -116,13 +117,13 @@
 }
 
 /// Makes lines.
-struct Teller {
+struct LineFormatter {
     clock: Arc<dyn Clock>,
     host: HostId,
     started: Moment,
 }
 
-impl Teller {
+impl LineFormatter {
     fn line(&self, request: RequestKey, event: Event, now: Moment) -> Vec<u8> {
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let line = Line {
@@ -140,16 +141,16 @@
 }
 
 /// Writes until the log ends. What can't be written is lost, and counted with what was dropped.
-fn write_all(shared: &Shared, teller: &Teller, mut out: impl Write) {
-    let mut told = teller.clock.now();
+fn write_all(shared: &Shared, formatter: &LineFormatter, mut out: impl Write) {
+    let mut reported = formatter.clock.now();
     let mut unwritten = 0;
     loop {
         std::thread::park_timeout(FLUSH);
         let ended = shared.ended.load(Ordering::Relaxed);
-        let now = teller.clock.now();
-        if ended || TELL_DROPPED <= now.saturating_sub(told) {
-            told = now;
-            tell_dropped(shared, teller, std::mem::take(&mut unwritten));
+        let now = formatter.clock.now();
+        if ended || REPORT_DROPPED <= now.saturating_sub(reported) {
+            reported = now;
+            report_dropped(shared, formatter, std::mem::take(&mut unwritten));
         }
         let text = shared.queue().take();
         for part in whole_lines(&text) {
@@ -183,7 +184,7 @@
     parts
 }
 
-fn tell_dropped(shared: &Shared, teller: &Teller, unwritten: u64) {
+fn report_dropped(shared: &Shared, formatter: &LineFormatter, unwritten: u64) {
     let dropped = shared.queue().take_dropped();
     let mut counts: BTreeMap<Arc<str>, u64> =
         dropped.iter().map(|(kind, count)| (kind.name().into(), *count)).collect();
@@ -195,7 +196,7 @@
         return;
     }
     let event = Event::LinesDropped { counts };
-    let text = teller.line(RequestKey::default(), event, teller.clock.now());
+    let text = formatter.line(RequestKey::default(), event, formatter.clock.now());
     let kind = EventKind::LinesDropped;
-    shared.queue().push(Offer { cause: kind.name(), kind, text, weight: Weight::Kept });
+    shared.queue().push(PendingLine { cause: kind.name(), kind, text, priority: Priority::Kept });
 }
