--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -5,6 +5,7 @@
 mod known_state;
 mod pipeline;
 mod place;
+mod settings_file;
 mod shares;
 mod targets;
 
--- /dev/null
+++ b/src/entry/tests/settings_file.rs
@@ -0,0 +1,57 @@
+//! The settings file of a running host.
+
+use std::{fs, path::PathBuf};
+
+use assert_matches::assert_matches;
+
+use crate::{
+    entry::{Look, SettingsFile, reloaded},
+    event_log::{Event, ReloadEnd},
+    prelude::*,
+};
+
+struct TempFile(PathBuf);
+
+impl Drop for TempFile {
+    fn drop(&mut self) {
+        let _ = fs::remove_file(&self.0);
+    }
+}
+
+/// The file changes without a signal, then somebody spoils it, removes it and puts it back. Each
+/// change is taken in or refused once, and a host never runs without settings.
+#[test]
+fn each_change_of_the_file_is_seen_once() {
+    let example = concat!(env!("CARGO_MANIFEST_DIR"), "/examples/entry/host.yaml");
+    let text = fs::read_to_string(example).expect("the example is there");
+    let name = format!("lavenderplank-settings-{}.yaml", std::process::id());
+    let path = TempFile(std::env::temp_dir().join(name));
+    fs::write(&path.0, &text).expect("a temporary file");
+    let (mut file, before) = SettingsFile::open(&path.0).expect("the example is read");
+    assert_matches!(file.look(), Look::Unchanged);
+
+    let changed = text.replace("max_shift: 0.15", "max_shift: 0.25");
+    assert_ne!(changed, text, "the example names the bound");
+    fs::write(&path.0, &changed).expect("a temporary file");
+    let after = assert_matches!(file.look(), Look::Changed(settings) => settings);
+    assert_eq!((before.bounds.max_shift, after.bounds.max_shift), (0.15, 0.25));
+    assert!(after.fixed_changes(&before).is_empty());
+    assert_matches!(file.look(), Look::Unchanged);
+
+    fs::write(&path.0, "host: [").expect("a temporary file");
+    assert_matches!(file.look(), Look::Unreadable(_));
+    assert_matches!(file.look(), Look::Unchanged);
+    fs::remove_file(&path.0).expect("the file is there");
+    assert_matches!(file.look(), Look::Unreadable(_));
+    assert_matches!(file.look(), Look::Unchanged);
+    fs::write(&path.0, &changed).expect("a temporary file");
+    assert_matches!(file.look(), Look::Changed(_));
+}
+
+/// The line names what counts at the next start only.
+#[test]
+fn what_waits_for_the_next_start_is_named() {
+    let event = reloaded(ReloadEnd::InForce, &["listen", "zone"]);
+    let detail = assert_matches!(event, Event::Reloaded { detail, .. } => detail);
+    assert_eq!(detail, Arc::from("at the next start: listen, zone"));
+}
