Write the line of a planned stop; give a lost connection's reason

The `log` macros hold the event log until the process has ended, so its drop, which writes the last lines, never ran.

--- a/src/base/mod.rs
+++ b/src/base/mod.rs
@@ -1,6 +1,7 @@
 //! Types that every slice shares: ids, time, error kinds, the owner binding.
 
 mod binding;
+mod cause;
 mod clock;
 mod error_kind;
 mod header_line;
@@ -13,6 +14,7 @@
 
 pub use self::{
     binding::{Binding, BindingError},
+    cause::{cause_of, with_cause},
     clock::{BootClock, Clock, ManualClock, Moment},
     error_kind::{AnswerRow, ErrorKind, Resend},
     header_line::{HeaderLine, header},
--- a/src/base/tests.rs
+++ b/src/base/tests.rs
@@ -82,3 +82,16 @@
         assert_eq!(cause.row().status, told.row().status, "{cause:?}");
     }
 }
+
+/// A library hides what went wrong below its own words; a log line needs both.
+#[test]
+fn an_error_is_told_with_its_cause() {
+    #[derive(Debug, thiserror::Error)]
+    #[error("connection error")]
+    struct Outer(#[source] std::io::Error);
+    let reset = std::io::Error::other("reset by peer");
+    assert_eq!(&*with_cause(&reset), "reset by peer");
+    let outer = Outer(reset);
+    assert_eq!(&*cause_of(&outer), "reset by peer");
+    assert_eq!(&*with_cause(&outer), "connection error: reset by peer");
+}
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -43,7 +43,9 @@
     let events = Arc::new(EventLog::open(host, bounds, Arc::new(BootClock), io::stdout())?);
     let _bridge = start_bridge(settings.log.level.as_str(), events.clone())?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(LocalSet::new().run_until(serve(file, settings, events)))
+    let exit = runtime.block_on(LocalSet::new().run_until(serve(file, settings, events.clone())));
+    events.close();
+    exit
 }
 
 async fn serve(
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -15,6 +15,7 @@
     upstream::{Line, SendError, connect, keep_alive},
 };
 use crate::{
+    base::with_cause,
     event_log::{AttemptEnd, Event, RequestKey},
     prelude::*,
 };
@@ -241,7 +242,9 @@
         }
         let whole = match body.collect().await {
             Ok(whole) => whole.to_bytes(),
-            Err(error) => return self.lost(&format!("the answer broke off: {error}")),
+            Err(error) => {
+                return self.lost(&format!("the answer broke off: {}", with_cause(&error)));
+            }
         };
         let now = self.state.clock.now();
         self.state.pool.borrow_mut().put(&self.target, line, keep, now);
--- a/src/entry/upstream.rs
+++ b/src/entry/upstream.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpStream;
 
 use super::KnownTarget;
-use crate::prelude::*;
+use crate::{base::with_cause, prelude::*};
 
 /// Longest time for a new connection: a round trip between regions is 110 ms, and a lost packet is
 /// sent again after 200 ms or more.
@@ -127,8 +127,8 @@
         match self.sender.try_send_request(req).await {
             Ok(answer) => Ok(answer),
             Err(mut failed) => match failed.take_message() {
-                Some(_) => Err(SendError::NotSent(failed.error().to_string().into())),
-                None => Err(SendError::Lost(failed.error().to_string().into())),
+                Some(_) => Err(SendError::NotSent(with_cause(failed.error()))),
+                None => Err(SendError::Lost(with_cause(failed.error()))),
             },
         }
     }
--- a/src/event_log/writer.rs
+++ b/src/event_log/writer.rs
@@ -44,11 +44,11 @@
 #[error("the log's thread could not be started: {0}")]
 pub struct LogWriterError(#[from] io::Error);
 
-/// A running log; its last lines are written when it is dropped, if the output takes them.
+/// A running log; its last lines are written when it is closed or dropped, if the output takes them.
 pub struct EventLog {
     shared: Arc<Shared>,
     formatter: Arc<LineFormatter>,
-    thread: Option<JoinHandle<()>>,
+    thread: Mutex<Option<JoinHandle<()>>>,
 }
 
 struct Shared {
@@ -83,7 +83,7 @@
         let thread = std::thread::Builder::new().name("log".into()).stack_size(STACK);
         let (of_thread, of_formatter) = (shared.clone(), formatter.clone());
         let thread = thread.spawn(move || write_all(&of_thread, &of_formatter, out))?;
-        Ok(Self { shared, formatter, thread: Some(thread) })
+        Ok(Self { shared, formatter, thread: Mutex::new(Some(thread)) })
     }
 }
 
@@ -105,8 +105,19 @@
 
 impl Drop for EventLog {
     fn drop(&mut self) {
+        self.close();
+    }
+}
+
+impl EventLog {
+    /// Writes the last lines, and no more.
+    ///
+    /// The `log` macros keep what they write to until the process has ended, so that it is never
+    /// dropped: without this the line of a planned stop was lost.
+    pub fn close(&self) {
+        let thread = self.thread.lock().expect("no holder of this lock panics").take();
+        let Some(thread) = thread else { return };
         self.shared.ended.store(true, Ordering::Relaxed);
-        let Some(thread) = self.thread.take() else { return };
         thread.thread().unpark();
         let last = std::time::Instant::now() + LAST_LINES;
         // An output that nobody reads must not hold up the end of the process.
--- a/src/standin/caller.rs
+++ b/src/standin/caller.rs
@@ -8,7 +8,7 @@
 
 use super::links::{CLIENT_DELAY, Links, Place};
 use crate::{
-    base::Resend,
+    base::{Resend, cause_of},
     daemon::{LookupBody, headers},
     prelude::*,
 };
@@ -303,15 +303,6 @@
     }
 }
 
-/// The innermost cause: the outer ones say little.
-fn cause_of(error: &reqwest::Error) -> Arc<str> {
-    let mut cause: &dyn std::error::Error = error;
-    while let Some(inner) = cause.source() {
-        cause = inner;
-    }
-    cause.to_string().into()
-}
-
 fn pause(headers: &HeaderMap) -> Duration {
     let secs = headers.get(headers::RETRY_AFTER).and_then(|value| value.to_str().ok());
     let secs = secs.and_then(|text| text.parse().ok()).map(Duration::from_secs);
