--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -25,6 +25,7 @@
 mod records;
 mod request_log;
 mod serve;
+mod service_state;
 mod settings;
 mod settings_file;
 mod sync;
--- a/src/entry/place.rs
+++ b/src/entry/place.rs
@@ -109,16 +109,9 @@
             Some(shares) => shares,
             none => none.insert(Shares::new(home.clone(), &loads(), &self.tuning, now)),
         };
-        let place = f64::from(seed) / f64::from(u32::MAX);
-        let mut region = shares.pick(place).cloned().unwrap_or_else(|| home.clone());
-        if !candidates.iter().any(|candidate| candidate.target.region == region) {
-            let share = |candidate: &&Candidate<'_>| shares.of(&candidate.target.region);
-            let next = candidates.iter().max_by(|a, b| share(a).total_cmp(&share(b)));
-            match next {
-                Some(next) => region = next.target.region.clone(),
-                None => return Placement::none(&region),
-            }
-        }
+        let Some(region) = region(shares, seed, &candidates) else {
+            return Placement::none(home);
+        };
         let ask = Ask {
             home,
             learnt: state.learnt,
@@ -197,6 +190,20 @@
     }
 }
 
+/// The region that the shares name for an object, or else the one with the largest share of those
+/// that have candidates.
+fn region(shares: &Shares, seed: ObjectTag, candidates: &[Candidate<'_>]) -> Option<RegionId> {
+    let named = shares.pick(f64::from(seed) / f64::from(ObjectTag::MAX));
+    if let Some(region) = named
+        && candidates.iter().any(|candidate| candidate.target.region == *region)
+    {
+        return Some(region.clone());
+    }
+    let share = |candidate: &&Candidate<'_>| shares.of(&candidate.target.region);
+    let most = candidates.iter().max_by(|a, b| share(a).total_cmp(&share(b)));
+    most.map(|candidate| candidate.target.region.clone())
+}
+
 fn forecast(offer: &Offer, candidate: &Candidate<'_>, object: Option<ObjectTag>) -> Forecast {
     let slots = f64::from(candidate.target.entry.slots);
     Forecast {
--- a/src/entry/traffic_state.rs
+++ b/src/entry/traffic_state.rs
@@ -10,25 +10,20 @@
 
 use super::{
     Bounds, CrashSuspects, EntrySettings, KnownTarget, Pool, Protocol, Route, View, ViewCell,
-    bodies::BodyMemory, place::region_loads, upstream::connect, view::service_tag,
+    bodies::BodyMemory, place::region_loads, service_state::ServiceState, upstream::connect,
+    view::service_tag,
 };
 use crate::{
-    admission::{Allowance, RetryBudget},
+    admission::Allowance,
     event_log::{Event, EventSink, PauseReason, RequestKey},
     metrics::TrafficFigures,
     placement::{
         ColdRates, Condition, ConditionChange, Ended, Forecast, HeldObjects, Learnt, ObjectTag,
-        RoundTrips, Shares, TargetTag, Tuning,
+        RoundTrips, TargetTag, Tuning,
     },
     prelude::*,
 };
 
-/// Weight of the newest second in the measured demand.
-const DEMAND_NEWEST: f64 = 0.3;
-
-/// Part of requests that may leave the region that the shares name: they add to the shift.
-const SPILL_PART: f64 = 0.005;
-
 /// Time for which a run is told: hosts of other regions hear a heartbeat that often.
 const RUNS_TOLD: Duration = Duration::from_millis(500);
 
@@ -41,38 +36,6 @@
 /// The bounds in force; settings that are read again replace them.
 pub type BoundsCell = Arc<ArcSwap<Bounds>>;
 
-/// Figures of one service.
-#[derive(Debug)]
-pub(super) struct ServiceState {
-    arrivals: u32,
-    budget: RetryBudget,
-    /// Busy slots that this host's callers ask for.
-    pub(super) demand: f64,
-    /// Spans in which demand was measured.
-    measured: u32,
-    pub(super) learnt: Learnt,
-    /// Requests that may leave the region that the shares name; rises with each request.
-    pub(super) spill: f64,
-    pub(super) shares: Option<Shares>,
-    /// The shares that were last told.
-    reported_shares: BTreeMap<RegionId, f64>,
-}
-
-impl Default for ServiceState {
-    fn default() -> Self {
-        Self {
-            arrivals: 0,
-            budget: RetryBudget::new(),
-            demand: 0.0,
-            measured: 0,
-            learnt: Learnt::default(),
-            spill: 0.0,
-            shares: None,
-            reported_shares: BTreeMap::new(),
-        }
-    }
-}
-
 /// Everything that one traffic thread decides with.
 pub struct TrafficState {
     pub clock: Arc<dyn Clock>,
@@ -189,9 +152,7 @@
         let now = self.clock.now();
         let mut services = self.services.borrow_mut();
         let state = services.entry(service.clone()).or_default();
-        state.arrivals += 1;
-        state.spill = (state.spill + SPILL_PART).min(2.0);
-        state.budget.noted(now);
+        state.arrived(now);
     }
 
     /// Takes one further attempt out of a service's budget.
@@ -341,18 +302,13 @@
             .retain(|tag, condition| 0 < condition.in_flight || known.contains(tag));
         let max_shift = self.bounds().max_shift;
         for (service, state) in self.services.borrow_mut().iter_mut() {
-            let rate = f64::from(state.arrivals) / spent.as_secs_f64().max(0.1);
-            state.arrivals = 0;
-            let demand = rate * state.learnt.work.mean().as_secs_f64();
-            state.measured = state.measured.saturating_add(1);
-            let newest = DEMAND_NEWEST.max(1.0 / f64::from(state.measured));
-            state.demand += (demand - state.demand) * newest;
+            state.measure(spent);
             let Some(targets) = view.targets.get(service) else { continue };
             let home = &self.settings.region;
             let loads = region_loads(&view, targets, service, state.demand, home, now);
             if let Some(shares) = &mut state.shares {
                 shares.step(&loads, max_shift, &self.tuning, now);
-                report_shares(&*self.events, service, shares, &mut state.reported_shares);
+                state.report_shares(&*self.events, service);
             }
         }
     }
@@ -403,26 +359,6 @@
     }
 }
 
-/// Least move of a region's share that is told: a tenth of a second's usual move is noise.
-const SHARE_REPORTED: f64 = 0.05;
-
-fn report_shares(
-    events: &dyn EventSink,
-    service: &ServiceId,
-    shares: &Shares,
-    told: &mut BTreeMap<RegionId, f64>,
-) {
-    let now: BTreeMap<RegionId, f64> =
-        shares.parts().map(|(region, part)| (region.clone(), (part * 1e3).round() / 1e3)).collect();
-    let moved = |(region, part): (&RegionId, &f64)| {
-        SHARE_REPORTED <= (part - told.get(region).copied().unwrap_or_default()).abs()
-    };
-    if now.iter().any(moved) {
-        *told = now.clone();
-        events.record(None, Event::SharesMoved { service: service.clone(), shares: now });
-    }
-}
-
 /// The event of a target's pause, or of its end.
 fn paused_or_trusted(target: &KnownTarget, ended: Ended, change: ConditionChange) -> Event {
     let target = target.entry.id.clone();
