Refuse a caller that can't stay for a first run; log how likely a target knows the object

Found by reading the change: the first run of an object was held against the limit without its own time, also where the caller's time left was shorter than it. Such a caller would wait in vain. The new test fails without the mend (seen).

--- a/src/event_log/event.rs
+++ b/src/event_log/event.rs
@@ -131,6 +131,9 @@
         declaration: DeclaredVersion,
         /// Expected time of the answer.
         expected_ms: u64,
+        /// How likely the target was taken to know the object, in percent; 100 without an object.
+        #[serde(default)]
+        knows_percent: u8,
         left_ms: u64,
         /// Requests in flight at the target, of all hosts, before this one.
         load: u32,
--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -75,7 +75,12 @@
 impl Ask<'_> {
     /// Longest time that an answer may be expected to take.
     pub fn limit(&self) -> Duration {
-        self.objective.mul_f64(self.tuning.patience).min(self.left.mul_f64(CERTAIN))
+        self.objective.mul_f64(self.tuning.patience).min(self.patience_left())
+    }
+
+    /// Longest time that the caller can be expected to be there for.
+    fn patience_left(&self) -> Duration {
+        self.left.mul_f64(CERTAIN)
     }
 
     /// Time that knowing the object saves.
@@ -168,9 +173,11 @@
         let takes = wait * candidate.stretch + busy + trip;
         // Where nothing was measured, an assumption must not refuse what would be measured. And an
         // object that no target knows must be run once: refused for the time of its first run, it
-        // would stay unknown, and all its requests would be refused.
+        // would stay unknown, and all its requests would be refused. A caller that can't stay for
+        // its first run is refused all the same: nobody would hear the answer.
         let first_run = saved.as_secs_f64() * cold * candidate.stretch;
-        let is_first = is_home && news != News::Known && wait <= 0.0;
+        let can_stay = takes <= ask.patience_left().as_secs_f64();
+        let is_first = is_home && news != News::Known && wait <= 0.0 && can_stay;
         let counts = match ask.learnt.work.is_measured() {
             false => takes - busy,
             true if is_first => takes - first_run,
--- a/src/placement/tests/first_runs.rs
+++ b/src/placement/tests/first_runs.rs
@@ -70,6 +70,21 @@
     }
 }
 
+/// A caller has 250 ms left, and the first run of its object takes 300 ms. It could only wait in
+/// vain, so it is refused at once, although a slot is free. One with 350 ms left is served.
+#[test]
+fn a_caller_that_can_not_stay_for_a_first_run_is_refused() {
+    let (home, zone) = ("north".into(), "north-a".into());
+    let targets = targets();
+    let mut candidates = candidates(&targets);
+    candidates.iter_mut().for_each(|candidate| candidate.depth = Some(100));
+    let ask = ask(&home, &zone, learnt());
+    let short = Ask { left: secs(0.25), ..ask.clone() };
+    assert!(matches!(choose(&candidates, &short, 0), Choice::Busy { .. }));
+    let long = Ask { left: secs(0.35), ..ask };
+    assert!(matches!(choose(&candidates, &long, 0), Choice::Send(_)));
+}
+
 /// A request that names no object runs as fast anywhere: it goes to a free target.
 #[test]
 fn requests_without_objects_go_where_room_is() {
--- a/src/why/cause.rs
+++ b/src/why/cause.rs
@@ -226,13 +226,24 @@
     let mut reasons = failures(request, lines);
     for event in request {
         match event {
-            Event::Sent { cold, expected_ms, load, reason, region, slots, target, .. } => {
+            Event::Sent {
+                cold,
+                expected_ms,
+                knows_percent,
+                load,
+                reason,
+                region,
+                slots,
+                target,
+                ..
+            } => {
                 let cold = if *cold { ", cold" } else { "" };
                 let reason = serde_json::to_value(reason).unwrap_or_default();
                 let reason = reason.as_str().unwrap_or_default().to_owned();
                 reasons.push(format!(
                     "{reason}: {target} in {region}{cold}, {load} requests on {slots} slots, \
-                     answer expected after {expected_ms} ms"
+                     answer expected after {expected_ms} ms, {knows_percent} % likely to know the \
+                     object"
                 ));
             }
             Event::AttemptEnded {
--- a/src/why/tests.rs
+++ b/src/why/tests.rs
@@ -55,6 +55,7 @@
         cold: false,
         declaration: 3,
         expected_ms: 120,
+        knows_percent: 50,
         left_ms: 1_900,
         load: 2,
         reason: AttemptReason::First,
@@ -150,6 +151,22 @@
     assert!(text(&story).contains("cause: 502"), "{}", text(&story));
 }
 
+/// A read is late since its target had to work for an object that it did not know. The host had
+/// thought it even: the story says so, with the load and the time that was expected.
+#[test]
+fn a_late_answer_names_what_was_expected_of_its_target() {
+    let log = Log::of(&[
+        line("a", 5_000, Some("r-1"), taken()),
+        line("a", 5_001, Some("r-1"), sent("t-1")),
+        line("a", 5_900, Some("r-1"), answered(End::Late, None)),
+    ]);
+    let story = story("r-1", &[&log]);
+    assert_eq!(story.cause.verdict, Verdict::Late);
+    let behind = story.cause.behind.join("\n");
+    assert!(behind.contains("2 requests on 3 slots"), "{behind}");
+    assert!(behind.contains("expected after 120 ms, 50 % likely to know the object"), "{behind}");
+}
+
 /// A refusal in an overload: the cause gives the inputs of the decision.
 #[test]
 fn a_refusal_names_the_inputs_that_decided_it() {
