--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     entry::{KnownTarget, TargetEntry},
-    placement::{Learnt, WorkTime},
+    placement::{Candidate, Learnt, WorkTime},
     prelude::*,
 };
 
@@ -36,6 +36,20 @@
     Duration::from_secs_f64(secs)
 }
 
+/// Candidates that run nothing, and of which nothing was heard.
+fn idle(targets: &[Arc<KnownTarget>]) -> Vec<Candidate<'_>> {
+    let candidate = |target| Candidate {
+        cold: false,
+        depth: None,
+        load: 0.0,
+        shut: false,
+        stretch: 1.0,
+        target,
+        trip: Duration::ZERO,
+    };
+    targets.iter().map(candidate).collect()
+}
+
 /// 100 ms at a target that knows the object, 300 ms at one that does not.
 fn learnt() -> Learnt {
     let mut work = WorkTime::default();
--- a/src/placement/tests/choose.rs
+++ b/src/placement/tests/choose.rs
@@ -1,6 +1,6 @@
 //! Which target a request goes to.
 
-use super::{known, learnt, secs};
+use super::{idle, known, learnt, secs};
 use crate::{
     entry::KnownTarget,
     placement::{Ask, Candidate, Choice, Tuning, choose},
@@ -26,16 +26,7 @@
     }
 
     fn idle(&self) -> Vec<Candidate<'_>> {
-        let candidate = |target| Candidate {
-            cold: false,
-            depth: None,
-            load: 0.0,
-            shut: false,
-            stretch: 1.0,
-            target,
-            trip: Duration::ZERO,
-        };
-        self.targets.iter().map(candidate).collect()
+        idle(&self.targets)
     }
 
     /// The same, and all know every object.
--- a/src/placement/tests/first_runs.rs
+++ b/src/placement/tests/first_runs.rs
@@ -1,25 +1,12 @@
 //! Objects that no target knows yet.
 
-use super::{known, learnt, secs};
+use super::{idle, known, learnt, secs};
 use crate::{
     entry::KnownTarget,
-    placement::{Ask, Candidate, Choice, Learnt, Tuning, choose},
+    placement::{Ask, Choice, Learnt, Tuning, choose},
     prelude::*,
 };
 
-fn candidates(targets: &[Arc<KnownTarget>]) -> Vec<Candidate<'_>> {
-    let candidate = |target| Candidate {
-        cold: false,
-        depth: None,
-        load: 0.0,
-        shut: false,
-        stretch: 1.0,
-        target,
-        trip: Duration::ZERO,
-    };
-    targets.iter().map(candidate).collect()
-}
-
 fn targets() -> Vec<Arc<KnownTarget>> {
     (0..3).map(|at| known(&format!("t-{at}"), "north")).collect()
 }
@@ -45,7 +32,7 @@
 fn an_assumption_refuses_nothing() {
     let (home, zone) = ("north".into(), "north-a".into());
     let targets = targets();
-    let choice = choose(&candidates(&targets), &ask(&home, &zone, Learnt::default()), 0);
+    let choice = choose(&idle(&targets), &ask(&home, &zone, Learnt::default()), 0);
     assert!(matches!(choice, Choice::Send(_)), "{choice:?}");
 }
 
@@ -58,7 +45,7 @@
     let targets = targets();
     let ask = ask(&home, &zone, learnt());
     for depth in [None, Some(100)] {
-        let mut candidates = candidates(&targets);
+        let mut candidates = idle(&targets);
         candidates.iter_mut().for_each(|candidate| candidate.depth = depth);
         let Choice::Send(offer) = choose(&candidates, &ask, 0) else { panic!("it was refused") };
         candidates[offer.at].load = 3.0;
@@ -76,7 +63,7 @@
 fn a_caller_that_can_not_stay_for_a_first_run_is_refused() {
     let (home, zone) = ("north".into(), "north-a".into());
     let targets = targets();
-    let mut candidates = candidates(&targets);
+    let mut candidates = idle(&targets);
     candidates.iter_mut().for_each(|candidate| candidate.depth = Some(100));
     let ask = ask(&home, &zone, learnt());
     let short = Ask { left: secs(0.25), ..ask.clone() };
@@ -90,7 +77,7 @@
 fn requests_without_objects_go_where_room_is() {
     let (home, zone) = ("north".into(), "north-a".into());
     let targets = targets();
-    let mut candidates = candidates(&targets);
+    let mut candidates = idle(&targets);
     candidates[0].load = 4.0;
     candidates[2].load = 4.0;
     let objective = secs(0.2);
