Keep the digest and the lists of usable targets by change

Cause: each heartbeat and each look at who knows more hashed all targets, and each publication cloned all of them, ten times a second and more. Now a change of one target changes the sum of hashes by one term, and a service without a change keeps its list. The sum does not hang on the order in which targets were heard of. Test: one_changed_target_costs_one_target (all targets were built anew before).

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -138,11 +138,8 @@
         let now = self.now();
         let settings = &self.parts.settings;
         let declared = self.known_state.declared().cloned();
-        let mut view = View { at: now, declared, ..View::default() };
-        for known in self.known_state.usable() {
-            let service = known.entry.service.clone();
-            view.targets.entry(service).or_default().push(Arc::new(known));
-        }
+        let targets = self.known_state.usable().clone();
+        let mut view = View { at: now, declared, targets, ..View::default() };
         if !self.leaving {
             view.hosts.push(LiveHost {
                 callers: settings.listen.callers,
@@ -180,14 +177,14 @@
 
     fn figures(&self, view: &View) -> ControlFigures {
         let now = self.now();
-        let (cold, warm): (Vec<_>, Vec<_>) =
-            view.targets.values().flatten().partition(|target| target.is_cold(now));
+        let targets = || view.targets.values().flat_map(|targets| targets.iter());
+        let cold = targets().filter(|target| target.is_cold(now)).count();
         ControlFigures {
             declaration: view.declared.as_ref().map_or(0, |declared| declared.version),
             hosts: view.hosts.len(),
             store_age: now.saturating_sub(self.told_at),
-            targets_cold: cold.len(),
-            targets_warm: warm.len(),
+            targets_cold: cold,
+            targets_warm: targets().count() - cold,
         }
     }
 
--- a/src/entry/known_state.rs
+++ b/src/entry/known_state.rs
@@ -1,9 +1,9 @@
 //! What a host believes of the store's objects, and what it makes of news, losses and returns.
 
-use std::collections::{BTreeSet, btree_map};
+use std::collections::BTreeSet;
 
 use super::{Declared, DeclaredVersion, KnownTarget, Part, TargetEntry, target};
-use xxhash_rust::xxh3::Xxh3Default;
+use xxhash_rust::xxh3::{Xxh3Default, xxh3_64_with_seed};
 
 use crate::prelude::*;
 
@@ -25,7 +25,7 @@
     pub declared: DeclaredVersion,
     /// Hash of the evacuated zones.
     pub evacuations: u64,
-    /// Hash of all targets and their states.
+    /// Sum of the hashes of all targets and their states.
     pub targets: u64,
     /// The store's versions up to which each part is known.
     pub revisions: Revisions,
@@ -106,9 +106,15 @@
     pub taken_back: Vec<ZoneId>,
 }
 
+/// Usable targets by service, in the order of their ids. Shared with the traffic side: a service
+/// none of whose targets changed keeps its list.
+pub type UsableTargets = BTreeMap<ServiceId, Arc<[Arc<KnownTarget>]>>;
+
 /// The objects a host knows.
 #[derive(Debug, Default)]
 pub struct KnownState {
+    /// Services whose list of usable targets is out of date.
+    changed: BTreeSet<ServiceId>,
     declared: Option<Arc<Declared>>,
     evacuated: BTreeSet<ZoneId>,
     /// Targets that a listing after an outage no longer had, and until when they are used.
@@ -120,7 +126,11 @@
     revisions: Revisions,
     /// When each zone was last taken back into use.
     taken_back: BTreeMap<ZoneId, Moment>,
-    targets: BTreeMap<TargetId, KnownTarget>,
+    targets: BTreeMap<TargetId, Arc<KnownTarget>>,
+    /// Sum of the hashes of `targets`. Kept with each change: with hundreds of targets, hashing all
+    /// for every heartbeat would take most of a small host's processor.
+    targets_digest: u64,
+    usable: UsableTargets,
 }
 
 impl KnownState {
@@ -130,13 +140,49 @@
     }
 
     /// Targets that take new work: ready and in no evacuated zone.
-    pub fn usable(&self) -> impl Iterator<Item = KnownTarget> {
-        let kept =
-            |known: &&KnownTarget| known.entry.ready && !self.evacuated.contains(&known.entry.zone);
-        self.targets.values().filter(kept).map(|known| {
-            let cold_until = known.cold_until.max(self.cold_since_return(&known.entry));
-            KnownTarget { cold_until, ..known.clone() }
-        })
+    pub fn usable(&mut self) -> &UsableTargets {
+        for service in std::mem::take(&mut self.changed) {
+            let targets = self.usable_of(&service);
+            match targets.is_empty() {
+                true => self.usable.remove(&service),
+                false => self.usable.insert(service, targets),
+            };
+        }
+        &self.usable
+    }
+
+    fn usable_of(&self, service: &ServiceId) -> Arc<[Arc<KnownTarget>]> {
+        let kept = |known: &&Arc<KnownTarget>| {
+            let entry = &known.entry;
+            entry.service == *service && entry.ready && !self.evacuated.contains(&entry.zone)
+        };
+        let shared = |known: &Arc<KnownTarget>| {
+            let cold_until = self.cold_since_return(&known.entry);
+            if cold_until <= known.cold_until {
+                return known.clone();
+            }
+            Arc::new(KnownTarget { cold_until, ..KnownTarget::clone(known) })
+        };
+        self.targets.values().filter(kept).map(shared).collect()
+    }
+
+    /// What bears on every service has changed: zones in use, or for how long targets are cold.
+    fn all_changed(&mut self) {
+        self.changed.extend(self.targets.values().map(|known| known.entry.service.clone()));
+    }
+
+    fn insert(&mut self, known: KnownTarget) {
+        self.take(&known.entry.id.clone());
+        self.targets_digest = self.targets_digest.wrapping_add(digest(&known.entry));
+        self.changed.insert(known.entry.service.clone());
+        self.targets.insert(known.entry.id.clone(), Arc::new(known));
+    }
+
+    fn take(&mut self, id: &TargetId) -> bool {
+        let Some(known) = self.targets.remove(id) else { return false };
+        self.targets_digest = self.targets_digest.wrapping_sub(digest(&known.entry));
+        self.changed.insert(known.entry.service.clone());
+        true
     }
 
     /// Until when a target is taken for cold since its zone was evacuated.
@@ -151,7 +197,7 @@
 
     /// What is known of one target.
     pub fn target(&self, id: &TargetId) -> Option<&KnownTarget> {
-        self.targets.get(id)
+        self.targets.get(id).map(Arc::as_ref)
     }
 
     /// Whether a zone's targets are to get nothing.
@@ -166,18 +212,12 @@
 
     /// Summary for other hosts.
     pub fn stamp(&self) -> Stamp {
-        let mut targets = Xxh3Default::new();
-        for known in self.targets.values() {
-            targets.update(known.entry.id.as_bytes());
-            targets.update(&[u8::from(known.entry.ready)]);
-            targets.update(&known.entry.started.to_le_bytes());
-        }
         let mut evacuations = Xxh3Default::new();
         self.evacuated.iter().for_each(|zone| evacuations.update(zone.as_bytes()));
         Stamp {
             declared: self.declared.as_ref().map_or(0, |declared| declared.version),
             evacuations: evacuations.digest(),
-            targets: targets.digest(),
+            targets: self.targets_digest,
             revisions: self.revisions,
         }
     }
@@ -190,12 +230,14 @@
         let newer = self.declared.as_ref().is_none_or(|known| known.version < declared.version);
         if newer {
             self.declared = Some(Arc::new(declared));
+            self.all_changed();
         }
         newer
     }
 
     /// A zone is to get nothing, or may be used again.
     pub fn evacuate(&mut self, zone: ZoneId, wanted: bool, now: Moment) -> bool {
+        self.all_changed();
         if wanted {
             return self.evacuated.insert(zone);
         }
@@ -215,6 +257,7 @@
         let back = changes.taken_back.iter().map(|zone| (zone.clone(), now));
         self.taken_back.extend(back);
         self.evacuated = zones;
+        self.all_changed();
         changes
     }
 
@@ -223,19 +266,14 @@
         self.lapsed.remove(&entry.id);
         let known =
             KnownTarget { cold_until: now + entry.cold, region, tag: target::tag(&entry), entry };
-        match self.targets.entry(known.entry.id.clone()) {
-            // Read again, as with each listing: what is cold stays so from the first reading on.
-            btree_map::Entry::Occupied(slot) if slot.get().entry == known.entry => false,
-            btree_map::Entry::Occupied(mut slot) => {
-                let matters = differs(&slot.get().entry, &known.entry);
-                slot.insert(known);
-                matters
-            }
-            btree_map::Entry::Vacant(slot) => {
-                slot.insert(known);
-                true
-            }
+        let before = self.targets.get(&known.entry.id);
+        // Read again, as with each listing: what is cold stays so from the first reading on.
+        if before.is_some_and(|before| before.entry == known.entry) {
+            return false;
         }
+        let matters = before.is_none_or(|before| differs(&before.entry, &known.entry));
+        self.insert(known);
+        matters
     }
 
     /// One target's entry was removed, or can no longer be read.
@@ -251,7 +289,7 @@
             return Removal::Kept;
         }
         self.lapsed.remove(id);
-        self.targets.remove(id);
+        self.take(id);
         Removal::Gone
     }
 
@@ -290,7 +328,7 @@
                     changes.kept.push(id);
                 }
                 None => {
-                    self.targets.remove(&id);
+                    self.take(&id);
                     changes.gone.push(id);
                 }
             }
@@ -316,7 +354,7 @@
         for id in &due {
             self.lapsed.remove(id);
         }
-        due.retain(|id| self.targets.remove(id).is_some());
+        due.retain(|id| self.take(id));
         due
     }
 
@@ -327,6 +365,12 @@
     }
 }
 
+/// Hash of one target and its state.
+fn digest(entry: &TargetEntry) -> u64 {
+    let seed = entry.started ^ u64::from(entry.ready);
+    xxh3_64_with_seed(entry.id.as_bytes(), seed.rotate_left(32))
+}
+
 /// Whether two entries of one target differ in more than the time that it stays cold.
 fn differs(old: &TargetEntry, new: &TargetEntry) -> bool {
     *old != TargetEntry { cold: old.cold, ..new.clone() }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -42,7 +42,7 @@
     crash_suspects::CrashSuspects,
     declared::{Declared, DeclaredVersion, Repeat, Route, ServiceRules},
     host::{EntryHost, EntryParts, OpenError},
-    known_state::{KnownState, Revisions, Stamp},
+    known_state::{KnownState, Revisions, Stamp, UsableTargets},
     part::Part,
     peers::{Heartbeat, Peer, Peers},
     protocol::{CallerNote, LookupPlace, Protocol, ReplyNote, StoreKeys, Unreadable},
--- a/src/entry/tests/known_state.rs
+++ b/src/entry/tests/known_state.rs
@@ -3,7 +3,7 @@
 use super::{entry, secs};
 use crate::{
     entry::{
-        Declared, KnownState, ServiceRules, TargetEntry,
+        Declared, KnownState, KnownTarget, ServiceRules, TargetEntry,
         known_state::{Removal, TargetChanges},
     },
     prelude::*,
@@ -17,8 +17,13 @@
     ids.iter().map(|id| (entry(id, "north-a"), region())).collect()
 }
 
-fn usable(known_state: &KnownState) -> Vec<String> {
-    known_state.usable().map(|known| known.entry.id.to_string()).collect()
+fn usable_targets(known_state: &mut KnownState) -> Vec<Arc<KnownTarget>> {
+    let usable = known_state.usable().values();
+    usable.flat_map(|targets| targets.iter().cloned()).collect()
+}
+
+fn usable(known_state: &mut KnownState) -> Vec<String> {
+    usable_targets(known_state).iter().map(|known| known.entry.id.to_string()).collect()
 }
 
 /// A store that answers with old data, or another host that is behind, names an older declaration.
@@ -43,11 +48,11 @@
     known_state.lost(secs(10.0));
     known_state.lost(secs(14.0));
     known_state.list(listed(&["t-1"]), secs(15.0));
-    assert_eq!(usable(&known_state), ["t-1", "t-2"]);
+    assert_eq!(usable(&mut known_state), ["t-1", "t-2"]);
     known_state.tick(secs(17.0));
-    assert_eq!(usable(&known_state), ["t-1", "t-2"]);
+    assert_eq!(usable(&mut known_state), ["t-1", "t-2"]);
     known_state.tick(secs(17.3));
-    assert_eq!(usable(&known_state), ["t-1"]);
+    assert_eq!(usable(&mut known_state), ["t-1"]);
 }
 
 /// One of them is written again in time and stays; a second listing does not prolong the wait of
@@ -62,7 +67,7 @@
     known_state.lost(secs(16.1));
     known_state.list(listed(&["t-2"]), secs(16.2));
     known_state.tick(secs(17.3));
-    assert_eq!(usable(&known_state), ["t-2"]);
+    assert_eq!(usable(&mut known_state), ["t-2"]);
 }
 
 /// The store forgot its history for an instant while a target left. Its entry is missing from the
@@ -72,10 +77,10 @@
     let mut known_state = KnownState::default();
     known_state.list(listed(&["t-1", "t-2"]), secs(1.0));
     known_state.list(listed(&["t-1"]), secs(5.0));
-    assert_eq!(usable(&known_state), ["t-1"]);
+    assert_eq!(usable(&mut known_state), ["t-1"]);
     known_state.lost(secs(6.0));
     known_state.list(listed(&[]), secs(6.5));
-    assert!(usable(&known_state).is_empty());
+    assert!(usable(&mut known_state).is_empty());
 }
 
 /// A removal that the store tells is one, also while other entries are waited for.
@@ -86,7 +91,7 @@
     known_state.lost(secs(10.0));
     known_state.list(listed(&[]), secs(15.0));
     assert_eq!(known_state.remove(&"t-1".into(), secs(20.0)), Removal::Gone);
-    assert!(usable(&known_state).is_empty());
+    assert!(usable(&mut known_state).is_empty());
 }
 
 /// Draining targets and those of evacuated zones take no new work; hosts can tell by the stamp.
@@ -98,13 +103,13 @@
     let before = known_state.stamp();
     let draining = crate::entry::TargetEntry { ready: false, ..entry("t-1", "north-a") };
     assert!(known_state.write(draining, region(), secs(2.0)));
-    assert_eq!(usable(&known_state), ["t-2"]);
+    assert_eq!(usable(&mut known_state), ["t-2"]);
     assert!(known_state.evacuate("north-b".into(), true, secs(1.0)));
-    assert!(usable(&known_state).is_empty());
+    assert!(usable(&mut known_state).is_empty());
     assert_ne!(known_state.stamp().targets, before.targets);
     assert_ne!(known_state.stamp().evacuations, before.evacuations);
     assert!(known_state.evacuate("north-b".into(), false, secs(2.0)));
-    assert_eq!(usable(&known_state), ["t-2"]);
+    assert_eq!(usable(&mut known_state), ["t-2"]);
 }
 
 /// A target starts again under its id: what was known of the earlier start does not count.
@@ -112,11 +117,11 @@
 fn the_same_id_started_again_is_another_target() {
     let mut known_state = KnownState::default();
     known_state.list(listed(&["t-1"]), secs(1.0));
-    let tag = |known_state: &KnownState| known_state.usable().map(|known| known.tag).next();
-    let before = tag(&known_state);
+    let tag = |known_state: &mut KnownState| usable_targets(known_state)[0].tag;
+    let before = tag(&mut known_state);
     let again = crate::entry::TargetEntry { started: 2, ..entry("t-1", "north-a") };
     assert!(known_state.write(again, region(), secs(2.0)));
-    assert_ne!(tag(&known_state), before);
+    assert_ne!(tag(&mut known_state), before);
 }
 
 /// A cold target's entry is read again with every listing. Its cold time runs from when it was
@@ -125,17 +130,16 @@
 fn an_entry_that_is_read_again_stays_cold_no_longer() {
     let mut known_state = KnownState::default();
     let cold = crate::entry::TargetEntry { cold: secs(3.0), ..entry("t-1", "north-a") };
-    let is_cold =
-        |known_state: &KnownState, now| known_state.usable().any(|known| known.is_cold(now));
+    let is_cold = |known_state: &mut KnownState, now| usable_targets(known_state)[0].is_cold(now);
     known_state.list(vec![(cold.clone(), region())], secs(1.0));
     assert_eq!(
         known_state.list(vec![(cold.clone(), region())], secs(3.0)),
         TargetChanges::default()
     );
-    assert!(is_cold(&known_state, secs(3.9)) && !is_cold(&known_state, secs(4.0)));
+    assert!(is_cold(&mut known_state, secs(3.9)) && !is_cold(&mut known_state, secs(4.0)));
     let colder = crate::entry::TargetEntry { cold: secs(2.0), ..cold };
     assert_eq!(known_state.list(vec![(colder, region())], secs(5.0)), TargetChanges::default());
-    assert!(is_cold(&known_state, secs(6.9)) && !is_cold(&known_state, secs(7.0)));
+    assert!(is_cold(&mut known_state, secs(6.9)) && !is_cold(&mut known_state, secs(7.0)));
 }
 
 /// A zone is taken back after an evacuation. Its targets got cold meanwhile, and the store has lost
@@ -162,17 +166,18 @@
         });
         known_state.list(listed(&["t-1"]), secs(1.0));
         known_state.write(entry("t-2", "north-b"), region(), secs(1.0));
-        let cold = |known_state: &KnownState, now| -> Vec<String> {
-            let cold = known_state.usable().filter(|known| known.is_cold(now));
+        let cold = |known_state: &mut KnownState, now| -> Vec<String> {
+            let usable = usable_targets(known_state);
+            let cold = usable.iter().filter(|known| known.is_cold(now));
             cold.map(|known| known.entry.id.to_string()).collect()
         };
         assert!(known_state.evacuate("north-a".into(), true, secs(2.0)));
         take_back(&mut known_state);
-        assert_eq!(cold(&known_state, secs(9.0)), ["t-1"]);
+        assert_eq!(cold(&mut known_state, secs(9.0)), ["t-1"]);
         // An older word that says nothing of cold does not end it.
         known_state.write(TargetEntry { slots: 4, ..entry("t-1", "north-a") }, region(), secs(9.5));
-        assert_eq!(cold(&known_state, secs(11.4)), ["t-1"]);
-        assert!(cold(&known_state, secs(11.6)).is_empty());
+        assert_eq!(cold(&mut known_state, secs(11.4)), ["t-1"]);
+        assert!(cold(&mut known_state, secs(11.6)).is_empty());
     }
 }
 
@@ -189,9 +194,9 @@
         assert_eq!(known_state.remove(&id.into(), secs(15.1)), Removal::Kept);
     }
     known_state.write(entry("t-1", "north-a"), region(), secs(16.9));
-    assert_eq!(usable(&known_state), ["t-1", "t-2", "t-3"]);
+    assert_eq!(usable(&mut known_state), ["t-1", "t-2", "t-3"]);
     assert_eq!(known_state.tick(secs(17.3)), [TargetId::from("t-2")]);
-    assert_eq!(usable(&known_state), ["t-1", "t-3"]);
+    assert_eq!(usable(&mut known_state), ["t-1", "t-3"]);
     assert_eq!(known_state.remove(&"t-3".into(), secs(17.3)), Removal::Gone);
     assert_eq!(known_state.remove(&"t-9".into(), secs(17.3)), Removal::Unknown);
     // A short silence can't have let an entry lapse.
@@ -199,3 +204,41 @@
     assert!(!known_state.reached(secs(21.0)));
     assert_eq!(known_state.remove(&"t-1".into(), secs(21.0)), Removal::Gone);
 }
+
+/// Hundreds of targets, one of which drains, and the host looks at all of them ten times a second.
+/// Built anew and hashed each time, they would take most of a small host's processor; all but the
+/// changed one stay what they were.
+#[test]
+fn one_changed_target_costs_one_target() {
+    let ids: Vec<String> = (0..900).map(|at| format!("t-{at:03}")).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let mut known_state = KnownState::default();
+    known_state.list(listed(&ids), secs(1.0));
+    let other = TargetEntry { service: "hall".into(), ..entry("u-1", "north-a") };
+    known_state.write(other, region(), secs(1.0));
+    let before = known_state.usable().clone();
+    let draining = TargetEntry { ready: false, ..entry("t-500", "north-a") };
+    known_state.write(draining.clone(), region(), secs(2.0));
+    let after = known_state.usable().clone();
+    let hall = ServiceId::from("hall");
+    assert!(Arc::ptr_eq(&before[&hall], &after[&hall]), "a service without a change is kept");
+    let kept = |known: &&Arc<KnownTarget>| {
+        before[&known.entry.service].iter().any(|it| Arc::ptr_eq(it, known))
+    };
+    assert_eq!(after.values().flat_map(|targets| targets.iter()).filter(kept).count(), 900);
+    assert_eq!(after[&draining.service].len(), 899);
+
+    // Whatever the order in which hosts hear of targets, the same targets give the same stamp.
+    let mut backwards = KnownState::default();
+    for id in ids.iter().rev().filter(|id| **id != "t-500") {
+        backwards.write(entry(id, "north-a"), region(), secs(1.0));
+    }
+    backwards.write(
+        TargetEntry { service: "hall".into(), ..entry("u-1", "north-a") },
+        region(),
+        secs(1.0),
+    );
+    assert_ne!(backwards.stamp(), known_state.stamp());
+    backwards.write(draining, region(), secs(1.0));
+    assert_eq!(backwards.stamp(), known_state.stamp());
+}
--- a/src/entry/traffic_state.rs
+++ b/src/entry/traffic_state.rs
@@ -293,8 +293,8 @@
             return;
         }
         self.counted.set(now);
-        let known: HashSet<u32> =
-            view.targets.values().flatten().map(|target| target.tag).collect();
+        let targets = view.targets.values().flat_map(|targets| targets.iter());
+        let known: HashSet<u32> = targets.map(|target| target.tag).collect();
         self.pool.borrow_mut().tick(now, |tag| known.contains(&tag));
         self.held.borrow_mut().retain(|tag| known.contains(&tag));
         self.conditions
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -4,7 +4,7 @@
 
 use arc_swap::ArcSwapOption;
 
-use super::{Declared, KnownTarget};
+use super::{Declared, UsableTargets};
 use crate::{
     placement::{ObjectTag, TargetTag},
     prelude::*,
@@ -26,8 +26,7 @@
     pub crashes: HashMap<u64, u8>,
     /// Objects that other hosts lately asked targets for.
     pub runs: Vec<(TargetTag, ObjectTag)>,
-    /// Usable targets by service, in the order of their ids.
-    pub targets: BTreeMap<ServiceId, Vec<Arc<KnownTarget>>>,
+    pub targets: UsableTargets,
 }
 
 /// A host that takes callers.
