Tell other zones by one report in place of a mesh of heartbeats

Cause: each host sent a heartbeat to every host of its region ten times a second and to all others twice: about 900 datagrams a second each way and host with 195 hosts, worked out as nearly all bytes between zones and regions of that fleet. Now the slice fleet (pure) keeps who lives: heartbeats go to the own zone; the zone's hosts take turns at sending its report to one host of each other zone of the region (ten a second together) and to two of each zone beyond (two a second); whoever gets one passes it on to its zone. Weighed: elected relays, which must be noticed when they are lost, and bundles of all heartbeats, which every host would still have to read one by one. A word of a host only ever prolongs its life, and a report that covers few hosts does not replace a fuller one: a host that wakes or is cut off does not speak for its zone.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -17,7 +17,7 @@
 
 use self::talk::LIST_HOSTS_FIRST;
 use super::{
-    EntrySettings, KnownState, LiveHost, Part, Peers, Protocol, Report, View, ViewCell,
+    EntrySettings, KnownState, LiveHost, Part, Protocol, View, ViewCell,
     questions::Questions,
     records::Records,
     sync::{LastAnswer, PeerClient, RawObjects},
@@ -25,6 +25,7 @@
 };
 use crate::{
     event_log::{Event, EventSink, WatchReason},
+    fleet::{Fleet, FleetParts, Load},
     metrics::{ControlFigures, EntryMetrics},
     prelude::*,
     store::{FollowPace, Followed, Follower, Platform},
@@ -53,9 +54,9 @@
 pub struct ControlParts {
     pub clock: Arc<dyn Clock>,
     pub events: Arc<dyn EventSink>,
+    pub load: Arc<ArcSwap<Load>>,
     pub metrics: Arc<EntryMetrics>,
     pub protocol: Arc<dyn Protocol>,
-    pub report: Arc<ArcSwap<Report>>,
     pub settings: Arc<EntrySettings>,
     pub socket: Arc<UdpSocket>,
     pub store: Arc<dyn Platform>,
@@ -64,6 +65,7 @@
 
 /// The actor's state.
 pub struct EntryControl {
+    fleet: Fleet,
     peer_client: PeerClient,
     known_state: KnownState,
     last_answer: LastAnswer,
@@ -74,16 +76,12 @@
     /// Parts of the store that do not answer, and since when.
     lost_parts: BTreeMap<Part, Moment>,
     parts: ControlParts,
-    peers: Peers,
     questions: Questions,
     raw: RawObjects,
     records: Records,
     list_hosts_at: Moment,
-    listed_hosts: Vec<SocketAddr>,
-    start: u64,
     /// When the store's word last came, by itself or another host.
     told_at: Moment,
-    turn: u64,
     election: WatcherElection,
 }
 
@@ -99,9 +97,10 @@
 impl EntryControl {
     /// Starts the actor on the current runtime.
     pub fn spawn(parts: ControlParts, peer_client: PeerClient) -> Address<Self> {
-        let start = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let now = parts.clock.now();
+        let fleet = Fleet::new(fleet_parts(&parts.settings));
         let control = Self {
+            fleet,
             peer_client,
             known_state: KnownState::default(),
             last_answer: LastAnswer::default(),
@@ -109,15 +108,11 @@
             followers: Vec::new(),
             leaving: false,
             lost_parts: BTreeMap::new(),
-            peers: Peers::default(),
             questions: Questions::default(),
             raw: BTreeMap::new(),
             records: Records::default(),
             list_hosts_at: now + LIST_HOSTS_FIRST,
-            listed_hosts: Vec::new(),
-            start: start.map_or(0, |since| since.as_millis() as u64),
             told_at: now,
-            turn: 0,
             election: WatcherElection::new(now),
             parts,
         };
@@ -149,26 +144,26 @@
             });
         }
         let mut demand: HashMap<(RegionId, u32), f64> = HashMap::new();
-        for peer in self.peers.live(now) {
-            for (tag, count) in &peer.heartbeat.running {
+        for (region, load) in self.fleet.loads(now) {
+            for (tag, count) in &load.running {
                 *view.elsewhere.entry(*tag).or_default() += u32::from(*count);
             }
-            view.runs.extend(&peer.heartbeat.runs);
-            for (service, slots) in &peer.heartbeat.demand {
-                *demand.entry((peer.region.clone(), *service)).or_default() += f64::from(*slots);
+            view.runs.extend(&load.runs);
+            for (service, slots) in &load.demand {
+                *demand.entry((region.clone(), *service)).or_default() += f64::from(*slots);
             }
-            for (print, crashes) in &peer.heartbeat.crashes {
+            for (print, crashes) in &load.crashes {
                 let sum = view.crashes.entry(*print).or_default();
                 *sum = sum.saturating_add(*crashes);
             }
-            if !peer.heartbeat.leaving {
-                view.hosts.push(LiveHost {
-                    callers: peer.heartbeat.callers,
-                    host: peer.heartbeat.host.clone(),
-                    region: peer.region.clone(),
-                    zone: peer.heartbeat.zone.clone(),
-                });
-            }
+        }
+        for peer in self.fleet.live(now).filter(|peer| !peer.note.leaving) {
+            view.hosts.push(LiveHost {
+                callers: peer.note.callers,
+                host: peer.note.host.clone(),
+                region: peer.region.clone(),
+                zone: peer.zone.clone(),
+            });
         }
         view.demand = demand;
         self.parts.metrics.control(self.figures(&view));
@@ -192,7 +187,7 @@
     fn watch(&mut self, own: &WeakAddress<Self>) {
         let now = self.now();
         let settings = &self.parts.settings;
-        let peers = self.peers.live(now);
+        let peers = self.fleet.live(now);
         let unanswered = self.questions.is_unanswered(now);
         let wanted =
             self.election.decide(&settings.host, &settings.region, peers, now) || unanswered;
@@ -219,6 +214,32 @@
     }
 }
 
+/// Milliseconds of the time of day.
+fn wall_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
+fn fleet_parts(settings: &EntrySettings) -> FleetParts {
+    FleetParts {
+        callers: settings.listen.callers,
+        control: settings.listen.control,
+        gossip: settings.listen.gossip,
+        host: settings.host.clone(),
+        region: settings.region.clone(),
+        seeds: gossip_seeds(settings),
+        start: wall_ms(),
+        zone: settings.zone.clone(),
+        zones: settings.zones.clone(),
+    }
+}
+
+/// Seeds name control listeners; datagrams go to the same port at all hosts.
+fn gossip_seeds(settings: &EntrySettings) -> Vec<SocketAddr> {
+    let port = settings.listen.gossip.port();
+    settings.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port)).collect()
+}
+
 /// Passes on what the store tells of one part.
 async fn follow(
     store: Arc<dyn Platform>,
--- a/src/entry/control/handlers.rs
+++ b/src/entry/control/handlers.rs
@@ -7,11 +7,12 @@
 
 use super::{
     Datagram, EntryControl, HostsListed, Leave, Registered, Reload, Share, Shared, Tick, Told,
-    talk::{FAR_HEARTBEATS, REGISTER_PAUSE},
+    gossip_seeds, talk::REGISTER_PAUSE,
 };
 use crate::{
-    entry::{EntrySettings, Heartbeat, Part},
+    entry::{EntrySettings, Part},
     event_log::{Event, Source},
+    fleet::Message,
     prelude::*,
 };
 
@@ -28,7 +29,7 @@
         if self.told(part, told) {
             self.publish();
             // Hosts that do not watch hear of it now, not with the next heartbeat.
-            self.send_heartbeats();
+            self.send_news();
         }
     }
 }
@@ -37,29 +38,18 @@
     type Return = ();
 
     async fn handle(&mut self, Datagram(bytes): Datagram, cx: &mut xtra::Context<Self>) {
-        let heartbeat: Heartbeat = match postcard::from_bytes(&bytes) {
-            Ok(heartbeat) => heartbeat,
-            Err(error) => return log::debug!("a datagram is no heartbeat: {error}"),
+        let message: Message = match postcard::from_bytes(&bytes) {
+            Ok(message) => message,
+            Err(error) => return log::debug!("a datagram can't be read: {error}"),
         };
-        if heartbeat.host == self.parts.settings.host {
-            return;
-        }
-        let now = self.now();
-        let region = self.parts.settings.region_of(&heartbeat.zone);
-        let told: Vec<SocketAddr> = heartbeat.peers.clone();
-        let host = heartbeat.host.clone();
-        let zone = heartbeat.zone.clone();
-        if self.peers.heard(heartbeat, region, now) {
-            self.record(Event::HostHeard { peer: host, zone });
+        let heard = self.fleet.heard(message, self.now());
+        for (peer, zone) in heard.new {
+            self.record(Event::HostHeard { peer, zone });
         }
+        self.send(heard.send);
         if self.followers.is_empty() {
             self.ask(&cx.mailbox().address());
         }
-        for addr in told {
-            if !self.listed_hosts.contains(&addr) && self.listed_hosts.len() < 4096 {
-                self.listed_hosts.push(addr);
-            }
-        }
     }
 }
 
@@ -71,14 +61,14 @@
         for target in self.known_state.tick(now) {
             self.target_gone(target, Source::Listing);
         }
-        for peer in self.peers.tick(now) {
+        for peer in self.fleet.lost(now) {
             self.record(Event::HostLost {
-                peer: peer.heartbeat.host,
+                peer: peer.note.host,
                 silent_ms: now.saturating_sub(peer.heard).as_millis() as u64,
-                zone: peer.heartbeat.zone,
+                zone: peer.zone,
             });
         }
-        self.send_heartbeats();
+        self.send_due();
         let own = cx.mailbox().address();
         self.watch(&own);
         self.ask(&own);
@@ -92,8 +82,7 @@
 
     async fn handle(&mut self, Leave: Leave, _: &mut xtra::Context<Self>) {
         self.leaving = true;
-        self.turn = self.turn.next_multiple_of(FAR_HEARTBEATS) - 1;
-        self.send_heartbeats();
+        self.send_news();
         self.publish();
     }
 }
@@ -105,6 +94,8 @@
         let EntrySettings { bounds, seeds, zones, .. } = settings;
         let known = EntrySettings::clone(&self.parts.settings);
         self.parts.settings = Arc::new(EntrySettings { bounds, seeds, zones, ..known });
+        let seeds = gossip_seeds(&self.parts.settings);
+        self.fleet.reload(seeds, self.parts.settings.zones.clone());
     }
 }
 
@@ -147,7 +138,7 @@
     async fn handle(&mut self, HostsListed(hosts): HostsListed, _: &mut xtra::Context<Self>) {
         match hosts {
             Some(records) => {
-                self.listed_hosts = records.iter().map(|record| record.gossip).collect();
+                self.fleet.listed(records.iter().map(|record| record.gossip));
                 self.tidy(&records);
             }
             None => self.list_hosts_at = self.now() + REGISTER_PAUSE,
--- a/src/entry/control/talk.rs
+++ b/src/entry/control/talk.rs
@@ -1,26 +1,18 @@
 //! What this host tells others and asks of them and of the store.
 
-use std::collections::BTreeSet;
-
 use xtra::WeakAddress;
 
-use super::{EntryControl, HostsListed, Registered, Shared};
+use super::{EntryControl, HEARTBEAT, HostsListed, Registered, Shared, wall_ms};
 use crate::{
-    entry::{Heartbeat, Protocol, records::HostRecord},
+    entry::{Protocol, records::HostRecord},
     event_log::Event,
+    fleet::{Load, Outgoing, OwnState},
     prelude::*,
     store::{Entry, Expect, Platform, PlatformError, new_operation},
 };
 
-/// Beats between two to a host of another region, which needs to know little more than that this
-/// one lives.
-pub(super) const FAR_HEARTBEATS: u64 = 5;
-
-/// Beats between two greetings of addresses that nobody was heard from.
-const GREET_HEARTBEATS: u64 = 10;
-
-/// Addresses of other hosts in one heartbeat: enough to find all within a second or two.
-const TOLD_PEERS: usize = 3;
+/// Length of a turn at sending the zone's report, in milliseconds of the time of day.
+const SLOT_MS: u64 = HEARTBEAT.as_millis() as u64;
 
 /// Pause before the own record is written again after a failure.
 pub(super) const REGISTER_PAUSE: Duration = Duration::from_secs(2);
@@ -30,67 +22,38 @@
 const LIST_HOSTS_PAUSE: Duration = Duration::from_secs(60);
 pub(super) const LIST_HOSTS_FIRST: Duration = Duration::from_millis(1_000);
 
-/// Beats in which a new host greets all the time, and the number between two greetings then.
-pub(super) const NEW_HEARTBEATS: u64 = 20;
-const NEW_GREET_HEARTBEATS: u64 = 2;
-
 impl EntryControl {
-    pub(super) fn heartbeat(&mut self) -> Heartbeat {
-        self.turn += 1;
-        let settings = &self.parts.settings;
-        let report = self.parts.report.load();
-        let all: Vec<SocketAddr> = self.peers.addresses().collect();
-        let first = self.turn as usize * TOLD_PEERS;
-        let told =
-            all.iter().cycle().skip(first % all.len().max(1)).take(TOLD_PEERS.min(all.len()));
-        Heartbeat {
-            callers: settings.listen.callers,
-            control: settings.listen.control,
-            crashes: report.crashes.clone(),
-            demand: report.demand.clone(),
-            gossip: settings.listen.gossip,
-            host: settings.host.clone(),
+    fn own_state(&self) -> OwnState {
+        OwnState {
             leaving: self.leaving,
-            peers: told.copied().collect(),
+            load: Load::clone(&self.parts.load.load()),
             reaches_store: self.election.reaches_store(self.now()),
-            running: report.running.clone(),
-            runs: report.runs.clone(),
             stamp: self.known_state.stamp(),
-            start: self.start,
-            turn: self.turn,
-            zone: settings.zone.clone(),
         }
     }
 
-    /// Sends a heartbeat to all whose turn it is.
-    pub(super) fn send_heartbeats(&mut self) {
-        let now = self.now();
-        let heartbeat = self.heartbeat();
-        let bytes = match postcard::to_allocvec(&heartbeat) {
-            Ok(bytes) => bytes,
-            Err(error) => return log::error!("a heartbeat can't be encoded: {error}"),
-        };
-        let far = self.turn.is_multiple_of(FAR_HEARTBEATS);
-        let region = &self.parts.settings.region;
-        let mut to: BTreeSet<SocketAddr> = self
-            .peers
-            .live(now)
-            .filter(|peer| far || peer.region == *region)
-            .map(|peer| peer.heartbeat.gossip)
-            .collect();
-        let greet =
-            if self.turn < NEW_HEARTBEATS { NEW_GREET_HEARTBEATS } else { GREET_HEARTBEATS };
-        if self.turn % greet == 1 {
-            let port = self.parts.settings.listen.gossip.port();
-            let seeds = self.parts.settings.seeds.iter();
-            to.extend(seeds.map(|seed| SocketAddr::new(seed.ip(), port)));
-            to.extend(self.listed_hosts.iter().copied());
-            to.extend(self.peers.addresses());
-        }
-        to.remove(&self.parts.settings.listen.gossip);
-        for addr in to {
-            if let Err(error) = self.parts.socket.try_send_to(&bytes, addr) {
-                log::debug!("heartbeat to {addr}: {error}");
+    /// Tells other hosts what is due now.
+    pub(super) fn send_due(&mut self) {
+        let due = self.fleet.tick(self.own_state(), wall_ms() / SLOT_MS, self.now());
+        self.send(due);
+    }
+
+    /// Tells other hosts what they must know at once.
+    pub(super) fn send_news(&mut self) {
+        let news = self.fleet.news(self.own_state(), wall_ms() / SLOT_MS, self.now());
+        self.send(news);
+    }
+
+    pub(super) fn send(&self, all: Vec<Outgoing>) {
+        for Outgoing { message, to } in all {
+            let bytes = match postcard::to_allocvec(&message) {
+                Ok(bytes) => bytes,
+                Err(error) => return log::error!("a datagram can't be encoded: {error}"),
+            };
+            for addr in to {
+                if let Err(error) = self.parts.socket.try_send_to(&bytes, addr) {
+                    log::debug!("datagram to {addr}: {error}");
+                }
             }
         }
     }
@@ -101,8 +64,8 @@
         let mine = self.known_state.stamp();
         let region = &self.parts.settings.region;
         let watches = !self.followers.is_empty();
-        let live = self.peers.live(now);
-        let Some(addr) = self.questions.next(&mine, live, region, watches, now) else { return };
+        let informed = self.fleet.informed(now);
+        let Some(addr) = self.questions.next(&mine, informed, region, watches, now) else { return };
         let (peer_client, own) = (self.peer_client.clone(), own.clone());
         let events = self.parts.events.clone();
         tokio::spawn(async move {
@@ -136,8 +99,7 @@
         }
         if self.list_hosts_at <= now {
             self.list_hosts_at = now + LIST_HOSTS_PAUSE;
-            let is_first = self.turn <= NEW_HEARTBEATS;
-            if is_first && self.peers.live(now).next().is_some() {
+            if self.fleet.is_new() && self.fleet.live(now).next().is_some() {
                 return;
             }
             let protocol = self.parts.protocol.clone();
@@ -162,7 +124,7 @@
         if !records.iter().any(|record| record.gossip == own) {
             self.register_at.get_or_insert(now);
         }
-        let heard = self.peers.live(now).map(|peer| peer.heartbeat.gossip).collect();
+        let heard = self.fleet.live(now).map(|peer| peer.note.gossip).collect();
         for record in self.records.stale(records, &heard, own, now) {
             let store = self.parts.store.clone();
             tokio::spawn(async move {
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -15,7 +15,7 @@
 use xtra::Address;
 
 use super::{
-    EntryControl, EntrySettings, Listen, Protocol, Report, TrafficState, ViewCell,
+    EntryControl, EntrySettings, Listen, Protocol, TrafficState, ViewCell,
     control::{ControlParts, Datagram, HEARTBEAT, Leave, Reload, Share, Tick},
     serve::{accept, callers, look_up, ready, small, status},
     sync::{PeerClient, STATE_PATH, since},
@@ -23,6 +23,7 @@
 };
 use crate::{
     event_log::{Event, EventSink},
+    fleet::Load,
     metrics::{EntryMetrics, MeteredEvents},
     prelude::*,
     store::Platform,
@@ -104,13 +105,13 @@
         let bounds: BoundsCell = Arc::new(ArcSwap::from_pointee(settings.bounds.clone()));
         let settings = Arc::new(settings);
         let view: ViewCell = Arc::new(ArcSwapOption::empty());
-        let report = Arc::new(ArcSwap::from_pointee(Report::default()));
+        let load = Arc::new(ArcSwap::from_pointee(Load::default()));
         let control = ControlParts {
             clock: parts.clock.clone(),
             events: events.clone(),
             metrics: metrics.clone(),
             protocol: parts.protocol.clone(),
-            report: report.clone(),
+            load: load.clone(),
             settings: settings.clone(),
             socket: socket.clone(),
             store: parts.store,
@@ -133,7 +134,7 @@
             protocol: parts.protocol,
             leaving,
             listeners,
-            report,
+            load,
             settings: settings.clone(),
             view,
         };
@@ -288,7 +289,7 @@
     protocol: Arc<dyn Protocol>,
     leaving: watch::Receiver<bool>,
     listeners: Listeners,
-    report: Arc<ArcSwap<Report>>,
+    load: Arc<ArcSwap<Load>>,
     settings: Arc<EntrySettings>,
     view: ViewCell,
 }
@@ -326,20 +327,20 @@
             let state = at.clone();
             async move { small(stream, async |req| look_up(&state, &req)).await }
         }));
-        tokio::task::spawn_local(tick(state.clone(), self.report, self.metrics));
+        tokio::task::spawn_local(tick(state.clone(), self.load, self.metrics));
         let _ = self.leaving.wait_for(|leaving| *leaving).await;
         leave(&state).await;
         Ok(())
     }
 }
 
-async fn tick(state: Rc<TrafficState>, report: Arc<ArcSwap<Report>>, metrics: Arc<EntryMetrics>) {
+async fn tick(state: Rc<TrafficState>, load: Arc<ArcSwap<Load>>, metrics: Arc<EntryMetrics>) {
     let mut interval = tokio::time::interval(TICK);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
     loop {
         interval.tick().await;
         state.tick();
-        report.store(Arc::new(state.report()));
+        load.store(Arc::new(state.load()));
         metrics.traffic(state.figures());
     }
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Every host takes any request and sends it to a target itself. What has to be agreed between
 //! hosts is agreed by hashing what all of them know; what has to last lies in the platform's store.
-//! Decisions (`crash_suspects`, `known_state`, `peers`, and the slice `placement`) neither read clocks
+//! Decisions (`crash_suspects`, `known_state`, and the slices `fleet` and `placement`) neither read clocks
 //! nor do I/O; the rest of the slice carries them out.
 
 mod answer;
@@ -17,7 +17,6 @@
 mod known_state;
 mod lookup;
 mod part;
-mod peers;
 mod pipeline;
 mod place;
 mod protocol;
@@ -44,12 +43,11 @@
     host::{EntryHost, EntryParts, OpenError},
     known_state::{KnownState, Revisions, Stamp, UsableTargets},
     part::Part,
-    peers::{Heartbeat, Peer, Peers},
     protocol::{CallerNote, LookupPlace, Protocol, ReplyNote, StoreKeys, Unreadable},
     settings::{Bounds, EntrySettings, Listen},
     settings_file::{Look, SettingsFile, reloaded},
     target::{KnownTarget, TargetEntry},
-    traffic_state::{BoundsCell, Report, TrafficState},
+    traffic_state::{BoundsCell, TrafficState},
     upstream::Pool,
     view::{LiveHost, View, ViewCell},
 };
--- a/src/entry/questions.rs
+++ b/src/entry/questions.rs
@@ -4,8 +4,8 @@
 //! it. One question is under way at a time, since each copy of an answer that is already late makes
 //! the next one later.
 
-use super::{Part, Peer, Stamp};
-use crate::prelude::*;
+use super::{Part, Stamp};
+use crate::{fleet::Informed, prelude::*};
 
 /// A watcher that knows less than another host for longer asks it: the store's own word takes less
 /// time where it comes at all. Hosts that do not watch ask at once.
@@ -36,19 +36,19 @@
 }
 
 impl Questions {
-    /// The host to ask now, of all that live; `watches` says that the store tells this host too.
+    /// The host to ask now, of those that are known to know something; `watches` says that the store tells this host too.
     pub fn next<'a>(
         &mut self,
         mine: &Stamp,
-        live: impl Iterator<Item = &'a Peer>,
+        others: impl Iterator<Item = (&'a RegionId, Informed)>,
         region: &RegionId,
         watches: bool,
         now: Moment,
     ) -> Option<SocketAddr> {
-        let is_ahead = |peer: &&Peer| {
-            Part::ALL.iter().any(|part| peer.heartbeat.stamp.is_ahead_of(mine, *part))
+        let is_ahead = |informed: &Informed| {
+            Part::ALL.iter().any(|part| informed.stamp.is_ahead_of(mine, *part))
         };
-        let ahead: Vec<&Peer> = live.filter(is_ahead).collect();
+        let ahead: Vec<_> = others.filter(|(_, informed)| is_ahead(informed)).collect();
         if ahead.is_empty() {
             self.lags_since = None;
             self.failed.clear();
@@ -60,15 +60,15 @@
         if is_patient || is_waiting || now < self.not_before {
             return None;
         }
-        let untried = ahead.iter().filter(|peer| !self.failed.contains(&peer.heartbeat.control));
+        let untried = ahead.iter().filter(|(_, it)| !self.failed.contains(&it.control));
         // The nearest one answers soonest.
-        let Some(peer) = untried.max_by_key(|peer| peer.region == *region) else {
+        let Some((_, informed)) = untried.max_by_key(|(of, _)| *of == region) else {
             self.failed.clear();
             self.not_before = now + ROUND_PAUSE;
             return None;
         };
         self.sent_at = Some(now);
-        Some(peer.heartbeat.control)
+        Some(informed.control)
     }
 
     /// The host at `addr` answered, or did not.
--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -3,13 +3,14 @@
 use super::secs;
 use crate::{
     entry::{
-        Heartbeat, LiveHost, LookupPlace, Part, Peer, Peers, Revisions, Stamp,
+        LiveHost, LookupPlace, Part, Revisions, Stamp,
         lookup::addresses,
         questions::Questions,
         records::{HostRecord, Records},
         sync::{Difference, LastAnswer, RawObjects, since},
         watchers::WatcherElection,
     },
+    fleet::{HostNote, Informed, Load, Peer},
     prelude::*,
 };
 
@@ -17,51 +18,6 @@
     SocketAddr::from(([127, 0, 0, 1], port))
 }
 
-fn heartbeat(host: &str, start: u64, turn: u64) -> Heartbeat {
-    Heartbeat {
-        callers: addr(1),
-        control: addr(2),
-        crashes: Vec::new(),
-        demand: Vec::new(),
-        gossip: addr(3),
-        host: host.into(),
-        leaving: false,
-        peers: Vec::new(),
-        reaches_store: true,
-        running: Vec::new(),
-        runs: Vec::new(),
-        stamp: Stamp::default(),
-        start,
-        turn,
-        zone: "north-a".into(),
-    }
-}
-
-/// A silent host is taken for lost within two seconds, and lives again with its next word.
-#[test]
-fn silence_is_loss() {
-    let mut peers = Peers::default();
-    assert!(peers.heard(heartbeat("h", 1, 1), "north".into(), secs(1.0)));
-    assert!(!peers.heard(heartbeat("h", 1, 2), "north".into(), secs(1.5)));
-    assert_eq!(peers.live(secs(3.0)).count(), 1);
-    assert_eq!(peers.live(secs(3.3)).count(), 0);
-    assert!(peers.heard(heartbeat("h", 1, 3), "north".into(), secs(4.0)));
-    assert_eq!(peers.live(secs(4.0)).count(), 1);
-}
-
-/// A lost host is told once, and again only after it was heard.
-#[test]
-fn a_loss_is_told_once() {
-    let mut peers = Peers::default();
-    peers.heard(heartbeat("h", 1, 1), "north".into(), secs(1.0));
-    assert!(peers.tick(secs(2.0)).is_empty());
-    assert_eq!(peers.tick(secs(3.0)).len(), 1);
-    assert!(peers.tick(secs(4.0)).is_empty());
-    peers.heard(heartbeat("h", 1, 2), "north".into(), secs(5.0));
-    assert!(peers.tick(secs(5.1)).is_empty());
-    assert_eq!(peers.tick(secs(7.0)).len(), 1);
-}
-
 /// Hosts are replaced for good under new names. Their records go after ten minutes of silence; a
 /// host that was heard in between, the own one, and all while nobody is heard stay.
 #[test]
@@ -80,26 +36,6 @@
     assert!(records.stale(&listed, &heard, own, secs(720.0)).is_empty(), "it was heard meanwhile");
 }
 
-/// A datagram that was overtaken, or comes from the start before the last, says nothing.
-#[test]
-fn old_words_do_not_count() {
-    let mut peers = Peers::default();
-    peers.heard(heartbeat("h", 2, 5), "north".into(), secs(1.0));
-    peers.heard(Heartbeat { leaving: true, ..heartbeat("h", 2, 4) }, "north".into(), secs(1.1));
-    peers.heard(Heartbeat { leaving: true, ..heartbeat("h", 1, 9) }, "north".into(), secs(1.2));
-    assert!(peers.live(secs(1.3)).all(|peer| !peer.heartbeat.leaving));
-}
-
-/// A host starts again after its wall clock was set back: by its start it would be older than
-/// before. After a silence its words count all the same.
-#[test]
-fn a_host_whose_clock_went_back_is_heard_again() {
-    let mut peers = Peers::default();
-    peers.heard(heartbeat("h", 9_000, 5), "north".into(), secs(1.0));
-    peers.heard(heartbeat("h", 4_000, 1), "north".into(), secs(3.0));
-    assert_eq!(peers.live(secs(3.0)).map(|peer| peer.heartbeat.start).collect::<Vec<_>>(), [4_000]);
-}
-
 /// Callers are sent to all hosts of their region, and to the others only where that has none.
 #[test]
 fn callers_are_sent_to_their_region() {
@@ -115,28 +51,26 @@
     assert_eq!(addresses(&hosts, &place("west")), [addr(1), addr(2), addr(3)]);
 }
 
-/// A heartbeat is read back as it was written, and damaged ones are refused or read, never a panic.
-#[test]
-fn beats_survive_the_way_and_damage() {
-    let mut sent = heartbeat("h", 1, 2);
-    sent.running = vec![(7, 3)];
-    sent.runs = vec![(7, 11)];
-    sent.peers = vec![addr(9)];
-    let bytes = postcard::to_allocvec(&sent).expect("a heartbeat can be encoded");
-    assert_eq!(postcard::from_bytes::<Heartbeat>(&bytes).expect("a heartbeat"), sent);
-    for at in 0..bytes.len() {
-        for value in [0, 1, 127, 128, 255] {
-            let mut damaged = bytes.clone();
-            damaged[at] = value;
-            let _ = postcard::from_bytes::<Heartbeat>(&damaged);
-            let _ = postcard::from_bytes::<Heartbeat>(&damaged[..at]);
-        }
-    }
-}
-
 fn peer(host: &str, region: &str, reaches_store: bool) -> Peer {
-    let heartbeat = Heartbeat { reaches_store, ..heartbeat(host, 1, 1) };
-    Peer { heartbeat, heard: secs(1.0), is_lost: false, region: region.into() }
+    let note = HostNote {
+        callers: addr(1),
+        control: addr(2),
+        gossip: addr(3),
+        host: host.into(),
+        leaving: false,
+        reaches_store,
+        start: 1,
+        turn: 1,
+    };
+    Peer {
+        heard: secs(1.0),
+        is_lost: false,
+        load: Load::default(),
+        note,
+        region: region.into(),
+        stamp: None,
+        zone: "north-a".into(),
+    }
 }
 
 /// Six hosts of a region: two watch the store, and each finds out by itself whether it is one of
@@ -260,20 +194,15 @@
 #[test]
 fn a_host_that_does_not_answer_is_not_asked_again_at_once() {
     let region = RegionId::from("north");
-    let ahead = |host: &str, port, region: &str| Peer {
-        heartbeat: Heartbeat {
-            control: addr(port),
-            stamp: Stamp { declared: 2, ..Stamp::default() },
-            ..heartbeat(host, 1, 1)
-        },
-        heard: secs(1.0),
-        is_lost: false,
-        region: region.into(),
+    let ahead = |port, region: &str| {
+        let stamp = Stamp { declared: 2, ..Stamp::default() };
+        (RegionId::from(region), Informed { control: addr(port), stamp })
     };
-    let peers = [ahead("far", 1, "south"), ahead("near", 2, "north")];
+    let others = [ahead(1, "south"), ahead(2, "north")];
     let mut questions = Questions::default();
     let next = |it: &mut Questions, now| {
-        it.next(&Stamp::default(), peers.iter(), &region, false, secs(now))
+        let others = others.iter().map(|(region, informed)| (region, informed.clone()));
+        it.next(&Stamp::default(), others, &region, false, secs(now))
     };
     assert_eq!(next(&mut questions, 1.0), Some(addr(2)));
     assert_eq!(next(&mut questions, 1.1), None, "one question at a time");
--- a/src/entry/traffic_state.rs
+++ b/src/entry/traffic_state.rs
@@ -16,6 +16,7 @@
 use crate::{
     admission::Allowance,
     event_log::{Event, EventSink, PauseReason, RequestKey},
+    fleet::Load,
     metrics::TrafficFigures,
     placement::{
         ColdRates, Condition, ConditionChange, Ended, Forecast, HeldObjects, Learnt, ObjectTag,
@@ -333,16 +334,17 @@
     }
 
     /// What other hosts are told: requests in attempt by target, demand by service, crashes.
-    pub fn report(&self) -> Report {
+    pub fn load(&self) -> Load {
         let conditions = self.conditions.borrow();
         let busy = conditions.iter().filter(|(_, condition)| 0 < condition.in_flight);
-        let running =
-            busy.map(|(tag, condition)| (*tag, condition.in_flight.min(255) as u8)).collect();
+        let running = busy
+            .map(|(tag, condition)| (*tag, condition.in_flight.min(u32::from(u16::MAX)) as u16))
+            .collect();
         let services = self.services.borrow();
         let demand =
             services.iter().map(|(name, state)| (service_tag(name), state.demand as f32)).collect();
         let crashes = self.crash_suspects.borrow().marks();
-        Report { crashes, demand, running, runs: self.told_runs() }
+        Load { crashes, demand, running, runs: self.told_runs() }
     }
 }
 
@@ -374,16 +376,6 @@
     }
 }
 
-/// What the control side tells other hosts.
-#[derive(Clone, Debug, Default)]
-pub struct Report {
-    pub crashes: Vec<(u64, u8)>,
-    pub demand: Vec<(u32, f32)>,
-    pub running: Vec<(u32, u8)>,
-    /// Objects that targets were lately asked for.
-    pub runs: Vec<(TargetTag, ObjectTag)>,
-}
-
 /// A request in attempt at a target.
 pub struct InFlight {
     state: Rc<TrafficState>,
--- a/src/entry/watchers.rs
+++ b/src/entry/watchers.rs
@@ -2,13 +2,11 @@
 //!
 //! A waiting watch counts as a call, and every change makes each watcher call again. So two hosts
 //! of a region watch, chosen by hash among the living that reach the store; the others hear of
-//! changes by heartbeats and ask. A host that hears nobody watches itself. Twelve hosts that all watched
-//! made 986 to 1,106 calls in a day of 40 s.
+//! changes by heartbeats and ask. A host that hears nobody watches itself.
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::Peer;
-use crate::prelude::*;
+use crate::{fleet::Peer, prelude::*};
 
 /// Watchers in a region: while one is lost unnoticed, the other still tells.
 const WATCHERS: usize = 2;
@@ -49,9 +47,7 @@
         let weight = |host: &HostId| (xxh3_64(host.as_bytes()), host.clone());
         let own = weight(host);
         let before = peers.filter(|peer| {
-            peer.region == *region
-                && peer.heartbeat.reaches_store
-                && own < weight(&peer.heartbeat.host)
+            peer.region == *region && peer.note.reaches_store && own < weight(&peer.note.host)
         });
         let needed = before.take(WATCHERS).count() < WATCHERS;
         if needed {
--- /dev/null
+++ b/src/fleet/contacts.rs
@@ -0,0 +1,60 @@
+//! Addresses of hosts that may live and are not heard: how hosts find each other.
+
+use std::collections::BTreeSet;
+
+use crate::prelude::*;
+
+/// Most addresses that are kept.
+const MOST: usize = 4_096;
+
+/// Addresses whose zone is not known that are greeted at once.
+const UNPLACED_AT_ONCE: usize = 16;
+
+/// Addresses that were told, with their zones as far as these are known.
+#[derive(Clone, Debug, Default)]
+pub struct Contacts {
+    told: BTreeMap<SocketAddr, Option<ZoneId>>,
+}
+
+impl Contacts {
+    /// A host of a zone was told.
+    pub fn told(&mut self, addr: SocketAddr, zone: ZoneId) {
+        if self.told.len() < MOST || self.told.contains_key(&addr) {
+            self.told.insert(addr, Some(zone));
+        }
+    }
+
+    /// All hosts that the store's records name, in place of what was told before: what is gone for
+    /// good would be greeted for ever.
+    pub fn listed(&mut self, addrs: impl Iterator<Item = SocketAddr>) {
+        let zone = |addr| (addr, self.told.get(&addr).cloned().flatten());
+        self.told = addrs.take(MOST).map(zone).collect();
+    }
+
+    /// Whom to greet of those that are not `live`: all of the own zone, one of each zone that has
+    /// no living host, some whose zone is not known. `turn` makes it others each time.
+    pub fn to_greet(
+        &self,
+        own_zone: &ZoneId,
+        live: &BTreeSet<SocketAddr>,
+        live_zones: &BTreeSet<&ZoneId>,
+        turn: usize,
+    ) -> BTreeSet<SocketAddr> {
+        let mut found = BTreeSet::new();
+        let mut by_zone: BTreeMap<&ZoneId, Vec<SocketAddr>> = BTreeMap::new();
+        let mut unplaced = Vec::new();
+        for (addr, zone) in self.told.iter().filter(|(addr, _)| !live.contains(addr)) {
+            match zone {
+                Some(zone) if zone == own_zone => _ = found.insert(*addr),
+                Some(zone) if live_zones.contains(zone) => {}
+                Some(zone) => by_zone.entry(zone).or_default().push(*addr),
+                None => unplaced.push(*addr),
+            }
+        }
+        found.extend(by_zone.values().map(|addrs| addrs[turn % addrs.len()]));
+        let first = turn.wrapping_mul(UNPLACED_AT_ONCE) % unplaced.len().max(1);
+        found
+            .extend(unplaced.iter().cycle().skip(first).take(UNPLACED_AT_ONCE.min(unplaced.len())));
+        found
+    }
+}
--- /dev/null
+++ b/src/fleet/load.rs
@@ -0,0 +1,54 @@
+//! What hosts have in attempt at targets and what their callers ask for.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    hash::Hash,
+};
+
+use crate::{
+    placement::{ObjectTag, TargetTag},
+    prelude::*,
+};
+
+/// Most runs that are told of a zone together: with its other figures they stay in a few packets.
+const RUNS_MOST: usize = 256;
+
+/// What one host, or all hosts of a zone together, tell of their requests.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Load {
+    /// Requests that crash targets: fingerprint and crashes seen.
+    pub crashes: Vec<(u64, u8)>,
+    /// Busy slots that callers ask for, by hash of the service.
+    pub demand: Vec<(u32, f32)>,
+    /// Requests in attempt by target.
+    pub running: Vec<(TargetTag, u16)>,
+    /// Objects that targets were lately asked for.
+    pub runs: Vec<(TargetTag, ObjectTag)>,
+}
+
+impl Load {
+    /// That of several hosts together.
+    pub fn sum<'a>(loads: impl Iterator<Item = &'a Load> + Clone) -> Self {
+        let runs: BTreeSet<_> = loads.clone().flat_map(|load| &load.runs).copied().collect();
+        Self {
+            crashes: summed(loads.clone().flat_map(|load| &load.crashes), u8::saturating_add),
+            demand: summed(loads.clone().flat_map(|load| &load.demand), |a, b| a + b),
+            running: summed(loads.flat_map(|load| &load.running), u16::saturating_add),
+            runs: runs.into_iter().take(RUNS_MOST).collect(),
+        }
+    }
+}
+
+fn summed<'a, K, N>(pairs: impl Iterator<Item = &'a (K, N)>, add: impl Fn(N, N) -> N) -> Vec<(K, N)>
+where
+    K: Copy + Eq + Hash + Ord + 'a,
+    N: Copy + 'a,
+{
+    let mut sums: HashMap<K, N> = HashMap::new();
+    for (key, count) in pairs {
+        sums.entry(*key).and_modify(|sum| *sum = add(*sum, *count)).or_insert(*count);
+    }
+    let mut sums: Vec<(K, N)> = sums.into_iter().collect();
+    sums.sort_unstable_by_key(|(key, _)| *key);
+    sums
+}
--- /dev/null
+++ b/src/fleet/messages.rs
@@ -0,0 +1,76 @@
+//! Datagrams between entry hosts.
+
+use super::Load;
+use crate::{entry::Stamp, prelude::*};
+
+/// One datagram.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Message {
+    Heartbeat(Heartbeat),
+    Zone(ZoneReport),
+}
+
+/// What is told of one host everywhere.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct HostNote {
+    /// Address of its callers' listener.
+    pub callers: SocketAddr,
+    /// Address of its control listener.
+    pub control: SocketAddr,
+    pub gossip: SocketAddr,
+    pub host: HostId,
+    /// It takes no new callers.
+    pub leaving: bool,
+    /// The store answers it.
+    pub reaches_store: bool,
+    /// Wall clock at its start, in milliseconds: a restarted host has a higher one.
+    pub start: u64,
+    /// Rises with each message of one start.
+    pub turn: u64,
+}
+
+impl HostNote {
+    /// Which of two words of one host is the later one.
+    pub fn order(&self) -> (u64, u64) {
+        (self.start, self.turn)
+    }
+}
+
+/// What a host tells those of its zone, several times a second; to a host of another zone it is a
+/// greeting, and answered with that zone's report.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Heartbeat {
+    /// Hosts that it hears: gossip address and zone.
+    pub contacts: Vec<(SocketAddr, ZoneId)>,
+    pub load: Load,
+    pub note: HostNote,
+    pub stamp: Stamp,
+    pub zone: ZoneId,
+}
+
+/// What the hosts of a zone tell other zones, by one of them.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ZoneReport {
+    /// The host that sent it.
+    pub by: HostId,
+    /// For a host that greeted: whom else to greet.
+    pub contacts: Vec<(SocketAddr, ZoneId)>,
+    /// Its living hosts, and for how many milliseconds each had been silent.
+    pub hosts: Vec<(HostNote, u16)>,
+    /// For each part of the store's state, the host that knows most of it.
+    pub informed: Vec<Informed>,
+    /// That of all its hosts together.
+    pub load: Load,
+    /// It came from a host of the receiver's own zone, and goes no further.
+    pub is_passed_on: bool,
+    /// Start and turn of the host that sent it.
+    pub order: (u64, u64),
+    pub zone: ZoneId,
+}
+
+/// A host, and what it knows of the store.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Informed {
+    pub control: SocketAddr,
+    pub stamp: Stamp,
+}
--- /dev/null
+++ b/src/fleet/peers.rs
@@ -0,0 +1,127 @@
+//! Other hosts, as they were last heard or heard of.
+
+use super::{Heartbeat, HostNote, Load};
+use crate::{entry::Stamp, prelude::*};
+
+/// A host that is silent longer than this is taken for lost. Reports between regions come every half
+/// second, so that two of them may go missing.
+pub const SILENCE: Duration = Duration::from_millis(1_700);
+
+/// A silent host's address is greeted this long, so that it is found again after a partition.
+const FORGET: Duration = Duration::from_secs(120);
+
+/// A host as it was last heard.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// When it last spoke, as far as this host was told.
+    pub heard: Moment,
+    /// It was told to be lost.
+    pub is_lost: bool,
+    /// Its own word, where it was heard directly.
+    pub load: Load,
+    pub note: HostNote,
+    pub region: RegionId,
+    /// Its own word, where it was heard directly.
+    pub stamp: Option<Stamp>,
+    pub zone: ZoneId,
+}
+
+impl Peer {
+    /// Whether it counts as living.
+    pub fn is_live(&self, now: Moment) -> bool {
+        now.saturating_sub(self.heard) < SILENCE
+    }
+}
+
+/// All hosts that were heard.
+#[derive(Clone, Debug, Default)]
+pub struct Peers {
+    peers: BTreeMap<HostId, Peer>,
+}
+
+impl Peers {
+    /// Takes a heartbeat in; true when it comes from a host that did not count as living.
+    pub fn heard(&mut self, heartbeat: Heartbeat, region: RegionId, now: Moment) -> bool {
+        let Heartbeat { load, note, stamp, zone, .. } = heartbeat;
+        let known = self.peers.get(&note.host);
+        if known.is_some_and(|known| is_outdated(&note, known, now)) {
+            return false;
+        }
+        let new = known.is_none_or(|known| !known.is_live(now));
+        let stamp = Some(stamp);
+        let host = note.host.clone();
+        let peer = Peer { heard: now, is_lost: false, load, note, region, stamp, zone };
+        self.peers.insert(host, peer);
+        new
+    }
+
+    /// Takes another host's word of a host that spoke at `heard`; true when that one did not count
+    /// as living.
+    ///
+    /// Only ever prolongs a life: a host that was cut off from its zone, and tells of itself alone,
+    /// must not take the others out of look-ups.
+    pub fn told(
+        &mut self,
+        note: HostNote,
+        zone: &ZoneId,
+        region: &RegionId,
+        heard: Moment,
+        now: Moment,
+    ) -> bool {
+        let Some(known) = self.peers.get_mut(&note.host) else {
+            let peer = Peer {
+                heard,
+                is_lost: false,
+                load: Load::default(),
+                note,
+                region: region.clone(),
+                stamp: None,
+                zone: zone.clone(),
+            };
+            let new = peer.is_live(now);
+            self.peers.insert(peer.note.host.clone(), peer);
+            return new;
+        };
+        if note.order() < known.note.order() && known.is_live(now) {
+            return false;
+        }
+        let was_live = known.is_live(now);
+        known.heard = known.heard.max(heard);
+        known.note = note;
+        known.region = region.clone();
+        known.zone = zone.clone();
+        let new = !was_live && known.is_live(now);
+        known.is_lost &= !new;
+        new
+    }
+
+    /// Hosts that live, in the order of their names.
+    pub fn live(&self, now: Moment) -> impl Iterator<Item = &Peer> + Clone {
+        self.peers.values().filter(move |peer| peer.is_live(now))
+    }
+
+    /// Hosts that have been silent for a while.
+    pub fn silent(&self, now: Moment) -> impl Iterator<Item = &Peer> + Clone {
+        self.peers.values().filter(move |peer| !peer.is_live(now))
+    }
+
+    /// Tells which hosts have fallen silent since the last call, and forgets those that were silent
+    /// for long.
+    pub fn tick(&mut self, now: Moment) -> Vec<Peer> {
+        let mut lost = Vec::new();
+        for peer in self.peers.values_mut() {
+            if !peer.is_lost && !peer.is_live(now) {
+                peer.is_lost = true;
+                lost.push(peer.clone());
+            }
+        }
+        self.peers.retain(|_, peer| now.saturating_sub(peer.heard) < FORGET);
+        lost
+    }
+}
+
+/// Datagrams overtake each other, and a start before the last has nothing to say. A clock that was
+/// set back would silence the host for good, so after a while any word counts.
+fn is_outdated(note: &HostNote, known: &Peer, now: Moment) -> bool {
+    note.order() <= known.note.order() && known.is_live(now)
+}
--- /dev/null
+++ b/src/fleet/tests/reports.rs
@@ -0,0 +1,90 @@
+//! What zones tell of themselves.
+
+use super::{note, secs};
+use crate::{
+    fleet::{Load, Reports, Rotation, ZoneReport},
+    prelude::*,
+};
+
+fn report(by: &str, turn: u64, hosts: usize, running: u16) -> ZoneReport {
+    ZoneReport {
+        by: by.into(),
+        contacts: Vec::new(),
+        hosts: (0..hosts).map(|at| (note(&format!("h-{at}"), 1, turn), 0)).collect(),
+        informed: Vec::new(),
+        load: Load { running: vec![(7, running)], ..Load::default() },
+        is_passed_on: false,
+        order: (1, turn),
+        zone: "north-b".into(),
+    }
+}
+
+fn running(reports: &Reports, now: Moment) -> Option<u16> {
+    reports.loads(now).flat_map(|(_, load)| &load.running).map(|(_, count)| *count).next()
+}
+
+/// A report comes twice, by two hosts of the own zone: it counts, and is passed on, once.
+#[test]
+fn a_report_counts_once() {
+    let mut reports = Reports::default();
+    assert!(reports.take(&report("h-1", 3, 4, 9), secs(1.0)));
+    assert!(!reports.take(&report("h-1", 3, 4, 9), secs(1.0)));
+    assert!(!reports.take(&report("h-1", 2, 4, 1), secs(1.1)));
+    assert!(reports.take(&report("h-2", 1, 4, 5), secs(1.2)), "another host counts for itself");
+    assert_eq!(running(&reports, secs(1.2)), Some(5));
+    assert_eq!(running(&reports, secs(3.0)), None, "a zone that is silent tells nothing");
+}
+
+/// A host that was frozen wakes and tells of itself alone. Its sums would make all targets that its
+/// zone keeps busy look idle, and they would be sent more than they hold.
+#[test]
+fn a_host_alone_does_not_speak_for_its_zone() {
+    let mut reports = Reports::default();
+    reports.take(&report("h-1", 3, 6, 9), secs(1.0));
+    assert!(reports.take(&report("h-2", 1, 1, 0), secs(1.1)));
+    assert_eq!(running(&reports, secs(1.1)), Some(9));
+    reports.take(&report("h-2", 2, 1, 0), secs(2.1));
+    assert_eq!(running(&reports, secs(2.1)), Some(0), "the others may really be gone");
+}
+
+/// Loads of several hosts add up by target and by service, and each run is told once.
+#[test]
+fn loads_add_up() {
+    let one = Load {
+        crashes: vec![(1, 2)],
+        demand: vec![(5, 0.5)],
+        running: vec![(7, 2), (8, 1)],
+        runs: vec![(7, 11)],
+    };
+    let two = Load { running: vec![(7, 3)], ..one.clone() };
+    let sum = Load::sum([&one, &two].into_iter());
+    assert_eq!(sum.running, [(7, 5), (8, 1)]);
+    assert_eq!((sum.crashes, sum.demand, sum.runs), (vec![(1, 4)], vec![(5, 1.0)], vec![(7, 11)]));
+}
+
+/// Each host of a zone has one turn in a round, also where its ticks come late or its clock jumps.
+#[test]
+fn turns_go_round() {
+    let mut hosts: Vec<Rotation> = (0..5).map(|_| Rotation::default()).collect();
+    let mut turns = |slot: u64| -> Vec<usize> {
+        let due = hosts.iter_mut().enumerate();
+        due.filter_map(|(at, host)| host.is_due(slot, at, 5).then_some(at)).collect()
+    };
+    assert_eq!(turns(10), [0]);
+    assert_eq!(turns(11), [1]);
+    assert!(turns(11).is_empty());
+    assert_eq!(turns(13), [2, 3], "a late tick takes the turn that it passed");
+    assert_eq!(turns(90), [0, 1, 2, 3, 4], "a long one takes one turn, not many");
+    assert_eq!(turns(40), [0], "and a clock that was set back goes on from there");
+}
+
+/// Receivers change with each turn, so that one that is gone costs a report, not all.
+#[test]
+fn receivers_take_turns() {
+    let all = ["a", "b", "c"];
+    assert_eq!(Rotation::receivers(4, &all, 1), ["b"]);
+    assert_eq!(Rotation::receivers(5, &all, 1), ["c"]);
+    assert_eq!(Rotation::receivers(1, &all, 2), ["c", "a"]);
+    assert_eq!(Rotation::receivers(0, &["a"], 2), ["a"]);
+    assert!(Rotation::receivers::<&str>(3, &[], 2).is_empty());
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod drain;
 pub mod entry;
 pub mod event_log;
+pub mod fleet;
 pub mod forward;
 pub mod ingress;
 pub mod ledger;
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -9,7 +9,8 @@
 };
 
 use lavenderplank::{
-    entry::{EntryHost, Heartbeat, Revisions, Stamp},
+    entry::{EntryHost, Revisions, Stamp},
+    fleet::{Heartbeat, HostNote, Load, Message},
     platform::standin::{Conduct, StoreStandin},
 };
 use serde_json::json;
@@ -526,24 +527,19 @@
     let gossip = socket.local_addr().expect("an address");
     for turn in 1.. {
         let stamp = *stamp.borrow();
-        let heartbeat = Heartbeat {
+        let note = HostNote {
             callers: control,
             control,
-            crashes: Vec::new(),
-            demand: Vec::new(),
             gossip,
             host: name.into(),
             leaving: false,
-            peers: Vec::new(),
             reaches_store: true,
-            running: Vec::new(),
-            runs: Vec::new(),
-            stamp,
             start: 1,
             turn,
-            zone: "north-b".into(),
         };
-        let bytes = postcard::to_allocvec(&heartbeat).expect("a heartbeat has a form");
+        let (contacts, load, zone) = (Vec::new(), Load::default(), "north-b".into());
+        let message = Message::Heartbeat(Heartbeat { contacts, load, note, stamp, zone });
+        let bytes = postcard::to_allocvec(&message).expect("a heartbeat has a form");
         socket.send_to(&bytes, to).await.expect("loopback takes datagrams");
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
