Bound shifts by what all hosts of a region sent, not by each host's shares

Now hosts tell what they sent by service and region in the last window and the one before. A new host begins with the parts that its region really sent, or with the assumption where nobody sent enough; shares move slower the more was moved, and nothing more goes to a region whose part has grown by most of the bound. With that shares go at 0.7 of the bound again (0.4). Test: hosts_that_start_keep_the_bound_together, which asserts that hosts on their own break it.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -149,6 +149,9 @@
                 *view.elsewhere.entry(*tag).or_default() += u32::from(*count);
             }
             view.runs.extend(&load.runs);
+            if *region == settings.region {
+                view.sent.add(&load.sent);
+            }
             for (service, slots) in &load.demand {
                 *demand.entry((region.clone(), *service)).or_default() += f64::from(*slots);
             }
--- a/src/entry/place.rs
+++ b/src/entry/place.rs
@@ -1,9 +1,10 @@
 //! Which target a request goes to, by what this host sees and others tell.
 
-use super::{KnownTarget, Route, TrafficState, View, view::service_tag};
+use super::{KnownTarget, Route, TrafficState, View};
 use crate::{
     placement::{
-        Ask, Candidate, Choice, Forecast, ObjectTag, Offer, RegionLoad, Shares, choose, is_sender,
+        Ask, Candidate, Choice, Forecast, NameTag, ObjectTag, Offer, RegionLoad, Shares, choose,
+        is_sender, name_tag,
     },
     prelude::*,
 };
@@ -107,9 +108,15 @@
         let loads = || region_loads(view, targets, &wanted.service, state.demand, home, now);
         let shares = match &mut state.shares {
             Some(shares) => shares,
-            none => none.insert(Shares::new(home.clone(), &loads(), &self.tuning, now)),
+            none => {
+                let parts = self.region_sent.borrow().parts(name_tag(&wanted.service));
+                let begun =
+                    Shares::begin(home.clone(), &loads(), parts.as_ref(), &self.tuning, now);
+                none.insert(begun)
+            }
         };
-        let Some(region) = region(shares, seed, &candidates) else {
+        let held = self.held_regions.borrow();
+        let Some(region) = region(shares, seed, &candidates, home, &held) else {
             return Placement::none(home);
         };
         let ask = Ask {
@@ -190,13 +197,22 @@
     }
 }
 
-/// The region that the shares name for an object, or else the one with the largest share of those
-/// that have candidates.
-fn region(shares: &Shares, seed: ObjectTag, candidates: &[Candidate<'_>]) -> Option<RegionId> {
+/// The region that the shares name for an object, the home region if nothing more may be moved
+/// there, or else the one with the largest share of those that have candidates.
+fn region(
+    shares: &Shares,
+    seed: ObjectTag,
+    candidates: &[Candidate<'_>],
+    home: &RegionId,
+    held: &[NameTag],
+) -> Option<RegionId> {
+    let has = |region: &RegionId| candidates.iter().any(|it| it.target.region == *region);
     let named = shares.pick(f64::from(seed) / f64::from(ObjectTag::MAX));
-    if let Some(region) = named
-        && candidates.iter().any(|candidate| candidate.target.region == *region)
-    {
+    let named = named.map(|region| match held.contains(&name_tag(region)) && has(home) {
+        true => home,
+        false => region,
+    });
+    if let Some(region) = named.filter(|region| has(region)) {
         return Some(region.clone());
     }
     let share = |candidate: &&Candidate<'_>| shares.of(&candidate.target.region);
@@ -234,7 +250,7 @@
         let part = if target.is_cold(now) { COLD_SLOTS } else { 1.0 };
         *slots.entry(&target.region).or_default() += f64::from(target.entry.slots) * part;
     }
-    let tag = service_tag(service);
+    let tag = name_tag(service);
     let demand = |region: &RegionId| {
         let told = view.demand.get(&(region.clone(), tag)).copied().unwrap_or_default();
         let sum = if region == home { told + own_demand } else { told };
--- a/src/entry/traffic_state.rs
+++ b/src/entry/traffic_state.rs
@@ -11,7 +11,6 @@
 use super::{
     Bounds, CrashSuspects, EntrySettings, KnownTarget, Pool, Protocol, Route, View, ViewCell,
     bodies::BodyMemory, place::region_loads, service_state::ServiceState, upstream::connect,
-    view::service_tag,
 };
 use crate::{
     admission::Allowance,
@@ -19,8 +18,8 @@
     fleet::Load,
     metrics::TrafficFigures,
     placement::{
-        ColdRates, Condition, ConditionChange, Ended, Forecast, HeldObjects, Learnt, ObjectTag,
-        RoundTrips, TargetTag, Tuning,
+        ColdRates, Condition, ConditionChange, Ended, Forecast, HeldObjects, Learnt, NameTag,
+        ObjectTag, RegionSent, RoundTrips, SentWindow, TargetTag, Tuning, name_tag,
     },
     prelude::*,
 };
@@ -52,6 +51,11 @@
     own_runs: RefCell<VecDeque<(Moment, TargetTag, ObjectTag)>>,
     /// The view whose runs were taken in last.
     heard_runs: Cell<Moment>,
+    sent: RefCell<SentWindow>,
+    /// What all hosts of the region sent, as of the last tick.
+    pub(super) region_sent: RefCell<RegionSent>,
+    /// Regions to which nothing more may be moved for now.
+    pub(super) held_regions: RefCell<Vec<NameTag>>,
     pub(super) trips: RefCell<RoundTrips>,
     pub(super) tuning: Tuning,
     counted: Cell<Moment>,
@@ -92,6 +96,9 @@
             held: RefCell::default(),
             own_runs: RefCell::default(),
             heard_runs: Cell::default(),
+            sent: RefCell::default(),
+            region_sent: RefCell::default(),
+            held_regions: RefCell::default(),
             trips: RefCell::default(),
             tuning: Tuning::default(),
             counted: Cell::default(),
@@ -188,6 +195,8 @@
         if target.is_cold(now) {
             self.cold.borrow_mut().sent(target);
         }
+        let (service, region) = (name_tag(&target.entry.service), name_tag(&target.region));
+        self.sent.borrow_mut().sent(service, region, now);
         self.conditions.borrow_mut().entry(target.tag).or_default().in_flight += 1;
         self.running.borrow_mut().entry(target.tag).or_default().push(fingerprint);
         InFlight { state: self.clone(), forecast, fingerprint, started: now, tag: target.tag }
@@ -289,6 +298,7 @@
         self.hear_runs(&view);
         self.own_runs.borrow_mut().retain(|(at, _, _)| now < *at + RUNS_TOLD);
         self.crash_suspects.borrow_mut().tick(now);
+        self.count_sent(&view, now);
         let spent = now.saturating_sub(self.counted.get());
         if spent < Duration::from_millis(500) {
             return;
@@ -301,7 +311,8 @@
         self.conditions
             .borrow_mut()
             .retain(|tag, condition| 0 < condition.in_flight || known.contains(tag));
-        let max_shift = self.bounds().max_shift;
+        let max_shift =
+            self.bounds().max_shift * self.region_sent.borrow().pace(self.bounds().max_shift);
         for (service, state) in self.services.borrow_mut().iter_mut() {
             state.measure(spent);
             let Some(targets) = view.targets.get(service) else { continue };
@@ -314,6 +325,14 @@
         }
     }
 
+    /// Takes in what all hosts of the region sent to each region.
+    fn count_sent(&self, view: &View, now: Moment) {
+        let mut sent = view.sent.clone();
+        sent.add(&self.sent.borrow_mut().counts(now));
+        *self.held_regions.borrow_mut() = sent.held(self.bounds().max_shift);
+        *self.region_sent.borrow_mut() = sent;
+    }
+
     /// The latest runs that are told, each once.
     fn told_runs(&self) -> Vec<(TargetTag, ObjectTag)> {
         let own = self.own_runs.borrow();
@@ -342,9 +361,10 @@
             .collect();
         let services = self.services.borrow();
         let demand =
-            services.iter().map(|(name, state)| (service_tag(name), state.demand as f32)).collect();
+            services.iter().map(|(name, state)| (name_tag(name), state.demand as f32)).collect();
         let crashes = self.crash_suspects.borrow().marks();
-        Load { crashes, demand, running, runs: self.told_runs() }
+        let sent = self.sent.borrow_mut().counts(self.clock.now());
+        Load { crashes, demand, running, runs: self.told_runs(), sent }
     }
 }
 
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -6,7 +6,7 @@
 
 use super::{Declared, UsableTargets};
 use crate::{
-    placement::{ObjectTag, TargetTag},
+    placement::{ObjectTag, RegionSent, TargetTag},
     prelude::*,
 };
 
@@ -26,6 +26,8 @@
     pub crashes: HashMap<u64, u8>,
     /// Objects that other hosts lately asked targets for.
     pub runs: Vec<(TargetTag, ObjectTag)>,
+    /// What other hosts of the own region sent to each region.
+    pub sent: RegionSent,
     pub targets: UsableTargets,
 }
 
@@ -40,8 +42,3 @@
 
 /// The published view.
 pub type ViewCell = Arc<ArcSwapOption<View>>;
-
-/// Hash of a service's name, as heartbeats carry it.
-pub fn service_tag(service: &str) -> u32 {
-    xxhash_rust::xxh3::xxh3_64(service.as_bytes()) as u32
-}
--- a/src/fleet/load.rs
+++ b/src/fleet/load.rs
@@ -6,7 +6,7 @@
 };
 
 use crate::{
-    placement::{ObjectTag, TargetTag},
+    placement::{Counts, NameTag, ObjectTag, TargetTag, Way},
     prelude::*,
 };
 
@@ -19,11 +19,14 @@
     /// Requests that crash targets: fingerprint and crashes seen.
     pub crashes: Vec<(u64, u8)>,
     /// Busy slots that callers ask for, by hash of the service.
-    pub demand: Vec<(u32, f32)>,
+    pub demand: Vec<(NameTag, f32)>,
     /// Requests in attempt by target.
     pub running: Vec<(TargetTag, u16)>,
     /// Objects that targets were lately asked for.
     pub runs: Vec<(TargetTag, ObjectTag)>,
+    /// Requests that were sent, by service and region, in the last window of shifts and the one
+    /// before.
+    pub sent: Vec<(Way, Counts)>,
 }
 
 impl Load {
@@ -33,8 +36,11 @@
         Self {
             crashes: summed(loads.clone().flat_map(|load| &load.crashes), u8::saturating_add),
             demand: summed(loads.clone().flat_map(|load| &load.demand), |a, b| a + b),
-            running: summed(loads.flat_map(|load| &load.running), u16::saturating_add),
+            running: summed(loads.clone().flat_map(|load| &load.running), u16::saturating_add),
             runs: runs.into_iter().take(RUNS_MOST).collect(),
+            sent: summed(loads.flat_map(|load| &load.sent), |a, b| {
+                (a.0.saturating_add(b.0), a.1.saturating_add(b.1))
+            }),
         }
     }
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -4,7 +4,8 @@
 //! I/O. What the decisions go by is learnt from answers: how long a request takes at a target that
 //! knows its object and at one that does not (`work_time`), which objects each target still knows
 //! (`held_objects`), how far away the regions are (`round_trips`), which targets are slow or failing
-//! (`condition`). `choose` weighs the targets of a region; `shares` decides on the region.
+//! (`condition`). `choose` weighs the targets of a region; `shares` decides on the region, within what
+//! `sent` says that all hosts of the own region may still move.
 
 mod choose;
 mod cold_rates;
@@ -14,6 +15,7 @@
 mod keeps;
 mod learnt;
 mod round_trips;
+mod sent;
 mod shares;
 #[cfg(test)]
 mod tests;
@@ -29,6 +31,7 @@
     keeps::Keeps,
     learnt::Learnt,
     round_trips::RoundTrips,
+    sent::{Counts, RegionSent, SentWindow, WINDOW, Way},
     shares::{RegionLoad, Shares},
     tuning::Tuning,
     work_time::WorkTime,
@@ -37,5 +40,13 @@
 /// Hash of a target's id and start; the same on every host.
 pub type TargetTag = u32;
 
+/// Hash of a service's or a region's name, as hosts tell each other.
+pub type NameTag = u32;
+
+/// The tag of a name.
+pub fn name_tag(name: &str) -> NameTag {
+    xxhash_rust::xxh3::xxh3_64(name.as_bytes()) as NameTag
+}
+
 /// Hash of the object that requests are about; the same on every host.
 pub type ObjectTag = u32;
--- a/src/placement/shares.rs
+++ b/src/placement/shares.rs
@@ -7,16 +7,13 @@
 //! Load pattern: callers' numbers rise and fall by half within a minute, by region in turn, and
 //! some regions have a tenth of the targets that their own callers need.
 
-use super::Tuning;
+use super::{NameTag, Tuning, WINDOW, name_tag};
 use crate::prelude::*;
 
 /// Demand that every region is assumed to have before anything was measured, as a part of all
 /// slots.
 const ASSUMED: f64 = 0.6;
 
-/// Span over which a shift is bounded.
-const SHIFT_SPAN: Duration = Duration::from_secs(2);
-
 /// Slots asked for and slots there, of one region.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RegionLoad {
@@ -40,11 +37,40 @@
         Self { at: now, home, parts }
     }
 
+    /// Shares to begin with where other hosts of the region may have begun before: as these sent
+    /// their requests, and by the assumption as long as too few were sent. Begun by what is known
+    /// of the demand at that moment, they would jump there, past any bound.
+    pub fn begin(
+        home: RegionId,
+        loads: &[RegionLoad],
+        sent: Option<&BTreeMap<NameTag, f64>>,
+        tuning: &Tuning,
+        now: Moment,
+    ) -> Self {
+        let unmeasured = |load: &RegionLoad| RegionLoad { demand: None, ..load.clone() };
+        let mut begun =
+            Self::new(home, &loads.iter().map(unmeasured).collect::<Vec<_>>(), tuning, now);
+        let Some(sent) = sent else { return begun };
+        let part = |region: &RegionId| sent.get(&name_tag(region)).copied().unwrap_or_default();
+        if begun.parts.iter().any(|(name, _)| 0.0 < part(name)) {
+            begun.parts.iter_mut().for_each(|(name, share)| *share = part(name));
+            begun.even_out();
+        }
+        begun
+    }
+
+    fn even_out(&mut self) {
+        let sum: f64 = self.parts.iter().map(|(_, part)| part).sum();
+        if 0.0 < sum {
+            self.parts.iter_mut().for_each(|(_, part)| *part /= sum);
+        }
+    }
+
     /// Moves the shares towards what the loads ask for, at most as fast as `max_shift` allows.
     pub fn step(&mut self, loads: &[RegionLoad], max_shift: f64, tuning: &Tuning, now: Moment) {
         let wish = wished(&self.home, loads, tuning.fill);
-        let spent = now.saturating_sub(self.at).min(SHIFT_SPAN);
-        let most = max_shift * tuning.shift_part * spent.as_secs_f64() / SHIFT_SPAN.as_secs_f64();
+        let spent = now.saturating_sub(self.at).min(WINDOW);
+        let most = max_shift * tuning.shift_part * spent.as_secs_f64() / WINDOW.as_secs_f64();
         self.at = now;
         let old = |region: &RegionId| {
             self.parts.iter().find(|(name, _)| name == region).map_or(0.0, |(_, part)| *part)
@@ -63,10 +89,7 @@
             .iter()
             .map(|(region, part)| (region.clone(), old(region) + (part - old(region)) * pace))
             .collect();
-        let sum: f64 = self.parts.iter().map(|(_, part)| part).sum();
-        if 0.0 < sum {
-            self.parts.iter_mut().for_each(|(_, part)| *part /= sum);
-        }
+        self.even_out();
     }
 
     /// The region for a place between 0 and 1. The same place stays in its region while the shares
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -5,6 +5,7 @@
 mod held_objects;
 mod learning;
 mod model;
+mod region_start;
 mod shares;
 mod worst_load;
 
--- a/src/placement/tuning.rs
+++ b/src/placement/tuning.rs
@@ -36,7 +36,7 @@
             learn_keeps: true,
             patience: 2.0,
             rank_charge: 0.01,
-            shift_part: 0.4,
+            shift_part: 0.7,
             told_runs: true,
             trusts_homes: true,
             unknown_charge: 2.0,
