Ask the store less: cheap first listings, longer watches, few records of hosts

A host that knows nothing takes a listing that may be seconds old, at a tenth of the price; its watch and other hosts bring the rest. What it has learnt meanwhile is not replaced by older objects, nor by the events that lead up to it. Watches wait ten seconds: connections that fell silent are found by keep-alive probes of the client, in three. Three hosts of a zone keep records; a host that hears nobody reads them every two seconds.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -15,7 +15,7 @@
     Datagram, HostsListed, Leave, Registered, Reload, Share, Shared, Tick, Told,
 };
 
-use self::talk::LIST_HOSTS_FIRST;
+use self::talk::{LIST_HOSTS_FIRST, REGISTER_FIRST};
 use super::{
     EntrySettings, KnownState, LiveHost, Part, Protocol, View, ViewCell,
     questions::Questions,
@@ -39,15 +39,17 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(100);
 
 /// How often the store is asked. Hosts tell each other when one of them has seen more, so nothing
-/// has to be compared; the wait bounds how long a watch on a silent connection is believed.
+/// has to be compared. A silent connection is found by the client's own questions, long before the
+/// wait of a watch is over; each watch is a call.
 ///
 /// A new host lists at once, so that it can serve, but watches only when it has had time to hear of
 /// others that do: heartbeats come every 100 ms, a new host's greetings every 200 ms.
 const PACE: FollowPace = FollowPace {
     after_list: Duration::from_millis(600),
     compare_every: Duration::from_secs(86_400),
+    first_may_lag: true,
     settle: Duration::from_millis(150),
-    wait: Duration::from_secs(3),
+    wait: Duration::from_secs(10),
 };
 
 /// What the control side is built from.
@@ -104,7 +106,7 @@
             peer_client,
             known_state: KnownState::default(),
             last_answer: LastAnswer::default(),
-            register_at: Some(Moment::ZERO),
+            register_at: Some(now + REGISTER_FIRST),
             followers: Vec::new(),
             leaving: false,
             lost_parts: BTreeMap::new(),
@@ -211,7 +213,10 @@
             (Part::Evacuations, keys.evacuations),
         ] {
             let (store, clock) = (self.parts.store.clone(), self.parts.clock.clone());
-            let task = tokio::spawn(follow(store, clock, part, prefix, own.clone()));
+            // What is known already must not be replaced by what was so some seconds ago.
+            let first_may_lag = self.known_state.revisions().of(part) == 0;
+            let pace = FollowPace { first_may_lag, ..PACE };
+            let task = tokio::spawn(follow(store, clock, part, prefix, pace, own.clone()));
             self.followers.push(FollowTask(task.abort_handle()));
         }
     }
@@ -249,10 +254,11 @@
     clock: Arc<dyn Clock>,
     part: Part,
     prefix: &'static str,
+    pace: FollowPace,
     control: WeakAddress<EntryControl>,
 ) {
     let (tx, mut rx) = mpsc::channel::<Followed>(16);
-    let _follower = Follower::spawn(store, clock, prefix, PACE, tx);
+    let _follower = Follower::spawn(store, clock, prefix, pace, tx);
     while let Some(told) = rx.recv().await {
         if control.send(Told(part, told)).await.is_err() {
             return;
--- a/src/entry/control/news.rs
+++ b/src/entry/control/news.rs
@@ -162,7 +162,10 @@
 
     fn changed(&mut self, part: Part, changes: Vec<Change>) -> bool {
         let mut changed = false;
-        for change in changes {
+        // Another host may have told this and more already; taken in again, it would go back to
+        // what was.
+        let known = self.known_state.revisions().of(part);
+        for change in changes.into_iter().filter(|change| known < change.version) {
             self.known_state.saw(part, change.version);
             let key = name(&change.key);
             changed |= match change.object {
@@ -179,6 +182,12 @@
                 self.reached(part);
                 self.changed(part, changes)
             }
+            Followed::Listed(Listing { version, .. })
+                if version < self.known_state.revisions().of(part) =>
+            {
+                self.reached(part);
+                false
+            }
             Followed::Listed(Listing { entries, version }) => {
                 self.reached(part);
                 self.known_state.saw(part, version);
--- a/src/entry/control/talk.rs
+++ b/src/entry/control/talk.rs
@@ -17,9 +17,19 @@
 /// Pause before the own record is written again after a failure.
 pub(super) const REGISTER_PAUSE: Duration = Duration::from_secs(2);
 
+/// Time from the start to the writing of the own record: by then a host knows whether its zone has
+/// enough of them.
+pub(super) const REGISTER_FIRST: Duration = Duration::from_millis(1_500);
+
+/// Hosts of a zone that keep records. Who starts needs one living host to find all others; with
+/// records of all, each start of a fleet would write to the store once a host.
+const RECORDED_HOSTS: usize = 3;
+
 /// Pause between two readings of the hosts' records, and the time from the start to the first:
 /// heartbeats tell the rest, and a host that was heard by then tells of the others.
 const LIST_HOSTS_PAUSE: Duration = Duration::from_secs(60);
+/// Pause between two readings while nobody is heard.
+const LIST_HOSTS_ALONE: Duration = Duration::from_secs(2);
 pub(super) const LIST_HOSTS_FIRST: Duration = Duration::from_millis(1_000);
 
 impl EntryControl {
@@ -83,6 +93,9 @@
         let now = self.now();
         let keys = self.parts.protocol.keys();
         let store = self.parts.store.clone();
+        if RECORDED_HOSTS <= self.fleet.place(now) {
+            return;
+        }
         if self.register_at.is_some_and(|at| at <= now) {
             self.register_at = Some(now + REGISTER_PAUSE * 4);
             let key = format!("{}{}", keys.hosts, self.parts.settings.host);
@@ -99,13 +112,17 @@
         }
         if self.list_hosts_at <= now {
             self.list_hosts_at = now + LIST_HOSTS_PAUSE;
-            if self.fleet.is_new() && self.fleet.live(now).next().is_some() {
+            let is_alone = self.fleet.live(now).next().is_none();
+            if self.fleet.is_new() && !is_alone {
                 return;
             }
+            if is_alone {
+                self.list_hosts_at = now + LIST_HOSTS_ALONE;
+            }
             let protocol = self.parts.protocol.clone();
             let own = own.clone();
             tokio::spawn(async move {
-                let hosts = store.list(keys.hosts).await;
+                let hosts = store.list_lagging(keys.hosts).await;
                 if let Err(error) = &hosts {
                     log::info!("the hosts' records are not read: {error}");
                 }
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -118,6 +118,11 @@
         self.ticks <= NEW_TICKS
     }
 
+    /// The host's place among the living ones of its zone, in the order of their names.
+    pub fn place(&self, now: Moment) -> usize {
+        self.zone_peers(now).filter(|peer| peer.note.host < self.parts.host).count()
+    }
+
     /// Hosts that live, in the order of their names.
     pub fn live(&self, now: Moment) -> impl Iterator<Item = &Peer> + Clone {
         self.peers.live(now)
@@ -157,9 +162,8 @@
         self.own = own;
         self.ticks += 1;
         let mut send = vec![self.heartbeat_to_zone(now)];
-        let others = self.zone_peers(now);
-        let place = others.clone().filter(|peer| peer.note.host < self.parts.host).count();
-        let hosts = others.count() + 1;
+        let place = self.place(now);
+        let hosts = self.zone_peers(now).count() + 1;
         let far_slot = slot / FAR_SLOTS;
         let is_near = self.near.is_due(slot, place, hosts);
         let is_far = self.far.is_due(far_slot, place, hosts);
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -31,6 +31,16 @@
 /// Calls of one host: a watch a change of any kind, and the lists after an outage.
 const LIMITS: Limits = Limits { reads: 20.0, watches: 40.0, writes: 4.0 };
 
+/// Query of a read that may be seconds old: it costs a tenth and does not count towards the rate.
+const MAY_LAG: &str = "staleOk=1";
+
+/// Silence of a connection after which its other end is asked for a sign of life, the time between
+/// two such questions, and how many may go unanswered. A connection that a partition has silenced
+/// would else be believed for as long as a watch waits.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+const KEEPALIVE_PAUSE: Duration = Duration::from_secs(1);
+const KEEPALIVE_TRIES: u32 = 2;
+
 /// Client with deadlines, and every call counted against a budget.
 pub struct ObjectStore {
     address: SocketAddr,
@@ -102,6 +112,9 @@
             .redirect(reqwest::redirect::Policy::none())
             .retry(reqwest::retry::never())
             .pool_max_idle_per_host(4)
+            .tcp_keepalive(KEEPALIVE_IDLE)
+            .tcp_keepalive_interval(KEEPALIVE_PAUSE)
+            .tcp_keepalive_retries(KEEPALIVE_TRIES)
             .build()
             .map_err(|error| refused(&error.to_string()))?;
         let clock = BootClock;
@@ -148,32 +161,12 @@
             status => Err(refused(status.as_str())),
         }
     }
-}
 
-#[async_trait]
-impl Platform for ObjectStore {
-    async fn delete(&self, key: &str, expect: Expect, _: OperationId) -> Result<Version> {
-        let path = match expect {
-            Expect::Absent => return Err(refused("what is absent can't be removed")),
-            Expect::Version(version) => format!("{key}?revision={version}"),
-        };
-        self.call(CallKind::Write, Method::DELETE, &path, None, CALL_TIMEOUT).await?;
-        Ok(0)
-    }
-
-    async fn get(&self, key: &str) -> Result<Option<Versioned>> {
-        let answer = self.call(CallKind::Read, Method::GET, key, None, CALL_TIMEOUT).await?;
-        if answer.status == StatusCode::NOT_FOUND {
-            return Ok(None);
-        }
-        let object: Object = json(&answer.body)?;
-        Ok(Some(versioned(answer.body, object.metadata.revision)))
-    }
-
-    async fn list(&self, prefix: &str) -> Result<Listing> {
+    /// All pages of a listing; `query` goes with each of them.
+    async fn pages(&self, prefix: &str, query: &str) -> Result<Listing> {
         let kind = prefix.trim_end_matches('/');
         let mut entries = Vec::new();
-        let mut path = kind.to_owned();
+        let mut path = format!("{kind}?{query}");
         // A watch must go on from the first page's version: what changes while the other pages are
         // read would be missed from the last one's.
         let mut first = None;
@@ -191,7 +184,7 @@
             match entries.last() {
                 Some(last) if page.has_more && !page.items.is_empty() => {
                     let name = last.key.rsplit('/').next().unwrap_or_default();
-                    path = format!("{kind}?after={name}");
+                    path = format!("{kind}?after={name}&{query}");
                 }
                 _ => break,
             }
@@ -199,6 +192,35 @@
         entries.sort_by(|a, b| a.key.cmp(&b.key));
         Ok(Listing { entries, version: first.unwrap_or_default() })
     }
+}
+
+#[async_trait]
+impl Platform for ObjectStore {
+    async fn delete(&self, key: &str, expect: Expect, _: OperationId) -> Result<Version> {
+        let path = match expect {
+            Expect::Absent => return Err(refused("what is absent can't be removed")),
+            Expect::Version(version) => format!("{key}?revision={version}"),
+        };
+        self.call(CallKind::Write, Method::DELETE, &path, None, CALL_TIMEOUT).await?;
+        Ok(0)
+    }
+
+    async fn get(&self, key: &str) -> Result<Option<Versioned>> {
+        let answer = self.call(CallKind::Read, Method::GET, key, None, CALL_TIMEOUT).await?;
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        let object: Object = json(&answer.body)?;
+        Ok(Some(versioned(answer.body, object.metadata.revision)))
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Listing> {
+        self.pages(prefix, "").await
+    }
+
+    async fn list_lagging(&self, prefix: &str) -> Result<Listing> {
+        self.pages(prefix, MAY_LAG).await
+    }
 
     async fn put(
         &self,
--- a/src/platform/standin/store.rs
+++ b/src/platform/standin/store.rs
@@ -21,6 +21,7 @@
 /// Longest time that a watch waits, whatever it asks for.
 const WAIT_MOST: Duration = Duration::from_secs(30);
 
+type Objects = BTreeMap<(String, String), Value>;
 type Reply = Response<Full<Bytes>>;
 
 /// A running store; ends when dropped.
@@ -61,7 +62,9 @@
     events: Vec<(u64, String, Value, bool)>,
     /// Changes up to this revision are forgotten.
     forgotten: u64,
-    objects: BTreeMap<(String, String), Value>,
+    /// What reads that may be old are answered with, and the revision of that moment.
+    lagging: Option<(Objects, u64)>,
+    objects: Objects,
     revision: u64,
 }
 
@@ -110,6 +113,12 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// From now on, reads that may be old are answered as of this moment.
+    pub fn lag(&self) {
+        let mut state = self.shared.state();
+        state.lagging = Some((state.objects.clone(), state.revision));
+    }
+
     /// Watches that wait now.
     pub fn watches(&self) -> usize {
         self.shared.watches.load(Ordering::Relaxed)
@@ -155,11 +164,14 @@
         self.changed.notify_waiters();
     }
 
-    fn list(&self, kind: &str) -> Reply {
+    fn list(&self, kind: &str, may_lag: bool) -> Reply {
         let state = self.state();
-        let of_kind = state.objects.iter().filter(|((at, _), _)| at == kind);
+        let lagging = state.lagging.as_ref().filter(|_| may_lag);
+        let (objects, revision) = lagging
+            .map_or((&state.objects, state.revision), |(objects, revision)| (objects, *revision));
+        let of_kind = objects.iter().filter(|((at, _), _)| at == kind);
         let items: Vec<&Value> = of_kind.map(|(_, object)| object).collect();
-        reply(200, &json!({ "items": items, "hasMore": false, "currentRev": state.revision }))
+        reply(200, &json!({ "items": items, "hasMore": false, "currentRev": revision }))
     }
 
     async fn watch(&self, kind: &str, from: u64, wait: Duration) -> Reply {
@@ -203,7 +215,7 @@
                     let wait = Duration::from_millis(number("waitMs").unwrap_or_default());
                     self.watch(kind, from, wait).await
                 }
-                None => self.list(kind),
+                None => self.list(kind, query(&head.uri, "staleOk") == Some("1")),
             },
             Method::POST => self.create(kind, &body),
             Method::PUT => self.replace(kind, name, &body),
--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -17,6 +17,9 @@
     pub after_list: Duration,
     /// Time between two comparisons of all versions.
     pub compare_every: Duration,
+    /// Whether the first listing may be some seconds old. Who starts knows nothing, and the watch
+    /// brings the rest; later listings follow losses and must be current.
+    pub first_may_lag: bool,
     /// Pause after a change: changes often come several at once, and each watch is a call.
     pub settle: Duration,
     /// Longest time that one watch waits.
@@ -29,6 +32,7 @@
     pub const ALONE: Self = Self {
         after_list: Duration::ZERO,
         compare_every: Duration::from_secs(6),
+        first_may_lag: false,
         settle: Duration::ZERO,
         wait: Duration::from_secs(4),
     };
@@ -78,7 +82,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Step {
     Compare,
-    List,
+    List { may_lag: bool },
     Pause(Duration),
     Watch { from: Version },
 }
@@ -88,6 +92,7 @@
 pub(super) struct FollowState {
     backoff: ExponentialBackoff,
     compared: Moment,
+    is_first: bool,
     known: BTreeMap<Arc<str>, Version>,
     pace: FollowPace,
     pause: Option<Duration>,
@@ -99,7 +104,8 @@
     pub(super) fn new(seed: u64, pace: FollowPace) -> Self {
         let backoff = pauses(seed);
         let (compared, known) = (Duration::ZERO, BTreeMap::new());
-        Self { backoff, compared, known, pace, pause: None, seed, version: None }
+        let is_first = true;
+        Self { backoff, compared, is_first, known, pace, pause: None, seed, version: None }
     }
 
     pub(super) fn next(&mut self, now: Moment) -> Step {
@@ -107,7 +113,7 @@
             return Step::Pause(pause);
         }
         match self.version {
-            None => Step::List,
+            None => Step::List { may_lag: self.is_first && self.pace.first_may_lag },
             Some(_) if self.pace.compare_every <= now.saturating_sub(self.compared) => {
                 Step::Compare
             }
@@ -117,6 +123,7 @@
 
     pub(super) fn listed(&mut self, listing: &Listing, now: Moment) {
         let known = |entry: &Entry| (entry.key.clone(), entry.object.version);
+        self.is_first = false;
         self.known = listing.entries.iter().map(known).collect();
         self.version = Some(listing.version);
         self.compared = now;
@@ -145,6 +152,7 @@
     }
 
     pub(super) fn failed(&mut self, err: &PlatformError) {
+        self.is_first = false;
         if matches!(err, PlatformError::TooOld { .. }) {
             self.version = None;
         }
@@ -185,13 +193,19 @@
                 }
                 Err(err) => Some(lost(&mut state, err)),
             },
-            Step::List => match platform.list(&prefix).await {
-                Ok(listing) => {
-                    state.listed(&listing, clock.now());
-                    Some(Followed::Listed(listing))
+            Step::List { may_lag } => {
+                let listing = match may_lag {
+                    true => platform.list_lagging(&prefix).await,
+                    false => platform.list(&prefix).await,
+                };
+                match listing {
+                    Ok(listing) => {
+                        state.listed(&listing, clock.now());
+                        Some(Followed::Listed(listing))
+                    }
+                    Err(err) => Some(lost(&mut state, err)),
                 }
-                Err(err) => Some(lost(&mut state, err)),
-            },
+            }
             Step::Pause(pause) => {
                 tokio::time::sleep(pause).await;
                 None
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -51,6 +51,12 @@
     /// Every object whose key begins with `prefix`, and the store's version at that moment.
     async fn list(&self, prefix: &str) -> Result<Listing>;
 
+    /// The same as it was some seconds ago at most, where the store gives that more cheaply. A watch
+    /// from its version tells all that has changed since.
+    async fn list_lagging(&self, prefix: &str) -> Result<Listing> {
+        self.list(prefix).await
+    }
+
     /// Writes an object if it still is as `expect` says; the result is its new version.
     /// `operation` is stored with it, so that a writer can recognise its own write.
     async fn put(
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -57,7 +57,7 @@
     // The watch stays open and tells nothing while a manifest is accepted. Comparing the versions
     // finds it; a store that forgot the version asked for is listed again as well.
     let mut state = FollowState::new(1, FollowPace::ALONE);
-    assert_eq!(state.next(SECOND), Step::List);
+    assert_eq!(state.next(SECOND), Step::List { may_lag: false });
     let versioned = |version| Versioned { operation: "op".into(), value: "x".into(), version };
     let entry = |version| Entry { key: "a".into(), object: versioned(version) };
     state.listed(&Listing { entries: vec![entry(4)], version: 9 }, SECOND);
@@ -66,11 +66,29 @@
     state.compared(&[KeyVersion { key: "a".into(), version: 4 }], 10 * SECOND);
     assert_eq!(state.next(10 * SECOND), Step::Watch { from: 9 });
     state.compared(&[KeyVersion { key: "a".into(), version: 11 }], 20 * SECOND);
-    assert_eq!(state.next(20 * SECOND), Step::List);
+    assert_eq!(state.next(20 * SECOND), Step::List { may_lag: false });
     state.listed(&Listing { entries: vec![entry(11)], version: 12 }, 20 * SECOND);
     state.failed(&PlatformError::TooOld { oldest: 20 });
     assert_matches!(state.next(20 * SECOND), Step::Pause(_));
-    assert_eq!(state.next(20 * SECOND), Step::List);
+    assert_eq!(state.next(20 * SECOND), Step::List { may_lag: false });
+}
+
+#[test]
+fn only_the_first_listing_may_lag() {
+    // A host starts and takes a cheap listing that is seconds old; its watch brings the rest. The
+    // store then forgets its history: what was missed in between would stay unknown if the next
+    // listing were old as well. So too after a failure, when the store has just returned.
+    let pace = FollowPace { first_may_lag: true, ..FollowPace::ALONE };
+    let mut state = FollowState::new(1, pace);
+    assert_eq!(state.next(SECOND), Step::List { may_lag: true });
+    state.listed(&Listing { entries: Vec::new(), version: 9 }, SECOND);
+    state.failed(&PlatformError::TooOld { oldest: 20 });
+    assert_matches!(state.next(SECOND), Step::Pause(_));
+    assert_eq!(state.next(SECOND), Step::List { may_lag: false });
+    let mut state = FollowState::new(1, pace);
+    state.failed(&PlatformError::Unavailable { detail: "down".into(), maybe_done: false });
+    assert_matches!(state.next(SECOND), Step::Pause(_));
+    assert_eq!(state.next(SECOND), Step::List { may_lag: false });
 }
 
 /// Tokio's clock, which a test can pause.
