Tell other hosts which targets are slow

And what only attempts given up for slowness told was counted from the host's first moment, so hours later it was nothing. Now a host tells the runs of the last moments that found a free slot, if they were slow or others say that they are, so that a target that is well again is said to be. Where all targets that know an object are slow, knowing it is worth less, and the object moves. Tests: a_slow_target_is_known_to_all_hosts, slow_targets_are_used_where_all_are_slow, what_others_tell_of_slowness_counts, slowness_counts_without_any_answer (failed before).

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -151,6 +151,10 @@
                 *view.elsewhere.entry(*tag).or_default() += u32::from(*count);
             }
             view.runs.extend(&load.runs);
+            for (tag, slowness) in &load.slow {
+                let sum = view.slow.entry(*tag).or_default();
+                *sum = sum.and(*slowness);
+            }
             if *region == settings.region {
                 view.sent.add(&load.sent);
             }
--- a/src/entry/place.rs
+++ b/src/entry/place.rs
@@ -3,8 +3,8 @@
 use super::{KnownTarget, Route, TrafficState, View, service_state::ServiceState};
 use crate::{
     placement::{
-        Ask, Candidate, Choice, Forecast, HeldObjects, NameTag, ObjectTag, Offer, RegionLoad,
-        Shares, TargetIndex, Wanted, choose, is_sender, name_tag,
+        Ask, Candidate, Choice, Condition, Forecast, HeldObjects, NameTag, ObjectTag, Offer,
+        RegionLoad, Shares, TargetIndex, Wanted, choose, is_sender, name_tag,
     },
     prelude::*,
 };
@@ -248,6 +248,7 @@
         let condition = conditions.get(&target.tag);
         let own = condition.map_or(0, |condition| condition.in_flight);
         let elsewhere = view.elsewhere.get(&target.tag).copied().unwrap_or_default();
+        let told = view.slow.get(&target.tag).copied().filter(|_| self.tuning.told_slow);
         let cold = target.is_cold(now);
         let cold_shut = cold
             && (!is_sender(target, &self.settings.host, &view.hosts)
@@ -262,7 +263,7 @@
             depth,
             load: f64::from(own + elsewhere),
             shut: shut || cold_shut,
-            stretch: condition.map_or(1.0, |condition| condition.stretch(now)),
+            stretch: condition.unwrap_or(&Condition::default()).stretch_told(told, now),
             target,
             trip: self.trips.borrow().to(&target.region, &self.settings.region),
         }
--- a/src/entry/tests/targets.rs
+++ b/src/entry/tests/targets.rs
@@ -6,7 +6,7 @@
     base::ManualClock,
     entry::{CrashSuspects, LiveHost, Repeat, Route, TrafficState, traffic_state::allowance},
     event_log::NoEvents,
-    placement::{ColdRates, Condition, Ended, is_sender},
+    placement::{ColdRates, Condition, Ended, Slowness, is_sender},
     platform::{PlatformProtocol, standin::loopback_settings},
     prelude::*,
 };
@@ -54,6 +54,36 @@
     assert!(1.0 < given_up.stretch(secs(1.0)));
 }
 
+/// A host sees a target only by attempts that it gave up for slowness, hours after its own start.
+/// They count from when they ended, not from a first answer that never came.
+#[test]
+fn slowness_counts_without_any_answer() {
+    let mut condition = Condition::default();
+    condition.ended(Ended::Cancelled(WORK * 5), WORK, secs(9_000.0));
+    assert!(4.0 < condition.stretch(secs(9_000.1)));
+    assert!(condition.stretch(secs(9_030.0)) < 1.1);
+}
+
+/// Other hosts tell that a target is slow. One run may be chance; more count in full, until runs of
+/// this host or of others say that it is well again.
+#[test]
+fn what_others_tell_of_slowness_counts() {
+    let one = Slowness::seen(4.0);
+    let three = one.and(one).and(one);
+    let mut condition = Condition::default();
+    assert_eq!(condition.stretch_told(Some(three), secs(1.0)), 4.0);
+    assert_eq!(condition.stretch_told(Some(one), secs(1.0)), 2.0);
+    assert_eq!(condition.slowness(Some(three), secs(1.0)), None, "nothing seen, nothing told");
+    (0..6).for_each(|_| condition.ran(WORK, WORK, secs(1.0)));
+    assert!(condition.stretch_told(Some(three), secs(1.2)) < 2.5);
+    assert!(condition.slowness(Some(three), secs(1.2)).is_some(), "it is said to be well");
+    assert_eq!(condition.slowness(None, secs(1.2)), None);
+    assert_eq!(condition.stretch_told(Some(three), secs(3.0)), 4.0, "long ago");
+    condition.ran(WORK * 30, WORK, secs(3.0));
+    assert!(condition.slowness(None, secs(3.1)).is_some_and(|told| told.is_slow()));
+    assert_eq!(condition.slowness(None, secs(9.0)), None);
+}
+
 /// Twelve hosts send to one cold target as fast as they may, not asking each other. Together they
 /// stay below its rate.
 #[test]
--- a/src/entry/traffic_state.rs
+++ b/src/entry/traffic_state.rs
@@ -221,7 +221,13 @@
         let mut conditions = self.conditions.borrow_mut();
         let condition = conditions.entry(target.tag).or_default();
         let is_steady = condition.stretch(now) < STEADY;
-        let change = condition.ended(ended, state.learnt.usual(forecast), now);
+        let usual = state.learnt.usual(forecast);
+        let change = condition.ended(ended, usual, now);
+        if let Ended::Answered(took) = ended
+            && forecast.finds_slot
+        {
+            condition.ran(took, usual, now);
+        }
         if let Some(change) = change {
             self.events.record(None, paused_or_trusted(target, ended, change));
         }
@@ -363,8 +369,14 @@
         let demand =
             services.iter().map(|(name, state)| (name_tag(name), state.demand as f32)).collect();
         let crashes = self.crash_suspects.borrow().marks();
-        let sent = self.sent.borrow_mut().counts(self.clock.now());
-        Load { crashes, demand, running, runs: self.told_runs(), sent }
+        let now = self.clock.now();
+        let sent = self.sent.borrow_mut().counts(now);
+        let view = self.view();
+        let told = |tag| view.as_ref().and_then(|view| view.slow.get(tag).copied());
+        let slow =
+            conditions.iter().filter_map(|(tag, it)| Some((*tag, it.slowness(told(tag), now)?)));
+        let slow = slow.collect();
+        Load { crashes, demand, running, runs: self.told_runs(), sent, slow }
     }
 }
 
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -6,7 +6,7 @@
 
 use super::{Declared, UsableTargets};
 use crate::{
-    placement::{ObjectTag, RegionSent, TargetTag},
+    placement::{ObjectTag, RegionSent, Slowness, TargetTag},
     prelude::*,
 };
 
@@ -28,6 +28,8 @@
     pub runs: Vec<(TargetTag, ObjectTag)>,
     /// What other hosts of the own region sent to each region.
     pub sent: RegionSent,
+    /// What other hosts tell of slow targets.
+    pub slow: HashMap<TargetTag, Slowness>,
     pub targets: UsableTargets,
 }
 
--- a/src/fleet/load.rs
+++ b/src/fleet/load.rs
@@ -6,7 +6,7 @@
 };
 
 use crate::{
-    placement::{Counts, NameTag, ObjectTag, TargetTag, Way},
+    placement::{Counts, NameTag, ObjectTag, Slowness, TargetTag, Way},
     prelude::*,
 };
 
@@ -27,6 +27,8 @@
     /// Requests that were sent, by service and region, in the last window of shifts and the one
     /// before.
     pub sent: Vec<(Way, Counts)>,
+    /// Targets that take longer than they should.
+    pub slow: Vec<(TargetTag, Slowness)>,
 }
 
 impl Load {
@@ -38,9 +40,10 @@
             demand: summed(loads.clone().flat_map(|load| &load.demand), |a, b| a + b),
             running: summed(loads.clone().flat_map(|load| &load.running), u16::saturating_add),
             runs: runs.into_iter().take(RUNS_MOST).collect(),
-            sent: summed(loads.flat_map(|load| &load.sent), |a, b| {
+            sent: summed(loads.clone().flat_map(|load| &load.sent), |a, b| {
                 (a.0.saturating_add(b.0), a.1.saturating_add(b.1))
             }),
+            slow: summed(loads.flat_map(|load| &load.slow), Slowness::and),
         }
     }
 }
--- a/src/fleet/tests/reports.rs
+++ b/src/fleet/tests/reports.rs
@@ -3,6 +3,7 @@
 use super::{note, secs};
 use crate::{
     fleet::{Load, Reports, Rotation, ZoneReport},
+    placement::Slowness,
     prelude::*,
 };
 
@@ -56,11 +57,13 @@
         running: vec![(7, 2), (8, 1)],
         runs: vec![(7, 11)],
         sent: vec![((5, 1), (3, 4))],
+        slow: vec![(7, Slowness::seen(4.0))],
     };
     let two = Load { running: vec![(7, 3)], ..one.clone() };
     let sum = Load::sum([&one, &two].into_iter());
     assert_eq!(sum.running, [(7, 5), (8, 1)]);
     assert_eq!(sum.sent, [((5, 1), (6, 8))]);
+    assert_eq!(sum.slow, [(7, Slowness::seen(4.0).and(Slowness::seen(4.0)))]);
     assert_eq!((sum.crashes, sum.demand, sum.runs), (vec![(1, 4)], vec![(5, 1.0)], vec![(7, 11)]));
 }
 
--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -86,6 +86,17 @@
         self.learnt.work.unknown().saturating_sub(self.learnt.work.known())
     }
 
+    /// Time that it saves where it is known, as far as the targets that know it are not slow: where all
+    /// of these are, another target is better off with it after its first run.
+    fn worth_of_knowing(&self, candidates: &[Candidate<'_>]) -> Duration {
+        let near = candidates.iter().filter(|it| it.target.region == *self.region);
+        let holders = near.filter(|it| self.learnt.keeps.holds(it.depth));
+        let Some(stretch) = holders.map(|it| it.stretch).min_by(f64::total_cmp) else {
+            return self.saved();
+        };
+        self.learnt.work.unknown().saturating_sub(self.learnt.work.known().mul_f64(stretch))
+    }
+
     /// How likely a candidate is to know the object.
     fn knows(&self, candidate: &Candidate<'_>, is_home_guess: bool) -> f64 {
         if self.object.is_none() || self.learnt.keeps.holds(candidate.depth) {
@@ -157,7 +168,14 @@
         span(self.takes)
     }
 
-    fn of(at: usize, candidate: &Candidate<'_>, rank: usize, news: News, ask: &Ask<'_>) -> Self {
+    fn of(
+        at: usize,
+        candidate: &Candidate<'_>,
+        rank: usize,
+        news: News,
+        worth: Duration,
+        ask: &Ask<'_>,
+    ) -> Self {
         let is_home = rank == 0 && ask.object.is_some();
         let is_home_guess =
             ask.tuning.trusts_homes && is_home && news == News::None && !candidate.cold;
@@ -182,7 +200,7 @@
             true => takes,
         };
         let mut charge = takes + rank.min(RANKS) as f64 * ask.tuning.rank_charge;
-        charge += saved.as_secs_f64() * ask.tuning.unknown_charge;
+        charge += worth.as_secs_f64() * (1.0 - knows) * ask.tuning.unknown_charge;
         let region = &candidate.target.region;
         if region == ask.home && candidate.target.entry.zone != *ask.zone {
             charge += ZONE_CHARGE.as_secs_f64();
@@ -198,6 +216,7 @@
 pub fn choose(candidates: &[Candidate<'_>], ask: &Ask<'_>, seed: ObjectTag) -> Choice {
     let ranks = ranks(candidates, ask.object.unwrap_or(seed));
     let news = News::of(candidates, ask);
+    let worth = ask.worth_of_knowing(candidates);
     let mut best: Option<Offer> = None;
     let mut least_wait: Option<f64> = None;
     for (at, candidate) in candidates.iter().enumerate() {
@@ -206,7 +225,7 @@
             // Told to come back for room that it may not use, a caller would only be refused again.
             continue;
         }
-        let offer = Offer::of(at, candidate, ranks[at], news, ask);
+        let offer = Offer::of(at, candidate, ranks[at], news, worth, ask);
         least_wait = Some(least_wait.map_or(offer.wait, |least| least.min(offer.wait)));
         let room = f64::from(candidate.target.entry.slots) * (1.0 + WAITING);
         if room <= candidate.load {
--- a/src/placement/condition.rs
+++ b/src/placement/condition.rs
@@ -1,5 +1,6 @@
 //! What a host has seen of one target by its own requests.
 
+use super::Slowness;
 use crate::prelude::*;
 
 /// First pause after failures in a row; doubles up to `LONGEST_PAUSE`.
@@ -19,6 +20,15 @@
 /// was slow or failing is tried again.
 const FORGET_HALF: f64 = 3.0;
 
+/// Shortest time that counts, in seconds: timers do not tell less apart.
+const LEAST: f64 = 0.001;
+
+/// Most times the expected time that one answer counts for.
+const RATIO_MOST: f64 = 10.0;
+
+/// Time without a run after which what was seen of a target says nothing more of it.
+const FRESH: Duration = Duration::from_millis(1_500);
+
 /// How an attempt at a target ended, as far as the target's state goes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Ended {
@@ -54,6 +64,9 @@
     pub in_flight: u32,
     paused_until: Moment,
     pauses: u32,
+    /// Its last runs, none of them long before the next.
+    seen: Slowness,
+    seen_at: Moment,
     /// Recent time of an answer as a multiple of what was expected.
     slow: Option<f64>,
     touched: Moment,
@@ -67,7 +80,6 @@
         expected: Duration,
         now: Moment,
     ) -> Option<ConditionChange> {
-        let ratio = |took: Duration| took.as_secs_f64() / expected.as_secs_f64().max(0.001);
         match ended {
             Ended::Answered(took) => {
                 let was_paused = 0 < self.pauses;
@@ -75,10 +87,10 @@
                 self.pauses = 0;
                 self.paused_until = Moment::ZERO;
                 self.sample(0.0, now);
-                self.paced(ratio(took));
+                self.paced(ratio(took, expected), now);
                 return was_paused.then_some(ConditionChange::Trusted);
             }
-            Ended::Cancelled(took) if expected < took => self.paced(ratio(took)),
+            Ended::Cancelled(took) if expected < took => self.paced(ratio(took, expected), now),
             Ended::Cancelled(_) => {}
             Ended::Full => self.full_until = now + FULL_PAUSE,
             Ended::Failed => return self.failed(1, now),
@@ -95,6 +107,36 @@
         slow / ((1.0 - failing) * (1.0 - failing))
     }
 
+    /// The same, with what all hosts saw of the target lately: each host of a large fleet meets a
+    /// target too seldom to learn by itself that it has turned slow.
+    pub fn stretch_told(&self, told: Option<Slowness>, now: Moment) -> f64 {
+        let own = self.stretch(now);
+        match told {
+            Some(told) => own.max(told.and(self.seen(now)).stretch()),
+            None => own,
+        }
+    }
+
+    /// What other hosts are told of the target: that it is slow, or, where others say so, what this
+    /// host saw, be it slow or not.
+    pub fn slowness(&self, told: Option<Slowness>, now: Moment) -> Option<Slowness> {
+        let seen = self.seen(now);
+        (seen.is_slow() || (seen.is_any() && told.is_some())).then_some(seen)
+    }
+
+    /// A run that had not to wait for a slot took that part of the usual time. Others say little:
+    /// where all targets have queues, all of them would look slow.
+    pub fn ran(&mut self, took: Duration, expected: Duration, now: Moment) {
+        let ratio = ratio(took, expected);
+        self.seen = self.seen(now).and(Slowness::seen(ratio));
+        self.seen_at = now;
+    }
+
+    /// The runs of the last moments.
+    fn seen(&self, now: Moment) -> Slowness {
+        if now.saturating_sub(self.seen_at) < FRESH { self.seen } else { Slowness::default() }
+    }
+
     /// Whether it is to be left alone for now.
     pub fn is_paused(&self, now: Moment) -> bool {
         now < self.paused_until
@@ -127,12 +169,25 @@
     }
 
     fn sample(&mut self, failed: f64, now: Moment) {
-        self.failing = self.failing * self.keep(now) * (1.0 - NEWEST) + failed * NEWEST;
-        self.touched = now;
+        self.fade(now);
+        self.failing = self.failing * (1.0 - NEWEST) + failed * NEWEST;
     }
 
-    fn paced(&mut self, ratio: f64) {
-        let ratio = ratio.min(10.0);
+    fn paced(&mut self, ratio: f64, now: Moment) {
+        self.fade(now);
         self.slow = Some(self.slow.map_or(ratio, |slow| slow + (ratio - slow) * NEWEST));
     }
+
+    /// Takes the time since the last sample off both means, which then run from now.
+    fn fade(&mut self, now: Moment) {
+        let keep = self.keep(now);
+        self.failing *= keep;
+        self.slow = self.slow.map(|slow| 1.0 + (slow - 1.0) * keep);
+        self.touched = now;
+    }
+}
+
+/// Time of an answer as a multiple of what was expected.
+fn ratio(took: Duration, expected: Duration) -> f64 {
+    (took.as_secs_f64() / expected.as_secs_f64().max(LEAST)).min(RATIO_MOST)
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -17,6 +17,7 @@
 mod round_trips;
 mod sent;
 mod shares;
+mod slowness;
 mod target_index;
 #[cfg(test)]
 mod tests;
@@ -34,6 +35,7 @@
     round_trips::RoundTrips,
     sent::{Counts, RegionSent, SentWindow, WINDOW, Way},
     shares::{RegionLoad, Shares},
+    slowness::Slowness,
     target_index::{TargetIndex, Wanted},
     tuning::Tuning,
     work_time::WorkTime,
--- a/src/placement/tests/model.rs
+++ b/src/placement/tests/model.rs
@@ -12,12 +12,12 @@
 use crate::{
     entry::KnownTarget,
     placement::{
-        Ask, Candidate, Choice, Forecast, HeldObjects, Learnt, ObjectTag, TargetTag, Tuning, choose,
+        Ask, Candidate, Choice, Condition, Ended, Forecast, HeldObjects, Learnt, ObjectTag,
+        Slowness, TargetTag, Tuning, choose,
     },
     prelude::*,
 };
 
-const HOSTS: usize = 2;
 const OBJECTS: u32 = 40;
 /// Objects that a target keeps.
 const KEEPS: usize = 13;
@@ -29,6 +29,8 @@
 const UNKNOWN: u64 = 880;
 const OBJECTIVE: u64 = 600;
 const DEADLINE: u64 = 4_000;
+/// A target that takes this many times the usual time says nothing of how long work takes.
+const STEADY: f64 = 1.5;
 /// Time between two heartbeats, in milliseconds.
 const HEARTBEAT: u64 = 100;
 
@@ -72,12 +74,14 @@
 
 #[derive(Default)]
 struct Host {
+    conditions: [Condition; TARGETS],
     held: HeldObjects,
     in_flight: [u32; TARGETS],
     learnt: Learnt,
     runs: Vec<(TargetTag, ObjectTag)>,
     /// What the other hosts said that they run.
     told: [u32; TARGETS],
+    told_slow: [Option<Slowness>; TARGETS],
 }
 
 /// The whole world.
@@ -86,6 +90,8 @@
     known: Vec<Arc<KnownTarget>>,
     now: u64,
     rng: ChaCha8Rng,
+    /// How many times as long each target takes.
+    slow: [u64; TARGETS],
     start: u32,
     tally: Tally,
     targets: Vec<Target>,
@@ -93,13 +99,14 @@
 }
 
 impl Model {
-    /// An idle world.
+    /// An idle world with two hosts.
     pub fn new(seed: u64, tuning: Tuning) -> Self {
         Self {
-            hosts: (0..HOSTS).map(|_| Host::default()).collect(),
+            hosts: (0..2).map(|_| Host::default()).collect(),
             known: (0..TARGETS).map(|at| known(&format!("t-{seed}-{at}"), "north")).collect(),
             now: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
+            slow: [1; TARGETS],
             start: 0,
             tally: Tally::default(),
             targets: (0..TARGETS).map(|_| Target::default()).collect(),
@@ -112,8 +119,8 @@
         self.tally = Tally::default();
         for _ in 0..span.as_millis() {
             self.now += 1;
-            for host in 0..HOSTS {
-                if self.rng.random_bool(rate / 1_000.0 / HOSTS as f64) {
+            for host in 0..self.hosts.len() {
+                if self.rng.random_bool(rate / 1_000.0 / self.hosts.len() as f64) {
                     self.arrive(host);
                 }
             }
@@ -128,11 +135,22 @@
     /// All hosts start again and know nothing; targets go on.
     pub fn restart_hosts(&mut self) {
         self.start += 1;
-        self.hosts = (0..HOSTS).map(|_| Host::default()).collect();
+        self.hosts.iter_mut().for_each(|host| *host = Host::default());
+    }
+
+    /// More hosts, which know nothing.
+    pub fn add_hosts(&mut self, hosts: usize) {
+        self.hosts.extend((0..hosts).map(|_| Host::default()));
+    }
+
+    /// A target takes that many times as long from now on.
+    pub fn slow_down(&mut self, target: usize, times: u64) {
+        self.slow[target] = times;
     }
 
     fn arrive(&mut self, host: usize) {
         let object = self.rng.random_range(0..OBJECTS).wrapping_mul(0x9e37_79b9);
+        let now = Duration::from_millis(self.now);
         let it = &mut self.hosts[host];
         let candidates: Vec<Candidate<'_>> = (0..TARGETS)
             .map(|at| Candidate {
@@ -140,7 +158,7 @@
                 depth: it.held.depth(self.known[at].tag, object),
                 load: f64::from(it.in_flight[at] + it.told[at]),
                 shut: false,
-                stretch: 1.0,
+                stretch: it.conditions[at].stretch_told(it.told_slow[at], now),
                 target: &self.known[at],
                 trip: Duration::ZERO,
             })
@@ -164,7 +182,7 @@
         let chosen = &candidates[offer.at];
         let forecast = Forecast {
             depth: chosen.depth,
-            expected: offer.expected(),
+            expected: offer.expected().div_f64(chosen.stretch),
             finds_slot: chosen.load < SLOTS as f64,
             is_home_guess: offer.is_home_guess,
             knows: offer.knows,
@@ -193,7 +211,7 @@
             target.memory.truncate(KEEPS);
             self.tally.first_runs += u32::from(known.is_none());
             let work = if known.is_some() { KNOWN } else { UNKNOWN };
-            target.running.push((self.now + work, job));
+            target.running.push((self.now + work * self.slow[at], job));
         }
         ended.into_iter().for_each(|(_, job)| self.end(at, job));
     }
@@ -209,21 +227,46 @@
         }
         let host = &mut self.hosts[job.host];
         host.in_flight[at] -= 1;
-        host.learnt.answered(&job.forecast, Duration::from_millis(took), self.tuning.learn_keeps);
+        let (took, now) = (Duration::from_millis(took), Duration::from_millis(self.now));
+        let is_steady = host.conditions[at].stretch(now) < STEADY;
+        let usual = host.learnt.usual(&job.forecast);
+        host.conditions[at].ended(Ended::Answered(took), usual, now);
+        if job.forecast.finds_slot {
+            host.conditions[at].ran(took, usual, now);
+        }
+        if !is_steady {
+            return;
+        }
+        host.learnt.answered(&job.forecast, took, self.tuning.learn_keeps);
     }
 
     fn tell(&mut self) {
-        for host in 0..HOSTS {
-            let runs = std::mem::take(&mut self.hosts[host].runs);
-            let in_flight = self.hosts[host].in_flight;
-            for other in (0..HOSTS).filter(|other| *other != host) {
-                self.hosts[other].told = in_flight;
-                if !self.tuning.told_runs {
-                    continue;
-                }
-                for (target, object) in &runs {
-                    self.hosts[other].held.touched(*target, *object);
-                }
+        let now = Duration::from_millis(self.now);
+        let runs: Vec<_> =
+            self.hosts.iter_mut().map(|host| std::mem::take(&mut host.runs)).collect();
+        let in_flight: Vec<_> = self.hosts.iter().map(|host| host.in_flight).collect();
+        let slow: Vec<_> = self
+            .hosts
+            .iter()
+            .map(|host| {
+                (0..TARGETS)
+                    .map(|at| host.conditions[at].slowness(host.told_slow[at], now))
+                    .collect::<Vec<_>>()
+            })
+            .collect();
+        for (at, host) in self.hosts.iter_mut().enumerate() {
+            let others = || (0..in_flight.len()).filter(|other| *other != at);
+            for target in 0..TARGETS {
+                host.told[target] = others().map(|other| in_flight[other][target]).sum();
+                let told = others().filter_map(|other| slow[other][target]);
+                host.told_slow[target] =
+                    told.reduce(Slowness::and).filter(|_| self.tuning.told_slow);
+            }
+            if !self.tuning.told_runs {
+                continue;
+            }
+            for (target, object) in others().flat_map(|other| &runs[other]) {
+                host.held.touched(*target, *object);
             }
         }
     }
--- a/src/placement/tests/worst_load.rs
+++ b/src/placement/tests/worst_load.rs
@@ -59,3 +59,34 @@
     assert!(trusting.refused < ignorant.refused, "{trusting:?} {ignorant:?}");
     assert!(ignorant.in_time <= trusting.in_time, "{trusting:?} {ignorant:?}");
 }
+
+/// One of six targets takes five times as long. Many hosts share it, so that each meets it too
+/// seldom to learn that by itself, and forgets it between two requests: callers are sent there for as
+/// long as it lasts. What each of them saw, told to all, moves its objects to the others.
+#[test]
+fn a_slow_target_is_known_to_all_hosts() {
+    for (hosts, rate) in [(8, 40.0), (8, 30.0), (18, 40.0)] {
+        let slow = |model: &mut Model| {
+            model.add_hosts(hosts);
+            warm_up(model);
+            model.slow_down(0, 5);
+            model.play(secs(8.0), rate)
+        };
+        let told = sum(SEEDS, Tuning::default(), slow);
+        let alone = sum(SEEDS, Tuning { told_slow: false, ..Tuning::default() }, slow);
+        assert!(alone.in_time < told.in_time, "{hosts}, {rate}: {told:?} {alone:?}");
+    }
+}
+
+/// All targets are slow at once. No pool is emptied for it: nearly all requests still get an answer.
+#[test]
+fn slow_targets_are_used_where_all_are_slow() {
+    let slow = |model: &mut Model| {
+        warm_up(model);
+        (0..6).for_each(|at| model.slow_down(at, 2));
+        model.play(secs(6.0), 15.0)
+    };
+    let tally = sum(SEEDS, Tuning::default(), slow);
+    let all = tally.in_time + tally.late + tally.refused;
+    assert!(tally.refused * 50 <= all, "{tally:?}");
+}
--- a/src/placement/tuning.rs
+++ b/src/placement/tuning.rs
@@ -21,6 +21,8 @@
     pub shift_part: f64,
     /// Whether hosts use what others tell of the objects that they asked targets for.
     pub told_runs: bool,
+    /// Whether hosts use what others tell of slow targets.
+    pub told_slow: bool,
     /// Whether an object's first target by hash may be taken to know it where nothing was heard.
     pub trusts_homes: bool,
     /// What a run at a target that does not know the object is charged beyond its own time, as a
@@ -38,6 +40,7 @@
             rank_charge: 0.01,
             shift_part: 0.7,
             told_runs: true,
+            told_slow: true,
             trusts_homes: true,
             unknown_charge: 2.0,
         }
