Leave hosts that get too little of their processor out of look-ups

Cause: a host that turns several times slower fails nothing; all that it does comes late, its callers wait behind its queue, and nobody knows. Now its traffic thread sees by its own ticks, on average over a second or two, that they come late (150 ms; back below 40 ms), tells so with what is told of hosts anyway, and is left out of look-ups while at least half of its region's hosts are at ease. Ruled out: counting one long pause (a frozen host is well when it wakes; a tick counts 0.6 s at most). Tests: a_slow_host_says_so_and_recovers, bursts_and_one_long_pause_are_no_strain, strained_hosts_are_left_out_while_they_are_few.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -5,7 +5,10 @@
 mod news;
 mod talk;
 
-use std::collections::HashMap;
+use std::{
+    collections::HashMap,
+    sync::atomic::{AtomicBool, Ordering},
+};
 
 use arc_swap::ArcSwap;
 use tokio::{net::UdpSocket, sync::mpsc};
@@ -62,6 +65,8 @@
     pub settings: Arc<EntrySettings>,
     pub socket: Arc<UdpSocket>,
     pub store: Arc<dyn Platform>,
+    /// Whether the traffic side gets too little of the processor.
+    pub strained: Arc<AtomicBool>,
     pub view: ViewCell,
 }
 
@@ -141,6 +146,7 @@
             view.hosts.push(LiveHost {
                 callers: settings.listen.callers,
                 host: settings.host.clone(),
+                is_strained: self.parts.strained.load(Ordering::Relaxed),
                 region: settings.region.clone(),
                 zone: settings.zone.clone(),
             });
@@ -170,6 +176,7 @@
             view.hosts.push(LiveHost {
                 callers: peer.note.callers,
                 host: peer.note.host.clone(),
+                is_strained: peer.note.strained,
                 region: peer.region.clone(),
                 zone: peer.zone.clone(),
             });
--- a/src/entry/control/talk.rs
+++ b/src/entry/control/talk.rs
@@ -1,5 +1,7 @@
 //! What this host tells others and asks of them and of the store.
 
+use std::sync::atomic::Ordering;
+
 use xtra::WeakAddress;
 
 use super::{EntryControl, HEARTBEAT, HostsListed, Registered, Shared, wall_ms};
@@ -39,6 +41,7 @@
             load: Load::clone(&self.parts.load.load()),
             reaches_store: self.election.reaches_store(self.now()),
             stamp: self.known_state.stamp(),
+            strained: self.parts.strained.load(Ordering::Relaxed),
         }
     }
 
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -1,6 +1,10 @@
 //! A running entry host: the control thread, the traffic thread and their ends.
 
-use std::{rc::Rc, thread::JoinHandle};
+use std::{
+    rc::Rc,
+    sync::atomic::{AtomicBool, Ordering},
+    thread::JoinHandle,
+};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bytes::Bytes;
@@ -18,6 +22,7 @@
     EntryControl, EntrySettings, Listen, Protocol, TrafficState, ViewCell,
     control::{ControlParts, Datagram, HEARTBEAT, Leave, Reload, Share, Tick},
     serve::{accept, callers, look_up, ready, small, status},
+    strain::Strain,
     sync::{PeerClient, STATE_PATH, since},
     traffic_state::BoundsCell,
 };
@@ -106,6 +111,7 @@
         let settings = Arc::new(settings);
         let view: ViewCell = Arc::new(ArcSwapOption::empty());
         let load = Arc::new(ArcSwap::from_pointee(Load::default()));
+        let strained = Arc::new(AtomicBool::new(false));
         let control = ControlParts {
             clock: parts.clock.clone(),
             events: events.clone(),
@@ -115,6 +121,7 @@
             settings: settings.clone(),
             socket: socket.clone(),
             store: parts.store,
+            strained: strained.clone(),
             view: view.clone(),
         };
         let control = EntryControl::spawn(control, PeerClient::open()?);
@@ -136,6 +143,7 @@
             listeners,
             load,
             settings: settings.clone(),
+            strained,
             view,
         };
         let thread = std::thread::Builder::new().name("traffic".into());
@@ -291,6 +299,7 @@
     listeners: Listeners,
     load: Arc<ArcSwap<Load>>,
     settings: Arc<EntrySettings>,
+    strained: Arc<AtomicBool>,
     view: ViewCell,
 }
 
@@ -328,6 +337,7 @@
             async move { small(stream, async |req| look_up(&state, &req)).await }
         }));
         tokio::task::spawn_local(tick(state.clone(), self.load, self.metrics));
+        tokio::task::spawn_local(watch_strain(state.clone(), self.strained));
         let _ = self.leaving.wait_for(|leaving| *leaving).await;
         leave(&state).await;
         Ok(())
@@ -345,6 +355,20 @@
     }
 }
 
+/// Sees by the delay of its own ticks whether the traffic thread gets enough of the processor.
+async fn watch_strain(state: Rc<TrafficState>, strained: Arc<AtomicBool>) {
+    let mut strain = Strain::default();
+    loop {
+        tokio::time::sleep(TICK).await;
+        if strain.ticked(TICK, state.clock.now()) {
+            let delay_ms = strain.delay().as_millis() as u64;
+            let is_strained = strain.is_strained();
+            strained.store(is_strained, Ordering::Relaxed);
+            state.events.record(None, Event::StrainChanged { delay_ms, is_strained });
+        }
+    }
+}
+
 /// Waits until nothing is being served, or the process is about to be killed.
 async fn leave(state: &TrafficState) {
     let since = state.clock.now();
--- a/src/entry/lookup.rs
+++ b/src/entry/lookup.rs
@@ -10,10 +10,14 @@
 /// among them by chance, so that every host of a region gets the same part of its callers.
 pub fn addresses(hosts: &[LiveHost], place: &LookupPlace) -> Vec<SocketAddr> {
     let near = |host: &&LiveHost| host.region == place.region;
-    let mut found: Vec<SocketAddr> =
-        hosts.iter().filter(near).map(|host| host.callers).take(MOST).collect();
+    let mut found: Vec<&LiveHost> = hosts.iter().filter(near).collect();
     if found.is_empty() {
-        found = hosts.iter().map(|host| host.callers).take(MOST).collect();
+        found = hosts.iter().collect();
     }
-    found
+    let at_ease = found.iter().filter(|host| !host.is_strained).count();
+    // Where most hosts are strained the load itself is too much: the rest would only be next.
+    if found.len() <= at_ease * 2 {
+        found.retain(|host| !host.is_strained);
+    }
+    found.into_iter().map(|host| host.callers).take(MOST).collect()
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -27,6 +27,7 @@
 mod service_state;
 mod settings;
 mod settings_file;
+mod strain;
 mod sync;
 mod target;
 #[cfg(test)]
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -5,6 +5,7 @@
 mod known_state;
 mod pipeline;
 mod settings_file;
+mod strain;
 mod targets;
 
 use super::{Bounds, KnownTarget, TargetEntry, target::tag};
--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -42,6 +42,7 @@
     let host = |name: &str, region: &str, port| LiveHost {
         callers: addr(port),
         host: name.into(),
+        is_strained: false,
         region: region.into(),
         zone: "x".into(),
     };
@@ -60,6 +61,7 @@
         leaving: false,
         reaches_store,
         start: 1,
+        strained: false,
         turn: 1,
     };
     Peer {
@@ -73,6 +75,24 @@
     }
 }
 
+/// One of four hosts of a region gets too little of its processor, and callers are sent to the three
+/// others. When most of them say so, callers would crowd the few that are left: all are named.
+#[test]
+fn strained_hosts_are_left_out_while_they_are_few() {
+    let named = |strained: usize| {
+        let host = |at: u16| LiveHost {
+            callers: addr(at),
+            host: format!("h-{at}").into(),
+            is_strained: usize::from(at) < strained,
+            region: "north".into(),
+            zone: "x".into(),
+        };
+        let hosts: Vec<LiveHost> = (0..4).map(host).collect();
+        addresses(&hosts, &LookupPlace { region: "north".into(), zone: "x".into() }).len()
+    };
+    assert_eq!([0, 1, 2, 3, 4].map(named), [4, 3, 2, 4, 4]);
+}
+
 /// Six hosts of a region: two watch the store, and each finds out by itself whether it is one of
 /// them. One of the two no longer reaches the store: a third takes its place.
 #[test]
--- a/src/entry/tests/targets.rs
+++ b/src/entry/tests/targets.rs
@@ -92,6 +92,7 @@
     let host = |at: usize| LiveHost {
         callers: "127.0.0.1:1".parse().expect("an address"),
         host: format!("h-{at}").into(),
+        is_strained: false,
         region: if at < 6 { "north" } else { "south" }.into(),
         zone: "x".into(),
     };
@@ -122,6 +123,7 @@
 fn a_cold_target_without_near_hosts_has_senders() {
     let target = known("t-1", "north");
     let far = LiveHost {
+        is_strained: false,
         callers: "127.0.0.1:1".parse().expect("an address"),
         host: "h".into(),
         region: "south".into(),
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -38,6 +38,8 @@
 pub struct LiveHost {
     pub callers: SocketAddr,
     pub host: HostId,
+    /// It gets too little of its processor.
+    pub is_strained: bool,
     pub region: RegionId,
     pub zone: ZoneId,
 }
--- a/src/event_log/event.rs
+++ b/src/event_log/event.rs
@@ -157,6 +157,8 @@
     StoreLost { part: Part, reason: Arc<str> },
     /// The store answers again.
     StoreRegained { away_ms: u64, part: Part },
+    /// The host gets too little of its processor, or enough again.
+    StrainChanged { delay_ms: u64, is_strained: bool },
     /// A large answer broke off after its head had gone out.
     StreamBroken { reason: Arc<str>, service: ServiceId, target: TargetId },
     /// A request was accepted.
--- a/src/event_log/kind.rs
+++ b/src/event_log/kind.rs
@@ -78,6 +78,9 @@
             EventKind::Stopping => "a planned stop begins",
             EventKind::StoreLost => "the store does not answer",
             EventKind::StoreRegained => "the store answers again",
+            EventKind::StrainChanged => {
+                "the host gets too little of its processor and leaves look-ups, or enough again"
+            }
             EventKind::StreamBroken => "a large answer broke off on its way",
             EventKind::Taken => "a request was accepted",
             EventKind::TargetGone => "a target's entry is gone",
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -59,6 +59,7 @@
     pub load: Load,
     pub reaches_store: bool,
     pub stamp: Stamp,
+    pub strained: bool,
 }
 
 /// One message, and where it goes.
@@ -277,6 +278,7 @@
             leaving: self.own.leaving,
             reaches_store: self.own.reaches_store,
             start: self.parts.start,
+            strained: self.own.strained,
             turn: self.turn,
         }
     }
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -25,6 +25,8 @@
     pub reaches_store: bool,
     /// Wall clock at its start, in milliseconds: a restarted host has a higher one.
     pub start: u64,
+    /// It gets too little of its processor, and callers are better off elsewhere.
+    pub strained: bool,
     /// Rises with each message of one start.
     pub turn: u64,
 }
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -25,6 +25,7 @@
         leaving: false,
         reaches_store: true,
         start,
+        strained: false,
         turn,
     }
 }
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -535,6 +535,7 @@
             leaving: false,
             reaches_store: true,
             start: 1,
+            strained: false,
             turn,
         };
         let (contacts, load, zone) = (Vec::new(), Load::default(), "north-b".into());
