Wait five seconds in a watch

A watch whose answer the store has lost hangs on a connection that lives: keep-alive probes do not show it, so the wait alone bounds how long changes are missed. Ten seconds are longer than a declaration may take to be in force (found by reading; not seen in a run).

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -42,8 +42,8 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(100);
 
 /// How often the store is asked. Hosts tell each other when one of them has seen more, so nothing
-/// has to be compared. A silent connection is found by the client's own questions, long before the
-/// wait of a watch is over; each watch is a call.
+/// has to be compared. Each watch is a call; the wait bounds how long one is believed whose answer was
+/// lost on a connection that lives, which the client's keep-alive probes do not show.
 ///
 /// A new host lists at once, so that it can serve, but watches only when it has had time to hear of
 /// others that do: heartbeats come every 100 ms, a new host's greetings every 200 ms.
@@ -52,7 +52,7 @@
     compare_every: Duration::from_secs(86_400),
     first_may_lag: true,
     settle: Duration::from_millis(150),
-    wait: Duration::from_secs(10),
+    wait: Duration::from_secs(5),
 };
 
 /// What the control side is built from.
