Name hosts' messages and placement's questions by the field's terms

StoreUpdate, StateQuery and StateAnswer for Told, Share and Shared; PlacementQuery and Sighting for Ask and News; probes for greetings; control/store_updates and control/peering for news and talk. No change of behaviour.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -2,8 +2,8 @@
 
 mod handlers;
 mod messages;
-mod news;
-mod talk;
+mod peering;
+mod store_updates;
 
 use std::{
     collections::HashMap,
@@ -15,10 +15,10 @@
 use xtra::{Address, Mailbox, WeakAddress};
 
 pub use self::messages::{
-    Datagram, HostsListed, Leave, Registered, Reload, Share, Shared, Tick, Told,
+    Datagram, HostsListed, Leave, Registered, Reload, StateAnswer, StateQuery, StoreUpdate, Tick,
 };
 
-use self::talk::{LIST_HOSTS_FIRST, REGISTER_FIRST};
+use self::peering::{LIST_HOSTS_FIRST, REGISTER_FIRST};
 use super::{
     EntrySettings, KnownState, LiveHost, Part, Protocol, View, ViewCell,
     questions::Questions,
@@ -46,7 +46,7 @@
 /// lost on a connection that lives, which the client's keep-alive probes do not show.
 ///
 /// A new host lists at once, so that it can serve, but watches only when it has had time to hear of
-/// others that do: heartbeats come every 100 ms, a new host's greetings every 200 ms.
+/// others that do: heartbeats come every 100 ms, a new host's probes every 200 ms.
 const PACE: FollowPace = FollowPace {
     after_list: Duration::from_millis(600),
     compare_every: Duration::from_secs(86_400),
@@ -271,7 +271,7 @@
     let (tx, mut rx) = mpsc::channel::<Followed>(16);
     let _follower = Follower::spawn(store, clock, prefix, pace, tx);
     while let Some(told) = rx.recv().await {
-        if control.send(Told(part, told)).await.is_err() {
+        if control.send(StoreUpdate(part, told)).await.is_err() {
             return;
         }
     }
--- a/src/entry/control/handlers.rs
+++ b/src/entry/control/handlers.rs
@@ -6,8 +6,8 @@
 use xtra::{Actor, Handler};
 
 use super::{
-    Datagram, EntryControl, HostsListed, Leave, Registered, Reload, Share, Shared, Tick, Told,
-    gossip_seeds, talk::REGISTER_PAUSE,
+    Datagram, EntryControl, HostsListed, Leave, Registered, Reload, StateAnswer, StateQuery,
+    StoreUpdate, Tick, gossip_seeds, peering::REGISTER_PAUSE,
 };
 use crate::{
     entry::{EntrySettings, Part},
@@ -22,14 +22,14 @@
     async fn stopped(self) -> Self::Stop {}
 }
 
-impl Handler<Told> for EntryControl {
+impl Handler<StoreUpdate> for EntryControl {
     type Return = ();
 
-    async fn handle(&mut self, Told(part, told): Told, _: &mut xtra::Context<Self>) {
+    async fn handle(&mut self, StoreUpdate(part, told): StoreUpdate, _: &mut xtra::Context<Self>) {
         if self.told(part, told) {
             self.publish();
             // Hosts that do not watch hear of it now, not with the next heartbeat.
-            self.send_news();
+            self.announce();
         }
     }
 }
@@ -82,7 +82,7 @@
 
     async fn handle(&mut self, Leave: Leave, _: &mut xtra::Context<Self>) {
         self.leaving = true;
-        self.send_news();
+        self.announce();
         self.publish();
     }
 }
@@ -99,19 +99,27 @@
     }
 }
 
-impl Handler<Share> for EntryControl {
+impl Handler<StateQuery> for EntryControl {
     type Return = io::Result<Bytes>;
 
-    async fn handle(&mut self, Share(since): Share, _: &mut xtra::Context<Self>) -> Self::Return {
+    async fn handle(
+        &mut self,
+        StateQuery(since): StateQuery,
+        _: &mut xtra::Context<Self>,
+    ) -> Self::Return {
         let known = self.known_state.revisions();
         self.last_answer.packed(&self.raw, known, since)
     }
 }
 
-impl Handler<Shared> for EntryControl {
+impl Handler<StateAnswer> for EntryControl {
     type Return = ();
 
-    async fn handle(&mut self, Shared { addr, told }: Shared, cx: &mut xtra::Context<Self>) {
+    async fn handle(
+        &mut self,
+        StateAnswer { addr, told }: StateAnswer,
+        cx: &mut xtra::Context<Self>,
+    ) {
         let now = self.now();
         self.questions.ended(addr, told.is_some(), now);
         let Some(told) = told else {
--- a/src/entry/control/messages.rs
+++ b/src/entry/control/messages.rs
@@ -7,7 +7,7 @@
 };
 
 /// News from the store.
-pub struct Told(pub Part, pub Followed);
+pub struct StoreUpdate(pub Part, pub Followed);
 
 /// A datagram from another host.
 pub struct Datagram(pub Vec<u8>);
@@ -22,10 +22,10 @@
 pub struct Reload(pub EntrySettings);
 
 /// Another host asks for what is newer than it knows.
-pub struct Share(pub Revisions);
+pub struct StateQuery(pub Revisions);
 
 /// What the host at `addr` knows, or that it did not answer.
-pub struct Shared {
+pub struct StateAnswer {
     pub addr: SocketAddr,
     pub told: Option<Difference>,
 }
--- a/src/entry/control/talk.rs
+++ b/src/entry/control/peering.rs
@@ -4,7 +4,7 @@
 
 use xtra::WeakAddress;
 
-use super::{EntryControl, HEARTBEAT, HostsListed, Registered, Shared, wall_ms};
+use super::{EntryControl, HEARTBEAT, HostsListed, Registered, StateAnswer, wall_ms};
 use crate::{
     entry::{Protocol, records::HostRecord},
     event_log::Event,
@@ -52,9 +52,9 @@
     }
 
     /// Tells other hosts what they must know at once.
-    pub(super) fn send_news(&mut self) {
-        let news = self.fleet.news(self.own_state(), wall_ms() / SLOT_MS, self.now());
-        self.send(news);
+    pub(super) fn announce(&mut self) {
+        let announced = self.fleet.announce(self.own_state(), wall_ms() / SLOT_MS, self.now());
+        self.send(announced);
     }
 
     pub(super) fn send(&self, all: Vec<Outgoing>) {
@@ -87,7 +87,7 @@
                 let reason = error.to_string().into();
                 events.record(None, Event::HostUnanswering { addr, reason });
             }
-            let _ = own.send(Shared { addr, told: answer.ok() }).await;
+            let _ = own.send(StateAnswer { addr, told: answer.ok() }).await;
         });
     }
 
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -20,7 +20,7 @@
 
 use super::{
     EntryControl, EntrySettings, Listen, Protocol, TrafficState, ViewCell,
-    control::{ControlParts, Datagram, HEARTBEAT, Leave, Reload, Share, Tick},
+    control::{ControlParts, Datagram, HEARTBEAT, Leave, Reload, StateQuery, Tick},
     serve::{accept, callers, look_up, ready, small, status},
     strain::Strain,
     sync::{PeerClient, STATE_PATH, since},
@@ -235,7 +235,7 @@
     if req.uri().path() != STATE_PATH {
         return status(StatusCode::NOT_FOUND);
     }
-    let told = control.send(Share(since(req.uri().query()))).await;
+    let told = control.send(StateQuery(since(req.uri().query()))).await;
     let told = told.map_err(|error| error.to_string());
     match told.and_then(|told| told.map_err(|error| error.to_string())) {
         Ok(packed) => Response::new(Full::new(packed)),
--- a/src/entry/place.rs
+++ b/src/entry/place.rs
@@ -3,8 +3,8 @@
 use super::{KnownTarget, Route, TrafficState, View, service_state::ServiceState};
 use crate::{
     placement::{
-        Ask, Candidate, Choice, Condition, Forecast, HeldObjects, NameTag, ObjectTag, Offer,
-        RegionLoad, Shares, TargetIndex, Wanted, choose, is_sender, name_tag,
+        Candidate, Choice, Condition, Forecast, HeldObjects, NameTag, ObjectTag, Offer,
+        PlacementQuery, RegionLoad, Shares, TargetIndex, Wanted, choose, is_sender, name_tag,
     },
     prelude::*,
 };
@@ -191,7 +191,7 @@
         seed: ObjectTag,
         region: &RegionId,
     ) -> Placement {
-        let ask = Ask {
+        let query = PlacementQuery {
             home: &self.settings.region,
             learnt: state.learnt,
             left: wanted.deadline.saturating_sub(self.clock.now()),
@@ -202,7 +202,7 @@
             tuning: self.tuning,
             zone: &self.settings.zone,
         };
-        let choice = choose(candidates, &ask, seed);
+        let choice = choose(candidates, &query, seed);
         let (chosen, forecast) = match &choice {
             Choice::Send(offer) => {
                 state.learnt.work.sent(offer.work);
@@ -226,13 +226,13 @@
             cold: candidates.iter().filter(|candidate| candidate.cold).count(),
             crowded,
             free_elsewhere: candidates.iter().filter(|it| is_free_elsewhere(it, region)).count(),
-            limit: ask.limit(),
+            limit: query.limit(),
             load: chosen.map_or(0, |chosen| chosen.load as u32),
             forecast,
             region: region.clone(),
             shut: candidates.iter().filter(|candidate| candidate.shut).count(),
             target: chosen.map(|chosen| chosen.target.clone()),
-            work: ask.learnt.work.mean(),
+            work: query.learnt.work.mean(),
         }
     }
 
--- a/src/entry/records.rs
+++ b/src/entry/records.rs
@@ -2,7 +2,7 @@
 //!
 //! Nothing in the store expires, and hosts are replaced for good several times a day, under new
 //! names: without a clean-up the records would grow for ever, and with them the addresses that
-//! every host greets.
+//! every host probes.
 
 use std::collections::BTreeSet;
 
--- a/src/fleet/contacts.rs
+++ b/src/fleet/contacts.rs
@@ -7,7 +7,7 @@
 /// Most addresses that are kept.
 const MOST: usize = 4_096;
 
-/// Addresses whose zone is not known that are greeted at once.
+/// Addresses whose zone is not known that are probed at once.
 const UNPLACED_AT_ONCE: usize = 16;
 
 /// Addresses that were told, with their zones as far as these are known.
@@ -18,22 +18,22 @@
 
 impl Contacts {
     /// A host of a zone was told.
-    pub fn told(&mut self, addr: SocketAddr, zone: ZoneId) {
+    pub fn add(&mut self, addr: SocketAddr, zone: ZoneId) {
         if self.told.len() < MOST || self.told.contains_key(&addr) {
             self.told.insert(addr, Some(zone));
         }
     }
 
     /// All hosts that the store's records name, in place of what was told before: what is gone for
-    /// good would be greeted for ever.
+    /// good would be probed for ever.
     pub fn listed(&mut self, addrs: impl Iterator<Item = SocketAddr>) {
         let zone = |addr| (addr, self.told.get(&addr).cloned().flatten());
         self.told = addrs.take(MOST).map(zone).collect();
     }
 
-    /// Whom to greet of those that are not `live`: all of the own zone, one of each zone that has
+    /// Whom to probe of those that are not `live`: all of the own zone, one of each zone that has
     /// no living host, some whose zone is not known. `turn` makes it others each time.
-    pub fn to_greet(
+    pub fn to_probe(
         &self,
         own_zone: &ZoneId,
         live: &BTreeSet<SocketAddr>,
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -20,20 +20,20 @@
 const FAR_RECEIVERS: usize = 2;
 
 /// Receivers of a report that can't wait.
-const NEWS_RECEIVERS: usize = 2;
+const ANNOUNCE_RECEIVERS: usize = 2;
 
 /// Contacts in one heartbeat: enough to find all within a second or two.
 const TOLD_CONTACTS: usize = 3;
 
-/// Contacts of each zone but the greeter's own in the answer to a greeting.
+/// Contacts of each zone but the prober's own in the answer to a probe.
 const ANSWERED_CONTACTS: usize = 2;
 
-/// Ticks between two greetings of those that are not heard.
-const GREET_TICKS: u64 = 10;
+/// Ticks between two probes of those that are not heard.
+const PROBE_TICKS: u64 = 10;
 
-/// Ticks in which a new host greets more often, and the number between two greetings then.
+/// Ticks in which a new host probes more often, and the number between two probes then.
 const NEW_TICKS: u64 = 20;
-const NEW_GREET_TICKS: u64 = 2;
+const NEW_PROBE_TICKS: u64 = 2;
 
 /// What a host is built from.
 #[derive(Clone, Debug)]
@@ -157,7 +157,7 @@
         heard.chain(told.map(|(zone, informed)| (self.region_of(zone), informed.clone())))
     }
 
-    /// What is due now: heartbeats to the own zone, its report if this host has a turn, greetings.
+    /// What is due now: heartbeats to the own zone, its report if this host has a turn, probes.
     /// `slot` counts tenths of a second by the time of day.
     pub fn tick(&mut self, own: OwnState, slot: u64, now: Moment) -> Vec<Outgoing> {
         self.own = own;
@@ -176,19 +176,19 @@
             to.extend(self.receivers(false, far_slot, FAR_RECEIVERS, now));
         }
         send.extend(self.report_to(to, now));
-        send.extend(self.greetings(now));
+        send.extend(self.probes(now));
         send.retain(|outgoing| !outgoing.to.is_empty());
         send
     }
 
     /// What others of the region must know now: this host has learnt something of the store, or is
     /// leaving.
-    pub fn news(&mut self, own: OwnState, slot: u64, now: Moment) -> Vec<Outgoing> {
+    pub fn announce(&mut self, own: OwnState, slot: u64, now: Moment) -> Vec<Outgoing> {
         self.own = own;
         let mut send = vec![self.heartbeat_to_zone(now)];
-        let mut to = self.receivers(true, slot, NEWS_RECEIVERS, now);
+        let mut to = self.receivers(true, slot, ANNOUNCE_RECEIVERS, now);
         if self.own.leaving {
-            to.extend(self.receivers(false, slot, NEWS_RECEIVERS, now));
+            to.extend(self.receivers(false, slot, ANNOUNCE_RECEIVERS, now));
         }
         send.extend(self.report_to(to, now));
         send.retain(|outgoing| !outgoing.to.is_empty());
@@ -230,7 +230,7 @@
         if report.zone == self.parts.zone {
             // The answer of a host of the own zone: each of them is heard directly soon.
             for (note, _) in report.hosts {
-                self.contacts.told(note.gossip, report.zone.clone());
+                self.contacts.add(note.gossip, report.zone.clone());
             }
             return heard;
         }
@@ -240,7 +240,7 @@
         let region = self.region_of(&report.zone).clone();
         for (note, silent_ms) in &report.hosts {
             let at = now.saturating_sub(Duration::from_millis(u64::from(*silent_ms)));
-            if self.peers.told(note.clone(), &report.zone, &region, at, now) {
+            if self.peers.learn_of(note.clone(), &report.zone, &region, at, now) {
                 heard.new.push((note.host.clone(), report.zone.clone()));
             }
         }
@@ -255,7 +255,7 @@
     fn take_contacts(&mut self, contacts: &[(SocketAddr, ZoneId)]) {
         for (addr, zone) in contacts {
             if *addr != self.parts.gossip {
-                self.contacts.told(*addr, zone.clone());
+                self.contacts.add(*addr, zone.clone());
             }
         }
     }
@@ -369,9 +369,9 @@
         receivers.flatten().collect()
     }
 
-    /// Greets those that may live and are not heard.
-    fn greetings(&mut self, now: Moment) -> Option<Outgoing> {
-        let every = if self.is_new() { NEW_GREET_TICKS } else { GREET_TICKS };
+    /// Probes those that may live and are not heard.
+    fn probes(&mut self, now: Moment) -> Option<Outgoing> {
+        let every = if self.is_new() { NEW_PROBE_TICKS } else { PROBE_TICKS };
         if self.ticks % every != 1 {
             return None;
         }
@@ -380,7 +380,7 @@
         live.insert(self.parts.gossip);
         let zones: BTreeSet<&ZoneId> = self.peers.live(now).map(|peer| &peer.zone).collect();
         let turn = (self.ticks / every) as usize;
-        let mut to = self.contacts.to_greet(&self.parts.zone, &live, &zones, turn);
+        let mut to = self.contacts.to_probe(&self.parts.zone, &live, &zones, turn);
         to.extend(self.parts.seeds.iter().filter(|seed| !live.contains(*seed)));
         let silent = self.peers.silent(now).filter(|peer| peer.zone == self.parts.zone);
         to.extend(silent.map(|peer| peer.note.gossip));
@@ -388,7 +388,7 @@
         Some(Outgoing { message: self.heartbeat(now), to })
     }
 
-    /// Whom a host of `zone` may greet beyond the hosts of this zone: all of its own zone, and some
+    /// Whom a host of `zone` may probe beyond the hosts of this zone: all of its own zone, and some
     /// of each other one.
     fn contacts_for(&self, zone: &ZoneId, now: Moment) -> Vec<(SocketAddr, ZoneId)> {
         let mut told: BTreeMap<&ZoneId, usize> = BTreeMap::new();
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -39,7 +39,7 @@
 }
 
 /// What a host tells those of its zone, several times a second; to a host of another zone it is a
-/// greeting, and answered with that zone's report.
+/// probe, and answered with that zone's report.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Heartbeat {
     /// Hosts that it hears: gossip address and zone.
@@ -55,7 +55,7 @@
 pub struct ZoneReport {
     /// The host that sent it.
     pub by: HostId,
-    /// For a host that greeted: whom else to greet.
+    /// For a host that probed: whom else to probe.
     pub contacts: Vec<(SocketAddr, ZoneId)>,
     /// Its living hosts, and for how many milliseconds each had been silent.
     pub hosts: Vec<(HostNote, u16)>,
--- a/src/fleet/peers.rs
+++ b/src/fleet/peers.rs
@@ -7,7 +7,7 @@
 /// second, so that two of them may go missing.
 pub const SILENCE: Duration = Duration::from_millis(1_700);
 
-/// A silent host's address is greeted this long, so that it is found again after a partition.
+/// A silent host's address is probed this long, so that it is found again after a partition.
 const FORGET: Duration = Duration::from_secs(120);
 
 /// A host as it was last heard.
@@ -60,7 +60,7 @@
     ///
     /// Only ever prolongs a life: a host that was cut off from its zone, and tells of itself alone,
     /// must not take the others out of look-ups.
-    pub fn told(
+    pub fn learn_of(
         &mut self,
         note: HostNote,
         zone: &ZoneId,
--- a/src/fleet/tests/network.rs
+++ b/src/fleet/tests/network.rs
@@ -95,11 +95,11 @@
     }
 
     /// One host tells news.
-    pub fn news(&mut self, at: usize, stamp: Stamp) {
+    pub fn announce(&mut self, at: usize, stamp: Stamp) {
         let host = &mut self.hosts[at];
         host.own.stamp = stamp;
-        let news = host.fleet.news(host.own.clone(), 1, self.now);
-        self.send(at, news);
+        let announced = host.fleet.announce(host.own.clone(), 1, self.now);
+        self.send(at, announced);
         self.deliver();
     }
 
--- a/src/fleet/tests/peers.rs
+++ b/src/fleet/tests/peers.rs
@@ -61,12 +61,12 @@
 fn the_latest_word_of_a_host_counts() {
     let (zone, region) = (ZoneId::from("north-b"), RegionId::from("north"));
     let mut peers = Peers::default();
-    assert!(peers.told(note("h", 1, 7), &zone, &region, secs(1.9), secs(2.0)));
-    assert!(!peers.told(note("h", 1, 6), &zone, &region, secs(1.2), secs(2.1)));
+    assert!(peers.learn_of(note("h", 1, 7), &zone, &region, secs(1.9), secs(2.0)));
+    assert!(!peers.learn_of(note("h", 1, 6), &zone, &region, secs(1.2), secs(2.1)));
     assert_eq!(peers.live(secs(3.5)).count(), 1);
-    assert!(!peers.told(note("h", 1, 7), &zone, &region, secs(1.9), secs(3.5)));
+    assert!(!peers.learn_of(note("h", 1, 7), &zone, &region, secs(1.9), secs(3.5)));
     assert_eq!(peers.live(secs(3.7)).count(), 0, "told again, but silent since");
-    assert!(peers.told(note("h", 1, 9), &zone, &region, secs(3.8), secs(3.9)));
+    assert!(peers.learn_of(note("h", 1, 9), &zone, &region, secs(3.8), secs(3.9)));
 }
 
 /// A datagram is read back as it was written, and damaged ones are refused or read, never a panic.
--- a/src/fleet/tests/spread.rs
+++ b/src/fleet/tests/spread.rs
@@ -118,7 +118,7 @@
     network.run(40);
     let revisions = Revisions { declared: 9, ..Revisions::default() };
     let stamp = Stamp { declared: 2, revisions, ..Stamp::default() };
-    network.news(0, stamp);
+    network.announce(0, stamp);
     let region: Vec<_> = network.hosts.iter().filter(|host| host.zone.starts_with("r0")).collect();
     assert_eq!(region.len(), 18);
     for host in &region[1..] {
@@ -139,7 +139,7 @@
     let mut network = Network::new(6);
     network.run(40);
     network.hosts[0].own.leaving = true;
-    network.news(0, Stamp::default());
+    network.announce(0, Stamp::default());
     let leaving = |host: &super::network::Host| {
         let mut live = host.fleet.live(network.now);
         live.any(|peer| peer.note.host == network.hosts[0].name && peer.note.leaving)
--- a/src/placement/choose.rs
+++ b/src/placement/choose.rs
@@ -54,7 +54,7 @@
 
 /// What is asked.
 #[derive(Clone, Debug)]
-pub struct Ask<'a> {
+pub struct PlacementQuery<'a> {
     pub home: &'a RegionId,
     pub learnt: Learnt,
     /// Time that the caller still waits.
@@ -70,7 +70,7 @@
     pub zone: &'a ZoneId,
 }
 
-impl Ask<'_> {
+impl PlacementQuery<'_> {
     /// Longest time that an answer may be expected to take.
     pub fn limit(&self) -> Duration {
         self.objective.mul_f64(self.tuning.patience).min(self.patience_left())
@@ -123,7 +123,7 @@
 
 /// What was heard of the object in the region that the shares name.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum News {
+enum Sighting {
     None,
     /// Targets were asked for it, and have forgotten it by now.
     Forgotten,
@@ -131,10 +131,10 @@
     Known,
 }
 
-impl News {
-    fn of(candidates: &[Candidate<'_>], ask: &Ask<'_>) -> Self {
-        let near = || candidates.iter().filter(|it| it.target.region == *ask.region);
-        if near().any(|it| ask.learnt.keeps.holds(it.depth)) {
+impl Sighting {
+    fn of(candidates: &[Candidate<'_>], query: &PlacementQuery<'_>) -> Self {
+        let near = || candidates.iter().filter(|it| it.target.region == *query.region);
+        if near().any(|it| query.learnt.keeps.holds(it.depth)) {
             return Self::Known;
         }
         if near().any(|it| it.depth.is_some()) { Self::Forgotten } else { Self::None }
@@ -172,18 +172,18 @@
         at: usize,
         candidate: &Candidate<'_>,
         rank: usize,
-        news: News,
+        sighting: Sighting,
         worth: Duration,
-        ask: &Ask<'_>,
+        query: &PlacementQuery<'_>,
     ) -> Self {
-        let is_home = rank == 0 && ask.object.is_some();
+        let is_home = rank == 0 && query.object.is_some();
         let is_home_guess =
-            ask.tuning.trusts_homes && is_home && news == News::None && !candidate.cold;
-        let knows = ask.knows(candidate, is_home_guess);
-        let saved = ask.saved().mul_f64(1.0 - knows);
+            query.tuning.trusts_homes && is_home && sighting == Sighting::None && !candidate.cold;
+        let knows = query.knows(candidate, is_home_guess);
+        let saved = query.saved().mul_f64(1.0 - knows);
         let cold = if candidate.cold { COLD } else { 1.0 };
-        let work = (ask.learnt.work.known() + saved).mul_f64(cold);
-        let wait = wait(candidate, ask);
+        let work = (query.learnt.work.known() + saved).mul_f64(cold);
+        let wait = wait(candidate, query);
         let trip = candidate.trip.as_secs_f64();
         let busy = work.as_secs_f64() * candidate.stretch;
         let takes = wait * candidate.stretch + busy + trip;
@@ -192,20 +192,20 @@
         // would stay unknown, and all its requests would be refused. A caller that can't stay for
         // its first run is refused all the same: nobody would hear the answer.
         let first_run = saved.as_secs_f64() * cold * candidate.stretch;
-        let can_stay = takes <= ask.patience_left().as_secs_f64();
-        let is_first = is_home && news != News::Known && wait <= 0.0 && can_stay;
-        let counts = match ask.learnt.work.is_measured() {
+        let can_stay = takes <= query.patience_left().as_secs_f64();
+        let is_first = is_home && sighting != Sighting::Known && wait <= 0.0 && can_stay;
+        let counts = match query.learnt.work.is_measured() {
             false => takes - busy,
             true if is_first => takes - first_run,
             true => takes,
         };
-        let mut charge = takes + rank.min(RANKS) as f64 * ask.tuning.rank_charge;
-        charge += worth.as_secs_f64() * (1.0 - knows) * ask.tuning.unknown_charge;
+        let mut charge = takes + rank.min(RANKS) as f64 * query.tuning.rank_charge;
+        charge += worth.as_secs_f64() * (1.0 - knows) * query.tuning.unknown_charge;
         let region = &candidate.target.region;
-        if region == ask.home && candidate.target.entry.zone != *ask.zone {
+        if region == query.home && candidate.target.entry.zone != *query.zone {
             charge += ZONE_CHARGE.as_secs_f64();
         }
-        if region != ask.region {
+        if region != query.region {
             charge += SPILL_CHARGE.as_secs_f64();
         }
         Self { at, charge, counts, is_home_guess, knows, takes, wait, work }
@@ -213,19 +213,19 @@
 }
 
 /// Chooses among the candidates. `seed` stands for the object where there is none.
-pub fn choose(candidates: &[Candidate<'_>], ask: &Ask<'_>, seed: ObjectTag) -> Choice {
-    let ranks = ranks(candidates, ask.object.unwrap_or(seed));
-    let news = News::of(candidates, ask);
-    let worth = ask.worth_of_knowing(candidates);
+pub fn choose(candidates: &[Candidate<'_>], query: &PlacementQuery<'_>, seed: ObjectTag) -> Choice {
+    let ranks = ranks(candidates, query.object.unwrap_or(seed));
+    let sighting = Sighting::of(candidates, query);
+    let worth = query.worth_of_knowing(candidates);
     let mut best: Option<Offer> = None;
     let mut least_wait: Option<f64> = None;
     for (at, candidate) in candidates.iter().enumerate() {
-        let spills = candidate.target.region != *ask.region;
-        if candidate.shut || (spills && !ask.may_spill) {
+        let spills = candidate.target.region != *query.region;
+        if candidate.shut || (spills && !query.may_spill) {
             // Told to come back for room that it may not use, a caller would only be refused again.
             continue;
         }
-        let offer = Offer::of(at, candidate, ranks[at], news, worth, ask);
+        let offer = Offer::of(at, candidate, ranks[at], sighting, worth, query);
         least_wait = Some(least_wait.map_or(offer.wait, |least| least.min(offer.wait)));
         let room = f64::from(candidate.target.entry.slots) * (1.0 + WAITING);
         if room <= candidate.load {
@@ -235,7 +235,7 @@
             best = Some(offer);
         }
     }
-    let limit = ask.limit().as_secs_f64();
+    let limit = query.limit().as_secs_f64();
     match best {
         Some(offer) if offer.counts <= limit => Choice::Send(offer),
         _ if candidates.is_empty() => Choice::Nothing,
@@ -249,10 +249,10 @@
 }
 
 /// Expected wait for a slot, in seconds.
-fn wait(candidate: &Candidate<'_>, ask: &Ask<'_>) -> f64 {
+fn wait(candidate: &Candidate<'_>, query: &PlacementQuery<'_>) -> f64 {
     let slots = f64::from(candidate.target.entry.slots.max(1));
     let before = (candidate.load + 1.0 - slots).max(0.0);
-    before / slots * ask.learnt.work.mean().as_secs_f64()
+    before / slots * query.learnt.work.mean().as_secs_f64()
 }
 
 /// Rank of each candidate for an object within its region, of those that take requests; 0 comes first.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -25,7 +25,7 @@
 mod work_time;
 
 pub use self::{
-    choose::{Ask, Candidate, Choice, Offer, choose},
+    choose::{Candidate, Choice, Offer, PlacementQuery, choose},
     cold_rates::{ColdRates, is_sender},
     condition::{Condition, ConditionChange, Ended},
     forecast::Forecast,
--- a/src/placement/tests/choose.rs
+++ b/src/placement/tests/choose.rs
@@ -3,7 +3,7 @@
 use super::{idle, known, learnt, secs};
 use crate::{
     entry::KnownTarget,
-    placement::{Ask, Candidate, Choice, Tuning, choose},
+    placement::{Candidate, Choice, PlacementQuery, Tuning, choose},
     prelude::*,
 };
 
@@ -36,8 +36,8 @@
         candidates
     }
 
-    fn ask(&self, object: u32) -> Ask<'_> {
-        Ask {
+    fn ask(&self, object: u32) -> PlacementQuery<'_> {
+        PlacementQuery {
             home: &self.home,
             learnt: learnt(),
             left: secs(2.0),
@@ -51,7 +51,7 @@
     }
 }
 
-fn choice(candidates: &[Candidate<'_>], ask: &Ask<'_>) -> Choice {
+fn choice(candidates: &[Candidate<'_>], ask: &PlacementQuery<'_>) -> Choice {
     choose(candidates, ask, 0)
 }
 
@@ -111,7 +111,7 @@
     let world = World::new(2, 0);
     let mut full = world.idle();
     full.iter_mut().for_each(|candidate| candidate.load = 11.0);
-    let late = Ask { left: secs(0.25), ..world.ask(1) };
+    let late = PlacementQuery { left: secs(0.25), ..world.ask(1) };
     let Choice::Busy { room_in, .. } = choice(&full, &late) else { panic!("it was sent") };
     assert_eq!(room_in, Some(secs(0.3)));
     assert!(matches!(choice(&full, &world.ask(1)), Choice::Send(_)));
@@ -131,7 +131,7 @@
         let known = sent(choice(&candidates, &world.ask(object)));
         candidates[known].load = 8.0;
         candidates[known].depth = Some(0);
-        let hasty = Ask { left: secs(0.3), ..world.ask(object) };
+        let hasty = PlacementQuery { left: secs(0.3), ..world.ask(object) };
         let refused = choice(&candidates, &hasty);
         let Choice::Busy { crowded: Some(offer), room_in: Some(room_in) } = refused else {
             panic!("{refused:?}");
@@ -159,7 +159,7 @@
     assert_eq!(choice(&candidates, &world.ask(1)), Choice::Busy { crowded: None, room_in: None });
     candidates[..2].iter_mut().for_each(|candidate| candidate.shut = false);
     candidates[0].load = 12.0;
-    let may_spill = Ask { may_spill: true, ..world.ask(1) };
+    let may_spill = PlacementQuery { may_spill: true, ..world.ask(1) };
     assert!(matches!(choice(&candidates, &may_spill), Choice::Send(offer) if 2 <= offer.at));
 }
 
@@ -186,6 +186,6 @@
     let mut candidates = world.idle();
     candidates[0].load = 12.0;
     assert!(matches!(choice(&candidates, &world.ask(1)), Choice::Busy { .. }));
-    let may = Ask { may_spill: true, ..world.ask(1) };
+    let may = PlacementQuery { may_spill: true, ..world.ask(1) };
     assert_ne!(sent(choice(&candidates, &may)), 0);
 }
--- a/src/placement/tests/first_runs.rs
+++ b/src/placement/tests/first_runs.rs
@@ -3,7 +3,7 @@
 use super::{idle, known, learnt, secs};
 use crate::{
     entry::KnownTarget,
-    placement::{Ask, Choice, Learnt, Tuning, choose},
+    placement::{Choice, Learnt, PlacementQuery, Tuning, choose},
     prelude::*,
 };
 
@@ -12,8 +12,8 @@
 }
 
 /// An objective of 60 ms: shorter than any first run.
-fn ask<'a>(home: &'a RegionId, zone: &'a ZoneId, learnt: Learnt) -> Ask<'a> {
-    Ask {
+fn ask<'a>(home: &'a RegionId, zone: &'a ZoneId, learnt: Learnt) -> PlacementQuery<'a> {
+    PlacementQuery {
         home,
         learnt,
         left: secs(2.0),
@@ -66,9 +66,9 @@
     let mut candidates = idle(&targets);
     candidates.iter_mut().for_each(|candidate| candidate.depth = Some(100));
     let ask = ask(&home, &zone, learnt());
-    let short = Ask { left: secs(0.25), ..ask.clone() };
+    let short = PlacementQuery { left: secs(0.25), ..ask.clone() };
     assert!(matches!(choose(&candidates, &short, 0), Choice::Busy { .. }));
-    let long = Ask { left: secs(0.35), ..ask };
+    let long = PlacementQuery { left: secs(0.35), ..ask };
     assert!(matches!(choose(&candidates, &long, 0), Choice::Send(_)));
 }
 
@@ -82,7 +82,7 @@
     candidates[2].load = 4.0;
     let objective = secs(0.2);
     for seed in 0..50 {
-        let ask = Ask { object: None, objective, ..ask(&home, &zone, learnt()) };
+        let ask = PlacementQuery { object: None, objective, ..ask(&home, &zone, learnt()) };
         let Choice::Send(offer) = choose(&candidates, &ask, seed) else { panic!("it was refused") };
         assert_eq!((offer.at, offer.expected()), (1, secs(0.1)));
     }
--- a/src/placement/tests/model.rs
+++ b/src/placement/tests/model.rs
@@ -12,8 +12,8 @@
 use crate::{
     entry::KnownTarget,
     placement::{
-        Ask, Candidate, Choice, Condition, Ended, Forecast, HeldObjects, Learnt, ObjectTag,
-        Slowness, TargetTag, Tuning, choose,
+        Candidate, Choice, Condition, Ended, Forecast, HeldObjects, Learnt, ObjectTag,
+        PlacementQuery, Slowness, TargetTag, Tuning, choose,
     },
     prelude::*,
 };
@@ -164,7 +164,7 @@
             })
             .collect();
         let (region, zone) = ("north".into(), "north-a".into());
-        let ask = Ask {
+        let ask = PlacementQuery {
             home: &region,
             learnt: it.learnt,
             left: Duration::from_millis(DEADLINE),
