Fetch changes less often, remember what targets of an evacuated zone hold, name all hosts of large regions

The first watcher of a region pauses 300 ms after a change now, the second a second; it goes faster as soon as it is the first. Test: a_follower_settles_for_as_long_as_it_is_told. Found by that: retiring_targets_and_evacuated_zones_get_no_work failed each time, since an evacuation now took longer than half a second there. Then what its targets hold was forgotten, and after the return all requests stayed with the targets that had learnt their objects meanwhile. It is remembered for thirty seconds. Ruled out: the order of events, cold targets (none shut). Look-ups name 64 hosts, and those were the same first ones for all callers of a region: in a region with 70 six never got a caller. Each zone's callers get another part now, the same each time. Test: all_hosts_of_a_large_region_get_callers (failed before).

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -41,6 +41,9 @@
 /// bounds the wait.
 pub const HEARTBEAT: Duration = Duration::from_millis(100);
 
+/// Updates of one part that may wait for the actor.
+const UPDATES_WAITING: usize = 16;
+
 /// How often the store is asked. Hosts tell each other when one of them has seen more, so nothing
 /// has to be compared. Each watch is a call; the wait bounds how long one is believed whose answer was
 /// lost on a connection that lives, which the client's keep-alive probes do not show.
@@ -51,10 +54,14 @@
     after_list: Duration::from_millis(600),
     compare_every: Duration::from_secs(86_400),
     first_may_lag: true,
-    settle: Duration::from_millis(150),
+    settle: Duration::from_millis(300),
     wait: Duration::from_secs(5),
 };
 
+/// Pause of a region's second watcher after a change. Targets come and go all the time in a large
+/// fleet, and what the first one has told already need not be fetched at once again.
+const SECOND_SETTLE: Duration = Duration::from_secs(1);
+
 /// What the control side is built from.
 pub struct ControlParts {
     pub clock: Arc<dyn Clock>,
@@ -92,12 +99,15 @@
     election: WatcherElection,
 }
 
-/// Ends its task when dropped.
-struct FollowTask(tokio::task::AbortHandle);
+/// A follower, and the task that passes on what it tells; both end when dropped.
+struct FollowTask {
+    follower: Follower,
+    pass_on: tokio::task::AbortHandle,
+}
 
 impl Drop for FollowTask {
     fn drop(&mut self) {
-        self.0.abort();
+        self.pass_on.abort();
     }
 }
 
@@ -207,6 +217,11 @@
         let unanswered = self.questions.is_unanswered(now);
         let wanted =
             self.election.decide(&settings.host, &settings.region, peers, now) || unanswered;
+        let settle = match self.election.is_second() && !unanswered {
+            true => SECOND_SETTLE,
+            false => PACE.settle,
+        };
+        self.followers.iter().for_each(|task| task.follower.set_settle(settle));
         if wanted != self.followers.is_empty() {
             return;
         }
@@ -226,9 +241,11 @@
             let (store, clock) = (self.parts.store.clone(), self.parts.clock.clone());
             // What is known already must not be replaced by what was so some seconds ago.
             let first_may_lag = self.known_state.revisions().of(part) == 0;
-            let pace = FollowPace { first_may_lag, ..PACE };
-            let task = tokio::spawn(follow(store, clock, part, prefix, pace, own.clone()));
-            self.followers.push(FollowTask(task.abort_handle()));
+            let pace = FollowPace { first_may_lag, settle, ..PACE };
+            let (tx, rx) = mpsc::channel(UPDATES_WAITING);
+            let follower = Follower::spawn(store, clock, prefix, pace, tx);
+            let pass_on = tokio::spawn(pass_on(part, rx, own.clone())).abort_handle();
+            self.followers.push(FollowTask { follower, pass_on });
         }
     }
 }
@@ -260,16 +277,7 @@
 }
 
 /// Passes on what the store tells of one part.
-async fn follow(
-    store: Arc<dyn Platform>,
-    clock: Arc<dyn Clock>,
-    part: Part,
-    prefix: &'static str,
-    pace: FollowPace,
-    control: WeakAddress<EntryControl>,
-) {
-    let (tx, mut rx) = mpsc::channel::<Followed>(16);
-    let _follower = Follower::spawn(store, clock, prefix, pace, tx);
+async fn pass_on(part: Part, mut rx: mpsc::Receiver<Followed>, control: WeakAddress<EntryControl>) {
     while let Some(told) = rx.recv().await {
         if control.send(StoreUpdate(part, told)).await.is_err() {
             return;
--- a/src/entry/lookup.rs
+++ b/src/entry/lookup.rs
@@ -1,5 +1,9 @@
 //! Which hosts a caller may use.
 
+use std::collections::BTreeSet;
+
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::{LiveHost, protocol::LookupPlace};
 use crate::prelude::*;
 
@@ -19,5 +23,21 @@
     if found.len() <= at_ease * 2 {
         found.retain(|host| !host.is_strained);
     }
-    found.into_iter().map(|host| host.callers).take(MOST).collect()
+    if MOST < found.len() {
+        found = part_of(found, &place.zone);
+    }
+    found.into_iter().map(|host| host.callers).collect()
+}
+
+/// As many of the hosts as an answer names: each zone's callers get another part, so that all hosts
+/// are named to somebody, and the same ones each time, so that connections stay. The first ones for
+/// everybody would leave the others of a large region without callers.
+fn part_of<'a>(mut hosts: Vec<&'a LiveHost>, zone: &ZoneId) -> Vec<&'a LiveHost> {
+    let zones: BTreeSet<&ZoneId> = hosts.iter().map(|host| &host.zone).collect();
+    let place = zones.iter().position(|it| *it == zone).unwrap_or_default();
+    let first = place * hosts.len() / zones.len().max(1);
+    hosts.sort_by_key(|host| xxh3_64(host.host.as_bytes()));
+    hosts.rotate_left(first);
+    hosts.truncate(MOST);
+    hosts
 }
--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -1,5 +1,7 @@
 //! Who lives, and whom callers are sent to.
 
+use std::collections::BTreeSet;
+
 use super::secs;
 use crate::{
     entry::{
@@ -75,6 +77,30 @@
     }
 }
 
+/// A region has more hosts than an answer names. Each host is named to the callers of some zone, and
+/// to about as many as any other; a zone's callers are named the same ones again, also when a host
+/// is lost, but for a few.
+#[test]
+fn all_hosts_of_a_large_region_get_callers() {
+    let host = |at: u16| LiveHost {
+        callers: addr(at),
+        host: format!("h-{at}").into(),
+        is_strained: false,
+        region: "north".into(),
+        zone: format!("north-{}", at % 3).into(),
+    };
+    let hosts: Vec<LiveHost> = (0..170).map(host).collect();
+    let named = |hosts: &[LiveHost], zone: u16| -> BTreeSet<SocketAddr> {
+        let zone = format!("north-{zone}").into();
+        addresses(hosts, &LookupPlace { region: "north".into(), zone }).into_iter().collect()
+    };
+    let parts: Vec<BTreeSet<SocketAddr>> = (0..3).map(|zone| named(&hosts, zone)).collect();
+    assert!(parts.iter().all(|part| part.len() == 64));
+    assert_eq!(parts.iter().flatten().collect::<BTreeSet<_>>().len(), 170);
+    let fewer = named(&hosts[1..], 1);
+    assert!(61 <= fewer.intersection(&parts[1]).count(), "{fewer:?}");
+}
+
 /// One of four hosts of a region gets too little of its processor, and callers are sent to the three
 /// others. When most of them say so, callers would crowd the few that are left: all are named.
 #[test]
@@ -113,6 +139,13 @@
         };
         names.into_iter().filter(watches).collect()
     };
+    let first = |host: &&&str| {
+        let peers: Vec<Peer> = names.iter().map(|name| peer(name, "north", true)).collect();
+        let mut election = WatcherElection::default();
+        election.decide(&(**host).into(), &"north".into(), peers.iter(), secs(1.0));
+        !election.is_second()
+    };
+    assert_eq!(names.iter().filter(first).count(), 1, "one of them fetches changes at once");
     let two = watchers(None);
     assert_eq!(two.len(), 2);
     let three = watchers(Some(two[0]));
--- a/src/entry/traffic_state.rs
+++ b/src/entry/traffic_state.rs
@@ -313,7 +313,7 @@
         let targets = view.targets.values().flat_map(|targets| targets.iter());
         let known: HashSet<u32> = targets.map(|target| target.tag).collect();
         self.pool.borrow_mut().tick(now, |tag| known.contains(&tag));
-        self.held.borrow_mut().retain(|tag| known.contains(&tag));
+        self.held.borrow_mut().retain(|tag| known.contains(&tag), now);
         self.conditions
             .borrow_mut()
             .retain(|tag, condition| 0 < condition.in_flight || known.contains(tag));
--- a/src/entry/watchers.rs
+++ b/src/entry/watchers.rs
@@ -25,6 +25,7 @@
 #[derive(Debug, Default)]
 pub struct WatcherElection {
     is_on: bool,
+    is_second: bool,
     lost_at: Option<Moment>,
     spare_since: Option<Moment>,
     started: Moment,
@@ -49,7 +50,9 @@
         let before = peers.filter(|peer| {
             peer.region == *region && peer.note.reaches_store && own < weight(&peer.note.host)
         });
-        let needed = before.take(WATCHERS).count() < WATCHERS;
+        let better = before.take(WATCHERS).count();
+        let needed = better < WATCHERS;
+        self.is_second = 0 < better;
         if needed {
             self.is_on = true;
             self.spare_since = None;
@@ -61,6 +64,12 @@
         self.is_on
     }
 
+    /// Whether another host of the region watches in the first place. It stands by for the first
+    /// one's loss and may be later with all that it is told.
+    pub fn is_second(&self) -> bool {
+        self.is_second
+    }
+
     /// The store answered.
     pub fn reached(&mut self) {
         self.lost_at = None;
--- a/src/placement/held_objects.rs
+++ b/src/placement/held_objects.rs
@@ -7,17 +7,24 @@
 use std::collections::HashMap;
 
 use super::{ObjectTag, TargetTag};
+use crate::prelude::*;
 
 /// Objects that are remembered of one target: a bound on memory, 1 KiB a target. A target that
 /// keeps more is taken to have forgotten the rest.
 const HELD_MOST: usize = 128;
 
+/// Time for which the objects of a target that is not usable are remembered: longer than most
+/// evacuations.
+const HELD_WHILE_UNUSABLE: Duration = Duration::from_secs(30);
+
 /// The objects of each target, the one that was asked for last at the end.
 #[derive(Debug, Default)]
 pub struct HeldObjects {
     /// The targets that each object was asked for at, as `targets` has it.
     holders: HashMap<ObjectTag, Vec<TargetTag>>,
     targets: HashMap<TargetTag, Vec<ObjectTag>>,
+    /// Since when targets have not been usable.
+    unusable: HashMap<TargetTag, Moment>,
 }
 
 impl HeldObjects {
@@ -49,11 +56,20 @@
         self.targets.get(&target)?.iter().rev().position(|it| *it == object)
     }
 
-    /// Forgets targets that are gone.
-    pub fn retain(&mut self, is_known: impl Fn(TargetTag) -> bool) {
-        let gone: Vec<TargetTag> =
-            self.targets.keys().copied().filter(|tag| !is_known(*tag)).collect();
+    /// Forgets targets that have not been usable for a while.
+    ///
+    /// A zone is evacuated and taken back, and its targets still know what they knew. Forgotten at
+    /// once, they would be left idle after their return, since others know their objects by then.
+    pub fn retain(&mut self, is_usable: impl Fn(TargetTag) -> bool, now: Moment) {
+        self.unusable.retain(|tag, _| !is_usable(*tag));
+        for tag in self.targets.keys().copied().filter(|tag| !is_usable(*tag)) {
+            self.unusable.entry(tag).or_insert(now);
+        }
+        let is_gone = |since: &Moment| HELD_WHILE_UNUSABLE <= now.saturating_sub(*since);
+        let gone = self.unusable.iter().filter(|(_, since)| is_gone(since));
+        let gone: Vec<TargetTag> = gone.map(|(tag, _)| *tag).collect();
         for target in gone {
+            self.unusable.remove(&target);
             for object in self.targets.remove(&target).unwrap_or_default() {
                 release(&mut self.holders, object, target);
             }
--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -4,6 +4,8 @@
 //! the store can forget or lose versions. The first is found by comparing versions now and then,
 //! the others by listing again.
 
+use std::sync::atomic::{AtomicU64, Ordering};
+
 use backon::{BackoffBuilder, ExponentialBackoff, ExponentialBuilder};
 use tokio::{sync::mpsc, task::JoinHandle};
 
@@ -55,6 +57,8 @@
 
 /// A running follower; ends when dropped.
 pub struct Follower {
+    /// In milliseconds.
+    settle: Arc<AtomicU64>,
     task: JoinHandle<()>,
 }
 
@@ -67,8 +71,15 @@
         pace: FollowPace,
         tx: mpsc::Sender<Followed>,
     ) -> Self {
-        let task = tokio::spawn(follow(platform, clock, prefix.to_owned(), pace, tx));
-        Self { task }
+        let settle = Arc::new(AtomicU64::new(pace.settle.as_millis() as u64));
+        let prefix = prefix.to_owned();
+        let task = tokio::spawn(follow(platform, clock, prefix, pace, settle.clone(), tx));
+        Self { settle, task }
+    }
+
+    /// From now on pauses that long after a change; see `FollowPace::settle`.
+    pub fn set_settle(&self, settle: Duration) {
+        self.settle.store(settle.as_millis() as u64, Ordering::Relaxed);
     }
 }
 
@@ -180,6 +191,7 @@
     clock: Arc<dyn Clock>,
     prefix: String,
     pace: FollowPace,
+    settle: Arc<AtomicU64>,
     tx: mpsc::Sender<Followed>,
 ) {
     let mut state = FollowState::new(rand::random(), pace);
@@ -223,7 +235,7 @@
         is_lost = matches!(told, Followed::Lost(_));
         let pause = match &told {
             Followed::Changed(changes) if changes.is_empty() => Duration::ZERO,
-            Followed::Changed(_) => pace.settle,
+            Followed::Changed(_) => Duration::from_millis(settle.load(Ordering::Relaxed)),
             Followed::Listed(_) => pace.after_list,
             Followed::Lost(_) => Duration::ZERO,
         };
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -173,3 +173,54 @@
         self.within(self.0.door().watch(prefix, from, wait)).await
     }
 }
+
+/// A store in which something changes all the time; counts its watches.
+#[derive(Default)]
+struct Restless(std::sync::atomic::AtomicU64);
+
+#[async_trait::async_trait]
+impl Platform for Restless {
+    async fn delete(&self, _: &str, _: Expect, _: OperationId) -> Result<Version> {
+        Ok(0)
+    }
+
+    async fn get(&self, _: &str) -> Result<Option<Versioned>> {
+        Ok(None)
+    }
+
+    async fn list(&self, _: &str) -> Result<Listing> {
+        Ok(Listing { entries: Vec::new(), version: 1 })
+    }
+
+    async fn put(&self, _: &str, _: Expect, _: Bytes, _: OperationId) -> Result<Version> {
+        Ok(0)
+    }
+
+    async fn watch(&self, _: &str, from: Version, _: Duration) -> Result<Changes> {
+        self.0.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let change = Change { key: "a".into(), object: None, version: from + 1 };
+        Ok(Changes { changes: vec![change], version: from + 1 })
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_follower_settles_for_as_long_as_it_is_told() {
+    // Targets come and go all the time, and each change ends a watch at once. The pause after a
+    // change bounds the calls; a host that only stands by for another takes a longer one, and goes
+    // back when that host is lost.
+    let store = std::sync::Arc::new(Restless::default());
+    let clock = std::sync::Arc::new(PausedClock(tokio::time::Instant::now()));
+    let pace = FollowPace { settle: SECOND / 10, ..FollowPace::ALONE };
+    let pace = FollowPace { compare_every: 1_000 * SECOND, ..pace };
+    let (tx, mut rx) = tokio::sync::mpsc::channel(16);
+    let follower = Follower::spawn(store.clone(), clock, "a/", pace, tx);
+    tokio::spawn(async move { while rx.recv().await.is_some() {} });
+    let mut counted = 0;
+    for (settle, least, most) in [(SECOND / 10, 90, 110), (SECOND, 9, 12), (SECOND / 10, 85, 110)] {
+        follower.set_settle(settle);
+        tokio::time::sleep(10 * SECOND).await;
+        let all = store.0.load(std::sync::atomic::Ordering::Relaxed);
+        assert!((least..=most).contains(&(all - counted)), "{settle:?}: {}", all - counted);
+        counted = all;
+    }
+}
