--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -37,8 +37,8 @@
 /// Messages that may wait for the actor; past it senders wait.
 const MAILBOX: usize = 256;
 
-/// Time between heartbeats to hosts of the own region: they share targets, and what is in attempt there
-/// bounds the wait.
+/// Time between heartbeats to hosts of the own zone, and between reports of a zone: hosts of a region
+/// share targets, and what is in attempt there bounds the wait.
 pub const HEARTBEAT: Duration = Duration::from_millis(100);
 
 /// Updates of one part that may wait for the actor.
--- a/src/placement/sent.rs
+++ b/src/placement/sent.rs
@@ -26,6 +26,9 @@
 /// other's requests a few tenths of a second late, and what is on its way adds to it.
 const HOLD: f64 = 0.7;
 
+/// How steeply the pace of shares falls with what was moved: full up to half of what may be.
+const PACE_SLOPE: f64 = 2.0;
+
 /// Service and region of requests.
 pub type Way = (NameTag, NameTag);
 
@@ -137,9 +140,7 @@
         if max_shift <= 0.0 {
             return 0.0;
         }
-        ((HOLD * max_shift - self.moved()) / (HOLD * max_shift) * PACE_SLOPE).clamp(0.0, 1.0)
+        let most = HOLD * max_shift;
+        ((most - self.moved()) / most * PACE_SLOPE).clamp(0.0, 1.0)
     }
 }
-
-/// How steeply the pace falls: full up to half of what may be moved.
-const PACE_SLOPE: f64 = 2.0;
