Count what hosts ask each other, what they compress for it, and how long control waits

Three hypotheses of the late changes could not be told apart: a host crowded out by answering others, one that reads too slowly, and a silent watch. state_answers and state_packed_bytes show the first, state_query_seconds and control_wait_seconds the first two, store_age_seconds with an idle processor the third.

A collector kept 4,032 bytes of each scrape; histograms stood second in the text, so that the counters of events were lost in all but the first scrapes. Histograms come last now. No decision changes.

--- a/src/entry/control/handlers.rs
+++ b/src/entry/control/handlers.rs
@@ -56,8 +56,9 @@
 impl Handler<Tick> for EntryControl {
     type Return = ();
 
-    async fn handle(&mut self, Tick: Tick, cx: &mut xtra::Context<Self>) {
+    async fn handle(&mut self, Tick { due }: Tick, cx: &mut xtra::Context<Self>) {
         let now = self.now();
+        self.parts.metrics.control_waited(now.saturating_sub(due));
         for target in self.known_state.tick(now) {
             self.target_gone(target, Source::Listing);
         }
@@ -108,7 +109,10 @@
         _: &mut xtra::Context<Self>,
     ) -> Self::Return {
         let known = self.known_state.revisions();
-        self.last_answer.packed(&self.raw, known, since)
+        let before = self.last_answer.packed_bytes();
+        let answer = self.last_answer.packed(&self.raw, known, since);
+        self.parts.metrics.told_state(self.last_answer.packed_bytes() - before);
+        answer
     }
 }
 
--- a/src/entry/control/messages.rs
+++ b/src/entry/control/messages.rs
@@ -12,8 +12,10 @@
 /// A datagram from another host.
 pub struct Datagram(pub Vec<u8>);
 
-/// Time for a heartbeat.
-pub struct Tick;
+/// Time for a heartbeat, which was due at that moment.
+pub struct Tick {
+    pub due: Moment,
+}
 
 /// A planned stop begins.
 pub struct Leave;
--- a/src/entry/control/peering.rs
+++ b/src/entry/control/peering.rs
@@ -80,9 +80,11 @@
         let informed = self.fleet.informed(now);
         let Some(addr) = self.questions.next(&mine, informed, region, watches, now) else { return };
         let (peer_client, own) = (self.peer_client.clone(), own.clone());
-        let events = self.parts.events.clone();
+        let (events, metrics) = (self.parts.events.clone(), self.parts.metrics.clone());
+        let clock = self.parts.clock.clone();
         tokio::spawn(async move {
             let answer = peer_client.ask(addr, mine.revisions).await;
+            metrics.queried(clock.now().saturating_sub(now), answer.is_ok());
             if let Err(error) = &answer {
                 let reason = error.to_string().into();
                 events.record(None, Event::HostUnanswering { addr, reason });
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -126,7 +126,7 @@
         };
         let control = EntryControl::spawn(control, PeerClient::open()?);
         tokio::task::spawn_local(hear(socket, control.clone()));
-        tokio::task::spawn_local(tick_control(control.clone()));
+        tokio::task::spawn_local(tick_control(parts.clock.clone(), control.clone()));
         tokio::task::spawn_local(serve_state(state, control.clone()));
         if let Some(listener) = metrics_listener {
             tokio::task::spawn_local(serve_metrics(listener, metrics.clone(), events.clone()));
@@ -211,12 +211,13 @@
     }
 }
 
-async fn tick_control(control: Address<EntryControl>) {
+async fn tick_control(clock: Arc<dyn Clock>, control: Address<EntryControl>) {
     let mut interval = tokio::time::interval(HEARTBEAT);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
     loop {
-        interval.tick().await;
-        if control.send(Tick).await.is_err() {
+        let late = interval.tick().await.elapsed();
+        let due = clock.now().saturating_sub(late);
+        if control.send(Tick { due }).await.is_err() {
             return;
         }
     }
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -19,7 +19,7 @@
 pub const STATE_PATH: &str = "/state";
 
 /// Longest time for a whole answer; between regions a change of the largest size takes a third.
-const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
+pub const QUERY_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Largest answer once unpacked: twice what a declaration of the store's largest object and the
 /// entries of 8,000 targets take.
@@ -95,6 +95,11 @@
 }
 
 impl Difference {
+    /// Bytes of the objects in it.
+    fn object_bytes(&self) -> u64 {
+        self.changed.iter().map(|object| object.text.len() as u64).sum()
+    }
+
     /// As it goes to another host.
     ///
     /// Packed, since links of 10 Mbit/s carry the same change to every host of a region at once:
@@ -119,6 +124,7 @@
     /// What the question named, and what was known then.
     of: Option<(Revisions, Revisions)>,
     packed: Bytes,
+    packed_bytes: u64,
 }
 
 impl LastAnswer {
@@ -130,11 +136,18 @@
         since: Revisions,
     ) -> io::Result<Bytes> {
         if self.of != Some((since, known)) {
-            self.packed = Difference::of(raw, known, since).pack()?;
+            let difference = Difference::of(raw, known, since);
+            self.packed_bytes += difference.object_bytes();
+            self.packed = difference.pack()?;
             self.of = Some((since, known));
         }
         Ok(self.packed.clone())
     }
+
+    /// Bytes of objects that were compressed so far.
+    pub fn packed_bytes(&self) -> u64 {
+        self.packed_bytes
+    }
 }
 
 /// Asks other hosts.
@@ -150,7 +163,7 @@
             .no_proxy()
             .pool_max_idle_per_host(0)
             .redirect(reqwest::redirect::Policy::none())
-            .timeout(FETCH_TIMEOUT)
+            .timeout(QUERY_TIMEOUT)
             .build()?;
         Ok(Self { client })
     }
--- a/src/metrics/entry.rs
+++ b/src/metrics/entry.rs
@@ -1,7 +1,8 @@
 //! Counters, gauges and histograms of an entry host, in the text form that scrapers read.
 //!
 //! Counting follows the events, so that a decision needs no second call. A scrape reads atomics and
-//! holds no lock that traffic waits for; `cadence` pushes datagrams and can't be scraped.
+//! holds no lock that traffic waits for; `cadence` pushes datagrams and can't be scraped. Histograms
+//! come last: collectors that cap a scrape's size lose the longest part, not the counters.
 
 use std::sync::atomic::AtomicU64;
 
@@ -49,6 +50,11 @@
     error: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ByEnd {
+    end: &'static str,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct ByEvent {
     event: &'static str,
@@ -91,18 +97,23 @@
     attempts: Family<ByService, Counter>,
     attempt_seconds: Latencies<ByStage>,
     connections: Gauge,
+    control_wait: Histogram,
     declaration: Gauge,
     events: Family<ByEvent, Counter>,
     hosts: Gauge,
     in_flight: Gauge,
     lines_dropped: Gauge,
     names: Vec<&'static str>,
+    packed_bytes: Counter,
+    queries: Family<ByEnd, Counter>,
+    query_seconds: Histogram,
     refusals: Family<ByError, Counter>,
     registry: Registry,
     requests: Family<ByService, Counter>,
     request_seconds: Latencies<ByService>,
     retries_denied: Family<ByLimit, Counter>,
     services: std::sync::Mutex<Vec<ServiceId>>,
+    state_answers: Counter,
     store_age: Gauge<f64, AtomicU64>,
     targets: Family<ByState, Gauge>,
 }
@@ -114,18 +125,23 @@
             attempts: Family::default(),
             attempt_seconds: Family::new_with_constructor(histogram),
             connections: Gauge::default(),
+            control_wait: histogram(),
             declaration: Gauge::default(),
             events: Family::default(),
             hosts: Gauge::default(),
             in_flight: Gauge::default(),
             lines_dropped: Gauge::default(),
             names: Vec::new(),
+            packed_bytes: Counter::default(),
+            queries: Family::default(),
+            query_seconds: histogram(),
             refusals: Family::default(),
             registry: Registry::with_prefix(PREFIX),
             requests: Family::default(),
             request_seconds: Family::new_with_constructor(histogram),
             retries_denied: Family::default(),
             services: std::sync::Mutex::default(),
+            state_answers: Counter::default(),
             store_age: Gauge::default(),
             targets: Family::default(),
         };
@@ -137,8 +153,6 @@
 impl EntryMetrics {
     fn register(&mut self) {
         self.add("attempts", "attempts at targets that ended", self.attempts.clone());
-        let help = "time of an attempt to its connection, its first byte and its end";
-        self.add("attempt_seconds", help, self.attempt_seconds.clone());
         self.add("connections", "callers' open connections", self.connections.clone());
         let help = "version of the declaration in force";
         self.add("declaration_version", help, self.declaration.clone());
@@ -149,13 +163,27 @@
         self.add("log_lines_dropped", help, self.lines_dropped.clone());
         self.add("refusals", "requests answered by the host", self.refusals.clone());
         self.add("requests", "requests that were answered", self.requests.clone());
-        let help = "time of a request from its head to its answer";
-        self.add("request_seconds", help, self.request_seconds.clone());
         let help = "further attempts that a limit did not allow";
         self.add("retries_denied", help, self.retries_denied.clone());
+        self.add("state_answers", "answers to other hosts' queries", self.state_answers.clone());
+        let help = "bytes of objects that were compressed for other hosts";
+        self.add("state_packed_bytes", help, self.packed_bytes.clone());
+        self.add("state_queries", "queries to other hosts that ended", self.queries.clone());
         let help = "time since the store's word last came, by itself or another host";
         self.add("store_age_seconds", help, self.store_age.clone());
         self.add("targets", "usable targets by state", self.targets.clone());
+        self.register_histograms();
+    }
+
+    fn register_histograms(&mut self) {
+        let help = "time that a tick waited for the control thread";
+        self.add("control_wait_seconds", help, self.control_wait.clone());
+        let help = "time of a query to another host";
+        self.add("state_query_seconds", help, self.query_seconds.clone());
+        let help = "time of a request from its head to its answer";
+        self.add("request_seconds", help, self.request_seconds.clone());
+        let help = "time of an attempt to its connection, its first byte and its end";
+        self.add("attempt_seconds", help, self.attempt_seconds.clone());
     }
 
     fn add(&mut self, name: &'static str, help: &str, metric: impl Metric) {
@@ -202,6 +230,24 @@
         self.targets(figures.targets_warm, "warm");
     }
 
+    /// Counts an answer to another host, for which `packed` bytes of objects were compressed.
+    pub fn told_state(&self, packed: u64) {
+        self.state_answers.inc();
+        self.packed_bytes.inc_by(packed);
+    }
+
+    /// Counts a query to another host.
+    pub fn queried(&self, took: Duration, answered: bool) {
+        let end = if answered { "answered" } else { "failed" };
+        self.queries.get_or_create(&ByEnd { end }).inc();
+        self.query_seconds.observe(took.as_secs_f64());
+    }
+
+    /// Takes the time that a tick waited for the control thread.
+    pub fn control_waited(&self, wait: Duration) {
+        self.control_wait.observe(wait.as_secs_f64());
+    }
+
     /// Takes the traffic side's figures.
     pub fn traffic(&self, figures: TrafficFigures) {
         self.connections.set(figures.connections as i64);
--- a/tests/entry_log.rs
+++ b/tests/entry_log.rs
@@ -130,6 +130,23 @@
     });
 }
 
+/// A collector that caps a scrape's size loses the counters that tell what a host did.
+#[test]
+fn histograms_come_after_all_else() {
+    run(async {
+        let world = World::spawn(ONE).await;
+        let host = world.host("a").await;
+        world.ask(&host, read("r-1")).await.expect("an answer");
+        let addr = host.listen().metrics.expect("an address of the metrics");
+        let answer = world.http.get(format!("http://{addr}/metrics")).send().await;
+        let text = answer.expect("an answer").text().await.expect("a text");
+        let kinds = text.lines().filter(|line| line.starts_with("# TYPE "));
+        let mut from_first = kinds.skip_while(|kind| !kind.ends_with(" histogram"));
+        assert!(from_first.next().is_some(), "{text}");
+        assert!(from_first.all(|kind| kind.ends_with(" histogram")), "{text}");
+    });
+}
+
 /// The metrics of a host count what it did, and can be read as text.
 #[test]
 fn metrics_count_requests_and_refusals() {
