Replay how a large declaration reaches a region during a release; the test fails

22 hosts of a tenth of a core and 10 Mbit/s (sizes and rates a tenth of that), two of them watchers; targets change every half second, and two declarations with 400 routes come 2.4 s apart. The decisions and messages are the product's own.

--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -7,6 +7,7 @@
 mod settings_file;
 mod strain;
 mod targets;
+mod telling;
 
 use super::{Bounds, KnownTarget, TargetEntry, target::tag};
 use crate::prelude::*;
--- /dev/null
+++ b/src/entry/tests/telling.rs
@@ -0,0 +1,292 @@
+//! How a change reaches the hosts of a region: a replay of their queries, without sockets.
+//!
+//! Hosts are as small as any: the model charges the compressing of answers to their processor and
+//! the answers to their links. Sizes and rates are a tenth of real ones.
+
+use std::collections::VecDeque;
+
+use super::secs;
+use crate::{
+    entry::{
+        Part, Revisions, Stamp,
+        questions::Questions,
+        sync::{Difference, LastAnswer, QUERY_TIMEOUT, RawObjects},
+    },
+    fleet::Informed,
+    prelude::*,
+};
+
+/// Step of the model's time.
+const STEP: Duration = Duration::from_millis(10);
+
+/// Objects that a tenth of a core compresses in a second, in bytes.
+const PACKED_PER_S: f64 = 100_000.0;
+
+/// What a link carries in a second, in bytes.
+const LINK_PER_S: f64 = 125_000.0;
+
+/// Routes of a declaration close to the store's largest object.
+const ROUTES: u32 = 400;
+
+/// Time within which a change is to be in force and a retiring target gets nothing more.
+const IN_FORCE: Duration = Duration::from_secs(3);
+
+/// Time after which the two watchers of the region learn of a change.
+const WATCHERS: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(400)];
+
+/// A change at the store.
+#[derive(Clone)]
+struct Change {
+    at: Moment,
+    name: Arc<str>,
+    object: bytes::Bytes,
+    part: Part,
+    revision: u64,
+}
+
+struct Query {
+    from: usize,
+    since: Revisions,
+}
+
+/// An answer on its way; `None` where the query was turned away.
+struct Answer {
+    at: Moment,
+    from: usize,
+    packed: Option<bytes::Bytes>,
+}
+
+struct Host {
+    answers: LastAnswer,
+    busy_until: Moment,
+    incoming: VecDeque<Answer>,
+    link_free: Moment,
+    queries: VecDeque<Query>,
+    questions: Questions,
+    raw: RawObjects,
+    revisions: Revisions,
+    /// What others last heard of it.
+    told: Stamp,
+    waits: Option<(usize, Moment)>,
+}
+
+impl Host {
+    fn stamp(&self) -> Stamp {
+        let Revisions { declared, targets, .. } = self.revisions;
+        Stamp { declared, evacuations: 0, revisions: self.revisions, targets }
+    }
+
+    fn take(&mut self, change: &Change) {
+        let key = (change.part, change.name.clone());
+        self.raw.insert(key, (change.revision, change.object.clone()));
+        self.saw(change.part, change.revision);
+    }
+
+    fn saw(&mut self, part: Part, revision: u64) {
+        match part {
+            Part::Declared => self.revisions.declared = revision,
+            Part::Evacuations => self.revisions.evacuations = revision,
+            Part::Targets => self.revisions.targets = revision,
+        }
+    }
+
+    fn learn(&mut self, told: &Difference) {
+        for part in Part::ALL {
+            if told.revisions.of(part) <= self.revisions.of(part) {
+                continue;
+            }
+            let objects = told.applied(part, &self.raw);
+            self.raw.retain(|(kept, _), _| *kept != part);
+            for (name, revision, object) in objects {
+                self.raw.insert((part, name), (revision, object));
+            }
+            self.saw(part, told.revisions.of(part));
+        }
+    }
+
+    /// Works on the next query; tells whom the answer goes to, and when it arrives there.
+    fn answer_next(&mut self, now: Moment) -> Option<(usize, Moment, bytes::Bytes)> {
+        let query = self.queries.pop_front()?;
+        let before = self.answers.packed_bytes();
+        let packed = self.answers.packed(&self.raw, self.revisions, query.since).expect("packed");
+        let work = (self.answers.packed_bytes() - before) as f64 / PACKED_PER_S;
+        self.busy_until = now + Duration::from_secs_f64(work);
+        let sent = Duration::from_secs_f64(packed.len() as f64 / LINK_PER_S);
+        self.link_free = self.link_free.max(self.busy_until) + sent;
+        Some((query.from, self.link_free, packed))
+    }
+}
+
+fn addr(host: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], host as u16 + 1))
+}
+
+/// Two zones of a region, in turn.
+struct Region {
+    changes: Vec<Change>,
+    hosts: Vec<Host>,
+    now: Moment,
+}
+
+impl Region {
+    fn new(count: usize, changes: Vec<Change>) -> Self {
+        let host = |_| Host {
+            answers: LastAnswer::default(),
+            busy_until: Moment::ZERO,
+            incoming: VecDeque::new(),
+            link_free: Moment::ZERO,
+            queries: VecDeque::new(),
+            questions: Questions::default(),
+            raw: RawObjects::new(),
+            revisions: Revisions::default(),
+            told: Stamp::default(),
+            waits: None,
+        };
+        Self { changes, hosts: (0..count).map(host).collect(), now: secs(1.0) }
+    }
+
+    /// What a host hears of the others: those of its zone one by one, of the other zone the one
+    /// that knows most of each part.
+    fn informed(&self, of: usize) -> Vec<Informed> {
+        let told = |at: usize| Informed { control: addr(at), stamp: self.hosts[at].told };
+        let (near, far): (Vec<usize>, Vec<usize>) =
+            (0..self.hosts.len()).filter(|at| *at != of).partition(|at| at % 2 == of % 2);
+        let mut informed: Vec<Informed> = near.into_iter().map(told).collect();
+        for part in [Part::Declared, Part::Targets] {
+            let most = far.iter().max_by_key(|at| self.hosts[**at].told.revisions.of(part));
+            informed.extend(most.map(|at| told(*at)));
+        }
+        informed
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        for (watcher, delay) in WATCHERS.into_iter().enumerate() {
+            self.watch(watcher, self.now.saturating_sub(delay));
+        }
+        for at in 0..self.hosts.len() {
+            if self.hosts[at].busy_until <= self.now {
+                self.hear(at);
+                self.tell(at);
+                self.ask(at);
+            }
+        }
+    }
+
+    /// A watcher that is busy takes the store's word later.
+    fn watch(&mut self, at: usize, until: Moment) {
+        let host = &mut self.hosts[at];
+        if self.now < host.busy_until {
+            return;
+        }
+        for change in self.changes.iter().filter(|change| change.at <= until) {
+            if host.revisions.of(change.part) < change.revision {
+                host.take(change);
+            }
+        }
+    }
+
+    fn hear(&mut self, at: usize) {
+        let now = self.now;
+        let host = &mut self.hosts[at];
+        while host.incoming.front().is_some_and(|answer| answer.at <= now) {
+            let Some(answer) = host.incoming.pop_front() else { break };
+            if host.waits.is_none_or(|(asked, _)| asked != answer.from) {
+                continue;
+            }
+            host.waits = None;
+            host.questions.ended(addr(answer.from), answer.packed.is_some(), now);
+            if let Some(packed) = answer.packed {
+                host.learn(&Difference::unpack(&packed).expect("an answer"));
+            }
+        }
+        if let Some((asked, since)) = host.waits
+            && QUERY_TIMEOUT <= now.saturating_sub(since)
+        {
+            host.waits = None;
+            host.questions.ended(addr(asked), false, now);
+        }
+    }
+
+    fn tell(&mut self, at: usize) {
+        let host = &mut self.hosts[at];
+        host.told = host.stamp();
+        if let Some((to, arrives, packed)) = host.answer_next(self.now) {
+            let answer = Answer { at: arrives, from: at, packed: Some(packed) };
+            self.hosts[to].incoming.push_back(answer);
+        }
+    }
+
+    fn ask(&mut self, at: usize) {
+        if self.now < self.hosts[at].busy_until || self.hosts[at].waits.is_some() {
+            return;
+        }
+        let region = RegionId::from("north");
+        let informed = self.informed(at);
+        let others = informed.into_iter().map(|informed| (&region, informed));
+        let (mine, watches, now) = (self.hosts[at].stamp(), at < WATCHERS.len(), self.now);
+        let Some(asked) = self.hosts[at].questions.next(&mine, others, &region, watches, now)
+        else {
+            return;
+        };
+        let asked = usize::from(asked.port()) - 1;
+        self.hosts[at].waits = Some((asked, now));
+        let query = Query { from: at, since: mine.revisions };
+        self.hosts[asked].queries.push_back(query);
+    }
+
+    /// How long after each change the last host knew it, at most.
+    fn latest(&mut self, until: Moment) -> Duration {
+        let mut latest = Duration::ZERO;
+        while self.now < until {
+            self.step();
+            for change in self.changes.iter().filter(|change| change.at <= self.now) {
+                let knows = |host: &Host| change.revision <= host.revisions.of(change.part);
+                if !self.hosts.iter().all(knows) {
+                    latest = latest.max(self.now - change.at);
+                }
+            }
+        }
+        latest
+    }
+}
+
+fn declared(revision: u64) -> bytes::Bytes {
+    let route = |at: u32| {
+        let name = at.wrapping_mul(2_654_435_761);
+        format!(
+            r#"{{"name":"r-{name:x}","kind":"safe","targetLatency":"600ms","match":{{"pathPrefix":"/{name:x}/"}},"action":{{"service":"s","timeout":"3000ms","maxAttempts":2,"allowedRegions":[]}}}}"#
+        )
+    };
+    let routes: Vec<String> = (0..ROUTES).map(route).collect();
+    format!(r#"{{"version":"{revision:08x}","rules":[{}]}}"#, routes.join(",")).into()
+}
+
+/// Targets are replaced every half second while two large declarations come in a row.
+fn release_with_declarations() -> Vec<Change> {
+    let target = |at: u64| Change {
+        at: secs(2.0) + Duration::from_millis(500 * at),
+        name: format!("t-{at}").into(),
+        object: format!(r#"{{"name":"t-{at}","state":"ready","slots":4}}"#).into(),
+        part: Part::Targets,
+        revision: 10 + at,
+    };
+    let declare = |at: f64, revision| Change {
+        at: secs(at),
+        name: "main".into(),
+        object: declared(revision),
+        part: Part::Declared,
+        revision,
+    };
+    (0..30).map(target).chain([declare(1.0, 1), declare(6.25, 22), declare(8.6, 27)]).collect()
+}
+
+/// Hosts that know a new declaration spend all their time compressing it for each one that asks, and
+/// go by old declarations and targets meanwhile.
+#[test]
+#[ignore = "KNOWN-RED: each asking host costs the whole state, compressed anew"]
+fn a_large_declaration_is_in_force_in_time_during_a_release() {
+    let mut region = Region::new(22, release_with_declarations());
+    let latest = region.latest(secs(22.0));
+    assert!(latest < IN_FORCE, "a host knew of a change after {latest:?}");
+}
