Spread the hosts that lack a change over all that know it

Each asker now prefers its region's hosts by a hash of both addresses and of its questions so far.

hosts_that_lack_the_same_ask_different_ones was not run on the old code (it has no place for the asker); there the last of equals was taken, whoever asked.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -125,7 +125,7 @@
             followers: Vec::new(),
             leaving: false,
             lost_parts: BTreeMap::new(),
-            questions: Questions::default(),
+            questions: Questions::new(parts.settings.listen.control),
             raw: BTreeMap::new(),
             records: Records::default(),
             list_hosts_at: now + LIST_HOSTS_FIRST,
--- a/src/entry/questions.rs
+++ b/src/entry/questions.rs
@@ -4,6 +4,8 @@
 //! it. One question is under way at a time, since each copy of an answer that is already late makes
 //! the next one later.
 
+use xxhash_rust::xxh3::Xxh3Default;
+
 use super::{Part, Stamp};
 use crate::{fleet::Informed, prelude::*};
 
@@ -22,13 +24,17 @@
 const OVERDUE: Duration = Duration::from_secs(2);
 
 /// Questions to other hosts.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Questions {
+    /// How many were asked.
+    count: u64,
     /// Hosts that failed to answer in this round.
     failed: Vec<SocketAddr>,
     /// Since when another host has known more.
     lags_since: Option<Moment>,
     not_before: Moment,
+    /// Where this host answers itself.
+    own: SocketAddr,
     /// When the question under way was sent.
     sent_at: Option<Moment>,
     /// When a question was last left without an answer.
@@ -36,6 +42,19 @@
 }
 
 impl Questions {
+    /// Those of the host that answers at `own`.
+    pub fn new(own: SocketAddr) -> Self {
+        Self {
+            count: 0,
+            failed: Vec::new(),
+            lags_since: None,
+            not_before: Moment::ZERO,
+            own,
+            sent_at: None,
+            unanswered_at: None,
+        }
+    }
+
     /// The host to ask now, of those that are known to know something; `watches` says that the store tells this host too.
     pub fn next<'a>(
         &mut self,
@@ -61,14 +80,26 @@
             return None;
         }
         let untried = ahead.iter().filter(|(_, it)| !self.failed.contains(&it.control));
-        // The nearest one answers soonest.
-        let Some((_, informed)) = untried.max_by_key(|(of, _)| *of == region) else {
+        // The nearest ones answer soonest.
+        let nearest = |(of, it): &&(&RegionId, Informed)| (*of == region, self.weight(it.control));
+        let Some((_, informed)) = untried.max_by_key(nearest) else {
             self.failed.clear();
             self.not_before = now + ROUND_PAUSE;
             return None;
         };
+        let addr = informed.control;
+        self.count += 1;
         self.sent_at = Some(now);
-        Some(informed.control)
+        Some(addr)
+    }
+
+    /// Spreads the hosts that lack the same over all that know it, and the questions of one host.
+    fn weight(&self, addr: SocketAddr) -> u64 {
+        let mut weight = Xxh3Default::new();
+        weight.update(self.own.to_string().as_bytes());
+        weight.update(addr.to_string().as_bytes());
+        weight.update(&self.count.to_le_bytes());
+        weight.digest()
     }
 
     /// The host at `addr` answered, or did not.
--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -252,7 +252,7 @@
         (RegionId::from(region), Informed { control: addr(port), stamp })
     };
     let others = [ahead(1, "south"), ahead(2, "north")];
-    let mut questions = Questions::default();
+    let mut questions = Questions::new(addr(3));
     let next = |it: &mut Questions, now| {
         let others = others.iter().map(|(region, informed)| (region, informed.clone()));
         it.next(&Stamp::default(), others, &region, false, secs(now))
@@ -270,6 +270,22 @@
     assert!(!questions.is_unanswered(secs(2.0)));
 }
 
+/// All hosts that lack a change ask the one that learnt of it last, and it serves them one by one.
+#[test]
+fn hosts_that_lack_the_same_ask_different_ones() {
+    let region = RegionId::from("north");
+    let stamp = Stamp { declared: 2, ..Stamp::default() };
+    let informed = (1..=4).map(|port| (&region, Informed { control: addr(port), stamp }));
+    let mut asked: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+    for asker in 100..200 {
+        let mut questions = Questions::new(addr(asker));
+        let next = questions.next(&Stamp::default(), informed.clone(), &region, false, secs(1.0));
+        *asked.entry(next.expect("one that knows more")).or_default() += 1;
+    }
+    assert_eq!(asked.len(), 4, "{asked:?}");
+    assert!(asked.values().all(|count| *count < 50), "{asked:?}");
+}
+
 /// A declaration with many routes and the entries of many targets go to every host of a region at
 /// once. Packed they fit crowded links; the same question is packed once.
 #[test]
--- a/src/entry/tests/telling.rs
+++ b/src/entry/tests/telling.rs
@@ -131,13 +131,13 @@
 
 impl Region {
     fn new(count: usize, changes: Vec<Change>) -> Self {
-        let host = |_| Host {
+        let host = |at| Host {
             answers: LastAnswers::default(),
             busy_until: Moment::ZERO,
             incoming: VecDeque::new(),
             link_free: Moment::ZERO,
             queries: VecDeque::new(),
-            questions: Questions::default(),
+            questions: Questions::new(addr(at)),
             raw: RawObjects::new(),
             revisions: Revisions::default(),
             told: Stamp::default(),
