Answer eight hosts at a time; turn others away at once

It now answers eight at a time, refuses others at once with 503, and ends an answer after the time that its asker waits. Who is refused asks another host that knows the same, or again after half a second; only after 1.5 s of refusals does it follow the store itself, which costs calls.

--- a/src/entry/control/handlers.rs
+++ b/src/entry/control/handlers.rs
@@ -10,7 +10,7 @@
     StoreUpdate, Tick, gossip_seeds, peering::REGISTER_PAUSE,
 };
 use crate::{
-    entry::EntrySettings,
+    entry::{EntrySettings, questions::QuestionEnd},
     event_log::{Event, Source},
     fleet::Message,
     prelude::*,
@@ -125,8 +125,8 @@
         cx: &mut xtra::Context<Self>,
     ) {
         let now = self.now();
-        self.questions.ended(addr, told.is_some(), now);
-        let Some(told) = told else {
+        self.questions.ended(addr, QuestionEnd::of(&told), now);
+        let Ok(told) = told else {
             let own = cx.mailbox().address();
             self.watch(&own);
             return self.ask(&own);
--- a/src/entry/control/messages.rs
+++ b/src/entry/control/messages.rs
@@ -1,7 +1,11 @@
 //! Messages to the control actor.
 
 use crate::{
-    entry::{EntrySettings, Part, Revisions, records::HostRecord, sync::Difference},
+    entry::{
+        EntrySettings, Part, Revisions,
+        records::HostRecord,
+        sync::{self, Difference},
+    },
     prelude::*,
     store::Followed,
 };
@@ -26,10 +30,10 @@
 /// Another host asks for what is newer than it knows.
 pub struct StateQuery(pub Revisions);
 
-/// What the host at `addr` knows, or that it did not answer.
+/// What the host at `addr` knows, or why it did not tell.
 pub struct StateAnswer {
     pub addr: SocketAddr,
-    pub told: Option<Difference>,
+    pub told: sync::Result<Difference>,
 }
 
 /// The hosts' records were read, or could not be.
--- a/src/entry/control/peering.rs
+++ b/src/entry/control/peering.rs
@@ -6,7 +6,7 @@
 
 use super::{EntryControl, HEARTBEAT, HostsListed, Registered, StateAnswer, wall_ms};
 use crate::{
-    entry::{Protocol, records::HostRecord},
+    entry::{Protocol, questions::QuestionEnd, records::HostRecord},
     event_log::Event,
     fleet::{Load, Outgoing, OwnState},
     prelude::*,
@@ -84,12 +84,13 @@
         let clock = self.parts.clock.clone();
         tokio::spawn(async move {
             let answer = peer_client.ask(addr, mine.revisions).await;
-            metrics.queried(clock.now().saturating_sub(now), answer.is_ok());
+            let end = QuestionEnd::of(&answer);
+            metrics.queried(clock.now().saturating_sub(now), end.name());
             if let Err(error) = &answer {
                 let reason = error.to_string().into();
                 events.record(None, Event::HostUnanswering { addr, reason });
             }
-            let _ = own.send(StateAnswer { addr, told: answer.ok() }).await;
+            let _ = own.send(StateAnswer { addr, told: answer }).await;
         });
     }
 
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -13,7 +13,7 @@
 use hyper::body::Incoming;
 use tokio::{
     net::{TcpListener, UdpSocket},
-    sync::{oneshot, watch},
+    sync::{Semaphore, oneshot, watch},
     task::LocalSet,
 };
 use xtra::Address;
@@ -23,7 +23,7 @@
     control::{ControlParts, Datagram, HEARTBEAT, Leave, Reload, StateQuery, Tick},
     serve::{accept, callers, look_up, ready, small, status},
     strain::Strain,
-    sync::{PeerClient, STATE_PATH, since},
+    sync::{ANSWERS_MOST, PeerClient, QUERY_TIMEOUT, STATE_PATH, since},
     traffic_state::BoundsCell,
 };
 use crate::{
@@ -223,16 +223,26 @@
     }
 }
 
-/// Tells other hosts what this one knows.
+/// Tells other hosts what this one knows: some at a time, and none that no longer waits.
 async fn serve_state(listener: TcpListener, control: Address<EntryControl>) {
+    let permits = Arc::new(Semaphore::new(ANSWERS_MOST));
     accept(listener, |stream| {
         let control = control.clone();
-        async move { small(stream, |req| state(control.clone(), req)).await }
+        let permit = permits.clone().try_acquire_owned().ok();
+        async move {
+            let answer = async |req| match &permit {
+                Some(_) => state(&control, req).await,
+                None => status(StatusCode::SERVICE_UNAVAILABLE),
+            };
+            if tokio::time::timeout(QUERY_TIMEOUT, small(stream, answer)).await.is_err() {
+                log::debug!("another host's query took too long");
+            }
+        }
     })
     .await;
 }
 
-async fn state(control: Address<EntryControl>, req: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn state(control: &Address<EntryControl>, req: Request<Incoming>) -> Response<Full<Bytes>> {
     if req.uri().path() != STATE_PATH {
         return status(StatusCode::NOT_FOUND);
     }
@@ -242,7 +252,7 @@
         Ok(packed) => Response::new(Full::new(packed)),
         Err(error) => {
             log::error!("this host's state can't be told: {error}");
-            status(StatusCode::SERVICE_UNAVAILABLE)
+            status(StatusCode::INTERNAL_SERVER_ERROR)
         }
     }
 }
--- a/src/entry/questions.rs
+++ b/src/entry/questions.rs
@@ -6,7 +6,10 @@
 
 use xxhash_rust::xxh3::Xxh3Default;
 
-use super::{Part, Stamp};
+use super::{
+    Part, Stamp,
+    sync::{self, AskError},
+};
 use crate::{fleet::Informed, prelude::*};
 
 /// A watcher that knows less than another host for longer asks it: the store's own word takes less
@@ -20,12 +23,27 @@
 /// question, and longer than a watcher lingers, so that a crowded link is not asked again at once.
 const UNANSWERED: Duration = Duration::from_secs(8);
 
+/// Time for which hosts that know more may all be too busy to answer before this host follows the
+/// store itself: a region's hosts tell each other in less, and a declaration is then still in time.
+const BUSY_MOST: Duration = Duration::from_millis(1_500);
+
 /// A question that was not heard of for longer counts as failed; above the client's own timeout.
 const OVERDUE: Duration = Duration::from_secs(2);
 
+/// What became of a question.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum QuestionEnd {
+    Answered,
+    /// The host answers as many others as it can; its answer is had later, or another's.
+    Busy,
+    Failed,
+}
+
 /// Questions to other hosts.
 #[derive(Debug)]
 pub struct Questions {
+    /// Since when there were only busy hosts.
+    busy_since: Option<Moment>,
     /// How many were asked.
     count: u64,
     /// Hosts that failed to answer in this round.
@@ -41,10 +59,31 @@
     unanswered_at: Option<Moment>,
 }
 
+impl QuestionEnd {
+    /// What an answer, or its want, says of the question.
+    pub fn of<T>(answer: &sync::Result<T>) -> Self {
+        match answer {
+            Ok(_) => Self::Answered,
+            Err(AskError::Busy) => Self::Busy,
+            Err(_) => Self::Failed,
+        }
+    }
+
+    /// As metrics name it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Busy => "busy",
+            Self::Failed => "failed",
+        }
+    }
+}
+
 impl Questions {
     /// Those of the host that answers at `own`.
     pub fn new(own: SocketAddr) -> Self {
         Self {
+            busy_since: None,
             count: 0,
             failed: Vec::new(),
             lags_since: None,
@@ -69,6 +108,7 @@
         };
         let ahead: Vec<_> = others.filter(|(_, informed)| is_ahead(informed)).collect();
         if ahead.is_empty() {
+            self.busy_since = None;
             self.lags_since = None;
             self.failed.clear();
             return None;
@@ -102,15 +142,26 @@
         weight.digest()
     }
 
-    /// The host at `addr` answered, or did not.
-    pub fn ended(&mut self, addr: SocketAddr, answered: bool, now: Moment) {
+    /// The question to the host at `addr` has ended.
+    pub fn ended(&mut self, addr: SocketAddr, end: QuestionEnd, now: Moment) {
         self.sent_at = None;
-        if answered {
-            self.failed.clear();
-            self.unanswered_at = None;
-        } else {
-            self.failed.push(addr);
-            self.unanswered_at = Some(now);
+        match end {
+            QuestionEnd::Answered => {
+                self.busy_since = None;
+                self.failed.clear();
+                self.unanswered_at = None;
+            }
+            QuestionEnd::Busy => {
+                self.failed.push(addr);
+                let since = *self.busy_since.get_or_insert(now);
+                if BUSY_MOST <= now.saturating_sub(since) {
+                    self.unanswered_at = Some(now);
+                }
+            }
+            QuestionEnd::Failed => {
+                self.failed.push(addr);
+                self.unanswered_at = Some(now);
+            }
         }
     }
 
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -10,7 +10,7 @@
 
 use bytes::{Bytes, BytesMut};
 use flate2::{Compression, read::MultiGzDecoder, write::GzEncoder};
-use reqwest::Client;
+use reqwest::{Client, StatusCode};
 
 use super::{Part, Revisions};
 use crate::prelude::*;
@@ -21,6 +21,10 @@
 /// Longest time for a whole answer; between regions a change of the largest size takes a third.
 pub const QUERY_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Answers under way at a host. As many of the largest leave half of a link of 10 Mbit/s to others for
+/// the time that an answer may take; who is turned away asks a host that was answered.
+pub const ANSWERS_MOST: usize = 8;
+
 /// Largest answer once unpacked: twice what a declaration of the store's largest object and the
 /// entries of 8,000 targets take.
 const UNPACKED_MOST: u64 = 8 * 1024 * 1024;
@@ -31,6 +35,8 @@
 /// Why another host's answer could not be had.
 #[derive(Debug, thiserror::Error)]
 pub enum AskError {
+    #[error("it answers as many others as it can")]
+    Busy,
     #[error("{0}")]
     Http(#[from] reqwest::Error),
     #[error("its answer can't be read: {0}")]
@@ -224,7 +230,11 @@
     pub async fn ask(&self, addr: SocketAddr, since: Revisions) -> Result<Difference> {
         let Revisions { declared, evacuations, targets } = since;
         let url = format!("http://{addr}{STATE_PATH}?{declared}-{evacuations}-{targets}");
-        let answer = self.client.get(url).send().await?.error_for_status()?;
+        let answer = self.client.get(url).send().await?;
+        if answer.status() == StatusCode::SERVICE_UNAVAILABLE {
+            return Err(AskError::Busy);
+        }
+        let answer = answer.error_for_status()?;
         Ok(Difference::unpack(&answer.bytes().await?)?)
     }
 }
--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -7,7 +7,7 @@
     entry::{
         LiveHost, LookupPlace, Part, Revisions, Stamp,
         lookup::addresses,
-        questions::Questions,
+        questions::{QuestionEnd, Questions},
         records::{HostRecord, Records},
         sync::{Difference, LastAnswers, RawObjects, since},
         watchers::WatcherElection,
@@ -259,17 +259,37 @@
     };
     assert_eq!(next(&mut questions, 1.0), Some(addr(2)));
     assert_eq!(next(&mut questions, 1.1), None, "one question at a time");
-    questions.ended(addr(2), false, secs(1.2));
+    questions.ended(addr(2), QuestionEnd::Failed, secs(1.2));
     assert!(questions.is_unanswered(secs(1.2)));
     assert_eq!(next(&mut questions, 1.2), Some(addr(1)));
-    questions.ended(addr(1), false, secs(1.3));
+    questions.ended(addr(1), QuestionEnd::Failed, secs(1.3));
     assert_eq!(next(&mut questions, 1.3), None);
     assert_eq!(next(&mut questions, 1.4), None, "both failed: a pause");
     assert_eq!(next(&mut questions, 1.9), Some(addr(2)));
-    questions.ended(addr(2), true, secs(2.0));
+    questions.ended(addr(2), QuestionEnd::Answered, secs(2.0));
     assert!(!questions.is_unanswered(secs(2.0)));
 }
 
+/// Every host that knows more is busy for a moment, and all that ask begin to follow the store too.
+#[test]
+fn a_busy_host_is_asked_again_before_the_store() {
+    let region = RegionId::from("north");
+    let stamp = Stamp { declared: 2, ..Stamp::default() };
+    let informed = [(&region, Informed { control: addr(1), stamp })];
+    let mut questions = Questions::new(addr(3));
+    for at in [1.0, 1.6, 2.2] {
+        let next = |it: &mut Questions, now| {
+            it.next(&Stamp::default(), informed.clone().into_iter(), &region, false, secs(now))
+        };
+        assert_eq!(next(&mut questions, at), Some(addr(1)));
+        questions.ended(addr(1), QuestionEnd::Busy, secs(at));
+        assert!(!questions.is_unanswered(secs(at)));
+        assert_eq!(next(&mut questions, at), None, "a pause");
+    }
+    questions.ended(addr(1), QuestionEnd::Busy, secs(2.5));
+    assert!(questions.is_unanswered(secs(2.5)), "busy for too long");
+}
+
 /// All hosts that lack a change ask the one that learnt of it last, and it serves them one by one.
 #[test]
 fn hosts_that_lack_the_same_ask_different_ones() {
--- a/src/entry/tests/telling.rs
+++ b/src/entry/tests/telling.rs
@@ -9,8 +9,8 @@
 use crate::{
     entry::{
         Part, Revisions, Stamp,
-        questions::Questions,
-        sync::{Difference, LastAnswers, QUERY_TIMEOUT, RawObjects},
+        questions::{QuestionEnd, Questions},
+        sync::{ANSWERS_MOST, Difference, LastAnswers, QUERY_TIMEOUT, RawObjects},
     },
     fleet::Informed,
     prelude::*,
@@ -63,6 +63,8 @@
     link_free: Moment,
     queries: VecDeque<Query>,
     questions: Questions,
+    /// When its answers under way will have arrived.
+    sending: Vec<Moment>,
     raw: RawObjects,
     revisions: Revisions,
     /// What others last heard of it.
@@ -114,6 +116,7 @@
         self.busy_until = now + Duration::from_secs_f64(work);
         let sent = Duration::from_secs_f64(packed.len() as f64 / LINK_PER_S);
         self.link_free = self.link_free.max(self.busy_until) + sent;
+        self.sending.push(self.link_free);
         Some((query.from, self.link_free, packed))
     }
 }
@@ -140,6 +143,7 @@
             questions: Questions::new(addr(at)),
             raw: RawObjects::new(),
             revisions: Revisions::default(),
+            sending: Vec::new(),
             told: Stamp::default(),
             waits: None,
         };
@@ -196,7 +200,11 @@
                 continue;
             }
             host.waits = None;
-            host.questions.ended(addr(answer.from), answer.packed.is_some(), now);
+            let end = match answer.packed {
+                Some(_) => QuestionEnd::Answered,
+                None => QuestionEnd::Busy,
+            };
+            host.questions.ended(addr(answer.from), end, now);
             if let Some(packed) = answer.packed {
                 host.learn(&Difference::unpack(&packed).expect("an answer"));
             }
@@ -205,7 +213,7 @@
             && QUERY_TIMEOUT <= now.saturating_sub(since)
         {
             host.waits = None;
-            host.questions.ended(addr(asked), false, now);
+            host.questions.ended(addr(asked), QuestionEnd::Failed, now);
         }
     }
 
@@ -232,8 +240,13 @@
         };
         let asked = usize::from(asked.port()) - 1;
         self.hosts[at].waits = Some((asked, now));
-        let query = Query { from: at, since: mine.revisions };
-        self.hosts[asked].queries.push_back(query);
+        let other = &mut self.hosts[asked];
+        other.sending.retain(|arrives| now < *arrives);
+        if ANSWERS_MOST <= other.queries.len() + other.sending.len() {
+            let refusal = Answer { at: now + STEP, from: asked, packed: None };
+            return self.hosts[at].incoming.push_back(refusal);
+        }
+        other.queries.push_back(Query { from: at, since: mine.revisions });
     }
 
     /// How long after each change the last host knew it, at most.
--- a/src/metrics/entry.rs
+++ b/src/metrics/entry.rs
@@ -237,8 +237,7 @@
     }
 
     /// Counts a query to another host.
-    pub fn queried(&self, took: Duration, answered: bool) {
-        let end = if answered { "answered" } else { "failed" };
+    pub fn queried(&self, took: Duration, end: &'static str) {
         self.queries.get_or_create(&ByEnd { end }).inc();
         self.query_seconds.observe(took.as_secs_f64());
     }
