--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -23,7 +23,7 @@
     EntrySettings, KnownState, LiveHost, Part, Protocol, View, ViewCell,
     questions::Questions,
     records::Records,
-    sync::{LastAnswers, PeerClient, RawObjects},
+    sync::{AnswerCache, PeerClient, RawObjects},
     watchers::WatcherElection,
 };
 use crate::{
@@ -82,7 +82,7 @@
     fleet: Fleet,
     peer_client: PeerClient,
     known_state: KnownState,
-    last_answers: LastAnswers,
+    answer_cache: AnswerCache,
     register_at: Option<Moment>,
     /// The tasks that follow the store, while this host watches.
     followers: Vec<FollowTask>,
@@ -120,7 +120,7 @@
             fleet,
             peer_client,
             known_state: KnownState::default(),
-            last_answers: LastAnswers::default(),
+            answer_cache: AnswerCache::default(),
             register_at: Some(now + REGISTER_FIRST),
             followers: Vec::new(),
             leaving: false,
--- a/src/entry/control/handlers.rs
+++ b/src/entry/control/handlers.rs
@@ -109,9 +109,9 @@
         _: &mut xtra::Context<Self>,
     ) -> Self::Return {
         let known = self.known_state.revisions();
-        let before = self.last_answers.packed_bytes();
-        let answer = self.last_answers.packed(&self.raw, known, since);
-        self.parts.metrics.told_state(self.last_answers.packed_bytes() - before);
+        let before = self.answer_cache.packed_bytes();
+        let answer = self.answer_cache.packed(&self.raw, known, since);
+        self.parts.metrics.state_answered(self.answer_cache.packed_bytes() - before);
         answer
     }
 }
@@ -121,25 +121,25 @@
 
     async fn handle(
         &mut self,
-        StateAnswer { addr, since, told }: StateAnswer,
+        StateAnswer { addr, since, received }: StateAnswer,
         cx: &mut xtra::Context<Self>,
     ) {
         let now = self.now();
-        self.questions.ended(addr, QuestionEnd::of(&told), now);
-        let Ok(told) = told else {
+        self.questions.ended(addr, QuestionEnd::of(&received), now);
+        let Ok(received) = received else {
             let own = cx.mailbox().address();
             self.watch(&own);
             return self.ask(&own);
         };
         self.told_at = now;
         let mine = self.known_state.revisions();
-        for difference in &told.difference.parts {
+        for difference in &received.difference.parts {
             let (part, revision) = (difference.part, difference.revision);
             if mine.of(part) < revision {
                 let objects = difference.applied(&self.raw);
                 self.listed(part, objects, Source::Host);
                 self.known_state.saw(part, revision);
-                self.last_answers.keep(&told, part, &self.raw, since);
+                self.answer_cache.cache_received(&received, part, &self.raw, since);
             }
         }
         self.publish();
--- a/src/entry/control/messages.rs
+++ b/src/entry/control/messages.rs
@@ -4,7 +4,7 @@
     entry::{
         EntrySettings, Part, Revisions,
         records::HostRecord,
-        sync::{self, Told},
+        sync::{self, ReceivedState},
     },
     prelude::*,
     store::Followed,
@@ -30,11 +30,11 @@
 /// Another host asks for what is newer than it knows.
 pub struct StateQuery(pub Revisions);
 
-/// What the host at `addr` knows beyond `since`, or why it did not tell.
+/// Answer of the host at `addr` to a query for what is newer than `since`.
 pub struct StateAnswer {
     pub addr: SocketAddr,
     pub since: Revisions,
-    pub told: sync::Result<Told>,
+    pub received: sync::Result<ReceivedState>,
 }
 
 /// The hosts' records were read, or could not be.
--- a/src/entry/control/peering.rs
+++ b/src/entry/control/peering.rs
@@ -91,7 +91,7 @@
                 let reason = error.to_string().into();
                 events.record(None, Event::HostUnanswering { addr, reason });
             }
-            let _ = own.send(StateAnswer { addr, since, told: answer }).await;
+            let _ = own.send(StateAnswer { addr, since, received: answer }).await;
         });
     }
 
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -223,7 +223,7 @@
     }
 }
 
-/// Tells other hosts what this one knows: some at a time, and none that no longer waits.
+/// Answers other hosts' queries for the store's state, up to a limit and only while they wait.
 async fn serve_state(listener: TcpListener, control: Address<EntryControl>) {
     let permits = Arc::new(Semaphore::new(ANSWERS_MOST));
     accept(listener, |stream| {
@@ -235,7 +235,7 @@
                 None => status(StatusCode::SERVICE_UNAVAILABLE),
             };
             if tokio::time::timeout(QUERY_TIMEOUT, small(stream, answer)).await.is_err() {
-                log::debug!("another host's query took too long");
+                log::debug!("a query of another host timed out");
             }
         }
     })
--- a/src/entry/questions.rs
+++ b/src/entry/questions.rs
@@ -23,8 +23,8 @@
 /// question, and longer than a watcher lingers, so that a crowded link is not asked again at once.
 const UNANSWERED: Duration = Duration::from_secs(8);
 
-/// Time for which hosts that know more may all be too busy to answer before this host follows the
-/// store itself: a region's hosts tell each other in less, and a declaration is then still in time.
+/// Time after which a host that only busy hosts could answer follows the store itself, while a
+/// declaration can still be in force in time.
 const BUSY_MOST: Duration = Duration::from_millis(1_500);
 
 /// A question that was not heard of for longer counts as failed; above the client's own timeout.
@@ -34,7 +34,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum QuestionEnd {
     Answered,
-    /// The host answers as many others as it can; its answer is had later, or another's.
+    /// The host is at its limit of concurrent answers.
     Busy,
     Failed,
 }
@@ -42,7 +42,7 @@
 /// Questions to other hosts.
 #[derive(Debug)]
 pub struct Questions {
-    /// Since when there were only busy hosts.
+    /// Since when all queried hosts were busy.
     busy_since: Option<Moment>,
     /// How many were asked.
     count: u64,
@@ -51,7 +51,7 @@
     /// Since when another host has known more.
     lags_since: Option<Moment>,
     not_before: Moment,
-    /// Where this host answers itself.
+    /// Control listener of this host.
     own: SocketAddr,
     /// When the question under way was sent.
     sent_at: Option<Moment>,
@@ -60,7 +60,7 @@
 }
 
 impl QuestionEnd {
-    /// What an answer, or its want, says of the question.
+    /// The end that a result stands for.
     pub fn of<T>(answer: &sync::Result<T>) -> Self {
         match answer {
             Ok(_) => Self::Answered,
@@ -80,7 +80,7 @@
 }
 
 impl Questions {
-    /// Those of the host that answers at `own`.
+    /// Questions of the host whose control listener is `own`.
     pub fn new(own: SocketAddr) -> Self {
         Self {
             busy_since: None,
@@ -133,7 +133,7 @@
         Some(addr)
     }
 
-    /// Spreads the hosts that lack the same over all that know it, and the questions of one host.
+    /// Spreads the questions of all hosts, and of one host, over those that can answer.
     fn weight(&self, addr: SocketAddr) -> u64 {
         let mut weight = Xxh3Default::new();
         weight.update(self.own.to_string().as_bytes());
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -21,15 +21,15 @@
 /// Longest time for a whole answer; between regions a change of the largest size takes a third.
 pub const QUERY_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Answers under way at a host. As many of the largest leave half of a link of 10 Mbit/s to others for
-/// the time that an answer may take; who is turned away asks a host that was answered.
+/// Concurrent answers of one host: more would miss their timeout on a small link. A host that is
+/// rejected queries one that has been answered.
 pub const ANSWERS_MOST: usize = 8;
 
 /// Largest answer once unpacked: twice what a declaration of the store's largest object and the
 /// entries of 8,000 targets take.
 const UNPACKED_MOST: u64 = 8 * 1024 * 1024;
 
-/// Begins each answer: those of other releases, and bytes that are no answer, are refused.
+/// Version of the answer's encoding. Answers of other releases are rejected.
 const FORM: u32 = 0x6c70_0002;
 
 /// Result of asking another host.
@@ -90,7 +90,7 @@
     }
 }
 
-/// An answer on its way.
+/// An answer as it is encoded.
 #[derive(Deserialize, Serialize)]
 struct Answer<P> {
     form: u32,
@@ -98,14 +98,14 @@
     parts: Vec<P>,
 }
 
-/// What another host told, and each part as it came.
+/// A difference that was received, with each part as it was compressed by the sender.
 #[derive(Clone, Debug)]
-pub struct Told {
+pub struct ReceivedState {
     pub difference: Difference,
     packed: Vec<Bytes>,
 }
 
-impl Told {
+impl ReceivedState {
     /// Reads what another host sent.
     pub fn unpack(bytes: &[u8]) -> io::Result<Self> {
         let (answer, rest) =
@@ -154,8 +154,7 @@
     }
 }
 
-/// A part as it goes to another host. Compressed, since links of 10 Mbit/s carry the same change to
-/// every host of a region at once.
+/// Compresses a part: small links carry the same change to every host of a region at once.
 fn pack(difference: &PartDifference) -> io::Result<Bytes> {
     let mut packer = GzEncoder::new(Vec::new(), Compression::fast());
     packer.write_all(&serde_json::to_vec(difference)?)?;
@@ -178,7 +177,7 @@
     of_part.map(|((_, name), (version, bytes))| (name, *version, bytes))
 }
 
-/// The newest version of an object up to `since`. Hosts for which it is the same lack the same.
+/// The newest version of an object up to `since`. Hosts with the same one lack the same objects.
 fn newest(raw: &RawObjects, part: Part, since: u64) -> u64 {
     let versions = of_part(raw, part).map(|(_, version, _)| version);
     versions.filter(|version| *version <= since).max().unwrap_or_default()
@@ -188,24 +187,23 @@
     (name.clone(), version, bytes.clone())
 }
 
-/// The last answers to other hosts. Hosts of a region ask for the same changes at the same time, but
-/// few know exactly the same of all parts: each part is compressed by itself, once for all askers
-/// that lack the same objects.
+/// Compressed answers to other hosts, by part. Hosts of a region query the same change at the same
+/// time but differ in what they know of other parts, so an answer as a whole would rarely be reused.
 #[derive(Debug, Default)]
-pub struct LastAnswers {
+pub struct AnswerCache {
     packed_bytes: u64,
-    parts: BTreeMap<Part, LastPart>,
+    parts: BTreeMap<Part, CachedPart>,
 }
 
 /// The last answer for one part.
 #[derive(Debug)]
-struct LastPart {
-    /// The newest version that the asking host had of an object, and what was known.
-    of: (u64, u64),
+struct CachedPart {
+    /// The newest version of an object that the querying host has, and the version known here.
+    key: (u64, u64),
     packed: Bytes,
 }
 
-impl LastAnswers {
+impl AnswerCache {
     /// The answer to a host that knows all up to `since`.
     pub fn packed(
         &mut self,
@@ -219,27 +217,31 @@
         Ok(postcard::to_allocvec::<Answer<&[u8]>>(&answer).map_err(io::Error::other)?.into())
     }
 
-    /// Keeps a part that another host told, in answer to `since`, as the answer to the next one that
-    /// asks for it. `raw` holds it already.
-    ///
-    /// Without it every host of a chain compresses the same again before it can pass it on.
-    pub fn keep(&mut self, told: &Told, part: Part, raw: &RawObjects, since: Revisions) {
-        let parts = told.difference.parts.iter().zip(&told.packed);
+    /// Caches a part that was received in answer to a query for what is newer than `since`, so that
+    /// it is forwarded without being compressed again. `raw` has to contain it already.
+    pub fn cache_received(
+        &mut self,
+        received: &ReceivedState,
+        part: Part,
+        raw: &RawObjects,
+        since: Revisions,
+    ) {
+        let parts = received.difference.parts.iter().zip(&received.packed);
         for (difference, packed) in parts.filter(|(difference, _)| difference.part == part) {
-            let of = (newest(raw, part, since.of(part)), difference.revision);
-            self.parts.insert(part, LastPart { of, packed: packed.clone() });
+            let key = (newest(raw, part, since.of(part)), difference.revision);
+            self.parts.insert(part, CachedPart { key, packed: packed.clone() });
         }
     }
 
     fn part(&mut self, raw: &RawObjects, part: Part, known: u64, since: u64) -> io::Result<Bytes> {
-        let of = (newest(raw, part, since), known);
-        if let Some(last) = self.parts.get(&part).filter(|last| last.of == of) {
+        let key = (newest(raw, part, since), known);
+        if let Some(last) = self.parts.get(&part).filter(|last| last.key == key) {
             return Ok(last.packed.clone());
         }
         let difference = PartDifference::of(raw, part, known, since);
         let packed = pack(&difference)?;
         self.packed_bytes += difference.object_bytes();
-        self.parts.insert(part, LastPart { of, packed: packed.clone() });
+        self.parts.insert(part, CachedPart { key, packed: packed.clone() });
         Ok(packed)
     }
 
@@ -268,7 +270,7 @@
     }
 
     /// Asks the host at `addr` for what is newer than `since`.
-    pub async fn ask(&self, addr: SocketAddr, since: Revisions) -> Result<Told> {
+    pub async fn ask(&self, addr: SocketAddr, since: Revisions) -> Result<ReceivedState> {
         let Revisions { declared, evacuations, targets } = since;
         let url = format!("http://{addr}{STATE_PATH}?{declared}-{evacuations}-{targets}");
         let answer = self.client.get(url).send().await?;
@@ -276,7 +278,7 @@
             return Err(AskError::Busy);
         }
         let answer = answer.error_for_status()?;
-        Ok(Told::unpack(&answer.bytes().await?)?)
+        Ok(ReceivedState::unpack(&answer.bytes().await?)?)
     }
 }
 
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -4,10 +4,10 @@
 mod hosts;
 mod known_state;
 mod pipeline;
+mod propagation;
 mod settings_file;
 mod strain;
 mod targets;
-mod telling;
 
 use super::{Bounds, KnownTarget, TargetEntry, target::tag};
 use crate::prelude::*;
--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -9,7 +9,7 @@
         lookup::addresses,
         questions::{QuestionEnd, Questions},
         records::{HostRecord, Records},
-        sync::{Difference, LastAnswers, RawObjects, Told, since},
+        sync::{AnswerCache, Difference, RawObjects, ReceivedState, since},
         watchers::WatcherElection,
     },
     fleet::{HostNote, Informed, Load, Peer},
@@ -270,7 +270,7 @@
     assert!(!questions.is_unanswered(secs(2.0)));
 }
 
-/// Every host that knows more is busy for a moment, and all that ask begin to follow the store too.
+/// Hosts whose queries are rejected for a moment all begin to follow the store.
 #[test]
 fn a_busy_host_is_asked_again_before_the_store() {
     let region = RegionId::from("north");
@@ -290,7 +290,7 @@
     assert!(questions.is_unanswered(secs(2.5)), "busy for too long");
 }
 
-/// All hosts that lack a change ask the one that learnt of it last, and it serves them one by one.
+/// All hosts that lack a change query the same host, whose link carries it to everybody.
 #[test]
 fn hosts_that_lack_the_same_ask_different_ones() {
     let region = RegionId::from("north");
@@ -329,32 +329,35 @@
     raw.insert((Part::Declared, "main".into()), (900, declared.into()));
     let known = Revisions { declared: 900, evacuations: 0, targets: 900 };
     let plain = Difference::of(&raw, known, Revisions::default());
-    let mut last = LastAnswers::default();
+    let mut last = AnswerCache::default();
     let packed = last.packed(&raw, known, Revisions::default()).expect("it can be packed");
     let size = serde_json::to_vec(&plain.parts).expect("it has a form").len();
     assert!(packed.len() * 5 < size, "{} of {size}", packed.len());
-    assert_eq!(Told::unpack(&packed).expect("it can be read").difference, plain);
-    assert!(Told::unpack(&packed[..packed.len() / 2]).is_err(), "a cut answer is none");
+    assert_eq!(ReceivedState::unpack(&packed).expect("it can be read").difference, plain);
+    assert!(ReceivedState::unpack(&packed[..packed.len() / 2]).is_err(), "a cut answer is none");
     let bytes = last.packed_bytes();
     let again = last.packed(&raw, known, Revisions::default()).expect("it can be packed");
     assert_eq!(again, packed);
     assert_eq!(last.packed_bytes(), bytes, "packed once");
     let newer = last.packed(&raw, known, known).expect("it can be packed");
     assert!(newer.len() < packed.len());
-    assert_eq!(Told::unpack(&newer).expect("it can be read").difference, Difference::default());
+    assert_eq!(
+        ReceivedState::unpack(&newer).expect("it can be read").difference,
+        Difference::default()
+    );
 }
 
 proptest::proptest! {
     /// A damaged or foreign answer of another host is no difference, and ends nothing.
     #[test]
     fn damaged_answers_are_refused(bytes in proptest::collection::vec(0_u8..=255, 0..400), at in 0..200_usize) {
-        proptest::prop_assert!(Told::unpack(&bytes).is_err());
+        proptest::prop_assert!(ReceivedState::unpack(&bytes).is_err());
         let raw = RawObjects::from([((Part::Targets, "t-1".into()), (3, "{}".into()))]);
         let known = Revisions { targets: 3, ..Revisions::default() };
-        let whole = LastAnswers::default().packed(&raw, known, Revisions::default());
+        let whole = AnswerCache::default().packed(&raw, known, Revisions::default());
         let mut packed = whole.expect("it can be packed").to_vec();
         let at = at % packed.len();
         packed.truncate(at);
-        proptest::prop_assert!(Told::unpack(&packed).is_err());
+        proptest::prop_assert!(ReceivedState::unpack(&packed).is_err());
     }
 }
--- a/src/entry/tests/telling.rs
+++ b/src/entry/tests/propagation.rs
@@ -1,7 +1,7 @@
-//! How a change reaches the hosts of a region: a replay of their queries, without sockets.
+//! Propagation of a change to the hosts of a region: a replay of their queries, without sockets.
 //!
-//! Hosts are as small as any: the model charges the compressing of answers to their processor and
-//! the answers to their links. Sizes and rates are a tenth of real ones.
+//! All hosts are of the smallest size. The model charges compression to their processors and answers
+//! to their links; sizes and rates are a tenth of real ones.
 
 use std::collections::VecDeque;
 
@@ -10,7 +10,7 @@
     entry::{
         Part, Revisions, Stamp,
         questions::{QuestionEnd, Questions},
-        sync::{ANSWERS_MOST, LastAnswers, QUERY_TIMEOUT, RawObjects, Told},
+        sync::{ANSWERS_MOST, AnswerCache, QUERY_TIMEOUT, RawObjects, ReceivedState},
     },
     fleet::Informed,
     prelude::*,
@@ -19,10 +19,10 @@
 /// Step of the model's time.
 const STEP: Duration = Duration::from_millis(10);
 
-/// Objects that a tenth of a core compresses in a second, in bytes.
+/// Bytes of objects that a tenth of a core compresses in a second.
 const PACKED_PER_S: f64 = 100_000.0;
 
-/// What a link carries in a second, in bytes.
+/// Bandwidth of a link, in bytes a second.
 const LINK_PER_S: f64 = 125_000.0;
 
 /// Routes of a declaration close to the store's largest object.
@@ -31,7 +31,7 @@
 /// Time within which a change is to be in force and a retiring target gets nothing more.
 const IN_FORCE: Duration = Duration::from_secs(3);
 
-/// Time after which the two watchers of the region learn of a change.
+/// Delays with which the two watchers of the region receive a change.
 const WATCHERS: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(400)];
 
 /// A change at the store.
@@ -49,7 +49,7 @@
     since: Revisions,
 }
 
-/// An answer on its way; `None` where the query was turned away.
+/// An answer in transit; without content where the query was rejected.
 struct Answer {
     at: Moment,
     from: usize,
@@ -58,19 +58,20 @@
 }
 
 struct Host {
-    answers: LastAnswers,
+    answers: AnswerCache,
     busy_until: Moment,
     incoming: VecDeque<Answer>,
     link_free: Moment,
     queries: VecDeque<Query>,
     questions: Questions,
-    /// When its answers under way will have arrived.
+    /// Arrival times of its answers in transit.
     sending: Vec<Moment>,
     raw: RawObjects,
     revisions: Revisions,
-    /// What others last heard of it.
-    told: Stamp,
-    waits: Option<(usize, Moment)>,
+    /// The stamp of its last heartbeat.
+    announced: Stamp,
+    /// The host that it has queried, and when.
+    pending: Option<(usize, Moment)>,
 }
 
 impl Host {
@@ -93,8 +94,8 @@
         }
     }
 
-    fn learn(&mut self, told: &Told, since: Revisions) {
-        for difference in &told.difference.parts {
+    fn learn(&mut self, received: &ReceivedState, since: Revisions) {
+        for difference in &received.difference.parts {
             let (part, revision) = (difference.part, difference.revision);
             if revision <= self.revisions.of(part) {
                 continue;
@@ -105,11 +106,11 @@
                 self.raw.insert((part, name), (version, object));
             }
             self.saw(part, revision);
-            self.answers.keep(told, part, &self.raw, since);
+            self.answers.cache_received(received, part, &self.raw, since);
         }
     }
 
-    /// Works on the next query; tells whom the answer goes to, and when it arrives there.
+    /// Answers the next query; returns it with the answer and the time of its arrival.
     fn answer_next(&mut self, now: Moment) -> Option<(Query, Moment, bytes::Bytes)> {
         let query = self.queries.pop_front()?;
         let before = self.answers.packed_bytes();
@@ -137,7 +138,7 @@
 impl Region {
     fn new(count: usize, changes: Vec<Change>) -> Self {
         let host = |at| Host {
-            answers: LastAnswers::default(),
+            answers: AnswerCache::default(),
             busy_until: Moment::ZERO,
             incoming: VecDeque::new(),
             link_free: Moment::ZERO,
@@ -146,22 +147,23 @@
             raw: RawObjects::new(),
             revisions: Revisions::default(),
             sending: Vec::new(),
-            told: Stamp::default(),
-            waits: None,
+            announced: Stamp::default(),
+            pending: None,
         };
         Self { changes, hosts: (0..count).map(host).collect(), now: secs(1.0) }
     }
 
-    /// What a host hears of the others: those of its zone one by one, of the other zone the one
-    /// that knows most of each part.
+    /// The stamps that a host receives: of each host of its zone, and of the other zone's most
+    /// up-to-date host for each part.
     fn informed(&self, of: usize) -> Vec<Informed> {
-        let told = |at: usize| Informed { control: addr(at), stamp: self.hosts[at].told };
+        let informed_host =
+            |at: usize| Informed { control: addr(at), stamp: self.hosts[at].announced };
         let (near, far): (Vec<usize>, Vec<usize>) =
             (0..self.hosts.len()).filter(|at| *at != of).partition(|at| at % 2 == of % 2);
-        let mut informed: Vec<Informed> = near.into_iter().map(told).collect();
+        let mut informed: Vec<Informed> = near.into_iter().map(informed_host).collect();
         for part in [Part::Declared, Part::Targets] {
-            let most = far.iter().max_by_key(|at| self.hosts[**at].told.revisions.of(part));
-            informed.extend(most.map(|at| told(*at)));
+            let most = far.iter().max_by_key(|at| self.hosts[**at].announced.revisions.of(part));
+            informed.extend(most.map(|at| informed_host(*at)));
         }
         informed
     }
@@ -173,14 +175,14 @@
         }
         for at in 0..self.hosts.len() {
             if self.hosts[at].busy_until <= self.now {
-                self.hear(at);
-                self.tell(at);
-                self.ask(at);
+                self.receive(at);
+                self.serve(at);
+                self.query(at);
             }
         }
     }
 
-    /// A watcher that is busy takes the store's word later.
+    /// A watcher takes in changes only while its control thread is free.
     fn watch(&mut self, at: usize, until: Moment) {
         let host = &mut self.hosts[at];
         if self.now < host.busy_until {
@@ -193,66 +195,66 @@
         }
     }
 
-    fn hear(&mut self, at: usize) {
+    fn receive(&mut self, at: usize) {
         let now = self.now;
         let host = &mut self.hosts[at];
         while host.incoming.front().is_some_and(|answer| answer.at <= now) {
             let Some(answer) = host.incoming.pop_front() else { break };
-            if host.waits.is_none_or(|(asked, _)| asked != answer.from) {
+            if host.pending.is_none_or(|(queried, _)| queried != answer.from) {
                 continue;
             }
-            host.waits = None;
+            host.pending = None;
             let end = match answer.packed {
                 Some(_) => QuestionEnd::Answered,
                 None => QuestionEnd::Busy,
             };
             host.questions.ended(addr(answer.from), end, now);
             if let Some(packed) = answer.packed {
-                host.learn(&Told::unpack(&packed).expect("an answer"), answer.since);
+                host.learn(&ReceivedState::unpack(&packed).expect("an answer"), answer.since);
             }
         }
-        if let Some((asked, since)) = host.waits
+        if let Some((queried, since)) = host.pending
             && QUERY_TIMEOUT <= now.saturating_sub(since)
         {
-            host.waits = None;
-            host.questions.ended(addr(asked), QuestionEnd::Failed, now);
+            host.pending = None;
+            host.questions.ended(addr(queried), QuestionEnd::Failed, now);
         }
     }
 
-    fn tell(&mut self, at: usize) {
+    fn serve(&mut self, at: usize) {
         let host = &mut self.hosts[at];
-        host.told = host.stamp();
+        host.announced = host.stamp();
         if let Some((query, arrives, packed)) = host.answer_next(self.now) {
             let answer = Answer { at: arrives, from: at, since: query.since, packed: Some(packed) };
             self.hosts[query.from].incoming.push_back(answer);
         }
     }
 
-    fn ask(&mut self, at: usize) {
-        if self.now < self.hosts[at].busy_until || self.hosts[at].waits.is_some() {
+    fn query(&mut self, at: usize) {
+        if self.now < self.hosts[at].busy_until || self.hosts[at].pending.is_some() {
             return;
         }
         let region = RegionId::from("north");
         let informed = self.informed(at);
         let others = informed.into_iter().map(|informed| (&region, informed));
         let (mine, watches, now) = (self.hosts[at].stamp(), at < WATCHERS.len(), self.now);
-        let Some(asked) = self.hosts[at].questions.next(&mine, others, &region, watches, now)
+        let Some(queried) = self.hosts[at].questions.next(&mine, others, &region, watches, now)
         else {
             return;
         };
-        let asked = usize::from(asked.port()) - 1;
-        self.hosts[at].waits = Some((asked, now));
-        let other = &mut self.hosts[asked];
+        let queried = usize::from(queried.port()) - 1;
+        self.hosts[at].pending = Some((queried, now));
+        let other = &mut self.hosts[queried];
         other.sending.retain(|arrives| now < *arrives);
         if ANSWERS_MOST <= other.queries.len() + other.sending.len() {
             let since = mine.revisions;
-            let refusal = Answer { at: now + STEP, from: asked, since, packed: None };
+            let refusal = Answer { at: now + STEP, from: queried, since, packed: None };
             return self.hosts[at].incoming.push_back(refusal);
         }
         other.queries.push_back(Query { from: at, since: mine.revisions });
     }
 
-    /// How long after each change the last host knew it, at most.
+    /// The longest time from a change until the last host knew it.
     fn latest(&mut self, until: Moment) -> Duration {
         let mut latest = Duration::ZERO;
         while self.now < until {
@@ -298,8 +300,7 @@
     (0..30).map(target).chain([declare(1.0, 1), declare(6.25, 22), declare(8.6, 27)]).collect()
 }
 
-/// Hosts that know a new declaration spend all their time compressing it for each one that asks, and
-/// go by old declarations and targets meanwhile.
+/// Hosts that compress a declaration for each querying host miss later changes meanwhile.
 #[test]
 fn a_large_declaration_is_in_force_in_time_during_a_release() {
     let mut region = Region::new(22, release_with_declarations());
@@ -307,7 +308,7 @@
     assert!(latest < IN_FORCE, "a host knew of a change after {latest:?}");
 }
 
-/// Hosts of a large region crowd the few that know a change, which answer them after they gave up.
+/// The few hosts that know a change answer queries that have timed out, and most hosts learn it late.
 #[test]
 fn a_large_declaration_is_in_force_in_time_in_a_large_region() {
     let mut region = Region::new(170, release_with_declarations());
--- a/src/metrics/entry.rs
+++ b/src/metrics/entry.rs
@@ -230,8 +230,8 @@
         self.targets(figures.targets_warm, "warm");
     }
 
-    /// Counts an answer to another host, for which `packed` bytes of objects were compressed.
-    pub fn told_state(&self, packed: u64) {
+    /// Counts an answer to another host's query, for which `packed` bytes of objects were compressed.
+    pub fn state_answered(&self, packed: u64) {
         self.state_answers.inc();
         self.packed_bytes.inc_by(packed);
     }
