Test the limit of concurrent answers over loopback

Eight held connections make the next query end with 503 at once, and a connection that never sends its query is closed.

--- a/tests/entry_store.rs
+++ b/tests/entry_store.rs
@@ -7,8 +7,13 @@
 
 use lavenderplank::{base::HostId, event_log::Event};
 use serde_json::json;
+use tokio::{io::AsyncReadExt, net::TcpStream};
+
 use support::{World, config_with, read, run, until};
 
+/// Queries of other hosts that a host answers at a time.
+const CONCURRENT_QUERIES: usize = 8;
+
 const ONE: &[&str] = &["north-a"];
 const TWO: &[&str] = &["north-a", "north-b"];
 
@@ -55,3 +60,39 @@
         assert_eq!(records(), 3);
     });
 }
+
+/// A host answers all queries that come at once, each too late for the host that sent it.
+#[test]
+fn queries_beyond_the_limit_are_rejected_at_once() {
+    run(async {
+        let world = World::spawn(ONE).await;
+        let host = world.host("a").await;
+        let control = host.listen().control;
+        let client = reqwest::Client::builder().pool_max_idle_per_host(0).build();
+        let client = client.expect("a client");
+        let query = async || {
+            let answer = client.get(format!("http://{control}/state?0-0-0")).send().await;
+            answer.expect("an answer").status().as_u16()
+        };
+        let mut held = Vec::new();
+        for _ in 0..CONCURRENT_QUERIES {
+            held.push(TcpStream::connect(control).await.expect("a connection"));
+        }
+        assert_eq!(query().await, 503);
+        drop(held);
+        until("there is room again", async || query().await == 200).await;
+    });
+}
+
+/// A query that is never sent holds its place for good, and the host answers nobody any more.
+#[test]
+fn a_silent_query_is_ended() {
+    run(async {
+        let world = World::spawn(ONE).await;
+        let host = world.host("a").await;
+        let connection = TcpStream::connect(host.listen().control).await;
+        let mut connection = connection.expect("a connection");
+        let ended = tokio::time::timeout(Duration::from_secs(20), connection.read_u8()).await;
+        assert!(ended.expect("the host ends it").is_err());
+    });
+}
