--- a/src/entry/tests/propagation.rs
+++ b/src/entry/tests/propagation.rs
@@ -274,7 +274,7 @@
     let route = |at: u32| {
         let name = at.wrapping_mul(2_654_435_761);
         format!(
-            r#"{{"name":"r-{name:x}","kind":"safe","targetLatency":"600ms","match":{{"pathPrefix":"/{name:x}/"}},"action":{{"service":"s","timeout":"3000ms","maxAttempts":2,"allowedRegions":[]}}}}"#
+            r#"{{"name":"r-{name:x}","kind":"safe","targetLatency":"600ms","match":{{"prefix":"/{name:x}/"}},"action":{{"service":"s","timeout":"3000ms","attempts":2,"regions":[]}}}}"#
         )
     };
     let routes: Vec<String> = (0..ROUTES).map(route).collect();
