--- a/src/base/error_kind.rs
+++ b/src/base/error_kind.rs
@@ -66,6 +66,10 @@
     AnswerBroken,
     #[error("the request ran, but its answer was too large to keep; ask the service for its state")]
     AnswerNotKept,
+    #[error("this host can't check the key now; come back after Retry-After")]
+    ApiKeyUnchecked,
+    #[error("no team has this key; send the key of a team")]
+    ApiKeyUnknown,
     #[error("the request is malformed; correct the header or path that the detail names")]
     BadRequest,
     #[error("the host of this binding takes no new requests; look up another one")]
@@ -122,6 +126,8 @@
     OwnerUnreachable,
     #[error("this request crashed targets and is refused for a time")]
     Quarantined,
+    #[error("the team is at its request limit; come back after Retry-After")]
+    QuotaExceeded,
     #[error("no such service in the member's manifest")]
     ServiceUnknown,
     #[error("the target shed the request; come back after Retry-After")]
@@ -132,9 +138,11 @@
 
 impl ErrorKind {
     /// Every kind, for tests and for the operators' reference.
-    pub const ALL: [ErrorKind; 33] = [
+    pub const ALL: [ErrorKind; 36] = [
         ErrorKind::AnswerBroken,
         ErrorKind::AnswerNotKept,
+        ErrorKind::ApiKeyUnchecked,
+        ErrorKind::ApiKeyUnknown,
         ErrorKind::BadRequest,
         ErrorKind::BindingClosed,
         ErrorKind::BindingMissing,
@@ -163,6 +171,7 @@
         ErrorKind::OwnerGone,
         ErrorKind::OwnerUnreachable,
         ErrorKind::Quarantined,
+        ErrorKind::QuotaExceeded,
         ErrorKind::ServiceUnknown,
         ErrorKind::Shed,
         ErrorKind::StreamCut,
@@ -176,6 +185,8 @@
         match self {
             AnswerBroken => row(502, Unknown, Same, None),
             AnswerNotKept => row(409, Yes, Never, None),
+            ApiKeyUnchecked => row(503, No, Same, Some(1)),
+            ApiKeyUnknown => row(401, No, Never, None),
             BadRequest => row(400, No, Never, None),
             BindingClosed => row(503, No, Fresh, None),
             BindingMissing => row(428, No, Fresh, None),
@@ -204,6 +215,7 @@
             OwnerGone => row(502, Unknown, Never, None),
             OwnerUnreachable => row(503, Unknown, Same, Some(1)),
             Quarantined => row(403, No, Never, Some(60)),
+            QuotaExceeded => row(429, No, Same, Some(1)),
             ServiceUnknown => row(404, No, Never, None),
             Shed => row(503, No, Same, Some(1)),
             StreamCut => row(502, Unknown, Same, None),
--- a/src/base/ids.rs
+++ b/src/base/ids.rs
@@ -26,6 +26,9 @@
 /// Name of a service, unique within its member.
 pub type ServiceId = Arc<str>;
 
+/// Name of a team, unique within its declaration.
+pub type TeamId = Arc<str>;
+
 /// Name of a target, unique within its member.
 pub type TargetId = Arc<str>;
 
--- a/src/base/mod.rs
+++ b/src/base/mod.rs
@@ -20,7 +20,7 @@
     header_line::{HeaderLine, header},
     ids::{
         Generation, HostId, Incarnation, MemberId, RegionId, RequestId, Sequence, ServiceId,
-        TargetId, ZoneId,
+        TargetId, TeamId, ZoneId,
     },
     ran::Ran,
 };
--- a/src/base/span_text.rs
+++ b/src/base/span_text.rs
@@ -28,9 +28,12 @@
 
     /// Reads the text of a span.
     pub fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Duration, D::Error> {
-        let text = String::deserialize(from)?;
-        let bad = || D::Error::custom(format!("`{text}` is no time; write 250ms or 2.5s"));
-        super::parse(&text).ok_or_else(bad)
+        parse(&String::deserialize(from)?)
+    }
+
+    pub(super) fn parse<E: Error>(text: &str) -> Result<Duration, E> {
+        let bad = || E::custom(format!("`{text}` is no time; write 250ms or 2.5s"));
+        super::parse(text).ok_or_else(bad)
     }
 
     /// Writes whole milliseconds.
@@ -39,14 +42,15 @@
     }
 }
 
-/// The same where the field may be missing; needs `#[serde(default)]` too.
+/// Like [`field`], for a field that may be missing or null; also needs `#[serde(default)]`.
 pub mod optional {
     use std::time::Duration;
 
-    use serde::Deserializer;
+    use serde::{Deserialize, Deserializer};
 
     /// Reads the text of a span that is there.
     pub fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Option<Duration>, D::Error> {
-        super::field::deserialize(from).map(Some)
+        let text = Option::<String>::deserialize(from)?;
+        text.map(|text| super::field::parse(&text)).transpose()
     }
 }
--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -128,7 +128,11 @@
 ) -> Answer {
     let row = kind.row();
     let status = match kind {
-        ErrorKind::ServiceUnknown | ErrorKind::BodyTooLarge | ErrorKind::BadRequest => row.status,
+        ErrorKind::ApiKeyUnknown
+        | ErrorKind::BadRequest
+        | ErrorKind::BodyTooLarge
+        | ErrorKind::QuotaExceeded
+        | ErrorKind::ServiceUnknown => row.status,
         _ if row.ran == Ran::No => StatusCode::SERVICE_UNAVAILABLE.as_u16(),
         _ => row.status,
     };
@@ -138,7 +142,7 @@
     let headers = answer.headers_mut();
     state.protocol.mark_own(headers, note);
     if let Some(span) = come_back
-        && status == StatusCode::SERVICE_UNAVAILABLE.as_u16()
+        && matches!(status, 429 | 503)
         && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", span.as_secs_f64()))
     {
         headers.insert(header::RETRY_AFTER, value);
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 
 use super::{
-    CallerNote, KnownTarget, ReplyNote, TrafficState,
+    CallerNote, KnownTarget, ReplyNote, Team, TrafficState,
     answer::{Answer, AnswerBody, Relay, RelayEnd, strip},
     bodies::HeldBody,
     traffic_state::InFlight,
@@ -49,6 +49,7 @@
     pub key: RequestKey,
     pub note: CallerNote,
     pub service: ServiceId,
+    pub team: Option<Arc<Team>>,
 }
 
 /// Sends the request to a target and takes its answer in.
@@ -131,7 +132,8 @@
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::EXPECT);
     let left = request.deadline.saturating_sub(state.clock.now());
-    state.protocol.mark(headers, &target.entry.id, left);
+    let team = request.team.as_ref().map(|team| &team.name);
+    state.protocol.mark(headers, &target.entry.id, team, left);
     req
 }
 
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -28,7 +28,7 @@
 };
 use crate::{
     event_log::{Event, EventSink, WatchReason},
-    fleet::{Fleet, FleetParts, Load},
+    fleet::{DeclaredCheck, Fleet, FleetParts, Load},
     metrics::{ControlFigures, EntryMetrics},
     prelude::*,
     store::{FollowPace, Followed, Follower, Platform},
@@ -82,6 +82,8 @@
     fleet: Fleet,
     peer_client: PeerClient,
     known_state: KnownState,
+    /// When the store last confirmed to this host that its declaration is the latest.
+    declared_checked_at: Option<Moment>,
     answer_cache: AnswerCache,
     register_at: Option<Moment>,
     /// The tasks that follow the store, while this host watches.
@@ -120,6 +122,7 @@
             fleet,
             peer_client,
             known_state: KnownState::default(),
+            declared_checked_at: None,
             answer_cache: AnswerCache::default(),
             register_at: Some(now + REGISTER_FIRST),
             followers: Vec::new(),
@@ -151,7 +154,8 @@
         let settings = &self.parts.settings;
         let declared = self.known_state.declared().cloned();
         let targets = self.known_state.usable().clone();
-        let mut view = View { at: now, declared, targets, ..View::default() };
+        let declared_checked_at = self.latest_declared_check(now);
+        let mut view = View { at: now, declared, declared_checked_at, targets, ..View::default() };
         if !self.leaving {
             view.hosts.push(LiveHost {
                 callers: settings.listen.callers,
@@ -196,6 +200,21 @@
         self.parts.view.store(Some(Arc::new(view)));
     }
 
+    /// When the store last confirmed the declaration as the latest, to this host or another one;
+    /// `None` if it never did, or a later declaration is known.
+    fn latest_declared_check(&self, now: Moment) -> Option<Moment> {
+        let version = self.known_state.declared()?.version;
+        let checks = self.fleet.declared_checks(now);
+        let mut latest = self.declared_checked_at;
+        for DeclaredCheck { at, version: known } in checks {
+            if version < known {
+                return None;
+            }
+            latest = latest.max(Some(at));
+        }
+        latest
+    }
+
     fn figures(&self, view: &View) -> ControlFigures {
         let now = self.now();
         let targets = || view.targets.values().flat_map(|targets| targets.iter());
--- a/src/entry/control/peering.rs
+++ b/src/entry/control/peering.rs
@@ -37,6 +37,7 @@
 impl EntryControl {
     fn own_state(&self) -> OwnState {
         OwnState {
+            declared_checked_at: self.declared_checked_at,
             leaving: self.leaving,
             load: Load::clone(&self.parts.load.load()),
             reaches_store: self.election.reaches_store(self.now()),
--- a/src/entry/control/store_updates.rs
+++ b/src/entry/control/store_updates.rs
@@ -7,7 +7,7 @@
 use super::EntryControl;
 use crate::{
     entry::{
-        Declared, KnownTarget, Part,
+        Declared, KnownTarget, Part, Unreadable,
         known_state::{RETURN_WAIT, Removal},
     },
     event_log::{Event, Source},
@@ -18,6 +18,10 @@
 impl EntryControl {
     /// Decodes and keeps one object; true when something that matters changed.
     fn written(&mut self, part: Part, key: &Arc<str>, version: u64, object: Bytes) -> bool {
+        let object = match self.without_keys(part, key, object) {
+            Some(object) => object,
+            None => return false,
+        };
         self.raw.insert((part, key.clone()), (version, object.clone()));
         match part {
             Part::Declared => self.declared(key, &object, Source::Watch),
@@ -32,8 +36,27 @@
         }
     }
 
+    /// Replaces callers' keys by digests, since hosts neither keep nor exchange keys.
+    fn without_keys(&self, part: Part, key: &Arc<str>, object: Bytes) -> Option<Bytes> {
+        if part != Part::Declared {
+            return Some(object);
+        }
+        match self.parts.protocol.without_keys(object) {
+            Ok(object) => Some(object),
+            Err(error) => {
+                self.unreadable(part, key, &error.0, Source::Watch);
+                None
+            }
+        }
+    }
+
     fn declared(&mut self, key: &Arc<str>, object: &[u8], source: Source) -> bool {
-        let declared = match self.parts.protocol.declared(object) {
+        let checked = self.parts.protocol.declared(object).and_then(|declared| {
+            let is_region = |region: &RegionId| self.parts.settings.is_region(region);
+            let regions = declared.teams.check_regions(is_region);
+            regions.map(|()| declared).map_err(|error| Unreadable(error.to_string().into()))
+        });
+        let declared = match checked {
             Ok(declared) => declared,
             Err(error) => {
                 self.unreadable(Part::Declared, key, &error.0, source);
@@ -180,6 +203,7 @@
         match told {
             Followed::Changed(changes) => {
                 self.reached(part);
+                self.record_declared_check(part);
                 self.changed(part, changes)
             }
             Followed::Listed(Listing { version, .. })
@@ -190,10 +214,20 @@
             }
             Followed::Listed(Listing { entries, version }) => {
                 self.reached(part);
+                // The first listing may be out of date.
+                let may_lag = self.known_state.revisions().of(part) == 0;
                 self.known_state.saw(part, version);
-                let object =
-                    |entry: Entry| (name(&entry.key), entry.object.version, entry.object.value);
-                self.listed(part, entries.into_iter().map(object).collect(), Source::Listing)
+                let object = |entry: Entry| {
+                    let name = name(&entry.key);
+                    let object = self.without_keys(part, &name, entry.object.value)?;
+                    Some((name, entry.object.version, object))
+                };
+                let objects = entries.into_iter().filter_map(object).collect();
+                let changed = self.listed(part, objects, Source::Listing);
+                if !may_lag {
+                    self.record_declared_check(part);
+                }
+                changed
             }
             Followed::Lost(error) => {
                 self.lost(part, &error);
@@ -202,6 +236,14 @@
         }
     }
 
+    /// Records that the store has just returned its latest declaration or confirmed that there is no
+    /// later one.
+    fn record_declared_check(&mut self, part: Part) {
+        if part == Part::Declared {
+            self.declared_checked_at = Some(self.now());
+        }
+    }
+
     fn reached(&mut self, part: Part) {
         self.election.reached();
         let now = self.now();
--- a/src/entry/declared.rs
+++ b/src/entry/declared.rs
@@ -1,5 +1,6 @@
 //! The operators' declared intent: which route sends which requests to which services.
 
+use super::Teams;
 use crate::prelude::*;
 
 /// Version of a declaration; in force it only rises.
@@ -15,6 +16,8 @@
     /// Time that a caller's idle connection may be kept.
     pub idle: Duration,
     pub services: BTreeMap<ServiceId, ServiceRules>,
+    /// Teams whose callers may send requests. If there are none, no key is required.
+    pub teams: Teams,
     pub version: DeclaredVersion,
 }
 
@@ -31,6 +34,8 @@
     pub objective: Duration,
     /// Rank; 0 goes first.
     pub priority: u32,
+    /// Whether requests are accepted without a key.
+    pub public: bool,
     /// Regions that may serve these requests; empty for all.
     pub regions: Vec<RegionId>,
     pub repeat: Repeat,
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -10,7 +10,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::{
-    Declared, Repeat, Route, TrafficState, View,
+    Access, CallerKey, Declared, Repeat, Route, TrafficState, View,
     answer::{Answer, own},
     attempt::{AttemptOutcome, OutboundRequest, send_attempt},
     bodies::HeldBody,
@@ -87,6 +87,14 @@
     let Some(route) = route(&declared, &head) else {
         return refuse(ErrorKind::ServiceUnknown, None);
     };
+    let authorize = |view: &View| match access(&state, view, &route, &note.key) {
+        Access::Granted(team) => Ok(team),
+        Access::Unchecked => Err(ErrorKind::ApiKeyUnchecked),
+        Access::Unknown => Err(ErrorKind::ApiKeyUnknown),
+    };
+    if let Err(kind) = authorize(&view) {
+        return refuse(kind, Some(COME_BACK_USUAL));
+    }
     if leaves_too_soon(&state) {
         return refuse(ErrorKind::HostLeaving, Some(COME_BACK_LEAST));
     }
@@ -99,6 +107,11 @@
         Err(kind @ ErrorKind::HostBusy) => return refuse(kind, Some(COME_BACK_USUAL)),
         Err(kind) => return refuse(kind, None),
     };
+    // The key may have been revoked while the body was being read.
+    let team = match authorize(&state.view().unwrap_or(view.clone())) {
+        Ok(team) => team,
+        Err(kind) => return refuse(kind, Some(COME_BACK_USUAL)),
+    };
     let Some(service) = state.service(&route) else { return refuse(ErrorKind::NoTarget, None) };
     state.arrived(&service);
     let fingerprint = fingerprint(&head, &body);
@@ -118,12 +131,22 @@
         left_ms: wait.as_millis() as u64,
         route: route.key.clone(),
         service: service.clone(),
+        team: team.as_ref().map(|team| team.name.clone()),
     };
     state.record(&key, taken);
     let log = RequestLog::new(state.clone(), key, service.clone(), route.objective, since);
     let key = log.key().clone();
-    let request =
-        OutboundRequest { body, deadline, fingerprint, head, _held: held, key, note, service };
+    let request = OutboundRequest {
+        body,
+        deadline,
+        fingerprint,
+        head,
+        _held: held,
+        key,
+        note,
+        service,
+        team,
+    };
     let call = Call { log, state, request: Rc::new(request), route, tried: Vec::new() };
     call.run(disconnect).await
 }
@@ -135,6 +158,12 @@
     route.is_some_and(|route| route.repeat == Repeat::Idempotent)
 }
 
+fn access(state: &TrafficState, view: &View, route: &Route, key: &CallerKey) -> Access {
+    let Some(declared) = &view.declared else { return Access::Unchecked };
+    let age = view.declared_checked_at.map(|at| state.clock.now().saturating_sub(at));
+    Access::check(declared, route, key, age, &state.bounds())
+}
+
 fn route(declared: &Declared, head: &Parts) -> Option<Arc<Route>> {
     declared.route(host_of(head)?, head.uri.path()).cloned()
 }
@@ -219,11 +248,16 @@
             return self.denied(progress, "unreachable targets");
         }
         let view = self.state.view()?;
+        if let Some(kind) = self.access_error(&view) {
+            progress.why.get_or_insert(kind);
+            return None;
+        }
         let wanted = PlacementRequest {
             deadline: self.request.deadline,
             object: self.object(),
             route: self.route.clone(),
             service: self.request.service.clone(),
+            team: self.request.team.clone(),
             tried: self.tried.clone(),
         };
         let placement = self.state.place(&view, &wanted);
@@ -251,6 +285,17 @@
         }))
     }
 
+    /// The error if the key has lost access since the request was accepted, for example because it
+    /// was revoked.
+    fn access_error(&self, view: &View) -> Option<ErrorKind> {
+        self.request.team.as_ref()?;
+        match access(&self.state, view, &self.route, &self.request.note.key) {
+            Access::Granted(_) => None,
+            Access::Unchecked => Some(ErrorKind::ApiKeyUnchecked),
+            Access::Unknown => Some(ErrorKind::ApiKeyUnknown),
+        }
+    }
+
     /// A further attempt is not allowed by a limit.
     fn denied(&self, progress: &CallProgress, limit: &str) -> Option<Attempt> {
         self.log.retry_denied(limit, progress.sent);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,6 +5,7 @@
 //! Decisions (`crash_suspects`, `known_state`, and the slices `fleet` and `placement`) neither read clocks
 //! nor do I/O; the rest of the slice carries them out.
 
+mod access;
 mod answer;
 mod attempt;
 mod bodies;
@@ -30,6 +31,7 @@
 mod strain;
 mod sync;
 mod target;
+mod team;
 #[cfg(test)]
 mod tests;
 mod traffic_state;
@@ -38,6 +40,7 @@
 mod watchers;
 
 pub use self::{
+    access::Access,
     control::EntryControl,
     crash_suspects::CrashSuspects,
     declared::{Declared, DeclaredVersion, Repeat, Route, ServiceRules},
@@ -49,6 +52,7 @@
     settings::{Bounds, EntrySettings, Listen},
     settings_file::{Look, SettingsFile, reloaded},
     target::{KnownTarget, TargetEntry},
+    team::{CallerKey, KeyDigest, Team, TeamError, TeamLimit, Teams},
     traffic_state::{BoundsCell, TrafficState},
     upstream::Pool,
     view::{LiveHost, View, ViewCell},
--- a/src/entry/place.rs
+++ b/src/entry/place.rs
@@ -1,6 +1,6 @@
 //! Which target a request goes to, by what this host sees and others tell.
 
-use super::{KnownTarget, Route, TrafficState, View, service_state::ServiceState};
+use super::{KnownTarget, Route, Team, TrafficState, View, service_state::ServiceState};
 use crate::{
     placement::{
         Candidate, Choice, Condition, Forecast, HeldObjects, NameTag, ObjectTag, Offer,
@@ -27,6 +27,7 @@
     pub object: Option<ObjectTag>,
     pub route: Arc<Route>,
     pub service: ServiceId,
+    pub team: Option<Arc<Team>>,
     pub tried: Vec<u32>,
 }
 
@@ -37,7 +38,8 @@
     }
 
     fn allows_region(&self, region: &RegionId) -> bool {
-        self.route.regions.is_empty() || self.route.regions.contains(region)
+        let allow = |regions: &[RegionId]| regions.is_empty() || regions.contains(region);
+        allow(&self.route.regions) && self.team.as_ref().is_none_or(|team| allow(&team.regions))
     }
 
     /// Regions with a target that it may go to.
--- a/src/entry/protocol.rs
+++ b/src/entry/protocol.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode, Uri};
 
-use super::{Declared, TargetEntry};
+use super::{CallerKey, Declared, TargetEntry};
 use crate::prelude::*;
 
 /// Result of reading a stored object.
@@ -21,6 +21,8 @@
 pub struct CallerNote {
     /// The caller's id of this attempt.
     pub attempt: Option<RequestId>,
+    /// The key that identifies the caller's team.
+    pub key: CallerKey,
     /// The object that the request is about.
     pub object: Option<Arc<str>>,
     /// Time that the caller will wait.
@@ -69,8 +71,15 @@
     /// What the target says.
     fn reply(&self, status: StatusCode, headers: &HeaderMap) -> ReplyNote;
 
-    /// Marks a request for one target, which has `left` to answer.
-    fn mark(&self, headers: &mut HeaderMap, target: &TargetId, left: Duration);
+    /// Marks a request for one target, which has `left` to answer. Removes the caller's key, and
+    /// replaces any team name that the caller sent by `team`.
+    fn mark(
+        &self,
+        headers: &mut HeaderMap,
+        target: &TargetId,
+        team: Option<&TeamId>,
+        left: Duration,
+    );
 
     /// Marks an answer of the host's own.
     fn mark_own(&self, headers: &mut HeaderMap, note: &CallerNote);
@@ -87,9 +96,12 @@
     /// Keys in the store.
     fn keys(&self) -> StoreKeys;
 
-    /// Reads the declaration.
+    /// Reads the declaration, with keys as in the store or with digests in place of them.
     fn declared(&self, object: &[u8]) -> Result<Declared>;
 
+    /// Replaces keys in the declaration's object by digests, for hosts to keep and exchange.
+    fn without_keys(&self, object: Bytes) -> Result<Bytes>;
+
     /// Reads one target's entry.
     fn target(&self, id: &str, object: &[u8]) -> Result<TargetEntry>;
 
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -14,7 +14,7 @@
 };
 
 use super::{
-    TrafficState,
+    CallerNote, TrafficState,
     answer::Answer,
     caller_io::{CallerIo, Disconnect},
     exchange, lookup,
@@ -123,7 +123,7 @@
 /// A request whose turn has not come; ends when dropped, since then the caller has left.
 struct Started {
     /// What it must be when its turn comes.
-    attempt: Option<RequestId>,
+    note: CallerNote,
     task: JoinHandle<Option<Answer>>,
     uri: Uri,
 }
@@ -138,10 +138,10 @@
     async fn answer(&self, req: Request<Incoming>) -> Option<Answer> {
         self.disconnect.with_scanner(Scanner::turn);
         let started = self.started.borrow_mut().pop_front();
-        let attempt = self.state.protocol.caller(req.headers()).attempt;
+        let note = self.state.protocol.caller(req.headers());
         let own = async {
             match started {
-                Some(mut started) if started.uri == *req.uri() && started.attempt == attempt => {
+                Some(mut started) if started.uri == *req.uri() && started.note == note => {
                     tokio::select! {
                         answer = &mut started.task => answer.ok().flatten(),
                         () = self.disconnect.gone() => None,
@@ -194,12 +194,12 @@
             if !exchange::may_start_ahead(&self.state, &head) {
                 return;
             }
-            let attempt = self.state.protocol.caller(&head.headers).attempt;
+            let note = self.state.protocol.caller(&head.headers);
             let uri = head.uri.clone();
             let req = Request::from_parts(head, exchange::Body::None);
             // If the caller leaves, `Started` is dropped and ends the task.
             let serve = exchange::serve(self.state.clone(), Disconnect::assumed(), req);
-            started.push_back(Started { attempt, task: tokio::task::spawn_local(serve), uri });
+            started.push_back(Started { note, task: tokio::task::spawn_local(serve), uri });
         }
     }
 }
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -64,10 +64,28 @@
     /// Longest time that a look-up's answer is kept.
     #[serde(with = "span_text::field")]
     pub lookup_ttl: Duration,
+    /// Time within which a revoked key stops working; 5 s by default.
+    #[serde(default, with = "span_text::optional")]
+    pub revoke: Option<Duration>,
     /// Retries allowed as a share of requests, over all hosts.
     pub retry_ratio: f64,
     /// Retries allowed beyond that share in each window, over all hosts.
     pub retry_slack: f64,
+    /// Whether a host refuses requests that need a key once its declaration has not been confirmed
+    /// for longer than `revoke`.
+    #[serde(default)]
+    pub strict_revocation: Option<bool>,
+}
+
+/// Default of `revoke`.
+const DEFAULT_REVOKE: Duration = Duration::from_secs(5);
+
+impl Bounds {
+    /// Maximum age of the declaration at which known keys are accepted; `None` for no maximum.
+    pub fn max_key_age(&self) -> Option<Duration> {
+        let is_strict = self.strict_revocation.unwrap_or_default();
+        is_strict.then(|| self.revoke.unwrap_or(DEFAULT_REVOKE))
+    }
 }
 
 impl EntrySettings {
@@ -92,6 +110,11 @@
         fields.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
     }
 
+    /// Whether the settings name this region.
+    pub fn is_region(&self, region: &RegionId) -> bool {
+        *region == self.region || self.zones.values().any(|known| known == region)
+    }
+
     /// Region of a zone; a zone that the settings do not name is its own region.
     pub fn region_of(&self, zone: &ZoneId) -> RegionId {
         self.zones.get(zone).cloned().unwrap_or_else(|| zone.clone())
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions, without clocks and sockets.
 
+mod access;
 mod bodies;
 mod hosts;
 mod known_state;
@@ -44,5 +45,7 @@
         max_shift: 0.15,
         retry_ratio: 0.2,
         retry_slack: 60.0,
+        revoke: None,
+        strict_revocation: None,
     }
 }
--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -67,6 +67,7 @@
         turn: 1,
     };
     Peer {
+        declared_check: None,
         heard: secs(1.0),
         is_lost: false,
         load: Load::default(),
--- a/src/entry/tests/targets.rs
+++ b/src/entry/tests/targets.rs
@@ -203,6 +203,7 @@
         objective: secs(1.0),
         prefix: "/a/".into(),
         priority: 0,
+        public: false,
         regions: Vec::new(),
         repeat: Repeat::Idempotent,
         split: vec![("s".into(), weights[0]), ("t".into(), weights[1])],
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -16,6 +16,9 @@
     /// When it was published.
     pub at: Moment,
     pub declared: Option<Arc<Declared>>,
+    /// When the declaration was last confirmed to be the latest in the store; `None` if it never was,
+    /// or another host knows a later one.
+    pub declared_checked_at: Option<Moment>,
     /// Other living hosts and this one, by region and name.
     pub hosts: Vec<LiveHost>,
     /// Requests that other hosts have in attempt, by target's tag.
--- a/src/event_log/event.rs
+++ b/src/event_log/event.rs
@@ -171,6 +171,9 @@
         left_ms: u64,
         route: Arc<str>,
         service: ServiceId,
+        /// The team on whose behalf the request runs.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        team: Option<TeamId>,
     },
     /// A target's entry is gone.
     TargetGone { source: Source, store_version: u64, target: TargetId },
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeSet;
 
 use super::{
-    Contacts, Heartbeat, HostNote, Informed, Load, Message, Peer, Peers, Reports, Rotation,
-    ZoneReport,
+    Contacts, DeclaredCheckAge, Heartbeat, HostNote, Informed, Load, Message, Peer, Peers, Reports,
+    Rotation, ZoneReport,
 };
 use crate::{
-    entry::{Part, Stamp},
+    entry::{DeclaredVersion, Part, Stamp},
     prelude::*,
 };
 
@@ -55,6 +55,8 @@
 /// What a host tells of itself, as it is now.
 #[derive(Clone, Debug, Default)]
 pub struct OwnState {
+    /// When the store last confirmed to this host that its declaration is the latest.
+    pub declared_checked_at: Option<Moment>,
     pub leaving: bool,
     pub load: Load,
     pub reaches_store: bool,
@@ -62,6 +64,27 @@
     pub strained: bool,
 }
 
+/// When the store confirmed that `version` was the latest declaration.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DeclaredCheck {
+    pub at: Moment,
+    pub version: DeclaredVersion,
+}
+
+impl DeclaredCheck {
+    /// Converts the age in a message received at `now`. Transit time is unknown and not included.
+    pub fn from_age(check: DeclaredCheckAge, now: Moment) -> Self {
+        let age = Duration::from_millis(u64::from(check.age_ms));
+        Self { at: now.saturating_sub(age), version: check.version }
+    }
+
+    /// Converts the time to an age, for a message sent at `now`.
+    fn to_age(&self, now: Moment) -> DeclaredCheckAge {
+        let age = now.saturating_sub(self.at).as_millis();
+        DeclaredCheckAge { age_ms: age.try_into().unwrap_or(u32::MAX), version: self.version }
+    }
+}
+
 /// One message, and where it goes.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Outgoing {
@@ -148,6 +171,17 @@
         own.chain(other.map(|(zone, load)| (self.region_of(zone), load)))
     }
 
+    /// Confirmations of the declaration that other hosts have sent.
+    pub fn declared_checks(&self, now: Moment) -> impl Iterator<Item = DeclaredCheck> {
+        let heard = self.peers.live(now).filter_map(|peer| peer.declared_check);
+        heard.chain(self.reports.declared_checks(now))
+    }
+
+    fn own_declared_check(&self) -> Option<DeclaredCheck> {
+        let at = self.own.declared_checked_at?;
+        Some(DeclaredCheck { at, version: self.own.stamp.declared })
+    }
+
     /// Hosts that are known to know something of the store, with their regions.
     pub fn informed(&self, now: Moment) -> impl Iterator<Item = (&RegionId, Informed)> {
         let heard = self.peers.live(now).filter_map(|peer| {
@@ -291,6 +325,7 @@
         let told = live.clone().chain(live).skip(first).take(TOLD_CONTACTS);
         Message::Heartbeat(Heartbeat {
             contacts: told.map(|peer| (peer.note.gossip, peer.zone.clone())).collect(),
+            declared_check: self.own_declared_check().map(|check| check.to_age(now)),
             load: self.own.load.clone(),
             note: self.note(),
             stamp: self.own.stamp,
@@ -308,10 +343,14 @@
         let others = self.zone_peers(now);
         let silent_ms = |peer: &Peer| now.saturating_sub(peer.heard).as_millis() as u16;
         let hosts = others.clone().map(|peer| (peer.note.clone(), silent_ms(peer)));
+        let checks =
+            others.clone().filter_map(|peer| peer.declared_check).chain(self.own_declared_check());
+        let latest = checks.max_by_key(|check| (check.version, check.at));
         let loads = others.map(|peer| &peer.load).chain([&self.own.load]);
         ZoneReport {
             by: self.parts.host.clone(),
             contacts: Vec::new(),
+            declared_check: latest.map(|check| check.to_age(now)),
             hosts: hosts.chain([(self.note(), 0)]).collect(),
             informed: self.best_informed(now),
             load: Load::sum(loads),
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -1,7 +1,10 @@
 //! Datagrams between entry hosts.
 
 use super::Load;
-use crate::{entry::Stamp, prelude::*};
+use crate::{
+    entry::{DeclaredVersion, Stamp},
+    prelude::*,
+};
 
 /// One datagram.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -38,12 +41,21 @@
     }
 }
 
+/// Time since the store confirmed to a host that `version` was the latest declaration.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DeclaredCheckAge {
+    pub age_ms: u32,
+    pub version: DeclaredVersion,
+}
+
 /// What a host tells those of its zone, several times a second; to a host of another zone it is a
 /// probe, and answered with that zone's report.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Heartbeat {
     /// Hosts that it hears: gossip address and zone.
     pub contacts: Vec<(SocketAddr, ZoneId)>,
+    /// `None` if the store has not confirmed the declaration to this host.
+    pub declared_check: Option<DeclaredCheckAge>,
     pub load: Load,
     pub note: HostNote,
     pub stamp: Stamp,
@@ -57,6 +69,8 @@
     pub by: HostId,
     /// For a host that probed: whom else to probe.
     pub contacts: Vec<(SocketAddr, ZoneId)>,
+    /// The latest confirmation among its hosts.
+    pub declared_check: Option<DeclaredCheckAge>,
     /// Its living hosts, and for how many milliseconds each had been silent.
     pub hosts: Vec<(HostNote, u16)>,
     /// For each part of the store's state, the host that knows most of it.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -21,8 +21,8 @@
 pub use self::{
     contacts::Contacts,
     load::Load,
-    machine::{Fleet, FleetParts, Heard, Outgoing, OwnState},
-    messages::{Heartbeat, HostNote, Informed, Message, ZoneReport},
+    machine::{DeclaredCheck, Fleet, FleetParts, Heard, Outgoing, OwnState},
+    messages::{DeclaredCheckAge, Heartbeat, HostNote, Informed, Message, ZoneReport},
     peers::{Peer, Peers, SILENCE},
     reports::Reports,
     rotation::Rotation,
--- a/src/fleet/peers.rs
+++ b/src/fleet/peers.rs
@@ -1,6 +1,6 @@
 //! Other hosts, as they were last heard or heard of.
 
-use super::{Heartbeat, HostNote, Load};
+use super::{DeclaredCheck, Heartbeat, HostNote, Load};
 use crate::{entry::Stamp, prelude::*};
 
 /// A host that is silent longer than this is taken for lost. Reports between regions come every half
@@ -13,15 +13,17 @@
 /// A host as it was last heard.
 #[derive(Clone, Debug)]
 pub struct Peer {
+    /// Taken from its heartbeat; `None` if it is known only through other hosts.
+    pub declared_check: Option<DeclaredCheck>,
     /// When it last spoke, as far as this host was told.
     pub heard: Moment,
     /// It was told to be lost.
     pub is_lost: bool,
-    /// Its own word, where it was heard directly.
+    /// Taken from its heartbeat; `None` if it is known only through other hosts.
     pub load: Load,
     pub note: HostNote,
     pub region: RegionId,
-    /// Its own word, where it was heard directly.
+    /// Taken from its heartbeat; `None` if it is known only through other hosts.
     pub stamp: Option<Stamp>,
     pub zone: ZoneId,
 }
@@ -42,7 +44,8 @@
 impl Peers {
     /// Takes a heartbeat in; true when it comes from a host that did not count as living.
     pub fn heard(&mut self, heartbeat: Heartbeat, region: RegionId, now: Moment) -> bool {
-        let Heartbeat { load, note, stamp, zone, .. } = heartbeat;
+        let Heartbeat { declared_check, load, note, stamp, zone, .. } = heartbeat;
+        let declared_check = declared_check.map(|age| DeclaredCheck::from_age(age, now));
         let known = self.peers.get(&note.host);
         if known.is_some_and(|known| is_outdated(&note, known, now)) {
             return false;
@@ -50,7 +53,8 @@
         let new = known.is_none_or(|known| !known.is_live(now));
         let stamp = Some(stamp);
         let host = note.host.clone();
-        let peer = Peer { heard: now, is_lost: false, load, note, region, stamp, zone };
+        let is_lost = false;
+        let peer = Peer { declared_check, heard: now, is_lost, load, note, region, stamp, zone };
         self.peers.insert(host, peer);
         new
     }
@@ -70,6 +74,7 @@
     ) -> bool {
         let Some(known) = self.peers.get_mut(&note.host) else {
             let peer = Peer {
+                declared_check: None,
                 heard,
                 is_lost: false,
                 load: Load::default(),
--- a/src/fleet/reports.rs
+++ b/src/fleet/reports.rs
@@ -1,6 +1,6 @@
 //! What other zones last told of themselves.
 
-use super::{Informed, Load, SILENCE, ZoneReport};
+use super::{DeclaredCheck, Informed, Load, SILENCE, ZoneReport};
 use crate::prelude::*;
 
 /// Time for which a report that covers few hosts of its zone does not replace a fuller one.
@@ -15,6 +15,7 @@
 #[derive(Debug)]
 struct LastReport {
     at: Moment,
+    declared_check: Option<DeclaredCheck>,
     covers: usize,
     informed: Vec<Informed>,
     load: Load,
@@ -28,6 +29,7 @@
         let covers = report.hosts.len();
         let last = self.zones.entry(report.zone.clone()).or_insert_with(|| LastReport {
             at: Moment::ZERO,
+            declared_check: None,
             covers: 0,
             informed: Vec::new(),
             load: Load::default(),
@@ -49,6 +51,8 @@
         }
         last.at = now;
         last.covers = covers;
+        let check = report.declared_check.map(|age| DeclaredCheck::from_age(age, now));
+        last.declared_check = check.or(last.declared_check);
         last.informed.clone_from(&report.informed);
         last.load.clone_from(&report.load);
         true
@@ -59,6 +63,11 @@
         self.fresh(now).map(|(zone, last)| (zone, &last.load))
     }
 
+    /// The latest confirmation of the declaration in each zone with a recent report.
+    pub fn declared_checks(&self, now: Moment) -> impl Iterator<Item = DeclaredCheck> {
+        self.fresh(now).filter_map(|(_, last)| last.declared_check)
+    }
+
     /// The hosts of other zones that know most of the store.
     pub fn informed(&self, now: Moment) -> impl Iterator<Item = (&ZoneId, &Informed)> {
         self.fresh(now).flat_map(|(zone, last)| last.informed.iter().map(move |it| (zone, it)))
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -33,6 +33,7 @@
 fn heartbeat(host: &str, start: u64, turn: u64) -> Heartbeat {
     Heartbeat {
         contacts: Vec::new(),
+        declared_check: None,
         load: Load::default(),
         note: note(host, start, turn),
         stamp: Stamp::default(),
--- a/src/fleet/tests/reports.rs
+++ b/src/fleet/tests/reports.rs
@@ -11,6 +11,7 @@
     ZoneReport {
         by: by.into(),
         contacts: Vec::new(),
+        declared_check: None,
         hosts: (0..hosts).map(|at| (note(&format!("h-{at}"), 1, turn), 0)).collect(),
         informed: Vec::new(),
         load: Load { running: vec![(7, running)], ..Load::default() },
--- a/src/measure/placement.rs
+++ b/src/measure/placement.rs
@@ -89,6 +89,7 @@
             object: Some(self.rng.random_range(0..self.objects).wrapping_mul(0x9e37_79b9)),
             route: Arc::new(route()),
             service: service(),
+            team: None,
             tried: Vec::new(),
         }
     }
@@ -158,6 +159,7 @@
         objective: Duration::from_millis(800),
         prefix: "/desk/".into(),
         priority: 0,
+        public: false,
         regions: Vec::new(),
         repeat: Repeat::Idempotent,
         split: vec![(service(), 1.0)],
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     base::span_text,
-    entry::{Declared, Repeat, Route, ServiceRules, Unreadable},
+    entry::{
+        Declared, KeyDigest, Repeat, Route, ServiceRules, Team, TeamError, TeamLimit, Teams,
+        Unreadable,
+    },
     prelude::*,
 };
 
@@ -20,6 +23,9 @@
     limits: Limits,
     #[serde(default)]
     listeners: Vec<Listener>,
+    /// Decoded field by field, so that errors name the field without exposing a key.
+    #[serde(default)]
+    tenants: Vec<serde_json::Value>,
     /// Eight hexadecimal digits.
     version: String,
 }
@@ -51,6 +57,9 @@
     matches: Match,
     #[serde(default)]
     priority: u32,
+    /// Whether requests are accepted without a key.
+    #[serde(default)]
+    public: bool,
     #[serde(default)]
     session_affinity: bool,
     /// Time within which an answer earns its full worth.
@@ -137,10 +146,53 @@
         hosts,
         idle: config.limits.idle_timeout,
         services: config.clusters.into_iter().map(rules).collect(),
+        teams: teams(config.tenants)?,
         version,
     })
 }
 
+fn teams(tenants: Vec<serde_json::Value>) -> Result<Teams, Unreadable> {
+    let teams = tenants.iter().map(team).collect::<Result<_, _>>()?;
+    Teams::new(teams).map_err(unreadable)
+}
+
+fn team(tenant: &serde_json::Value) -> Result<(Team, Vec<KeyDigest>), Unreadable> {
+    let name: Option<TeamId> = field(tenant, "name", "?")?;
+    let name = name.ok_or_else(|| Unreadable("a team has no `name`".into()))?;
+    let api_keys: Vec<String> = field(tenant, "apiKeys", &name)?.unwrap_or_default();
+    // Objects received from other hosts hold digests in place of keys.
+    let key_digests: Vec<String> = field(tenant, "keyDigests", &name)?.unwrap_or_default();
+    let burst = field(tenant, "burst", &name)?.unwrap_or_default();
+    let rate = field(tenant, "ratePerS", &name)?.unwrap_or_default();
+    let regions = field(tenant, "allowedRegions", &name)?.unwrap_or_default();
+    let priority = field(tenant, "priority", &name)?;
+    if let Some(at) = api_keys.iter().position(String::is_empty) {
+        return Err(unreadable(TeamError::EmptyKey { at: at + 1, team: name }));
+    }
+    let digest = |text: &String| {
+        KeyDigest::parse(text)
+            .ok_or_else(|| Unreadable(format!("team `{name}`: invalid key digest").into()))
+    };
+    let mut keys: Vec<KeyDigest> = key_digests.iter().map(digest).collect::<Result<_, _>>()?;
+    keys.extend(api_keys.iter().map(|key| KeyDigest::of(key.as_bytes())));
+    let limit = TeamLimit::new(&name, rate, burst).map_err(unreadable)?;
+    Ok((Team { limit, name, priority, regions }, keys))
+}
+
+fn field<T>(tenant: &serde_json::Value, field: &str, team: &str) -> Result<Option<T>, Unreadable>
+where
+    T: serde::de::DeserializeOwned,
+{
+    let Some(value) = tenant.get(field) else { return Ok(None) };
+    T::deserialize(value)
+        .map(Some)
+        .map_err(|_| Unreadable(format!("team `{team}`: `{field}` has the wrong type").into()))
+}
+
+fn unreadable(error: TeamError) -> Unreadable {
+    Unreadable(error.to_string().into())
+}
+
 fn route(host: &str, rule: Rule) -> Route {
     let action = rule.action;
     let split = match action.service {
@@ -154,6 +206,7 @@
         objective: rule.target_latency,
         prefix: rule.matches.path_prefix,
         priority: rule.priority,
+        public: rule.public,
         regions: action.allowed_regions,
         repeat: if idempotent { Repeat::Idempotent } else { Repeat::Once },
         split,
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -3,7 +3,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 
 use crate::{
-    entry::{CallerNote, ReplyNote},
+    entry::{CallerKey, CallerNote, KeyDigest, ReplyNote},
     prelude::*,
 };
 
@@ -21,6 +21,10 @@
 const LOAD: HeaderName = HeaderName::from_static("lavenderplank-server-load");
 /// Time that the target stays cold.
 const COLD: HeaderName = HeaderName::from_static("lavenderplank-cold-remaining");
+/// Key of the caller's team.
+const KEY: HeaderName = HeaderName::from_static("lavenderplank-key");
+/// Name of the caller's team, set by the host.
+const TEAM: HeaderName = HeaderName::from_static("lavenderplank-tenant");
 /// Cookie with the object that a request is about.
 const OBJECT_COOKIE: &str = "Lavenderplank-Affinity-Key";
 
@@ -29,6 +33,7 @@
     let left = text(headers, &TIME_LEFT).and_then(|text| text.trim().parse().ok());
     CallerNote {
         attempt: text(headers, &ATTEMPT).map(Arc::from),
+        key: key(headers),
         object: object(headers),
         time_left: left.map(Duration::from_millis),
     }
@@ -46,8 +51,13 @@
     }
 }
 
-/// Marks a request for one target.
-pub fn mark(headers: &mut HeaderMap, target: &TargetId, left: Duration) {
+/// Marks a request for one target, and replaces the key by the name of the team.
+pub fn mark(headers: &mut HeaderMap, target: &TargetId, team: Option<&TeamId>, left: Duration) {
+    headers.remove(KEY);
+    headers.remove(TEAM);
+    if let Some(value) = team.and_then(|team| HeaderValue::from_str(team).ok()) {
+        headers.insert(TEAM, value);
+    }
     if let Ok(value) = HeaderValue::from_str(target) {
         headers.insert(EXPECTED, value);
     }
@@ -65,6 +75,15 @@
     headers.get(name).and_then(|value| value.to_str().ok())
 }
 
+fn key(headers: &HeaderMap) -> CallerKey {
+    let mut values = headers.get_all(&KEY).iter();
+    match (values.next(), values.next()) {
+        (None, _) => CallerKey::Missing,
+        (Some(key), None) => CallerKey::One(KeyDigest::of(key.as_bytes())),
+        (Some(_), Some(_)) => CallerKey::Multiple,
+    }
+}
+
 fn object(headers: &HeaderMap) -> Option<Arc<str>> {
     let lines = headers.get_all(header::COOKIE).iter().filter_map(|value| value.to_str().ok());
     let mut cookies = lines.flat_map(|line| line.split(';'));
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -6,6 +6,7 @@
 
 mod config;
 mod headers;
+mod keys;
 mod objects;
 mod protocol;
 mod server;
--- a/src/platform/protocol.rs
+++ b/src/platform/protocol.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode, Uri};
 
-use super::{config, headers, server};
+use super::{config, headers, keys, server};
 use crate::{
     base::span_text,
     entry::{
@@ -55,8 +55,14 @@
         headers::reply(status, headers)
     }
 
-    fn mark(&self, headers: &mut HeaderMap, target: &TargetId, left: Duration) {
-        headers::mark(headers, target, left);
+    fn mark(
+        &self,
+        headers: &mut HeaderMap,
+        target: &TargetId,
+        team: Option<&TeamId>,
+        left: Duration,
+    ) {
+        headers::mark(headers, target, team, left);
     }
 
     fn mark_own(&self, headers: &mut HeaderMap, note: &CallerNote) {
@@ -91,6 +97,10 @@
         config::read(object)
     }
 
+    fn without_keys(&self, object: Bytes) -> Result<Bytes, Unreadable> {
+        keys::without_keys(object)
+    }
+
     fn target(&self, id: &str, object: &[u8]) -> Result<TargetEntry, Unreadable> {
         server::read(id, object)
     }
--- a/src/platform/standin/settings.rs
+++ b/src/platform/standin/settings.rs
@@ -24,6 +24,8 @@
             max_shift: 0.15,
             retry_ratio: 0.2,
             retry_slack: 60.0,
+            revoke: None,
+            strict_revocation: None,
         },
         host: host.into(),
         event_log: EventLogSettings::default(),
--- a/src/platform/standin/target.rs
+++ b/src/platform/standin/target.rs
@@ -55,12 +55,16 @@
     pub body: Bytes,
     /// Which connection it came on.
     pub connection: usize,
+    /// The request contained a caller's key.
+    pub has_key: bool,
     pub method: String,
     /// Id of the target that was meant.
     pub meant: String,
     pub path: String,
     /// It began to work on it.
     pub ran: bool,
+    /// Team name in the request's header.
+    pub team: Option<String>,
     /// Milliseconds that the caller still waits.
     pub time_left: Option<u64>,
 }
@@ -220,10 +224,12 @@
         attempt: text("lavenderplank-attempt-id").unwrap_or_default(),
         body: Bytes::new(),
         connection,
+        has_key: text("lavenderplank-key").is_some(),
         meant: text("lavenderplank-expected-instance").unwrap_or_default(),
         method: req.method.unwrap_or_default().to_owned(),
         path: req.path.unwrap_or_default().to_owned(),
         ran: false,
+        team: text("lavenderplank-tenant"),
         time_left: text("lavenderplank-time-remaining").and_then(|left| left.parse().ok()),
     };
     buf.advance(head);
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -9,8 +9,8 @@
 
 use super::PlatformProtocol;
 use crate::{
-    entry::{CallerNote, LookupPlace, Protocol, Repeat},
-    prelude::Duration,
+    entry::{CallerKey, CallerNote, KeyDigest, LookupPlace, Protocol, Repeat, TeamLimit},
+    prelude::*,
 };
 
 fn server() -> Value {
@@ -114,11 +114,12 @@
     let note = PlatformProtocol.caller(&headers);
     let wanted = CallerNote {
         attempt: Some("x1".into()),
+        key: CallerKey::Missing,
         object: Some("17".into()),
         time_left: Some(Duration::from_millis(1500)),
     };
     assert_eq!(note, wanted);
-    PlatformProtocol.mark(&mut headers, &"i-1".into(), Duration::from_millis(900));
+    PlatformProtocol.mark(&mut headers, &"i-1".into(), None, Duration::from_millis(900));
     assert_eq!(headers["lavenderplank-expected-instance"], "i-1");
     assert_eq!(headers["lavenderplank-time-remaining"], "900");
     let mut reply = HeaderMap::new();
@@ -142,6 +143,92 @@
     assert_eq!(found, json!({ "addresses": ["10.0.0.1:80"], "ttl": "2000ms" }));
 }
 
+/// Guards against passing a caller's key or a forged team name on to a target.
+#[test]
+fn caller_keys_and_forged_teams_are_removed() {
+    let mut headers = HeaderMap::new();
+    headers.insert("lavenderplank-key", HeaderValue::from_static("k-1"));
+    headers.append("lavenderplank-tenant", HeaderValue::from_static("vega"));
+    headers.append("lavenderplank-tenant", HeaderValue::from_static("lyra"));
+    let key = PlatformProtocol.caller(&headers).key;
+    assert_eq!(key, CallerKey::One(KeyDigest::of(b"k-1")));
+    let mark = |headers: &mut HeaderMap, team: Option<&str>| {
+        let team = team.map(TeamId::from);
+        PlatformProtocol.mark(headers, &"i-1".into(), team.as_ref(), Duration::from_secs(1));
+    };
+    let mut named = headers.clone();
+    mark(&mut named, Some("altair"));
+    assert!(!named.contains_key("lavenderplank-key"));
+    let teams: Vec<_> = named.get_all("lavenderplank-tenant").iter().collect();
+    assert_eq!(teams, ["altair"]);
+    mark(&mut headers, None);
+    assert!(!headers.contains_key("lavenderplank-tenant"));
+    let mut multiple = HeaderMap::new();
+    multiple.append("lavenderplank-key", HeaderValue::from_static("k-1"));
+    multiple.append("lavenderplank-key", HeaderValue::from_static("k-1"));
+    assert_eq!(PlatformProtocol.caller(&multiple).key, CallerKey::Multiple);
+}
+
+fn with_teams(teams: Value) -> Vec<u8> {
+    let mut config = config();
+    config["spec"]["tenants"] = teams;
+    bytes(&config)
+}
+
+#[test]
+fn teams_are_read() {
+    let team = json!([{ "name": "lyra", "apiKeys": ["k-1", "k-2"], "priority": 0, "ratePerS": 367,
+        "burst": 36.5, "allowedRegions": ["north"] }, { "name": "vega" }]);
+    let declared = PlatformProtocol.declared(&with_teams(team)).expect("a configuration");
+    let lyra = declared.teams.find_by_key(&KeyDigest::of(b"k-2")).expect("a team");
+    assert_eq!((&*lyra.name, lyra.priority), ("lyra", Some(0)));
+    assert_eq!(lyra.limit, Some(TeamLimit { burst: 36.5, rate: 367.0 }));
+    assert_eq!(lyra.regions, ["north".into()]);
+    let names: Vec<&str> = declared.teams.iter().map(|team| &*team.name).collect();
+    assert_eq!(names, ["lyra", "vega"]);
+    let route = declared.route("a.example", "/a/").expect("a route");
+    assert!(!route.public);
+}
+
+/// Guards against accepting partly invalid teams and against keys in error messages.
+#[test]
+fn errors_name_the_team_but_not_its_keys() {
+    for (field, value) in [
+        ("apiKeys", json!("k-secret")),
+        ("apiKeys", json!(["k-secret", ""])),
+        ("apiKeys", json!(["k-secret", 4])),
+        ("ratePerS", json!(-1)),
+        ("ratePerS", json!("k-secret")),
+        ("burst", json!(-0.5)),
+        ("priority", json!("high")),
+        ("allowedRegions", json!("north")),
+    ] {
+        let teams = json!([{ "name": "lyra", field: value.clone() }]);
+        let error = PlatformProtocol.declared(&with_teams(teams)).expect_err("an error");
+        assert!(error.0.contains("`lyra`") && !error.0.contains("secret"), "{field}: {error}");
+    }
+    let shared = json!([{ "name": "a", "apiKeys": ["k-secret"] },
+        { "name": "b", "apiKeys": ["k-secret"] }]);
+    let error = PlatformProtocol.declared(&with_teams(shared)).expect_err("an error");
+    assert!(error.0.contains("`a` and `b`") && !error.0.contains("secret"), "{error}");
+}
+
+/// Guards against exposing keys to other hosts or in their logs.
+#[test]
+fn keys_are_replaced_by_digests() {
+    let teams = json!([{ "name": "lyra", "apiKeys": ["k-secret"], "priority": 1 }]);
+    let object = with_teams(teams);
+    let digested = PlatformProtocol.without_keys(object.clone().into()).expect("an object");
+    assert!(!String::from_utf8_lossy(&digested).contains("secret"));
+    let read = |object: &[u8]| PlatformProtocol.declared(object).expect("a configuration");
+    assert_eq!(read(&digested), read(&object));
+    assert_eq!(PlatformProtocol.without_keys(digested.clone()).expect("an object"), digested);
+    let plain: bytes::Bytes = bytes(&config()).into();
+    assert_eq!(PlatformProtocol.without_keys(plain.clone()).expect("an object"), plain);
+    let error = PlatformProtocol.without_keys(with_teams(json!("k-secret")).into());
+    assert!(!error.expect_err("an error").0.contains("secret"));
+}
+
 /// Entries, configurations and headers from anywhere: read or refused, never a panic.
 #[test]
 fn damage_is_read_or_refused() {
@@ -158,6 +245,7 @@
             text.splice(at..end, put);
             let _ = PlatformProtocol.target("i-1", &text);
             let _ = PlatformProtocol.declared(&text);
+            let _ = PlatformProtocol.without_keys(text.clone().into());
             let _ = PlatformProtocol.host(&text);
             let mut headers = HeaderMap::new();
             for name in ["cookie", "lavenderplank-time-remaining", "lavenderplank-server-load"] {
@@ -176,7 +264,7 @@
 /// one platform.
 #[test]
 fn no_other_folder_knows_the_platforms_names() {
-    const NAMES: [&str; 12] = [
+    const NAMES: [&str; 16] = [
         "lavenderplank-attempt",
         "lavenderplank-time",
         "lavenderplank-expected",
@@ -187,6 +275,10 @@
         "pathprefix",
         "coldremaining",
         "allowedregions",
+        "apikeys",
+        "lavenderplank-key",
+        "lavenderplank-tenant",
+        "ratepers",
         "/api/objects",
         "/api/re",
     ];
--- a/src/prelude.rs
+++ b/src/prelude.rs
@@ -6,5 +6,5 @@
 
 pub use crate::base::{
     Binding, Clock, ErrorKind, Generation, HostId, Incarnation, MemberId, Moment, Ran, RegionId,
-    RequestId, Sequence, ServiceId, TargetId, ZoneId,
+    RequestId, Sequence, ServiceId, TargetId, TeamId, ZoneId,
 };
--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -46,8 +46,7 @@
 /// What a follower tells.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Followed {
-    /// Writes since what was told before; none where the platform merely answers again after a
-    /// loss.
+    /// Writes since the previous update; empty if the platform answered that there are none.
     Changed(Vec<Change>),
     /// Everything there is, in place of what was told before.
     Listed(Listing),
@@ -195,7 +194,6 @@
     tx: mpsc::Sender<Followed>,
 ) {
     let mut state = FollowState::new(rand::random(), pace);
-    let mut is_lost = false;
     loop {
         let told = match state.next(clock.now()) {
             Step::Compare => match platform.keys(&prefix).await {
@@ -225,14 +223,12 @@
             Step::Watch { from } => match platform.watch(&prefix, from, pace.wait).await {
                 Ok(changes) => {
                     state.changed(&changes);
-                    let matters = is_lost || !changes.changes.is_empty();
-                    matters.then_some(Followed::Changed(changes.changes))
+                    Some(Followed::Changed(changes.changes))
                 }
                 Err(err) => Some(lost(&mut state, err)),
             },
         };
         let Some(told) = told else { continue };
-        is_lost = matches!(told, Followed::Lost(_));
         let pause = match &told {
             Followed::Changed(changes) if changes.is_empty() => Duration::ZERO,
             Followed::Changed(_) => Duration::from_millis(settle.load(Ordering::Relaxed)),
--- a/src/why/tests.rs
+++ b/src/why/tests.rs
@@ -46,6 +46,7 @@
         left_ms: 2_000,
         route: "x/a/".into(),
         service: "desk".into(),
+        team: None,
     }
 }
 
--- a/tests/deploy.rs
+++ b/tests/deploy.rs
@@ -17,12 +17,13 @@
         "provider": { "address": "10.200.1.7:8541" },
         "bounds": {
             "grace": "6s", "ttl_max": "5s", "maxShift": 0.15,
-            "budgetRatio": 0.2, "budgetSlack": 64.0,
+            "budgetRatio": 0.2, "budgetSlack": 64.0, "revoke": "5000ms",
+            "strictRevocation": true,
         },
     })
 }
 
-fn render(template: &str) -> String {
+fn render(template: &str, fields: &Value) -> String {
     let mut out = String::new();
     let mut rest = template;
     while let Some((before, after)) = rest.split_once("{{") {
@@ -32,7 +33,6 @@
             None => (name, false),
         };
         let pointer = format!("/{}", name.replace('.', "/"));
-        let fields = fields();
         let value = fields.pointer(&pointer).unwrap_or_else(|| panic!("no field {name}"));
         out.push_str(before);
         match value {
@@ -44,17 +44,23 @@
     out + rest
 }
 
+fn load(fields: &Value) -> EntrySettings {
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    let template = std::fs::read_to_string(root.join("deploy/host.yaml.in")).expect("the template");
+    let name = format!("lavenderplank-host-{:?}.yaml", std::thread::current().id());
+    let path = std::env::temp_dir().join(format!("{}-{name}", std::process::id()));
+    std::fs::write(&path, render(&template, fields)).expect("a file");
+    let settings = EntrySettings::load(&path);
+    std::fs::remove_file(&path).expect("the file is there");
+    settings.expect("settings")
+}
+
 /// The platform fills the template in; the result must be settings that a host accepts. Otherwise
 /// no host starts.
 #[test]
 fn the_filled_template_is_read() {
     let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR"));
-    let template = std::fs::read_to_string(root.join("deploy/host.yaml.in")).expect("the template");
-    let path = std::env::temp_dir().join(format!("lavenderplank-host-{}.yaml", std::process::id()));
-    std::fs::write(&path, render(&template)).expect("a file");
-    let settings = EntrySettings::load(&path);
-    std::fs::remove_file(&path).expect("the file is there");
-    let settings = settings.expect("settings");
+    let settings = load(&fields());
     assert_eq!(&*settings.host, "edge-ktm-a-1");
     assert_eq!(settings.listen.gossip, "10.1.0.34:7540".parse().expect("an address"));
     let metrics = settings.listen.metrics.expect("an address of the metrics");
@@ -67,6 +73,21 @@
     assert_eq!(settings.bounds.grace.as_millis(), 6000);
 }
 
+/// Guards against startup failure on a platform that has no teams and leaves their bounds empty.
+#[test]
+fn team_bounds_are_optional() {
+    assert!(load(&fields()).bounds.max_key_age().is_some());
+    let mut fields = fields();
+    fields["bounds"]["revoke"] = Value::Null;
+    fields["bounds"]["strictRevocation"] = Value::Null;
+    assert_eq!(load(&fields).bounds.max_key_age(), None);
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    let template = std::fs::read_to_string(root.join("deploy/host.yaml.in")).expect("the template");
+    let text = render(&template, &fields).replace("null", "");
+    let settings: EntrySettings = serde_norway::from_str(&text).expect("settings");
+    assert_eq!(settings.bounds.max_key_age(), None);
+}
+
 #[test]
 fn the_example_is_read() {
     let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR"));
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -539,7 +539,14 @@
             turn,
         };
         let (contacts, load, zone) = (Vec::new(), Load::default(), "north-b".into());
-        let message = Message::Heartbeat(Heartbeat { contacts, load, note, stamp, zone });
+        let message = Message::Heartbeat(Heartbeat {
+            contacts,
+            declared_check: None,
+            load,
+            note,
+            stamp,
+            zone,
+        });
         let bytes = postcard::to_allocvec(&message).expect("a heartbeat has a form");
         socket.send_to(&bytes, to).await.expect("loopback takes datagrams");
         tokio::time::sleep(Duration::from_millis(100)).await;
