Enforce team rate limits across all hosts

Team limits were read from the declaration but not enforced: every request with a valid key ran.

A request of a team with a limit is now admitted, or rejected with 429 and Retry-After, before a target is selected, so that rejected requests use no slot, memory or retry. Hosts do not ask each other before a decision. Each host reports in its heartbeats how many requests of a team arrived and were admitted within the last half second; zone reports carry the sums. Every host keeps a copy of one token bucket per team. It takes tokens for the requests that it admits itself and for those that other hosts admit at their last reported rate. Above the limit, it admits a request with a probability that leaves room for admissions that are not reported yet. Hosts that fell silent without leaving keep their share of the limit, so that the two sides of a network partition stay within it together. A host that starts at the same time as all others divides the limit evenly among 64 hosts, or all that it knows if these are more, for one second; a host that joins running hosts starts with half a bucket. A request that no target ran is refunded; a further attempt after one that may have run is charged.

Not built: asking an owner host chosen by a hash of the team, since a round trip between regions takes 110 ms and the few requests of a team arrive at a different host each time.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -181,6 +181,11 @@
             for (service, slots) in &load.demand {
                 *demand.entry((region.clone(), *service)).or_default() += f64::from(*slots);
             }
+            for (team, (arrived, admitted)) in &load.teams {
+                let sum = view.team_counts.entry(*team).or_default();
+                sum.0 = sum.0.saturating_add(*arrived);
+                sum.1 = sum.1.saturating_add(*admitted);
+            }
             for (print, crashes) in &load.crashes {
                 let sum = view.crashes.entry(*print).or_default();
                 *sum = sum.saturating_add(*crashes);
@@ -195,6 +200,8 @@
                 zone: peer.zone.clone(),
             });
         }
+        view.known_hosts = self.fleet.known_hosts(now);
+        view.peers_started_earlier = self.fleet.peers_started_earlier(now);
         view.demand = demand;
         self.parts.metrics.control(self.figures(&view));
         self.parts.view.store(Some(Arc::new(view)));
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -1,6 +1,11 @@
 //! One request of a caller, from its head to the answer.
 
-use std::{cell::Cell, future::Future, pin::Pin, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    future::Future,
+    pin::Pin,
+    rc::Rc,
+};
 
 use bytes::{Bytes, BytesMut};
 use futures::{StreamExt, stream::FuturesUnordered};
@@ -17,6 +22,7 @@
     caller_io::Disconnect,
     place::PlacementRequest,
     request_log::{Outcome, RequestLog},
+    traffic_state::Admission,
 };
 use crate::{
     base::Ran,
@@ -70,12 +76,15 @@
     let note = state.protocol.caller(&head.headers);
     let key = state.key(note.attempt.as_ref());
     let version = Cell::new(0);
-    let refuse = |kind: ErrorKind, come_back| {
+    let team_name: RefCell<Option<TeamId>> = RefCell::default();
+    let refuse = |kind: ErrorKind, come_back: Option<Duration>| {
         let answer = own(&state, &note, kind, come_back);
         let event = Event::Refused {
             declaration: version.get(),
             error: kind,
+            retry_after_ms: come_back.map(|span| span.as_millis() as u64),
             status: answer.status().as_u16(),
+            team: team_name.borrow().clone(),
             took_ms: state.clock.now().saturating_sub(since).as_millis() as u64,
         };
         state.record(&key, event);
@@ -112,6 +121,11 @@
         Ok(team) => team,
         Err(kind) => return refuse(kind, Some(COME_BACK_USUAL)),
     };
+    *team_name.borrow_mut() = team.as_ref().map(|team| team.name.clone());
+    let admission = match team.as_ref().map(|team| state.admit(&view, team)).transpose() {
+        Ok(admission) => admission,
+        Err(retry_after) => return refuse(ErrorKind::QuotaExceeded, Some(retry_after)),
+    };
     let Some(service) = state.service(&route) else { return refuse(ErrorKind::NoTarget, None) };
     state.arrived(&service);
     let fingerprint = fingerprint(&head, &body);
@@ -131,7 +145,7 @@
         left_ms: wait.as_millis() as u64,
         route: route.key.clone(),
         service: service.clone(),
-        team: team.as_ref().map(|team| team.name.clone()),
+        team: team_name.borrow().clone(),
     };
     state.record(&key, taken);
     let log = RequestLog::new(state.clone(), key, service.clone(), route.objective, since);
@@ -147,7 +161,7 @@
         service,
         team,
     };
-    let call = Call { log, state, request: Rc::new(request), route, tried: Vec::new() };
+    let call = Call { admission, log, state, request: Rc::new(request), route, tried: Vec::new() };
     call.run(disconnect).await
 }
 
@@ -169,6 +183,8 @@
 }
 
 struct Call {
+    /// `None` for a request without a team.
+    admission: Option<Admission>,
     log: RequestLog,
     state: Rc<TrafficState>,
     request: Rc<OutboundRequest>,
@@ -278,6 +294,9 @@
         self.log.sent(&view, &placement, &target, self.request.deadline, progress.sent, reason);
         self.tried.push(target.tag);
         let running = self.state.start(&target, self.request.fingerprint, placement.forecast);
+        if let Some(admission) = &self.admission {
+            admission.attempt_started(progress.maybe_ran);
+        }
         let (state, request) = (self.state.clone(), self.request.clone());
         Some(Box::pin(async move {
             let id = target.entry.id.clone();
@@ -321,6 +340,9 @@
             Ran::No if progress.maybe_ran => ErrorKind::DispatchLost,
             _ => why,
         };
+        if let (Some(admission), Ran::No) = (&self.admission, why.row().ran) {
+            admission.mark_not_run();
+        }
         let spread = 0.75 + rand::random::<f64>() / 2.0;
         let come_back = progress.room_in.unwrap_or(COME_BACK_USUAL).mul_f64(spread);
         let come_back = come_back.clamp(COME_BACK_LEAST, COME_BACK_MOST);
--- a/src/entry/traffic_state.rs
+++ b/src/entry/traffic_state.rs
@@ -9,8 +9,9 @@
 use arc_swap::ArcSwap;
 
 use super::{
-    Bounds, CrashSuspects, EntrySettings, KnownTarget, Pool, Protocol, Route, View, ViewCell,
-    bodies::BodyMemory, place::region_loads, service_state::ServiceState, upstream::connect,
+    Bounds, CrashSuspects, DeclaredVersion, EntrySettings, KnownTarget, Pool, Protocol, Route,
+    Team, View, ViewCell, bodies::BodyMemory, place::region_loads, service_state::ServiceState,
+    upstream::connect,
 };
 use crate::{
     admission::Allowance,
@@ -22,6 +23,7 @@
         ObjectTag, RegionSent, RoundTrips, SentWindow, TargetTag, Tuning, name_tag,
     },
     prelude::*,
+    quota::{PeerState, Quota, SharedBuckets, Verdict},
 };
 
 /// Time for which a run is told: hosts of other regions hear a heartbeat that often.
@@ -63,6 +65,10 @@
     looking: RefCell<HashSet<u32>>,
     pub crash_suspects: RefCell<CrashSuspects>,
     pub pool: RefCell<Pool>,
+    quota: RefCell<Box<dyn Quota>>,
+    /// Version of the declaration whose limits are in force, and time of the view last applied.
+    quota_version: Cell<DeclaredVersion>,
+    quota_view_at: Cell<Moment>,
     /// Fingerprints of requests in attempt, by target.
     running: RefCell<HashMap<u32, Vec<u64>>>,
     pub(super) services: RefCell<HashMap<ServiceId, ServiceState>>,
@@ -86,6 +92,7 @@
         view: ViewCell,
         events: Arc<dyn EventSink>,
     ) -> Rc<Self> {
+        let quota: Box<dyn Quota> = Box::new(SharedBuckets::new(clock.now()));
         Rc::new(Self {
             bodies: BodyMemory::default(),
             bounds,
@@ -109,6 +116,9 @@
             requests: Cell::new(0),
             crash_suspects: RefCell::default(),
             pool: RefCell::default(),
+            quota: RefCell::new(quota),
+            quota_version: Cell::default(),
+            quota_view_at: Cell::default(),
             running: RefCell::default(),
             services: RefCell::default(),
             settings,
@@ -172,6 +182,40 @@
         state.budget.take(now)
     }
 
+    /// Checks a request against the limit of its team. The error is the time to wait before a retry.
+    pub fn admit(self: &Rc<Self>, view: &View, team: &Team) -> Result<Admission, Duration> {
+        self.update_quota(view);
+        let now = self.clock.now();
+        match self.quota.borrow_mut().admit(team.tag(), rand::random(), now) {
+            Verdict::Admitted => {
+                Ok(Admission { has_run: Cell::new(false), state: self.clone(), team: team.tag() })
+            }
+            Verdict::Limited { retry_after } => Err(retry_after),
+        }
+    }
+
+    /// Applies the limits and the state of other hosts from the view.
+    fn update_quota(&self, view: &View) {
+        let now = self.clock.now();
+        if let Some(declared) = &view.declared
+            && declared.version != self.quota_version.replace(declared.version)
+        {
+            let limit = |team: &Arc<Team>| Some((team.tag(), team.limit?));
+            let limits = declared.teams.iter().filter_map(limit).collect();
+            self.quota.borrow_mut().set_limits(&limits, now);
+        }
+        if self.quota_view_at.replace(view.at) < view.at {
+            let live_hosts = view.hosts.len().max(1);
+            let peers = PeerState {
+                started_earlier: view.peers_started_earlier,
+                live_hosts,
+                known_hosts: view.known_hosts,
+                counts: view.team_counts.clone(),
+            };
+            self.quota.borrow_mut().update_peers(&peers, now);
+        }
+    }
+
     /// Usual time of an answer.
     pub fn work(&self, service: &ServiceId) -> Duration {
         self.services
@@ -302,6 +346,7 @@
         let Some(view) = self.view() else { return };
         self.cold.borrow_mut().tick(now);
         self.hear_runs(&view);
+        self.update_quota(&view);
         self.own_runs.borrow_mut().retain(|(at, _, _)| now < *at + RUNS_TOLD);
         self.crash_suspects.borrow_mut().tick(now);
         self.count_sent(&view, now);
@@ -376,7 +421,8 @@
         let slow =
             conditions.iter().filter_map(|(tag, it)| Some((*tag, it.slowness(told(tag), now)?)));
         let slow = slow.collect();
-        Load { crashes, demand, running, runs: self.told_runs(), sent, slow }
+        let teams = self.quota.borrow().report(now);
+        Load { crashes, demand, running, runs: self.told_runs(), sent, slow, teams }
     }
 }
 
@@ -408,6 +454,36 @@
     }
 }
 
+/// A request admitted within the limit of its team. Refunded on drop if it did not run.
+pub struct Admission {
+    has_run: Cell<bool>,
+    state: Rc<TrafficState>,
+    team: NameTag,
+}
+
+impl Admission {
+    /// Records an attempt at a target; charges it if an earlier attempt may have run.
+    pub fn attempt_started(&self, maybe_ran: bool) {
+        self.has_run.set(true);
+        if maybe_ran {
+            self.state.quota.borrow_mut().charge(self.team, self.state.clock.now());
+        }
+    }
+
+    /// Records that no target ran the request.
+    pub fn mark_not_run(&self) {
+        self.has_run.set(false);
+    }
+}
+
+impl Drop for Admission {
+    fn drop(&mut self) {
+        if !self.has_run.get() {
+            self.state.quota.borrow_mut().refund(self.team);
+        }
+    }
+}
+
 /// A request in attempt at a target.
 pub struct InFlight {
     state: Rc<TrafficState>,
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -6,8 +6,9 @@
 
 use super::{Declared, UsableTargets};
 use crate::{
-    placement::{ObjectTag, RegionSent, Slowness, TargetTag},
+    placement::{NameTag, ObjectTag, RegionSent, Slowness, TargetTag},
     prelude::*,
+    quota::TeamCounts,
 };
 
 /// Everything that a request's decisions read of the control side.
@@ -19,6 +20,10 @@
     /// When the declaration was last confirmed to be the latest in the store; `None` if it never was,
     /// or another host knows a later one.
     pub declared_checked_at: Option<Moment>,
+    /// Whether most of the other live hosts were running when this host started.
+    pub peers_started_earlier: bool,
+    /// Number of hosts that are live or may be partitioned, including this one.
+    pub known_hosts: usize,
     /// Other living hosts and this one, by region and name.
     pub hosts: Vec<LiveHost>,
     /// Requests that other hosts have in attempt, by target's tag.
@@ -34,6 +39,8 @@
     /// What other hosts tell of slow targets.
     pub slow: HashMap<TargetTag, Slowness>,
     pub targets: UsableTargets,
+    /// Requests of teams that other hosts reported.
+    pub team_counts: BTreeMap<NameTag, TeamCounts>,
 }
 
 /// A host that takes callers.
--- a/src/event_log/event.rs
+++ b/src/event_log/event.rs
@@ -118,7 +118,17 @@
         work_ms: u64,
     },
     /// A request was refused before a target was looked for.
-    Refused { declaration: DeclaredVersion, error: ErrorKind, status: u16, took_ms: u64 },
+    Refused {
+        declaration: DeclaredVersion,
+        error: ErrorKind,
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        retry_after_ms: Option<u64>,
+        status: u16,
+        /// The team of the request, if known.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        team: Option<TeamId>,
+        took_ms: u64,
+    },
     /// The settings were read again.
     Reloaded { end: ReloadEnd, detail: Arc<str> },
     /// A further attempt was wanted and not allowed.
--- a/src/fleet/load.rs
+++ b/src/fleet/load.rs
@@ -8,6 +8,7 @@
 use crate::{
     placement::{Counts, NameTag, ObjectTag, Slowness, TargetTag, Way},
     prelude::*,
+    quota::TeamCounts,
 };
 
 /// Most runs that are told of a zone together: with its other figures they stay in a few packets.
@@ -29,6 +30,8 @@
     pub sent: Vec<(Way, Counts)>,
     /// Targets that take longer than they should.
     pub slow: Vec<(TargetTag, Slowness)>,
+    /// Arrived and admitted requests of teams with a limit, by hash of the team.
+    pub teams: Vec<(NameTag, TeamCounts)>,
 }
 
 impl Load {
@@ -43,7 +46,10 @@
             sent: summed(loads.clone().flat_map(|load| &load.sent), |a, b| {
                 (a.0.saturating_add(b.0), a.1.saturating_add(b.1))
             }),
-            slow: summed(loads.flat_map(|load| &load.slow), Slowness::and),
+            slow: summed(loads.clone().flat_map(|load| &load.slow), Slowness::and),
+            teams: summed(loads.flat_map(|load| &load.teams), |a, b| {
+                (a.0.saturating_add(b.0), a.1.saturating_add(b.1))
+            }),
         }
     }
 }
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -35,6 +35,10 @@
 const NEW_TICKS: u64 = 20;
 const NEW_PROBE_TICKS: u64 = 2;
 
+/// Least difference of start times for a host to count as started earlier. Covers clock skew between
+/// hosts that are started together.
+const START_MARGIN: Duration = Duration::from_secs(2);
+
 /// What a host is built from.
 #[derive(Clone, Debug)]
 pub struct FleetParts {
@@ -79,7 +83,7 @@
     }
 
     /// Converts the time to an age, for a message sent at `now`.
-    fn to_age(&self, now: Moment) -> DeclaredCheckAge {
+    fn to_age(self, now: Moment) -> DeclaredCheckAge {
         let age = now.saturating_sub(self.at).as_millis();
         DeclaredCheckAge { age_ms: age.try_into().unwrap_or(u32::MAX), version: self.version }
     }
@@ -152,6 +156,21 @@
         self.peers.live(now)
     }
 
+    /// Whether most of the other live hosts were running when this one started.
+    pub fn peers_started_earlier(&self, now: Moment) -> bool {
+        let started_earlier =
+            |peer: &&Peer| peer.note.start + START_MARGIN.as_millis() as u64 <= self.parts.start;
+        let live = self.peers.live(now);
+        live.clone().count() < live.filter(started_earlier).count() * 2
+    }
+
+    /// Number of hosts that are live, or silent without having left and possibly partitioned, including
+    /// this one.
+    pub fn known_hosts(&self, now: Moment) -> usize {
+        let silent = self.peers.silent(now).filter(|peer| !peer.note.leaving);
+        self.peers.live(now).count() + silent.count() + 1
+    }
+
     /// Hosts that fell silent since the last call.
     pub fn lost(&mut self, now: Moment) -> Vec<Peer> {
         self.contacts.tick(now);
--- a/src/fleet/tests/reports.rs
+++ b/src/fleet/tests/reports.rs
@@ -59,11 +59,13 @@
         runs: vec![(7, 11)],
         sent: vec![((5, 1), (3, 4))],
         slow: vec![(7, Slowness::seen(4.0))],
+        teams: vec![(5, (3, 1))],
     };
     let two = Load { running: vec![(7, 3)], ..one.clone() };
     let sum = Load::sum([&one, &two].into_iter());
     assert_eq!(sum.running, [(7, 5), (8, 1)]);
     assert_eq!(sum.sent, [((5, 1), (6, 8))]);
+    assert_eq!(sum.teams, [(5, (6, 2))]);
     assert_eq!(sum.slow, [(7, Slowness::seen(4.0).and(Slowness::seen(4.0)))]);
     assert_eq!((sum.crashes, sum.demand, sum.runs), (vec![(1, 4)], vec![(5, 1.0)], vec![(7, 11)]));
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod platform;
 pub mod prelude;
 pub mod quarantine;
+pub mod quota;
 pub mod selection;
 pub mod settings;
 pub mod shift;
--- a/src/metrics/entry.rs
+++ b/src/metrics/entry.rs
@@ -27,7 +27,10 @@
 /// Most services that are told apart; more are counted together. Deployments have three to ten.
 const SERVICES_MOST: usize = 64;
 
-/// Name under which further services are counted.
+/// Most teams with a label of their own; further teams share one.
+const TEAMS_MOST: usize = 128;
+
+/// Label of services and teams beyond these bounds.
 const OTHER: &str = "other";
 
 type Latencies<L> = Family<L, Histogram, fn() -> Histogram>;
@@ -65,6 +68,12 @@
     limit: Arc<str>,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ByTeam {
+    end: &'static str,
+    team: Arc<str>,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct ByState {
     state: &'static str,
@@ -116,6 +125,8 @@
     state_answers: Counter,
     store_age: Gauge<f64, AtomicU64>,
     targets: Family<ByState, Gauge>,
+    teams: std::sync::Mutex<Vec<TeamId>>,
+    team_requests: Family<ByTeam, Counter>,
 }
 
 impl Default for EntryMetrics {
@@ -144,6 +155,8 @@
             state_answers: Counter::default(),
             store_age: Gauge::default(),
             targets: Family::default(),
+            teams: std::sync::Mutex::default(),
+            team_requests: Family::default(),
         };
         metrics.register();
         metrics
@@ -172,6 +185,8 @@
         let help = "time since the store's word last came, by itself or another host";
         self.add("store_age_seconds", help, self.store_age.clone());
         self.add("targets", "usable targets by state", self.targets.clone());
+        let help = "requests of teams, taken or rejected by the team's limit";
+        self.add("team_requests", help, self.team_requests.clone());
         self.register_histograms();
     }
 
@@ -211,9 +226,13 @@
             Event::AttemptEnded { connect_ms, end, first_byte_ms, service, took_ms, .. } => {
                 self.attempt(*end, service, [*connect_ms, *first_byte_ms, Some(*took_ms)]);
             }
-            Event::Refused { error, .. } => {
+            Event::Refused { error, team, .. } => {
                 self.refusals.get_or_create(&ByError { error: (*error).into() }).inc();
+                if let (ErrorKind::QuotaExceeded, Some(team)) = (error, team) {
+                    self.team_request(team, "limited");
+                }
             }
+            Event::Taken { team: Some(team), .. } => self.team_request(team, "taken"),
             Event::RetryDenied { limit, .. } => {
                 self.retries_denied.get_or_create(&ByLimit { limit: limit.clone() }).inc();
             }
@@ -276,19 +295,28 @@
         }
     }
 
-    /// The label of a service. Names come from operators, who replace them in the life of a host:
-    /// without a bound the labels would grow for ever.
+    fn team_request(&self, team: &TeamId, end: &'static str) {
+        let team = label(&self.teams, team, TEAMS_MOST);
+        self.team_requests.get_or_create(&ByTeam { end, team }).inc();
+    }
+
     fn service(&self, service: &ServiceId) -> Arc<str> {
-        let mut known = self.services.lock().expect("no holder of this lock panics");
-        if known.contains(service) {
-            return service.clone();
-        }
-        if SERVICES_MOST <= known.len() {
-            return OTHER.into();
-        }
-        known.push(service.clone());
-        service.clone()
+        label(&self.services, service, SERVICES_MOST)
+    }
+}
+
+/// Returns the label for a name. Operators replace names during the lifetime of a host, so the number
+/// of distinct labels is bounded.
+fn label(known: &std::sync::Mutex<Vec<Arc<str>>>, name: &Arc<str>, max: usize) -> Arc<str> {
+    let mut known = known.lock().expect("no holder of this lock panics");
+    if known.contains(name) {
+        return name.clone();
+    }
+    if max <= known.len() {
+        return OTHER.into();
     }
+    known.push(name.clone());
+    name.clone()
 }
 
 /// Counts events on their way to the log.
--- a/src/why/cause.rs
+++ b/src/why/cause.rs
@@ -55,8 +55,9 @@
         return Cause::new(Verdict::Failed, what).behind(target_story(lines, target));
     }
     match request.iter().rfind(ends) {
-        Some(Event::Refused { error, status, .. }) => {
-            Cause::new(Verdict::Refused, format!("refused with {status}, {error}"))
+        Some(Event::Refused { error, status, team, .. }) => {
+            let team = team.iter().map(|team| format!("made for team {team}"));
+            Cause::new(Verdict::Refused, format!("refused with {status}, {error}")).behind(team)
         }
         Some(Event::CallerLeft { sent, took_ms, .. }) => {
             let what = format!("the caller closed its connection after {took_ms} ms");
--- a/src/why/tests.rs
+++ b/src/why/tests.rs
@@ -268,7 +268,9 @@
             Event::Refused {
                 declaration: 3,
                 error: ErrorKind::ServiceUnknown,
+                retry_after_ms: None,
                 status: 404,
+                team: Some("lyra".into()),
                 took_ms: 0,
             },
             Verdict::Refused,
--- a/tests/teams.rs
+++ b/tests/teams.rs
@@ -3,11 +3,14 @@
 #[path = "support/entry.rs"]
 mod support;
 
-use std::time::Duration;
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use lavenderplank::{entry::EntryHost, platform::standin::Conduct};
 use serde_json::{Value, json};
-use support::{Ask, HOST, World, booking, config, read, run, until};
+use support::{Ask, HOST, World, booking, config, read, run, settings, until};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -192,3 +195,71 @@
         assert_eq!(ask(&world, &host, read("r-2"), &["k-lyra"]).await, 200);
     });
 }
+
+/// Guards against a team far over its limit that causes rejections of other teams or exceeds its limit.
+#[test]
+fn a_team_over_its_limit_does_not_affect_others() {
+    run(async {
+        let world = World::bare(&["north-a"]).await;
+        let quiet = (0..78).map(|at| {
+            json!({ "name": format!("quiet-{at}"), "apiKeys": [format!("k-{at}")], "ratePerS": 20,
+                "burst": 20 })
+        });
+        let hot = json!({ "name": "hot", "apiKeys": ["k-hot"], "ratePerS": 20, "burst": 10 });
+        let mut config = config(1);
+        config["tenants"] = quiet.chain([hot]).collect();
+        world.store.put("config", "main", config);
+        world.enlist();
+        let host = world.host("a").await;
+        // Waits for the end of the startup period, in which a host has only a small share of a limit.
+        tokio::time::sleep(Duration::from_millis(1_600)).await;
+        let since = Instant::now();
+        let (mut admitted, mut limited) = (0, 0);
+        for at in 0..78 {
+            let key = format!("k-{at}");
+            for _ in 0..5 {
+                match ask(&world, &host, read("hot"), &["k-hot"]).await {
+                    200 => admitted += 1,
+                    429 => limited += 1,
+                    other => panic!("{other}"),
+                }
+            }
+            assert_eq!(ask(&world, &host, read("quiet"), &[&key]).await, 200, "{key}");
+        }
+        let bound = (20.0 * since.elapsed().as_secs_f64().max(5.0) + 10.0) * 1.1 + 20.0;
+        assert!(f64::from(admitted) <= bound, "{admitted} of {bound}");
+        assert!(0 < limited, "{admitted} admitted");
+        assert_eq!(world.arrivals(), 78 + admitted as usize, "rejected requests reach no target");
+        let events = format!("{:?}", world.events.of("hot"));
+        assert!(events.contains("QuotaExceeded") && events.contains("\"hot\""), "{events}");
+    });
+}
+
+/// Guards against a team that is granted its whole limit by each host.
+#[test]
+fn two_hosts_share_a_limit() {
+    run(async {
+        let world = World::bare(&["north-a"]).await;
+        let mut config = config(1);
+        config["tenants"] =
+            json!([{ "name": "hot", "apiKeys": ["k-hot"], "ratePerS": 20, "burst": 5 }]);
+        world.store.put("config", "main", config);
+        world.enlist();
+        let first = world.host("a").await;
+        let mut second = settings("b", world.store.addr());
+        second.listen.gossip = SocketAddr::from(([127, 0, 0, 2], first.listen().gossip.port()));
+        second.seeds = vec![first.listen().control];
+        let second = world.host_of(second).await;
+        world.until_ready(&second).await;
+        tokio::time::sleep(Duration::from_millis(2_000)).await;
+        let since = Instant::now();
+        let mut admitted = 0;
+        while since.elapsed() < Duration::from_secs(5) {
+            for host in [&first, &second] {
+                admitted += u32::from(ask(&world, host, read("hot"), &["k-hot"]).await == 200);
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        assert!((60..=135).contains(&admitted), "{admitted}");
+    });
+}
