Keep the limits of the newest declaration in force

A request with a slow body kept the view that was current when its head arrived. Admitting the request put the limits of that view's declaration back in force until the next tick applied the new ones, and the buckets of teams that only one of the two declarations limits were lost.

Requests now take the view again after the body is read. Limits are applied only from a newer declaration, and reports of other hosts only from a newer view. The new test fails with the code before this change (the older limit rejects a request).

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -117,7 +117,8 @@
         Err(kind) => return refuse(kind, None),
     };
     // The key may have been revoked while the body was being read.
-    let team = match authorize(&state.view().unwrap_or(view.clone())) {
+    let view = state.view().unwrap_or(view);
+    let team = match authorize(&view) {
         Ok(team) => team,
         Err(kind) => return refuse(kind, Some(COME_BACK_USUAL)),
     };
--- a/src/entry/tests/access.rs
+++ b/src/entry/tests/access.rs
@@ -1,11 +1,18 @@
 //! Tests of authorization by key, and of the validation of teams.
 
+use arc_swap::{ArcSwap, ArcSwapOption};
 use assert_matches::assert_matches;
 
 use super::{bounds, secs};
-use crate::entry::{
-    Access, Bounds, CallerKey, Declared, KeyDigest, Repeat, Route, Team, TeamError, TeamLimit,
-    Teams,
+use crate::{
+    base::ManualClock,
+    entry::{
+        Access, Bounds, CallerKey, Declared, KeyDigest, Repeat, Route, Team, TeamError, TeamLimit,
+        Teams, TrafficState, View,
+    },
+    event_log::NoEvents,
+    platform::{PlatformProtocol, standin::loopback_settings},
+    prelude::*,
 };
 
 fn team(name: &str) -> Team {
@@ -115,3 +122,29 @@
         assert_matches!(limit(1.0, invalid), Err(TeamError::InvalidBurst { .. }));
     }
 }
+
+/// A request that still holds an older view must not put the limits of that view back in force.
+#[test]
+fn an_older_view_does_not_restore_its_limits() {
+    let settings = loopback_settings("h", "z", "r", &[("z", "r")], "127.0.0.1:1".parse().unwrap());
+    let bounds = Arc::new(ArcSwap::from_pointee(settings.bounds.clone()));
+    let state = TrafficState::open(
+        Arc::new(settings),
+        bounds,
+        Arc::new(ManualClock::default()),
+        Arc::new(PlatformProtocol),
+        Arc::new(ArcSwapOption::empty()),
+        Arc::new(NoEvents),
+    );
+    let view = |version, limit| {
+        let teams = Teams::new(vec![(Team { limit, ..team("lyra") }, Vec::new())]);
+        let teams = teams.expect("one team");
+        let declared = Declared { teams, version, ..Declared::default() };
+        View { declared: Some(Arc::new(declared)), ..View::default() }
+    };
+    let older = view(1, Some(TeamLimit { burst: 0.0, rate: 0.001 }));
+    let newer = view(2, None);
+    for view in [&newer, &older, &older] {
+        assert!(state.admit(view, &team("lyra")).is_ok());
+    }
+}
--- a/src/entry/traffic_state.rs
+++ b/src/entry/traffic_state.rs
@@ -198,13 +198,15 @@
     fn update_quota(&self, view: &View) {
         let now = self.clock.now();
         if let Some(declared) = &view.declared
-            && declared.version != self.quota_version.replace(declared.version)
+            && self.quota_version.get() < declared.version
         {
+            self.quota_version.set(declared.version);
             let limit = |team: &Arc<Team>| Some((team.tag(), team.limit?));
             let limits = declared.teams.iter().filter_map(limit).collect();
             self.quota.borrow_mut().set_limits(&limits, now);
         }
-        if self.quota_view_at.replace(view.at) < view.at {
+        if self.quota_view_at.get() < view.at {
+            self.quota_view_at.set(view.at);
             let live_hosts = view.hosts.len().max(1);
             let peers = PeerState {
                 started_earlier: view.peers_started_earlier,
