Count the demand of requests with home regions where they have to be served

Cause: a host counted each request towards the demand of its own region, also requests that route or team allow in other regions only.

Demand is now counted by the region that has to serve it, in equal parts where several other regions may, and reported by service and region. Requests that may run in the region that receives them count there, as before.

Ruled out: counting it in the receiving region and leaving it out of the shares; the home region would not see what is coming to it.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -32,6 +32,7 @@
     event_log::{Event, EventSink, WatchReason},
     fleet::{DeclarationCheck, Fleet, FleetConfig, Load},
     metrics::{ControlGauges, EntryMetrics},
+    placement::ServiceRegion,
     prelude::*,
     store::{FollowEvent, FollowOptions, Follower, Platform},
 };
@@ -178,7 +179,7 @@
                 zone: settings.zone.clone(),
             });
         }
-        let mut demand: HashMap<(RegionId, u32), f64> = HashMap::new();
+        let mut demand: HashMap<ServiceRegion, f64> = HashMap::new();
         for (region, load) in self.fleet.loads(now) {
             for (tag, count) in &load.in_flight {
                 *view.in_flight_elsewhere.entry(*tag).or_default() += u32::from(*count);
@@ -191,8 +192,8 @@
             if *region == settings.region {
                 view.sent.add(&load.sent);
             }
-            for (service, slots) in &load.demand {
-                *demand.entry((region.clone(), *service)).or_default() += f64::from(*slots);
+            for (key, slots) in &load.demand {
+                *demand.entry(*key).or_default() += f64::from(*slots);
             }
             for (team, (arrived, admitted)) in &load.team_counts {
                 let sum = view.team_counts.entry(*team).or_default();
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -13,6 +13,7 @@
 mod control;
 mod crash_suspects;
 mod declaration;
+mod demand;
 mod host;
 mod known_state;
 mod listeners;
--- a/src/entry/place.rs
+++ b/src/entry/place.rs
@@ -1,6 +1,8 @@
 //! Chooses the target for a request, from this host's measurements and the reports of other hosts.
 
-use super::{KnownTarget, Route, Team, TrafficState, View, service_state::ServiceState};
+use super::{
+    KnownTarget, Route, Team, TrafficState, View, demand::Demand, service_state::ServiceState,
+};
 use crate::{
     placement::{
         CachedObjects, Candidate, CandidateEstimate, Choice, Forecast, NameTag, ObjectTag,
@@ -39,9 +41,7 @@
     }
 
     fn allows_region(&self, region: &RegionId) -> bool {
-        let allow = |regions: &[RegionId]| regions.is_empty() || regions.contains(region);
-        allow(&self.route.allowed_regions)
-            && self.team.as_ref().is_none_or(|team| allow(&team.allowed_regions))
+        allows_region(&self.route, self.team.as_deref(), region)
     }
 
     /// Regions with at least one target that the request may be sent to.
@@ -51,6 +51,12 @@
     }
 }
 
+/// Whether a region may serve the requests of a team on a route.
+pub(super) fn allows_region(route: &Route, team: Option<&Team>, region: &RegionId) -> bool {
+    let allow = |regions: &[RegionId]| regions.is_empty() || regions.contains(region);
+    allow(&route.allowed_regions) && team.is_none_or(|team| allow(&team.allowed_regions))
+}
+
 /// The chosen target, and the facts behind the choice, for the event log.
 #[derive(Clone, Debug)]
 pub struct Placement {
@@ -165,7 +171,7 @@
         if state.shares.is_none() {
             let now = self.clock.now();
             let targets = state.target_index.targets();
-            let loads = region_loads(view, targets, &request.service, state.demand, home, now);
+            let loads = region_loads(view, targets, &request.service, &state.demand, now);
             let sent = self.sent_totals.borrow().shares(name_tag(&request.service));
             let shares =
                 RegionShares::resume(home.clone(), &loads, sent.as_ref(), &self.tuning, now);
@@ -337,8 +343,7 @@
     view: &View,
     targets: &[Arc<KnownTarget>],
     service: &ServiceId,
-    own_demand: f64,
-    home: &RegionId,
+    own_demand: &Demand,
     now: Moment,
 ) -> Vec<RegionLoad> {
     let mut slots: BTreeMap<&RegionId, f64> = BTreeMap::new();
@@ -351,8 +356,8 @@
     }
     let tag = name_tag(service);
     let demand = |region: &RegionId| {
-        let reported = view.demand.get(&(region.clone(), tag)).copied().unwrap_or_default();
-        let sum = if region == home { reported + own_demand } else { reported };
+        let key = (tag, name_tag(region));
+        let sum = view.demand.get(&key).copied().unwrap_or_default() + own_demand.of(region);
         (0.0 < sum).then_some(sum)
     };
     slots
--- a/src/entry/request_handler.rs
+++ b/src/entry/request_handler.rs
@@ -133,7 +133,7 @@
     let Some(service) = state.pick_service(&route) else {
         return refuse(ErrorKind::NoTarget, None);
     };
-    state.count_arrival(&service);
+    state.count_arrival(&service, &route, team.as_deref());
     let fingerprint = fingerprint(&head, &body);
     if is_crash_suspect(&state, &view, fingerprint) {
         return refuse(ErrorKind::Quarantined, None);
--- a/src/entry/service_state.rs
+++ b/src/entry/service_state.rs
@@ -1,5 +1,6 @@
 //! What a host has measured of one service, and its budgets for retries and for leaving the region.
 
+use super::demand::Demand;
 use crate::{
     admission::RetryBudget,
     event_log::{Event, EventSink},
@@ -7,12 +8,6 @@
     prelude::*,
 };
 
-/// Weight of the newest interval in the moving average of the demand.
-const DEMAND_SMOOTHING: f64 = 0.3;
-
-/// Shortest interval over which demand is measured, in seconds.
-const MIN_INTERVAL_S: f64 = 0.1;
-
 /// Fraction of requests that may spill, that is, be sent outside the region picked by the shares.
 /// Small, since these requests add to the traffic shifted between regions and count towards the
 /// maximum shift.
@@ -28,14 +23,10 @@
 /// Measurements and budgets of one service.
 #[derive(Debug)]
 pub(super) struct ServiceState {
-    arrivals: u32,
     pub retry_budget: RetryBudget,
-    /// Slots that the requests of this host's callers keep busy on average.
-    pub demand: f64,
+    pub demand: Demand,
     pub target_index: TargetIndex,
     pub estimates: ServiceEstimates,
-    /// Number of intervals over which demand was measured.
-    measurements: u32,
     pub shares: Option<RegionShares>,
     /// Number of requests that may spill, that is, be sent outside the region picked by the shares;
     /// grows with each request.
@@ -47,12 +38,10 @@
 impl Default for ServiceState {
     fn default() -> Self {
         Self {
-            arrivals: 0,
             retry_budget: RetryBudget::new(),
-            demand: 0.0,
+            demand: Demand::default(),
             target_index: TargetIndex::default(),
             estimates: ServiceEstimates::default(),
-            measurements: 0,
             shares: None,
             spill_credit: 0.0,
             reported_shares: BTreeMap::new(),
@@ -61,23 +50,17 @@
 }
 
 impl ServiceState {
-    /// Counts a new request towards demand, retry budget and spill credit.
-    pub fn count_arrival(&mut self, now: Moment) {
-        self.arrivals += 1;
+    /// Counts a new request that one of the `regions` has to serve towards demand, retry budget
+    /// and spill credit.
+    pub fn count_arrival(&mut self, regions: &[RegionId], now: Moment) {
+        self.demand.count_arrival(regions);
         self.spill_credit = (self.spill_credit + SPILL_CREDIT_PER_REQUEST).min(MAX_SPILL_CREDIT);
         self.retry_budget.record_first_attempt(now);
     }
 
     /// Measures demand from the requests that arrived in the `elapsed` time since the last call.
-    /// The first intervals are averaged with equal weight: an average that starts at zero would
-    /// understate the demand and move all shares to the home region while callers are waiting.
     pub fn measure_demand(&mut self, elapsed: Duration) {
-        let rate = f64::from(self.arrivals) / elapsed.as_secs_f64().max(MIN_INTERVAL_S);
-        let demand = rate * self.estimates.work.mean().as_secs_f64();
-        self.arrivals = 0;
-        self.measurements = self.measurements.saturating_add(1);
-        let weight = DEMAND_SMOOTHING.max(1.0 / f64::from(self.measurements));
-        self.demand += (demand - self.demand) * weight;
+        self.demand.measure(elapsed, self.estimates.work.mean());
     }
 
     /// Logs the shares if any of them has changed enough since they were last logged.
--- a/src/entry/traffic_state.rs
+++ b/src/entry/traffic_state.rs
@@ -11,8 +11,11 @@
 
 use super::{
     Bounds, ConnectionPool, CrashSuspects, DeclarationVersion, EntrySettings, KnownTarget,
-    Protocol, Route, Team, View, ViewCell, body_memory::BodyMemory, place::region_loads,
-    service_state::ServiceState, upstream::connect,
+    Protocol, Route, Team, View, ViewCell,
+    body_memory::BodyMemory,
+    place::{allows_region, region_loads},
+    service_state::ServiceState,
+    upstream::connect,
 };
 use crate::{
     admission::RetryAllowance,
@@ -171,11 +174,23 @@
     }
 
     /// Counts a new request towards the service's demand and retry budget.
-    pub fn count_arrival(&self, service: &ServiceId) {
+    pub fn count_arrival(&self, service: &ServiceId, route: &Route, team: Option<&Team>) {
         let now = self.clock.now();
+        let regions = self.serving_regions(route, team);
         let mut services = self.services.borrow_mut();
         let state = services.entry(service.clone()).or_default();
-        state.count_arrival(now);
+        state.count_arrival(&regions, now);
+    }
+
+    /// Regions that have to serve a request: this host's if it may, else all that may.
+    fn serving_regions(&self, route: &Route, team: Option<&Team>) -> Vec<RegionId> {
+        let home = &self.settings.region;
+        if allows_region(route, team, home) {
+            return vec![home.clone()];
+        }
+        let regions: BTreeSet<&RegionId> = self.settings.zones.values().collect();
+        let allowed = regions.into_iter().filter(|region| allows_region(route, team, region));
+        allowed.cloned().collect()
     }
 
     /// Takes one retry out of the service's budget; false if none is left.
@@ -389,8 +404,7 @@
         for (service, state) in self.services.borrow_mut().iter_mut() {
             state.measure_demand(elapsed);
             let Some(targets) = view.targets.get(service) else { continue };
-            let home = &self.settings.region;
-            let loads = region_loads(&view, targets, service, state.demand, home, now);
+            let loads = region_loads(&view, targets, service, &state.demand, now);
             if let Some(shares) = &mut state.shares {
                 shares.step(&loads, max_shift, &self.tuning, now);
                 state.report_shares(&*self.events, service);
@@ -433,8 +447,11 @@
             .map(|(tag, health)| (*tag, health.in_flight.min(u32::from(u16::MAX)) as u16))
             .collect();
         let services = self.services.borrow();
-        let demand =
-            services.iter().map(|(name, state)| (name_tag(name), state.demand as f32)).collect();
+        let demand = services.iter().flat_map(|(name, state)| {
+            let regions = state.demand.iter();
+            regions.map(|(region, slots)| ((name_tag(name), name_tag(region)), slots as f32))
+        });
+        let demand = demand.collect();
         let crashes = self.crash_suspects.borrow().reported_crashes();
         let now = self.clock.now();
         let sent = self.sent_counter.borrow_mut().counts(now);
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -6,7 +6,7 @@
 
 use super::{Declaration, UsableTargets};
 use crate::{
-    placement::{NameTag, ObjectTag, SentTotals, SlowdownReport, TargetTag},
+    placement::{NameTag, ObjectTag, SentTotals, ServiceRegion, SlowdownReport, TargetTag},
     prelude::*,
     quota::TeamCounts,
 };
@@ -28,8 +28,8 @@
     pub hosts: Vec<LiveHost>,
     /// Requests that other hosts have in flight, by tag of the target.
     pub in_flight_elsewhere: HashMap<u32, u32>,
-    /// Slots that callers of other hosts need, by region and hash of the service.
-    pub demand: HashMap<(RegionId, u32), f64>,
+    /// Slots that callers of other hosts need, by service and the region that has to serve them.
+    pub demand: HashMap<ServiceRegion, f64>,
     /// Crashes of targets that other hosts attribute to a request, by fingerprint of the request.
     pub crashes: HashMap<u64, u8>,
     /// Objects that other hosts recently requested from targets.
--- a/src/fleet/load.rs
+++ b/src/fleet/load.rs
@@ -19,8 +19,9 @@
 pub struct Load {
     /// Requests that crash targets: fingerprint, and number of crashes observed.
     pub crashes: Vec<(u64, u8)>,
-    /// Number of busy slots that the requests of callers require, by hash of the service.
-    pub demand: Vec<(NameTag, f32)>,
+    /// Number of busy slots that the requests of callers require, by service and the region that
+    /// has to serve them.
+    pub demand: Vec<(ServiceRegion, f32)>,
     /// Number of requests in flight, by target.
     pub in_flight: Vec<(TargetTag, u16)>,
     /// Objects that were recently requested from each target.
--- a/src/fleet/tests/network.rs
+++ b/src/fleet/tests/network.rs
@@ -76,7 +76,7 @@
             zone: zone.clone(),
             zones: self.zones.clone(),
         });
-        let load = Load { in_flight: vec![(7, 1)], demand: vec![(5, 0.5)], ..Load::default() };
+        let load = Load { in_flight: vec![(7, 1)], demand: vec![((5, 6), 0.5)], ..Load::default() };
         let own = OwnState { load, reaches_store: true, ..OwnState::default() };
         self.hosts.push(Host { fleet, gossip, is_up: true, name, own, zone });
     }
--- a/src/fleet/tests/reports.rs
+++ b/src/fleet/tests/reports.rs
@@ -58,7 +58,7 @@
 fn loads_add_up_by_key() {
     let one = Load {
         crashes: vec![(1, 2)],
-        demand: vec![(5, 0.5)],
+        demand: vec![((5, 6), 0.5)],
         in_flight: vec![(7, 2), (8, 1)],
         recent_objects: vec![(7, 11)],
         sent: vec![((5, 1), (3, 4))],
@@ -76,7 +76,7 @@
     );
     assert_eq!(
         (sum.crashes, sum.demand, sum.recent_objects),
-        (vec![(1, 4)], vec![(5, 1.0)], vec![(7, 11)])
+        (vec![(1, 4)], vec![((5, 6), 1.0)], vec![(7, 11)])
     );
 }
 
