--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -25,7 +25,8 @@
     EntrySettings, KnownState, LiveHost, Protocol, StorePart, View, ViewCell,
     peer_queries::PeerQueries,
     stale_records::StaleRecordTracker,
-    sync::{PeerClient, RawObjects, ResponseCache},
+    store_objects::StoreObjects,
+    sync::{PeerClient, ResponseCache},
     watcher_election::WatcherElection,
 };
 use crate::{
@@ -100,7 +101,7 @@
     lost_parts: BTreeMap<StorePart, Moment>,
     parts: ControlParts,
     peer_queries: PeerQueries,
-    raw_objects: RawObjects,
+    objects: StoreObjects,
     stale_records: StaleRecordTracker,
     /// When the records of all hosts are to be read next.
     read_records_at: Moment,
@@ -137,7 +138,7 @@
             leaving: false,
             lost_parts: BTreeMap::new(),
             peer_queries: PeerQueries::new(parts.settings.listen.control),
-            raw_objects: BTreeMap::new(),
+            objects: StoreObjects::default(),
             stale_records: StaleRecordTracker::default(),
             read_records_at: now + FIRST_READ_RECORDS_DELAY,
             state_received_at: now,
--- a/src/entry/control/handlers.rs
+++ b/src/entry/control/handlers.rs
@@ -46,12 +46,13 @@
             Ok(message) => message,
             Err(error) => return log::debug!("cannot decode a datagram: {error}"),
         };
+        let shows_newer_state = self.is_behind(&message);
         let received = self.fleet.receive(message, self.now());
         for (peer, zone) in received.new_hosts {
             self.record_event(Event::HostHeard { peer, zone });
         }
         self.send(received.send);
-        if self.followers.is_empty() {
+        if shows_newer_state && self.followers.is_empty() {
             self.query_peer(&cx.mailbox().address());
         }
     }
@@ -109,12 +110,12 @@
 
     async fn handle(
         &mut self,
-        StateQuery(since): StateQuery,
+        StateQuery(query): StateQuery,
         _: &mut xtra::Context<Self>,
     ) -> Self::Return {
         let known = self.known_state.revisions();
         let bytes_before = self.response_cache.compressed_bytes();
-        let response = self.response_cache.response(&self.raw_objects, known, since);
+        let response = self.response_cache.response(&self.objects, known, &query);
         self.parts
             .metrics
             .record_state_response(self.response_cache.compressed_bytes() - bytes_before);
@@ -127,7 +128,7 @@
 
     async fn handle(
         &mut self,
-        PeerQueryResult { addr, since, result }: PeerQueryResult,
+        PeerQueryResult { addr, query, result }: PeerQueryResult,
         cx: &mut xtra::Context<Self>,
     ) {
         let now = self.now();
@@ -138,17 +139,26 @@
             return self.query_peer(&own);
         };
         self.state_received_at = now;
-        let own_revisions = self.known_state.revisions();
-        for diff in &received.diff.parts {
-            let (part, revision) = (diff.part, diff.revision);
-            if own_revisions.of(part) < revision {
-                let objects = diff.apply_to(&self.raw_objects);
-                self.apply_listing(part, objects, Source::Host);
-                self.known_state.record_revision(part, revision);
-                self.response_cache.cache_received(&received, part, &self.raw_objects, since);
+        let mut differing = received.too_old.clone();
+        for diff in &received.parts {
+            let part = diff.part;
+            let known = self.known_state.revisions().of(part);
+            let is_compared = query.compares(part);
+            if known < diff.revision || (is_compared && known == diff.revision) {
+                self.apply_difference(diff);
+                self.response_cache.cache_received(&received, part, &self.objects, &query);
+                let differs = self.objects.part(part).digest() != diff.digest;
+                if differs && is_compared {
+                    log::warn!("{part:?} still differs from that of {addr} after a comparison");
+                } else if differs {
+                    differing.push(part);
+                }
             }
         }
         self.publish_view();
+        if !differing.is_empty() {
+            self.compare_with_peer(addr, &differing, &cx.mailbox().address());
+        }
     }
 }
 
--- a/src/entry/control/messages.rs
+++ b/src/entry/control/messages.rs
@@ -2,9 +2,9 @@
 
 use crate::{
     entry::{
-        EntrySettings, Revisions, StorePart,
+        EntrySettings, StorePart,
         stale_records::HostRecord,
-        sync::{self, ReceivedState},
+        sync::{self, Query, ReceivedState},
     },
     prelude::*,
     store::FollowEvent,
@@ -27,13 +27,13 @@
 /// Settings that were reloaded.
 pub struct Reload(pub EntrySettings);
 
-/// A query of another host for the changes since these revisions.
-pub struct StateQuery(pub Revisions);
+/// A query of another host.
+pub struct StateQuery(pub Query);
 
-/// Result of a query to the host at `addr` for the changes since `since`.
+/// Result of a query to the host at `addr`.
 pub struct PeerQueryResult {
     pub addr: SocketAddr,
-    pub since: Revisions,
+    pub query: Query,
     pub result: sync::Result<ReceivedState>,
 }
 
--- a/src/entry/control/peering.rs
+++ b/src/entry/control/peering.rs
@@ -9,9 +9,12 @@
     unix_time_ms,
 };
 use crate::{
-    entry::{Protocol, peer_queries::QueryOutcome, stale_records::HostRecord},
+    entry::{
+        Protocol, Stamp, StorePart, peer_queries::QueryOutcome, stale_records::HostRecord,
+        sync::Query,
+    },
     event_log::Event,
-    fleet::{Load, Outgoing, OwnState},
+    fleet::{Load, Message, Outgoing, OwnState},
     prelude::*,
     store::{Entry, Expect, Platform, PlatformError, new_operation_id},
 };
@@ -81,6 +84,14 @@
         }
     }
 
+    /// Whether a message shows that another host has newer data.
+    pub(super) fn is_behind(&self, message: &Message) -> bool {
+        let own = self.known_state.stamp();
+        let is_newer =
+            |stamp: &Stamp| StorePart::ALL.iter().any(|part| stamp.is_ahead_of(&own, *part));
+        message.stamps().any(is_newer)
+    }
+
     /// Queries another host that has newer data, if a query is due.
     pub(super) fn query_peer(&mut self, own: &WeakAddress<Self>) {
         let now = self.now();
@@ -92,19 +103,38 @@
         else {
             return;
         };
+        self.send_query(addr, Query::since(own_stamp.revisions), own);
+    }
+
+    /// Queries a host for all that differs in some parts, because their history there doesn't reach
+    /// back to this host's revisions, or because applying the changes did not make them equal.
+    pub(super) fn compare_with_peer(
+        &mut self,
+        addr: SocketAddr,
+        parts: &[StorePart],
+        own: &WeakAddress<Self>,
+    ) {
+        let digests = |part: &StorePart| (*part, self.objects.part(*part).digests());
+        let digests = parts.iter().map(digests).collect();
+        let query = Query { since: self.known_state.revisions(), digests };
+        self.peer_queries.record_sent(self.now());
+        self.send_query(addr, query, own);
+    }
+
+    fn send_query(&self, addr: SocketAddr, query: Query, own: &WeakAddress<Self>) {
+        let now = self.now();
         let (peer_client, own) = (self.peer_client.clone(), own.clone());
         let (events, metrics) = (self.parts.events.clone(), self.parts.metrics.clone());
         let clock = self.parts.clock.clone();
         tokio::spawn(async move {
-            let since = own_stamp.revisions;
-            let result = peer_client.query(addr, since).await;
+            let result = peer_client.query(addr, &query).await;
             let outcome = QueryOutcome::of(&result);
             metrics.record_state_query(clock.now().saturating_sub(now), outcome.name());
             if let Err(error) = &result {
                 let reason = error.to_string().into();
                 events.record(None, Event::HostUnanswering { addr, reason });
             }
-            let _ = own.send(PeerQueryResult { addr, since, result }).await;
+            let _ = own.send(PeerQueryResult { addr, query, result }).await;
         });
     }
 
--- a/src/entry/control/store_updates.rs
+++ b/src/entry/control/store_updates.rs
@@ -9,6 +9,8 @@
     entry::{
         Declaration, DecodeError, KnownTarget, StorePart,
         known_state::{LAPSED_TARGET_GRACE, Removal},
+        store_objects::RawObject,
+        sync::PartDiff,
     },
     event_log::{Event, Source},
     prelude::*,
@@ -16,30 +18,47 @@
 };
 
 impl EntryControl {
-    /// Stores and decodes one written object; returns whether the usable state changed.
+    /// Stores and decodes one object; returns whether the usable state changed.
     fn apply_object(
         &mut self,
         part: StorePart,
         key: &Arc<str>,
         version: u64,
         object: Bytes,
+        source: Source,
     ) -> bool {
-        let object = match self.replace_keys_by_digests(part, key, object) {
-            Some(object) => object,
-            None => return false,
-        };
-        self.raw_objects.insert((part, key.clone()), (version, object.clone()));
+        self.objects.part_mut(part).insert(key.clone(), version, object.clone());
         match part {
-            StorePart::Declared => self.apply_declaration(key, &object, Source::Watch),
+            StorePart::Declared => self.apply_declaration(key, &object, source),
             StorePart::Evacuations => {
                 let is_new = self.known_state.set_evacuated(key.clone(), true, self.now());
                 if is_new {
-                    self.record_zone_evacuated(key.clone(), Source::Watch);
+                    self.record_zone_evacuated(key.clone(), source);
                 }
                 is_new
             }
-            StorePart::Targets => self.apply_target(key, &object),
+            StorePart::Targets => self.apply_target(key, &object, source),
+        }
+    }
+
+    /// Applies what another host sent of one part; returns whether the usable state changed.
+    pub(super) fn apply_difference(&mut self, diff: &PartDiff) -> bool {
+        let (part, revision) = (diff.part, diff.revision);
+        if part == StorePart::Targets {
+            self.known_state.store_answered(self.now());
+        }
+        self.known_state.record_revision(part, revision);
+        let mut changed = false;
+        for key in self.objects.part(part).removed_by(&diff.difference) {
+            changed |= self.apply_removal(part, &key, revision, Source::Host);
+        }
+        for object in &diff.difference.changed {
+            let RawObject { name, revision, bytes } = object;
+            if self.objects.part(part).revision_of(name) != Some(*revision) {
+                changed |= self.apply_object(part, name, *revision, bytes.clone(), Source::Host);
+            }
         }
+        changed
     }
 
     /// Replaces the callers' keys in a declaration by digests, since hosts neither keep nor
@@ -91,35 +110,41 @@
         false
     }
 
-    fn apply_target(&mut self, key: &Arc<str>, object: &[u8]) -> bool {
+    fn apply_target(&mut self, key: &Arc<str>, object: &[u8], source: Source) -> bool {
         let now = self.now();
         match self.parts.protocol.decode_target(key, object) {
             Ok(entry) => {
                 let region = self.parts.settings.region_of(&entry.zone);
                 let changed = self.known_state.apply_target(entry, region, now);
                 if changed {
-                    self.record_target_known(key, Source::Watch);
+                    self.record_target_known(key, source);
                 }
                 changed
             }
             Err(error) => {
-                self.record_unreadable_entry(StorePart::Targets, key, &error.0, Source::Watch);
-                self.remove_target(key)
+                self.record_unreadable_entry(StorePart::Targets, key, &error.0, source);
+                self.remove_target(key, source)
             }
         }
     }
 
-    fn remove_target(&mut self, key: &Arc<str>) -> bool {
+    fn remove_target(&mut self, key: &Arc<str>, source: Source) -> bool {
         match self.known_state.remove_target(key, self.now()) {
-            Removal::Gone => self.record_target_gone(key.clone(), Source::Watch),
+            Removal::Gone => self.record_target_gone(key.clone(), source),
             Removal::Kept => self.record_target_kept(key.clone()),
             Removal::Unknown => return false,
         }
         true
     }
 
-    fn apply_removal(&mut self, part: StorePart, key: &Arc<str>) -> bool {
-        self.raw_objects.remove(&(part, key.clone()));
+    fn apply_removal(
+        &mut self,
+        part: StorePart,
+        key: &Arc<str>,
+        version: u64,
+        source: Source,
+    ) -> bool {
+        self.objects.part_mut(part).remove(key, version);
         match part {
             StorePart::Declared => {
                 log::warn!(
@@ -130,39 +155,43 @@
             StorePart::Evacuations => {
                 let is_ended = self.known_state.set_evacuated(key.clone(), false, self.now());
                 if is_ended {
-                    self.record_zone_taken_back(key.clone(), Source::Watch);
+                    self.record_zone_taken_back(key.clone(), source);
                 }
                 is_ended
             }
-            StorePart::Targets => self.remove_target(key),
+            StorePart::Targets => self.remove_target(key, source),
         }
     }
 
-    /// Replaces all objects of a part; returns whether the usable state changed.
-    pub(super) fn apply_listing(
+    /// Replaces all objects of a part by a listing of the store at `revision`; returns whether the
+    /// usable state changed.
+    fn apply_listing(
         &mut self,
         part: StorePart,
         objects: Vec<(Arc<str>, u64, Bytes)>,
-        source: Source,
+        revision: u64,
     ) -> bool {
-        self.raw_objects.retain(|(kept, _), _| *kept != part);
+        let stored = self.objects.part_mut(part);
+        for key in stored.missing_from(&objects) {
+            stored.remove(&key, revision);
+        }
         for (key, version, object) in &objects {
-            self.raw_objects.insert((part, key.clone()), (*version, object.clone()));
+            if stored.revision_of(key) != Some(*version) {
+                stored.insert(key.clone(), *version, object.clone());
+            }
         }
+        stored.restart_history(revision);
         match part {
             StorePart::Declared => objects.iter().fold(false, |sum, (key, _, object)| {
-                self.apply_declaration(key, object, source) || sum
+                self.apply_declaration(key, object, Source::Listing) || sum
             }),
-            StorePart::Evacuations => self.apply_evacuation_listing(&objects, source),
-            StorePart::Targets => self.apply_target_listing(&objects, source),
+            StorePart::Evacuations => self.apply_evacuation_listing(&objects),
+            StorePart::Targets => self.apply_target_listing(&objects),
         }
     }
 
-    fn apply_evacuation_listing(
-        &mut self,
-        objects: &[(Arc<str>, u64, Bytes)],
-        source: Source,
-    ) -> bool {
+    fn apply_evacuation_listing(&mut self, objects: &[(Arc<str>, u64, Bytes)]) -> bool {
+        let source = Source::Listing;
         let names: Vec<Arc<str>> = objects.iter().map(|(key, _, _)| key.clone()).collect();
         let zones: BTreeSet<ZoneId> = self.parts.protocol.evacuated_zones(&names);
         let changes = self.known_state.apply_evacuation_listing(zones, self.now());
@@ -176,7 +205,8 @@
         changed
     }
 
-    fn apply_target_listing(&mut self, objects: &[(Arc<str>, u64, Bytes)], source: Source) -> bool {
+    fn apply_target_listing(&mut self, objects: &[(Arc<str>, u64, Bytes)]) -> bool {
+        let source = Source::Listing;
         let mut entries = Vec::new();
         for (key, _, object) in objects {
             match self.parts.protocol.decode_target(key, object) {
@@ -212,8 +242,13 @@
             self.known_state.record_revision(part, change.version);
             let key = object_name(&change.key);
             changed |= match change.object {
-                Some(object) => self.apply_object(part, &key, object.version, object.value),
-                None => self.apply_removal(part, &key),
+                Some(object) => match self.replace_keys_by_digests(part, &key, object.value) {
+                    Some(value) => {
+                        self.apply_object(part, &key, object.version, value, Source::Watch)
+                    }
+                    None => false,
+                },
+                None => self.apply_removal(part, &key, change.version, Source::Watch),
             };
         }
         changed
@@ -244,7 +279,7 @@
                     Some((name, entry.object.version, object))
                 };
                 let objects = entries.into_iter().filter_map(object).collect();
-                let changed = self.apply_listing(part, objects, Source::Listing);
+                let changed = self.apply_listing(part, objects, version);
                 if !may_lag {
                     self.record_declaration_check(part);
                 }
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -9,7 +9,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -26,7 +26,9 @@
         status_response,
     },
     strain::StrainDetector,
-    sync::{MAX_CONCURRENT_RESPONSES, PeerClient, QUERY_TIMEOUT, STATE_PATH, parse_revisions},
+    sync::{
+        MAX_CONCURRENT_RESPONSES, MAX_QUERY_BYTES, PeerClient, QUERY_TIMEOUT, Query, STATE_PATH,
+    },
     traffic_state::BoundsCell,
 };
 use crate::{
@@ -262,7 +264,12 @@
     if req.uri().path() != STATE_PATH {
         return status_response(StatusCode::NOT_FOUND);
     }
-    let response = control.send(StateQuery(parse_revisions(req.uri().query()))).await;
+    let body = Limited::new(req.into_body(), MAX_QUERY_BYTES).collect().await;
+    let query = match body.map(|body| Query::decode(&body.to_bytes())) {
+        Ok(Ok(query)) => query,
+        _ => return status_response(StatusCode::BAD_REQUEST),
+    };
+    let response = control.send(StateQuery(query)).await;
     let response = response.map_err(|error| error.to_string());
     match response.and_then(|response| response.map_err(|error| error.to_string())) {
         Ok(body) => Response::new(Full::new(body)),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -29,6 +29,7 @@
 mod settings;
 mod settings_file;
 mod stale_records;
+mod store_objects;
 mod store_part;
 mod strain;
 mod sync;
@@ -55,6 +56,7 @@
     settings::{Bounds, EntrySettings, Listen},
     settings_file::{SettingsChange, SettingsFile, reload_event},
     store_part::StorePart,
+    sync::Query as StateQuery,
     target::{KnownTarget, TargetEntry},
     team::{CallerKey, KeyDigest, Team, TeamError, TeamLimit, Teams},
     traffic_state::{BoundsCell, TrafficState},
--- a/src/entry/peer_queries.rs
+++ b/src/entry/peer_queries.rs
@@ -136,9 +136,14 @@
             return None;
         };
         let addr = source.control;
+        self.record_sent(now);
+        Some(addr)
+    }
+
+    /// Records that a query was sent.
+    pub fn record_sent(&mut self, now: Moment) {
         self.sent_count += 1;
         self.in_flight_since = Some(now);
-        Some(addr)
     }
 
     /// Hash that spreads the queries of each host, and of different hosts, over the candidates.
--- /dev/null
+++ b/src/entry/store_objects.rs
@@ -0,0 +1,249 @@
+//! The store's objects as this host received them, with what other hosts need to get only the
+//! changes that they lack.
+//!
+//! Load pattern: each of a thousand hosts asks for the changes since its revision several times a
+//! second, of ten thousand objects. A history by revision makes an answer cost what has changed.
+//! It also holds removals; where it doesn't reach back far enough, digests of buckets of names
+//! find what differs.
+
+use std::collections::BTreeSet;
+
+use bytes::Bytes;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use super::StorePart;
+use crate::prelude::*;
+
+/// Number of buckets into which the names of a part are divided. With ten thousand objects, one
+/// differing bucket holds about forty.
+const BUCKETS: usize = 256;
+
+/// Maximum number of removals remembered in one part; limits memory to about 200 KiB. A host that
+/// lacks earlier ones compares digests instead.
+const MAX_REMOVALS: usize = 4_096;
+
+/// Digests of the objects in each bucket of a part.
+pub type BucketDigests = Vec<u32>;
+
+/// An object of the store, not decoded.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RawObject {
+    pub name: Arc<str>,
+    /// The store's revision of its last change.
+    pub revision: u64,
+    pub bytes: Bytes,
+}
+
+/// What a host lacks of one part.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Difference {
+    /// Objects that were written.
+    pub changed: Vec<RawObject>,
+    /// Names of objects that were removed.
+    pub removed: Vec<Arc<str>>,
+    /// Buckets of which `changed` contains all objects; other objects in them have been removed.
+    pub complete_buckets: Vec<u8>,
+}
+
+/// The objects of one part.
+#[derive(Clone, Debug)]
+pub struct PartObjects {
+    by_name: BTreeMap<Arc<str>, (u64, Bytes)>,
+    digests: [u32; BUCKETS],
+    /// Names of existing and of removed objects by the revision of their last change.
+    history: BTreeSet<(u64, Arc<str>)>,
+    /// The history contains all removals after this revision.
+    history_start: u64,
+    /// Removed objects, with the revision of the removal.
+    removed: BTreeMap<Arc<str>, u64>,
+}
+
+impl Default for PartObjects {
+    fn default() -> Self {
+        Self {
+            by_name: BTreeMap::new(),
+            digests: [0; BUCKETS],
+            history: BTreeSet::new(),
+            history_start: 0,
+            removed: BTreeMap::new(),
+        }
+    }
+}
+
+impl PartObjects {
+    /// Adds or replaces an object.
+    pub fn insert(&mut self, name: Arc<str>, revision: u64, bytes: Bytes) {
+        self.forget(&name);
+        self.add_to_digest(&name, revision);
+        self.history.insert((revision, name.clone()));
+        self.by_name.insert(name, (revision, bytes));
+    }
+
+    /// Removes an object and remembers its removal.
+    pub fn remove(&mut self, name: &Arc<str>, revision: u64) {
+        self.forget(name);
+        self.history.insert((revision, name.clone()));
+        self.removed.insert(name.clone(), revision);
+        while MAX_REMOVALS < self.removed.len() {
+            self.forget_oldest_removal();
+        }
+    }
+
+    /// Revision of an object; `None` if it does not exist.
+    pub fn revision_of(&self, name: &str) -> Option<u64> {
+        self.by_name.get(name).map(|(revision, _)| *revision)
+    }
+
+    /// Names of the objects that a complete listing lacks.
+    pub fn missing_from(&self, listed: &[(Arc<str>, u64, Bytes)]) -> Vec<Arc<str>> {
+        let listed: BTreeSet<&Arc<str>> = listed.iter().map(|(name, _, _)| name).collect();
+        self.by_name.keys().filter(|name| !listed.contains(name)).cloned().collect()
+    }
+
+    /// Records that removals up to `revision` may be missing from the history: a listing doesn't
+    /// show objects that were created and removed since the one before.
+    pub fn restart_history(&mut self, revision: u64) {
+        self.history_start = self.history_start.max(revision);
+    }
+
+    /// Names of the objects that a difference removes from this copy.
+    pub fn removed_by(&self, difference: &Difference) -> Vec<Arc<str>> {
+        let exists = |name: &&Arc<str>| self.by_name.contains_key(*name);
+        let mut removed: Vec<Arc<str>> =
+            difference.removed.iter().filter(exists).cloned().collect();
+        if !difference.complete_buckets.is_empty() {
+            let kept: BTreeSet<&Arc<str>> =
+                difference.changed.iter().map(|object| &object.name).collect();
+            let is_complete = |name: &str| difference.complete_buckets.contains(&bucket(name));
+            let lacks = |name: &&Arc<str>| is_complete(name) && !kept.contains(name);
+            removed.extend(self.by_name.keys().filter(lacks).cloned());
+        }
+        removed
+    }
+
+    /// What a host lacks that knows the changes up to `since`; `None` if the history doesn't reach
+    /// back so far.
+    pub fn changes_since(&self, since: u64) -> Option<Difference> {
+        if since == 0 {
+            return Some(self.everything());
+        }
+        if since < self.history_start {
+            return None;
+        }
+        let mut difference = Difference::default();
+        for (revision, name) in self.history.range((since + 1, "".into())..) {
+            match self.by_name.get(name) {
+                Some((_, bytes)) => {
+                    let (name, revision, bytes) = (name.clone(), *revision, bytes.clone());
+                    difference.changed.push(RawObject { name, revision, bytes });
+                }
+                None => difference.removed.push(name.clone()),
+            }
+        }
+        Some(difference)
+    }
+
+    /// What a host lacks whose buckets have these digests.
+    pub fn difference_from(&self, digests: &[u32]) -> Difference {
+        let differs = |at: &usize| digests.get(*at) != Some(&self.digests[*at]);
+        let complete_buckets: Vec<u8> = (0..BUCKETS).filter(differs).map(|at| at as u8).collect();
+        let is_complete = |name: &str| complete_buckets.binary_search(&bucket(name)).is_ok();
+        let changed = self.all().filter(|object| is_complete(&object.name)).collect();
+        Difference { changed, removed: Vec::new(), complete_buckets }
+    }
+
+    fn everything(&self) -> Difference {
+        let complete_buckets = (0..BUCKETS).map(|at| at as u8).collect();
+        Difference { changed: self.all().collect(), removed: Vec::new(), complete_buckets }
+    }
+
+    fn all(&self) -> impl Iterator<Item = RawObject> {
+        self.by_name.iter().map(|(name, (revision, bytes))| RawObject {
+            name: name.clone(),
+            revision: *revision,
+            bytes: bytes.clone(),
+        })
+    }
+
+    /// Digests of all buckets, for a host that answers with what differs.
+    pub fn digests(&self) -> BucketDigests {
+        self.digests.to_vec()
+    }
+
+    /// Digest of all objects. It is equal where all names and revisions are.
+    pub fn digest(&self) -> u64 {
+        let bytes: Vec<u8> = self.digests.iter().flat_map(|sum| sum.to_le_bytes()).collect();
+        xxh3_64(&bytes)
+    }
+
+    /// The last revision in the history up to `since`. Hosts for which it is equal lack the same.
+    pub fn last_change_until(&self, since: u64) -> u64 {
+        let until = ..(since + 1, "".into());
+        self.history.range(until).next_back().map_or(0, |(revision, _)| *revision)
+    }
+
+    /// Removes a name from objects and history.
+    fn forget(&mut self, name: &Arc<str>) {
+        if let Some((revision, _)) = self.by_name.remove(name) {
+            self.history.remove(&(revision, name.clone()));
+            self.subtract_from_digest(name, revision);
+        }
+        if let Some(revision) = self.removed.remove(name) {
+            self.history.remove(&(revision, name.clone()));
+        }
+    }
+
+    fn forget_oldest_removal(&mut self) {
+        let oldest = self.removed.iter().min_by_key(|(_, revision)| **revision);
+        let oldest = oldest.map(|(name, revision)| (name.clone(), *revision));
+        let Some((name, revision)) = oldest else { return };
+        self.forget(&name);
+        self.restart_history(revision);
+    }
+
+    fn add_to_digest(&mut self, name: &str, revision: u64) {
+        let sum = &mut self.digests[usize::from(bucket(name))];
+        *sum = sum.wrapping_add(object_digest(name, revision));
+    }
+
+    fn subtract_from_digest(&mut self, name: &str, revision: u64) {
+        let sum = &mut self.digests[usize::from(bucket(name))];
+        *sum = sum.wrapping_sub(object_digest(name, revision));
+    }
+}
+
+fn bucket(name: &str) -> u8 {
+    xxh3_64(name.as_bytes()) as u8
+}
+
+fn object_digest(name: &str, revision: u64) -> u32 {
+    xxh3_64_with_seed(name.as_bytes(), revision) as u32
+}
+
+/// The objects of all parts.
+#[derive(Clone, Debug, Default)]
+pub struct StoreObjects {
+    declared: PartObjects,
+    evacuations: PartObjects,
+    targets: PartObjects,
+}
+
+impl StoreObjects {
+    /// The objects of one part.
+    pub fn part(&self, part: StorePart) -> &PartObjects {
+        match part {
+            StorePart::Declared => &self.declared,
+            StorePart::Evacuations => &self.evacuations,
+            StorePart::Targets => &self.targets,
+        }
+    }
+
+    /// The objects of one part, to be changed.
+    pub fn part_mut(&mut self, part: StorePart) -> &mut PartObjects {
+        match part {
+            StorePart::Declared => &mut self.declared,
+            StorePart::Evacuations => &mut self.evacuations,
+            StorePart::Targets => &mut self.targets,
+        }
+    }
+}
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -3,16 +3,17 @@
 //! Only a few hosts watch the store, since each watch counts as a call against its rate limit. The
 //! other hosts get changes from them, and so does a host that cannot reach the store.
 
-use std::{
-    collections::BTreeSet,
-    io::{self, Read, Write},
-};
+use std::io::{self, Read, Write};
 
 use bytes::Bytes;
 use flate2::{Compression, read::GzDecoder, write::GzEncoder};
 use reqwest::{Client, StatusCode};
+use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Revisions, StorePart};
+use super::{
+    Revisions, StorePart,
+    store_objects::{BucketDigests, Difference, PartObjects, StoreObjects},
+};
 use crate::prelude::*;
 
 /// Path of the state on the control listener.
@@ -26,12 +27,18 @@
 /// timeout. A host that is rejected queries another host that has got a response.
 pub const MAX_CONCURRENT_RESPONSES: usize = 8;
 
-/// Size limit of one decompressed part: twice the size of a declaration of the store's maximum
-/// object size and the entries of 8,000 targets.
-const MAX_DECOMPRESSED_BYTES: u64 = 8 * 1024 * 1024;
+/// Size limit of one decompressed part: the entries of 40,000 targets. It protects the memory of
+/// small hosts from a damaged response.
+const MAX_DECOMPRESSED_BYTES: u64 = 16 * 1024 * 1024;
+
+/// Size limit of an encoded query. One with the digests of all parts takes 4 KiB.
+pub const MAX_QUERY_BYTES: usize = 16 * 1024;
+
+/// Size from which a part is compressed. Compressing takes more time than it saves below it.
+const MIN_COMPRESSED_BYTES: usize = 512;
 
-/// Version of the response encoding. Responses with another version are rejected.
-const ENCODING: u32 = 0x6c70_0002;
+/// Version of the encoding of queries and responses. Others are rejected.
+const ENCODING: u32 = 0x6c70_0003;
 
 /// Result of querying another host.
 pub type Result<T> = std::result::Result<T, QueryError>;
@@ -47,48 +54,55 @@
     Decode(#[from] io::Error),
 }
 
-/// Undecoded objects by part and name, each with its revision.
-pub type RawObjects = BTreeMap<(StorePart, Arc<str>), (u64, Bytes)>;
-
-/// Changes that a host has and the querying host lacks.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct StateDiff {
-    pub parts: Vec<PartDiff>,
+/// What a host asks for.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Query {
+    /// Revisions up to which it knows the parts.
+    pub since: Revisions,
+    /// Digests of the parts of which it wants all that differs.
+    pub digests: Vec<(StorePart, BucketDigests)>,
 }
 
-/// Changes of one part of the store's objects.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct PartDiff {
-    changed: Vec<Object>,
-    /// Names of all existing objects; objects with other names have been removed.
-    names: Vec<Arc<str>>,
-    pub part: StorePart,
-    /// The store's revision up to which the part is known.
-    pub revision: u64,
-}
-
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-struct Object {
-    name: Arc<str>,
-    revision: u64,
-    /// The object as UTF-8 text. An object that is not valid UTF-8 could not be decoded anyway.
-    text: Arc<str>,
-}
+impl Query {
+    /// Asks for the changes since the given revisions.
+    pub fn since(since: Revisions) -> Self {
+        Self { since, digests: Vec::new() }
+    }
 
-impl StateDiff {
-    /// Computes the changes since `since`, for parts that are known up to a later revision.
-    pub fn of(raw: &RawObjects, known: Revisions, since: Revisions) -> Self {
-        let diff = |part| PartDiff::of(raw, part, known.of(part), since.of(part));
-        Self { parts: outdated_parts(known, since).map(diff).collect() }
+    /// Encodes the query.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_allocvec(&(ENCODING, self)).expect("a query can be encoded")
     }
 
-    /// Applies the changes of one part to the `known` objects; returns all objects of that part.
-    pub fn apply_to(&self, part: StorePart, known: &RawObjects) -> Vec<(Arc<str>, u64, Bytes)> {
-        match self.parts.iter().find(|diff| diff.part == part) {
-            Some(diff) => diff.apply_to(known),
-            None => objects_of(known, part).map(to_owned_object).collect(),
+    /// Decodes another host's query.
+    pub fn decode(bytes: &[u8]) -> io::Result<Self> {
+        let (encoding, query): (u32, Self) =
+            postcard::from_bytes(bytes).map_err(io::Error::other)?;
+        if encoding != ENCODING {
+            return Err(io::Error::other("unsupported encoding version"));
         }
+        Ok(query)
     }
+
+    fn digests_of(&self, part: StorePart) -> Option<&BucketDigests> {
+        self.digests.iter().find(|(of, _)| *of == part).map(|(_, digests)| digests)
+    }
+
+    /// Whether the query asks for all that differs in the part.
+    pub fn compares(&self, part: StorePart) -> bool {
+        self.digests_of(part).is_some()
+    }
+}
+
+/// What the querying host lacks of one part.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PartDiff {
+    pub part: StorePart,
+    /// The store's revision up to which the part is known.
+    pub revision: u64,
+    /// Digest of all objects of the part at that revision.
+    pub digest: u64,
+    pub difference: Difference,
 }
 
 /// A response as it is encoded.
@@ -97,101 +111,78 @@
     encoding: u32,
     /// Each part is compressed separately.
     parts: Vec<P>,
+    /// Parts whose history does not reach back to the queried revision.
+    too_old: Vec<StorePart>,
 }
 
-/// A received diff, and its parts as the sender compressed them.
+/// A received response, and its parts as the sender compressed them.
 #[derive(Clone, Debug)]
 pub struct ReceivedState {
-    pub diff: StateDiff,
+    pub parts: Vec<PartDiff>,
+    /// Parts that have to be queried with digests, because the queried host no longer knows what
+    /// was removed since.
+    pub too_old: Vec<StorePart>,
     compressed: Vec<Bytes>,
 }
 
 impl ReceivedState {
     /// Decodes the response of another host.
     pub fn decode(bytes: &[u8]) -> io::Result<Self> {
-        let (response, rest) = postcard::take_from_bytes::<EncodedResponse<Vec<u8>>>(bytes)
-            .map_err(io::Error::other)?;
+        let (response, rest) =
+            postcard::take_from_bytes::<EncodedResponse<Bytes>>(bytes).map_err(io::Error::other)?;
         if response.encoding != ENCODING || !rest.is_empty() {
             return Err(io::Error::other("unsupported encoding version or trailing bytes"));
         }
-        let compressed: Vec<Bytes> = response.parts.into_iter().map(Bytes::from).collect();
+        let EncodedResponse { parts: compressed, too_old, .. } = response;
         let parts = compressed.iter().map(|part| decompress(part)).collect::<io::Result<_>>()?;
-        Ok(Self { diff: StateDiff { parts }, compressed })
+        Ok(Self { parts, too_old, compressed })
     }
 }
 
 impl PartDiff {
-    fn of(raw: &RawObjects, part: StorePart, revision: u64, since: u64) -> Self {
-        let object = |(name, revision, bytes): (&Arc<str>, u64, &Bytes)| Object {
-            name: name.clone(),
-            revision,
-            text: String::from_utf8_lossy(bytes).into(),
-        };
-        let changed = objects_of(raw, part).filter(|(_, revision, _)| since < *revision);
-        Self {
-            changed: changed.map(object).collect(),
-            names: objects_of(raw, part).map(|(name, _, _)| name.clone()).collect(),
-            part,
-            revision,
-        }
-    }
-
-    /// Applies the changes to the `known` objects; returns all objects of the part.
-    pub fn apply_to(&self, known: &RawObjects) -> Vec<(Arc<str>, u64, Bytes)> {
-        let names: BTreeSet<&Arc<str>> = self.names.iter().collect();
-        let kept = objects_of(known, self.part).filter(|(name, _, _)| names.contains(name));
-        let mut all: BTreeMap<Arc<str>, (u64, Bytes)> =
-            kept.map(|(name, revision, bytes)| (name.clone(), (revision, bytes.clone()))).collect();
-        for object in &self.changed {
-            let bytes = Bytes::copy_from_slice(object.text.as_bytes());
-            all.insert(object.name.clone(), (object.revision, bytes));
-        }
-        all.into_iter().map(|(name, (revision, bytes))| (name, revision, bytes)).collect()
-    }
-
     /// Total size of the changed objects in bytes.
     fn object_bytes(&self) -> u64 {
-        self.changed.iter().map(|object| object.text.len() as u64).sum()
+        self.difference.changed.iter().map(|object| object.bytes.len() as u64).sum()
     }
 }
 
-/// Compresses a part, since a slow link may carry the same change to all hosts of a region at once.
-fn compress(diff: &PartDiff) -> io::Result<Bytes> {
-    let mut encoder = GzEncoder::new(Vec::new(), Compression::fast());
-    encoder.write_all(&serde_json::to_vec(diff)?)?;
-    Ok(encoder.finish()?.into())
-}
-
-fn decompress(bytes: &[u8]) -> io::Result<PartDiff> {
-    let reader = GzDecoder::new(bytes).take(MAX_DECOMPRESSED_BYTES);
-    Ok(serde_json::from_reader(io::BufReader::new(reader))?)
-}
+/// First byte of an encoded part.
+const PLAIN: u8 = 0;
+const COMPRESSED: u8 = 1;
 
-/// The parts that are known up to a later revision than `since`.
-fn outdated_parts(known: Revisions, since: Revisions) -> impl Iterator<Item = StorePart> {
-    StorePart::ALL.into_iter().filter(move |part| since.of(*part) < known.of(*part))
-}
-
-/// The objects of one part: name, revision, bytes.
-fn objects_of(raw: &RawObjects, part: StorePart) -> impl Iterator<Item = (&Arc<str>, u64, &Bytes)> {
-    let objects = raw.iter().filter(move |((of, _), _)| *of == part);
-    objects.map(|((_, name), (revision, bytes))| (name, *revision, bytes))
-}
-
-/// The highest revision of an object up to `since`. Hosts for which it is equal lack the same
-/// objects.
-fn newest_revision(raw: &RawObjects, part: StorePart, since: u64) -> u64 {
-    let revisions = objects_of(raw, part).map(|(_, revision, _)| revision);
-    revisions.filter(|revision| *revision <= since).max().unwrap_or_default()
+/// Compresses a large part, since a slow link may carry the same change to all hosts of a region at
+/// once.
+fn compress(diff: &PartDiff) -> io::Result<(Bytes, bool)> {
+    let encoded = postcard::to_allocvec(diff).map_err(io::Error::other)?;
+    if encoded.len() < MIN_COMPRESSED_BYTES {
+        return Ok(([&[PLAIN], &*encoded].concat().into(), false));
+    }
+    let mut encoder = GzEncoder::new(vec![COMPRESSED], Compression::fast());
+    encoder.write_all(&encoded)?;
+    Ok((encoder.finish()?.into(), true))
 }
 
-fn to_owned_object((name, revision, bytes): (&Arc<str>, u64, &Bytes)) -> (Arc<str>, u64, Bytes) {
-    (name.clone(), revision, bytes.clone())
+fn decompress(bytes: &[u8]) -> io::Result<PartDiff> {
+    let decoded = |bytes: &[u8]| postcard::from_bytes(bytes).map_err(io::Error::other);
+    match bytes.split_first() {
+        Some((&PLAIN, plain)) => decoded(plain),
+        Some((&COMPRESSED, compressed)) => {
+            let mut plain = Vec::new();
+            let read = GzDecoder::new(compressed)
+                .take(MAX_DECOMPRESSED_BYTES + 1)
+                .read_to_end(&mut plain)?;
+            if MAX_DECOMPRESSED_BYTES < read as u64 {
+                return Err(io::Error::other("a part exceeds the size limit of 16 MiB"));
+            }
+            decoded(&plain)
+        }
+        _ => Err(io::Error::other("a part without a known encoding")),
+    }
 }
 
-/// Cache of compressed parts for responses to other hosts. Hosts of a region query the same change
-/// at the same time but differ in what they know of other parts, so a whole response could rarely
-/// be reused.
+/// Cache of encoded parts for responses to other hosts. Hosts of a region query the same change at
+/// the same time but differ in what they know of other parts, so a whole response could rarely be
+/// reused.
 #[derive(Debug, Default)]
 pub struct ResponseCache {
     compressed_bytes: u64,
@@ -201,63 +192,93 @@
 /// The last response for one part.
 #[derive(Debug)]
 struct CachedPart {
-    /// Highest revision of an object that the querying host has, and the revision known here.
-    key: (u64, u64),
-    compressed: Bytes,
+    key: CacheKey,
+    encoded: Bytes,
+}
+
+/// Identifies what a response contains.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum CacheKey {
+    /// The changes after the first revision, up to the second.
+    Changes(u64, u64),
+    /// What differs from buckets with this hash of their digests, at this revision.
+    Buckets(u64, u64),
 }
 
 impl ResponseCache {
-    /// Encodes the response to a host that knows all objects up to `since`.
+    /// Encodes the response to a query.
     pub fn response(
         &mut self,
-        raw: &RawObjects,
+        objects: &StoreObjects,
         known: Revisions,
-        since: Revisions,
+        query: &Query,
     ) -> io::Result<Bytes> {
-        let part = |part| self.compressed_part(raw, part, known.of(part), since.of(part));
-        let parts: Vec<Bytes> =
-            outdated_parts(known, since).map(part).collect::<io::Result<_>>()?;
-        let response = EncodedResponse {
-            encoding: ENCODING,
-            parts: parts.iter().map(|part| &**part).collect(),
-        };
-        Ok(postcard::to_allocvec::<EncodedResponse<&[u8]>>(&response)
-            .map_err(io::Error::other)?
-            .into())
+        let mut response =
+            EncodedResponse { encoding: ENCODING, parts: Vec::new(), too_old: Vec::new() };
+        for part in StorePart::ALL {
+            let (revision, since) = (known.of(part), query.since.of(part));
+            let digests = query.digests_of(part).filter(|_| since <= revision);
+            if digests.is_none() && revision <= since {
+                continue;
+            }
+            match self.encoded_part(objects.part(part), part, revision, since, digests)? {
+                Some(encoded) => response.parts.push(encoded),
+                None => response.too_old.push(part),
+            }
+        }
+        Ok(postcard::to_allocvec(&response).map_err(io::Error::other)?.into())
     }
 
-    /// Caches a part that was received in response to a query for changes since `since`, so that it
-    /// can be forwarded without being compressed again. `raw` must contain its objects already.
+    /// Caches the changes that were received in response to a query, so that they can be forwarded
+    /// without being compressed again. `objects` must contain them already.
     pub fn cache_received(
         &mut self,
         received: &ReceivedState,
         part: StorePart,
-        raw: &RawObjects,
-        since: Revisions,
+        objects: &StoreObjects,
+        query: &Query,
     ) {
-        let parts = received.diff.parts.iter().zip(&received.compressed);
-        for (diff, compressed) in parts.filter(|(diff, _)| diff.part == part) {
-            let key = (newest_revision(raw, part, since.of(part)), diff.revision);
-            self.parts.insert(part, CachedPart { key, compressed: compressed.clone() });
+        if query.compares(part) {
+            return;
+        }
+        let parts = received.parts.iter().zip(&received.compressed);
+        for (diff, encoded) in parts.filter(|(diff, _)| diff.part == part) {
+            let start = objects.part(part).last_change_until(query.since.of(part));
+            let key = CacheKey::Changes(start, diff.revision);
+            self.parts.insert(part, CachedPart { key, encoded: encoded.clone() });
         }
     }
 
-    fn compressed_part(
+    /// The encoded part; `None` if the history does not reach back to `since`.
+    fn encoded_part(
         &mut self,
-        raw: &RawObjects,
+        objects: &PartObjects,
         part: StorePart,
-        known: u64,
+        revision: u64,
         since: u64,
-    ) -> io::Result<Bytes> {
-        let key = (newest_revision(raw, part, since), known);
+        digests: Option<&BucketDigests>,
+    ) -> io::Result<Option<Bytes>> {
+        let key = match digests {
+            Some(digests) => CacheKey::Buckets(digests_hash(digests), revision),
+            None => CacheKey::Changes(objects.last_change_until(since), revision),
+        };
         if let Some(last) = self.parts.get(&part).filter(|last| last.key == key) {
-            return Ok(last.compressed.clone());
+            return Ok(Some(last.encoded.clone()));
+        }
+        let difference = match digests {
+            Some(digests) => objects.difference_from(digests),
+            None => match objects.changes_since(since) {
+                Some(difference) => difference,
+                None => return Ok(None),
+            },
+        };
+        let diff = PartDiff { part, revision, digest: objects.digest(), difference };
+        let (encoded, is_compressed) = compress(&diff)?;
+        if is_compressed {
+            self.compressed_bytes += diff.object_bytes();
         }
-        let diff = PartDiff::of(raw, part, known, since);
-        let compressed = compress(&diff)?;
-        self.compressed_bytes += diff.object_bytes();
-        self.parts.insert(part, CachedPart { key, compressed: compressed.clone() });
-        Ok(compressed)
+        self.parts.insert(part, CachedPart { key, encoded: encoded.clone() });
+        Ok(Some(encoded))
     }
 
     /// Total size, before compression, of the objects that were compressed so far.
@@ -266,6 +287,11 @@
     }
 }
 
+fn digests_hash(digests: &BucketDigests) -> u64 {
+    let bytes: Vec<u8> = digests.iter().flat_map(|sum| sum.to_le_bytes()).collect();
+    xxh3_64(&bytes)
+}
+
 /// Client for state queries to other hosts.
 #[derive(Clone)]
 pub struct PeerClient {
@@ -284,11 +310,10 @@
         Ok(Self { client })
     }
 
-    /// Queries the host at `addr` for changes since `since`.
-    pub async fn query(&self, addr: SocketAddr, since: Revisions) -> Result<ReceivedState> {
-        let Revisions { declared, evacuations, targets } = since;
-        let url = format!("http://{addr}{STATE_PATH}?{declared}-{evacuations}-{targets}");
-        let response = self.client.get(url).send().await?;
+    /// Queries the host at `addr`.
+    pub async fn query(&self, addr: SocketAddr, query: &Query) -> Result<ReceivedState> {
+        let url = format!("http://{addr}{STATE_PATH}");
+        let response = self.client.post(url).body(query.encode()).send().await?;
         if response.status() == StatusCode::SERVICE_UNAVAILABLE {
             return Err(QueryError::Busy);
         }
@@ -296,10 +321,3 @@
         Ok(ReceivedState::decode(&response.bytes().await?)?)
     }
 }
-
-/// Parses the revisions in the query string of a state query; missing or invalid ones are 0.
-pub fn parse_revisions(query: Option<&str>) -> Revisions {
-    let mut numbers = query.unwrap_or_default().split('-').map(|number| number.parse().ok());
-    let mut next = || numbers.next().flatten().unwrap_or_default();
-    Revisions { declared: next(), evacuations: next(), targets: next() }
-}
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -9,6 +9,7 @@
 mod propagation;
 mod settings_file;
 mod strain;
+mod sync;
 mod targets;
 
 use super::{Bounds, KnownTarget, TargetEntry, target::tag};
--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -10,7 +10,6 @@
         lookup::host_addresses,
         peer_queries::{PeerQueries, QueryOutcome},
         stale_records::{HostRecord, StaleRecordTracker},
-        sync::{RawObjects, ReceivedState, ResponseCache, StateDiff, parse_revisions},
         watcher_election::WatcherElection,
     },
     fleet::{HostInfo, Load, Peer, StateSource},
@@ -204,38 +203,6 @@
     assert!(election.reaches_store(secs(10.0)));
 }
 
-/// A diff contains only the changed objects, but the names of all existing ones. Without the names,
-/// removed objects would stay known.
-#[test]
-fn a_diff_adds_updates_and_removes_objects() {
-    let object = |part, name: &str, revision: u64| {
-        ((part, Arc::from(name)), (revision, bytes::Bytes::from(revision.to_string())))
-    };
-    let old: RawObjects = [
-        object(StorePart::Targets, "t-1", 1),
-        object(StorePart::Targets, "t-2", 2),
-        object(StorePart::Declared, "main", 3),
-    ]
-    .into();
-    let new: RawObjects = [
-        object(StorePart::Targets, "t-2", 2),
-        object(StorePart::Targets, "t-3", 7),
-        object(StorePart::Declared, "main", 3),
-    ]
-    .into();
-    let at = |revision| Revisions { declared: 3, evacuations: 0, targets: revision };
-    let diff = StateDiff::of(&new, at(7), at(2));
-    let text = serde_json::to_string(&diff.parts).expect("JSON");
-    let diff = StateDiff { parts: serde_json::from_str(&text).expect("a diff") };
-    assert!(!text.contains("\"text\":\"2\"") && text.contains("\"text\":\"7\""));
-    let all = diff.apply_to(StorePart::Targets, &old);
-    let names: Vec<&str> = all.iter().map(|(name, _, _)| &**name).collect();
-    assert_eq!(names, ["t-2", "t-3"]);
-    assert_eq!(diff.apply_to(StorePart::Declared, &old).len(), 1);
-    assert_eq!(parse_revisions(Some("3-0-2")), at(2));
-    assert_eq!(parse_revisions(Some("x")), Revisions::default());
-}
-
 /// A listing returns the revision of the whole store, which rises with writes to other parts. If a
 /// higher revision alone counted as newer data, hosts would query each other for nothing.
 #[test]
@@ -323,63 +290,3 @@
     assert_eq!(query_counts.len(), 4, "{query_counts:?}");
     assert!(query_counts.values().all(|count| *count < 50), "{query_counts:?}");
 }
-
-/// A declaration with many routes and the entries of many targets are sent to all hosts of a region
-/// at once. Uncompressed they would congest slow links, and compressing them for each query would
-/// take too much CPU time.
-#[test]
-fn state_responses_are_compressed_and_cached() {
-    let mut raw = RawObjects::new();
-    for at in 0..450_u32 {
-        let entry = format!(
-            r#"{{"metadata":{{"name":"i-{:010x}","revision":{at}}},"spec":{{}},"info":{{"service":"s","slots":3}},"status":{{"state":"ready","sequence":{at}}}}}"#,
-            at.wrapping_mul(2_654_435_761)
-        );
-        raw.insert(
-            (StorePart::Targets, format!("i-{at}").into()),
-            (u64::from(at) + 1, entry.into()),
-        );
-    }
-    let rule = |at: u32| {
-        format!(
-            r#"{{"name":"r{at}","match":{{"prefix":"/{:x}/"}},"action":{{"service":"s","timeout":"1200ms","maxAttempts":2}},"kind":"safe"}}"#,
-            at.wrapping_mul(2_654_435_761)
-        )
-    };
-    let rules: Vec<String> = (0..1_900).map(rule).collect();
-    let declaration = format!(r#"{{"spec":{{"rules":[{}]}}}}"#, rules.join(","));
-    raw.insert((StorePart::Declared, "main".into()), (900, declaration.into()));
-    let known = Revisions { declared: 900, evacuations: 0, targets: 900 };
-    let diff = StateDiff::of(&raw, known, Revisions::default());
-    let mut cache = ResponseCache::default();
-    let encoded = cache.response(&raw, known, Revisions::default()).expect("it can be encoded");
-    let size = serde_json::to_vec(&diff.parts).expect("it can be serialized").len();
-    assert!(encoded.len() * 5 < size, "{} of {size}", encoded.len());
-    assert_eq!(ReceivedState::decode(&encoded).expect("it can be decoded").diff, diff);
-    assert!(ReceivedState::decode(&encoded[..encoded.len() / 2]).is_err(), "a truncated response");
-    let bytes = cache.compressed_bytes();
-    let again = cache.response(&raw, known, Revisions::default()).expect("it can be encoded");
-    assert_eq!(again, encoded);
-    assert_eq!(cache.compressed_bytes(), bytes, "compressed once");
-    let newer = cache.response(&raw, known, known).expect("it can be encoded");
-    assert!(newer.len() < encoded.len());
-    assert_eq!(
-        ReceivedState::decode(&newer).expect("it can be decoded").diff,
-        StateDiff::default()
-    );
-}
-
-proptest::proptest! {
-    /// A damaged or invalid response of another host must give an error, not a diff or a panic.
-    #[test]
-    fn truncated_or_invalid_responses_are_rejected(bytes in proptest::collection::vec(0_u8..=255, 0..400), at in 0..200_usize) {
-        proptest::prop_assert!(ReceivedState::decode(&bytes).is_err());
-        let raw = RawObjects::from([((StorePart::Targets, "t-1".into()), (3, "{}".into()))]);
-        let known = Revisions { targets: 3, ..Revisions::default() };
-        let response = ResponseCache::default().response(&raw, known, Revisions::default());
-        let mut encoded = response.expect("it can be encoded").to_vec();
-        let at = at % encoded.len();
-        encoded.truncate(at);
-        proptest::prop_assert!(ReceivedState::decode(&encoded).is_err());
-    }
-}
--- a/src/entry/tests/propagation.rs
+++ b/src/entry/tests/propagation.rs
@@ -11,7 +11,11 @@
     entry::{
         Revisions, Stamp, StorePart,
         peer_queries::{PeerQueries, QueryOutcome},
-        sync::{MAX_CONCURRENT_RESPONSES, QUERY_TIMEOUT, RawObjects, ReceivedState, ResponseCache},
+        store_objects::StoreObjects,
+        sync::{
+            MAX_CONCURRENT_RESPONSES, QUERY_TIMEOUT, Query as StateQuery, ReceivedState,
+            ResponseCache,
+        },
     },
     fleet::StateSource,
     prelude::*,
@@ -69,7 +73,7 @@
     peer_queries: PeerQueries,
     /// Arrival times of this host's responses that are in transit.
     response_arrivals: Vec<Moment>,
-    raw_objects: RawObjects,
+    objects: StoreObjects,
     revisions: Revisions,
     /// The stamp in its last heartbeat.
     announced_stamp: Stamp,
@@ -84,8 +88,8 @@
     }
 
     fn apply_change(&mut self, change: &Change) {
-        let key = (change.part, change.name.clone());
-        self.raw_objects.insert(key, (change.revision, change.object.clone()));
+        let objects = self.objects.part_mut(change.part);
+        objects.insert(change.name.clone(), change.revision, change.object.clone());
         self.record_revision(change.part, change.revision);
     }
 
@@ -98,18 +102,22 @@
     }
 
     fn apply_response(&mut self, received: &ReceivedState, since: Revisions) {
-        for diff in &received.diff.parts {
+        for diff in &received.parts {
             let (part, revision) = (diff.part, diff.revision);
             if revision <= self.revisions.of(part) {
                 continue;
             }
-            let objects = diff.apply_to(&self.raw_objects);
-            self.raw_objects.retain(|(kept, _), _| *kept != part);
-            for (name, version, object) in objects {
-                self.raw_objects.insert((part, name), (version, object));
+            let objects = self.objects.part_mut(part);
+            for name in objects.removed_by(&diff.difference) {
+                objects.remove(&name, revision);
             }
+            for object in &diff.difference.changed {
+                objects.insert(object.name.clone(), object.revision, object.bytes.clone());
+            }
+            assert_eq!(objects.digest(), diff.digest);
             self.record_revision(part, revision);
-            self.response_cache.cache_received(received, part, &self.raw_objects, since);
+            let query = StateQuery::since(since);
+            self.response_cache.cache_received(received, part, &self.objects, &query);
         }
     }
 
@@ -120,7 +128,7 @@
         let bytes_before = self.response_cache.compressed_bytes();
         let encoded = self
             .response_cache
-            .response(&self.raw_objects, self.revisions, query.since)
+            .response(&self.objects, self.revisions, &StateQuery::since(query.since))
             .expect("it can be encoded");
         let compress_s =
             (self.response_cache.compressed_bytes() - bytes_before) as f64 / COMPRESSED_BYTES_PER_S;
@@ -152,7 +160,7 @@
             link_busy_until: Moment::ZERO,
             queries: VecDeque::new(),
             peer_queries: PeerQueries::new(addr(at)),
-            raw_objects: RawObjects::new(),
+            objects: StoreObjects::default(),
             revisions: Revisions::default(),
             response_arrivals: Vec::new(),
             announced_stamp: Stamp::default(),
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -13,6 +13,17 @@
     Zone(ZoneReport),
 }
 
+impl Message {
+    /// Stamps of the hosts from which the state of the store can be fetched.
+    pub fn stamps(&self) -> impl Iterator<Item = &Stamp> {
+        let (heartbeat, sources) = match self {
+            Self::Heartbeat(heartbeat) => (Some(&heartbeat.stamp), &[][..]),
+            Self::Zone(report) => (None, &*report.state_sources),
+        };
+        heartbeat.into_iter().chain(sources.iter().map(|source| &source.stamp))
+    }
+}
+
 /// Description of one host that all other hosts receive.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct HostInfo {
--- a/tests/entry_store.rs
+++ b/tests/entry_store.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use lavenderplank::{base::HostId, event_log::Event};
+use lavenderplank::{base::HostId, entry::StateQuery, event_log::Event};
 use serde_json::json;
 use tokio::{io::AsyncReadExt, net::TcpStream};
 
@@ -75,7 +75,8 @@
         let client = reqwest::Client::builder().pool_max_idle_per_host(0).build();
         let client = client.expect("a client");
         let query = async || {
-            let answer = client.get(format!("http://{control}/state?0-0-0")).send().await;
+            let query = StateQuery::default().encode();
+            let answer = client.post(format!("http://{control}/state")).body(query).send().await;
             answer.expect("an answer").status().as_u16()
         };
         let mut held = Vec::new();
