Collect the states of large zones by turns instead of exchanging them all to all

Cause: each host of a zone sent its state to every other one ten times a second, and every report named all hosts of its zone. At 110 hosts a zone that is 1,090 datagrams a second each way and host, and each report of nine zones lists 110 hosts several times a second.

From 25 hosts a zone on, a host sends its state to the collector of the round and its standby, picked by a weighted rendezvous hash over the live hosts; the collector sends the report of the zone, with the sum of loads, to the zone, to one host of each other zone of the region and, every half second, to other regions. Another host collects each round, in proportion to cpu_share. A report lists only hosts that changed or are silent for longer than the others, with a digest of all live ones; who finds another digest asks for the whole list. Own load is subtracted from the sum of the own zone.

Weighed, and not built: elected collectors (their loss has to be noticed first); fewer heartbeats to all in larger zones (at 222 hosts a zone a loss shows only after 2 s or the datagrams grow with the zone). All to all stays for small zones, where it is faster.

Datagrams have a version byte now; hosts of the release before ignore them.

--- a/src/cmd/measure.rs
+++ b/src/cmd/measure.rs
@@ -1,5 +1,6 @@
 //! `measure`: what the decisions cost and how well they do.
 
+mod fleet;
 mod in_force;
 mod ledger;
 mod placement;
@@ -29,6 +30,7 @@
 #[derive(Debug, Subcommand)]
 enum What {
     Capacity(CapacityArgs),
+    Fleet(fleet::Args),
     InForce(in_force::Args),
     Ledger(ledger::Args),
     Membership(MembershipArgs),
@@ -72,6 +74,7 @@
 pub fn run(args: Args) -> Result {
     match args.what {
         What::Capacity(args) => capacity(&args),
+        What::Fleet(args) => fleet::run(&args),
         What::InForce(args) => in_force::run(&args),
         What::Ledger(args) => ledger::run(&args),
         What::Membership(args) => membership(&args),
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -31,7 +31,7 @@
 };
 use crate::{
     event_log::{Event, EventSink, WatchReason},
-    fleet::{DeclarationCheck, Fleet, FleetConfig, Load},
+    fleet::{DeclarationCheck, Fleet, FleetConfig, Load, MESH_HOSTS},
     metrics::{ControlGauges, EntryMetrics},
     placement::ServiceRegion,
     prelude::*,
@@ -300,10 +300,12 @@
 
 fn fleet_config(settings: &EntrySettings) -> FleetConfig {
     FleetConfig {
+        capacity: settings.capacity(),
         callers: settings.listen.callers,
         control: settings.listen.control,
         gossip: settings.listen.gossip,
         host: settings.host.clone(),
+        mesh_hosts: MESH_HOSTS,
         region: settings.region.clone(),
         seeds: gossip_seeds(settings),
         start_ms: unix_time_ms(),
--- a/src/entry/control/handlers.rs
+++ b/src/entry/control/handlers.rs
@@ -42,7 +42,7 @@
     type Return = ();
 
     async fn handle(&mut self, Datagram(bytes): Datagram, cx: &mut xtra::Context<Self>) {
-        let message: Message = match postcard::from_bytes(&bytes) {
+        let message = match Message::decode(&bytes) {
             Ok(message) => message,
             Err(error) => return log::debug!("cannot decode a datagram: {error}"),
         };
--- a/src/entry/control/peering.rs
+++ b/src/entry/control/peering.rs
@@ -72,7 +72,7 @@
 
     pub(super) fn send(&self, messages: Vec<Outgoing>) {
         for Outgoing { message, to } in messages {
-            let bytes = match postcard::to_allocvec(&message) {
+            let bytes = match message.encode() {
                 Ok(bytes) => bytes,
                 Err(error) => return log::error!("cannot encode a datagram: {error}"),
             };
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -15,6 +15,10 @@
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 pub struct EntrySettings {
     pub bounds: Bounds,
+    /// Processor time that the host may use, in cores; 1 by default. Hosts with more do more for
+    /// their zone.
+    #[serde(default)]
+    pub cpu_share: Option<f64>,
     /// Bounds of the structured log.
     #[serde(default)]
     pub event_log: EventLogSettings,
@@ -99,6 +103,7 @@
     /// they determine sockets, threads or the host's identity.
     pub fn fixed_changes(&self, other: &Self) -> Vec<&'static str> {
         let fields = [
+            ("cpu_share", self.cpu_share != other.cpu_share),
             ("event_log", self.event_log != other.event_log),
             ("host", self.host != other.host),
             ("listen", self.listen != other.listen),
@@ -110,6 +115,11 @@
         fields.into_iter().filter(|(_, differs)| *differs).map(|(name, _)| name).collect()
     }
 
+    /// Processor time that the host may use, in hundredths of a core.
+    pub fn capacity(&self) -> u16 {
+        (self.cpu_share.unwrap_or(1.0) * 100.0).clamp(1.0, f64::from(u16::MAX)) as u16
+    }
+
     /// Whether the settings name this region.
     pub fn has_region(&self, region: &RegionId) -> bool {
         *region == self.region || self.zones.values().any(|known| known == region)
--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -12,7 +12,7 @@
         stale_records::{HostRecord, StaleRecordTracker},
         watcher_election::WatcherElection,
     },
-    fleet::{HostInfo, Load, Peer, StateSource},
+    fleet::{HostInfo, Peer, Peers, StateSource},
     prelude::*,
 };
 
@@ -61,6 +61,7 @@
 
 fn peer(host: &str, region: &str, reaches_store: bool) -> Peer {
     let info = HostInfo {
+        capacity: 10,
         callers: addr(1),
         control: addr(2),
         gossip: addr(3),
@@ -71,16 +72,9 @@
         strained: false,
         sequence: 1,
     };
-    Peer {
-        declaration_check: None,
-        last_heard: secs(1.0),
-        is_lost: false,
-        load: Load::default(),
-        info,
-        region: region.into(),
-        stamp: None,
-        zone: "north-a".into(),
-    }
+    let mut peers = Peers::default();
+    peers.record_indirect(info, &"north-a".into(), &region.into(), secs(1.0), secs(1.0));
+    peers.iter().next().expect("it was recorded").clone()
 }
 
 /// A region has more hosts than fit in a response. Each host must be returned to the callers of
--- a/src/fleet/load.rs
+++ b/src/fleet/load.rs
@@ -62,6 +62,37 @@
     }
 }
 
+impl Load {
+    /// Removes one host's part from a sum that contains it. Recent objects stay: to know of one's
+    /// own requests twice changes nothing.
+    pub fn subtract(&mut self, part: &Load) {
+        let pair =
+            |a: (u32, u32), b: (u32, u32)| (a.0.saturating_sub(b.0), a.1.saturating_sub(b.1));
+        subtract_by_key(&mut self.crashes, &part.crashes, u8::saturating_sub);
+        subtract_by_key(&mut self.demand, &part.demand, |a, b| (a - b).max(0.0));
+        subtract_by_key(&mut self.in_flight, &part.in_flight, u16::saturating_sub);
+        subtract_by_key(&mut self.sent, &part.sent, pair);
+        subtract_by_key(&mut self.slow_targets, &part.slow_targets, SlowdownReport::without);
+        subtract_by_key(&mut self.team_counts, &part.team_counts, pair);
+        self.crashes.retain(|(_, crashes)| 0 < *crashes);
+        self.in_flight.retain(|(_, count)| 0 < *count);
+        self.slow_targets.retain(|(_, report)| report.has_runs());
+    }
+}
+
+/// Subtracts `part` from `sums`, which are sorted by key.
+fn subtract_by_key<K: Copy + Ord, N: Copy>(
+    sums: &mut [(K, N)],
+    part: &[(K, N)],
+    subtract: impl Fn(N, N) -> N,
+) {
+    for (key, count) in part {
+        if let Ok(at) = sums.binary_search_by_key(key, |(key, _)| *key) {
+            sums[at].1 = subtract(sums[at].1, *count);
+        }
+    }
+}
+
 fn sum_by_key<'a, K, N>(
     pairs: impl Iterator<Item = &'a (K, N)>,
     add: impl Fn(N, N) -> N,
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -1,10 +1,10 @@
 //! State machine of the gossip protocol on one host.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 
 use super::{
-    Contacts, DeclarationCheckAge, Heartbeat, HostInfo, Load, Message, Peer, Peers, Reports,
-    Rotation, StateSource, ZoneReport,
+    Collection, Contacts, DeclarationCheckAge, Delivery, Heartbeat, HostInfo, Load, Members,
+    Message, Peer, Peers, Purpose, Reports, Rotation, Round, StateSource, ZoneReport,
 };
 use crate::{
     entry::{DeclarationVersion, Stamp, StorePart},
@@ -25,9 +25,28 @@
 /// Contacts in one heartbeat: enough for a host to discover all others within one or two seconds.
 const HEARTBEAT_CONTACTS: usize = 3;
 
+/// Probes in one round. Further addresses are probed in the next rounds.
+const MAX_PROBES: usize = 48;
+
 /// Contacts in the answer to a probe, for each zone other than the prober's.
 const PROBE_REPLY_CONTACTS: usize = 2;
 
+/// Contacts of the prober's own zone in the answer to a probe. Its hosts know the others.
+const PROBE_REPLY_ZONE_CONTACTS: usize = 16;
+
+/// Time between two probes that ask a zone for the list of all its hosts.
+const MEMBERS_QUERY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time for which a zone's hosts must differ from those of its reports before a host asks for the
+/// list of all. The first receiver of a report asks at once, and shares the answer with its zone.
+const MEMBERS_QUERY_DELAY: Duration = Duration::from_millis(600);
+
+/// Time for which own states are remembered, to subtract them from the sums that contain them.
+const STATE_TTL: Duration = Duration::from_secs(1);
+
+/// Divisor of the capacity of hosts that get too little processor time.
+const STRAINED_PART: u16 = 8;
+
 /// Ticks between two rounds of probes.
 const PROBE_INTERVAL_TICKS: u64 = 10;
 
@@ -42,6 +61,8 @@
 /// Identity, addresses and topology of a host.
 #[derive(Clone, Debug)]
 pub struct FleetConfig {
+    /// Processor time that this host may use, in hundredths of a core.
+    pub capacity: u16,
     /// Address of the listener for callers.
     pub callers: SocketAddr,
     /// Address of the control listener.
@@ -49,6 +70,8 @@
     /// Address that receives datagrams of other hosts.
     pub gossip: SocketAddr,
     pub host: HostId,
+    /// Number of hosts up to which each host of a zone sends its state to every other one.
+    pub mesh_hosts: usize,
     pub region: RegionId,
     /// Gossip addresses that are probed first; may be out of date.
     pub seeds: Vec<SocketAddr>,
@@ -112,6 +135,7 @@
 /// What one host knows about all entry hosts.
 #[derive(Debug)]
 pub struct Fleet {
+    collection: Collection,
     contacts: Contacts,
     /// Schedule of the reports to zones of other regions.
     cross_region: Rotation,
@@ -119,24 +143,46 @@
     same_region: Rotation,
     own: OwnState,
     config: FleetConfig,
+    /// Since when the known hosts of a zone differ from those of its reports, and when the zone was
+    /// last asked for all of them.
+    differing_zones: BTreeMap<ZoneId, DifferingZone>,
+    /// When the reported state of this host last changed, and its digest.
+    own_changed: (Moment, u64),
     peers: Peers,
     reports: Reports,
+    /// The round in which this host last sent its state to a collector.
+    round: Option<Round>,
+    /// The loads that this host last sent to collectors, and when.
+    sent_loads: VecDeque<(Moment, HostId, Load)>,
     ticks: u64,
     /// Increases with each heartbeat and report.
     sequence: u64,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct DifferingZone {
+    /// Whether the answer is forwarded to the own zone.
+    is_answer_shared: bool,
+    queried_at: Option<Moment>,
+    since: Moment,
+}
+
 impl Fleet {
     /// Creates the state of a host that has received no messages yet.
     pub fn new(config: FleetConfig) -> Self {
         Self {
+            collection: Collection::default(),
             contacts: Contacts::default(),
             cross_region: Rotation::default(),
             same_region: Rotation::default(),
             own: OwnState { reaches_store: true, ..OwnState::default() },
             config,
+            differing_zones: BTreeMap::new(),
+            own_changed: (Moment::ZERO, 0),
             peers: Peers::default(),
             reports: Reports::default(),
+            round: None,
+            sent_loads: VecDeque::new(),
             ticks: 0,
             sequence: 0,
         }
@@ -163,6 +209,11 @@
         self.peers.live(now)
     }
 
+    /// Digest of the other live hosts and their states, without their loads.
+    pub fn live_digest(&self, now: Moment) -> u64 {
+        self.peers.live_digest(now)
+    }
+
     /// Whether most of the other live hosts were running when this one started.
     pub fn peers_started_earlier(&self, now: Moment) -> bool {
         let started_earlier = |peer: &&Peer| {
@@ -190,12 +241,15 @@
         self.contacts.replace(gossip, now);
     }
 
-    /// Loads of other hosts, with their regions: one for each host of the own zone, and one sum for
-    /// each other zone.
+    /// Loads of other hosts, with their regions: one sum for each zone, and one for each host of a
+    /// small own zone.
     pub fn loads(&self, now: Moment) -> impl Iterator<Item = (&RegionId, &Load)> {
-        let own = self.zone_peers(now).map(|peer| (&peer.region, &peer.load));
-        let other = self.reports.loads(now);
-        own.chain(other.map(|(zone, load)| (self.region_of(zone), load)))
+        let is_large = self.is_zone_large(now);
+        let own_zone = self.zone_peers(now).filter(move |it| !is_large && it.has_recent_load(now));
+        let direct = own_zone.map(|peer| (&peer.region, &peer.load));
+        let reported = self.reports.loads(now);
+        let reported = reported.filter(move |(zone, _)| is_large || **zone != self.config.zone);
+        direct.chain(reported.map(|(zone, load)| (self.region_of(zone), load)))
     }
 
     /// Confirmations of the declaration that other hosts have sent.
@@ -219,11 +273,23 @@
         direct.chain(reported.map(|(zone, source)| (self.region_of(zone), source.clone())))
     }
 
-    /// Returns the messages that are due: heartbeats to the own zone, the zone's report if it is
-    /// this host's turn, and probes. `slot` is the wall-clock time in tenths of a second.
+    /// Returns the messages that are due: the state of this host, the zone's report if it is this
+    /// host's turn, and probes. `slot` is the wall-clock time in tenths of a second.
     pub fn tick(&mut self, own: OwnState, slot: u64, now: Moment) -> Vec<Outgoing> {
-        self.own = own;
+        self.update_own(own, now);
         self.ticks += 1;
+        let mut send = match self.is_zone_large(now) {
+            true => self.collect(slot, now),
+            false => self.exchange_in_mesh(slot, now),
+        };
+        send.extend(self.probe(now));
+        send.retain(|outgoing| !outgoing.to.is_empty());
+        send
+    }
+
+    /// Messages to a small zone: the state of this host to all of its hosts, and the zone's report
+    /// to other zones if it is this host's turn.
+    fn exchange_in_mesh(&mut self, slot: u64, now: Moment) -> Vec<Outgoing> {
         let mut send = vec![self.heartbeat_to_zone(now)];
         let rank = self.rank_in_zone(now);
         let hosts = self.zone_peers(now).count() + 1;
@@ -238,25 +304,111 @@
             to.extend(self.report_receivers(false, cross_region_slot, CROSS_REGION_RECEIVERS, now));
         }
         send.extend(self.report_to(to, now));
-        send.extend(self.probe(now));
-        send.retain(|outgoing| !outgoing.to.is_empty());
         send
     }
 
+    /// Messages to a large zone: the state of this host to the collectors of a new round, and the
+    /// report of the states that this host has collected.
+    fn collect(&mut self, slot: u64, now: Moment) -> Vec<Outgoing> {
+        let round = Round::at(slot, self.zone_peers(now).count() + 1);
+        let mut send = Vec::new();
+        if self.round.replace(round) != Some(round) {
+            send.extend(self.send_to_collectors(round, now));
+        }
+        if self.collection.is_due(now) {
+            send.extend(self.send_collected(round, now));
+        }
+        send
+    }
+
+    fn send_to_collectors(&mut self, round: Round, now: Moment) -> Vec<Outgoing> {
+        let own = self.info();
+        let hosts = self.zone_peers(now).map(|peer| &peer.info).chain([&own]);
+        let candidates = hosts.filter(|info| !info.leaving);
+        let weighted = candidates.map(|info| {
+            let capacity =
+                if info.strained { info.capacity / STRAINED_PART } else { info.capacity };
+            (&info.host, capacity, (info.host.clone(), info.gossip))
+        });
+        let (collector, standby) = round.collectors(weighted);
+        let mut send = Vec::new();
+        for (receiver, purpose) in [(collector, Purpose::Collect), (standby, Purpose::Standby)] {
+            let Some((host, addr)) = receiver else { continue };
+            if addr != self.config.gossip {
+                self.sent_loads.push_back((now, host, self.own.load.clone()));
+                send.push(Outgoing { message: self.heartbeat(purpose, now), to: vec![addr] });
+            }
+        }
+        self.sent_loads.retain(|(at, _, _)| now.saturating_sub(*at) < STATE_TTL);
+        send
+    }
+
+    /// The report of the collected states, to the own zone and to other zones. A collection of few
+    /// late hosts is reported without its load.
+    fn send_collected(&mut self, round: Round, now: Moment) -> Vec<Outgoing> {
+        self.sequence += 1;
+        let mut report = self.report(self.changed_members(now), now);
+        let has_most =
+            report.load.as_ref().is_some_and(|(_, hosts)| report.members.count <= hosts * 2);
+        if !has_most {
+            report.load = None;
+        }
+        report.is_cross_region = has_most && self.collection.is_cross_region_due(now);
+        let others = self.zone_peers(now).filter(|peer| peer.has_recent_load(now));
+        let load = Load::sum(others.map(|peer| &peer.load));
+        let load = report.load.as_ref().map(|(_, hosts)| (load, *hosts));
+        self.reports.record(&ZoneReport { load, ..report.clone() }, now);
+
+        let own_zone = self.zone_peers(now).map(|peer| peer.info.gossip).collect();
+        let mut other_zones = Vec::new();
+        let mut copies = Vec::new();
+        if has_most {
+            other_zones.extend(self.report_receivers(true, round.number(), 1, now));
+            if report.is_cross_region {
+                let receivers = |count| self.report_receivers(false, round.number(), count, now);
+                let first = receivers(1);
+                copies = receivers(CROSS_REGION_RECEIVERS);
+                copies.retain(|addr| !first.contains(addr));
+                other_zones.extend(first);
+            }
+        }
+        let light = ZoneReport { load: None, ..report.clone() };
+        let to = |report, to| Outgoing { message: Message::Zone(report), to };
+        vec![to(report.clone(), own_zone), to(report, other_zones), to(light, copies)]
+    }
+
     /// Returns the messages that report a change immediately: to the region, and to other regions
     /// as well if this host is leaving.
     pub fn announce(&mut self, own: OwnState, slot: u64, now: Moment) -> Vec<Outgoing> {
-        self.own = own;
+        self.update_own(own, now);
         let mut send = vec![self.heartbeat_to_zone(now)];
         let mut to = self.report_receivers(true, slot, ANNOUNCE_RECEIVERS, now);
         if self.own.leaving {
             to.extend(self.report_receivers(false, slot, ANNOUNCE_RECEIVERS, now));
         }
-        send.extend(self.report_to(to, now));
+        if self.is_zone_large(now) {
+            let report = ZoneReport { load: None, ..self.report(self.changed_members(now), now) };
+            send.push(Outgoing { message: Message::Zone(report), to });
+        } else {
+            send.extend(self.report_to(to, now));
+        }
         send.retain(|outgoing| !outgoing.to.is_empty());
         send
     }
 
+    fn update_own(&mut self, own: OwnState, now: Moment) {
+        self.own = own;
+        let digest = self.info().digest();
+        if self.own_changed.1 != digest {
+            self.own_changed = (now, digest);
+        }
+    }
+
+    /// Whether the own zone has so many hosts that their states are collected.
+    fn is_zone_large(&self, now: Moment) -> bool {
+        self.config.mesh_hosts < self.zone_peers(now).count() + 1
+    }
+
     /// Processes a message of another host.
     pub fn receive(&mut self, message: Message, now: Moment) -> Received {
         match message {
@@ -271,13 +423,21 @@
             return received;
         }
         self.add_contacts(&heartbeat.contacts, now);
-        let from = heartbeat.info.gossip;
+        let (from, purpose) = (heartbeat.info.gossip, heartbeat.purpose);
         let (host, zone) = (heartbeat.info.host.clone(), heartbeat.zone.clone());
         let region = self.region_of(&zone).clone();
         let is_new = self.peers.record_heartbeat(heartbeat, region, now);
-        if is_new || zone != self.config.zone {
-            let report = ZoneReport { contacts: self.contacts_for(&zone, now), ..self.report(now) };
-            received.send.push(Outgoing { message: Message::Zone(report), to: vec![from] });
+        match purpose {
+            Purpose::Collect => self.collection.record(now),
+            Purpose::Standby => self.collection.record_standby(now),
+            Purpose::Probe => {
+                let contacts = self.contacts_for(&zone, now);
+                let members = self.all_members(now);
+                let report = self.report(members, now);
+                let report = ZoneReport { contacts, delivery: Delivery::Answer, ..report };
+                received.send.push(Outgoing { message: Message::Zone(report), to: vec![from] });
+            }
+            Purpose::State => {}
         }
         if is_new {
             received.new_hosts.push((host, zone));
@@ -287,33 +447,103 @@
 
     fn receive_report(&mut self, mut report: ZoneReport, now: Moment) -> Received {
         let mut received = Received::default();
+        if report.sender == self.config.host {
+            return received;
+        }
         self.add_contacts(&report.contacts, now);
         report.contacts.clear();
-        if report.zone == self.config.zone {
-            // The answer to a probe of the own zone. Its hosts are probed and then heard directly.
-            for (info, _) in report.hosts {
+        let is_own_zone = report.zone == self.config.zone;
+        if is_own_zone
+            && usize::from(report.members.count) <= self.config.mesh_hosts
+            && !self.is_zone_large(now)
+        {
+            // The answer to a probe in a small zone. Its hosts are probed and then heard directly.
+            for (info, _) in report.members.listed {
                 self.contacts.add(info.gossip, report.zone.clone(), now);
             }
             return received;
         }
+        if is_own_zone {
+            self.collection.record_report(report.is_cross_region, now);
+            self.subtract_own_load(&mut report);
+        }
         if !self.reports.record(&report, now) {
             return received;
         }
-        let region = self.region_of(&report.zone).clone();
-        for (info, silent_ms) in &report.hosts {
-            let at = now.saturating_sub(Duration::from_millis(u64::from(*silent_ms)));
-            if self.peers.record_indirect(info.clone(), &report.zone, &region, at, now) {
-                received.new_hosts.push((info.host.clone(), report.zone.clone()));
-            }
-        }
-        if !report.is_forwarded {
-            report.is_forwarded = true;
+        let is_first_receiver = !is_own_zone && self.is_to_forward(&report, now);
+        received.send.extend(self.record_members(
+            &report,
+            is_first_receiver,
+            &mut received.new_hosts,
+            now,
+        ));
+        if is_first_receiver {
+            report.delivery = Delivery::Forwarded;
             let to: Vec<SocketAddr> = self.zone_peers(now).map(|peer| peer.info.gossip).collect();
             received.send.push(Outgoing { message: Message::Zone(report), to });
         }
         received
     }
 
+    /// Whether this host forwards the report of another zone to its own: if it is the first
+    /// receiver, or has asked for the report as the first receiver of an earlier one.
+    fn is_to_forward(&self, report: &ZoneReport, now: Moment) -> bool {
+        match report.delivery {
+            Delivery::Answer => {
+                let differing = self.differing_zones.get(&report.zone);
+                !self.is_zone_large(now) || differing.is_some_and(|it| it.is_answer_shared)
+            }
+            Delivery::FirstReceiver => true,
+            Delivery::Forwarded => false,
+        }
+    }
+
+    /// Removes this host's load from the sum of its zone.
+    fn subtract_own_load(&self, report: &mut ZoneReport) {
+        let sent = self.sent_loads.iter().rev().find(|(_, host, _)| *host == report.sender);
+        if let (Some((load, _)), Some((_, _, sent))) = (&mut report.load, sent) {
+            load.subtract(sent);
+        }
+    }
+
+    /// Records the hosts of a reported zone. Returns a probe that asks the sender for all of them
+    /// if the known ones differ.
+    fn record_members(
+        &mut self,
+        report: &ZoneReport,
+        is_first_receiver: bool,
+        new_hosts: &mut Vec<(HostId, ZoneId)>,
+        now: Moment,
+    ) -> Option<Outgoing> {
+        let zone = &report.zone;
+        let region = self.region_of(zone).clone();
+        let own_digest = (*zone == self.config.zone).then_some(self.own_changed.1);
+        let mut members = report.members.clone();
+        members.listed.retain(|(info, _)| info.host != self.config.host);
+        let (new, matches) = self.peers.record_members(&members, zone, &region, own_digest, now);
+        new_hosts.extend(new.into_iter().map(|host| (host, zone.clone())));
+        if matches {
+            self.differing_zones.remove(zone);
+            return None;
+        }
+        let differing = self.differing_zones.entry(zone.clone());
+        let differing = differing.or_insert(DifferingZone {
+            is_answer_shared: false,
+            queried_at: None,
+            since: now,
+        });
+        let is_asked = |at: Moment| now.saturating_sub(at) < MEMBERS_QUERY_INTERVAL;
+        let is_due =
+            is_first_receiver || MEMBERS_QUERY_DELAY <= now.saturating_sub(differing.since);
+        if !is_due || differing.queried_at.is_some_and(is_asked) {
+            return None;
+        }
+        differing.queried_at = Some(now);
+        differing.is_answer_shared = is_first_receiver;
+        let message = self.heartbeat(Purpose::Probe, now);
+        Some(Outgoing { message, to: vec![report.sender_addr] })
+    }
+
     fn add_contacts(&mut self, contacts: &[(SocketAddr, ZoneId)], now: Moment) {
         for (addr, zone) in contacts {
             if *addr != self.config.gossip {
@@ -333,6 +563,7 @@
 
     fn info(&self) -> HostInfo {
         HostInfo {
+            capacity: self.config.capacity,
             callers: self.config.callers,
             control: self.config.control,
             gossip: self.config.gossip,
@@ -345,7 +576,7 @@
         }
     }
 
-    fn heartbeat(&mut self, now: Moment) -> Message {
+    fn heartbeat(&mut self, purpose: Purpose, now: Moment) -> Message {
         self.sequence += 1;
         let live = self.peers.live(now);
         let first = self.sequence as usize * HEARTBEAT_CONTACTS % live.clone().count().max(1);
@@ -355,6 +586,7 @@
             declaration_check: self.own_declaration_check().map(|check| check.to_age(now)),
             load: self.own.load.clone(),
             info: self.info(),
+            purpose,
             stamp: self.own.stamp,
             zone: self.config.zone.clone(),
         })
@@ -362,33 +594,46 @@
 
     fn heartbeat_to_zone(&mut self, now: Moment) -> Outgoing {
         let to = self.zone_peers(now).map(|peer| peer.info.gossip).collect();
-        Outgoing { message: self.heartbeat(now), to }
+        Outgoing { message: self.heartbeat(Purpose::State, now), to }
     }
 
     /// Creates the report of the own zone from what this host knows.
-    fn report(&self, now: Moment) -> ZoneReport {
+    fn report(&self, members: Members, now: Moment) -> ZoneReport {
         let others = self.zone_peers(now);
-        let silent_ms = |peer: &Peer| now.saturating_sub(peer.last_heard).as_millis() as u16;
-        let hosts = others.clone().map(|peer| (peer.info.clone(), silent_ms(peer)));
         let checks = others
             .clone()
             .filter_map(|peer| peer.declaration_check)
             .chain(self.own_declaration_check());
         let latest = checks.max_by_key(|check| (check.version, check.at));
-        let loads = others.map(|peer| &peer.load).chain([&self.own.load]);
+        let reporting = others.clone().filter(|peer| peer.has_recent_load(now));
+        let loads = reporting.map(|peer| &peer.load).chain([&self.own.load]);
+        let load_hosts = loads.clone().count().try_into().unwrap_or(u16::MAX);
         ZoneReport {
             sender: self.config.host.clone(),
+            sender_addr: self.config.gossip,
             contacts: Vec::new(),
             declaration_check: latest.map(|check| check.to_age(now)),
-            hosts: hosts.chain([(self.info(), 0)]).collect(),
+            members,
             state_sources: self.best_state_sources(now),
-            load: Load::sum(loads),
-            is_forwarded: false,
+            load: Some((Load::sum(loads), load_hosts)),
+            delivery: Delivery::FirstReceiver,
+            is_cross_region: false,
             order: self.info().order(),
             zone: self.config.zone.clone(),
         }
     }
 
+    /// All hosts of the own zone.
+    fn all_members(&self, now: Moment) -> Members {
+        Members::complete(self.info(), self.zone_peers(now), now)
+    }
+
+    /// The hosts of the own zone that changed.
+    fn changed_members(&self, now: Moment) -> Members {
+        let known = self.peers.iter().filter(|peer| peer.zone == self.config.zone);
+        Members::changes(self.info(), self.own_changed.0, known, now)
+    }
+
     /// For each part of the store's state, the host of the own zone with the latest version of it.
     fn best_state_sources(&self, now: Moment) -> Vec<StateSource> {
         let own = StateSource { control: self.config.control, stamp: self.own.stamp };
@@ -415,7 +660,7 @@
         }
         // Receivers ignore a report whose order is not greater than that of the previous one.
         self.sequence += 1;
-        Some(Outgoing { message: Message::Zone(self.report(now)), to })
+        Some(Outgoing { message: Message::Zone(self.report(self.all_members(now), now)), to })
     }
 
     /// Selects `count` receivers of the own zone's report in each other zone of the region, or in
@@ -461,19 +706,26 @@
         to.extend(self.config.seeds.iter().filter(|seed| !live.contains(*seed)));
         let silent = self.peers.silent(now).filter(|peer| peer.zone == self.config.zone);
         to.extend(silent.map(|peer| peer.info.gossip));
-        let to: Vec<SocketAddr> = to.into_iter().collect();
-        Some(Outgoing { message: self.heartbeat(now), to })
+        let mut to: Vec<SocketAddr> = to.into_iter().collect();
+        if MAX_PROBES < to.len() {
+            let first = round.wrapping_mul(MAX_PROBES) % to.len();
+            to.rotate_left(first);
+            to.truncate(MAX_PROBES);
+        }
+        Some(Outgoing { message: self.heartbeat(Purpose::Probe, now), to })
     }
 
-    /// Contacts for a probing host of `zone`, other than the hosts of this host's own zone: all
-    /// known live hosts of `zone`, and some of each further zone.
+    /// Contacts for a probing host of `zone`, other than the hosts of this host's own zone: some of
+    /// `zone`, and fewer of each further zone.
     fn contacts_for(&self, zone: &ZoneId, now: Moment) -> Vec<(SocketAddr, ZoneId)> {
         let mut counts: BTreeMap<&ZoneId, usize> = BTreeMap::new();
         let mut contacts = Vec::new();
         for peer in self.peers.live(now).filter(|peer| peer.zone != self.config.zone) {
             let count = counts.entry(&peer.zone).or_default();
             *count += 1;
-            if peer.zone == *zone || *count <= PROBE_REPLY_CONTACTS {
+            let most =
+                if peer.zone == *zone { PROBE_REPLY_ZONE_CONTACTS } else { PROBE_REPLY_CONTACTS };
+            if *count <= most {
                 contacts.push((peer.info.gossip, peer.zone.clone()));
             }
         }
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -1,11 +1,18 @@
 //! Datagrams between entry hosts.
 
-use super::Load;
+use std::io;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{Load, Members};
 use crate::{
     entry::{DeclarationVersion, Stamp},
     prelude::*,
 };
 
+/// First byte of each datagram. Hosts ignore datagrams with another version.
+const ENCODING: u8 = 0x11;
+
 /// One datagram.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Message {
@@ -14,6 +21,19 @@
 }
 
 impl Message {
+    /// Encodes the datagram.
+    pub fn encode(&self) -> io::Result<Vec<u8>> {
+        postcard::to_extend(self, vec![ENCODING]).map_err(io::Error::other)
+    }
+
+    /// Decodes a datagram of another host.
+    pub fn decode(bytes: &[u8]) -> io::Result<Self> {
+        match bytes.split_first() {
+            Some((&ENCODING, message)) => postcard::from_bytes(message).map_err(io::Error::other),
+            _ => Err(io::Error::other("unsupported encoding version")),
+        }
+    }
+
     /// Stamps of the hosts from which the state of the store can be fetched.
     pub fn stamps(&self) -> impl Iterator<Item = &Stamp> {
         let (heartbeat, sources) = match self {
@@ -27,6 +47,8 @@
 /// Description of one host that all other hosts receive.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct HostInfo {
+    /// Processor time that the host may use, in hundredths of a core.
+    pub capacity: u16,
     /// Address of the listener for callers.
     pub callers: SocketAddr,
     /// Address of the control listener.
@@ -51,6 +73,15 @@
     pub fn order(&self) -> (u64, u64) {
         (self.start_ms, self.sequence)
     }
+
+    /// Digest of all fields but the sequence.
+    pub fn digest(&self) -> u64 {
+        let fields = (
+            (self.capacity, self.callers, self.control, self.gossip, &self.host),
+            (self.leaving, self.reaches_store, self.start_ms, self.strained),
+        );
+        xxh3_64(&postcard::to_allocvec(&fields).expect("the fields can be encoded"))
+    }
 }
 
 /// Time since the store confirmed to a host that `version` was the latest declaration.
@@ -60,8 +91,19 @@
     pub version: DeclarationVersion,
 }
 
-/// State of one host, sent to the other hosts of its zone several times a second. Sent to a host of
-/// another zone, it is a probe, which that host answers with the report of its own zone.
+/// What the receiver of a heartbeat does besides recording it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Purpose {
+    /// Collects it, and sends the report of the round.
+    Collect,
+    /// Sends the report of the round if the collector does not.
+    Standby,
+    /// Answers with the complete report of its own zone.
+    Probe,
+    State,
+}
+
+/// State of one host.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Heartbeat {
     /// Some of the hosts that the sender considers live: gossip address and zone.
@@ -70,27 +112,41 @@
     pub declaration_check: Option<DeclarationCheckAge>,
     pub load: Load,
     pub info: HostInfo,
+    pub purpose: Purpose,
     pub stamp: Stamp,
     pub zone: ZoneId,
 }
 
-/// State of all hosts of a zone, sent to other zones by one of its hosts.
+/// How a report reaches a host of another zone.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Delivery {
+    /// As the answer to its probe.
+    Answer,
+    /// Directly; the receiver forwards the report to its own zone.
+    FirstReceiver,
+    /// Forwarded by a host of its own zone.
+    Forwarded,
+}
+
+/// State of all hosts of a zone, sent by one of them.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ZoneReport {
-    /// The host of the zone that created the report.
+    /// The host of the zone that created the report, and its gossip address.
     pub sender: HostId,
+    pub sender_addr: SocketAddr,
     /// In the answer to a probe, further hosts to probe: gossip address and zone.
     pub contacts: Vec<(SocketAddr, ZoneId)>,
     /// The latest confirmation that any host of the zone received.
     pub declaration_check: Option<DeclarationCheckAge>,
-    /// Live hosts of the zone, each with the number of milliseconds since its last heartbeat.
-    pub hosts: Vec<(HostInfo, u16)>,
+    pub members: Members,
     /// For each part of the store's state, the host of the zone with the latest version of it.
     pub state_sources: Vec<StateSource>,
-    /// Sum of the loads of all hosts of the zone.
-    pub load: Load,
-    /// Forwarded by a host of the receiver's own zone; the receiver does not forward it again.
-    pub is_forwarded: bool,
+    /// Sum of the loads of hosts of the zone, and their number; `None` in a report that only shows
+    /// who is live.
+    pub load: Option<(Load, u16)>,
+    pub delivery: Delivery,
+    /// Whether it is sent to other regions too.
+    pub is_cross_region: bool,
     /// `HostInfo::order` of the sender.
     pub order: (u64, u64),
     pub zone: ZoneId,
--- a/src/fleet/peers.rs
+++ b/src/fleet/peers.rs
@@ -1,6 +1,6 @@
 //! Last known state of the other hosts, received from them directly or through other hosts.
 
-use super::{DeclarationCheck, Heartbeat, HostInfo, Load};
+use super::{DeclarationCheck, Heartbeat, HostInfo, Load, Members};
 use crate::{entry::Stamp, prelude::*};
 
 /// A host that is silent for this time is considered lost. Reports between regions are sent every
@@ -14,15 +14,21 @@
 /// Last known state of one host.
 #[derive(Clone, Debug)]
 pub struct Peer {
+    /// When its state last changed, or when it became live.
+    pub changed_at: Moment,
     /// Taken from its heartbeat; `None` if it is known only through other hosts.
     pub declaration_check: Option<DeclarationCheck>,
     /// When the host last sent a message, as far as this host knows.
     pub last_heard: Moment,
+    /// When its last heartbeat arrived; `None` if it is known only through other hosts.
+    pub heartbeat_at: Option<Moment>,
     /// Whether `Peers::detect_lost` has reported the host since it was last live.
     pub is_lost: bool,
     /// Taken from its heartbeat; empty if it is known only through other hosts.
     pub load: Load,
     pub info: HostInfo,
+    /// `HostInfo::digest` of `info`.
+    digest: u64,
     pub region: RegionId,
     /// Taken from its heartbeat; `None` if it is known only through other hosts.
     pub stamp: Option<Stamp>,
@@ -34,6 +40,11 @@
     pub fn is_live(&self, now: Moment) -> bool {
         now.saturating_sub(self.last_heard) < SILENCE_TIMEOUT
     }
+
+    /// Whether its last heartbeat is as recent, so that its load is known.
+    pub fn has_recent_load(&self, now: Moment) -> bool {
+        self.heartbeat_at.is_some_and(|at| now.saturating_sub(at) < SILENCE_TIMEOUT)
+    }
 }
 
 /// All other known hosts.
@@ -57,12 +68,22 @@
             return false;
         }
         let is_new = known.is_none_or(|known| !known.is_live(now));
-        let stamp = Some(stamp);
-        let host = info.host.clone();
-        let is_lost = false;
-        let peer =
-            Peer { declaration_check, last_heard: now, is_lost, load, info, region, stamp, zone };
-        self.peers.insert(host, peer);
+        let digest = info.digest();
+        let unchanged = known.filter(|known| !is_new && known.digest == digest);
+        let peer = Peer {
+            changed_at: unchanged.map_or(now, |known| known.changed_at),
+            declaration_check,
+            digest,
+            heartbeat_at: Some(now),
+            last_heard: now,
+            is_lost: false,
+            load,
+            info,
+            region,
+            stamp: Some(stamp),
+            zone,
+        };
+        self.peers.insert(peer.info.host.clone(), peer);
         is_new
     }
 
@@ -81,7 +102,10 @@
     ) -> bool {
         let Some(known) = self.peers.get_mut(&info.host) else {
             let peer = Peer {
+                changed_at: now,
                 declaration_check: None,
+                digest: info.digest(),
+                heartbeat_at: None,
                 last_heard,
                 is_lost: false,
                 load: Load::default(),
@@ -98,20 +122,78 @@
             return false;
         }
         let was_live = known.is_live(now);
+        if known.info.start_ms != info.start_ms {
+            (known.heartbeat_at, known.stamp) = (None, None);
+        }
         known.last_heard = known.last_heard.max(last_heard);
+        let is_new = !was_live && known.is_live(now);
+        let digest = info.digest();
+        if is_new || known.digest != digest {
+            known.changed_at = now;
+        }
+        known.digest = digest;
         known.info = info;
         known.region = region.clone();
         known.zone = zone.clone();
-        let is_new = !was_live && known.is_live(now);
         known.is_lost &= !is_new;
         is_new
     }
 
+    /// Records the hosts of a zone that another host reports. `own_digest` is that of this host if
+    /// it is in that zone. Returns the hosts that become live, and whether the known live hosts are
+    /// those of the report.
+    ///
+    /// Hosts that are not listed are as live as the report says, unless it covers fewer than half
+    /// of the known ones: then its sender is probably cut off from its zone.
+    pub fn record_members(
+        &mut self,
+        members: &Members,
+        zone: &ZoneId,
+        region: &RegionId,
+        own_digest: Option<u64>,
+        now: Moment,
+    ) -> (Vec<HostId>, bool) {
+        let since = |silent_ms: u16| now.saturating_sub(Duration::from_millis(silent_ms.into()));
+        let mut new = Vec::new();
+        for (info, silent_ms) in &members.listed {
+            if self.record_indirect(info.clone(), zone, region, since(*silent_ms), now) {
+                new.push(info.host.clone());
+            }
+        }
+        if members.is_complete {
+            return (new, true);
+        }
+        let is_live = |peer: &&mut Peer| peer.zone == *zone && peer.is_live(now);
+        let mut live: Vec<&mut Peer> = self.peers.values_mut().filter(is_live).collect();
+        let digests = live.iter().map(|peer| peer.digest).chain(own_digest);
+        let matches = digests.fold(0_u64, u64::wrapping_add) == members.digest;
+        if matches || live.len() <= 2 * usize::from(members.count) {
+            for peer in &mut live {
+                let is_listed = members.listed.iter().any(|(info, _)| info.host == peer.info.host);
+                if !is_listed {
+                    peer.last_heard = peer.last_heard.max(since(members.silent_ms));
+                }
+            }
+        }
+        (new, matches)
+    }
+
+    /// All known hosts, ordered by name.
+    pub fn iter(&self) -> impl Iterator<Item = &Peer> + Clone {
+        self.peers.values()
+    }
+
     /// Live hosts, ordered by name.
     pub fn live(&self, now: Moment) -> impl Iterator<Item = &Peer> + Clone {
         self.peers.values().filter(move |peer| peer.is_live(now))
     }
 
+    /// Sum of the digests of the live hosts. It changes with each change of a live host, but not
+    /// with its load.
+    pub fn live_digest(&self, now: Moment) -> u64 {
+        self.live(now).fold(0, |sum, peer| sum.wrapping_add(peer.digest))
+    }
+
     /// Known hosts that are not live.
     pub fn silent(&self, now: Moment) -> impl Iterator<Item = &Peer> + Clone {
         self.peers.values().filter(move |peer| !peer.is_live(now))
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -1,11 +1,11 @@
 //! Tests of the gossip between hosts, over an in-memory network.
 
 mod convergence;
-mod network;
+mod large_zones;
 mod peers;
 mod reports;
 
-use super::{Heartbeat, HostInfo, Load};
+use super::{Heartbeat, HostInfo, Load, Purpose};
 use crate::{entry::Stamp, prelude::*};
 
 fn secs(secs: f64) -> Duration {
@@ -18,6 +18,7 @@
 
 fn info(host: &str, start_ms: u64, sequence: u64) -> HostInfo {
     HostInfo {
+        capacity: 10,
         callers: addr(1),
         control: addr(2),
         gossip: addr(3),
@@ -36,6 +37,7 @@
         declaration_check: None,
         load: Load::default(),
         info: info(host, start_ms, sequence),
+        purpose: Purpose::State,
         stamp: Stamp::default(),
         zone: "north-a".into(),
     }
--- a/src/fleet/tests/convergence.rs
+++ b/src/fleet/tests/convergence.rs
@@ -1,8 +1,8 @@
 //! Convergence after starts, losses, partitions and changes, and the traffic of the protocol.
 
-use super::network::{Host, Network, zone};
 use crate::{
     entry::{Revisions, Stamp},
+    fleet::simulation::{Host, Network, zone},
     prelude::*,
 };
 
@@ -59,7 +59,7 @@
     for at in 0..90 {
         // The addresses of the seeds stay the same.
         let taken = network.hosts.iter().position(|host| *host.name == *format!("h-{at:03}"));
-        network.hosts.remove(taken.expect("a host with this name was started"));
+        network.remove(taken.expect("a host with this name was started"));
         network.start(at, at % 9);
     }
     assert_eq!(network.hosts.len(), before);
@@ -82,7 +82,7 @@
     for at in 18..36 {
         let is_seed = |host: &Host| network.seeds.contains(&host.gossip);
         let first = network.hosts.iter().position(|host| !is_seed(host)).expect("a host");
-        let gone = network.hosts.remove(first);
+        let gone = network.remove(first);
         network.start(at, (0..9).find(|it| zone(*it) == gone.zone).expect("a zone"));
         network.run(20);
     }
--- a/src/fleet/tests/peers.rs
+++ b/src/fleet/tests/peers.rs
@@ -80,14 +80,14 @@
     sent.load.recent_objects = vec![(7, 11)];
     sent.contacts = vec![(addr(9), "north-b".into())];
     let sent = Message::Heartbeat(sent);
-    let bytes = postcard::to_allocvec(&sent).expect("a datagram can be encoded");
-    assert_eq!(postcard::from_bytes::<Message>(&bytes).expect("a datagram"), sent);
+    let bytes = sent.encode().expect("a datagram can be encoded");
+    assert_eq!(Message::decode(&bytes).expect("a datagram"), sent);
     for at in 0..bytes.len() {
         for value in [0, 1, 127, 128, 255] {
             let mut damaged = bytes.clone();
             damaged[at] = value;
-            let _ = postcard::from_bytes::<Message>(&damaged);
-            let _ = postcard::from_bytes::<Message>(&damaged[..at]);
+            let _ = Message::decode(&damaged);
+            let _ = Message::decode(&damaged[..at]);
         }
     }
 }
--- a/src/fleet/tests/reports.rs
+++ b/src/fleet/tests/reports.rs
@@ -1,21 +1,23 @@
 //! Zone reports, and the rotation of their senders and receivers.
 
-use super::{info, secs};
+use super::{addr, secs};
 use crate::{
-    fleet::{Load, Reports, Rotation, ZoneReport},
+    fleet::{Delivery, Load, Members, Reports, Rotation, ZoneReport},
     placement::SlowdownReport,
     prelude::*,
 };
 
-fn report(sender: &str, sequence: u64, hosts: usize, in_flight: u16) -> ZoneReport {
+fn report(sender: &str, sequence: u64, hosts: u16, in_flight: u16) -> ZoneReport {
     ZoneReport {
         sender: sender.into(),
+        sender_addr: addr(3),
         contacts: Vec::new(),
         declaration_check: None,
-        hosts: (0..hosts).map(|at| (info(&format!("h-{at}"), 1, sequence), 0)).collect(),
+        members: Members { count: hosts, ..Members::default() },
         state_sources: Vec::new(),
-        load: Load { in_flight: vec![(7, in_flight)], ..Load::default() },
-        is_forwarded: false,
+        load: Some((Load { in_flight: vec![(7, in_flight)], ..Load::default() }, hosts)),
+        delivery: Delivery::Forwarded,
+        is_cross_region: false,
         order: (1, sequence),
         zone: "north-b".into(),
     }
--- a/src/measure/mod.rs
+++ b/src/measure/mod.rs
@@ -1,6 +1,7 @@
 //! Measurements of the decisions, run by `lavenderplank measure`.
 
 pub mod capacity;
+pub mod fleet;
 pub mod in_force;
 pub mod ledger;
 pub mod membership;
--- a/src/placement/slowdown_report.rs
+++ b/src/placement/slowdown_report.rs
@@ -33,6 +33,15 @@
         Self { runs: kept + other.runs, sum }
     }
 
+    /// Removes runs that were merged into this report.
+    pub fn without(self, other: Self) -> Self {
+        let runs = self.runs.saturating_sub(other.runs);
+        match runs {
+            0 => Self::default(),
+            _ => Self { runs, sum: self.sum.saturating_sub(other.sum) },
+        }
+    }
+
     /// Whether there are any runs.
     pub fn has_runs(self) -> bool {
         0 < self.runs
--- a/src/platform/standin/settings.rs
+++ b/src/platform/standin/settings.rs
@@ -27,6 +27,7 @@
             revoke: None,
             strict_revocation: None,
         },
+        cpu_share: None,
         host: host.into(),
         event_log: EventLogSettings::default(),
         listen: Listen {
--- a/tests/deploy.rs
+++ b/tests/deploy.rs
@@ -14,6 +14,7 @@
             "control": "10.1.0.34:8544", "directory": "10.1.0.34:8546",
         },
         "internalPortRange": [7540, 7555],
+        "limits": { "cpuShare": 0.2 },
         "provider": { "address": "10.200.1.7:8541" },
         "bounds": {
             "grace": "6s", "ttl_max": "5s", "maxShift": 0.15,
@@ -71,6 +72,7 @@
     assert_eq!(&*settings.region_of(&"pkr-a".into()), "gandaki");
     assert_eq!(settings.seeds.len(), 2);
     assert_eq!(settings.bounds.grace.as_millis(), 6000);
+    assert_eq!(settings.capacity(), 20);
 }
 
 /// Guards against startup failure on a platform that has no teams and leaves their bounds empty.
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -10,7 +10,7 @@
 
 use lavenderplank::{
     entry::{EntryHost, Revisions, Stamp},
-    fleet::{Heartbeat, HostInfo, Load, Message},
+    fleet::{Heartbeat, HostInfo, Load, Message, Purpose},
     platform::standin::{ResponseMode, StoreStandin},
 };
 use serde_json::json;
@@ -537,6 +537,7 @@
     for sequence in 1.. {
         let stamp = *stamp.borrow();
         let info = HostInfo {
+            capacity: 100,
             callers: control,
             control,
             gossip,
@@ -553,10 +554,11 @@
             declaration_check: None,
             load,
             info,
+            purpose: Purpose::State,
             stamp,
             zone,
         });
-        let bytes = postcard::to_allocvec(&message).expect("a heartbeat has a form");
+        let bytes = message.encode().expect("a heartbeat has a form");
         socket.send_to(&bytes, to).await.expect("loopback takes datagrams");
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
