Do periodic work of an entry host only after changes

Cause: ten times a second the control thread listed all live hosts anew and counted all targets by state; twice a second the traffic thread collected the tags of all targets and added up the slots of all regions target by target. All of it grows with hosts and targets and not with what happens, on a tenth of a core.

The list of live hosts is kept until their digest changes, the tags until a list of targets is replaced, the slots of a region with the index of its targets (target by target only while some are cold). Gauges are set once a second.

Ruled out: longer intervals for all of it, which would only move the size at which it hurts.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -45,6 +45,9 @@
 /// share targets, so each has to know with little delay what the others have in flight there.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Interval at which the gauges are set. Counting the targets by state goes through all of them.
+const GAUGES_INTERVAL: Duration = Duration::from_millis(900);
+
 /// Number of updates of one part that may be queued before they are sent to the actor.
 const MAX_QUEUED_UPDATES: usize = 16;
 
@@ -95,8 +98,13 @@
     write_record_at: Option<Moment>,
     /// The tasks that follow the store; empty while this host does not watch it.
     followers: Vec<FollowTask>,
+    /// When the gauges were last set.
+    gauges_set_at: Moment,
     /// Whether this host is shutting down.
     leaving: bool,
+    /// The last list of live hosts, and what it was built from: the digest of the others, and
+    /// whether this host leaves and is strained.
+    live_hosts: Option<((u64, bool, bool), Arc<[LiveHost]>)>,
     /// Parts of the store that cannot be read, and since when.
     lost_parts: BTreeMap<StorePart, Moment>,
     parts: ControlParts,
@@ -135,7 +143,9 @@
             response_cache: ResponseCache::default(),
             write_record_at: Some(now + FIRST_WRITE_RECORD_DELAY),
             followers: Vec::new(),
+            gauges_set_at: Moment::ZERO,
             leaving: false,
+            live_hosts: None,
             lost_parts: BTreeMap::new(),
             peer_queries: PeerQueries::new(parts.settings.listen.control),
             objects: StoreObjects::default(),
@@ -160,7 +170,6 @@
     /// Publishes the current state to the traffic side and to the metrics.
     fn publish_view(&mut self) {
         let now = self.now();
-        let settings = &self.parts.settings;
         let declaration = self.known_state.declaration().cloned();
         let targets = self.known_state.usable_targets().clone();
         let declaration_checked_at = self.latest_declaration_check(now);
@@ -168,18 +177,11 @@
             published_at: now,
             declaration,
             declaration_checked_at,
+            hosts: self.live_hosts(now),
             targets,
             ..View::default()
         };
-        if !self.leaving {
-            view.hosts.push(LiveHost {
-                callers: settings.listen.callers,
-                host: settings.host.clone(),
-                is_strained: self.parts.strained.load(Ordering::Relaxed),
-                region: settings.region.clone(),
-                zone: settings.zone.clone(),
-            });
-        }
+        let settings = &self.parts.settings;
         let mut demand: HashMap<ServiceRegion, f64> = HashMap::new();
         for (region, load) in self.fleet.loads(now) {
             for (tag, count) in &load.in_flight {
@@ -206,22 +208,46 @@
                 *sum = sum.saturating_add(*crashes);
             }
         }
-        for peer in self.fleet.live(now).filter(|peer| !peer.info.leaving) {
-            view.hosts.push(LiveHost {
-                callers: peer.info.callers,
-                host: peer.info.host.clone(),
-                is_strained: peer.info.strained,
-                region: peer.region.clone(),
-                zone: peer.zone.clone(),
-            });
-        }
         view.known_hosts = self.fleet.known_hosts(now);
         view.peers_started_earlier = self.fleet.peers_started_earlier(now);
         view.demand = demand;
-        self.parts.metrics.set_control_gauges(self.control_figures(&view));
+        if GAUGES_INTERVAL <= now.saturating_sub(self.gauges_set_at) {
+            self.gauges_set_at = now;
+            self.parts.metrics.set_control_gauges(self.control_figures(&view));
+        }
         self.parts.view.store(Some(Arc::new(view)));
     }
 
+    /// This host and the other live ones that accept callers. The list is built anew only after a
+    /// change: with a thousand hosts, building it ten times a second would take most of the
+    /// processor time of an idle host.
+    fn live_hosts(&mut self, now: Moment) -> Arc<[LiveHost]> {
+        let settings = &self.parts.settings;
+        let is_strained = self.parts.strained.load(Ordering::Relaxed);
+        let digest = (self.fleet.live_digest(now), self.leaving, is_strained);
+        if let Some((_, hosts)) = self.live_hosts.as_ref().filter(|(last, _)| *last == digest) {
+            return hosts.clone();
+        }
+        let own = (!self.leaving).then(|| LiveHost {
+            callers: settings.listen.callers,
+            host: settings.host.clone(),
+            is_strained,
+            region: settings.region.clone(),
+            zone: settings.zone.clone(),
+        });
+        let peers = self.fleet.live(now).filter(|peer| !peer.info.leaving);
+        let peers = peers.map(|peer| LiveHost {
+            callers: peer.info.callers,
+            host: peer.info.host.clone(),
+            is_strained: peer.info.strained,
+            region: peer.region.clone(),
+            zone: peer.zone.clone(),
+        });
+        let hosts: Arc<[LiveHost]> = own.into_iter().chain(peers).collect();
+        self.live_hosts = Some((digest, hosts.clone()));
+        hosts
+    }
+
     /// When the store last confirmed to this host or another one that the declaration is the
     /// latest; `None` if it never did, or another host knows a later one.
     fn latest_declaration_check(&self, now: Moment) -> Option<Moment> {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -39,6 +39,7 @@
 mod tests;
 mod traffic_state;
 mod upstream;
+mod usable_tags;
 mod view;
 mod watcher_election;
 
--- a/src/entry/place.rs
+++ b/src/entry/place.rs
@@ -170,8 +170,8 @@
         let home = &self.settings.region;
         if state.shares.is_none() {
             let now = self.clock.now();
-            let targets = state.target_index.targets();
-            let loads = region_loads(view, targets, &request.service, &state.demand, now);
+            let index = &state.target_index;
+            let loads = region_loads(view, index, &request.service, &state.demand, now);
             let sent = self.sent_totals.borrow().shares(name_tag(&request.service));
             let shares =
                 RegionShares::resume(home.clone(), &loads, sent.as_ref(), &self.tuning, now);
@@ -341,18 +341,17 @@
 /// Slots and demand of each region that has hosts, or targets of the service.
 pub(super) fn region_loads(
     view: &View,
-    targets: &[Arc<KnownTarget>],
+    index: &TargetIndex,
     service: &ServiceId,
     own_demand: &Demand,
     now: Moment,
 ) -> Vec<RegionLoad> {
     let mut slots: BTreeMap<&RegionId, f64> = BTreeMap::new();
-    for host in &view.hosts {
+    for host in view.hosts.iter() {
         slots.entry(&host.region).or_default();
     }
-    for target in targets {
-        let fraction = if target.is_cold(now) { COLD_SLOT_FRACTION } else { 1.0 };
-        *slots.entry(&target.region).or_default() += f64::from(target.entry.slots) * fraction;
+    for (region, warm, cold) in index.slots(now) {
+        *slots.entry(region).or_default() += warm + cold * COLD_SLOT_FRACTION;
     }
     let tag = name_tag(service);
     let demand = |region: &RegionId| {
--- a/src/entry/tests/demand.rs
+++ b/src/entry/tests/demand.rs
@@ -48,7 +48,7 @@
     let target = |at: usize| known_target(&format!("t-{at:02}"), ["north", "south"][at % 2]);
     let targets: Vec<_> = (0..20).map(target).collect();
     View {
-        hosts: vec![host("north"), host("south")],
+        hosts: vec![host("north"), host("south")].into(),
         targets: [("desk".into(), targets.into())].into(),
         ..View::default()
     }
--- a/src/entry/traffic_state.rs
+++ b/src/entry/traffic_state.rs
@@ -16,6 +16,7 @@
     place::{allows_region, region_loads},
     service_state::ServiceState,
     upstream::connect,
+    usable_tags::UsableTags,
 };
 use crate::{
     admission::RetryAllowance,
@@ -80,6 +81,7 @@
     running_fingerprints: RefCell<HashMap<u32, Vec<u64>>>,
     pub(super) services: RefCell<HashMap<ServiceId, ServiceState>>,
     split_credits: RefCell<HashMap<Arc<str>, Vec<f64>>>,
+    usable_tags: RefCell<UsableTags>,
     /// Number of open connections of callers.
     pub open_connections: Cell<usize>,
     /// Number of requests since the process started.
@@ -130,6 +132,7 @@
             services: RefCell::default(),
             settings,
             split_credits: RefCell::default(),
+            usable_tags: RefCell::default(),
             view,
         })
     }
@@ -392,8 +395,9 @@
             return;
         }
         self.demand_measured_at.set(now);
-        let targets = view.targets.values().flat_map(|targets| targets.iter());
-        let known: HashSet<u32> = targets.map(|target| target.tag).collect();
+        let mut usable = self.usable_tags.borrow_mut();
+        usable.update(&view.targets);
+        let known = usable.tags();
         self.pool.borrow_mut().evict(now, |tag| known.contains(&tag));
         self.cached_objects.borrow_mut().retain(|tag| known.contains(&tag), now);
         self.target_health
@@ -404,7 +408,8 @@
         for (service, state) in self.services.borrow_mut().iter_mut() {
             state.measure_demand(elapsed);
             let Some(targets) = view.targets.get(service) else { continue };
-            let loads = region_loads(&view, targets, service, &state.demand, now);
+            state.target_index.update(targets);
+            let loads = region_loads(&view, &state.target_index, service, &state.demand, now);
             if let Some(shares) = &mut state.shares {
                 shares.step(&loads, max_shift, &self.tuning, now);
                 state.report_shares(&*self.events, service);
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -25,7 +25,7 @@
     /// Number of hosts that are live or may be partitioned, including this one.
     pub known_hosts: usize,
     /// This host and other live hosts, except those that are leaving.
-    pub hosts: Vec<LiveHost>,
+    pub hosts: Arc<[LiveHost]>,
     /// Requests that other hosts have in flight, by tag of the target.
     pub in_flight_elsewhere: HashMap<u32, u32>,
     /// Slots that callers of other hosts need, by service and the region that has to serve them.
--- a/src/placement/target_index.rs
+++ b/src/placement/target_index.rs
@@ -26,6 +26,10 @@
 pub struct TargetIndex {
     by_region: BTreeMap<RegionId, Vec<u32>>,
     by_tag: HashMap<TargetTag, u32>,
+    /// When the last cold target is warm.
+    warm_at: Moment,
+    /// Slots of all targets by region.
+    slots: BTreeMap<RegionId, f64>,
     /// Positions of the top-ranked targets of objects in all regions, cleared when the targets
     /// change.
     top_ranked: HashMap<ObjectTag, Arc<[u32]>>,
@@ -55,9 +59,39 @@
         self.by_region.clear();
         self.by_tag.clear();
         for (position, target) in (0..).zip(targets.iter()) {
-            self.by_region.entry(target.region.clone()).or_default().push(position);
+            match self.by_region.get_mut(&target.region) {
+                Some(positions) => positions.push(position),
+                None => _ = self.by_region.insert(target.region.clone(), vec![position]),
+            }
             self.by_tag.insert(target.tag, position);
         }
+        self.warm_at = targets.iter().map(|target| target.cold_until).max().unwrap_or_default();
+        self.slots = self
+            .by_region
+            .iter()
+            .map(|(region, all)| {
+                let slots = |position: &u32| f64::from(targets[*position as usize].entry.slots);
+                (region.clone(), all.iter().map(slots).sum())
+            })
+            .collect();
+    }
+
+    /// Slots of the warm and of the cold targets in each region.
+    pub fn slots(&self, now: Moment) -> Vec<(&RegionId, f64, f64)> {
+        if self.warm_at <= now {
+            return self.slots.iter().map(|(region, slots)| (region, *slots, 0.0)).collect();
+        }
+        let cold_slots = |positions: &[u32]| -> f64 {
+            let targets = positions.iter().map(|position| &self.targets[*position as usize]);
+            let cold = targets.filter(|target| target.is_cold(now));
+            cold.map(|target| f64::from(target.entry.slots)).sum()
+        };
+        let regions = self.slots.iter().zip(self.by_region.values());
+        let slots = regions.map(|((region, slots), positions)| {
+            let cold = cold_slots(positions);
+            (region, slots - cold, cold)
+        });
+        slots.collect()
     }
 
     /// All targets, ordered by position.
