Let few hosts list the store when a fleet starts, and those with most processor time watch it

Cause: each starting host listed all targets at the store.

A host without state waits 200 ms for the answers to its first probes. Then the 32 hosts of a region with the most processor time list, and the others query them; who still has nothing after 3 s lists itself. Watchers are those with the most processor time as well: they serve the others. A host sends one whole state at a time for each tenth of a core (two to eight), for up to 3 s. While hosts of a zone lack the newest state, reports name up to seven that have it, not one.

Weighed: two listing hosts a region (the others wait for one slow host), and all hosts as before.

Measured so far by the test of the election only: of 330 hosts of a region 32 list, all large ones among them, none before the others are known, all after 3 s.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -27,7 +27,7 @@
     stale_records::StaleRecordTracker,
     store_objects::StoreObjects,
     sync::{PeerClient, ResponseCache},
-    watcher_election::WatcherElection,
+    watcher_election::{Candidate, WatcherElection},
 };
 use crate::{
     event_log::{Event, EventSink, WatchReason},
@@ -276,15 +276,28 @@
         }
     }
 
+    /// Whether this host has received the declaration and the targets.
+    fn has_state(&self) -> bool {
+        let revisions = self.known_state.revisions();
+        revisions.declared != 0 && revisions.targets != 0
+    }
+
     /// Starts or stops following the store: a host follows it while it is elected as a watcher, or
     /// while hosts with newer data do not answer its queries.
     fn update_followers(&mut self, own: &WeakAddress<Self>) {
         let now = self.now();
         let settings = &self.parts.settings;
         let peers = self.fleet.live(now);
-        let is_unanswered = self.peer_queries.is_unanswered(now);
-        let should_watch =
-            self.election.decide(&settings.host, &settings.region, peers, now) || is_unanswered;
+        // A host without any state waits for the few hosts that have it to answer all others.
+        let may_watch_unanswered = self.has_state() || self.election.has_waited(now);
+        let is_unanswered = may_watch_unanswered && self.peer_queries.is_unanswered(now);
+        let candidate = Candidate {
+            capacity: settings.capacity(),
+            host: &settings.host,
+            has_state: self.has_state(),
+            region: &settings.region,
+        };
+        let should_watch = self.election.decide(candidate, peers, now) || is_unanswered;
         let change_pause = match self.election.is_standby() && !is_unanswered {
             true => STANDBY_SETTLE,
             false => FOLLOW_OPTIONS.change_pause,
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -1,6 +1,7 @@
 //! A running entry host: starts and stops its control side and its traffic thread.
 
 use std::{
+    cell::Cell,
     rc::Rc,
     sync::atomic::{AtomicBool, Ordering},
     thread::JoinHandle,
@@ -13,7 +14,7 @@
 use hyper::body::Incoming;
 use tokio::{
     net::{TcpListener, UdpSocket},
-    sync::{Semaphore, oneshot, watch},
+    sync::{OwnedSemaphorePermit, Semaphore, oneshot, watch},
     task::LocalSet,
 };
 use xtra::Address;
@@ -27,7 +28,8 @@
     },
     strain::StrainDetector,
     sync::{
-        MAX_CONCURRENT_RESPONSES, MAX_QUERY_BYTES, PeerClient, QUERY_TIMEOUT, Query, STATE_PATH,
+        FULL_QUERY_TIMEOUT, MAX_CONCURRENT_RESPONSES, MAX_QUERY_BYTES, PeerClient, Query,
+        STATE_PATH, max_full_responses,
     },
     traffic_state::BoundsCell,
 };
@@ -133,7 +135,8 @@
         let control = EntryControl::spawn(control, PeerClient::open()?);
         tokio::task::spawn_local(receive_datagrams(socket, control.clone()));
         tokio::task::spawn_local(tick_control(parts.clock.clone(), control.clone()));
-        tokio::task::spawn_local(serve_state(state_listener, control.clone()));
+        let full_responses = Arc::new(Semaphore::new(max_full_responses(settings.capacity())));
+        tokio::task::spawn_local(serve_state(state_listener, full_responses, control.clone()));
         if let Some(listener) = metrics_listener {
             tokio::task::spawn_local(serve_metrics(listener, metrics.clone(), events.clone()));
         }
@@ -236,17 +239,24 @@
 
 /// Answers other hosts' queries for the state of the store. Rejects queries beyond the concurrency
 /// limit, and gives up on a query when its sender's timeout has passed.
-async fn serve_state(listener: TcpListener, control: Address<EntryControl>) {
+async fn serve_state(
+    listener: TcpListener,
+    full_responses: Arc<Semaphore>,
+    control: Address<EntryControl>,
+) {
     let permits = Arc::new(Semaphore::new(MAX_CONCURRENT_RESPONSES));
     accept(listener, |stream| {
         let control = control.clone();
         let permit = permits.clone().try_acquire_owned().ok();
+        let full_responses = full_responses.clone();
         async move {
+            // Held until the response is sent.
+            let full_permit = Cell::new(None);
             let response = async |req| match &permit {
-                Some(_) => answer_state_query(&control, req).await,
+                Some(_) => answer_state_query(&control, req, &full_responses, &full_permit).await,
                 None => status_response(StatusCode::SERVICE_UNAVAILABLE),
             };
-            if tokio::time::timeout(QUERY_TIMEOUT, serve_platform_connection(stream, response))
+            if tokio::time::timeout(FULL_QUERY_TIMEOUT, serve_platform_connection(stream, response))
                 .await
                 .is_err()
             {
@@ -260,6 +270,8 @@
 async fn answer_state_query(
     control: &Address<EntryControl>,
     req: Request<Incoming>,
+    full_responses: &Arc<Semaphore>,
+    full_permit: &Cell<Option<OwnedSemaphorePermit>>,
 ) -> Response<Full<Bytes>> {
     if req.uri().path() != STATE_PATH {
         return status_response(StatusCode::NOT_FOUND);
@@ -269,6 +281,12 @@
         Ok(Ok(query)) => query,
         _ => return status_response(StatusCode::BAD_REQUEST),
     };
+    if query.is_full() {
+        match full_responses.clone().try_acquire_owned() {
+            Ok(permit) => full_permit.set(Some(permit)),
+            Err(_) => return status_response(StatusCode::SERVICE_UNAVAILABLE),
+        }
+    }
     let response = control.send(StateQuery(query)).await;
     let response = response.map_err(|error| error.to_string());
     match response.and_then(|response| response.map_err(|error| error.to_string())) {
--- a/src/entry/peer_queries.rs
+++ b/src/entry/peer_queries.rs
@@ -29,9 +29,9 @@
 /// enough for a new declaration to be in force in time.
 const MAX_BUSY: Duration = Duration::from_millis(1_500);
 
-/// Time after which a query without a result no longer blocks the next one. Longer than
-/// `QUERY_TIMEOUT`.
-const QUERY_EXPIRY: Duration = Duration::from_secs(2);
+/// Time after which a query without a result no longer blocks the next one. Longer than the
+/// timeout of any query.
+const QUERY_EXPIRY: Duration = Duration::from_secs(4);
 
 /// Outcome of a query.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -27,6 +27,15 @@
 /// timeout. A host that is rejected queries another host that has got a response.
 pub const MAX_CONCURRENT_RESPONSES: usize = 8;
 
+/// Timeout of a query by a host without any state, including the whole response. The state of ten
+/// thousand targets takes a third of it on a slow link.
+pub const FULL_QUERY_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Number of whole states that a host sends concurrently, for each tenth of a core that it may use,
+/// and at least. More would miss the timeout on the slow link of a small host.
+const FULL_RESPONSES_PER_TENTH: usize = 1;
+const MIN_FULL_RESPONSES: usize = 2;
+
 /// Size limit of one decompressed part: the entries of 40,000 targets. It protects the memory of
 /// small hosts from a damaged response.
 const MAX_DECOMPRESSED_BYTES: u64 = 16 * 1024 * 1024;
@@ -40,6 +49,12 @@
 /// Version of the encoding of queries and responses. Others are rejected.
 const ENCODING: u32 = 0x6c70_0003;
 
+/// Number of whole states that a host with a capacity in hundredths of a core sends concurrently.
+pub fn max_full_responses(capacity: u16) -> usize {
+    (usize::from(capacity) / 10 * FULL_RESPONSES_PER_TENTH)
+        .clamp(MIN_FULL_RESPONSES, MAX_CONCURRENT_RESPONSES)
+}
+
 /// Result of querying another host.
 pub type Result<T> = std::result::Result<T, QueryError>;
 
@@ -84,6 +99,16 @@
         Ok(query)
     }
 
+    /// Whether the query asks for the whole state.
+    pub fn is_full(&self) -> bool {
+        self.since.targets == 0
+    }
+
+    /// Time after which a response is too late.
+    pub fn timeout(&self) -> Duration {
+        if self.is_full() { FULL_QUERY_TIMEOUT } else { QUERY_TIMEOUT }
+    }
+
     fn digests_of(&self, part: StorePart) -> Option<&BucketDigests> {
         self.digests.iter().find(|(of, _)| *of == part).map(|(_, digests)| digests)
     }
@@ -313,7 +338,8 @@
     /// Queries the host at `addr`.
     pub async fn query(&self, addr: SocketAddr, query: &Query) -> Result<ReceivedState> {
         let url = format!("http://{addr}{STATE_PATH}");
-        let response = self.client.post(url).body(query.encode()).send().await?;
+        let req = self.client.post(url).timeout(query.timeout()).body(query.encode());
+        let response = req.send().await?;
         if response.status() == StatusCode::SERVICE_UNAVAILABLE {
             return Err(QueryError::Busy);
         }
--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -10,7 +10,7 @@
         lookup::host_addresses,
         peer_queries::{PeerQueries, QueryOutcome},
         stale_records::{HostRecord, StaleRecordTracker},
-        watcher_election::WatcherElection,
+        watcher_election::{Candidate, WatcherElection},
     },
     fleet::{HostInfo, Peer, Peers, StateSource},
     prelude::*,
@@ -77,6 +77,15 @@
     peers.iter().next().expect("it was recorded").clone()
 }
 
+fn north() -> &'static RegionId {
+    static NORTH: std::sync::LazyLock<RegionId> = std::sync::LazyLock::new(|| "north".into());
+    &NORTH
+}
+
+fn candidate(host: &HostId, has_state: bool) -> Candidate<'_> {
+    Candidate { capacity: 10, host, has_state, region: north() }
+}
+
 /// A region has more hosts than fit in a response. Each host must be returned to the callers of
 /// some zone, or it would get no requests. A zone's callers must get nearly the same hosts again
 /// after one host is lost, or they would have to open new connections.
@@ -133,8 +142,7 @@
                 others.map(|name| peer(name, "north", Some(*name) != without_store)).collect();
             peers.push(peer("far", "south", true));
             WatcherElection::default().decide(
-                &(*host).into(),
-                &"north".into(),
+                candidate(&(*host).into(), true),
                 peers.iter(),
                 secs(1.0),
             )
@@ -144,7 +152,7 @@
     let is_first = |host: &&&str| {
         let peers: Vec<Peer> = names.iter().map(|name| peer(name, "north", true)).collect();
         let mut election = WatcherElection::default();
-        election.decide(&(**host).into(), &"north".into(), peers.iter(), secs(1.0));
+        election.decide(candidate(&(**host).into(), true), peers.iter(), secs(1.0));
         !election.is_standby()
     };
     assert_eq!(names.iter().filter(is_first).count(), 1, "one watcher is not a standby");
@@ -160,11 +168,11 @@
 #[test]
 fn an_isolated_host_watches_and_steps_down_after_a_delay() {
     let mut election = WatcherElection::default();
-    let (host, region) = ("z".into(), "north".into());
-    assert!(election.decide(&host, &region, std::iter::empty(), secs(1.0)));
+    let host = "z".into();
+    assert!(election.decide(candidate(&host, true), std::iter::empty(), secs(1.0)));
     let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
     let peers: Vec<Peer> = names.iter().map(|name| peer(name, "north", true)).collect();
-    let mut decide = |at| election.decide(&host, &region, peers.iter(), secs(at));
+    let mut decide = |at| election.decide(candidate(&host, true), peers.iter(), secs(at));
     assert!(decide(2.0));
     assert!(decide(4.9));
     assert!(!decide(5.1));
@@ -175,11 +183,40 @@
 #[test]
 fn a_starting_host_steps_down_at_once() {
     let mut election = WatcherElection::new(secs(1.0));
-    let (host, region) = ("z".into(), "north".into());
-    assert!(election.decide(&host, &region, std::iter::empty(), secs(1.0)));
+    let host = "z".into();
+    assert!(election.decide(candidate(&host, true), std::iter::empty(), secs(1.0)));
     let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
     let peers: Vec<Peer> = names.iter().map(|name| peer(name, "north", true)).collect();
-    assert!(!election.decide(&host, &region, peers.iter(), secs(1.4)));
+    assert!(!election.decide(candidate(&host, true), peers.iter(), secs(1.4)));
+}
+
+/// Guards against a start of the whole fleet in which every host lists the store: its link would
+/// take half a minute. Those that may list are hosts with much processor time, which can serve the
+/// others soon; the others wait, but not for ever.
+#[test]
+fn few_hosts_list_the_store_when_all_start() {
+    let names: Vec<String> = (0..330).map(|at| format!("h-{at:03}")).collect();
+    let capacity = |at: usize| if at % 11 == 0 { 100 } else { 10 };
+    let peers: Vec<Peer> = names
+        .iter()
+        .enumerate()
+        .map(|(at, name)| {
+            let mut peer = peer(name, "north", true);
+            peer.info.capacity = capacity(at);
+            peer
+        })
+        .collect();
+    let lists = |at: usize, age: f64| {
+        let host = names[at].as_str().into();
+        let others = peers.iter().enumerate().filter(|(it, _)| *it != at).map(|(_, peer)| peer);
+        let own = Candidate { capacity: capacity(at), ..candidate(&host, false) };
+        WatcherElection::new(secs(1.0)).decide(own, others, secs(1.0 + age))
+    };
+    let listing: Vec<usize> = (0..330).filter(|at| lists(*at, 0.5)).collect();
+    assert_eq!(listing.len(), 32);
+    assert!((0..330).filter(|at| at % 11 == 0).all(|at| listing.contains(&at)));
+    assert!((0..330).all(|at| !lists(at, 0.1)), "they do not know each other yet");
+    assert!((0..330).all(|at| lists(at, 3.5)), "none has waited in vain");
 }
 
 /// A watcher whose store does not answer is reported as not reaching it, and may be elected again
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -44,6 +44,10 @@
 /// Time for which own states are remembered, to subtract them from the sums that contain them.
 const STATE_TTL: Duration = Duration::from_secs(1);
 
+/// Hosts with the latest state of the store that a report names besides the first one, while other
+/// hosts of the zone lack it.
+const FURTHER_SOURCES: usize = 6;
+
 /// Divisor of the capacity of hosts that get too little processor time.
 const STRAINED_PART: u16 = 8;
 
@@ -634,7 +638,9 @@
         Members::changes(self.info(), self.own_changed.0, known, now)
     }
 
-    /// For each part of the store's state, the host of the own zone with the latest version of it.
+    /// For each part of the store's state, the host of the own zone with the latest version of it,
+    /// and further hosts with the same state while others lack it: one host could not answer the
+    /// queries of all others at once.
     fn best_state_sources(&self, now: Moment) -> Vec<StateSource> {
         let own = StateSource { control: self.config.control, stamp: self.own.stamp };
         let mut best: Vec<StateSource> = Vec::new();
@@ -649,6 +655,22 @@
                 best.push(most);
             }
         }
+        let Some(latest) = best.last().map(|source| source.stamp) else { return best };
+        let heard = self.zone_peers(now).filter(|peer| peer.has_recent_load(now));
+        let stamps = heard.filter_map(|peer| Some((peer.info.control, peer.stamp?)));
+        let is_current =
+            |stamp: &Stamp| (stamp.declared, stamp.targets) == (latest.declared, latest.targets);
+        if stamps.clone().all(|(_, stamp)| is_current(&stamp)) {
+            return best;
+        }
+        let current = stamps.filter(|(_, stamp)| is_current(stamp));
+        let first = self.sequence as usize % current.clone().count().max(1);
+        let further = current.clone().chain(current).skip(first).take(FURTHER_SOURCES);
+        for (control, stamp) in further {
+            if !best.iter().any(|source| source.control == control) {
+                best.push(StateSource { control, stamp });
+            }
+        }
         best
     }
 
