--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -102,9 +102,7 @@
     gauges_set_at: Moment,
     /// Whether this host is shutting down.
     leaving: bool,
-    /// The last list of live hosts, and what it was built from: the digest of the others, and
-    /// whether this host leaves and is strained.
-    live_hosts: Option<((u64, bool, bool), Arc<[LiveHost]>)>,
+    live_hosts: Option<LiveHosts>,
     /// Parts of the store that cannot be read, and since when.
     lost_parts: BTreeMap<StorePart, Moment>,
     parts: ControlParts,
@@ -118,6 +116,13 @@
     election: WatcherElection,
 }
 
+/// The last list of live hosts, and what it was built from.
+struct LiveHosts {
+    /// Digest of the others, and whether this host leaves and is strained.
+    digest: (u64, bool, bool),
+    hosts: Arc<[LiveHost]>,
+}
+
 /// A follower, and the task that forwards its updates to the actor; both end when dropped.
 struct FollowTask {
     follower: Follower,
@@ -225,8 +230,8 @@
         let settings = &self.parts.settings;
         let is_strained = self.parts.strained.load(Ordering::Relaxed);
         let digest = (self.fleet.live_digest(now), self.leaving, is_strained);
-        if let Some((_, hosts)) = self.live_hosts.as_ref().filter(|(last, _)| *last == digest) {
-            return hosts.clone();
+        if let Some(last) = self.live_hosts.as_ref().filter(|last| last.digest == digest) {
+            return last.hosts.clone();
         }
         let own = (!self.leaving).then(|| LiveHost {
             callers: settings.listen.callers,
@@ -244,7 +249,7 @@
             zone: peer.zone.clone(),
         });
         let hosts: Arc<[LiveHost]> = own.into_iter().chain(peers).collect();
-        self.live_hosts = Some((digest, hosts.clone()));
+        self.live_hosts = Some(LiveHosts { digest, hosts: hosts.clone() });
         hosts
     }
 
--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -196,7 +196,7 @@
 #[test]
 fn few_hosts_list_the_store_when_all_start() {
     let names: Vec<String> = (0..330).map(|at| format!("h-{at:03}")).collect();
-    let capacity = |at: usize| if at % 11 == 0 { 100 } else { 10 };
+    let capacity = |at: usize| if at.is_multiple_of(11) { 100 } else { 10 };
     let peers: Vec<Peer> = names
         .iter()
         .enumerate()
@@ -214,7 +214,7 @@
     };
     let listing: Vec<usize> = (0..330).filter(|at| lists(*at, 0.5)).collect();
     assert_eq!(listing.len(), 32);
-    assert!((0..330).filter(|at| at % 11 == 0).all(|at| listing.contains(&at)));
+    assert!((0..330_usize).filter(|at| at.is_multiple_of(11)).all(|at| listing.contains(&at)));
     assert!((0..330).all(|at| !lists(at, 0.1)), "they do not know each other yet");
     assert!((0..330).all(|at| lists(at, 3.5)), "none has waited in vain");
 }
--- a/src/fleet/collection.rs
+++ b/src/fleet/collection.rs
@@ -56,16 +56,11 @@
         self,
         hosts: impl Iterator<Item = (&'a HostId, u16, T)>,
     ) -> (Option<T>, Option<T>) {
-        let mut best: (Option<(f64, T)>, Option<(f64, T)>) = (None, None);
-        for (host, capacity, it) in hosts {
-            let score = self.score(host, capacity);
-            if best.0.as_ref().is_none_or(|(first, _)| score < *first) {
-                best = (Some((score, it)), best.0);
-            } else if best.1.as_ref().is_none_or(|(second, _)| score < *second) {
-                best.1 = Some((score, it));
-            }
-        }
-        (best.0.map(|(_, it)| it), best.1.map(|(_, it)| it))
+        let scored = hosts.map(|(host, capacity, it)| (self.score(host, capacity), it));
+        let mut scored: Vec<(f64, T)> = scored.collect();
+        scored.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut best = scored.into_iter().map(|(_, it)| it);
+        (best.next(), best.next())
     }
 
     /// Exponentially distributed with the capacity as its rate, so that the lowest score is that of
