--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -56,9 +56,9 @@
 /// long a watch whose response was lost stays unnoticed: if its connection stays open, the client's
 /// keep-alive probes do not detect the loss.
 ///
-/// A new host lists at once, so that it can serve, but starts to watch only after `list_pause`,
-/// when it has received messages of other hosts and knows whether it has to watch: heartbeats are
-/// sent every 100 ms, and the probes of a new host every 200 ms.
+/// A new host that lists the store starts to watch only after `list_pause`, when it has received
+/// messages of other hosts and knows whether it has to watch: heartbeats are sent every 100 ms, and
+/// the probes of a new host every 200 ms.
 const FOLLOW_OPTIONS: FollowOptions = FollowOptions {
     list_pause: Duration::from_millis(600),
     compare_interval: Duration::from_secs(86_400),
--- a/src/entry/watcher_election.rs
+++ b/src/entry/watcher_election.rs
@@ -1,8 +1,8 @@
 //! Election of the hosts that watch the store.
 //!
 //! A pending watch counts as a call to the store, and each watcher calls again after every change.
-//! Therefore only two hosts of a region watch, chosen by hash among the live hosts that reach the
-//! store. The others learn of changes by heartbeats and query a host that has them. A host that
+//! Therefore only two hosts of a region watch, of the live ones that reach the store: those with the
+//! most processor time, chosen by hash among equals. The others learn of changes by heartbeats and query a host that has them. A host that
 //! knows of no other live host watches the store itself.
 
 use xxhash_rust::xxh3::xxh3_64;
