Report platform headers of targets that this release does not know

A header in the platform's namespace that the adapter does not know is now logged once a name with its value (32 names at most), and the answers that have one are counted (metric unknown_headers). No decision changes. Test: two names, three answers, two lines; a hundred further names give 30 lines more.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -103,6 +103,8 @@
     };
     guard.first_byte = Some(guard.elapsed());
     let metadata = state.protocol.reply_metadata(response.status(), response.headers());
+    let unknown = state.protocol.unknown_reply_headers(response.headers());
+    state.unknown_headers.record(&unknown, response.headers(), &target.entry.id, &*state.events);
     if metadata.not_run || metadata.wrong_target {
         return guard.refused(&metadata, response, connection).await;
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -38,6 +38,7 @@
 #[cfg(test)]
 mod tests;
 mod traffic_state;
+mod unknown_headers;
 mod upstream;
 mod usable_tags;
 mod view;
--- a/src/entry/protocol.rs
+++ b/src/entry/protocol.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use bytes::Bytes;
-use http::{HeaderMap, StatusCode, Uri};
+use http::{HeaderMap, HeaderName, StatusCode, Uri};
 
 use super::{CallerKey, Declaration, TargetEntry};
 use crate::prelude::*;
@@ -71,6 +71,9 @@
     /// Reads the metadata of a target's response.
     fn reply_metadata(&self, status: StatusCode, headers: &HeaderMap) -> ReplyMetadata;
 
+    /// Headers of a target's response that the platform defines but this adapter does not know.
+    fn unknown_reply_headers<'a>(&self, headers: &'a HeaderMap) -> Vec<&'a HeaderName>;
+
     /// Adds the headers of a request to one target, which has the time `left` to answer. Removes
     /// the caller's key, and replaces any team name that the caller sent by `team`.
     fn add_target_headers(
--- a/src/entry/tests/targets.rs
+++ b/src/entry/tests/targets.rs
@@ -5,9 +5,10 @@
     admission::RetryBudget,
     base::ManualClock,
     entry::{
-        CrashSuspects, Idempotency, LiveHost, Route, TrafficState, traffic_state::retry_allowance,
+        CrashSuspects, Idempotency, LiveHost, Protocol, Route, TrafficState,
+        traffic_state::retry_allowance, unknown_headers::UnknownHeaders,
     },
-    event_log::NoEvents,
+    event_log::{Event, EventSink, NoEvents, RequestKey},
     placement::{ColdTargetLimiter, HealthSignal, SlowdownReport, TargetHealth, is_cold_sender},
     platform::{PlatformProtocol, standin::loopback_settings},
     prelude::*,
@@ -232,3 +233,34 @@
     }
     assert!(counts[0].abs_diff(100) <= 1 && counts[1].abs_diff(180) <= 1, "{counts:?}");
 }
+
+/// A header that the platform adds after this release was built shows in the log, once for each
+/// name, and in the number of responses.
+#[test]
+fn unknown_headers_of_the_platform_are_reported_once() {
+    let mut headers = http::HeaderMap::new();
+    for name in ["lavenderplank-news", "server-news", "x-other", "server", "content-length"] {
+        headers.insert(name, http::HeaderValue::from_static("7"));
+    }
+    headers.insert("lavenderplank-server-load", http::HeaderValue::from_static("1,0,3"));
+    let mut unknown = PlatformProtocol.unknown_reply_headers(&headers);
+    unknown.sort_unstable_by_key(|name| name.as_str());
+    assert_eq!(unknown, ["lavenderplank-news", "server-news"]);
+    let (log, known) = (KeptEvents::default(), UnknownHeaders::default());
+    for _ in 0..3 {
+        known.record(&unknown, &headers, &"t-1".into(), &log);
+    }
+    assert_eq!((known.responses(), log.0.lock().expect("no holder panics").len()), (3, 2));
+    let named = |at: u32| format!("server-{at}").parse::<http::HeaderName>().expect("a name");
+    (0..100).for_each(|at| known.record(&[&named(at)], &headers, &"t-1".into(), &log));
+    assert_eq!(log.0.lock().expect("no holder panics").len(), 32);
+}
+
+#[derive(Default)]
+struct KeptEvents(std::sync::Mutex<Vec<Event>>);
+
+impl EventSink for KeptEvents {
+    fn record(&self, _: Option<&RequestKey>, event: Event) {
+        self.0.lock().expect("no holder panics").push(event);
+    }
+}
--- a/src/entry/traffic_state.rs
+++ b/src/entry/traffic_state.rs
@@ -15,6 +15,7 @@
     body_memory::BodyMemory,
     place::{allows_region, region_loads},
     service_state::ServiceState,
+    unknown_headers::UnknownHeaders,
     upstream::connect,
     usable_tags::UsableTags,
 };
@@ -88,6 +89,7 @@
     request_count: Cell<u64>,
     /// When a graceful shutdown began; `None` while the host serves normally.
     pub shutdown_started_at: Cell<Option<Moment>>,
+    pub unknown_headers: UnknownHeaders,
     view: ViewCell,
 }
 
@@ -133,6 +135,7 @@
             settings,
             split_credits: RefCell::default(),
             usable_tags: RefCell::default(),
+            unknown_headers: UnknownHeaders::default(),
             view,
         })
     }
@@ -441,6 +444,7 @@
             connections: self.open_connections.get(),
             in_flight: target_health.values().map(|health| health.in_flight).sum(),
             paused: target_health.values().filter(|health| health.is_paused(now)).count(),
+            unknown_header_responses: self.unknown_headers.responses(),
         }
     }
 
--- a/src/event_log/event.rs
+++ b/src/event_log/event.rs
@@ -207,6 +207,9 @@
     TargetPaused { failures: u32, pause_ms: u64, reason: PauseReason, target: TargetId },
     /// A paused target answered and is in use again.
     TargetTrusted { target: TargetId },
+    /// A target's response had a header that the platform defines but this release does not know.
+    /// Logged once for each name.
+    UnknownHeader { name: Arc<str>, target: TargetId, value: Arc<str> },
     /// This host began to watch the store.
     WatchBegun { reason: WatchReason },
     /// This host stopped watching the store and relies on other hosts.
--- a/src/event_log/kind.rs
+++ b/src/event_log/kind.rs
@@ -87,6 +87,9 @@
             EventKind::TargetKnown => "a target's entry is new or has changed",
             EventKind::TargetPaused => "a target gets nothing for a while",
             EventKind::TargetTrusted => "a paused target answered again",
+            EventKind::UnknownHeader => {
+                "a target's answer had a header of the platform that this release does not know"
+            }
             EventKind::WatchBegun => "this host follows the store",
             EventKind::WatchEnded => "this host leaves the store to others",
             EventKind::ZoneEvacuated => "a zone's targets are to get nothing",
--- a/src/metrics/entry.rs
+++ b/src/metrics/entry.rs
@@ -103,6 +103,8 @@
     pub in_flight: u32,
     /// Paused targets.
     pub paused: usize,
+    /// Responses of targets with a header that the platform defines and this release does not know.
+    pub unknown_header_responses: u64,
 }
 
 /// All metrics of an entry host.
@@ -131,6 +133,7 @@
     targets: Family<StateLabels, Gauge>,
     teams: std::sync::Mutex<Vec<TeamId>>,
     team_requests: Family<TeamLabels, Counter>,
+    unknown_headers: Gauge,
 }
 
 impl Default for EntryMetrics {
@@ -161,6 +164,7 @@
             targets: Family::default(),
             teams: std::sync::Mutex::default(),
             team_requests: Family::default(),
+            unknown_headers: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -199,6 +203,8 @@
         self.register_metric("targets", "usable targets by state", self.targets.clone());
         let help = "requests of teams, taken or rejected by the team's limit";
         self.register_metric("team_requests", help, self.team_requests.clone());
+        let help = "answers of targets with a header of the platform that is not known here";
+        self.register_metric("unknown_headers", help, self.unknown_headers.clone());
         self.register_histograms();
     }
 
@@ -285,6 +291,7 @@
         self.connections.set(gauges.connections as i64);
         self.in_flight.set(i64::from(gauges.in_flight));
         self.set_target_count(gauges.paused, "paused");
+        self.unknown_headers.set(gauges.unknown_header_responses as i64);
     }
 
     /// Encodes all metrics as text. `dropped` is the number of log lines dropped since the start.
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -25,9 +25,18 @@
 const TEAM_KEY: HeaderName = HeaderName::from_static("lavenderplank-key");
 /// Name of the caller's team, set by the host.
 const TEAM_NAME: HeaderName = HeaderName::from_static("lavenderplank-tenant");
+/// Id of the target, in its health responses.
+const TARGET_ID: HeaderName = HeaderName::from_static("lavenderplank-instance-id");
 /// Cookie that names the object of a request.
 const OBJECT_COOKIE: &str = "Lavenderplank-Affinity-Key";
 
+/// Starts of the names of headers that the platform defines.
+const NAMESPACES: [&str; 2] = ["lavenderplank-", "server-"];
+
+/// Headers of a target's response that this module knows.
+const KNOWN_REPLY_HEADERS: [HeaderName; 6] =
+    [ATTEMPT_ID, COLD_REMAINING, LOAD, NOT_EXECUTED, SIGNATURE, TARGET_ID];
+
 /// Reads the headers of a caller's request.
 pub fn caller_metadata(headers: &HeaderMap) -> CallerMetadata {
     let time_left = text(headers, &TIME_LEFT).and_then(|text| text.trim().parse().ok());
@@ -51,6 +60,15 @@
     }
 }
 
+/// Headers of a target's response that the platform defines but this module does not know.
+pub fn unknown_reply_headers(headers: &HeaderMap) -> Vec<&HeaderName> {
+    let is_platform = |name: &&HeaderName| {
+        NAMESPACES.iter().any(|namespace| name.as_str().starts_with(namespace))
+    };
+    let names = headers.keys().filter(is_platform);
+    names.filter(|name| !KNOWN_REPLY_HEADERS.contains(name)).collect()
+}
+
 /// Adds the headers of a request to a target, and replaces the caller's key by the team's name.
 pub fn add_target_headers(
     headers: &mut HeaderMap,
--- a/src/platform/protocol.rs
+++ b/src/platform/protocol.rs
@@ -1,7 +1,7 @@
 //! Implements `Protocol` for the platform: requests, responses and stored objects.
 
 use bytes::Bytes;
-use http::{HeaderMap, StatusCode, Uri};
+use http::{HeaderMap, HeaderName, StatusCode, Uri};
 
 use super::{config, headers, keys, server};
 use crate::{
@@ -57,6 +57,10 @@
         headers::reply_metadata(status, headers)
     }
 
+    fn unknown_reply_headers<'a>(&self, headers: &'a HeaderMap) -> Vec<&'a HeaderName> {
+        headers::unknown_reply_headers(headers)
+    }
+
     fn add_target_headers(
         &self,
         headers: &mut HeaderMap,
