--- a/src/platform/standin/mod.rs
+++ b/src/platform/standin/mod.rs
@@ -10,5 +10,5 @@
     fault_run::{FaultRunReport, run_with_faults},
     settings::loopback_settings,
     store::StoreStandin,
-    target::{ReceivedRequest, ResponseMode, TargetIdentity, TargetStandin},
+    target::{ReceivedRequest, ResponseMode, Statements, TargetIdentity, TargetStandin},
 };
--- a/src/platform/standin/target.rs
+++ b/src/platform/standin/target.rs
@@ -48,6 +48,21 @@
     NoLength,
 }
 
+/// What the target says of itself in its responses.
+#[derive(Clone, Debug, Default)]
+pub struct Statements {
+    /// Value of its limit of requests per second.
+    pub limit: Option<&'static str>,
+}
+
+impl Statements {
+    fn headers(&self) -> String {
+        self.limit
+            .map(|limit| format!("Lavenderplank-Server-Limit: {limit}\r\n"))
+            .unwrap_or_default()
+    }
+}
+
 /// A request received by the target.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ReceivedRequest {
@@ -93,6 +108,7 @@
     disconnects: AtomicUsize,
     received: Mutex<Vec<ReceivedRequest>>,
     processing_time: Mutex<Duration>,
+    statements: Mutex<Statements>,
 }
 
 impl TargetStandin {
@@ -143,6 +159,11 @@
         *locked(&self.shared.processing_time) = work;
     }
 
+    /// Sets what the target says of itself from its next response on.
+    pub fn set_statements(&self, statements: Statements) {
+        *locked(&self.shared.statements) = statements;
+    }
+
     /// Returns the requests received so far.
     pub fn received(&self) -> Vec<ReceivedRequest> {
         locked(&self.shared.received).clone()
@@ -260,8 +281,10 @@
     }
     let body = locked(&shared.response_body).clone();
     let length = body.len();
+    let statements = locked(&shared.statements).headers();
     let head = |status: &str, headers: &str| {
-        format!("HTTP/1.1 {status}\r\nLavenderplank-Attempt-Id: {attempt_id}\r\n{headers}")
+        let own = format!("Lavenderplank-Attempt-Id: {attempt_id}\r\n{statements}");
+        format!("HTTP/1.1 {status}\r\n{own}{headers}")
     };
     let signature = "Lavenderplank-Server-Seal: 3e1b.07\r\n";
     let mut response = BytesMut::new();
