--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -28,6 +28,9 @@
 /// streamed.
 const MAX_BUFFERED_BYTES: u64 = 64 * 1024;
 
+/// Longest part of a target's Retry-After that is logged.
+const MAX_RETRY_AFTER_CHARS: usize = 32;
+
 /// How an attempt ended.
 pub enum AttemptOutcome {
     /// The target's response, buffered or streaming.
@@ -156,6 +159,19 @@
     req
 }
 
+/// Status of a refusal, and the time after which the target wants to be asked again, as it says.
+fn describe_refusal(response: &Response<Incoming>) -> String {
+    let status = response.status();
+    let retry_after = response.headers().get(header::RETRY_AFTER);
+    match retry_after.and_then(|value| value.to_str().ok()) {
+        Some(value) => {
+            let value: String = value.chars().take(MAX_RETRY_AFTER_CHARS).collect();
+            format!("{}, Retry-After {value}", status.as_str())
+        }
+        None => status.as_str().to_owned(),
+    }
+}
+
 /// Records how the attempt ended; an attempt that is dropped before its end is recorded as
 /// cancelled.
 struct AttemptGuard {
@@ -253,7 +269,7 @@
             );
             return AttemptOutcome::NotRun(ErrorKind::NoTarget);
         }
-        self.record_end(HealthSignal::Full, AttemptEnd::Shed, response.status().as_str());
+        self.record_end(HealthSignal::Full, AttemptEnd::Shed, &describe_refusal(&response));
         let keep_alive = keep_alive_timeout(response.headers());
         if response.into_body().collect().await.is_ok() {
             let now = self.state.clock.now();
