--- a/src/platform/standin/target.rs
+++ b/src/platform/standin/target.rs
@@ -53,11 +53,16 @@
 pub struct Statements {
     /// Value of its limit of requests per second.
     pub limit: Option<&'static str>,
+    /// Time for which it wants nothing from a host whose request it refuses, in seconds.
+    pub rest: Option<&'static str>,
 }
 
 impl Statements {
-    fn headers(&self) -> String {
-        self.limit.map(|limit| format!("Server-Limit: {limit}\r\n")).unwrap_or_default()
+    fn headers(&self, is_refusal: bool) -> String {
+        let limit = self.limit.map(|limit| format!("Server-Limit: {limit}\r\n"));
+        let rest = self.rest.filter(|_| is_refusal);
+        let rest = rest.map(|rest| format!("Retry-After: {rest}\r\n"));
+        limit.into_iter().chain(rest).collect()
     }
 }
 
@@ -279,7 +284,7 @@
     }
     let body = locked(&shared.response_body).clone();
     let length = body.len();
-    let statements = locked(&shared.statements).headers();
+    let statements = locked(&shared.statements).headers(mode == ResponseMode::Shed);
     let head = |status: &str, headers: &str| {
         let own = format!("Lavenderplank-Attempt-Id: {attempt_id}\r\n{statements}");
         format!("HTTP/1.1 {status}\r\n{own}{headers}")
--- a/tests/entry_limits.rs
+++ b/tests/entry_limits.rs
@@ -26,7 +26,7 @@
     run(async {
         let world = World::spawn(&["north-a"]).await;
         let hosts = [world.host("a").await, world.host("b").await];
-        world.targets[0].set_statements(Statements { limit: Some("2.0") });
+        world.targets[0].set_statements(Statements { limit: Some("2.0"), ..Statements::default() });
         for host in &hosts {
             assert_eq!(world.ask(host, read("first")).await.expect("an answer").status(), 200);
         }
@@ -56,7 +56,8 @@
         ] {
             let world = World::spawn(&["north-a"]).await;
             let host = world.host("a").await;
-            world.targets[0].set_statements(Statements { limit: Some("0.1") });
+            world.targets[0]
+                .set_statements(Statements { limit: Some("0.1"), ..Statements::default() });
             world.targets[0].queue_responses(&[mode]);
             let _ = world.ask(&host, booking("first")).await.expect("an answer").bytes().await;
             let refused = world.ask(&host, booking("second")).await.expect("an answer");
@@ -74,7 +75,7 @@
         let world = World::spawn(&["north-a"]).await;
         let host = world.host("a").await;
         let target = &world.targets[0];
-        target.set_statements(Statements { limit: Some("0.1") });
+        target.set_statements(Statements { limit: Some("0.1"), ..Statements::default() });
         assert_eq!(world.ask(&host, read("r-1")).await.expect("an answer").status(), 200);
         assert_eq!(world.ask(&host, read("r-2")).await.expect("an answer").status(), 503);
         target.set_statements(Statements::default());
