Give targets the rest that they ask for

Cause: the time in a refusal was not read. Every refusal counted as full and paused the target for 80 ms. Ruled out: another way past a kept rest (first attempts went on as well), a rest kept for another span (requests came 3 to 5 a second throughout).

Fix: record_notices takes the rest of any 503 of a target, whatever becomes of the response. Until its end the target is unavailable to placement, retries and hedges, its slots are missing from the region, and a request that waited for a connection is not written. The longest rest counts; an answer without one does not end it; an hour at most. After the rest the target gets one request at a time until it answers. If all targets rest, callers are told when the first rest ends.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -102,6 +102,9 @@
             Ok(connection) => connection,
             Err(error) => return guard.not_sent(&error),
         };
+        if !state.may_still_send(&target, &in_flight) {
+            return guard.withheld(connection);
+        }
         sent = connection.send(build_request(&state, &request, &target)).await;
     }
     let response = match sent {
@@ -241,7 +244,7 @@
         self.record_end(
             HealthSignal::Cancelled(Duration::ZERO),
             AttemptEnd::Withheld,
-            "not sent: the target limited its requests meanwhile",
+            "not sent: the target limited its requests or asked for a rest meanwhile",
         );
         let now = self.state.clock.now();
         self.state.pool.borrow_mut().put(&self.target, connection, None, now);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -34,7 +34,7 @@
 mod strain;
 mod sync;
 mod target;
-mod target_limits;
+mod target_statements;
 mod team;
 #[cfg(test)]
 mod tests;
--- a/src/entry/place.rs
+++ b/src/entry/place.rs
@@ -3,7 +3,7 @@
 use super::{
     KnownTarget, Route, Team, TrafficState, View,
     service_state::ServiceState,
-    target_limits::{Readiness, unusable_slots},
+    target_statements::{Readiness, unusable_slots},
 };
 use crate::{
     placement::{
@@ -277,7 +277,7 @@
         let cold_unavailable = cold
             && (!is_paced_sender(target, &self.settings.host, &view.hosts)
                 || !self.cold_target_limiter.borrow_mut().has_token(target, cold_rate, now));
-        let readiness = self.readiness(view, target);
+        let readiness = self.readiness(view, target, own_in_flight);
         let health_unavailable = health.is_some_and(|health| {
             health.is_paused(now)
                 || health.is_full(now)
@@ -347,7 +347,7 @@
 }
 
 /// Slots and demand of each region that has hosts, or targets of the service. Slots that limited
-/// targets cannot fill are left out.
+/// or resting targets cannot fill are left out.
 pub(super) fn region_loads(
     view: &View,
     service: &ServiceId,
@@ -363,7 +363,7 @@
     for (region, warm, cold) in index.slots(now) {
         *slots.entry(region).or_default() += warm + cold * COLD_SLOT_FRACTION;
     }
-    for (region, unusable) in unusable_slots(index, notices, state.estimates.work.mean()) {
+    for (region, unusable) in unusable_slots(index, notices, state.estimates.work.mean(), now) {
         let slots = slots.entry(region).or_default();
         *slots = (*slots - unusable).max(0.0);
     }
--- a/src/entry/protocol.rs
+++ b/src/entry/protocol.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, HeaderName, StatusCode, Uri};
 
 use super::{CallerKey, Declaration, TargetEntry};
-use crate::{placement::NamedLimit, prelude::*};
+use crate::{placement::TargetStatement, prelude::*};
 
 /// Result of decoding a stored object.
 pub type Result<T> = std::result::Result<T, DecodeError>;
@@ -36,14 +36,14 @@
     pub attempt_id: Option<RequestId>,
     /// Time for which the target stays cold.
     pub cold_for: Option<Duration>,
-    /// The limit that the target names for requests of all hosts together.
-    pub limit: Option<NamedLimit>,
     /// Numbers of running and of waiting requests at the target.
     pub load: Option<(u32, u32)>,
     /// The target did not run the request.
     pub not_run: bool,
     /// The response carries the target's signature.
     pub signed: bool,
+    /// What the response states of its target.
+    pub statement: TargetStatement,
     /// The address belongs to another target.
     pub wrong_target: bool,
 }
--- a/src/entry/target_limits.rs
+++ b/src/entry/target_statements.rs
@@ -5,7 +5,7 @@
 use super::{KnownTarget, ReplyMetadata, TrafficState, View, traffic_state::InFlight};
 use crate::{
     event_log::Event,
-    placement::{LimitChange, TargetIndex, TargetNotices, is_paced_sender, paced_rate},
+    placement::{LimitChange, Rest, TargetIndex, TargetNotices, is_paced_sender, paced_rate},
     prelude::*,
 };
 
@@ -25,14 +25,21 @@
             return;
         }
         let now = self.clock.now();
-        let change = self.target_notices.borrow_mut().record_limit(target.tag, metadata.limit, now);
-        let Some(change) = change else { return };
-        let per_second = match change {
-            LimitChange::Limited(limit) => Some(limit),
-            LimitChange::Ended => None,
-        };
-        let target = target.entry.id.clone();
-        self.events.record(None, Event::TargetLimited { per_second, target });
+        let mut notices = self.target_notices.borrow_mut();
+        let rest = notices.record_rest(target.tag, metadata.statement.rest, now);
+        if let Some(rest) = rest {
+            let (rest_ms, target) = (rest.as_millis() as u64, target.entry.id.clone());
+            self.events.record(None, Event::TargetResting { rest_ms, target });
+        }
+        let change = notices.record_limit(target.tag, metadata.statement.limit, now);
+        if let Some(change) = change {
+            let per_second = match change {
+                LimitChange::Limited(limit) => Some(limit),
+                LimitChange::Ended => None,
+            };
+            let target = target.entry.id.clone();
+            self.events.record(None, Event::TargetLimited { per_second, target });
+        }
     }
 
     /// Applies what other hosts report of limits.
@@ -46,8 +53,18 @@
         self.limited_target_pacer.borrow_mut().retain(|tag| notices.limit(tag).is_some());
     }
 
-    /// Whether a target takes a request of this host now.
-    pub(super) fn readiness(&self, view: &View, target: &KnownTarget) -> Readiness {
+    /// Whether a target takes a request of this host, which has `in_flight` requests there. After a
+    /// rest, it gets one request at a time until it answers.
+    pub(super) fn readiness(&self, view: &View, target: &KnownTarget, in_flight: u32) -> Readiness {
+        match self.target_notices.borrow().rest(target.tag, self.clock.now()) {
+            Some(Rest::For(rest)) => Readiness::Later(Some(rest)),
+            Some(Rest::Unconfirmed) if 0 < in_flight => Readiness::Later(None),
+            _ => self.limit_readiness(view, target),
+        }
+    }
+
+    /// Whether the limit of a target, if it named one, leaves room for a request of this host.
+    fn limit_readiness(&self, view: &View, target: &KnownTarget) -> Readiness {
         let Some(limit) = self.target_notices.borrow().limit(target.tag) else {
             return Readiness::Ready;
         };
@@ -60,12 +77,16 @@
     }
 
     /// Whether a request that was placed at a target may still be sent to it. The target may have
-    /// named a limit while the request waited for a connection.
+    /// named a limit or asked for a rest while the request waited for a connection.
     pub(super) fn may_still_send(&self, target: &KnownTarget, in_flight: &InFlight) -> bool {
+        let rest = self.target_notices.borrow().rest(target.tag, self.clock.now());
+        if matches!(rest, Some(Rest::For(_))) {
+            return false;
+        }
         if in_flight.is_paced || self.target_notices.borrow().limit(target.tag).is_none() {
             return true;
         }
-        let is_ready = |view: Arc<View>| self.readiness(&view, target) == Readiness::Ready;
+        let is_ready = |view: Arc<View>| self.limit_readiness(&view, target) == Readiness::Ready;
         if !self.view().is_some_and(is_ready) {
             return false;
         }
@@ -83,18 +104,23 @@
     }
 }
 
-/// Slots of each region that the targets of a service cannot fill because of their limits, if a
-/// request takes `work`.
+/// Slots of each region that the targets of a service cannot fill because of their limits and rests,
+/// if a request takes `work`.
 pub(super) fn unusable_slots<'a>(
     index: &'a TargetIndex,
     notices: &TargetNotices,
     work: Duration,
+    now: Moment,
 ) -> BTreeMap<&'a RegionId, f64> {
     let mut unusable = BTreeMap::new();
-    for (tag, limit) in notices.limits() {
+    for tag in notices.tags() {
         let Some(target) = index.get(tag) else { continue };
         let slots = f64::from(target.entry.slots);
-        let usable = (paced_rate(limit) * work.as_secs_f64()).min(slots);
+        let usable = match (notices.rest(tag, now), notices.limit(tag)) {
+            (Some(Rest::For(_)), _) => 0.0,
+            (_, Some(limit)) => (paced_rate(limit) * work.as_secs_f64()).min(slots),
+            (_, None) => slots,
+        };
         *unusable.entry(&target.region).or_default() += slots - usable;
     }
     unusable
--- a/src/event_log/event.rs
+++ b/src/event_log/event.rs
@@ -212,6 +212,8 @@
     },
     /// A target is paused: it gets no requests for `pause_ms`.
     TargetPaused { failures: u32, pause_ms: u64, reason: PauseReason, target: TargetId },
+    /// A target turned a request away and wants nothing from this host for `rest_ms`.
+    TargetResting { rest_ms: u64, target: TargetId },
     /// A paused target answered and is in use again.
     TargetTrusted { target: TargetId },
     /// A target's response had a header that the platform defines but this release does not know.
@@ -258,7 +260,8 @@
     /// The target was overloaded and did not run it.
     Shed,
     Unreachable,
-    /// The request was not sent: the target limited its requests after it was placed.
+    /// The request was not sent: the target limited its requests or asked for a rest after it was
+    /// placed.
     Withheld,
     /// The address belongs to another target.
     WrongTarget,
--- a/src/event_log/kind.rs
+++ b/src/event_log/kind.rs
@@ -87,6 +87,7 @@
             EventKind::TargetKnown => "a target's entry is new or has changed",
             EventKind::TargetLimited => "a target named a limit of requests, or ended it",
             EventKind::TargetPaused => "a target gets nothing for a while",
+            EventKind::TargetResting => "a target wants nothing from this host for a while",
             EventKind::TargetTrusted => "a paused target answered again",
             EventKind::UnknownHeader => {
                 "a target's answer had a header of the platform that this release does not know"
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -49,7 +49,7 @@
     slowdown_report::SlowdownReport,
     target_health::{HealthChange, HealthSignal, TargetHealth},
     target_index::{ShortlistQuery, TargetIndex},
-    target_notices::{LimitChange, LimitReport, NamedLimit, TargetNotices},
+    target_notices::{LimitChange, LimitReport, NamedLimit, Rest, TargetNotices, TargetStatement},
     tuning::Tuning,
     work_time::WorkTime,
 };
--- a/src/placement/target_notices.rs
+++ b/src/placement/target_notices.rs
@@ -1,9 +1,10 @@
-//! Limits that targets name in their responses, and what other hosts report of them.
+//! What targets state of themselves in their responses, and what other hosts report of it.
 //!
 //! Load pattern: a target in need names how many requests a second it takes from all hosts
-//! together. The hosts that it answers learn this first; the store and the other hosts know
-//! nothing. A response without a limit ends it, but a host that sends the target nothing gets no
-//! response, so the end travels between hosts like the limit.
+//! together, or turns a host away and wants nothing from it for some time. The hosts that it
+//! answers learn this first; the store and the other hosts know nothing. A response without a limit
+//! ends the limit, but a host that sends the target nothing gets no response, so the end travels
+//! between hosts like the limit.
 
 use std::collections::HashMap;
 
@@ -31,6 +32,18 @@
 /// Limit of a target that names one that cannot be read, in requests per second.
 const UNREADABLE_LIMIT: f64 = 1.0;
 
+/// Longest rest that a target gets. A longer one is taken for an error, and the target asked again.
+const MAX_REST: Duration = Duration::from_secs(3_600);
+
+/// What one response states of its target.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct TargetStatement {
+    /// The limit for requests of all hosts together.
+    pub limit: Option<NamedLimit>,
+    /// Time for which the target wants nothing from this host.
+    pub rest: Option<Duration>,
+}
+
 /// A limit as one response names it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum NamedLimit {
@@ -40,6 +53,16 @@
     Unreadable,
 }
 
+/// What the responses of a target to this host stated.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct TargetNotice {
+    /// When the last response came that stated something or ended a limit.
+    heard_at: Moment,
+    limit: Option<LimitNotice>,
+    /// End of the rest. Stays until the target answers without asking for another one.
+    rest_until: Option<Moment>,
+}
+
 /// What a response said of its target's limit, and when.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct LimitNotice {
@@ -73,12 +96,21 @@
     Ended,
 }
 
-/// The limits of all targets that named one.
+/// A target's rest, by what it said to this host.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Rest {
+    /// The target wants nothing for this long.
+    For(Duration),
+    /// The rest is over, and the target has not answered since.
+    Unconfirmed,
+}
+
+/// What is known of all targets that stated something.
 #[derive(Debug, Default)]
 pub struct TargetNotices {
     /// From responses to this host.
-    own: HashMap<TargetTag, LimitNotice>,
-    /// From other hosts.
+    own: HashMap<TargetTag, TargetNotice>,
+    /// Limits that other hosts reported.
     reported: HashMap<TargetTag, LimitNotice>,
 }
 
@@ -95,16 +127,44 @@
             NamedLimit::PerSecond(limit) => limit.clamp(0.0, MAX_LIMIT),
             NamedLimit::Unreadable => before.unwrap_or(UNREADABLE_LIMIT),
         });
-        if limit.is_none() && !self.own.contains_key(&tag) && !self.reported.contains_key(&tag) {
+        if limit.is_none() && self.latest_limit(tag).is_none() {
             return None;
         }
-        self.own.insert(tag, LimitNotice { heard_at: now, limit });
+        let notice = self.own.entry(tag).or_default();
+        notice.heard_at = now;
+        notice.limit = Some(LimitNotice { heard_at: now, limit });
         match limit {
             Some(limit) => (before != Some(limit)).then_some(LimitChange::Limited(limit)),
             None => before.map(|_| LimitChange::Ended),
         }
     }
 
+    /// Records the rest that a response asks for; `None` if it asks for none. A rest that has begun
+    /// lasts until its end. Returns the time until then if the rest is new or longer than before.
+    pub fn record_rest(
+        &mut self,
+        tag: TargetTag,
+        rest: Option<Duration>,
+        now: Moment,
+    ) -> Option<Duration> {
+        let Some(rest) = rest.filter(|rest| !rest.is_zero()) else {
+            if self.rest(tag, now) == Some(Rest::Unconfirmed)
+                && let Some(notice) = self.own.get_mut(&tag)
+            {
+                notice.rest_until = None;
+            }
+            return None;
+        };
+        let rest = rest.min(MAX_REST);
+        let notice = self.own.entry(tag).or_default();
+        notice.heard_at = now;
+        if notice.rest_until.is_some_and(|until| now + rest <= until) {
+            return None;
+        }
+        notice.rest_until = Some(now + rest);
+        Some(rest)
+    }
+
     /// Replaces the reports of other hosts by those that arrived at `now`.
     pub fn apply_reports(&mut self, reports: &HashMap<TargetTag, LimitReport>, now: Moment) {
         let notice = |report: &LimitReport| {
@@ -116,56 +176,66 @@
             }
         };
         self.reported = reports.iter().map(|(tag, report)| (*tag, notice(report))).collect();
-        let reported = &self.reported;
-        self.own.retain(|tag, own| {
-            reported.get(tag).is_none_or(|it| it.heard_at <= own.heard_at + MAX_REPORT_DELAY)
-        });
+        for (tag, own) in &mut self.own {
+            let Some(reported) = self.reported.get(tag) else { continue };
+            own.limit =
+                own.limit.filter(|own| reported.heard_at <= own.heard_at + MAX_REPORT_DELAY);
+        }
     }
 
     /// Requests per second that a target takes from all hosts together; `None` if it has no limit.
     pub fn limit(&self, tag: TargetTag) -> Option<f64> {
-        self.latest(tag)?.limit
+        self.latest_limit(tag)?.limit
+    }
+
+    /// The target's rest; `None` if it takes requests of this host.
+    pub fn rest(&self, tag: TargetTag, now: Moment) -> Option<Rest> {
+        let until = self.own.get(&tag)?.rest_until?;
+        Some(if now < until { Rest::For(until - now) } else { Rest::Unconfirmed })
     }
 
     /// Whether the target should be asked again whether its limit still holds.
     pub fn is_recheck_due(&self, tag: TargetTag, now: Moment) -> bool {
-        let latest = self.latest(tag).filter(|notice| notice.limit.is_some());
+        let latest = self.latest_limit(tag).filter(|notice| notice.limit.is_some());
         latest.is_some_and(|it| RECHECK_AGE <= now.saturating_sub(it.heard_at))
     }
 
-    /// All targets with a limit, in requests per second.
-    pub fn limits(&self) -> impl Iterator<Item = (TargetTag, f64)> {
+    /// All targets that something is known of.
+    pub fn tags(&self) -> impl Iterator<Item = TargetTag> {
         let reported_only = self.reported.keys().filter(|tag| !self.own.contains_key(tag));
-        let tags = self.own.keys().chain(reported_only);
-        tags.filter_map(|tag| Some((*tag, self.limit(*tag)?)))
+        self.own.keys().chain(reported_only).copied()
     }
 
-    /// Whether no target has a limit or had one lately.
+    /// Whether nothing is known of any target.
     pub fn is_empty(&self) -> bool {
         self.own.is_empty() && self.reported.is_empty()
     }
 
     /// The reports for other hosts: what this host's own responses said, the newest first.
     pub fn reports(&self, now: Moment) -> Vec<(TargetTag, LimitReport)> {
-        let mut own: Vec<_> = self.own.iter().collect();
-        own.sort_unstable_by_key(|(tag, notice)| (std::cmp::Reverse(notice.heard_at), **tag));
-        let report = |(tag, notice): (&TargetTag, &LimitNotice)| {
+        let own = self.own.iter().filter_map(|(tag, notice)| Some((*tag, notice.limit?)));
+        let mut own: Vec<(TargetTag, LimitNotice)> = own.collect();
+        own.sort_unstable_by_key(|(tag, notice)| (std::cmp::Reverse(notice.heard_at), *tag));
+        let report = |(tag, notice): (TargetTag, LimitNotice)| {
             let age = now.saturating_sub(notice.heard_at).as_millis();
             let age_ms = u32::try_from(age).unwrap_or(u32::MAX);
-            (*tag, LimitReport { age_ms, limit: notice.limit.map(|limit| limit as f32) })
+            (tag, LimitReport { age_ms, limit: notice.limit.map(|limit| limit as f32) })
         };
         own.into_iter().take(MAX_REPORTED).map(report).collect()
     }
 
-    /// Forgets old notices of targets that are gone, and limits that ended long ago.
+    /// Forgets old notices of targets that are gone, and what ended long ago.
     pub fn retain(&mut self, is_known: impl Fn(TargetTag) -> bool, now: Moment) {
         self.own.retain(|tag, notice| {
+            let is_limited = notice.limit.is_some_and(|notice| notice.limit.is_some());
+            let is_resting = notice.rest_until.is_some_and(|until| now < until + RETENTION);
             let is_recent = now.saturating_sub(notice.heard_at) < RETENTION;
-            is_recent || (notice.limit.is_some() && is_known(*tag))
+            is_recent || is_resting || (is_limited && is_known(*tag))
         });
     }
 
-    fn latest(&self, tag: TargetTag) -> Option<&LimitNotice> {
-        self.own.get(&tag).or_else(|| self.reported.get(&tag))
+    fn latest_limit(&self, tag: TargetTag) -> Option<&LimitNotice> {
+        let own = self.own.get(&tag).and_then(|notice| notice.limit.as_ref());
+        own.or_else(|| self.reported.get(&tag))
     }
 }
--- a/src/placement/tests/target_notices.rs
+++ b/src/placement/tests/target_notices.rs
@@ -1,9 +1,12 @@
-//! What a host knows of the limits of targets, from responses and from reports.
+//! What a host knows of the limits and rests of targets, from responses and from reports.
 
 use std::collections::HashMap;
 
 use super::secs;
-use crate::placement::{LimitChange, LimitReport, NamedLimit, TargetNotices, TargetTag};
+use crate::{
+    placement::{LimitChange, LimitReport, NamedLimit, Rest, TargetNotices, TargetTag},
+    prelude::*,
+};
 
 const TAG: TargetTag = 7;
 
@@ -80,8 +83,40 @@
     assert_eq!(reports.len(), 32);
     assert!(reports.iter().all(|(tag, _)| 900 < *tag), "the newest ones");
     notices.retain(|tag| tag < 100, secs(71.0));
-    assert_eq!(notices.limits().count(), 100);
+    let limited = notices.tags().filter(|tag| notices.limit(*tag).is_some());
+    assert_eq!(limited.count(), 100);
     notices.record_limit(5, None, secs(72.0));
     notices.retain(|_| true, secs(133.0));
     assert_eq!(notices.reports(secs(133.0)).iter().filter(|(tag, _)| *tag == 5).count(), 0);
 }
+
+/// Guards against a rest that a shorter one, or an answer without one, ends early.
+#[test]
+fn a_rest_lasts_to_its_end() {
+    let mut notices = TargetNotices::default();
+    let rest = |notices: &TargetNotices, at: f64| notices.rest(TAG, secs(at));
+    assert_eq!(notices.record_rest(TAG, Some(secs(3.0)), secs(1.0)), Some(secs(3.0)));
+    assert_eq!(rest(&notices, 1.0), Some(Rest::For(secs(3.0))));
+    assert_eq!(notices.record_rest(TAG, Some(secs(0.5)), secs(2.0)), None, "shorter");
+    assert_eq!(notices.record_rest(TAG, None, secs(2.0)), None);
+    assert_eq!(notices.record_rest(TAG, Some(Duration::ZERO), secs(2.0)), None);
+    assert_eq!(rest(&notices, 3.5), Some(Rest::For(secs(0.5))));
+    assert_eq!(notices.record_rest(TAG, Some(secs(2.0)), secs(3.0)), Some(secs(2.0)), "longer");
+    assert_eq!(rest(&notices, 5.0), Some(Rest::Unconfirmed));
+    assert_eq!(rest(&notices, 99.0), Some(Rest::Unconfirmed));
+    notices.record_rest(TAG, None, secs(99.0));
+    assert_eq!(rest(&notices, 99.0), None);
+    assert_eq!(notices.rest(TAG + 1, secs(1.0)), None, "a target that started again said nothing");
+}
+
+/// Guards against a rest that overflows, lasts for ever, or is forgotten with the target's entry.
+#[test]
+fn enormous_rests_are_bounded_and_kept() {
+    let mut notices = TargetNotices::default();
+    let hour = secs(3_600.0);
+    assert_eq!(notices.record_rest(TAG, Some(Duration::MAX), secs(1.0)), Some(hour));
+    notices.retain(|_| false, secs(600.0));
+    assert_eq!(notices.rest(TAG, secs(1.0) + hour), Some(Rest::Unconfirmed));
+    notices.retain(|_| true, secs(4_000.0));
+    assert!(notices.is_empty(), "a rest that ended long ago needs no confirmation");
+}
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     entry::{CallerKey, CallerMetadata, KeyDigest, ReplyMetadata},
-    placement::NamedLimit,
+    placement::{NamedLimit, TargetStatement},
     prelude::*,
 };
 
@@ -57,11 +57,14 @@
     ReplyMetadata {
         attempt_id: text(headers, &ATTEMPT_ID).map(Arc::from),
         cold_for: text(headers, &COLD_REMAINING).and_then(crate::base::duration_text::parse),
-        limit: named_limit(headers),
         load: text(headers, &LOAD).and_then(parse_load),
         not_run: headers.contains_key(&NOT_EXECUTED),
         wrong_target: status == StatusCode::MISDIRECTED_REQUEST,
         signed: headers.contains_key(&SIGNATURE),
+        statement: TargetStatement {
+            limit: named_limit(headers),
+            rest: (status == StatusCode::SERVICE_UNAVAILABLE).then(|| rest(headers)).flatten(),
+        },
     }
 }
 
@@ -138,6 +141,18 @@
     Some(lowest.map_or(NamedLimit::Unreadable, NamedLimit::PerSecond))
 }
 
+/// The longest rest that a response asks for. Anything but a number of seconds asks for none.
+fn rest(headers: &HeaderMap) -> Option<Duration> {
+    let rests = headers.get_all(header::RETRY_AFTER).iter().filter_map(|value| {
+        let secs: f64 = value.to_str().ok()?.trim().parse().ok()?;
+        Some(Duration::try_from_secs_f64(secs).unwrap_or(match 0.0 < secs {
+            true => Duration::MAX,
+            false => Duration::ZERO,
+        }))
+    });
+    rests.max()
+}
+
 fn parse_load(text: &str) -> Option<(u32, u32)> {
     let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
     Some((numbers.next()??, numbers.next()??))
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -166,7 +166,7 @@
         for value in values {
             headers.append("server-limit", HeaderValue::from_str(value).expect("a value"));
         }
-        PlatformProtocol.reply_metadata(StatusCode::OK, &headers).limit
+        PlatformProtocol.reply_metadata(StatusCode::OK, &headers).statement.limit
     };
     assert_eq!(limit(&[]), None);
     for (values, expected) in [
@@ -184,8 +184,34 @@
     }
     let mut headers = HeaderMap::new();
     headers.insert("lavenderplank-server-limit", HeaderValue::from_static("7"));
-    let with_prefix = PlatformProtocol.reply_metadata(StatusCode::BAD_GATEWAY, &headers).limit;
-    assert_eq!(with_prefix, Some(NamedLimit::PerSecond(7.0)));
+    let with_prefix = PlatformProtocol.reply_metadata(StatusCode::BAD_GATEWAY, &headers);
+    assert_eq!(with_prefix.statement.limit, Some(NamedLimit::PerSecond(7.0)));
+}
+
+/// Guards against a rest that panics, is cut to whole seconds, or is read where none was asked for.
+#[test]
+fn rests_of_targets_are_read() {
+    let rest = |status: StatusCode, values: &[&str]| {
+        let mut headers = HeaderMap::new();
+        for value in values {
+            headers.append("retry-after", HeaderValue::from_str(value).expect("a value"));
+        }
+        PlatformProtocol.reply_metadata(status, &headers).statement.rest
+    };
+    let full = StatusCode::SERVICE_UNAVAILABLE;
+    for (values, millis) in
+        [(&["3"][..], 3_000), (&[" 0.25 "], 250), (&["0"], 0), (&["-1"], 0), (&["1", "2"], 2_000)]
+    {
+        assert_eq!(rest(full, values), Some(Duration::from_millis(millis)), "{values:?}");
+    }
+    for values in [&["1e300"][..], &["inf"]] {
+        assert_eq!(rest(full, values), Some(Duration::MAX), "{values:?}");
+    }
+    assert_eq!(rest(full, &["NaN"]), Some(Duration::ZERO));
+    for values in [&[][..], &[""], &["soon"], &["Wed, 21 Oct 2026 07:28:00 GMT"]] {
+        assert_eq!(rest(full, values), None, "{values:?}");
+    }
+    assert_eq!(rest(StatusCode::TOO_MANY_REQUESTS, &["3"]), None, "only 503 asks for a rest");
 }
 
 #[test]
--- a/src/why/cause.rs
+++ b/src/why/cause.rs
@@ -300,6 +300,9 @@
             Event::TargetLimited { per_second: Some(limit), target } if target == of => {
                 Some(format!("{target} limited its requests to {limit} a second at {at} ms"))
             }
+            Event::TargetResting { rest_ms, target } if target == of => {
+                Some(format!("{target} asked for a rest of {rest_ms} ms at {at} ms"))
+            }
             Event::TargetPaused { failures, reason, target, .. } if target == of => {
                 let why = match reason {
                     PauseReason::Failing => "after consecutive failures",
--- a/src/why/search.rs
+++ b/src/why/search.rs
@@ -182,6 +182,7 @@
             | Event::TargetKnown { target, .. }
             | Event::TargetLimited { target, .. }
             | Event::TargetPaused { target, .. }
+            | Event::TargetResting { target, .. }
             | Event::TargetTrusted { target }
             | Event::CrashCounted { target, .. }
                 if self.targets.contains(target) =>
--- a/tests/entry_rests.rs
+++ b/tests/entry_rests.rs
@@ -18,7 +18,6 @@
 /// Targets turn a host away and ask for a rest of a second and a half, while others serve. Guards
 /// against a host that pauses them for a fixed time, and spends the attempts of its callers there.
 #[test]
-#[ignore = "known failure, see KNOWN-RED.txt"]
 fn a_target_that_asked_for_a_rest_gets_it() {
     run(async {
         let world = World::spawn(&["north-a", "north-a", "north-a"]).await;
