Use nine tenths of a target's limit, and tell refused callers of the fleet's next request

Three changes that leave the bound: two hosts send at 0.9 of the limit (0.75 before; the model of 2 to 985 hosts keeps its bound); a caller refused for limits is told the mean time between two requests of any host, since another host may serve it, not the time until this host's next token; the end of a limit is no longer reported for as long as the target answers, but for a minute.

--- a/src/entry/target_statements.rs
+++ b/src/entry/target_statements.rs
@@ -5,7 +5,10 @@
 use super::{KnownTarget, ReplyMetadata, TrafficState, View, traffic_state::InFlight};
 use crate::{
     event_log::Event,
-    placement::{LimitChange, Rest, TargetIndex, TargetNotices, is_paced_sender, paced_rate},
+    placement::{
+        LimitChange, Rest, TargetIndex, TargetNotices, is_paced_sender, paced_rate,
+        request_interval,
+    },
     prelude::*,
 };
 
@@ -63,17 +66,20 @@
         }
     }
 
-    /// Whether the limit of a target, if it named one, leaves room for a request of this host.
+    /// Whether the limit of a target, if it named one, leaves room for a request of this host. If
+    /// not, another host may have it, so the wait is that for the next request of any host.
     fn limit_readiness(&self, view: &View, target: &KnownTarget) -> Readiness {
         let Some(limit) = self.target_notices.borrow().limit(target.tag) else {
             return Readiness::Ready;
         };
-        if !is_paced_sender(target, &self.settings.host, &view.hosts) {
-            return Readiness::Later(None);
-        }
         let now = self.clock.now();
-        let wait = self.limited_target_pacer.borrow_mut().next_send_in(target.tag, limit, now);
-        if wait.is_zero() { Readiness::Ready } else { Readiness::Later(Some(wait)) }
+        let mut pacer = self.limited_target_pacer.borrow_mut();
+        if is_paced_sender(target, &self.settings.host, &view.hosts)
+            && pacer.has_token(target.tag, limit, now)
+        {
+            return Readiness::Ready;
+        }
+        Readiness::Later(Some(request_interval(limit)))
     }
 
     /// Whether a request that was placed at a target may still be sent to it. The target may have
--- a/src/placement/limited_target_pacer.rs
+++ b/src/placement/limited_target_pacer.rs
@@ -9,8 +9,8 @@
 use crate::prelude::*;
 
 /// Fraction of the limit that the senders use together. While hosts disagree about which hosts are
-/// live, twice as many send, and together they must stay below 1.5 times the limit.
-const LIMIT_FRACTION: f64 = 0.75;
+/// live, twice as many send. In four seconds they must stay below 1.5 times the limit.
+const LIMIT_FRACTION: f64 = 0.9;
 
 /// Lowest rate of one sender, in requests per second. A target that gets nothing sends no response,
 /// and so could never end its limit.
@@ -21,6 +21,11 @@
     limit * LIMIT_FRACTION
 }
 
+/// Mean time between two requests of any host to a target with a limit.
+pub fn request_interval(limit: f64) -> Duration {
+    Duration::from_secs_f64(1.0 / paced_rate(limit).max(MIN_SENDER_RATE))
+}
+
 /// Token buckets of one request, by target.
 #[derive(Debug, Default)]
 pub struct LimitedTargetPacer {
@@ -34,15 +39,15 @@
 }
 
 impl LimitedTargetPacer {
-    /// Time until this host may send the target a request; zero if it may now. The bucket of a
-    /// target that has just named its limit is empty: it got a request a moment ago.
-    pub fn next_send_in(&mut self, tag: TargetTag, limit: f64, now: Moment) -> Duration {
+    /// Whether this host may send the target a request now. The bucket of a target that has just
+    /// named its limit is empty: it got a request a moment ago.
+    pub fn has_token(&mut self, tag: TargetTag, limit: f64, now: Moment) -> bool {
         let rate = (paced_rate(limit) / SENDERS_PER_TARGET as f64).max(MIN_SENDER_RATE);
         let bucket = self.buckets.entry(tag).or_insert(Bucket { refilled_at: now, tokens: 0.0 });
         let elapsed = now.saturating_sub(bucket.refilled_at);
         bucket.tokens = (bucket.tokens + elapsed.as_secs_f64() * rate).min(1.0);
         bucket.refilled_at = now;
-        Duration::from_secs_f64((1.0 - bucket.tokens).max(0.0) / rate)
+        1.0 <= bucket.tokens
     }
 
     /// Takes the token of a request that is sent.
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -40,7 +40,7 @@
     choose::{Candidate, CandidateEstimate, Choice, PlacementQuery, choose},
     cold_target_limiter::ColdTargetLimiter,
     forecast::Forecast,
-    limited_target_pacer::{LimitedTargetPacer, paced_rate},
+    limited_target_pacer::{LimitedTargetPacer, paced_rate, request_interval},
     paced_senders::{SENDERS_PER_TARGET, is_paced_sender},
     region_shares::{RegionLoad, RegionShares},
     round_trips::RoundTrips,
--- a/src/placement/target_notices.rs
+++ b/src/placement/target_notices.rs
@@ -69,6 +69,8 @@
     heard_at: Moment,
     /// Requests per second; `None` if the response named no limit.
     limit: Option<f64>,
+    /// When the first of the responses came that said the same without interruption.
+    since: Moment,
 }
 
 /// A host's newest knowledge of a target's limit, for other hosts.
@@ -127,12 +129,14 @@
             NamedLimit::PerSecond(limit) => limit.clamp(0.0, MAX_LIMIT),
             NamedLimit::Unreadable => before.unwrap_or(UNREADABLE_LIMIT),
         });
-        if limit.is_none() && self.latest_limit(tag).is_none() {
+        let latest = self.latest_limit(tag);
+        if limit.is_none() && latest.is_none() {
             return None;
         }
+        let since = latest.filter(|latest| latest.limit == limit).map_or(now, |it| it.since);
         let notice = self.own.entry(tag).or_default();
         notice.heard_at = now;
-        notice.limit = Some(LimitNotice { heard_at: now, limit });
+        notice.limit = Some(LimitNotice { heard_at: now, limit, since });
         match limit {
             Some(limit) => (before != Some(limit)).then_some(LimitChange::Limited(limit)),
             None => before.map(|_| LimitChange::Ended),
@@ -170,10 +174,9 @@
         let notice = |report: &LimitReport| {
             let age = Duration::from_millis(report.age_ms.into());
             let limit = report.limit.map(f64::from).filter(|limit| limit.is_finite());
-            LimitNotice {
-                heard_at: now.saturating_sub(age),
-                limit: limit.map(|limit| limit.clamp(0.0, MAX_LIMIT)),
-            }
+            let heard_at = now.saturating_sub(age);
+            let limit = limit.map(|limit| limit.clamp(0.0, MAX_LIMIT));
+            LimitNotice { heard_at, limit, since: heard_at }
         };
         self.reported = reports.iter().map(|(tag, report)| (*tag, notice(report))).collect();
         for (tag, own) in &mut self.own {
@@ -227,10 +230,15 @@
     /// Forgets old notices of targets that are gone, and what ended long ago.
     pub fn retain(&mut self, is_known: impl Fn(TargetTag) -> bool, now: Moment) {
         self.own.retain(|tag, notice| {
+            let has_ended_lately = |limit: &LimitNotice| {
+                limit.limit.is_some() || now.saturating_sub(limit.since) < RETENTION
+            };
+            notice.limit = notice.limit.filter(has_ended_lately);
             let is_limited = notice.limit.is_some_and(|notice| notice.limit.is_some());
             let is_resting = notice.rest_until.is_some_and(|until| now < until + RETENTION);
             let is_recent = now.saturating_sub(notice.heard_at) < RETENTION;
-            is_recent || is_resting || (is_limited && is_known(*tag))
+            let has_limit = notice.limit.is_some() && is_recent;
+            has_limit || is_resting || (is_limited && is_known(*tag))
         });
     }
 
--- a/src/placement/tests/limited_targets.rs
+++ b/src/placement/tests/limited_targets.rs
@@ -265,7 +265,7 @@
         let Some(limit) = host.notices.limit(target.tag) else { return true };
         match self.way {
             Way::Senders => {
-                let sends = is_sender && host.pacer.next_send_in(target.tag, limit, now).is_zero();
+                let sends = is_sender && host.pacer.has_token(target.tag, limit, now);
                 if sends {
                     host.pacer.take_token(target.tag);
                 }
--- a/src/placement/tests/target_notices.rs
+++ b/src/placement/tests/target_notices.rs
@@ -86,6 +86,7 @@
     let limited = notices.tags().filter(|tag| notices.limit(*tag).is_some());
     assert_eq!(limited.count(), 100);
     notices.record_limit(5, None, secs(72.0));
+    notices.record_limit(5, None, secs(131.0));
     notices.retain(|_| true, secs(133.0));
     assert_eq!(notices.reports(secs(133.0)).iter().filter(|(tag, _)| *tag == 5).count(), 0);
 }
