Take a target out when one of its responses says that it leaves

The header was not read, so a host followed the store alone.

Fix: record_notices takes it from any response, and the target is out for this host at once: for placement, retries and hedges, and for requests that still wait for a connection; its slots are missing from the region. It holds until the target starts again, under another tag. Other hosts are not told, so no report can outlive a restart.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -244,7 +244,7 @@
         self.record_end(
             HealthSignal::Cancelled(Duration::ZERO),
             AttemptEnd::Withheld,
-            "not sent: the target limited its requests or asked for a rest meanwhile",
+            "not sent: the target limited its requests, rests or leaves",
         );
         let now = self.state.clock.now();
         self.state.pool.borrow_mut().put(&self.target, connection, None, now);
--- a/src/entry/place.rs
+++ b/src/entry/place.rs
@@ -346,8 +346,8 @@
     }
 }
 
-/// Slots and demand of each region that has hosts, or targets of the service. Slots that limited
-/// or resting targets cannot fill are left out.
+/// Slots and demand of each region that has hosts, or targets of the service. Slots of targets
+/// that limit their requests, rest or leave are left out as far as they cannot be filled.
 pub(super) fn region_loads(
     view: &View,
     service: &ServiceId,
--- a/src/entry/target_statements.rs
+++ b/src/entry/target_statements.rs
@@ -34,6 +34,9 @@
             let (rest_ms, target) = (rest.as_millis() as u64, target.entry.id.clone());
             self.events.record(None, Event::TargetResting { rest_ms, target });
         }
+        if metadata.statement.is_leaving && notices.record_leaving(target.tag, now) {
+            self.events.record(None, Event::TargetLeaving { target: target.entry.id.clone() });
+        }
         let change = notices.record_limit(target.tag, metadata.statement.limit, now);
         if let Some(change) = change {
             let per_second = match change {
@@ -59,7 +62,11 @@
     /// Whether a target takes a request of this host, which has `in_flight` requests there. After a
     /// rest, it gets one request at a time until it answers.
     pub(super) fn readiness(&self, view: &View, target: &KnownTarget, in_flight: u32) -> Readiness {
-        match self.target_notices.borrow().rest(target.tag, self.clock.now()) {
+        let notices = self.target_notices.borrow();
+        if notices.is_leaving(target.tag) {
+            return Readiness::Later(None);
+        }
+        match notices.rest(target.tag, self.clock.now()) {
             Some(Rest::For(rest)) => Readiness::Later(Some(rest)),
             Some(Rest::Unconfirmed) if 0 < in_flight => Readiness::Later(None),
             _ => self.limit_readiness(view, target),
@@ -83,13 +90,14 @@
     }
 
     /// Whether a request that was placed at a target may still be sent to it. The target may have
-    /// named a limit or asked for a rest while the request waited for a connection.
+    /// named a limit, asked for a rest or said that it leaves while the request waited for a connection.
     pub(super) fn may_still_send(&self, target: &KnownTarget, in_flight: &InFlight) -> bool {
-        let rest = self.target_notices.borrow().rest(target.tag, self.clock.now());
-        if matches!(rest, Some(Rest::For(_))) {
+        let notices = self.target_notices.borrow();
+        let rest = notices.rest(target.tag, self.clock.now());
+        if notices.is_leaving(target.tag) || matches!(rest, Some(Rest::For(_))) {
             return false;
         }
-        if in_flight.is_paced || self.target_notices.borrow().limit(target.tag).is_none() {
+        if in_flight.is_paced || notices.limit(target.tag).is_none() {
             return true;
         }
         let is_ready = |view: Arc<View>| self.limit_readiness(&view, target) == Readiness::Ready;
@@ -110,8 +118,8 @@
     }
 }
 
-/// Slots of each region that the targets of a service cannot fill because of their limits and rests,
-/// if a request takes `work`.
+/// Slots of each region that the targets of a service cannot fill because they limit their requests,
+/// rest or leave, if a request takes `work`.
 pub(super) fn unusable_slots<'a>(
     index: &'a TargetIndex,
     notices: &TargetNotices,
@@ -123,6 +131,7 @@
         let Some(target) = index.get(tag) else { continue };
         let slots = f64::from(target.entry.slots);
         let usable = match (notices.rest(tag, now), notices.limit(tag)) {
+            _ if notices.is_leaving(tag) => 0.0,
             (Some(Rest::For(_)), _) => 0.0,
             (_, Some(limit)) => (paced_rate(limit) * work.as_secs_f64()).min(slots),
             (_, None) => slots,
--- a/src/event_log/event.rs
+++ b/src/event_log/event.rs
@@ -203,6 +203,8 @@
         target: TargetId,
         zone: ZoneId,
     },
+    /// A target said in a response that it leaves.
+    TargetLeaving { target: TargetId },
     /// A target named a limit for the requests of all hosts together, changed it or ended it.
     TargetLimited {
         /// Requests per second; `None` if the limit has ended.
@@ -260,8 +262,8 @@
     /// The target was overloaded and did not run it.
     Shed,
     Unreachable,
-    /// The request was not sent: the target limited its requests or asked for a rest after it was
-    /// placed.
+    /// The request was not sent: the target limited its requests, asked for a rest or said that it
+    /// leaves after the request was placed.
     Withheld,
     /// The address belongs to another target.
     WrongTarget,
--- a/src/event_log/kind.rs
+++ b/src/event_log/kind.rs
@@ -85,6 +85,7 @@
             EventKind::TargetGone => "a target's entry is gone",
             EventKind::TargetKept => "a lapsed target is used a little longer",
             EventKind::TargetKnown => "a target's entry is new or has changed",
+            EventKind::TargetLeaving => "a target said in an answer that it leaves",
             EventKind::TargetLimited => "a target named a limit of requests, or ended it",
             EventKind::TargetPaused => "a target gets nothing for a while",
             EventKind::TargetResting => "a target wants nothing from this host for a while",
--- a/src/placement/target_notices.rs
+++ b/src/placement/target_notices.rs
@@ -1,7 +1,8 @@
 //! What targets state of themselves in their responses, and what other hosts report of it.
 //!
 //! Load pattern: a target in need names how many requests a second it takes from all hosts
-//! together, or turns a host away and wants nothing from it for some time. The hosts that it
+//! together, or turns a host away and wants nothing from it for some time; one that ends says so.
+//! The hosts that it
 //! answers learn this first; the store and the other hosts know nothing. A response without a limit
 //! ends the limit, but a host that sends the target nothing gets no response, so the end travels
 //! between hosts like the limit.
@@ -38,6 +39,8 @@
 /// What one response states of its target.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct TargetStatement {
+    /// The target ends soon and wants no new requests.
+    pub is_leaving: bool,
     /// The limit for requests of all hosts together.
     pub limit: Option<NamedLimit>,
     /// Time for which the target wants nothing from this host.
@@ -58,6 +61,8 @@
 struct TargetNotice {
     /// When the last response came that stated something or ended a limit.
     heard_at: Moment,
+    /// Whether the target said that it leaves. Holds until it starts again, under another tag.
+    is_leaving: bool,
     limit: Option<LimitNotice>,
     /// End of the rest. Stays until the target answers without asking for another one.
     rest_until: Option<Moment>,
@@ -169,6 +174,13 @@
         Some(rest)
     }
 
+    /// Records that a response says that its target leaves. Returns whether that is new.
+    pub fn record_leaving(&mut self, tag: TargetTag, now: Moment) -> bool {
+        let notice = self.own.entry(tag).or_default();
+        notice.heard_at = now;
+        !std::mem::replace(&mut notice.is_leaving, true)
+    }
+
     /// Replaces the reports of other hosts by those that arrived at `now`.
     pub fn apply_reports(&mut self, reports: &HashMap<TargetTag, LimitReport>, now: Moment) {
         let notice = |report: &LimitReport| {
@@ -197,6 +209,11 @@
         Some(if now < until { Rest::For(until - now) } else { Rest::Unconfirmed })
     }
 
+    /// Whether the target said that it leaves.
+    pub fn is_leaving(&self, tag: TargetTag) -> bool {
+        self.own.get(&tag).is_some_and(|notice| notice.is_leaving)
+    }
+
     /// Whether the target should be asked again whether its limit still holds.
     pub fn is_recheck_due(&self, tag: TargetTag, now: Moment) -> bool {
         let latest = self.latest_limit(tag).filter(|notice| notice.limit.is_some());
@@ -237,8 +254,8 @@
             let is_limited = notice.limit.is_some_and(|notice| notice.limit.is_some());
             let is_resting = notice.rest_until.is_some_and(|until| now < until + RETENTION);
             let is_recent = now.saturating_sub(notice.heard_at) < RETENTION;
-            let has_limit = notice.limit.is_some() && is_recent;
-            has_limit || is_resting || (is_limited && is_known(*tag))
+            let is_remembered = is_recent && (notice.limit.is_some() || notice.is_leaving);
+            is_remembered || is_resting || ((is_limited || notice.is_leaving) && is_known(*tag))
         });
     }
 
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -23,6 +23,8 @@
 /// Requests per second that the target takes from all hosts together. The platform's pages give
 /// this name without the prefix that its other headers have.
 const LIMIT: [&str; 2] = ["server-limit", "lavenderplank-server-limit"];
+/// Present with the value 1 if the target leaves; written like `LIMIT`.
+const LEAVING: [&str; 2] = ["server-leaving", "lavenderplank-server-leaving"];
 /// Time for which the target stays cold.
 const COLD_REMAINING: HeaderName = HeaderName::from_static("lavenderplank-cold-remaining");
 /// Key of the caller's team.
@@ -62,6 +64,7 @@
         wrong_target: status == StatusCode::MISDIRECTED_REQUEST,
         signed: headers.contains_key(&SIGNATURE),
         statement: TargetStatement {
+            is_leaving: LEAVING.iter().any(|name| says_yes(headers, name)),
             limit: named_limit(headers),
             rest: (status == StatusCode::SERVICE_UNAVAILABLE).then(|| rest(headers)).flatten(),
         },
@@ -141,6 +144,10 @@
     Some(lowest.map_or(NamedLimit::Unreadable, NamedLimit::PerSecond))
 }
 
+fn says_yes(headers: &HeaderMap, name: &str) -> bool {
+    headers.get_all(name).iter().any(|value| value.as_bytes().trim_ascii() == b"1")
+}
+
 /// The longest rest that a response asks for. Anything but a number of seconds asks for none.
 fn rest(headers: &HeaderMap) -> Option<Duration> {
     let rests = headers.get_all(header::RETRY_AFTER).iter().filter_map(|value| {
--- a/src/platform/standin/target.rs
+++ b/src/platform/standin/target.rs
@@ -53,6 +53,8 @@
 pub struct Statements {
     /// Value of its limit of requests per second.
     pub limit: Option<&'static str>,
+    /// It leaves.
+    pub is_leaving: bool,
     /// Time for which it wants nothing from a host whose request it refuses, in seconds.
     pub rest: Option<&'static str>,
 }
@@ -62,7 +64,8 @@
         let limit = self.limit.map(|limit| format!("Server-Limit: {limit}\r\n"));
         let rest = self.rest.filter(|_| is_refusal);
         let rest = rest.map(|rest| format!("Retry-After: {rest}\r\n"));
-        limit.into_iter().chain(rest).collect()
+        let leaving = self.is_leaving.then(|| "Server-Leaving: 1\r\n".to_owned());
+        limit.into_iter().chain(leaving).chain(rest).collect()
     }
 }
 
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -188,6 +188,22 @@
     assert_eq!(with_prefix.statement.limit, Some(NamedLimit::PerSecond(7.0)));
 }
 
+/// Guards against a target that leaves unseen because of the spelling, and against one taken out
+/// for another value.
+#[test]
+fn leaving_targets_are_recognized() {
+    let is_leaving = |name: &'static str, value: &str| {
+        let mut headers = HeaderMap::new();
+        headers.insert(name, HeaderValue::from_str(value).expect("a value"));
+        let status = StatusCode::INTERNAL_SERVER_ERROR;
+        PlatformProtocol.reply_metadata(status, &headers).statement.is_leaving
+    };
+    assert!(is_leaving("server-leaving", "1") && is_leaving("server-leaving", " 1 "));
+    assert!(is_leaving("lavenderplank-server-leaving", "1"));
+    assert!(!is_leaving("server-leaving", "0") && !is_leaving("server-leaving", "later"));
+    assert!(!is_leaving("server-limit", "1"));
+}
+
 /// Guards against a rest that panics, is cut to whole seconds, or is read where none was asked for.
 #[test]
 fn rests_of_targets_are_read() {
--- a/src/why/cause.rs
+++ b/src/why/cause.rs
@@ -297,6 +297,9 @@
             Event::TargetGone { target, .. } if target == of => {
                 Some(format!("the entry of {target} was removed at {at} ms"))
             }
+            Event::TargetLeaving { target } if target == of => {
+                Some(format!("{target} said at {at} ms that it leaves"))
+            }
             Event::TargetLimited { per_second: Some(limit), target } if target == of => {
                 Some(format!("{target} limited its requests to {limit} a second at {at} ms"))
             }
--- a/src/why/search.rs
+++ b/src/why/search.rs
@@ -180,6 +180,7 @@
             Event::TargetGone { target, .. }
             | Event::TargetKept { target, .. }
             | Event::TargetKnown { target, .. }
+            | Event::TargetLeaving { target }
             | Event::TargetLimited { target, .. }
             | Event::TargetPaused { target, .. }
             | Event::TargetResting { target, .. }
