--- a/src/platform/standin/fault_run.rs
+++ b/src/platform/standin/fault_run.rs
@@ -13,8 +13,11 @@
 use reqwest::{Client, StatusCode};
 use serde::Serialize;
 use serde_json::{Value, json};
+use tokio::time::Instant;
 
-use super::{ResponseMode, StoreStandin, TargetIdentity, TargetStandin, loopback_settings};
+use super::{
+    ResponseMode, Statements, StoreStandin, TargetIdentity, TargetStandin, loopback_settings,
+};
 use crate::{
     base::BootClock,
     entry::{EntryHost, EntryParts},
@@ -35,6 +38,14 @@
 /// Time after which a draining target must not receive requests, as the settings guarantee.
 const DRAIN_TIME: Duration = Duration::from_millis(2_500);
 
+/// Position in `TARGETS` of the target that names a limit for some time, and the limit.
+const LIMITED_TARGET: usize = 2;
+const LIMIT_PER_S: f64 = 2.0;
+
+/// Time after which all hosts know the limit, and time over which its requests are counted.
+const LIMIT_NOTICE_TIME: Duration = Duration::from_millis(1_500);
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
 const HOST_NAME: &str = "counter.example";
 const CALLER_COUNT: usize = 8;
 const TARGETS: [(&str, &str); 6] = [
@@ -64,7 +75,7 @@
 impl FaultRunReport {
     /// Whether every guarantee was checked and none is violated.
     pub fn passed(&self) -> bool {
-        self.broken.is_empty() && self.checks.len() == 5 && self.checks.values().all(|n| 0 < *n)
+        self.broken.is_empty() && self.checks.len() == 6 && self.checks.values().all(|n| 0 < *n)
     }
 
     fn check(&mut self, guarantee: &'static str, holds: bool, detail: impl FnOnce() -> String) {
@@ -100,6 +111,15 @@
     status: u16,
 }
 
+/// What the faults of a run leave to be checked at its end.
+#[derive(Default)]
+struct Observed {
+    /// When a target named its limit, and when it no longer did.
+    limited: Option<(Instant, Instant)>,
+    /// Number of requests that the drained target had received when its drain time ended.
+    requests_before: usize,
+}
+
 struct Cluster {
     hosts: Vec<Option<EntryHost>>,
     http: Client,
@@ -113,7 +133,7 @@
     let mut report = FaultRunReport::default();
     let callers: Vec<SocketAddr> =
         cluster.hosts.iter().flatten().map(|host| host.listen().callers).collect();
-    let until = tokio::time::Instant::now() + length;
+    let until = Instant::now() + length;
     let callers = Rc::new(callers);
     let tasks: Vec<_> = (0..CALLER_COUNT)
         .map(|number| {
@@ -121,13 +141,13 @@
             tokio::task::spawn_local(run_caller(http, hosts, seed, number, until))
         })
         .collect();
-    let requests_before = cluster.inject_faults(length, seed, &mut report).await?;
+    let observed = cluster.inject_faults(length, seed, &mut report).await?;
     let mut records = Vec::new();
     for task in tasks {
         records.extend(task.await?);
     }
     report.requests = records.len() as u32;
-    cluster.check_guarantees(&records, &requests_before, &mut report);
+    cluster.check_guarantees(&records, &observed, &mut report);
     Ok(report)
 }
 
@@ -165,17 +185,17 @@
         Err(eyre::eyre!("a host was not ready after 5 s; see its log"))
     }
 
-    /// Injects faults at random and at fixed steps. Returns the number of requests that the drained
-    /// target had received when its drain time ended.
+    /// Injects faults at random and at fixed steps.
     async fn inject_faults(
         &mut self,
         length: Duration,
         seed: u64,
         report: &mut FaultRunReport,
-    ) -> Result<usize> {
+    ) -> Result<Observed> {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let step_length = length / 40;
-        let mut requests_before = 0;
+        let mut observed = Observed::default();
+        let mut limited_at = Instant::now();
         let drain_steps = (DRAIN_TIME.as_secs_f64() / step_length.as_secs_f64()).ceil() as u32;
         for step in 0..40_u32 {
             tokio::time::sleep(step_length).await;
@@ -202,9 +222,18 @@
                 6 => self.store.put("servers", "t-1", self.targets[0].store_entry("draining", 1)),
                 10 => self.store.put("evacuations", "north-b", json!({})),
                 14 => self.store.remove("evacuations", "north-b"),
+                15 => {
+                    self.targets[LIMITED_TARGET]
+                        .set_statements(Statements { limit: Some("2.0"), ..Statements::default() });
+                    limited_at = Instant::now();
+                }
                 18 => self.store.set_down(true),
                 24 => self.store.set_down(false),
                 26 => self.store.compact(),
+                28 => {
+                    observed.limited = Some((limited_at, Instant::now()));
+                    self.targets[LIMITED_TARGET].set_statements(Statements::default());
+                }
                 30 => {
                     let host = self.hosts[1].take();
                     tokio::task::spawn_local(async move {
@@ -216,16 +245,16 @@
                 _ => {}
             }
             if step == 6 + drain_steps {
-                requests_before = self.targets[0].received().len();
+                observed.requests_before = self.targets[0].received().len();
             }
         }
-        Ok(requests_before)
+        Ok(observed)
     }
 
     fn check_guarantees(
         &self,
         records: &[CallerRecord],
-        requests_before: &usize,
+        observed: &Observed,
         report: &mut FaultRunReport,
     ) {
         let mut executions: HashMap<String, u32> = HashMap::new();
@@ -254,7 +283,8 @@
                 report.check("an answer is whole and the caller's own", own, detail);
             }
         }
-        let after = self.targets[0].received().len() - requests_before;
+        self.check_limit(observed, report);
+        let after = self.targets[0].received().len() - observed.requests_before;
         let detail = || format!("{after} requests after its drain time");
         report.check("a retiring target gets no new work", after == 0, detail);
         let served = records.iter().filter(|record| record.status == 200).count();
@@ -265,17 +295,33 @@
     }
 }
 
+impl Cluster {
+    fn check_limit(&self, observed: &Observed, report: &mut FaultRunReport) {
+        let Some((from, until)) = observed.limited else { return };
+        let times = self.targets[LIMITED_TARGET].received().into_iter().map(|request| request.at);
+        let times: Vec<Instant> =
+            times.filter(|at| from + LIMIT_NOTICE_TIME <= *at && *at <= until).collect();
+        let in_window = |start: &Instant| {
+            times.iter().filter(|at| *start <= **at && **at < *start + LIMIT_WINDOW).count()
+        };
+        let peak = times.iter().map(in_window).max().unwrap_or_default();
+        let allowed = 1.5 * LIMIT_PER_S * LIMIT_WINDOW.as_secs_f64() + 5.0;
+        let detail = || format!("{peak} requests in 4 s, {allowed} allowed");
+        report.check("a target gets no more than it named", peak as f64 <= allowed, detail);
+    }
+}
+
 /// Sends requests one after the other, each to a random host, until `until`.
 async fn run_caller(
     http: Client,
     hosts: Rc<Vec<SocketAddr>>,
     seed: u64,
     number: usize,
-    until: tokio::time::Instant,
+    until: Instant,
 ) -> Vec<CallerRecord> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed.wrapping_add(1 + number as u64));
     let mut records = Vec::new();
-    while tokio::time::Instant::now() < until {
+    while Instant::now() < until {
         tokio::time::sleep(REQUEST_PAUSE).await;
         let Some(host) = hosts.choose(&mut rng) else { break };
         let booking = rng.random_bool(0.3);
--- a/src/platform/standin/target.rs
+++ b/src/platform/standin/target.rs
@@ -15,6 +15,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     task::JoinHandle,
+    time::Instant,
 };
 
 use crate::prelude::*;
@@ -72,6 +73,7 @@
 /// A request received by the target.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ReceivedRequest {
+    pub at: Instant,
     pub attempt_id: String,
     pub body: Bytes,
     /// Number of the connection, from 1 in order of acceptance.
@@ -252,6 +254,7 @@
         return Ok(None);
     }
     let mut request = ReceivedRequest {
+        at: Instant::now(),
         attempt_id: text("lavenderplank-attempt-id").unwrap_or_default(),
         body: Bytes::new(),
         connection,
--- a/tests/entry_limits.rs
+++ b/tests/entry_limits.rs
@@ -68,6 +68,32 @@
     });
 }
 
+/// Guards against a limit that outlives its naming at hosts that send nothing to the target. Of four
+/// hosts only two may send while it holds.
+#[test]
+fn all_hosts_use_a_target_again_after_its_limit() {
+    run(async {
+        let world = World::spawn(&["north-a"]).await;
+        let mut hosts = Vec::new();
+        for name in ["a", "b", "c", "d"] {
+            hosts.push(world.host(name).await);
+        }
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let target = &world.targets[0];
+        target.set_statements(Statements { limit: Some("2.0"), ..Statements::default() });
+        for host in &hosts {
+            let _ = world.ask(host, read("first")).await.expect("an answer");
+        }
+        let refused = flood(&world, &hosts, Duration::from_secs(1)).await;
+        assert!(0 < refused, "the limit holds");
+        target.set_statements(Statements::default());
+        until("no host refuses any more", async || {
+            flood(&world, &hosts, Duration::from_millis(200)).await == 0
+        })
+        .await;
+    });
+}
+
 /// A target that starts again under its id has named no limit.
 #[test]
 fn a_limit_ends_with_the_restart_of_its_target() {
