--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -76,8 +76,10 @@
     let is_platform = |name: &&HeaderName| {
         NAMESPACES.iter().any(|namespace| name.as_str().starts_with(namespace))
     };
-    let is_known =
-        |name: &HeaderName| KNOWN_REPLY_HEADERS.contains(name) || LIMIT.contains(&name.as_str());
+    let is_known = |name: &HeaderName| {
+        let spelled_twice = LIMIT.contains(&name.as_str()) || LEAVING.contains(&name.as_str());
+        spelled_twice || KNOWN_REPLY_HEADERS.contains(name)
+    };
     headers.keys().filter(is_platform).filter(|name| !is_known(name)).collect()
 }
 
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -150,7 +150,9 @@
     for name in ["lavenderplank-news", "server-news", "x-other", "server", "content-length"] {
         headers.insert(name, HeaderValue::from_static("7"));
     }
-    for name in ["lavenderplank-server-load", "server-limit", "lavenderplank-server-seal"] {
+    for name in
+        ["lavenderplank-server-load", "server-limit", "server-leaving", "lavenderplank-server-seal"]
+    {
         headers.insert(name, HeaderValue::from_static("1"));
     }
     let mut unknown = PlatformProtocol.unknown_reply_headers(&headers);
