Bound the cost of deciding who may send to limited targets, and count those targets

Whether this host may send to a target takes one hash for each live host; with a thousand hosts and hundreds of limited or cold targets a search over all targets would have cost a million hashes. The answer is kept until the list of live hosts changes. No decision changes.

--- a/src/entry/place.rs
+++ b/src/entry/place.rs
@@ -9,7 +9,7 @@
     placement::{
         CachedObjects, Candidate, CandidateEstimate, Choice, Forecast, NameTag, ObjectTag,
         PlacementQuery, RegionLoad, RegionShares, ShortlistQuery, TargetHealth, TargetIndex,
-        TargetNotices, choose, is_paced_sender, name_tag,
+        TargetNotices, choose, name_tag,
     },
     prelude::*,
 };
@@ -275,7 +275,7 @@
             .filter(|_| self.tuning.use_reported_slowness);
         let cold = target.is_cold(now);
         let cold_unavailable = cold
-            && (!is_paced_sender(target, &self.settings.host, &view.hosts)
+            && (!self.is_paced_sender(view, target)
                 || !self.cold_target_limiter.borrow_mut().has_token(target, cold_rate, now));
         let readiness = self.readiness(view, target, own_in_flight);
         let health_unavailable = health.is_some_and(|health| {
--- a/src/entry/target_statements.rs
+++ b/src/entry/target_statements.rs
@@ -5,10 +5,7 @@
 use super::{KnownTarget, ReplyMetadata, TrafficState, View, traffic_state::InFlight};
 use crate::{
     event_log::Event,
-    placement::{
-        LimitChange, Rest, TargetIndex, TargetNotices, is_paced_sender, paced_rate,
-        request_interval,
-    },
+    placement::{LimitChange, Rest, TargetIndex, TargetNotices, paced_rate, request_interval},
     prelude::*,
 };
 
@@ -81,9 +78,7 @@
         };
         let now = self.clock.now();
         let mut pacer = self.limited_target_pacer.borrow_mut();
-        if is_paced_sender(target, &self.settings.host, &view.hosts)
-            && pacer.has_token(target.tag, limit, now)
-        {
+        if self.is_paced_sender(view, target) && pacer.has_token(target.tag, limit, now) {
             return Readiness::Ready;
         }
         Readiness::Later(Some(request_interval(limit)))
@@ -108,6 +103,12 @@
         true
     }
 
+    /// Whether this host may send to a target whose rate is limited for all hosts together.
+    pub(super) fn is_paced_sender(&self, view: &View, target: &KnownTarget) -> bool {
+        let mut senders = self.paced_senders.borrow_mut();
+        senders.is_sender(target, &self.settings.host, &view.hosts)
+    }
+
     /// Charges a request to the limit of its target. Returns whether the target has one.
     pub(super) fn charge_limit(&self, target: &KnownTarget) -> bool {
         let is_limited = self.target_notices.borrow().limit(target.tag).is_some();
--- a/src/entry/traffic_state.rs
+++ b/src/entry/traffic_state.rs
@@ -26,8 +26,8 @@
     metrics::TrafficGauges,
     placement::{
         CachedObjects, ColdTargetLimiter, Forecast, HealthChange, HealthSignal, LimitedTargetPacer,
-        NameTag, ObjectTag, RoundTrips, SentCounter, SentTotals, ServiceEstimates, TargetHealth,
-        TargetNotices, TargetTag, Tuning, name_tag,
+        NameTag, ObjectTag, PacedSenderCache, RoundTrips, SentCounter, SentTotals,
+        ServiceEstimates, TargetHealth, TargetNotices, TargetTag, Tuning, name_tag,
     },
     prelude::*,
     quota::{PeerState, Quota, SharedBuckets, Verdict},
@@ -57,6 +57,7 @@
     bounds: BoundsCell,
     pub(super) cold_target_limiter: RefCell<ColdTargetLimiter>,
     pub(super) limited_target_pacer: RefCell<LimitedTargetPacer>,
+    pub(super) paced_senders: RefCell<PacedSenderCache>,
     pub(super) target_health: RefCell<HashMap<u32, TargetHealth>>,
     pub(super) target_notices: RefCell<TargetNotices>,
     pub(super) cached_objects: RefCell<CachedObjects>,
@@ -113,6 +114,7 @@
             events,
             cold_target_limiter: RefCell::default(),
             limited_target_pacer: RefCell::default(),
+            paced_senders: RefCell::default(),
             target_health: RefCell::default(),
             target_notices: RefCell::default(),
             cached_objects: RefCell::default(),
@@ -457,6 +459,7 @@
         TrafficGauges {
             connections: self.open_connections.get(),
             in_flight: target_health.values().map(|health| health.in_flight).sum(),
+            notices: self.target_notices.borrow().counts(now),
             paused: target_health.values().filter(|health| health.is_paused(now)).count(),
             unknown_header_responses: self.unknown_headers.responses(),
         }
--- a/src/entry/unknown_headers.rs
+++ b/src/entry/unknown_headers.rs
@@ -2,7 +2,10 @@
 //!
 //! A fact that a target states in such a header is lost on this host, so operators have to see it.
 
-use std::{cell::Cell, cell::RefCell, collections::HashSet};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashSet,
+};
 
 use http::{HeaderMap, HeaderName};
 
--- a/src/metrics/entry.rs
+++ b/src/metrics/entry.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     event_log::{AttemptEnd, Event, EventSink, RequestKey},
+    placement::NoticeCounts,
     prelude::*,
 };
 
@@ -101,6 +102,8 @@
     pub connections: usize,
     /// Attempts in flight.
     pub in_flight: u32,
+    /// Targets that limit their requests, rest or leave, as they said themselves.
+    pub notices: NoticeCounts,
     /// Paused targets.
     pub paused: usize,
     /// Responses of targets with a header that the platform defines and this release does not know.
@@ -291,6 +294,9 @@
         self.connections.set(gauges.connections as i64);
         self.in_flight.set(i64::from(gauges.in_flight));
         self.set_target_count(gauges.paused, "paused");
+        self.set_target_count(gauges.notices.leaving, "leaving");
+        self.set_target_count(gauges.notices.limited, "limited");
+        self.set_target_count(gauges.notices.resting, "resting");
         self.unknown_headers.set(gauges.unknown_header_responses as i64);
     }
 
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -41,7 +41,7 @@
     cold_target_limiter::ColdTargetLimiter,
     forecast::Forecast,
     limited_target_pacer::{LimitedTargetPacer, paced_rate, request_interval},
-    paced_senders::{SENDERS_PER_TARGET, is_paced_sender},
+    paced_senders::{PacedSenderCache, SENDERS_PER_TARGET, is_paced_sender},
     region_shares::{RegionLoad, RegionShares},
     round_trips::RoundTrips,
     sent_requests::{SHIFT_WINDOW, SentCounter, SentTotals, ServiceRegion, WindowCounts},
@@ -49,7 +49,9 @@
     slowdown_report::SlowdownReport,
     target_health::{HealthChange, HealthSignal, TargetHealth},
     target_index::{ShortlistQuery, TargetIndex},
-    target_notices::{LimitChange, LimitReport, NamedLimit, Rest, TargetNotices, TargetStatement},
+    target_notices::{
+        LimitChange, LimitReport, NamedLimit, NoticeCounts, Rest, TargetNotices, TargetStatement,
+    },
     tuning::Tuning,
     work_time::WorkTime,
 };
--- a/src/placement/paced_senders.rs
+++ b/src/placement/paced_senders.rs
@@ -1,7 +1,10 @@
 //! Hosts that may send to a target whose rate is limited for all hosts together.
 
+use std::collections::HashMap;
+
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::TargetTag;
 use crate::{
     entry::{KnownTarget, LiveHost},
     prelude::*,
@@ -10,6 +13,30 @@
 /// Hosts that may send to one such target. A single one could be cut off from it.
 pub const SENDERS_PER_TARGET: usize = 2;
 
+/// Whether this host is one of these hosts, for the targets asked about since the list of live hosts
+/// changed. With a thousand hosts, each answer takes as many hashes.
+#[derive(Debug, Default)]
+pub struct PacedSenderCache {
+    hosts: Arc<[LiveHost]>,
+    is_sender: HashMap<TargetTag, bool>,
+}
+
+impl PacedSenderCache {
+    /// See `is_paced_sender`.
+    pub fn is_sender(
+        &mut self,
+        target: &KnownTarget,
+        host: &HostId,
+        hosts: &Arc<[LiveHost]>,
+    ) -> bool {
+        if !Arc::ptr_eq(&self.hosts, hosts) {
+            self.hosts = hosts.clone();
+            self.is_sender.clear();
+        }
+        *self.is_sender.entry(target.tag).or_insert_with(|| is_paced_sender(target, host, hosts))
+    }
+}
+
 /// Whether `host` is one of the two hosts that may send to a target whose rate is limited. Hosts of the target's
 /// region have precedence; if there are none, hosts of all regions are eligible.
 pub fn is_paced_sender(target: &KnownTarget, host: &HostId, hosts: &[LiveHost]) -> bool {
--- a/src/placement/target_notices.rs
+++ b/src/placement/target_notices.rs
@@ -112,6 +112,14 @@
     Unconfirmed,
 }
 
+/// Numbers of targets that stated something that still holds.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct NoticeCounts {
+    pub leaving: usize,
+    pub limited: usize,
+    pub resting: usize,
+}
+
 /// What is known of all targets that stated something.
 #[derive(Debug, Default)]
 pub struct TargetNotices {
@@ -231,6 +239,16 @@
         self.own.is_empty() && self.reported.is_empty()
     }
 
+    /// Numbers of targets by what they stated.
+    pub fn counts(&self, now: Moment) -> NoticeCounts {
+        let is_resting = |tag: TargetTag| matches!(self.rest(tag, now), Some(Rest::For(_)));
+        NoticeCounts {
+            leaving: self.tags().filter(|tag| self.is_leaving(*tag)).count(),
+            limited: self.tags().filter(|tag| self.limit(*tag).is_some()).count(),
+            resting: self.tags().filter(|tag| is_resting(*tag)).count(),
+        }
+    }
+
     /// The reports for other hosts: what this host's own responses said, the newest first.
     pub fn reports(&self, now: Moment) -> Vec<(TargetTag, LimitReport)> {
         let own = self.own.iter().filter_map(|(tag, notice)| Some((*tag, notice.limit?)));
--- a/src/placement/tests/target_notices.rs
+++ b/src/placement/tests/target_notices.rs
@@ -103,6 +103,7 @@
     assert_eq!(notices.record_rest(TAG, Some(Duration::ZERO), secs(2.0)), None);
     assert_eq!(rest(&notices, 3.5), Some(Rest::For(secs(0.5))));
     assert_eq!(notices.record_rest(TAG, Some(secs(2.0)), secs(3.0)), Some(secs(2.0)), "longer");
+    assert_eq!((notices.counts(secs(4.0)).resting, notices.counts(secs(5.0)).resting), (1, 0));
     assert_eq!(rest(&notices, 5.0), Some(Rest::Unconfirmed));
     assert_eq!(rest(&notices, 99.0), Some(Rest::Unconfirmed));
     notices.record_rest(TAG, None, secs(99.0));
