--- a/src/placement/tests/load_patterns.rs
+++ b/src/placement/tests/load_patterns.rs
@@ -99,3 +99,31 @@
     let all = tally.in_time + tally.late + tally.refused;
     assert!(tally.refused * 50 <= all, "{tally:?}");
 }
+
+/// Twenty seconds after some of the targets have limited their requests to two a second each.
+fn limited(targets: usize) -> impl Fn(&mut Simulation) -> Tally {
+    move |simulation| {
+        warm_up(simulation);
+        (0..targets).for_each(|target| simulation.limit(target, 2.0));
+        simulation.simulate(secs(20.0), 30.0)
+    }
+}
+
+/// A third of the targets limit their requests; the others have room for all. Guards against
+/// requests that are refused because the targets that have their objects cached take no more.
+#[test]
+fn requests_move_away_from_limited_targets() {
+    let tally = sum(SEEDS, Tuning::default(), limited(2));
+    let requests = tally.in_time + tally.late + tally.refused;
+    assert!(tally.refused * 20 < requests, "{tally:?}");
+}
+
+/// All targets limit their requests, far below what callers ask. Guards against hosts that refuse
+/// what the limits leave room for.
+#[test]
+fn limits_of_all_targets_are_used() {
+    let tally = sum(SEEDS, Tuning::default(), limited(6));
+    let named = 6.0 * 2.0 * 20.0 * SEEDS as f64;
+    let used = f64::from(tally.in_time + tally.late) / named;
+    assert!((0.75..=1.0).contains(&used), "{used}: {tally:?}");
+}
--- a/src/placement/tests/simulation.rs
+++ b/src/placement/tests/simulation.rs
@@ -12,8 +12,8 @@
 use crate::{
     entry::KnownTarget,
     placement::{
-        CachedObjects, Candidate, Choice, Forecast, HealthSignal, ObjectTag, PlacementQuery,
-        ServiceEstimates, SlowdownReport, TargetHealth, TargetTag, Tuning, choose,
+        CachedObjects, Candidate, Choice, Forecast, HealthSignal, LimitedTargetPacer, ObjectTag,
+        PlacementQuery, ServiceEstimates, SlowdownReport, TargetHealth, TargetTag, Tuning, choose,
     },
     prelude::*,
 };
@@ -80,6 +80,7 @@
     health: [TargetHealth; TARGETS],
     cached_objects: CachedObjects,
     in_flight: [u32; TARGETS],
+    pacer: LimitedTargetPacer,
     estimates: ServiceEstimates,
     unreported_runs: Vec<(TargetTag, ObjectTag)>,
     /// Requests that the other hosts reported in flight.
@@ -91,6 +92,8 @@
 pub struct Simulation {
     hosts: Vec<Host>,
     known_targets: Vec<Arc<KnownTarget>>,
+    /// Limits of targets, known to all hosts, in requests per second.
+    limits: [Option<f64>; TARGETS],
     /// Time since the start of the simulation, in milliseconds.
     now: u64,
     rng: ChaCha8Rng,
@@ -110,6 +113,7 @@
             known_targets: (0..TARGETS)
                 .map(|index| known(&format!("t-{seed}-{index}"), "north"))
                 .collect(),
+            limits: [None; TARGETS],
             now: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
             slowdowns: [1; TARGETS],
@@ -155,6 +159,11 @@
         self.slowdowns[target] = factor;
     }
 
+    /// Limits a target to `per_second` requests from now on. Both hosts may send to it.
+    pub fn limit(&mut self, target: usize, per_second: f64) {
+        self.limits[target] = Some(per_second);
+    }
+
     fn place_request(&mut self, host: usize) {
         // The multiplier, 2^32 divided by the golden ratio, spreads the tags over all values.
         let object = self.rng.random_range(0..OBJECTS).wrapping_mul(0x9e37_79b9);
@@ -167,7 +176,9 @@
                 is_recheck_due: false,
                 depth: it.cached_objects.depth(self.known_targets[index].tag, object),
                 load: f64::from(it.in_flight[index] + it.reported_in_flight[index]),
-                unavailable: false,
+                unavailable: self.limits[index].is_some_and(|limit| {
+                    !it.pacer.has_token(self.known_targets[index].tag, limit, now)
+                }),
                 slowdown: it.health[index].slowdown_with_report(it.reported_slowdowns[index], now),
                 target: &self.known_targets[index],
                 round_trip: Duration::ZERO,
@@ -199,6 +210,9 @@
             object: Some(object),
             round_trip: Duration::ZERO,
         };
+        if self.limits[estimate.index].is_some() {
+            it.pacer.take_token(self.known_targets[estimate.index].tag);
+        }
         it.estimates.work.record_sent(estimate.work);
         it.cached_objects.record_use(self.known_targets[estimate.index].tag, object);
         it.unreported_runs.push((self.known_targets[estimate.index].tag, object));
