Test that placed requests, slots and probes follow what targets state

Tests only: a request that was placed before a rest, a limit or a leave is withheld; statements of another target at the address do not count; after a rest a target gets one request at a time until it answers; slots of such targets are missing from their region.

--- /dev/null
+++ b/src/entry/tests/target_statements.rs
@@ -0,0 +1,109 @@
+//! What targets state of themselves, on the way of a request that is already placed.
+
+use super::{known_target, secs};
+use crate::{
+    base::ManualClock,
+    entry::{
+        LiveHost, ReplyMetadata, TrafficState, View,
+        target_statements::{Readiness, unusable_slots},
+    },
+    event_log::NoEvents,
+    placement::{Forecast, NamedLimit, TargetIndex, TargetStatement},
+    platform::{PlatformProtocol, standin::loopback_settings},
+    prelude::*,
+};
+
+/// A host `h` of region `north`, alone, with a clock that is set by hand.
+fn state(clock: Arc<ManualClock>) -> std::rc::Rc<TrafficState> {
+    let store = "127.0.0.1:1".parse().expect("an address");
+    let settings = loopback_settings("h", "north-a", "north", &[("north-a", "north")], store);
+    let host = LiveHost {
+        callers: store,
+        host: "h".into(),
+        is_strained: false,
+        region: "north".into(),
+        zone: "north-a".into(),
+    };
+    let view = View { hosts: [host].into(), ..View::default() };
+    let view = Arc::new(arc_swap::ArcSwapOption::from_pointee(view));
+    let bounds = Arc::new(arc_swap::ArcSwap::from_pointee(settings.bounds.clone()));
+    let (protocol, events) = (Arc::new(PlatformProtocol), Arc::new(NoEvents));
+    TrafficState::new(Arc::new(settings), bounds, clock, protocol, view, events)
+}
+
+fn reply(statement: TargetStatement) -> ReplyMetadata {
+    ReplyMetadata { statement, ..ReplyMetadata::default() }
+}
+
+fn resting(secs: u64) -> ReplyMetadata {
+    let rest = Some(Duration::from_secs(secs));
+    reply(TargetStatement { rest, ..TargetStatement::default() })
+}
+
+fn limited(limit: f64) -> ReplyMetadata {
+    let limit = Some(NamedLimit::PerSecond(limit));
+    reply(TargetStatement { limit, ..TargetStatement::default() })
+}
+
+/// Guards against requests that were placed before the target's statement and are sent after it.
+#[test]
+fn placed_requests_are_withheld_after_a_statement() {
+    let clock = Arc::new(ManualClock::default());
+    let (state, target) = (state(clock.clone()), known_target("t-1", "north"));
+    let placed = state.start_attempt(&target, 1, Forecast::default());
+    assert!(state.may_still_send(&target, &placed));
+    state.record_notices(&target, &resting(3));
+    assert!(!state.may_still_send(&target, &placed));
+    clock.advance(secs(3.0));
+    assert!(state.may_still_send(&target, &placed), "the rest is over");
+    state.record_notices(&target, &limited(2.0));
+    assert!(!state.may_still_send(&target, &placed), "the limit leaves no request yet");
+    clock.advance(secs(10.0));
+    assert!(state.may_still_send(&target, &placed));
+    assert!(!state.may_still_send(&target, &placed), "the request took the only token");
+    let leaving = reply(TargetStatement { is_leaving: true, ..TargetStatement::default() });
+    state.record_notices(&target, &leaving);
+    clock.advance(secs(10.0));
+    assert!(!state.may_still_send(&target, &placed));
+}
+
+/// Guards against statements of another target that has taken over the address.
+#[test]
+fn statements_of_another_target_do_not_count() {
+    let (state, target) = (state(Arc::default()), known_target("t-1", "north"));
+    state.record_notices(&target, &ReplyMetadata { wrong_target: true, ..resting(3) });
+    assert!(state.target_notices.borrow().is_empty());
+}
+
+/// After its rest a target that may still be in need gets one request at a time until it answers.
+#[test]
+fn a_rested_target_is_probed() {
+    let clock = Arc::new(ManualClock::default());
+    let (state, target) = (state(clock.clone()), known_target("t-1", "north"));
+    let view = state.view().expect("a view");
+    state.record_notices(&target, &resting(3));
+    assert_eq!(state.readiness(&view, &target, 0), Readiness::Later(Some(secs(3.0))));
+    clock.advance(secs(3.0));
+    assert_eq!(state.readiness(&view, &target, 0), Readiness::Ready);
+    assert_eq!(state.readiness(&view, &target, 1), Readiness::Later(None));
+    state.record_notices(&target, &ReplyMetadata::default());
+    assert_eq!(state.readiness(&view, &target, 1), Readiness::Ready);
+}
+
+/// Guards against a region that counts on slots of limited, resting and leaving targets, and draws
+/// requests that it has to refuse.
+#[test]
+fn slots_of_such_targets_are_missing_from_the_region() {
+    let state = state(Arc::default());
+    let targets: Vec<_> = (0..4).map(|at| known_target(&format!("t-{at}"), "north")).collect();
+    let mut index = TargetIndex::default();
+    index.update(&targets.clone().into());
+    state.record_notices(&targets[0], &resting(3));
+    state.record_notices(&targets[1], &limited(2.0));
+    let leaving = reply(TargetStatement { is_leaving: true, ..TargetStatement::default() });
+    state.record_notices(&targets[2], &leaving);
+    let notices = state.target_notices.borrow();
+    let unusable = unusable_slots(&index, &notices, secs(0.5), Moment::ZERO);
+    let north: f64 = unusable.values().sum();
+    assert!((north - (3.0 + 3.0 - 0.9 + 3.0)).abs() < 1e-9, "{unusable:?}");
+}
--- a/tests/entry_leaving.rs
+++ b/tests/entry_leaving.rs
@@ -3,22 +3,15 @@
 #[path = "support/entry.rs"]
 mod support;
 
-use lavenderplank::platform::standin::{ResponseMode, Statements};
-use support::{World, booking, read, run, until};
+use lavenderplank::platform::standin::Statements;
+use support::{RESPONSES, World, booking, read, run, until};
 
 /// The store still calls the target ready. Guards against a host that goes on sending to it, also
 /// if the response that says so is refused, broken, failed or streamed.
 #[test]
 fn a_target_that_said_it_leaves_gets_no_more_requests() {
     run(async {
-        for mode in [
-            ResponseMode::Serve,
-            ResponseMode::Fail,
-            ResponseMode::Shed,
-            ResponseMode::Truncate,
-            ResponseMode::Unsigned,
-            ResponseMode::NoLength,
-        ] {
+        for mode in RESPONSES {
             let world = World::spawn(&["north-a"]).await;
             let host = world.host("a").await;
             let target = &world.targets[0];
--- a/tests/entry_limits.rs
+++ b/tests/entry_limits.rs
@@ -5,11 +5,8 @@
 
 use std::time::{Duration, Instant};
 
-use lavenderplank::{
-    entry::EntryHost,
-    platform::standin::{ResponseMode, Statements},
-};
-use support::{World, booking, read, run, until};
+use lavenderplank::{entry::EntryHost, platform::standin::Statements};
+use support::{RESPONSES, World, booking, read, run, until};
 
 /// Time after which a host that passed on a limit is bound by it.
 const NOTICE_PERIOD: Duration = Duration::from_millis(500);
@@ -46,14 +43,7 @@
 #[test]
 fn a_limit_is_kept_whatever_becomes_of_the_response() {
     run(async {
-        for mode in [
-            ResponseMode::Serve,
-            ResponseMode::Fail,
-            ResponseMode::Shed,
-            ResponseMode::Truncate,
-            ResponseMode::Unsigned,
-            ResponseMode::NoLength,
-        ] {
+        for mode in RESPONSES {
             let world = World::spawn(&["north-a"]).await;
             let host = world.host("a").await;
             world.targets[0]
--- a/tests/support/entry.rs
+++ b/tests/support/entry.rs
@@ -14,7 +14,7 @@
     event_log::{Event, EventSink, RequestKey},
     platform::{
         ObjectStore, PlatformProtocol,
-        standin::{StoreStandin, TargetIdentity, TargetStandin, loopback_settings},
+        standin::{ResponseMode, StoreStandin, TargetIdentity, TargetStandin, loopback_settings},
     },
 };
 use reqwest::{Method, Response};
@@ -24,6 +24,15 @@
 pub const HOST: &str = "counter.example";
 pub const READS: &str = "/reads/";
 pub const BOOKINGS: &str = "/bookings/";
+/// Responses that end an attempt in different ways.
+pub const RESPONSES: [ResponseMode; 6] = [
+    ResponseMode::Serve,
+    ResponseMode::Fail,
+    ResponseMode::Shed,
+    ResponseMode::Truncate,
+    ResponseMode::Unsigned,
+    ResponseMode::NoLength,
+];
 /// Longest wait for something that must come; far above what it takes.
 const PATIENCE: Duration = Duration::from_secs(20);
 
