--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -162,7 +162,7 @@
     req
 }
 
-/// Status of a refusal, and the time after which the target wants to be asked again, as it says.
+/// Status of a refusal, and its Retry-After.
 fn describe_refusal(response: &Response<Incoming>) -> String {
     let status = response.status();
     let retry_after = response.headers().get(header::RETRY_AFTER);
--- a/src/entry/tests/target_statements.rs
+++ b/src/entry/tests/target_statements.rs
@@ -75,7 +75,7 @@
     assert!(state.target_notices.borrow().is_empty());
 }
 
-/// After its rest a target that may still be in need gets one request at a time until it answers.
+/// After its rest a target may still be overloaded; it gets one request at a time until it answers.
 #[test]
 fn a_rested_target_is_probed() {
     let clock = Arc::new(ManualClock::default());
--- a/src/event_log/event.rs
+++ b/src/event_log/event.rs
@@ -214,7 +214,7 @@
     },
     /// A target is paused: it gets no requests for `pause_ms`.
     TargetPaused { failures: u32, pause_ms: u64, reason: PauseReason, target: TargetId },
-    /// A target turned a request away and wants nothing from this host for `rest_ms`.
+    /// A target refused a request and takes none of this host for `rest_ms`.
     TargetResting { rest_ms: u64, target: TargetId },
     /// A paused target answered and is in use again.
     TargetTrusted { target: TargetId },
--- a/src/event_log/kind.rs
+++ b/src/event_log/kind.rs
@@ -88,7 +88,7 @@
             EventKind::TargetLeaving => "a target said in an answer that it leaves",
             EventKind::TargetLimited => "a target named a limit of requests, or ended it",
             EventKind::TargetPaused => "a target gets nothing for a while",
-            EventKind::TargetResting => "a target wants nothing from this host for a while",
+            EventKind::TargetResting => "a target refused a request and named a time to pause",
             EventKind::TargetTrusted => "a paused target answered again",
             EventKind::UnknownHeader => {
                 "a target's answer had a header of the platform that this release does not know"
--- a/src/placement/target_notices.rs
+++ b/src/placement/target_notices.rs
@@ -1,8 +1,7 @@
 //! What targets state of themselves in their responses, and what other hosts report of it.
 //!
-//! Load pattern: a target in need names how many requests a second it takes from all hosts
-//! together, or turns a host away and wants nothing from it for some time; one that ends says so.
-//! The hosts that it
+//! Load pattern: an overloaded target limits the rate of requests from all hosts together, or
+//! refuses a request and asks its host to pause; a target that shuts down announces it. The hosts that it
 //! answers learn this first; the store and the other hosts know nothing. A response without a limit
 //! ends the limit, but a host that sends the target nothing gets no response, so the end travels
 //! between hosts like the limit.
@@ -39,11 +38,11 @@
 /// What one response states of its target.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct TargetStatement {
-    /// The target ends soon and wants no new requests.
+    /// The target is shutting down and takes no new requests.
     pub is_leaving: bool,
     /// The limit for requests of all hosts together.
     pub limit: Option<NamedLimit>,
-    /// Time for which the target wants nothing from this host.
+    /// Time during which this host must not send to the target.
     pub rest: Option<Duration>,
 }
 
@@ -106,7 +105,7 @@
 /// A target's rest, by what it said to this host.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Rest {
-    /// The target wants nothing for this long.
+    /// The target takes no requests of this host for this long.
     For(Duration),
     /// The rest is over, and the target has not answered since.
     Unconfirmed,
--- a/src/platform/standin/target.rs
+++ b/src/platform/standin/target.rs
@@ -56,7 +56,7 @@
     pub limit: Option<&'static str>,
     /// It leaves.
     pub is_leaving: bool,
-    /// Time for which it wants nothing from a host whose request it refuses, in seconds.
+    /// Time during which a host whose request it refuses must not send to it, in seconds.
     pub rest: Option<&'static str>,
 }
 
