Open connections to targets through a trait, with a stand-in for links that are cut

A test could not cut one host off from targets that other hosts still reach, since all hosts read the same addresses. Weighed: a proxy for each host and target, which would need addresses of its own in the store's entries; a connector that the host is given.

--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -11,7 +11,10 @@
 use crate::{
     base::BootClock,
     cmd::{Exit, Result},
-    entry::{EntryHost, EntryParts, EntrySettings, SettingsChange, SettingsFile, reload_event},
+    entry::{
+        EntryHost, EntryParts, EntrySettings, SettingsChange, SettingsFile, TcpConnector,
+        reload_event,
+    },
     event_log::{Event, EventLog, EventSink, ReloadEnd, start_bridge},
     platform::{ObjectStore, PlatformProtocol, SETTINGS_VARIABLE},
     prelude::*,
@@ -60,8 +63,14 @@
     let (clock, protocol) = (Arc::new(BootClock), Arc::new(PlatformProtocol));
     let (region, zone) = (settings.region.clone(), settings.zone.clone());
     events.record(None, Event::Started { build: env!("CARGO_PKG_VERSION").into(), region, zone });
-    let parts =
-        EntryParts { clock, events: events.clone(), protocol, settings: settings.clone(), store };
+    let parts = EntryParts {
+        clock,
+        connector: Arc::new(TcpConnector),
+        events: events.clone(),
+        protocol,
+        settings: settings.clone(),
+        store,
+    };
     let host = EntryHost::spawn(parts).await?;
     let mut looks = interval(LOOK_EVERY);
     looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -98,7 +98,7 @@
             "{}: the target closed the idle connection: {reason}; connecting again",
             target.entry.id
         );
-        connection = match connect(target.entry.addr).await {
+        connection = match connect(&*state.connector, target.entry.addr).await {
             Ok(connection) => connection,
             Err(error) => return guard.not_sent(&error),
         };
@@ -138,7 +138,7 @@
     let idle = state.pool.borrow_mut().take(target, state.clock.now());
     match idle {
         Some(connection) => Ok(connection),
-        None => connect(target.entry.addr).await,
+        None => connect(&*state.connector, target.entry.addr).await,
     }
 }
 
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -20,7 +20,7 @@
 use xtra::Address;
 
 use super::{
-    EntryControl, EntrySettings, Listen, Protocol, TrafficState, ViewCell,
+    Connector, EntryControl, EntrySettings, Listen, Protocol, TrafficParts, TrafficState, ViewCell,
     control::{ControlParts, Datagram, HEARTBEAT_INTERVAL, Leave, Reload, StateQuery, Tick},
     listeners::{
         accept, lookup_response, readiness_response, serve_caller, serve_platform_connection,
@@ -76,6 +76,8 @@
 /// Settings and dependencies of a host.
 pub struct EntryParts {
     pub clock: Arc<dyn Clock>,
+    /// Opens the connections to targets.
+    pub connector: Arc<dyn Connector>,
     pub events: Arc<dyn EventSink>,
     pub protocol: Arc<dyn Protocol>,
     pub settings: EntrySettings,
@@ -145,6 +147,7 @@
         let traffic = TrafficThread {
             bounds: bounds.clone(),
             clock: parts.clock,
+            connector: parts.connector,
             events: events.clone(),
             metrics: metrics.clone(),
             protocol: parts.protocol,
@@ -346,6 +349,7 @@
 struct TrafficThread {
     bounds: BoundsCell,
     clock: Arc<dyn Clock>,
+    connector: Arc<dyn Connector>,
     events: Arc<dyn EventSink>,
     metrics: Arc<EntryMetrics>,
     protocol: Arc<dyn Protocol>,
@@ -367,14 +371,15 @@
         let callers_listener = TcpListener::from_std(self.listeners.callers)?;
         let ready_listener = TcpListener::from_std(self.listeners.ready)?;
         let lookup_listener = TcpListener::from_std(self.listeners.lookups)?;
-        let state = TrafficState::new(
-            self.settings.clone(),
-            self.bounds,
-            self.clock,
-            self.protocol,
-            self.view,
-            self.events,
-        );
+        let state = TrafficState::new(TrafficParts {
+            bounds: self.bounds,
+            clock: self.clock,
+            connector: self.connector,
+            events: self.events,
+            protocol: self.protocol,
+            settings: self.settings.clone(),
+            view: self.view,
+        });
         let shutdown_rx = self.shutdown_rx.clone();
         let shared = state.clone();
         tokio::task::spawn_local(accept(callers_listener, move |stream| {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod attempt;
 mod body_memory;
 mod caller_io;
+mod connector;
 mod control;
 mod crash_suspects;
 mod declaration;
@@ -47,6 +48,7 @@
 
 pub use self::{
     access::Access,
+    connector::{Connector, Stream, TcpConnector},
     control::EntryControl,
     crash_suspects::CrashSuspects,
     declaration::{Declaration, DeclarationVersion, Idempotency, Route, ServiceRules},
@@ -62,7 +64,7 @@
     sync::Query as StateQuery,
     target::{KnownTarget, TargetEntry},
     team::{CallerKey, KeyDigest, Team, TeamError, TeamLimit, Teams},
-    traffic_state::{BoundsCell, TrafficState},
+    traffic_state::{BoundsCell, TrafficParts, TrafficState},
     upstream::ConnectionPool,
     view::{LiveHost, View, ViewCell},
 };
--- a/src/entry/tests/access.rs
+++ b/src/entry/tests/access.rs
@@ -1,6 +1,6 @@
 //! Tests of authorization by key, and of the validation of teams.
 
-use arc_swap::{ArcSwap, ArcSwapOption};
+use arc_swap::ArcSwapOption;
 use assert_matches::assert_matches;
 
 use super::{bounds, secs};
@@ -10,8 +10,7 @@
         Access, Bounds, CallerKey, Declaration, Idempotency, KeyDigest, Route, Team, TeamError,
         TeamLimit, Teams, TrafficState, View,
     },
-    event_log::NoEvents,
-    platform::{PlatformProtocol, standin::loopback_settings},
+    platform::standin::{loopback_settings, loopback_traffic},
     prelude::*,
 };
 
@@ -128,15 +127,8 @@
 #[test]
 fn an_older_view_does_not_restore_its_limits() {
     let settings = loopback_settings("h", "z", "r", &[("z", "r")], "127.0.0.1:1".parse().unwrap());
-    let bounds = Arc::new(ArcSwap::from_pointee(settings.bounds.clone()));
-    let state = TrafficState::new(
-        Arc::new(settings),
-        bounds,
-        Arc::new(ManualClock::default()),
-        Arc::new(PlatformProtocol),
-        Arc::new(ArcSwapOption::empty()),
-        Arc::new(NoEvents),
-    );
+    let (clock, view) = (Arc::new(ManualClock::default()), Arc::new(ArcSwapOption::empty()));
+    let state = TrafficState::new(loopback_traffic(settings, clock, view));
     let view = |version, limit| {
         let teams = Teams::new(vec![(Team { limit, ..team("lyra") }, Vec::new())]);
         let teams = teams.expect("one team");
--- a/src/entry/tests/demand.rs
+++ b/src/entry/tests/demand.rs
@@ -6,9 +6,8 @@
 use crate::{
     base::ManualClock,
     entry::{Idempotency, LiveHost, Route, Team, TrafficState, View, place::PlacementRequest},
-    event_log::NoEvents,
     placement::name_tag,
-    platform::{PlatformProtocol, standin::loopback_settings},
+    platform::standin::{loopback_settings, loopback_traffic},
     prelude::*,
 };
 
@@ -58,10 +57,8 @@
     let zones = [("north-a", "north"), ("south-a", "south")];
     let store = "127.0.0.1:1".parse().expect("an address");
     let settings = loopback_settings("h", "south-a", "south", &zones, store);
-    let bounds = Arc::new(arc_swap::ArcSwap::from_pointee(settings.bounds.clone()));
     let cell = Arc::new(arc_swap::ArcSwapOption::new(Some(Arc::new(view()))));
-    let (protocol, events) = (Arc::new(PlatformProtocol), Arc::new(NoEvents));
-    TrafficState::new(Arc::new(settings), bounds, clock, protocol, cell, events)
+    TrafficState::new(loopback_traffic(settings, clock, cell))
 }
 
 /// Guards against a region whose callers are moved away because a team that only another region may
--- a/src/entry/tests/target_statements.rs
+++ b/src/entry/tests/target_statements.rs
@@ -7,9 +7,8 @@
         LiveHost, ReplyMetadata, TrafficState, View,
         target_statements::{Readiness, unusable_slots},
     },
-    event_log::NoEvents,
     placement::{Forecast, NamedLimit, TargetIndex, TargetStatement},
-    platform::{PlatformProtocol, standin::loopback_settings},
+    platform::standin::{loopback_settings, loopback_traffic},
     prelude::*,
 };
 
@@ -26,9 +25,7 @@
     };
     let view = View { hosts: [host].into(), ..View::default() };
     let view = Arc::new(arc_swap::ArcSwapOption::from_pointee(view));
-    let bounds = Arc::new(arc_swap::ArcSwap::from_pointee(settings.bounds.clone()));
-    let (protocol, events) = (Arc::new(PlatformProtocol), Arc::new(NoEvents));
-    TrafficState::new(Arc::new(settings), bounds, clock, protocol, view, events)
+    TrafficState::new(loopback_traffic(settings, clock, view))
 }
 
 fn reply(statement: TargetStatement) -> ReplyMetadata {
--- a/src/entry/tests/targets.rs
+++ b/src/entry/tests/targets.rs
@@ -8,9 +8,9 @@
         CrashSuspects, Idempotency, LiveHost, Route, TrafficState, traffic_state::retry_allowance,
         unknown_headers::UnknownHeaders,
     },
-    event_log::{Event, EventSink, NoEvents, RequestKey},
+    event_log::{Event, EventSink, RequestKey},
     placement::{ColdTargetLimiter, HealthSignal, SlowdownReport, TargetHealth, is_paced_sender},
-    platform::{PlatformProtocol, standin::loopback_settings},
+    platform::standin::{loopback_settings, loopback_traffic},
     prelude::*,
 };
 
@@ -210,9 +210,7 @@
     let clock = Arc::new(ManualClock::default());
     let settings = loopback_settings("h", "z", "r", &[("z", "r")], "127.0.0.1:1".parse().unwrap());
     let view = Arc::new(arc_swap::ArcSwapOption::empty());
-    let bounds = Arc::new(arc_swap::ArcSwap::from_pointee(settings.bounds.clone()));
-    let (protocol, events) = (Arc::new(PlatformProtocol), Arc::new(NoEvents));
-    let state = TrafficState::new(Arc::new(settings), bounds, clock, protocol, view, events);
+    let state = TrafficState::new(loopback_traffic(settings, clock, view));
     let route = |host: &str, weights: [f64; 2]| Route {
         max_attempts: 1,
         key: format!("{host}/a/").into(),
--- a/src/entry/traffic_state.rs
+++ b/src/entry/traffic_state.rs
@@ -10,8 +10,8 @@
 use arc_swap::ArcSwap;
 
 use super::{
-    Bounds, ConnectionPool, CrashSuspects, DeclarationVersion, EntrySettings, KnownTarget,
-    Protocol, Route, Team, View, ViewCell,
+    Bounds, ConnectionPool, Connector, CrashSuspects, DeclarationVersion, EntrySettings,
+    KnownTarget, Protocol, Route, Team, View, ViewCell,
     body_memory::BodyMemory,
     place::{allows_region, region_loads},
     service_state::ServiceState,
@@ -47,9 +47,21 @@
 /// The bounds in force, replaced when the settings are reloaded.
 pub type BoundsCell = Arc<ArcSwap<Bounds>>;
 
+/// Settings and dependencies of the traffic thread's state.
+pub struct TrafficParts {
+    pub bounds: BoundsCell,
+    pub clock: Arc<dyn Clock>,
+    pub connector: Arc<dyn Connector>,
+    pub events: Arc<dyn EventSink>,
+    pub protocol: Arc<dyn Protocol>,
+    pub settings: Arc<EntrySettings>,
+    pub view: ViewCell,
+}
+
 /// Everything the traffic thread bases its decisions on. Used by one thread only, hence the cells.
 pub struct TrafficState {
     pub clock: Arc<dyn Clock>,
+    pub connector: Arc<dyn Connector>,
     pub events: Arc<dyn EventSink>,
     pub protocol: Arc<dyn Protocol>,
     pub settings: Arc<EntrySettings>,
@@ -98,19 +110,14 @@
 
 impl TrafficState {
     /// Creates the state of a host without any requests yet.
-    pub fn new(
-        settings: Arc<EntrySettings>,
-        bounds: BoundsCell,
-        clock: Arc<dyn Clock>,
-        protocol: Arc<dyn Protocol>,
-        view: ViewCell,
-        events: Arc<dyn EventSink>,
-    ) -> Rc<Self> {
+    pub fn new(parts: TrafficParts) -> Rc<Self> {
+        let TrafficParts { bounds, clock, connector, events, protocol, settings, view } = parts;
         let quota: Box<dyn Quota> = Box::new(SharedBuckets::new(clock.now()));
         Rc::new(Self {
             body_memory: BodyMemory::default(),
             bounds,
             clock,
+            connector,
             events,
             cold_target_limiter: RefCell::default(),
             limited_target_pacer: RefCell::default(),
@@ -354,7 +361,7 @@
             self.running_fingerprints.borrow().get(&target.tag).cloned().unwrap_or_default();
         let (state, target, service) = (self.clone(), target.clone(), service.clone());
         tokio::task::spawn_local(async move {
-            let connected = connect(target.entry.addr).await;
+            let connected = connect(&*state.connector, target.entry.addr).await;
             state.crash_checks.borrow_mut().remove(&target.tag);
             if let Err(error) = connected {
                 log::debug!(
--- a/src/entry/upstream.rs
+++ b/src/entry/upstream.rs
@@ -10,9 +10,8 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 
-use super::KnownTarget;
+use super::{Connector, KnownTarget};
 use crate::{base::with_root_cause, prelude::*};
 
 /// A round trip between regions takes 110 ms, and a lost packet is sent again after 200 ms or more.
@@ -107,13 +106,12 @@
 }
 
 /// Opens a connection to a target.
-pub async fn connect(addr: SocketAddr) -> Result<TargetConnection> {
+pub async fn connect(connector: &dyn Connector, addr: SocketAddr) -> Result<TargetConnection> {
     let unreachable = |error: io::Error| SendError::Unreachable(error.to_string().into());
-    let result = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
+    let result = tokio::time::timeout(CONNECT_TIMEOUT, connector.connect(addr)).await;
     let stream = result
         .map_err(|_| SendError::Unreachable("connect timed out".into()))?
         .map_err(unreachable)?;
-    stream.set_nodelay(true).map_err(unreachable)?;
     let handshake = http1::Builder::new().max_buf_size(64 * 1024).handshake(TokioIo::new(stream));
     let (sender, connection) =
         handshake.await.map_err(|error| SendError::NotSent(error.to_string().into()))?;
--- a/src/measure/placement.rs
+++ b/src/measure/placement.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Instant};
 
-use arc_swap::{ArcSwap, ArcSwapOption};
+use arc_swap::ArcSwapOption;
 use hdrhistogram::Histogram;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -12,9 +12,8 @@
     entry::{
         Idempotency, KnownTarget, PlacementRequest, Route, Search, TargetEntry, TrafficState, View,
     },
-    event_log::NoEvents,
     placement::Forecast,
-    platform::{PlatformProtocol, standin::loopback_settings},
+    platform::standin::{loopback_settings, loopback_traffic},
     prelude::*,
 };
 
@@ -59,15 +58,8 @@
             &[],
             SocketAddr::from(([127, 0, 0, 1], 1)),
         );
-        let bounds = Arc::new(ArcSwap::from_pointee(settings.bounds.clone()));
-        let state = TrafficState::new(
-            Arc::new(settings),
-            bounds,
-            Arc::new(ManualClock::default()),
-            Arc::new(PlatformProtocol),
-            Arc::new(ArcSwapOption::empty()),
-            Arc::new(NoEvents),
-        );
+        let (clock, view) = (Arc::new(ManualClock::default()), Arc::new(ArcSwapOption::empty()));
+        let state = TrafficState::new(loopback_traffic(settings, clock, view));
         let known: Arc<[Arc<KnownTarget>]> = (0..targets).map(target).collect();
         let mut view = View::default();
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
--- a/src/platform/standin/fault_run.rs
+++ b/src/platform/standin/fault_run.rs
@@ -20,7 +20,7 @@
 };
 use crate::{
     base::BootClock,
-    entry::{EntryHost, EntryParts},
+    entry::{EntryHost, EntryParts, TcpConnector},
     event_log::NoEvents,
     platform::{ObjectStore, PlatformProtocol},
     prelude::*,
@@ -367,8 +367,8 @@
     let settings = loopback_settings(name, zone, region, &zones, store.addr());
     let store = Arc::new(ObjectStore::new(store.addr())?);
     let (clock, protocol) = (Arc::new(BootClock), Arc::new(PlatformProtocol));
-    let events = Arc::new(NoEvents);
-    Ok(EntryHost::spawn(EntryParts { clock, events, protocol, settings, store }).await?)
+    let (connector, events) = (Arc::new(TcpConnector), Arc::new(NoEvents));
+    Ok(EntryHost::spawn(EntryParts { clock, connector, events, protocol, settings, store }).await?)
 }
 
 fn config(version: u64) -> Value {
--- a/src/platform/standin/mod.rs
+++ b/src/platform/standin/mod.rs
@@ -2,13 +2,15 @@
 //! targets, as far as a host uses them.
 
 mod fault_run;
+mod links;
 mod settings;
 mod store;
 mod target;
 
 pub use self::{
     fault_run::{FaultRunReport, run_with_faults},
-    settings::loopback_settings,
+    links::{LinkMode, TargetLinks},
+    settings::{loopback_settings, loopback_traffic},
     store::StoreStandin,
     target::{ReceivedRequest, ResponseMode, Statements, TargetIdentity, TargetStandin},
 };
--- a/src/platform/standin/settings.rs
+++ b/src/platform/standin/settings.rs
@@ -1,12 +1,32 @@
 //! Settings of test hosts on loopback.
 
+use arc_swap::ArcSwap;
+
 use crate::{
-    entry::{Bounds, EntrySettings, Listen},
-    event_log::EventLogSettings,
+    entry::{Bounds, EntrySettings, Listen, TcpConnector, TrafficParts, ViewCell},
+    event_log::{EventLogSettings, NoEvents},
+    platform::PlatformProtocol,
     prelude::*,
     settings::LogSettings,
 };
 
+/// Returns the parts of a host's traffic state that logs nothing.
+pub fn loopback_traffic(
+    settings: EntrySettings,
+    clock: Arc<dyn Clock>,
+    view: ViewCell,
+) -> TrafficParts {
+    TrafficParts {
+        bounds: Arc::new(ArcSwap::from_pointee(settings.bounds.clone())),
+        clock,
+        connector: Arc::new(TcpConnector),
+        events: Arc::new(NoEvents),
+        protocol: Arc::new(PlatformProtocol),
+        settings: Arc::new(settings),
+        view,
+    }
+}
+
 /// Returns the settings of a host on free ports, with the bounds of production deployments.
 pub fn loopback_settings(
     host: &str,
--- a/tests/support/entry.rs
+++ b/tests/support/entry.rs
@@ -10,11 +10,14 @@
 
 use lavenderplank::{
     base::BootClock,
-    entry::{EntryHost, EntryParts, EntrySettings},
+    entry::{Connector, EntryHost, EntryParts, EntrySettings, TcpConnector},
     event_log::{Event, EventSink, RequestKey},
     platform::{
         ObjectStore, PlatformProtocol,
-        standin::{ResponseMode, StoreStandin, TargetIdentity, TargetStandin, loopback_settings},
+        standin::{
+            ResponseMode, StoreStandin, TargetIdentity, TargetLinks, TargetStandin,
+            loopback_settings,
+        },
     },
 };
 use reqwest::{Method, Response};
@@ -122,10 +125,24 @@
 
     /// A host that may not serve yet.
     pub async fn host_of(&self, settings: EntrySettings) -> EntryHost {
+        self.host_with(settings, Arc::new(TcpConnector)).await
+    }
+
+    /// A host that serves, and its links to the targets.
+    pub async fn host_with_links(&self, name: &str, zone: &str) -> (EntryHost, TargetLinks) {
+        let links = TargetLinks::new(self.targets.iter().map(TargetStandin::addr));
+        let (mut settings, region) = (settings(name, self.store.addr()), &zone[..5]);
+        (settings.zone, settings.region) = (zone.into(), region.into());
+        let host = self.host_with(settings, Arc::new(links.clone())).await;
+        self.until_ready(&host).await;
+        (host, links)
+    }
+
+    async fn host_with(&self, settings: EntrySettings, connector: Arc<dyn Connector>) -> EntryHost {
         let store = Arc::new(ObjectStore::new(settings.store).expect("a client"));
         let (clock, protocol) = (Arc::new(BootClock), Arc::new(PlatformProtocol));
         let events = self.events.clone();
-        EntryHost::spawn(EntryParts { clock, events, protocol, settings, store })
+        EntryHost::spawn(EntryParts { clock, connector, events, protocol, settings, store })
             .await
             .expect("free ports")
     }
