Log and count whether a host reaches any target

It now suspects so after failed connections to three targets with no success in between, or when requests at three targets have had no response for 1 s, and connects to six targets all over the fleet: if none accepts, it logs targets-unreachable; after two good rounds of probes, targets-reachable. The gauge reaches_targets shows it. No decision about a request changes yet.

Accepted probe connections go to the pool, so that they are not wasted.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -85,6 +85,7 @@
     if let Some(took) = guard.connect_time {
         state.record_connect(&target, took);
     }
+    let waiting = state.start_waiting(&target);
     if !state.may_still_send(&target, &in_flight) {
         return guard.withheld(connection);
     }
@@ -102,6 +103,7 @@
             Ok(connection) => connection,
             Err(error) => return guard.not_sent(&error),
         };
+        state.target_reach.borrow_mut().record_connected(state.clock.now());
         if !state.may_still_send(&target, &in_flight) {
             return guard.withheld(connection);
         }
@@ -109,10 +111,15 @@
     }
     let response = match sent {
         Ok(response) => response,
-        Err(SendError::Lost(reason)) => return guard.lost(&reason),
+        Err(SendError::Lost(reason)) => {
+            state.record_unreachable(&target);
+            return guard.lost(&reason);
+        }
         Err(error) => return guard.not_sent(&error),
     };
     guard.first_byte = Some(guard.elapsed());
+    state.target_reach.borrow_mut().record_response(state.clock.now());
+    drop(waiting);
     let metadata = state.protocol.reply_metadata(response.status(), response.headers());
     state.record_notices(&target, &metadata);
     let unknown = state.protocol.unknown_reply_headers(response.headers());
@@ -232,7 +239,10 @@
 
     fn not_sent(&mut self, error: &SendError) -> AttemptOutcome {
         let signal = match error {
-            SendError::Unreachable(_) => HealthSignal::Unreachable,
+            SendError::Unreachable(_) => {
+                self.state.record_unreachable(&self.target);
+                HealthSignal::Unreachable
+            }
             _ => HealthSignal::Failed,
         };
         self.record_end(signal, AttemptEnd::Unreachable, &error.to_string());
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -26,6 +26,7 @@
         accept, lookup_response, readiness_response, serve_caller, serve_platform_connection,
         status_response,
     },
+    reach_probe::probe_reach,
     strain::StrainDetector,
     sync::{
         FULL_QUERY_TIMEOUT, MAX_CONCURRENT_RESPONSES, MAX_QUERY_BYTES, PeerClient, Query,
@@ -402,6 +403,7 @@
         }));
         tokio::task::spawn_local(tick_traffic(state.clone(), self.load, self.metrics));
         tokio::task::spawn_local(monitor_strain(state.clone(), self.strained));
+        tokio::task::spawn_local(probe_reach(state.clone()));
         let _ = self.shutdown_rx.wait_for(|is_stopping| *is_stopping).await;
         wait_until_idle(&state).await;
         Ok(())
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -23,6 +23,7 @@
 mod pipelining;
 mod place;
 mod protocol;
+mod reach_probe;
 mod request_handler;
 mod request_log;
 mod response;
@@ -35,6 +36,7 @@
 mod strain;
 mod sync;
 mod target;
+mod target_reach;
 mod target_statements;
 mod team;
 #[cfg(test)]
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -10,6 +10,7 @@
 mod settings_file;
 mod strain;
 mod sync;
+mod target_reach;
 mod target_statements;
 mod targets;
 
--- a/src/entry/traffic_state.rs
+++ b/src/entry/traffic_state.rs
@@ -8,6 +8,7 @@
 };
 
 use arc_swap::ArcSwap;
+use tokio::sync::Notify;
 
 use super::{
     Bounds, ConnectionPool, Connector, CrashSuspects, DeclarationVersion, EntrySettings,
@@ -15,6 +16,7 @@
     body_memory::BodyMemory,
     place::{allows_region, region_loads},
     service_state::ServiceState,
+    target_reach::TargetReach,
     unknown_headers::UnknownHeaders,
     upstream::connect,
     usable_tags::UsableTags,
@@ -97,11 +99,18 @@
     running_fingerprints: RefCell<HashMap<u32, Vec<u64>>>,
     pub(super) services: RefCell<HashMap<ServiceId, ServiceState>>,
     split_credits: RefCell<HashMap<Arc<str>, Vec<f64>>>,
+    pub(super) target_reach: RefCell<TargetReach>,
+    /// Notified when a suspicion about `target_reach` is raised and when it is decided.
+    pub(super) reach_changed: Notify,
+    /// Targets of the attempts that wait for a response, and since when, by number of the attempt.
+    pub(super) waiting_attempts: RefCell<HashMap<u64, (TargetTag, Moment)>>,
     pub(super) usable_tags: RefCell<UsableTags>,
     /// Number of open connections of callers.
     pub open_connections: Cell<usize>,
     /// Number of requests since the process started.
     request_count: Cell<u64>,
+    /// Number of attempts since the process started.
+    attempt_count: Cell<u64>,
     /// When a graceful shutdown began; `None` while the host serves normally.
     pub shutdown_started_at: Cell<Option<Moment>>,
     pub unknown_headers: UnknownHeaders,
@@ -138,6 +147,7 @@
             crash_checks: RefCell::default(),
             open_connections: Cell::new(0),
             request_count: Cell::new(0),
+            attempt_count: Cell::new(0),
             crash_suspects: RefCell::default(),
             pool: RefCell::default(),
             quota: RefCell::new(quota),
@@ -147,6 +157,9 @@
             services: RefCell::default(),
             settings,
             split_credits: RefCell::default(),
+            target_reach: RefCell::default(),
+            reach_changed: Notify::new(),
+            waiting_attempts: RefCell::default(),
             usable_tags: RefCell::default(),
             unknown_headers: UnknownHeaders::default(),
             view,
@@ -300,9 +313,18 @@
     /// Records the time taken to connect to a target, which approximates a round trip to its
     /// region.
     pub fn record_connect(&self, target: &KnownTarget, took: Duration) {
+        self.target_reach.borrow_mut().record_connected(self.clock.now());
         self.round_trips.borrow_mut().record(&target.region, took);
     }
 
+    /// Records that an attempt waits for the response of a target, until the guard is dropped.
+    pub(super) fn start_waiting(self: &Rc<Self>, target: &KnownTarget) -> WaitingAttempt {
+        let number = self.attempt_count.get();
+        self.attempt_count.set(number + 1);
+        self.waiting_attempts.borrow_mut().insert(number, (target.tag, self.clock.now()));
+        WaitingAttempt { number, state: self.clone() }
+    }
+
     /// Updates the target's health and the service's estimates with the end of an attempt.
     pub fn record_attempt_end(
         &self,
@@ -368,6 +390,7 @@
                     "{} does not accept connections after a lost response: {error}",
                     target.entry.id
                 );
+                state.record_unreachable(&target);
                 state.count_crashes(&target, fingerprints);
                 state.record_attempt_end(
                     &target,
@@ -412,6 +435,7 @@
         self.apply_peer_objects(&view);
         self.update_quota(&view);
         self.update_notices(&view);
+        self.check_silence();
         self.recent_objects.borrow_mut().retain(|(at, _, _)| now < *at + RECENT_OBJECT_PERIOD);
         self.crash_suspects.borrow_mut().tick(now);
         self.update_sent_totals(&view, now);
@@ -468,6 +492,7 @@
             in_flight: target_health.values().map(|health| health.in_flight).sum(),
             notices: self.target_notices.borrow().counts(now),
             paused: target_health.values().filter(|health| health.is_paused(now)).count(),
+            reaches_targets: !self.is_cut_off(),
             unknown_header_responses: self.unknown_headers.responses(),
         }
     }
@@ -566,6 +591,18 @@
     }
 }
 
+/// Marks an attempt as waiting for a response until dropped.
+pub struct WaitingAttempt {
+    number: u64,
+    state: Rc<TrafficState>,
+}
+
+impl Drop for WaitingAttempt {
+    fn drop(&mut self) {
+        self.state.waiting_attempts.borrow_mut().remove(&self.number);
+    }
+}
+
 /// Marks a request as in flight at a target until dropped.
 pub struct InFlight {
     state: Rc<TrafficState>,
--- a/src/event_log/event.rs
+++ b/src/event_log/event.rs
@@ -218,6 +218,20 @@
     TargetResting { rest_ms: u64, target: TargetId },
     /// A paused target answered and is in use again.
     TargetTrusted { target: TargetId },
+    /// This host reaches targets again, after it had reached none.
+    TargetsReachable {
+        /// Time since it was found to reach none.
+        after_ms: u64,
+    },
+    /// This host reaches no target: all of its links to them are cut, or all are down.
+    TargetsUnreachable {
+        /// Number of targets with failed connections.
+        failed: usize,
+        /// Number of targets that were probed then, all without success.
+        probed: usize,
+        /// Time since the first failure.
+        since_ms: u64,
+    },
     /// A target's response had a header that the platform defines but this release does not know.
     /// Logged once for each name.
     UnknownHeader { name: Arc<str>, target: TargetId, value: Arc<str> },
--- a/src/event_log/kind.rs
+++ b/src/event_log/kind.rs
@@ -90,6 +90,8 @@
             EventKind::TargetPaused => "a target gets nothing for a while",
             EventKind::TargetResting => "a target refused a request and named a time to pause",
             EventKind::TargetTrusted => "a paused target answered again",
+            EventKind::TargetsReachable => "this host reaches targets again",
+            EventKind::TargetsUnreachable => "this host reaches no target at all",
             EventKind::UnknownHeader => {
                 "a target's answer had a header of the platform that this release does not know"
             }
--- a/src/metrics/entry.rs
+++ b/src/metrics/entry.rs
@@ -106,6 +106,8 @@
     pub notices: NoticeCounts,
     /// Paused targets.
     pub paused: usize,
+    /// Whether this host reaches any target.
+    pub reaches_targets: bool,
     /// Responses of targets with a header that the platform defines and this release does not know.
     pub unknown_header_responses: u64,
 }
@@ -122,6 +124,7 @@
     in_flight: Gauge,
     lines_dropped: Gauge,
     names: Vec<&'static str>,
+    reaches_targets: Gauge,
     compressed_bytes: Counter,
     state_queries: Family<EndLabels, Counter>,
     state_query_seconds: Histogram,
@@ -153,6 +156,7 @@
             in_flight: Gauge::default(),
             lines_dropped: Gauge::default(),
             names: Vec::new(),
+            reaches_targets: Gauge::default(),
             compressed_bytes: Counter::default(),
             state_queries: Family::default(),
             state_query_seconds: histogram(),
@@ -185,6 +189,8 @@
         self.register_metric("in_flight", "attempts in flight", self.in_flight.clone());
         let help = "lines of the log dropped since the start";
         self.register_metric("log_lines_dropped", help, self.lines_dropped.clone());
+        let help = "1 if this host reaches any target, 0 if its links to all of them are cut";
+        self.register_metric("reaches_targets", help, self.reaches_targets.clone());
         self.register_metric("refusals", "requests answered by the host", self.refusals.clone());
         self.register_metric("requests", "requests that were answered", self.requests.clone());
         let help = "further attempts that a limit did not allow";
@@ -293,6 +299,7 @@
     pub fn set_traffic_gauges(&self, gauges: TrafficGauges) {
         self.connections.set(gauges.connections as i64);
         self.in_flight.set(i64::from(gauges.in_flight));
+        self.reaches_targets.set(i64::from(gauges.reaches_targets));
         self.set_target_count(gauges.paused, "paused");
         self.set_target_count(gauges.notices.leaving, "leaving");
         self.set_target_count(gauges.notices.limited, "limited");
