Tell other hosts that a host reaches no target, and leave it out

What a host whose links are cut observes of targets was taken by the fleet for the state of the targets: crashes counted for broken connections, slowness, requests in flight; it stayed one of the two senders of a cold or limited target, which then got nothing, and look-ups went on naming it. Heartbeats and reports of zones now state whether a host reaches any target (one byte a host, and the port for its requests, three bytes). Look-ups leave such hosts out while at least half of a region's hosts reach targets; the senders of limited targets are chosen among the others; the host reports nothing that it observes of targets, forgets the crashes counted since the first failure, and forgets the pauses of targets when its links are back.

Ruled out: an own order for returning hosts; two good rounds of probes are the hysteresis. Own tests; the end-to-end test of first tries stays red, since callers with kept connections still arrive.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -78,6 +78,8 @@
     pub load: Arc<ArcSwap<Load>>,
     pub metrics: Arc<EntryMetrics>,
     pub protocol: Arc<dyn Protocol>,
+    /// Whether at least one target accepts connections of this host.
+    pub reaches_targets: Arc<AtomicBool>,
     pub settings: Arc<EntrySettings>,
     pub socket: Arc<UdpSocket>,
     pub store: Arc<dyn Platform>,
@@ -118,8 +120,8 @@
 
 /// The last list of live hosts, and what it was built from.
 struct LiveHosts {
-    /// Digest of the others, and whether this host leaves and is strained.
-    digest: (u64, bool, bool),
+    /// Digest of the others, and whether this host leaves, is strained and reaches targets.
+    digest: (u64, bool, bool, bool),
     hosts: Arc<[LiveHost]>,
 }
 
@@ -233,23 +235,30 @@
     fn live_hosts(&mut self, now: Moment) -> Arc<[LiveHost]> {
         let settings = &self.parts.settings;
         let is_strained = self.parts.strained.load(Ordering::Relaxed);
-        let digest = (self.fleet.live_digest(now), self.leaving, is_strained);
+        let reaches_targets = self.parts.reaches_targets.load(Ordering::Relaxed);
+        let digest = (self.fleet.live_digest(now), self.leaving, is_strained, reaches_targets);
         if let Some(last) = self.live_hosts.as_ref().filter(|last| last.digest == digest) {
             return last.hosts.clone();
         }
         let own = (!self.leaving).then(|| LiveHost {
             callers: settings.listen.callers,
+            capacity: settings.capacity(),
             host: settings.host.clone(),
             is_strained,
+            reaches_targets,
             region: settings.region.clone(),
+            relay: settings.listen.relay,
             zone: settings.zone.clone(),
         });
         let peers = self.fleet.live(now).filter(|peer| !peer.info.leaving);
         let peers = peers.map(|peer| LiveHost {
             callers: peer.info.callers,
+            capacity: peer.info.capacity,
             host: peer.info.host.clone(),
             is_strained: peer.info.strained,
+            reaches_targets: peer.info.reaches_targets,
             region: peer.region.clone(),
+            relay: peer.info.relay(),
             zone: peer.zone.clone(),
         });
         let hosts: Arc<[LiveHost]> = own.into_iter().chain(peers).collect();
@@ -355,6 +364,7 @@
         host: settings.host.clone(),
         mesh_hosts: MESH_HOSTS,
         region: settings.region.clone(),
+        relay_port: settings.listen.relay.map(|addr| addr.port()),
         seeds: gossip_seeds(settings),
         start_ms: unix_time_ms(),
         zone: settings.zone.clone(),
--- a/src/entry/control/peering.rs
+++ b/src/entry/control/peering.rs
@@ -51,6 +51,7 @@
             leaving: self.leaving,
             load: Load::clone(&self.parts.load.load()),
             reaches_store: self.election.reaches_store(self.now()),
+            reaches_targets: self.parts.reaches_targets.load(Ordering::Relaxed),
             stamp: self.known_state.stamp(),
             strained: self.parts.strained.load(Ordering::Relaxed),
         }
--- a/src/entry/crash_suspects.rs
+++ b/src/entry/crash_suspects.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Forgets the crashes counted since a time: this host had lost its own links to the targets.
+    pub fn forget_since(&mut self, since: Moment) {
+        self.crashes.retain(|_, record| record.at < since || record.count == 0);
+    }
+
     /// Whether this host has counted a crash against a request.
     pub fn has_crashes(&self, fingerprint: Fingerprint) -> bool {
         self.crashes.get(&fingerprint).is_some_and(|record| 0 < record.count)
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -123,12 +123,14 @@
         let view: ViewCell = Arc::new(ArcSwapOption::empty());
         let load = Arc::new(ArcSwap::from_pointee(Load::default()));
         let strained = Arc::new(AtomicBool::new(false));
+        let reaches_targets = Arc::new(AtomicBool::new(true));
         let control = ControlParts {
             clock: parts.clock.clone(),
             events: events.clone(),
             metrics: metrics.clone(),
             protocol: parts.protocol.clone(),
             load: load.clone(),
+            reaches_targets: reaches_targets.clone(),
             settings: settings.clone(),
             socket: socket.clone(),
             store: parts.store,
@@ -155,6 +157,7 @@
             shutdown_rx,
             listeners,
             load,
+            reaches_targets,
             settings: settings.clone(),
             strained,
             view,
@@ -357,6 +360,7 @@
     shutdown_rx: watch::Receiver<bool>,
     listeners: Listeners,
     load: Arc<ArcSwap<Load>>,
+    reaches_targets: Arc<AtomicBool>,
     settings: Arc<EntrySettings>,
     strained: Arc<AtomicBool>,
     view: ViewCell,
@@ -403,7 +407,7 @@
         }));
         tokio::task::spawn_local(tick_traffic(state.clone(), self.load, self.metrics));
         tokio::task::spawn_local(monitor_strain(state.clone(), self.strained));
-        tokio::task::spawn_local(probe_reach(state.clone()));
+        tokio::task::spawn_local(probe_reach(state.clone(), self.reaches_targets));
         let _ = self.shutdown_rx.wait_for(|is_stopping| *is_stopping).await;
         wait_until_idle(&state).await;
         Ok(())
--- a/src/entry/lookup.rs
+++ b/src/entry/lookup.rs
@@ -18,18 +18,25 @@
     if found.is_empty() {
         found = hosts.iter().collect();
     }
-    let unstrained = found.iter().filter(|host| !host.is_strained).count();
     // If more than half of the hosts are strained, the total load is too high, and the other hosts
-    // would become strained too.
-    if found.len() <= unstrained * 2 {
-        found.retain(|host| !host.is_strained);
-    }
+    // would become strained too. The same holds for hosts that reach no target: other hosts serve
+    // their requests anyway.
+    retain_if_most(&mut found, |host| host.reaches_targets);
+    retain_if_most(&mut found, |host| !host.is_strained);
     if MAX_ADDRESSES < found.len() {
         found = subset_for_zone(found, &location.zone);
     }
     found.into_iter().map(|host| host.callers).collect()
 }
 
+/// Keeps the hosts for which `is_preferred` holds if these are at least half.
+fn retain_if_most(hosts: &mut Vec<&LiveHost>, is_preferred: impl Fn(&LiveHost) -> bool) {
+    let preferred = hosts.iter().filter(|host| is_preferred(host)).count();
+    if hosts.len() <= preferred * 2 {
+        hosts.retain(|host| is_preferred(host));
+    }
+}
+
 /// Limits the hosts to the number that fits in a response. Each zone's callers get a different
 /// subset, since otherwise most hosts of a large region would get no callers. The subset stays the
 /// same between look-ups, so that callers keep their connections.
--- a/src/entry/reach_probe.rs
+++ b/src/entry/reach_probe.rs
@@ -1,6 +1,9 @@
 //! Probes targets while this host may be cut off from all of them.
 
-use std::rc::Rc;
+use std::{
+    rc::Rc,
+    sync::atomic::{AtomicBool, Ordering},
+};
 
 use futures::future::join_all;
 use rand::seq::IteratorRandom;
@@ -10,10 +13,10 @@
     target_reach::{Reach, ReachChange},
     upstream::connect,
 };
-use crate::{event_log::Event, prelude::*};
+use crate::{event_log::Event, placement::TargetHealth, prelude::*};
 
 /// Probes targets when that is due. Never returns.
-pub async fn probe_reach(state: Rc<TrafficState>) {
+pub async fn probe_reach(state: Rc<TrafficState>, reaches_targets: Arc<AtomicBool>) {
     loop {
         let round = state.target_reach.borrow().next_round();
         let Some((at, count)) = round else {
@@ -22,6 +25,7 @@
         };
         tokio::time::sleep(at.saturating_sub(state.clock.now())).await;
         state.probe_targets(count).await;
+        reaches_targets.store(!state.is_cut_off(), Ordering::Relaxed);
     }
 }
 
@@ -61,10 +65,16 @@
     fn apply_reach_change(&self, change: ReachChange, probed: usize) {
         match change {
             ReachChange::CutOff { since, failed } => {
+                self.crash_suspects.borrow_mut().forget_since(since);
+                self.pool.borrow_mut().clear();
                 let since_ms = self.clock.now().saturating_sub(since).as_millis() as u64;
                 self.events.record(None, Event::TargetsUnreachable { failed, probed, since_ms });
             }
             ReachChange::Returned { after } => {
+                self.target_health
+                    .borrow_mut()
+                    .values_mut()
+                    .for_each(TargetHealth::forget_failures);
                 let after_ms = after.as_millis() as u64;
                 self.events.record(None, Event::TargetsReachable { after_ms });
             }
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -54,6 +54,9 @@
     pub metrics: Option<SocketAddr>,
     /// Readiness probes.
     pub ready: SocketAddr,
+    /// Requests of other hosts that reach no target; not served if absent.
+    #[serde(default)]
+    pub relay: Option<SocketAddr>,
 }
 
 /// Limits that the deployment sets for its hosts.
--- a/src/entry/tests/demand.rs
+++ b/src/entry/tests/demand.rs
@@ -40,7 +40,10 @@
     let host = |region: &str| LiveHost {
         callers: "127.0.0.1:1".parse().expect("an address"),
         host: region.into(),
+        capacity: 10,
         is_strained: false,
+        reaches_targets: true,
+        relay: None,
         region: region.into(),
         zone: format!("{region}-a").into(),
     };
--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -49,7 +49,10 @@
     let host = |name: &str, region: &str, port| LiveHost {
         callers: addr(port),
         host: name.into(),
+        capacity: 10,
         is_strained: false,
+        reaches_targets: true,
+        relay: None,
         region: region.into(),
         zone: "x".into(),
     };
@@ -69,6 +72,8 @@
         leaving: false,
         reaches_store,
         start_ms: 1,
+        reaches_targets: true,
+        relay_port: None,
         strained: false,
         sequence: 1,
     };
@@ -94,7 +99,10 @@
     let host = |at: u16| LiveHost {
         callers: addr(at),
         host: format!("h-{at}").into(),
+        capacity: 10,
         is_strained: false,
+        reaches_targets: true,
+        relay: None,
         region: "north".into(),
         zone: format!("north-{}", at % 3).into(),
     };
@@ -120,8 +128,32 @@
         let host = |at: u16| LiveHost {
             callers: addr(at),
             host: format!("h-{at}").into(),
+            capacity: 10,
             is_strained: usize::from(at) < strained,
+            reaches_targets: true,
+            relay: None,
+            region: "north".into(),
+            zone: "x".into(),
+        };
+        let hosts: Vec<LiveHost> = (0..4).map(host).collect();
+        host_addresses(&hosts, &CallerLocation { region: "north".into(), zone: "x".into() }).len()
+    };
+    assert_eq!([0, 1, 2, 3, 4].map(addresses), [4, 3, 2, 4, 4]);
+}
+
+/// Guards against callers that are sent to hosts that reach no target, and against the few others
+/// getting all callers if most are such hosts.
+#[test]
+fn hosts_that_reach_no_target_are_omitted_unless_most_are_such() {
+    let addresses = |cut_off: u16| {
+        let host = |at: u16| LiveHost {
+            callers: addr(at),
+            capacity: 10,
+            host: format!("h-{at}").into(),
+            is_strained: false,
+            reaches_targets: cut_off <= at,
             region: "north".into(),
+            relay: None,
             zone: "x".into(),
         };
         let hosts: Vec<LiveHost> = (0..4).map(host).collect();
--- a/src/entry/tests/target_statements.rs
+++ b/src/entry/tests/target_statements.rs
@@ -19,7 +19,10 @@
     let host = LiveHost {
         callers: store,
         host: "h".into(),
+        capacity: 10,
         is_strained: false,
+        reaches_targets: true,
+        relay: None,
         region: "north".into(),
         zone: "north-a".into(),
     };
--- a/src/entry/tests/targets.rs
+++ b/src/entry/tests/targets.rs
@@ -105,7 +105,10 @@
     let host = |at: usize| LiveHost {
         callers: "127.0.0.1:1".parse().expect("an address"),
         host: format!("h-{at}").into(),
+        capacity: 10,
         is_strained: false,
+        reaches_targets: true,
+        relay: None,
         region: if at < 6 { "north" } else { "south" }.into(),
         zone: "x".into(),
     };
@@ -138,7 +141,10 @@
 fn cold_target_without_hosts_in_region_has_senders() {
     let target = known_target("t-1", "north");
     let far = LiveHost {
+        capacity: 10,
         is_strained: false,
+        reaches_targets: true,
+        relay: None,
         callers: "127.0.0.1:1".parse().expect("an address"),
         host: "h".into(),
         region: "south".into(),
@@ -147,6 +153,63 @@
     assert!(is_paced_sender(&target, &"h".into(), &[far]));
 }
 
+/// Guards against a cold or limited target that gets nothing because the hosts that may send to it
+/// reach no target.
+#[test]
+fn hosts_that_reach_no_target_are_no_paced_senders() {
+    let target = known_target("t-1", "north");
+    let hosts = |cut_off: &[String]| -> Vec<LiveHost> {
+        let host = |at: usize| {
+            let name = format!("h-{at}");
+            LiveHost {
+                callers: "127.0.0.1:1".parse().expect("an address"),
+                capacity: 10,
+                host: name.as_str().into(),
+                is_strained: false,
+                reaches_targets: !cut_off.contains(&name),
+                region: "north".into(),
+                relay: None,
+                zone: "x".into(),
+            }
+        };
+        (0..6).map(host).collect()
+    };
+    let senders = |hosts: &[LiveHost]| -> Vec<String> {
+        let senders = hosts.iter().filter(|host| is_paced_sender(&target, &host.host, hosts));
+        senders.map(|host| host.host.to_string()).collect()
+    };
+    let usual = senders(&hosts(&[]));
+    let replaced = senders(&hosts(&usual));
+    assert_eq!((usual.len(), replaced.len()), (2, 2));
+    assert!(replaced.iter().all(|host| !usual.contains(host)));
+    let all: Vec<String> = (0..6).map(|at| format!("h-{at}")).collect();
+    assert_eq!(senders(&hosts(&all)), usual, "someone has to find out when it is reached again");
+}
+
+/// Guards against requests that are refused everywhere because a host that lost its own links counted
+/// the broken connections as crashes of targets.
+#[test]
+fn crashes_counted_while_cut_off_are_forgotten() {
+    let mut crash_suspects = CrashSuspects::default();
+    crash_suspects.record_crash(7, secs(1.0));
+    crash_suspects.record_crash(8, secs(2.0));
+    crash_suspects.forget_since(secs(1.5));
+    assert_eq!(crash_suspects.reported_crashes(), [(7, 1)]);
+}
+
+/// Guards against a host that goes on refusing requests after its links are back, because the pauses
+/// of its targets have grown meanwhile.
+#[test]
+fn failures_while_cut_off_do_not_pause_targets_afterwards() {
+    let mut health = TargetHealth::default();
+    for at in [1.0, 2.0, 4.0] {
+        health.record_attempt(HealthSignal::Unreachable, WORK, secs(at));
+    }
+    health.forget_failures();
+    assert!(!health.is_paused(secs(4.1)) && !health.is_half_open(secs(4.1)));
+    assert_eq!(health.slowdown(secs(4.1)), 1.0);
+}
+
 /// A request with three crashes, counted by all hosts together, is refused. A request that was
 /// merely running at the same time is cleared once it is answered.
 #[test]
--- a/src/entry/traffic_state.rs
+++ b/src/entry/traffic_state.rs
@@ -405,6 +405,9 @@
     /// Counts a crash against each request that was running on a target when it went down, since
     /// any of them may have caused it.
     fn count_crashes(&self, target: &KnownTarget, fingerprints: Vec<u64>) {
+        if self.is_cut_off() {
+            return;
+        }
         let now = self.clock.now();
         for fingerprint in fingerprints {
             let crashes = self.crash_suspects.borrow_mut().record_crash(fingerprint, now);
@@ -497,8 +500,17 @@
         }
     }
 
-    /// The load report for other hosts.
+    /// The load report for other hosts. While this host reaches no target, it leaves out what it
+    /// observes of targets.
     pub fn load(&self) -> Load {
+        if self.is_cut_off() {
+            return Load {
+                limits: self.target_notices.borrow().reports(self.clock.now()),
+                sent: self.sent_counter.borrow_mut().counts(self.clock.now()),
+                team_counts: self.quota.borrow().report(self.clock.now()),
+                ..Load::default()
+            };
+        }
         let target_health = self.target_health.borrow();
         let busy = target_health.iter().filter(|(_, health)| 0 < health.in_flight);
         let in_flight = busy
--- a/src/entry/upstream.rs
+++ b/src/entry/upstream.rs
@@ -99,6 +99,11 @@
         });
     }
 
+    /// Closes all idle connections.
+    pub fn clear(&mut self) {
+        self.idle.clear();
+    }
+
     /// Closes all idle connections to one target.
     pub fn close_idle(&mut self, tag: u32) {
         self.idle.remove(&tag);
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -51,10 +51,16 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct LiveHost {
     pub callers: SocketAddr,
+    /// Processor time that the host may use, in hundredths of a core.
+    pub capacity: u16,
     pub host: HostId,
     /// Whether the host gets too little CPU time.
     pub is_strained: bool,
+    /// Whether at least one target accepts connections of the host.
+    pub reaches_targets: bool,
     pub region: RegionId,
+    /// Address on which the host serves requests of other hosts; `None` if it serves none.
+    pub relay: Option<SocketAddr>,
     pub zone: ZoneId,
 }
 
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -41,6 +41,8 @@
     /// Number of hosts up to which each host of a zone sends its state to every other one.
     pub mesh_hosts: usize,
     pub region: RegionId,
+    /// Port on which this host serves requests of other hosts.
+    pub relay_port: Option<u16>,
     /// Gossip addresses that are probed first; may be out of date.
     pub seeds: Vec<SocketAddr>,
     /// Wall-clock time of the start, in milliseconds.
@@ -58,6 +60,7 @@
     pub leaving: bool,
     pub load: Load,
     pub reaches_store: bool,
+    pub reaches_targets: bool,
     /// Versions of the store's state that this host has.
     pub stamp: Stamp,
     pub strained: bool,
@@ -143,7 +146,7 @@
             contacts: Contacts::default(),
             cross_region: Rotation::default(),
             same_region: Rotation::default(),
-            own: OwnState { reaches_store: true, ..OwnState::default() },
+            own: OwnState { reaches_store: true, reaches_targets: true, ..OwnState::default() },
             config,
             differing_zones: BTreeMap::new(),
             own_changed: (Moment::ZERO, 0),
--- a/src/fleet/machine/reporting.rs
+++ b/src/fleet/machine/reporting.rs
@@ -31,6 +31,8 @@
             host: self.config.host.clone(),
             leaving: self.own.leaving,
             reaches_store: self.own.reaches_store,
+            reaches_targets: self.own.reaches_targets,
+            relay_port: self.config.relay_port,
             start_ms: self.config.start_ms,
             strained: self.own.strained,
             sequence: self.sequence,
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -11,7 +11,7 @@
 };
 
 /// First byte of each datagram. Hosts ignore datagrams with another version.
-const ENCODING: u8 = 0x11;
+const ENCODING: u8 = 0x12;
 
 /// One datagram.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -60,6 +60,11 @@
     pub leaving: bool,
     /// The store answers the requests of this host.
     pub reaches_store: bool,
+    /// At least one target accepts connections of this host.
+    pub reaches_targets: bool,
+    /// Port on which the host serves requests of other hosts, at the address of `gossip`; `None` if
+    /// it serves none.
+    pub relay_port: Option<u16>,
     /// Wall-clock time of the start, in milliseconds. Increases with each restart.
     pub start_ms: u64,
     /// The host gets too little processor time, and callers should use other hosts.
@@ -74,11 +79,17 @@
         (self.start_ms, self.sequence)
     }
 
+    /// Address on which the host serves requests of other hosts.
+    pub fn relay(&self) -> Option<SocketAddr> {
+        self.relay_port.map(|port| SocketAddr::new(self.gossip.ip(), port))
+    }
+
     /// Digest of all fields but the sequence.
     pub fn digest(&self) -> u64 {
         let fields = (
             (self.capacity, self.callers, self.control, self.gossip, &self.host),
             (self.leaving, self.reaches_store, self.start_ms, self.strained),
+            (self.reaches_targets, self.relay_port),
         );
         xxh3_64(&postcard::to_allocvec(&fields).expect("the fields can be encoded"))
     }
--- a/src/fleet/simulation.rs
+++ b/src/fleet/simulation.rs
@@ -18,6 +18,9 @@
 /// Gossip port of the first host.
 const FIRST_PORT: u16 = 10_000;
 
+/// Port on which simulated hosts serve requests of other hosts.
+const RELAY_PORT: u16 = 7_542;
+
 /// A simulated host.
 pub struct Host {
     pub fleet: Fleet,
@@ -108,13 +111,15 @@
             host: name.clone(),
             mesh_hosts: self.mesh_hosts,
             region: self.zones[&zone].clone(),
+            relay_port: Some(RELAY_PORT),
             seeds: self.seeds.clone(),
             start_ms: self.now.as_millis() as u64,
             zone: zone.clone(),
             zones: self.zones.clone(),
         });
         let load = Load { in_flight: vec![(7, 1)], demand: vec![((5, 6), 0.5)], ..Load::default() };
-        let own = OwnState { load, reaches_store: true, ..OwnState::default() };
+        let own =
+            OwnState { load, reaches_store: true, reaches_targets: true, ..OwnState::default() };
         let traffic = Traffic::default();
         self.hosts.push(Host { fleet, gossip, is_up: true, name, own, traffic, zone });
         self.index_addrs();
--- a/src/fleet/tests.rs
+++ b/src/fleet/tests.rs
@@ -26,6 +26,8 @@
         leaving: false,
         reaches_store: true,
         start_ms,
+        reaches_targets: true,
+        relay_port: None,
         strained: false,
         sequence,
     }
--- a/src/placement/paced_senders.rs
+++ b/src/placement/paced_senders.rs
@@ -37,17 +37,22 @@
     }
 }
 
-/// Whether `host` is one of the two hosts that may send to a target whose rate is limited. Hosts of the target's
-/// region have precedence; if there are none, hosts of all regions are eligible.
+/// Whether `host` is one of the two hosts that may send to a target whose rate is limited. Hosts that
+/// reach no target are left out unless all are such hosts. Hosts of the target's region have
+/// precedence; if there are none, hosts of all regions are eligible.
 pub fn is_paced_sender(target: &KnownTarget, host: &HostId, hosts: &[LiveHost]) -> bool {
     let weight = |name: &HostId| xxh3_64_with_seed(name.as_bytes(), u64::from(target.tag));
     let own = weight(host);
-    let has_local_hosts = hosts.iter().any(|live| live.region == target.region);
-    let rivals = hosts.iter().filter(|live| {
-        live.host != *host
-            && (!has_local_hosts || live.region == target.region)
-            && own < weight(&live.host)
+    let none_reaches_targets = hosts.iter().all(|live| !live.reaches_targets);
+    let reaches_target = |live: &&LiveHost| live.reaches_targets || none_reaches_targets;
+    let is_local = |live: &LiveHost| live.region == target.region;
+    let has_local_hosts = hosts.iter().filter(reaches_target).any(is_local);
+    let rivals = hosts.iter().filter(reaches_target).filter(|live| {
+        live.host != *host && (!has_local_hosts || is_local(live)) && own < weight(&live.host)
     });
-    let is_local = hosts.iter().any(|live| live.host == *host && live.region == target.region);
-    (!has_local_hosts || is_local) && rivals.count() < SENDERS_PER_TARGET
+    let may_send = match hosts.iter().find(|live| live.host == *host) {
+        Some(live) => reaches_target(&live) && (!has_local_hosts || is_local(live)),
+        None => !has_local_hosts,
+    };
+    may_send && rivals.count() < SENDERS_PER_TARGET
 }
--- a/src/placement/target_health.rs
+++ b/src/placement/target_health.rs
@@ -101,6 +101,14 @@
         None
     }
 
+    /// Forgets failures and pauses that this host caused itself.
+    pub fn forget_failures(&mut self) {
+        self.consecutive_failures = 0;
+        self.consecutive_pauses = 0;
+        self.failure_rate = 0.0;
+        self.paused_until = Moment::ZERO;
+    }
+
     /// Factor by which slowness and failures prolong answers of this target.
     pub fn slowdown(&self, now: Moment) -> f64 {
         let decay = self.decay_factor(now);
--- a/src/placement/tests/limited_targets.rs
+++ b/src/placement/tests/limited_targets.rs
@@ -90,7 +90,10 @@
             live: LiveHost {
                 callers: "127.0.0.1:1".parse().expect("an address"),
                 host: format!("h-{at}").into(),
+                capacity: 10,
                 is_strained: false,
+                reaches_targets: true,
+                relay: None,
                 region: if at.is_multiple_of(3) { "north" } else { "south" }.into(),
                 zone: "x".into(),
             },
--- a/src/platform/standin/settings.rs
+++ b/src/platform/standin/settings.rs
@@ -57,6 +57,7 @@
             lookup: free_port,
             metrics: Some(free_port),
             ready: free_port,
+            relay: Some(free_port),
         },
         log: LogSettings::default(),
         region: region.into(),
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -545,6 +545,8 @@
             leaving: false,
             reaches_store: true,
             start_ms: 1,
+            reaches_targets: true,
+            relay_port: None,
             strained: false,
             sequence,
         };
