--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod access;
 mod attempt;
 mod body_memory;
+mod call;
 mod caller_io;
 mod connector;
 mod control;
