Have another host serve the requests of a host that reaches no target

Cause: a host judged each target by itself and never asked whether its own links were cut, and no other host could serve the request for it.

A host that reaches no target now passes the request on to a host that does: over a listener of its own (listen.relay), one attempt a relay, one hop at most, since a relayed request is never passed on. The sending host keeps the attempts of the route and the hedges; the serving host checks the key, admits the request within its team's limit, counts it as demand and takes a repeat out of its retry budget, so that nothing is counted twice and a forged header permits nothing. Retries name the targets that were tried. Requests with home regions go to hosts of these alone. A host without processor time to spare declines; if no host is left, the caller is refused at once. Refusals for a reason of the serving host (an older declaration, leaving) go to a further host and never become a 404 or 401.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -26,7 +26,7 @@
 /// Largest successful response that is buffered completely before its head goes to the caller, so
 /// that the request can be retried at another target if the response is cut off. Larger ones are
 /// streamed.
-const MAX_BUFFERED_BYTES: u64 = 64 * 1024;
+pub(super) const MAX_BUFFERED_BYTES: u64 = 64 * 1024;
 
 /// Longest part of a target's Retry-After that is logged.
 const MAX_RETRY_AFTER_CHARS: usize = 32;
@@ -142,7 +142,7 @@
     state: &TrafficState,
     target: &KnownTarget,
 ) -> super::upstream::Result<TargetConnection> {
-    let idle = state.pool.borrow_mut().take(target, state.clock.now());
+    let idle = state.pool.borrow_mut().take(target.tag, state.clock.now());
     match idle {
         Some(connection) => Ok(connection),
         None => connect(&*state.connector, target.entry.addr).await,
@@ -257,7 +257,7 @@
             "not sent: the target limited its requests, rests or leaves",
         );
         let now = self.state.clock.now();
-        self.state.pool.borrow_mut().put(&self.target, connection, None, now);
+        self.state.pool.borrow_mut().put(self.target.tag, connection, None, now);
         AttemptOutcome::Withheld
     }
 
@@ -286,7 +286,7 @@
         let keep_alive = keep_alive_timeout(response.headers());
         if response.into_body().collect().await.is_ok() {
             let now = self.state.clock.now();
-            self.state.pool.borrow_mut().put(&self.target, connection, keep_alive, now);
+            self.state.pool.borrow_mut().put(self.target.tag, connection, keep_alive, now);
         }
         AttemptOutcome::NotRun(ErrorKind::Shed)
     }
@@ -328,7 +328,7 @@
             }
         };
         let now = self.state.clock.now();
-        self.state.pool.borrow_mut().put(&self.target, connection, keep_alive, now);
+        self.state.pool.borrow_mut().put(self.target.tag, connection, keep_alive, now);
         let signal = self.answered_signal();
         let response = Response::from_parts(head, ResponseBody::Whole(Full::new(bytes)));
         if status.is_server_error() {
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -9,7 +9,9 @@
     Access, Idempotency, Route, TrafficState, View,
     attempt::{AttemptOutcome, OutboundRequest, send_attempt},
     caller_io::Disconnect,
-    place::PlacementRequest,
+    place::{PlacementRequest, allows_region},
+    relay::{RelayedRequest, RelayedResponse},
+    relay_attempt::{RelayResult, send_relay},
     request_handler::check_access,
     request_log::{RequestLog, RequestOutcome},
     response::{CallerResponse, host_response},
@@ -18,7 +20,7 @@
 use crate::{
     base::Ran,
     event_log::AttemptReason,
-    placement::{Choice, ObjectTag},
+    placement::{Choice, ObjectTag, TargetTag},
     prelude::*,
 };
 
@@ -43,7 +45,10 @@
 /// Number of unreachable targets after which a request is refused.
 const MAX_UNREACHABLE_TARGETS: u32 = 3;
 
-type Attempt = Pin<Box<dyn Future<Output = (TargetId, AttemptOutcome)>>>;
+/// Number of hosts that are asked to serve a request, one after the other.
+const MAX_RELAYS: usize = 3;
+
+type Attempt = Pin<Box<dyn Future<Output = AttemptResult>>>;
 type Attempts = FuturesUnordered<Attempt>;
 
 /// A request that was accepted, with its attempts.
@@ -54,7 +59,20 @@
     pub state: Rc<TrafficState>,
     pub request: Rc<OutboundRequest>,
     pub route: Arc<Route>,
-    pub tried_targets: Vec<u32>,
+    pub tried_targets: Vec<TargetTag>,
+    /// The request counts towards the demand of this host's callers.
+    pub is_counted: bool,
+    /// What another host stated that passed the request on; `None` for a caller's request.
+    pub relayed: Option<RelayedRequest>,
+    /// Hosts that were asked to serve the request.
+    pub asked_hosts: Vec<HostId>,
+}
+
+/// How an attempt ended.
+enum AttemptResult {
+    Target(TargetId, AttemptOutcome),
+    /// The attempt was made by another host.
+    Relay(RelayResult),
 }
 
 /// Results of the attempts so far.
@@ -74,11 +92,16 @@
     target: Option<TargetId>,
     unreachable_targets: u32,
     error: Option<ErrorKind>,
+    /// Another host refused the request for a reason that holds for all hosts.
+    is_refused: bool,
+    /// When the caller is to come back, by what another host said.
+    relay_retry_after: Option<Duration>,
 }
 
 impl Call {
     /// Makes attempts until one succeeds or none is allowed any more. `None` if the caller has left.
     pub async fn run(mut self, disconnect: Disconnect) -> Option<CallerResponse> {
+        let state = self.state.clone();
         let mut attempts = Attempts::new();
         let mut progress = CallProgress::default();
         let mut may_hedge = self.route.idempotency == Idempotency::Idempotent;
@@ -86,6 +109,17 @@
         let hedge_after = mean_work.mul_f64(HEDGE_DELAY_FACTOR).max(HEDGE_DELAY_MIN);
         let mut hedge_at = self.state.clock.now() + hedge_after;
         loop {
+            let reach_changed = state.reach_changed.notified();
+            let now = self.state.clock.now();
+            let left = self.request.deadline.saturating_sub(now);
+            if attempts.is_empty() && self.state.is_reach_suspected() && !left.is_zero() {
+                // Probes tell within a round trip or a connect timeout whether to ask another host.
+                tokio::select! {
+                    () = reach_changed => continue,
+                    () = disconnect.closed() => return None,
+                    () = tokio::time::sleep(left) => continue,
+                }
+            }
             if attempts.is_empty() {
                 let reason = if progress.is_first_attempt() {
                     AttemptReason::First
@@ -97,13 +131,12 @@
                     None => return Some(self.final_response(progress)),
                 }
             }
-            let now = self.state.clock.now();
             let wake_at =
                 if may_hedge { hedge_at.min(self.request.deadline) } else { self.request.deadline };
             tokio::select! {
                 biased;
-                Some((target, outcome)) = attempts.next() => {
-                    if let Some(response) = progress.record(&target, outcome) {
+                Some(result) = attempts.next() => {
+                    if let Some((response, target)) = self.record(&mut progress, result) {
                         let outcome = RequestOutcome::from_target(target, progress.sent);
                         return Some(self.log.record_answered(response, outcome));
                     }
@@ -115,6 +148,13 @@
                     }
                 }
                 () = disconnect.closed() => return None,
+                () = reach_changed, if may_hedge => {
+                    if self.state.is_cut_off() {
+                        // The targets that were asked do not answer any more.
+                        may_hedge = false;
+                        attempts.extend(self.launch_attempt(&mut progress, AttemptReason::Hedge));
+                    }
+                }
                 () = tokio::time::sleep(wake_at.saturating_sub(now)) => {
                     if self.request.deadline <= self.state.clock.now() {
                         progress.maybe_ran = true;
@@ -135,7 +175,7 @@
         progress: &mut CallProgress,
         reason: AttemptReason,
     ) -> Option<Attempt> {
-        if self.route.max_attempts.max(1) <= progress.sent {
+        if self.max_attempts() <= progress.sent {
             return self.deny_retry(progress, "attempts of the route");
         }
         if MAX_UNREACHABLE_TARGETS <= progress.unreachable_targets {
@@ -146,6 +186,9 @@
             progress.error.get_or_insert(kind);
             return None;
         }
+        if self.state.is_cut_off() {
+            return self.launch_relay(&view, progress, reason);
+        }
         let request = PlacementRequest {
             deadline: self.request.deadline,
             object: self.object(),
@@ -167,7 +210,9 @@
             self.log.record_not_placed(&view, &placement, error, free_in);
             return None;
         };
-        if 0 < progress.sent && !self.state.take_retry(&view, &self.request.service) {
+        let is_retry =
+            0 < progress.sent || self.relayed.as_ref().is_some_and(|relayed| relayed.is_retry);
+        if is_retry && !self.state.take_retry(&view, &self.request.service) {
             return self.deny_retry(progress, "retry budget");
         }
         progress.sent += 1;
@@ -188,10 +233,103 @@
         let (state, request) = (self.state.clone(), self.request.clone());
         Some(Box::pin(async move {
             let id = target.entry.id.clone();
-            (id, send_attempt(state, request, target, in_flight).await)
+            AttemptResult::Target(id, send_attempt(state, request, target, in_flight).await)
         }))
     }
 
+    /// The host that passed a request on decides about retries.
+    fn max_attempts(&self) -> u32 {
+        if self.relayed.is_some() { 1 } else { self.route.max_attempts.max(1) }
+    }
+
+    /// Asks another host to serve the request, since this one reaches no target. A request that
+    /// another host passed on goes no further.
+    fn launch_relay(
+        &mut self,
+        view: &View,
+        progress: &mut CallProgress,
+        reason: AttemptReason,
+    ) -> Option<Attempt> {
+        if self.relayed.is_some() {
+            progress.error.get_or_insert(ErrorKind::ConnectFailed);
+            return None;
+        }
+        if progress.is_refused || MAX_RELAYS <= self.asked_hosts.len() {
+            return None;
+        }
+        let team = self.request.team.as_deref();
+        let may_enter = |region: &RegionId| allows_region(&self.route, team, region);
+        let has_homes = !self.route.allowed_regions.is_empty()
+            || team.is_some_and(|team| !team.allowed_regions.is_empty());
+        let host = self.state.choose_relay(&view.hosts, &self.asked_hosts, has_homes, &may_enter);
+        let Some(host) = host else {
+            progress.error.get_or_insert(ErrorKind::ConnectFailed);
+            return self.deny_retry(progress, "hosts that reach targets");
+        };
+        if let Some(admission) = self.admission.take()
+            && !progress.maybe_ran
+        {
+            // The other host counts the request towards the limit of its team.
+            admission.mark_not_run();
+        }
+        let relayed = RelayedRequest {
+            is_counted: self.is_counted,
+            is_retry: 0 < progress.sent,
+            tried_targets: self.tried_targets.clone(),
+        };
+        progress.sent += 1;
+        let deadline = self.request.deadline;
+        self.log.record_relayed(host.host.clone(), deadline, progress.sent, reason);
+        self.asked_hosts.push(host.host.clone());
+        let (state, request) = (self.state.clone(), self.request.clone());
+        Some(Box::pin(async move {
+            AttemptResult::Relay(send_relay(state, request, host, relayed).await)
+        }))
+    }
+
+    /// Records the end of an attempt. Returns its response, and the target that sent it, if that
+    /// goes to the caller.
+    fn record(
+        &mut self,
+        progress: &mut CallProgress,
+        result: AttemptResult,
+    ) -> Option<(CallerResponse, Option<TargetId>)> {
+        let result = match result {
+            AttemptResult::Target(target, outcome) => {
+                let response = progress.record(Some(&target), outcome)?;
+                return Some((self.name_target(response, &target), Some(target)));
+            }
+            AttemptResult::Relay(result) => result,
+        };
+        progress.relay_retry_after = result.retry_after.or(progress.relay_retry_after);
+        if let AttemptOutcome::NotRun(kind) = &result.outcome {
+            match *kind {
+                // No target was asked.
+                _ if result.may_ask_another => progress.sent -= 1,
+                ErrorKind::Shed => {}
+                _ => progress.is_refused = true,
+            }
+            progress.error = Some(*kind);
+        }
+        let target = result.target.map(|(id, tag)| {
+            self.tried_targets.push(tag);
+            id
+        });
+        match result.outcome {
+            AttemptOutcome::NotRun(_) => None,
+            outcome => Some((progress.record(target.as_ref(), outcome)?, target)),
+        }
+    }
+
+    /// Tells a host that passed the request on which target sent the response.
+    fn name_target(&self, mut response: CallerResponse, target: &TargetId) -> CallerResponse {
+        if self.relayed.is_some() {
+            let target = self.tried_targets.last().map(|tag| (target.clone(), *tag));
+            response.extensions_mut().insert(RelayedResponse { error: None, target });
+        }
+        response
+    }
+
     /// The error if the key has lost access since the request was accepted, for example because it
     /// was revoked.
     fn access_error(&self, view: &View) -> Option<ErrorKind> {
@@ -217,11 +355,12 @@
     }
 
     fn final_response(&self, mut progress: CallProgress) -> CallerResponse {
-        if let Some(target_error) = progress.target_error.take() {
-            let outcome = match progress.target.take() {
-                Some(target) => RequestOutcome::from_target(target, progress.sent),
-                None => RequestOutcome::from_host(ErrorKind::AnswerBroken, progress.sent, None),
-            };
+        if let Some(mut target_error) = progress.target_error.take() {
+            let target = progress.target.take();
+            if let Some(target) = &target {
+                target_error = self.name_target(target_error, target);
+            }
+            let outcome = RequestOutcome::from_target(target, progress.sent);
             return self.log.record_answered(target_error, outcome);
         }
         let error = progress.error.unwrap_or(ErrorKind::NoSlots);
@@ -245,6 +384,9 @@
     /// When the caller is to come back. Callers are spread out; none is told a time before the
     /// first target takes requests again.
     fn retry_after(&self) -> Duration {
+        if let Some(retry_after) = self.relay_retry_after {
+            return retry_after.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX_PAUSED);
+        }
         let spread = rand::random::<f64>() / 2.0;
         let free_in = self.free_in.unwrap_or(RETRY_AFTER_DEFAULT);
         if self.is_paused {
@@ -259,13 +401,17 @@
     }
 
     /// Records the end of an attempt. Returns its response if that goes to the caller.
-    fn record(&mut self, target: &TargetId, outcome: AttemptOutcome) -> Option<CallerResponse> {
+    fn record(
+        &mut self,
+        target: Option<&TargetId>,
+        outcome: AttemptOutcome,
+    ) -> Option<CallerResponse> {
         match outcome {
             AttemptOutcome::Response(response) => return Some(response),
             AttemptOutcome::TargetError(response) => {
                 self.maybe_ran = true;
                 self.target_error = Some(response);
-                self.target = Some(target.clone());
+                self.target = target.cloned();
             }
             AttemptOutcome::NotRun(ErrorKind::ConnectFailed) => {
                 self.sent -= 1;
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -23,10 +23,11 @@
     Connector, EntryControl, EntrySettings, Listen, Protocol, TrafficParts, TrafficState, ViewCell,
     control::{ControlParts, Datagram, HEARTBEAT_INTERVAL, Leave, Reload, StateQuery, Tick},
     listeners::{
-        accept, lookup_response, readiness_response, serve_caller, serve_platform_connection,
+        accept, lookup_response, readiness_response, serve_platform_connection, serve_requests,
         status_response,
     },
     reach_probe::probe_reach,
+    served_relay::Sender,
     strain::StrainDetector,
     sync::{
         FULL_QUERY_TIMEOUT, MAX_CONCURRENT_RESPONSES, MAX_QUERY_BYTES, PeerClient, Query,
@@ -110,6 +111,10 @@
             callers: bind_listener("callers", &mut listen.callers).await?.into_std()?,
             lookups: bind_listener("look-ups", &mut listen.lookup).await?.into_std()?,
             ready: bind_listener("readiness", &mut listen.ready).await?.into_std()?,
+            relay: match &mut listen.relay {
+                Some(addr) => Some(bind_listener("relay", addr).await?.into_std()?),
+                None => None,
+            },
         };
         let metrics_listener = match &mut settings.listen.metrics {
             Some(addr) => Some(bind_listener("metrics", addr).await?),
@@ -347,6 +352,7 @@
     callers: std::net::TcpListener,
     lookups: std::net::TcpListener,
     ready: std::net::TcpListener,
+    relay: Option<std::net::TcpListener>,
 }
 
 /// State and dependencies of the traffic thread.
@@ -388,8 +394,15 @@
         let shutdown_rx = self.shutdown_rx.clone();
         let shared = state.clone();
         tokio::task::spawn_local(accept(callers_listener, move |stream| {
-            serve_caller(shared.clone(), stream, shutdown_rx.clone())
+            serve_requests(shared.clone(), stream, Sender::Caller, shutdown_rx.clone())
         }));
+        if let Some(listener) = self.listeners.relay {
+            let (shared, shutdown_rx) = (state.clone(), self.shutdown_rx.clone());
+            let listener = TcpListener::from_std(listener)?;
+            tokio::task::spawn_local(accept(listener, move |stream| {
+                serve_requests(shared.clone(), stream, Sender::Host, shutdown_rx.clone())
+            }));
+        }
         let shared = state.clone();
         tokio::task::spawn_local(accept(ready_listener, move |stream| {
             let state = shared.clone();
@@ -439,6 +452,7 @@
             let delay_ms = strain.mean_delay().as_millis() as u64;
             let is_strained = strain.is_strained();
             strained.store(is_strained, Ordering::Relaxed);
+            state.is_strained.set(is_strained);
             state.events.record(None, Event::StrainChanged { delay_ms, is_strained });
         }
     }
--- a/src/entry/listeners.rs
+++ b/src/entry/listeners.rs
@@ -18,8 +18,10 @@
     caller_io::{CallerIo, Disconnect},
     lookup,
     pipelining::{self, PipelineScanner, ScannedRequest},
+    relay::RelayedResponse,
     request_handler,
     response::CallerResponse,
+    served_relay::Sender,
 };
 use crate::prelude::*;
 
@@ -61,10 +63,11 @@
     }
 }
 
-/// Serves the requests on one caller's connection.
-pub async fn serve_caller(
+/// Serves the requests on one connection of a caller or of another host.
+pub async fn serve_requests(
     state: Rc<TrafficState>,
     stream: TcpStream,
+    sender: Sender,
     mut shutdown: watch::Receiver<bool>,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
@@ -77,7 +80,8 @@
     let idle_timeout = declaration
         .map_or(DEFAULT_IDLE_TIMEOUT, |declaration| declaration.idle_timeout + IDLE_SLACK);
     let early_requests = RefCell::default();
-    let caller = Rc::new(CallerConnection { state: state.clone(), disconnect, early_requests });
+    let caller =
+        Rc::new(CallerConnection { state: state.clone(), disconnect, early_requests, sender });
     let service = service_fn(|req| handle(caller.clone(), req));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -113,6 +117,10 @@
 ) -> Result<CallerResponse, CallerLeft> {
     let state = &caller.state;
     let mut response = caller.respond(req).await.ok_or(CallerLeft)?;
+    if caller.sender == Sender::Host {
+        let statement = response.extensions_mut().remove::<RelayedResponse>();
+        statement.unwrap_or_default().add_to(response.headers_mut());
+    }
     if state.shutdown_started_at.get().is_some() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
@@ -125,6 +133,7 @@
     disconnect: Disconnect,
     /// Pipelined requests that were started early, in the order of their arrival.
     early_requests: RefCell<VecDeque<EarlyRequest>>,
+    sender: Sender,
 }
 
 /// A pipelined request that was started before those ahead of it were answered. Dropping it aborts
@@ -168,6 +177,7 @@
                         self.state.clone(),
                         self.disconnect.clone(),
                         req,
+                        self.sender,
                     )
                     .await
                 }
@@ -182,6 +192,9 @@
 
     /// Starts pipelined requests early as they arrive. Never returns.
     async fn start_pipelined_requests(&self) {
+        if self.sender == Sender::Host {
+            return std::future::pending().await;
+        }
         loop {
             self.start_waiting_requests();
             self.disconnect.data_arrived().await;
@@ -213,8 +226,12 @@
             let uri = head.uri.clone();
             let req = Request::from_parts(head, request_handler::RequestBody::None);
             // If the caller leaves, `EarlyRequest` is dropped and aborts the task.
-            let serve =
-                request_handler::handle_request(self.state.clone(), Disconnect::never(), req);
+            let serve = request_handler::handle_request(
+                self.state.clone(),
+                Disconnect::never(),
+                req,
+                Sender::Caller,
+            );
             early_requests.push_back(EarlyRequest {
                 metadata,
                 task: tokio::task::spawn_local(serve),
--- a/src/entry/protocol.rs
+++ b/src/entry/protocol.rs
@@ -86,6 +86,9 @@
         left: Duration,
     );
 
+    /// Sets the time that the caller still waits, in a request to another host.
+    fn set_time_left(&self, headers: &mut HeaderMap, left: Duration);
+
     /// Adds the headers of a response that the host generates itself.
     fn add_own_response_headers(&self, headers: &mut HeaderMap, note: &CallerMetadata);
 
--- a/src/entry/reach_probe.rs
+++ b/src/entry/reach_probe.rs
@@ -5,7 +5,7 @@
     sync::atomic::{AtomicBool, Ordering},
 };
 
-use futures::future::join_all;
+use futures::{StreamExt, stream::FuturesUnordered};
 use rand::seq::IteratorRandom;
 
 use super::{
@@ -33,15 +33,22 @@
     /// Connects to some targets. Connections that are accepted are kept for requests.
     async fn probe_targets(&self, count: usize) {
         let targets = self.targets_to_probe(count);
-        let probes = targets.iter().map(|target| connect(&*self.connector, target.entry.addr));
-        let connections = join_all(probes).await;
-        let now = self.clock.now();
+        let mut probes: FuturesUnordered<_> = targets
+            .iter()
+            .map(async |target| (target, connect(&*self.connector, target.entry.addr).await))
+            .collect();
         let mut reached = 0;
-        for (target, connection) in targets.iter().zip(connections) {
+        while let Some((target, connection)) = probes.next().await {
             let Ok(connection) = connection else { continue };
             reached += 1;
-            self.pool.borrow_mut().put(target, connection, None, now);
+            self.pool.borrow_mut().put(target.tag, connection, None, self.clock.now());
+            // A single target refutes a suspicion; requests wait for that.
+            if self.is_reach_suspected() {
+                break;
+            }
         }
+        drop(probes);
+        let now = self.clock.now();
         let change = self.target_reach.borrow_mut().record_round(reached, targets.len(), now);
         if let Some(change) = change {
             self.apply_reach_change(change, targets.len());
@@ -81,6 +88,11 @@
         }
     }
 
+    /// Whether probes are about to show if this host reaches any target.
+    pub(super) fn is_reach_suspected(&self) -> bool {
+        self.target_reach.borrow().reach() == Reach::Suspected
+    }
+
     /// Whether this host reaches no target.
     pub fn is_cut_off(&self) -> bool {
         self.target_reach.borrow().reach() == Reach::CutOff
@@ -88,7 +100,9 @@
 
     /// Records that a connection to a target failed.
     pub(super) fn record_unreachable(&self, target: &KnownTarget) {
-        if self.target_reach.borrow_mut().record_failure(target.tag, self.clock.now()) {
+        let known = self.view().map(|view| view.targets.values().map(|it| it.len()).sum());
+        let mut reach = self.target_reach.borrow_mut();
+        if reach.record_failure(target.tag, known.unwrap_or_default(), self.clock.now()) {
             self.reach_changed.notify_waiters();
         }
     }
--- a/src/entry/request_handler.rs
+++ b/src/entry/request_handler.rs
@@ -17,8 +17,10 @@
     body_memory::BodyReservation,
     call::{Call, RETRY_AFTER_DEFAULT, RETRY_AFTER_MIN},
     caller_io::Disconnect,
+    relay::RelayedRequest,
     request_log::RequestLog,
     response::{CallerResponse, host_response},
+    served_relay::{Sender, ServedRelay},
 };
 use crate::{event_log::Event, prelude::*};
 
@@ -36,14 +38,16 @@
     None,
 }
 
-/// Handles one request. `None` if the caller has left.
+/// Handles one request. `None` if its sender has left.
 pub async fn handle_request(
     state: Rc<TrafficState>,
     disconnect: Disconnect,
     req: Request<RequestBody>,
+    sender: Sender,
 ) -> Option<CallerResponse> {
     let accepted_at = state.clock.now();
     let (mut head, body) = req.into_parts();
+    let relayed = (sender == Sender::Host).then(|| RelayedRequest::take_from(&mut head.headers));
     let metadata = state.protocol.caller_metadata(&head.headers);
     let key = state.new_request_key(metadata.attempt_id.as_ref());
     let version = Cell::new(0);
@@ -61,6 +65,10 @@
         state.record(&key, event);
         Some(response)
     };
+    let served_relay = relayed.is_some().then(|| ServedRelay::start(&state));
+    if let Some(None) = served_relay {
+        return refuse(ErrorKind::HostBusy, Some(RETRY_AFTER_DEFAULT));
+    }
     let Some(view) = state.view() else { return refuse(ErrorKind::NoManifest, None) };
     let Some(declaration) = view.declaration.clone() else {
         return refuse(ErrorKind::NoManifest, None);
@@ -96,14 +104,19 @@
         Err(kind) => return refuse(kind, Some(RETRY_AFTER_DEFAULT)),
     };
     *team_name.borrow_mut() = team.as_ref().map(|team| team.name.clone());
-    let admission = match team.as_ref().map(|team| state.admit(&view, team)).transpose() {
+    // The host that serves the request counts it, towards the limit of its team and as demand.
+    let is_counted_here = relayed.is_some() || !state.is_cut_off();
+    let admitted = team.as_ref().filter(|_| is_counted_here);
+    let admission = match admitted.map(|team| state.admit(&view, team)).transpose() {
         Ok(admission) => admission,
         Err(retry_after) => return refuse(ErrorKind::QuotaExceeded, Some(retry_after)),
     };
     let Some(service) = state.pick_service(&route) else {
         return refuse(ErrorKind::NoTarget, None);
     };
-    state.count_arrival(&service, &route, team.as_deref());
+    if is_counted_here && !relayed.as_ref().is_some_and(|relayed| relayed.is_counted) {
+        state.count_arrival(&service, &route, team.as_deref());
+    }
     let fingerprint = fingerprint(&head, &body);
     if is_crash_suspect(&state, &view, fingerprint) {
         return refuse(ErrorKind::Quarantined, None);
@@ -119,6 +132,7 @@
         fingerprint,
         idempotent: route.idempotency == Idempotency::Idempotent,
         left_ms: timeout.as_millis() as u64,
+        relayed: relayed.is_some(),
         route: route.key.clone(),
         service: service.clone(),
         team: team_name.borrow().clone(),
@@ -137,8 +151,17 @@
         service,
         team,
     };
-    let call =
-        Call { admission, log, state, request: Rc::new(request), route, tried_targets: Vec::new() };
+    let call = Call {
+        admission,
+        asked_hosts: Vec::new(),
+        is_counted: is_counted_here,
+        log,
+        request: Rc::new(request),
+        route,
+        state,
+        tried_targets: relayed.iter().flat_map(|it| it.tried_targets.iter().copied()).collect(),
+        relayed,
+    };
     call.run(disconnect).await
 }
 
--- a/src/entry/request_log.rs
+++ b/src/entry/request_log.rs
@@ -22,8 +22,9 @@
 
 impl RequestOutcome {
     /// The outcome of a request whose response comes from a target.
-    pub fn from_target(target: TargetId, sent: u32) -> Self {
-        Self { error: None, ran: Ran::Yes, retry_after: None, sent, target: Some(target) }
+    /// `None` if another host did not state which.
+    pub fn from_target(target: Option<TargetId>, sent: u32) -> Self {
+        Self { error: None, ran: Ran::Yes, retry_after: None, sent, target }
     }
 
     /// The outcome of a request that the host answers by itself.
@@ -109,6 +110,20 @@
         self.state.record(&self.key, event);
     }
 
+    /// Records that another host is asked to serve the request.
+    pub fn record_relayed(
+        &self,
+        to: HostId,
+        deadline: Moment,
+        attempt: u32,
+        reason: AttemptReason,
+    ) {
+        self.sent.set(attempt);
+        let left_ms = millis(deadline.saturating_sub(self.state.clock.now()));
+        let service = self.service.clone();
+        self.state.record(&self.key, Event::Relayed { attempt, left_ms, reason, service, to });
+    }
+
     /// Records that no target can take the request.
     pub fn record_not_placed(
         &self,
--- a/src/entry/response.rs
+++ b/src/entry/response.rs
@@ -13,7 +13,8 @@
 use hyper::body::Incoming;
 
 use super::{
-    CallerMetadata, KnownTarget, TrafficState, traffic_state::InFlight, upstream::TargetConnection,
+    CallerMetadata, KnownTarget, TrafficState, relay::RelayedResponse, traffic_state::InFlight,
+    upstream::TargetConnection,
 };
 use crate::{
     base::Ran,
@@ -68,10 +69,19 @@
 /// caller leaves; that closes the connection, so that the target stops working on the request.
 pub struct StreamingBody {
     pub body: Incoming,
-    pub completion: Option<Box<StreamCompletion>>,
+    pub completion: Option<Box<dyn StreamEnd>>,
 }
 
-/// What is needed once a streamed body ends.
+/// What is to be done once a streamed body ends.
+pub trait StreamEnd {
+    /// The body was received completely.
+    fn complete(self: Box<Self>);
+
+    /// The body broke off.
+    fn broken(self: Box<Self>, reason: &str);
+}
+
+/// A streamed response of a target.
 pub struct StreamCompletion {
     pub state: Rc<TrafficState>,
     pub keep_alive: Option<Duration>,
@@ -89,23 +99,12 @@
             Some(Ok(_)) if !self.body.is_end_stream() => {}
             Some(Err(error)) => {
                 if let Some(completion) = self.completion.take() {
-                    let event = Event::StreamBroken {
-                        reason: error.to_string().into(),
-                        service: completion.service.clone(),
-                        target: completion.target.entry.id.clone(),
-                    };
-                    completion.state.record(&completion.key, event);
-                    completion.state.record_attempt_end(
-                        &completion.target,
-                        &completion.service,
-                        &completion.in_flight.forecast,
-                        HealthSignal::Failed,
-                    );
+                    completion.broken(&error.to_string());
                 }
             }
             _ => {
                 if let Some(completion) = self.completion.take() {
-                    completion.finish();
+                    completion.complete();
                 }
             }
         }
@@ -113,12 +112,26 @@
     }
 }
 
-impl StreamCompletion {
-    /// Returns the connection to the pool after the body was received completely.
-    pub fn finish(self) {
+impl StreamEnd for StreamCompletion {
+    fn complete(self: Box<Self>) {
         let now = self.state.clock.now();
-        self.state.pool.borrow_mut().put(&self.target, self.connection, self.keep_alive, now);
-        drop(self.in_flight);
+        let mut pool = self.state.pool.borrow_mut();
+        pool.put(self.target.tag, self.connection, self.keep_alive, now);
+    }
+
+    fn broken(self: Box<Self>, reason: &str) {
+        let event = Event::StreamBroken {
+            reason: reason.into(),
+            service: self.service.clone(),
+            target: self.target.entry.id.clone(),
+        };
+        self.state.record(&self.key, event);
+        self.state.record_attempt_end(
+            &self.target,
+            &self.service,
+            &self.in_flight.forecast,
+            HealthSignal::Failed,
+        );
     }
 }
 
@@ -143,6 +156,7 @@
     let body = Bytes::from(format!("{kind}\n"));
     let mut response = Response::new(ResponseBody::Whole(Full::new(body)));
     *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    response.extensions_mut().insert(RelayedResponse { error: Some(kind), target: None });
     let headers = response.headers_mut();
     state.protocol.add_own_response_headers(headers, metadata);
     if let Some(span) = retry_after
--- a/src/entry/target_reach.rs
+++ b/src/entry/target_reach.rs
@@ -8,7 +8,8 @@
 
 use crate::{placement::TargetTag, prelude::*};
 
-/// Number of targets with failures, and none with a success in between, that raise a suspicion.
+/// Number of targets with failures, and none with a success in between, that raise a suspicion; all
+/// targets if there are fewer.
 const SUSPECT_TARGETS: usize = 3;
 
 /// Time for which a failure counts.
@@ -91,11 +92,12 @@
         self.heard_at = now;
     }
 
-    /// Records a failed connection. Returns whether that raises a suspicion.
-    pub fn record_failure(&mut self, target: TargetTag, now: Moment) -> bool {
+    /// Records a failed connection to one of `known` usable targets. Returns whether that raises a
+    /// suspicion.
+    pub fn record_failure(&mut self, target: TargetTag, known: usize, now: Moment) -> bool {
         self.failed.retain(|_, at| now.saturating_sub(*at) < FAILURE_RETENTION);
         self.failed.insert(target, now);
-        self.suspect_if(SUSPECT_TARGETS <= self.failed.len(), now)
+        self.suspect_if(SUSPECT_TARGETS.min(known) <= self.failed.len(), now)
     }
 
     /// Checks the requests that wait for a response: their targets, and since when. Returns whether
--- a/src/entry/tests/hosts.rs
+++ b/src/entry/tests/hosts.rs
@@ -3,12 +3,16 @@
 
 use std::collections::BTreeSet;
 
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
 use super::secs;
 use crate::{
     entry::{
         CallerLocation, LiveHost, Revisions, Stamp, StorePart,
         lookup::host_addresses,
         peer_queries::{PeerQueries, QueryOutcome},
+        relay_host::{RelayQuery, choose_relay_host},
         stale_records::{HostRecord, StaleRecordTracker},
         watcher_election::{Candidate, WatcherElection},
     },
@@ -353,3 +357,46 @@
     assert_eq!(query_counts.len(), 4, "{query_counts:?}");
     assert!(query_counts.values().all(|count| *count < 50), "{query_counts:?}");
 }
+
+/// Guards against requests that are relayed to hosts that can't serve them or are short of processor
+/// time, and against bodies that leave the regions that a route allows.
+#[test]
+fn relays_go_to_hosts_with_room_in_allowed_regions() {
+    let host = |name: &str, region: &str| LiveHost {
+        callers: addr(1),
+        capacity: 10,
+        host: name.into(),
+        is_strained: false,
+        reaches_targets: true,
+        region: region.into(),
+        relay: Some(addr(2)),
+        zone: "x".into(),
+    };
+    let own: HostId = "own".into();
+    let chosen = |hosts: &[LiveHost], homes: &[&str]| -> BTreeSet<String> {
+        let query = RelayQuery {
+            hosts,
+            own_host: &own,
+            own_region: north(),
+            has_homes: !homes.is_empty(),
+            excluded: &|host| &**host == "tried",
+            may_enter: &|region| homes.is_empty() || homes.contains(&&**region),
+            in_flight: &|host| if &**host == "busy" { 40 } else { 0 },
+        };
+        let mut rng = ChaCha8Rng::seed_from_u64(1);
+        let picks = (0..200).filter_map(|_| choose_relay_host(&query, &mut rng));
+        picks.map(|host| host.host.to_string()).collect()
+    };
+    let names = |names: &[&str]| names.iter().map(|name| (*name).to_owned()).collect();
+    let far = [host("own", "north"), host("s-1", "south"), host("w-1", "west")];
+    let strained = LiveHost { is_strained: true, ..host("strained", "north") };
+    let cut_off = LiveHost { reaches_targets: false, ..host("cut-off", "north") };
+    let deaf = LiveHost { relay: None, ..host("deaf", "north") };
+    let near = [host("n-1", "north"), host("n-2", "north"), host("busy", "north")];
+    let unfit = [strained, cut_off, deaf, host("tried", "north")];
+    let all = [&far[..], &unfit, &near].concat();
+    assert_eq!(chosen(&all, &[]), names(&["n-1", "n-2"]), "the busy one loses each draw");
+    assert_eq!(chosen(&all, &["south"]), names(&["s-1"]), "bodies stay in the home regions");
+    assert_eq!(chosen(&[&far[..], &unfit].concat(), &[]), names(&["s-1", "w-1"]));
+    assert_eq!(chosen(&unfit, &[]), names(&[]), "nobody is left to ask");
+}
--- a/src/entry/tests/target_reach.rs
+++ b/src/entry/tests/target_reach.rs
@@ -6,9 +6,9 @@
 /// A host for which connections to three targets have failed and no probe succeeded.
 fn cut_off() -> TargetReach {
     let mut reach = TargetReach::default();
-    assert!(!reach.record_failure(1, secs(1.0)));
-    assert!(!reach.record_failure(2, secs(1.1)));
-    assert!(reach.record_failure(3, secs(1.2)));
+    assert!(!reach.record_failure(1, 40, secs(1.0)));
+    assert!(!reach.record_failure(2, 40, secs(1.1)));
+    assert!(reach.record_failure(3, 40, secs(1.2)));
     assert_eq!(reach.next_round(), Some((secs(1.2), 6)));
     let change = reach.record_round(0, 6, secs(1.3));
     assert_eq!(change, Some(ReachChange::CutOff { since: secs(1.0), failed: 3 }));
@@ -19,12 +19,13 @@
 #[test]
 fn a_host_that_reaches_another_target_is_not_cut_off() {
     let mut reach = TargetReach::default();
-    (1..=3).for_each(|target| _ = reach.record_failure(target, secs(1.0)));
+    (1..=3).for_each(|target| _ = reach.record_failure(target, 40, secs(1.0)));
     assert_eq!(reach.reach(), Reach::Suspected);
     assert_eq!(reach.record_round(1, 6, secs(1.1)), None);
     assert_eq!((reach.reach(), reach.next_round()), (Reach::Reachable, None));
-    (1..=4).for_each(|target| assert!(!reach.record_failure(target, secs(2.0)), "checked lately"));
-    assert!(reach.record_failure(5, secs(4.2)));
+    (1..=4)
+        .for_each(|target| assert!(!reach.record_failure(target, 40, secs(2.0)), "checked lately"));
+    assert!(reach.record_failure(5, 40, secs(4.2)));
 }
 
 /// Guards against suspicions that are raised by single targets, old failures or failures between
@@ -32,11 +33,19 @@
 #[test]
 fn failures_of_one_target_or_between_successes_raise_no_suspicion() {
     let mut reach = TargetReach::default();
-    assert!((0..9).all(|_| !reach.record_failure(1, secs(1.0))));
-    assert!(!reach.record_failure(2, secs(1.0)));
+    assert!((0..9).all(|_| !reach.record_failure(1, 40, secs(1.0))));
+    assert!(!reach.record_failure(2, 40, secs(1.0)));
     reach.record_connected(secs(1.1));
-    assert!(!reach.record_failure(3, secs(1.2)) && !reach.record_failure(4, secs(1.3)));
-    assert!(!reach.record_failure(5, secs(6.4)), "the failures before are too old");
+    assert!(!reach.record_failure(3, 40, secs(1.2)) && !reach.record_failure(4, 40, secs(1.3)));
+    assert!(!reach.record_failure(5, 40, secs(6.4)), "the failures before are too old");
+}
+
+/// Guards against a small deployment in which the fewest targets for a suspicion do not exist.
+#[test]
+fn failures_of_all_targets_raise_a_suspicion_however_few_there_are() {
+    let mut reach = TargetReach::default();
+    assert!(!reach.record_failure(1, 2, secs(1.0)));
+    assert!(reach.record_failure(2, 2, secs(1.1)));
 }
 
 /// Guards against kept connections that hide that new ones are refused.
@@ -44,10 +53,10 @@
 fn responses_on_kept_connections_do_not_refute_refused_ones() {
     let mut reach = TargetReach::default();
     for target in 1..=2 {
-        reach.record_failure(target, secs(1.0));
+        reach.record_failure(target, 40, secs(1.0));
         reach.record_response(secs(1.1));
     }
-    assert!(reach.record_failure(3, secs(1.2)));
+    assert!(reach.record_failure(3, 40, secs(1.2)));
 }
 
 /// Guards against links that swallow everything: no connection fails, requests just wait.
--- a/src/entry/traffic_state.rs
+++ b/src/entry/traffic_state.rs
@@ -15,6 +15,7 @@
     KnownTarget, Protocol, Route, Team, View, ViewCell,
     body_memory::BodyMemory,
     place::{allows_region, region_loads},
+    relay_attempt::Relays,
     service_state::ServiceState,
     target_reach::TargetReach,
     unknown_headers::UnknownHeaders,
@@ -90,7 +91,14 @@
     /// Tags of targets being probed after a lost response.
     crash_checks: RefCell<HashSet<u32>>,
     pub crash_suspects: RefCell<CrashSuspects>,
-    pub pool: RefCell<ConnectionPool>,
+    pub pool: RefCell<ConnectionPool<TargetTag>>,
+    /// Connections to hosts that serve requests for this one.
+    pub(super) relay_pool: RefCell<ConnectionPool<SocketAddr>>,
+    pub(super) relays: RefCell<Relays>,
+    /// Number of requests that this host serves for others.
+    pub(super) served_relays: Cell<usize>,
+    /// Whether this host gets too little processor time.
+    pub is_strained: Cell<bool>,
     quota: RefCell<Box<dyn Quota>>,
     /// Version of the declaration whose limits are in force, and time of the view last applied.
     quota_version: Cell<DeclarationVersion>,
@@ -150,6 +158,10 @@
             attempt_count: Cell::new(0),
             crash_suspects: RefCell::default(),
             pool: RefCell::default(),
+            relay_pool: RefCell::default(),
+            relays: RefCell::default(),
+            served_relays: Cell::default(),
+            is_strained: Cell::default(),
             quota: RefCell::new(quota),
             quota_version: Cell::default(),
             quota_view_at: Cell::default(),
@@ -451,6 +463,8 @@
         usable.update(&view.targets);
         let known = usable.tags();
         self.pool.borrow_mut().evict(now, |tag| known.contains(&tag));
+        self.relay_pool.borrow_mut().evict(now, |_| true);
+        self.relays.borrow_mut().remove_expired(now);
         self.cached_objects.borrow_mut().retain(|tag| known.contains(&tag), now);
         self.target_health
             .borrow_mut()
--- a/src/entry/upstream.rs
+++ b/src/entry/upstream.rs
@@ -1,9 +1,9 @@
-//! Connections to targets.
+//! Connections to targets, and to hosts that serve requests for this one.
 //!
 //! Uses the connection-level client of `hyper` rather than `reqwest`, which hides whether a
 //! request's bytes were written, which connection carried it and what followed a response.
 
-use std::{collections::HashMap, io, time::Duration};
+use std::{collections::HashMap, hash::Hash, io};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
@@ -11,7 +11,7 @@
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 
-use super::{Connector, KnownTarget};
+use super::Connector;
 use crate::{base::with_root_cause, prelude::*};
 
 /// A round trip between regions takes 110 ms, and a lost packet is sent again after 200 ms or more.
@@ -24,8 +24,8 @@
 /// Idle timeout assumed for a target that does not state one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Most idle connections kept per target; more than its slots would never be used.
-const MAX_IDLE_PER_TARGET: usize = 4;
+/// Most idle connections kept per server; more than a target's slots would never be used.
+const MAX_IDLE_PER_SERVER: usize = 4;
 
 /// Result of connecting to a target or sending it a request.
 pub type Result<T> = std::result::Result<T, SendError>;
@@ -51,10 +51,15 @@
     pub reused: bool,
 }
 
-/// Idle connections, by target tag.
-#[derive(Default)]
-pub struct ConnectionPool {
-    idle: HashMap<u32, Vec<IdleConnection>>,
+/// Idle connections, by the tag of a target or the address of a host.
+pub struct ConnectionPool<K> {
+    idle: HashMap<K, Vec<IdleConnection>>,
+}
+
+impl<K> Default for ConnectionPool<K> {
+    fn default() -> Self {
+        Self { idle: HashMap::new() }
+    }
 }
 
 struct IdleConnection {
@@ -62,10 +67,10 @@
     usable_until: Moment,
 }
 
-impl ConnectionPool {
+impl<K: Copy + Eq + Hash> ConnectionPool<K> {
     /// Takes the most recently used connection that is still open.
-    pub fn take(&mut self, target: &KnownTarget, now: Moment) -> Option<TargetConnection> {
-        let idle = self.idle.get_mut(&target.tag)?;
+    pub fn take(&mut self, server: K, now: Moment) -> Option<TargetConnection> {
+        let idle = self.idle.get_mut(&server)?;
         while let Some(IdleConnection { sender, usable_until }) = idle.pop() {
             if now < usable_until && sender.is_ready() {
                 return Some(TargetConnection { sender, reused: true });
@@ -77,25 +82,25 @@
     /// Returns a connection to the pool after its last response was read completely.
     pub fn put(
         &mut self,
-        target: &KnownTarget,
+        server: K,
         connection: TargetConnection,
         keep_alive: Option<Duration>,
         now: Moment,
     ) {
         let usable_until =
             now + keep_alive.unwrap_or(DEFAULT_IDLE_TIMEOUT).saturating_sub(IDLE_MARGIN);
-        let idle = self.idle.entry(target.tag).or_default();
-        if idle.len() < MAX_IDLE_PER_TARGET && now < usable_until && !connection.sender.is_closed()
+        let idle = self.idle.entry(server).or_default();
+        if idle.len() < MAX_IDLE_PER_SERVER && now < usable_until && !connection.sender.is_closed()
         {
             idle.push(IdleConnection { sender: connection.sender, usable_until });
         }
     }
 
-    /// Closes expired connections, and all connections to targets that are no longer known.
-    pub fn evict(&mut self, now: Moment, is_known: impl Fn(u32) -> bool) {
-        self.idle.retain(|tag, idle| {
+    /// Closes expired connections, and all connections to servers that are no longer known.
+    pub fn evict(&mut self, now: Moment, is_known: impl Fn(K) -> bool) {
+        self.idle.retain(|server, idle| {
             idle.retain(|idle| now < idle.usable_until && !idle.sender.is_closed());
-            !idle.is_empty() && is_known(*tag)
+            !idle.is_empty() && is_known(*server)
         });
     }
 
@@ -104,9 +109,9 @@
         self.idle.clear();
     }
 
-    /// Closes all idle connections to one target.
-    pub fn close_idle(&mut self, tag: u32) {
-        self.idle.remove(&tag);
+    /// Closes all idle connections to one server.
+    pub fn close_idle(&mut self, server: K) {
+        self.idle.remove(&server);
     }
 }
 
--- a/src/event_log/event.rs
+++ b/src/event_log/event.rs
@@ -130,6 +130,24 @@
         team: Option<TeamId>,
         took_ms: u64,
     },
+    /// This host reaches no target, and another host is asked to serve a request.
+    Relayed {
+        /// Attempt number, starting at 1.
+        attempt: u32,
+        left_ms: u64,
+        reason: AttemptReason,
+        service: ServiceId,
+        to: HostId,
+    },
+    /// The attempt to have another host serve a request ended.
+    RelayEnded {
+        end: RelayEnd,
+        /// The status code, or the error.
+        detail: Arc<str>,
+        service: ServiceId,
+        to: HostId,
+        took_ms: u64,
+    },
     /// The settings file was reloaded.
     Reloaded { end: ReloadEnd, detail: Arc<str> },
     /// A retry or hedge was suppressed by a limit.
@@ -181,6 +199,9 @@
         fingerprint: u64,
         idempotent: bool,
         left_ms: u64,
+        /// Another host that reaches no target passed the request on.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        relayed: bool,
         route: Arc<str>,
         service: ServiceId,
         /// The team on whose behalf the request runs.
@@ -303,6 +324,21 @@
     Unreachable,
 }
 
+/// Outcome of an attempt to have another host serve a request.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, IntoStaticStr, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum RelayEnd {
+    /// It passed on the response of a target.
+    Answered,
+    Cancelled,
+    /// Its response was lost; the request may have been run.
+    Lost,
+    /// It answered by itself.
+    Refused,
+    Unreachable,
+}
+
 /// Outcome of a settings reload.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- a/src/event_log/kind.rs
+++ b/src/event_log/kind.rs
@@ -1,6 +1,9 @@
 //! Name, rate-limit key, priority and description of each kind of event.
 
-use super::{End, Event, EventKind, event::AttemptEnd};
+use super::{
+    End, Event, EventKind,
+    event::{AttemptEnd, RelayEnd},
+};
 
 /// Decides which lines are dropped first when the queue is full.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -25,6 +28,7 @@
             | Event::Refused { error, .. } => (*error).into(),
             Event::Answered { end, .. } => (*end).into(),
             Event::AttemptEnded { end, .. } => (*end).into(),
+            Event::RelayEnded { end, .. } => (*end).into(),
             other => other.kind().into(),
         }
     }
@@ -35,6 +39,8 @@
             | Event::AttemptEnded { end: AttemptEnd::Answered | AttemptEnd::Cancelled, .. }
             | Event::CallerLeft { .. }
             | Event::Note { .. }
+            | Event::RelayEnded { end: RelayEnd::Answered | RelayEnd::Cancelled, .. }
+            | Event::Relayed { .. }
             | Event::Sent { .. }
             | Event::Taken { .. } => Priority::Low,
             _ => Priority::High,
@@ -68,6 +74,8 @@
             EventKind::Note => "a line of a library",
             EventKind::NotPlaced => "no target could take a request in time",
             EventKind::Refused => "a request was refused before a target was looked for",
+            EventKind::Relayed => "another host is asked to serve a request",
+            EventKind::RelayEnded => "an attempt to have another host serve a request ended",
             EventKind::Reloaded => "the settings were read again",
             EventKind::RetryDenied => "a further attempt was wanted and not allowed",
             EventKind::Sent => "a request goes to a target",
--- a/src/event_log/mod.rs
+++ b/src/event_log/mod.rs
@@ -18,7 +18,7 @@
 
 pub use self::{
     event::{
-        AttemptEnd, AttemptReason, End, Event, EventKind, PauseReason, ReloadEnd, Source,
+        AttemptEnd, AttemptReason, End, Event, EventKind, PauseReason, RelayEnd, ReloadEnd, Source,
         WatchReason,
     },
     line::{Line, RequestKey},
--- a/src/metrics/entry.rs
+++ b/src/metrics/entry.rs
@@ -125,6 +125,7 @@
     lines_dropped: Gauge,
     names: Vec<&'static str>,
     reaches_targets: Gauge,
+    relays: Family<EndLabels, Counter>,
     compressed_bytes: Counter,
     state_queries: Family<EndLabels, Counter>,
     state_query_seconds: Histogram,
@@ -157,6 +158,7 @@
             lines_dropped: Gauge::default(),
             names: Vec::new(),
             reaches_targets: Gauge::default(),
+            relays: Family::default(),
             compressed_bytes: Counter::default(),
             state_queries: Family::default(),
             state_query_seconds: histogram(),
@@ -191,6 +193,8 @@
         self.register_metric("log_lines_dropped", help, self.lines_dropped.clone());
         let help = "1 if this host reaches any target, 0 if its links to all of them are cut";
         self.register_metric("reaches_targets", help, self.reaches_targets.clone());
+        let help = "attempts to have another host serve a request that ended";
+        self.register_metric("relays", help, self.relays.clone());
         self.register_metric("refusals", "requests answered by the host", self.refusals.clone());
         self.register_metric("requests", "requests that were answered", self.requests.clone());
         let help = "further attempts that a limit did not allow";
@@ -261,6 +265,9 @@
                 }
             }
             Event::Taken { team: Some(team), .. } => self.record_team_request(team, "taken"),
+            Event::RelayEnded { end, .. } => {
+                self.relays.get_or_create(&EndLabels { end: (*end).into() }).inc();
+            }
             Event::RetryDenied { limit, .. } => {
                 self.retries_denied.get_or_create(&LimitLabels { limit: limit.clone() }).inc();
             }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -98,6 +98,11 @@
     if let Ok(value) = HeaderValue::from_str(target) {
         headers.insert(EXPECTED_TARGET, value);
     }
+    set_time_left(headers, time_left);
+}
+
+/// Sets the time for which the caller still waits.
+pub fn set_time_left(headers: &mut HeaderMap, time_left: Duration) {
     headers.insert(TIME_LEFT, HeaderValue::from(time_left.as_millis() as u64));
 }
 
--- a/src/platform/protocol.rs
+++ b/src/platform/protocol.rs
@@ -71,6 +71,10 @@
         headers::add_target_headers(headers, target, team, time_left);
     }
 
+    fn set_time_left(&self, headers: &mut HeaderMap, left: Duration) {
+        headers::set_time_left(headers, left);
+    }
+
     fn add_own_response_headers(&self, headers: &mut HeaderMap, caller: &CallerMetadata) {
         headers::add_own_response_headers(headers, caller);
     }
--- a/src/why/cause.rs
+++ b/src/why/cause.rs
@@ -3,7 +3,7 @@
 
 use super::HistoryEntry;
 use crate::{
-    event_log::{AttemptEnd, End, Event, PauseReason},
+    event_log::{AttemptEnd, End, Event, PauseReason, RelayEnd},
     prelude::*,
 };
 
@@ -211,6 +211,12 @@
                 reasons.push(format!("{target} {end} after {took_ms} ms: {detail}"));
                 reasons.extend(target_changes(lines, target));
             }
+            Event::RelayEnded { detail, end, to, took_ms, .. } if *end != RelayEnd::Answered => {
+                let end: &str = end.into();
+                reasons.push(format!(
+                    "this host reached no target; {to} was asked: {end} after {took_ms} ms: {detail}"
+                ));
+            }
             Event::RetryDenied { limit, sent, .. } => {
                 reasons.push(format!("no further attempt after {sent}: limit `{limit}`"));
             }
--- a/src/why/search.rs
+++ b/src/why/search.rs
@@ -121,6 +121,8 @@
         | Event::AttemptEnded { service, .. }
         | Event::CallerLeft { service, .. }
         | Event::NotPlaced { service, .. }
+        | Event::Relayed { service, .. }
+        | Event::RelayEnded { service, .. }
         | Event::RetryDenied { service, .. }
         | Event::Sent { service, .. }
         | Event::SharesMoved { service, .. }
@@ -164,6 +166,8 @@
             Event::Started { .. }
             | Event::Stopped { .. }
             | Event::Stopping { .. }
+            | Event::TargetsReachable { .. }
+            | Event::TargetsUnreachable { .. }
             | Event::Reloaded { .. } => Some(Subject::Host),
             Event::StoreLost { .. }
             | Event::StoreRegained { .. }
--- a/src/why/tests.rs
+++ b/src/why/tests.rs
@@ -39,6 +39,7 @@
 
 fn taken() -> Event {
     Event::Taken {
+        relayed: false,
         body_bytes: 0,
         declaration: 3,
         fingerprint: 1,
