--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod body_memory;
+mod connector;
 mod demand;
 mod hosts;
 mod known_state;
--- a/src/platform/object_store.rs
+++ b/src/platform/object_store.rs
@@ -44,6 +44,10 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 const KEEPALIVE_RETRIES: u32 = 2;
 
+/// Time after which unacknowledged bytes or keepalive probes end a connection. The library's default
+/// of 30 s would override the number of keepalive probes.
+const USER_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Client of the platform's store, with timeouts and a rate limiter.
 pub struct ObjectStore {
     address: SocketAddr,
@@ -118,6 +122,7 @@
             .tcp_keepalive(KEEPALIVE_IDLE)
             .tcp_keepalive_interval(KEEPALIVE_INTERVAL)
             .tcp_keepalive_retries(KEEPALIVE_RETRIES)
+            .tcp_user_timeout(USER_TIMEOUT)
             .build()
             .map_err(|error| refused(&error.to_string()))?;
         let clock = BootClock;
