--- a/src/platform/standin/mod.rs
+++ b/src/platform/standin/mod.rs
@@ -11,6 +11,6 @@
     fault_run::{FaultRunReport, run_with_faults},
     links::{LinkMode, TargetLinks},
     settings::{loopback_settings, loopback_traffic},
-    store::StoreStandin,
+    store::{StoreCopy, StoreStandin},
     target::{ReceivedRequest, ResponseMode, Statements, TargetIdentity, TargetStandin},
 };
--- a/src/platform/standin/store.rs
+++ b/src/platform/standin/store.rs
@@ -9,7 +9,7 @@
 };
 
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode, Uri};
+use http::{HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
@@ -21,6 +21,9 @@
 /// Upper limit on the time for which a watch waits.
 const MAX_WAIT: Duration = Duration::from_secs(30);
 
+/// Header with the number of times that the store was restored from a copy.
+const RESTORES_HEADER: &str = "store-era";
+
 type Objects = BTreeMap<(String, String), Value>;
 type Reply = Response<Full<Bytes>>;
 
@@ -56,7 +59,7 @@
     }
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct State {
     /// Changes since the last compaction: revision, kind, object, whether it was deleted.
     events: Vec<(u64, String, Value, bool)>,
@@ -65,9 +68,14 @@
     /// Objects and revision returned by reads that allow stale data.
     stale: Option<(Objects, u64)>,
     objects: Objects,
+    /// Number of restores, which all responses state.
+    restores: u64,
     revision: u64,
 }
 
+/// A copy of a store's state, to which the store can be restored.
+pub struct StoreCopy(State);
+
 impl StoreStandin {
     /// Starts a store on a free port of loopback.
     pub async fn spawn() -> std::io::Result<Self> {
@@ -112,6 +120,21 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Returns a copy of the present state.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.shared.state().clone())
+    }
+
+    /// Restores the store from a copy: what was written since is gone, and its revisions are given
+    /// out again.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = self.shared.state();
+        let restores = state.restores + 1;
+        *state = State { restores, ..copy.0.clone() };
+        drop(state);
+        self.shared.changed.notify_waiters();
+    }
+
     /// From now on, reads that allow stale data return the present state.
     pub fn freeze_stale_reads(&self) {
         let mut state = self.shared.state();
@@ -183,7 +206,7 @@
                 if self.down.load(Ordering::Relaxed) {
                     return reply(503, &Value::Null);
                 }
-                if from < state.compacted_revision {
+                if from < state.compacted_revision || state.revision < from {
                     return reply(410, &Value::Null);
                 }
                 let new = state
@@ -202,7 +225,15 @@
         }
     }
 
+    /// Handles a call and states the number of restores in the response, whatever it is.
     async fn handle(&self, req: Request<Incoming>) -> Reply {
+        let mut reply = self.handle_call(req).await;
+        let restores = self.state().restores;
+        reply.headers_mut().insert(RESTORES_HEADER, HeaderValue::from(restores));
+        reply
+    }
+
+    async fn handle_call(&self, req: Request<Incoming>) -> Reply {
         if self.down.load(Ordering::Relaxed) {
             return reply(503, &Value::Null);
         }
