Order what is known of the store by its restores, then by its revision

Cause: revisions start again below those that hosts have read, and listings, changes, histories, digests, stamps and queries between hosts are ordered by the bare revision.

The adapter reads the number of restores that each response of the store states, and puts it before the revision in the version that all of these places compare (store::StorePoint, one type and one order). A watch whose response belongs to a later restore counts as compacted, so that the parts are listed anew even if the counter has passed the watched revision again; a response from before the latest restore counts as lost; a write that expects a revision of an earlier restore fails as a conflict; a listing over a restore is taken again. A number that is missing, unreadable or implausibly high counts as the last one and is logged. A follower lists at once after a 410, as the store answers.

Weighed: a separate field beside each revision, which each of the places would have to compare (eleven, and the wire format of three messages). Costs: a version takes 6 bytes more in messages after the first restore.

--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -10,6 +10,7 @@
 mod keys;
 mod object_store;
 mod protocol;
+mod restore_counter;
 mod server;
 pub mod standin;
 #[cfg(test)]
--- a/src/platform/object_store.rs
+++ b/src/platform/object_store.rs
@@ -8,12 +8,13 @@
 use reqwest::Client;
 use serde_json::value::RawValue;
 
+use super::restore_counter::RestoreCounter;
 use crate::{
     base::BootClock,
     prelude::*,
     store::{
         CallKind, CallRateLimiter, Change, Changes, Entry, Expect, Listing, OperationId, Platform,
-        PlatformError, RateLimits, Result, Version, VersionedObject,
+        PlatformError, RateLimits, Result, StorePoint, Version, VersionedObject,
     },
 };
 
@@ -33,6 +34,9 @@
 /// outage.
 const RATE_LIMITS: RateLimits = RateLimits { reads: 20.0, watches: 40.0, writes: 4.0 };
 
+/// Header of all responses with the number of times that the store was restored from a copy.
+const RESTORES_HEADER: &str = "store-era";
+
 /// Query of a listing that may be seconds old. It costs a tenth of a current one and does not count
 /// towards the store's rate limit.
 const STALE_OK_QUERY: &str = "staleOk=1";
@@ -54,6 +58,7 @@
     limiter: Mutex<CallRateLimiter>,
     client: Client,
     clock: BootClock,
+    restores: RestoreCounter,
 }
 
 #[derive(Deserialize)]
@@ -107,6 +112,8 @@
 
 struct CallResponse {
     body: Bytes,
+    /// Number of restores of the store that the response belongs to.
+    restores: u64,
     status: StatusCode,
 }
 
@@ -127,7 +134,7 @@
             .map_err(|error| refused(&error.to_string()))?;
         let clock = BootClock;
         let limiter = Mutex::new(CallRateLimiter::new(RATE_LIMITS, clock.now()));
-        Ok(Self { address, limiter, client, clock })
+        Ok(Self { address, limiter, client, clock, restores: RestoreCounter::default() })
     }
 
     async fn call(
@@ -154,7 +161,9 @@
             |error: reqwest::Error| unavailable(&error.to_string(), !error.is_connect());
         let response = req.send().await.map_err(no_answer)?;
         let status = response.status();
+        let stated = response.headers().get(RESTORES_HEADER).cloned();
         let body = response.bytes().await.map_err(no_answer)?;
+        let restores = self.restores.record(stated.as_ref().and_then(|it| it.to_str().ok()))?;
         match status {
             StatusCode::TOO_MANY_REQUESTS => {
                 Err(PlatformError::RateLimited { retry_after: RETRY_AFTER })
@@ -166,17 +175,27 @@
             }
             StatusCode::CONFLICT => {
                 let current = serde_json::from_slice::<Object>(&body).ok();
-                let current = current.map(|object| object.metadata.revision);
+                let current = current.map(|object| version(restores, object.metadata.revision));
                 Err(PlatformError::Conflict { current })
             }
             status if status.is_server_error() => Err(unavailable(status.as_str(), true)),
             status if status.is_success() || status == StatusCode::NOT_FOUND => {
-                Ok(CallResponse { body, status })
+                Ok(CallResponse { body, restores, status })
             }
             status => Err(refused(status.as_str())),
         }
     }
 
+    /// The revision of an object that a write expects. After a restore it may stand for another write,
+    /// so the call fails as it would for an object that has changed.
+    fn current_revision(&self, expected: Version) -> Result<u64> {
+        let expected = StorePoint::of(expected);
+        match expected.restores == self.restores.latest() {
+            true => Ok(expected.revision),
+            false => Err(PlatformError::Conflict { current: None }),
+        }
+    }
+
     /// Reads all pages of a listing; `query` is added to the request for each page.
     async fn list_pages(&self, prefix: &str, query: &str) -> Result<Listing> {
         let kind = prefix.trim_end_matches('/');
@@ -188,11 +207,15 @@
         loop {
             let answer = self.call(CallKind::Read, Method::GET, &path, None, CALL_TIMEOUT).await?;
             let page: ListPage = json(&answer.body)?;
-            first_version.get_or_insert(page.current_rev);
+            let current = version(answer.restores, page.current_rev);
+            let first = *first_version.get_or_insert(current);
+            if StorePoint::of(first).restores != answer.restores {
+                return Err(unavailable("the store was restored during a listing", false));
+            }
             for item in &page.items {
                 // An object without a name is skipped, so that it does not block the others.
                 match serde_json::from_str::<Object>(item.get()) {
-                    Ok(object) => entries.push(entry(kind, &object, item)),
+                    Ok(object) => entries.push(entry(kind, &object, item, answer.restores)),
                     Err(error) => log::warn!("skipping an invalid object of {kind}: {error}"),
                 }
             }
@@ -216,7 +239,9 @@
             Expect::Absent => {
                 return Err(refused("a delete needs the version of an existing object"));
             }
-            Expect::Version(version) => format!("{key}?revision={version}"),
+            Expect::Version(version) => {
+                format!("{key}?revision={}", self.current_revision(version)?)
+            }
         };
         self.call(CallKind::Write, Method::DELETE, &path, None, CALL_TIMEOUT).await?;
         Ok(0)
@@ -228,7 +253,8 @@
             return Ok(None);
         }
         let object: Object = json(&answer.body)?;
-        Ok(Some(versioned(answer.body, object.metadata.revision)))
+        let version = version(answer.restores, object.metadata.revision);
+        Ok(Some(versioned(answer.body, version)))
     }
 
     async fn list(&self, prefix: &str) -> Result<Listing> {
@@ -252,39 +278,50 @@
             Expect::Absent => {
                 (Method::POST, key.trim_end_matches(name).trim_end_matches('/'), None)
             }
-            Expect::Version(version) => (Method::PUT, key, Some(version)),
+            Expect::Version(version) => (Method::PUT, key, Some(self.current_revision(version)?)),
         };
         let object = WriteBody { metadata: WriteMetadata { name, revision }, spec };
         let body = serde_json::to_vec(&object).map_err(|error| refused(&error.to_string()))?;
         let answer = self.call(CallKind::Write, method, path, Some(body), CALL_TIMEOUT).await?;
-        Ok(json::<Object>(&answer.body).map_or(0, |object| object.metadata.revision))
+        let written = json::<Object>(&answer.body);
+        Ok(written.map_or(0, |object| version(answer.restores, object.metadata.revision)))
     }
 
     async fn watch(&self, prefix: &str, from: Version, wait: Duration) -> Result<Changes> {
         let kind = prefix.trim_end_matches('/');
-        let path = format!("{kind}?watch={from}&waitMs={}", wait.as_millis());
+        let from = StorePoint::of(from);
+        let path = format!("{kind}?watch={}&waitMs={}", from.revision, wait.as_millis());
         let timeout = wait + WATCH_GRACE;
         let answer = self.call(CallKind::Watch, Method::GET, &path, None, timeout).await?;
+        if answer.restores != from.restores {
+            // The revision was given out again, and stands for another state than the watched one.
+            return Err(PlatformError::TooOld { oldest: 0 });
+        }
         let response: WatchResponse = json(&answer.body)?;
+        let current = version(answer.restores, response.current_rev);
         let change = |event: &Event| {
             let object = serde_json::from_str::<Object>(event.object.get());
             let object = object
                 .inspect_err(|error| log::warn!("skipping an invalid change of {kind}: {error}"));
-            let entry = entry(kind, &object.ok()?, &event.object);
+            let entry = entry(kind, &object.ok()?, &event.object, answer.restores);
             // A delete event has no version of its own, so the version of the response is used.
-            let version = if event.deleted { response.current_rev } else { entry.object.version };
+            let version = if event.deleted { current } else { entry.object.version };
             let object = (!event.deleted).then_some(entry.object);
             Some(Change { key: entry.key, object, version })
         };
         let changes = response.events.iter().filter_map(change).collect();
-        Ok(Changes { changes, version: response.current_rev })
+        Ok(Changes { changes, version: current })
     }
 }
 
-fn entry(kind: &str, object: &Object, raw: &RawValue) -> Entry {
+fn version(restores: u64, revision: u64) -> Version {
+    StorePoint { restores, revision }.version()
+}
+
+fn entry(kind: &str, object: &Object, raw: &RawValue, restores: u64) -> Entry {
     let value = Bytes::copy_from_slice(raw.get().as_bytes());
     let key = format!("{kind}/{}", object.metadata.name).into();
-    Entry { key, object: versioned(value, object.metadata.revision) }
+    Entry { key, object: versioned(value, version(restores, object.metadata.revision)) }
 }
 
 fn versioned(value: Bytes, version: Version) -> VersionedObject {
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -7,13 +7,14 @@
 };
 use serde_json::{Value, json};
 
-use super::PlatformProtocol;
+use super::{PlatformProtocol, restore_counter::RestoreCounter};
 use crate::{
     entry::{
         CallerKey, CallerLocation, CallerMetadata, Idempotency, KeyDigest, Protocol, TeamLimit,
     },
     placement::NamedLimit,
     prelude::*,
+    store::StorePoint,
 };
 
 fn server() -> Value {
@@ -417,3 +418,29 @@
     }
     assert!(100 < read, "only {read} files were read");
 }
+
+/// Guards against responses from before a restore of the store, and against a damaged header that
+/// would make a host ignore all correct responses after it.
+#[test]
+fn the_number_of_restores_has_a_defined_effect_whatever_is_stated() {
+    let counter = RestoreCounter::default();
+    let record = |stated| counter.record(stated).ok();
+    assert_eq!(record(None), Some(0), "a store that states none");
+    assert_eq!(record(Some("7")), Some(7), "the first number may be any");
+    assert_eq!(record(Some("8")), Some(8));
+    assert_eq!(record(Some("7")), None, "a late response");
+    for unreadable in [None, Some("many"), Some("-1"), Some(""), Some("900"), Some("99999999999")] {
+        assert_eq!(record(unreadable), Some(8), "{unreadable:?}");
+    }
+    assert_eq!(record(Some("11")), Some(11), "restores may be missed");
+}
+
+/// Guards against an order by the bare revision: revisions are given out again after a restore.
+#[test]
+fn points_after_a_restore_are_later_than_all_before() {
+    let version = |restores, revision| StorePoint { restores, revision }.version();
+    assert!(version(0, 88) < version(0, 89) && version(0, u64::MAX) < version(1, 0));
+    let point = StorePoint { restores: 3, revision: 84 };
+    assert_eq!(StorePoint::of(point.version()), point);
+    assert_eq!(version(0, 88), 88, "a store that was never restored keeps its revisions");
+}
--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -167,7 +167,9 @@
     pub(super) fn record_failure(&mut self, err: &PlatformError) {
         self.is_first = false;
         if matches!(err, PlatformError::TooOld { .. }) {
+            // The store answers, so that the listing need not wait as after failures.
             self.version = None;
+            self.backoff = retry_delays(self.seed);
         }
         let min_delay = match err {
             PlatformError::RateLimited { retry_after } => *retry_after,
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -25,8 +25,9 @@
     follow::{FollowEvent, FollowOptions, Follower},
     http::{HttpPlatform, PlatformClientState},
     model::{
-        Change, Changes, Entry, Expect, KeyVersion, Listing, MAX_KEY_BYTES, MAX_VALUE_BYTES,
-        OperationId, Version, VersionedObject, is_valid_key, new_operation_id,
+        Change, Changes, Entry, Expect, KeyVersion, Listing, MAX_KEY_BYTES, MAX_RESTORES,
+        MAX_VALUE_BYTES, OperationId, StorePoint, Version, VersionedObject, is_valid_key,
+        new_operation_id,
     },
     rate_limit::{CallCounts, CallKind, CallRateLimiter, RateLimits},
 };
--- a/src/store/model.rs
+++ b/src/store/model.rs
@@ -11,9 +11,41 @@
 pub const MAX_KEY_BYTES: usize = 512;
 
 /// Version of the whole store. It increases with every write, not always by one. The version of an
-/// object is the store's version at its last write, so no two states of a key share a version.
+/// object is the store's version at its last write, so no two states of a key share a version. It
+/// also increases when the store is restored from a copy, see `StorePoint`.
 pub type Version = u64;
 
+/// Number of lower bits of a version that hold the revision.
+const REVISION_BITS: u32 = 40;
+
+/// Highest number of restores that a version can hold.
+pub const MAX_RESTORES: u64 = Version::MAX >> REVISION_BITS;
+
+/// A point in the history of a store that may be restored from a copy. After a restore the store
+/// gives out revisions again, so points are ordered by the number of restores first. As a `Version`
+/// they have the same order.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct StorePoint {
+    /// Number of times that the store was restored, up to `MAX_RESTORES`.
+    pub restores: u64,
+    /// The store's own counter, up to 2^40.
+    pub revision: u64,
+}
+
+impl StorePoint {
+    /// The point that a version stands for.
+    pub fn of(version: Version) -> Self {
+        let revision = version & ((1 << REVISION_BITS) - 1);
+        Self { restores: version >> REVISION_BITS, revision }
+    }
+
+    /// The version that stands for this point.
+    pub fn version(self) -> Version {
+        let revision = self.revision.min((1 << REVISION_BITS) - 1);
+        (self.restores.min(MAX_RESTORES) << REVISION_BITS) | revision
+    }
+}
+
 /// Identifies one intended write, across its retries; each write gets a new random id.
 pub type OperationId = Arc<str>;
 
