Do not let a restored store undo what it had acknowledged

A copy lacks entries of targets that registered in the lost seconds, lists targets that have left as ready, lacks evacuations, and may hold an older declaration, whose listing counted as a confirmation of the one in force.

After a restore, however short: targets that the copy lacks are kept as after an outage; a target that said it leaves stays out until it starts again, one whose entry was removed lately stays out for 10 s; an evacuation that the copy lacks is kept for 5 s, after which the store is believed; an older declaration neither replaces nor confirms the one in force; hosts write their records again, spread over 2 s. store-restored tells of it. Four tests of the pure state failed to compile before, as the decisions did not exist.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -22,7 +22,7 @@
 
 use self::peering::{FIRST_READ_RECORDS_DELAY, FIRST_WRITE_RECORD_DELAY};
 use super::{
-    EntrySettings, KnownState, LiveHost, Protocol, StorePart, View, ViewCell,
+    DeclarationVersion, EntrySettings, KnownState, LiveHost, Protocol, StorePart, View, ViewCell,
     peer_queries::PeerQueries,
     stale_records::StaleRecordTracker,
     store_objects::StoreObjects,
@@ -96,6 +96,12 @@
     /// When the store last confirmed to this host that its declaration is the latest.
     declaration_checked_at: Option<Moment>,
     response_cache: ResponseCache,
+    /// The version of the declaration that was read last.
+    read_declaration: DeclarationVersion,
+    /// Number of restores of the store for which this host's record was written again.
+    record_restores: u64,
+    /// The store was restored and holds an older declaration than the one in force.
+    store_is_behind: bool,
     /// When this host's record is to be written; `None` once it is.
     write_record_at: Option<Moment>,
     /// The tasks that follow the store; empty while this host does not watch it.
@@ -148,6 +154,9 @@
             known_state: KnownState::default(),
             declaration_checked_at: None,
             response_cache: ResponseCache::default(),
+            read_declaration: 0,
+            record_restores: 0,
+            store_is_behind: false,
             write_record_at: Some(now + FIRST_WRITE_RECORD_DELAY),
             followers: Vec::new(),
             gauges_set_at: Moment::ZERO,
@@ -184,6 +193,7 @@
             published_at: now,
             declaration,
             declaration_checked_at,
+            is_declaration_behind: self.is_declaration_behind(now),
             hosts: self.live_hosts(now),
             targets,
             ..View::default()
@@ -281,6 +291,14 @@
         latest
     }
 
+    /// Whether another host knows a later declaration, or the store has lost the one in force.
+    fn is_declaration_behind(&self, now: Moment) -> bool {
+        let own = self.known_state.stamp();
+        let mut sources = self.fleet.state_sources(now);
+        self.store_is_behind
+            || sources.any(|(_, source)| source.stamp.is_ahead_of(&own, StorePart::Declared))
+    }
+
     fn control_figures(&self, view: &View) -> ControlGauges {
         let now = self.now();
         let targets = || view.targets.values().flat_map(|targets| targets.iter());
--- a/src/entry/control/handlers.rs
+++ b/src/entry/control/handlers.rs
@@ -67,6 +67,12 @@
         for target in self.known_state.expire_lapsed(now) {
             self.record_target_gone(target, Source::Listing);
         }
+        for target in self.known_state.expire_leaves(now) {
+            self.record_target_known(&target, Source::Listing);
+        }
+        for zone in self.known_state.expire_kept_evacuations(now) {
+            self.record_zone_taken_back(zone, Source::Listing);
+        }
         for peer in self.fleet.detect_lost(now) {
             self.record_event(Event::HostLost {
                 peer: peer.info.host,
--- a/src/entry/control/store_updates.rs
+++ b/src/entry/control/store_updates.rs
@@ -14,9 +14,12 @@
     },
     event_log::{Event, Source},
     prelude::*,
-    store::{Change, Entry, FollowEvent, Listing, PlatformError},
+    store::{Change, Entry, FollowEvent, Listing, PlatformError, StorePoint, Version},
 };
 
+/// Period after a restore of the store over which hosts spread the writes of their records.
+const RECORD_REWRITE_PERIOD: Duration = Duration::from_secs(2);
+
 impl EntryControl {
     /// Stores and decodes one object; returns whether the usable state changed.
     fn apply_object(
@@ -47,9 +50,15 @@
         if part == StorePart::Targets {
             self.known_state.store_answered(self.now());
         }
+        let is_restored = self.note_restore(part, revision);
         self.known_state.record_revision(part, revision);
         let mut changed = false;
         for key in self.objects.part(part).removed_by(&diff.difference) {
+            if is_restored && part == StorePart::Evacuations {
+                self.objects.part_mut(part).remove(&key, revision);
+                self.known_state.keep_evacuation(key, self.now());
+                continue;
+            }
             changed |= self.apply_removal(part, &key, revision, Source::Host);
         }
         for object in &diff.difference.changed {
@@ -58,9 +67,41 @@
                 changed |= self.apply_object(part, name, *revision, bytes.clone(), Source::Host);
             }
         }
+        if is_restored {
+            self.check_restored_declaration(part);
+        }
         changed
     }
 
+    /// Notes that a part comes from a store that was restored since this host received it last.
+    /// Returns whether that is so.
+    fn note_restore(&mut self, part: StorePart, version: Version) -> bool {
+        let known = self.known_state.revisions().of(part);
+        let restores = StorePoint::of(version).restores;
+        if known == 0 || restores <= StorePoint::of(known).restores {
+            return false;
+        }
+        self.record_event(Event::StoreRestored { part, restores });
+        let now = self.now();
+        if part == StorePart::Targets {
+            self.known_state.store_restored(now);
+        }
+        if self.record_restores < restores {
+            // The record of this host may be lost too. Hosts write at different times.
+            self.record_restores = restores;
+            self.write_record_at = Some(now + RECORD_REWRITE_PERIOD.mul_f64(rand::random()));
+        }
+        true
+    }
+
+    /// After a restore, notes whether the store lacks the declaration that is in force.
+    fn check_restored_declaration(&mut self, part: StorePart) {
+        let in_force = self.known_state.declaration().map_or(0, |it| it.version);
+        if part == StorePart::Declared && self.read_declaration < in_force {
+            self.store_is_behind = true;
+        }
+    }
+
     /// Replaces the callers' keys in a declaration by digests, since hosts neither keep nor
     /// exchange keys. Returns other objects unchanged, and `None` for an invalid declaration.
     fn replace_keys_by_digests(
@@ -97,8 +138,10 @@
         let before = self.known_state.declaration().map_or(0, |declaration| declaration.version);
         let version = declaration.version;
         let routes = route_count(&declaration);
+        self.store_is_behind &= version < before;
+        self.read_declaration = version;
         if self.known_state.apply_declaration(declaration) {
-            let store_version = self.known_state.revisions().declared;
+            let store_version = self.logged_revision(StorePart::Declared);
             let event =
                 Event::DeclarationInForce { before, routes, source, store_version, version };
             self.record_event(event);
@@ -170,6 +213,7 @@
         part: StorePart,
         objects: Vec<(Arc<str>, u64, Bytes)>,
         revision: u64,
+        is_restored: bool,
     ) -> bool {
         let stored = self.objects.part_mut(part);
         for key in stored.missing_from(&objects) {
@@ -185,16 +229,20 @@
             StorePart::Declared => objects.iter().fold(false, |sum, (key, _, object)| {
                 self.apply_declaration(key, object, Source::Listing) || sum
             }),
-            StorePart::Evacuations => self.apply_evacuation_listing(&objects),
+            StorePart::Evacuations => self.apply_evacuation_listing(&objects, is_restored),
             StorePart::Targets => self.apply_target_listing(&objects),
         }
     }
 
-    fn apply_evacuation_listing(&mut self, objects: &[(Arc<str>, u64, Bytes)]) -> bool {
+    fn apply_evacuation_listing(
+        &mut self,
+        objects: &[(Arc<str>, u64, Bytes)],
+        is_restored: bool,
+    ) -> bool {
         let source = Source::Listing;
         let names: Vec<Arc<str>> = objects.iter().map(|(key, _, _)| key.clone()).collect();
         let zones: BTreeSet<ZoneId> = self.parts.protocol.evacuated_zones(&names);
-        let changes = self.known_state.apply_evacuation_listing(zones, self.now());
+        let changes = self.known_state.apply_evacuation_listing(zones, is_restored, self.now());
         let changed = !changes.evacuated.is_empty() || !changes.taken_back.is_empty();
         for zone in changes.evacuated {
             self.record_zone_evacuated(zone, source);
@@ -259,8 +307,9 @@
         match update {
             FollowEvent::Changed(changes) => {
                 self.store_answered(part);
+                let changed = self.apply_changes(part, changes);
                 self.record_declaration_check(part);
-                self.apply_changes(part, changes)
+                changed
             }
             FollowEvent::Listed(Listing { version, .. })
                 if version < self.known_state.revisions().of(part) =>
@@ -272,6 +321,7 @@
                 self.store_answered(part);
                 // The first listing may be some seconds old.
                 let may_lag = self.known_state.revisions().of(part) == 0;
+                let is_restored = self.note_restore(part, version);
                 self.known_state.record_revision(part, version);
                 let object = |entry: Entry| {
                     let name = object_name(&entry.key);
@@ -279,7 +329,10 @@
                     Some((name, entry.object.version, object))
                 };
                 let objects = entries.into_iter().filter_map(object).collect();
-                let changed = self.apply_listing(part, objects, version);
+                let changed = self.apply_listing(part, objects, version, is_restored);
+                if is_restored {
+                    self.check_restored_declaration(part);
+                }
                 if !may_lag {
                     self.record_declaration_check(part);
                 }
@@ -293,9 +346,9 @@
     }
 
     /// Records that the store has just returned its latest declaration or confirmed that there is
-    /// no later one. Ignores other parts.
+    /// no later one. Ignores other parts, and a restored store that holds an older declaration.
     fn record_declaration_check(&mut self, part: StorePart) {
-        if part == StorePart::Declared {
+        if part == StorePart::Declared && !self.store_is_behind {
             self.declaration_checked_at = Some(self.now());
         }
     }
@@ -340,7 +393,7 @@
         self.record_event(Event::EntryUnreadable { name, part, reason, source });
     }
 
-    fn record_target_known(&self, target: &TargetId, source: Source) {
+    pub(super) fn record_target_known(&self, target: &TargetId, source: Source) {
         let Some(KnownTarget { entry, .. }) = self.known_state.target(target) else { return };
         self.record_event(Event::TargetKnown {
             cold_ms: entry.cold_for.as_millis() as u64,
@@ -348,7 +401,7 @@
             service: entry.service.clone(),
             slots: entry.slots,
             source,
-            store_version: self.known_state.revisions().targets,
+            store_version: self.logged_revision(StorePart::Targets),
             target: target.clone(),
             zone: entry.zone.clone(),
         });
@@ -356,10 +409,15 @@
 
     /// Records that a target was dropped.
     pub(super) fn record_target_gone(&self, target: TargetId, source: Source) {
-        let store_version = self.known_state.revisions().targets;
+        let store_version = self.logged_revision(StorePart::Targets);
         self.record_event(Event::TargetGone { source, store_version, target });
     }
 
+    /// The store's revision up to which a part is known, for the log.
+    fn logged_revision(&self, part: StorePart) -> u64 {
+        StorePoint::of(self.known_state.revisions().of(part)).revision
+    }
+
     fn record_target_kept(&self, target: TargetId) {
         self.record_event(Event::TargetKept {
             for_ms: LAPSED_TARGET_GRACE.as_millis() as u64,
@@ -368,12 +426,12 @@
     }
 
     fn record_zone_evacuated(&self, zone: ZoneId, source: Source) {
-        let store_version = self.known_state.revisions().evacuations;
+        let store_version = self.logged_revision(StorePart::Evacuations);
         self.record_event(Event::ZoneEvacuated { source, store_version, zone });
     }
 
-    fn record_zone_taken_back(&self, zone: ZoneId, source: Source) {
-        let store_version = self.known_state.revisions().evacuations;
+    pub(super) fn record_zone_taken_back(&self, zone: ZoneId, source: Source) {
+        let store_version = self.logged_revision(StorePart::Evacuations);
         self.record_event(Event::ZoneTakenBack { source, store_version, zone });
     }
 }
--- a/src/entry/known_state.rs
+++ b/src/entry/known_state.rs
@@ -16,6 +16,17 @@
 /// entry lapses after three missed writes.
 const MIN_OUTAGE: Duration = Duration::from_millis(1_500);
 
+/// Time after a restore of the store for which an evacuation that the copy lacks is kept. Operators
+/// write what was lost again; if they do not, the store is believed.
+const RESTORED_EVACUATION_GRACE: Duration = Duration::from_secs(5);
+
+/// Time after a restore of the store for which a target that had left, and is listed by the copy, is
+/// not used. The entry of a target that no longer writes lapses within it.
+const RESTORED_LEAVE_GRACE: Duration = Duration::from_secs(10);
+
+/// Time for which a target that left is remembered: longer than copies of the store are old.
+const LEAVE_RETENTION: Duration = Duration::from_secs(30);
+
 /// Time for which a target is treated as cold if the declaration names none.
 const DEFAULT_COLD_START: Duration = Duration::from_secs(3);
 
@@ -111,6 +122,17 @@
 /// only for services whose targets changed.
 pub type UsableTargets = BTreeMap<ServiceId, Arc<[Arc<KnownTarget>]>>;
 
+/// A target that left before the store was restored. An entry of the same start that says otherwise
+/// comes from the copy.
+#[derive(Clone, Debug)]
+struct LeftTarget {
+    started: u64,
+    /// Until when entries are not believed; `None` until the target starts again.
+    until: Option<Moment>,
+    /// The entry that was not believed.
+    withheld: Option<(TargetEntry, RegionId)>,
+}
+
 /// A host's copy of the store's objects.
 #[derive(Debug, Default)]
 pub struct KnownState {
@@ -118,6 +140,12 @@
     changed_services: BTreeSet<ServiceId>,
     declaration: Option<Arc<Declaration>>,
     evacuated_zones: BTreeSet<ZoneId>,
+    /// Evacuated zones that a restored store lacks, and until when they stay evacuated.
+    kept_evacuations: BTreeMap<ZoneId, Moment>,
+    /// Targets that left before the store was restored.
+    left_targets: BTreeMap<TargetId, LeftTarget>,
+    /// Targets whose entries were removed lately: their start, and when that was.
+    removed_targets: BTreeMap<TargetId, (u64, Moment)>,
     /// Targets whose entries are missing after an outage, and until when they are still used.
     lapsed_targets: BTreeMap<TargetId, Moment>,
     /// When the current outage of the store began.
@@ -242,6 +270,7 @@
     /// Starts or ends the evacuation of one zone. Returns whether that changed anything.
     pub fn set_evacuated(&mut self, zone: ZoneId, wanted: bool, now: Moment) -> bool {
         self.mark_all_changed();
+        self.kept_evacuations.remove(&zone);
         if wanted {
             return self.evacuated_zones.insert(zone);
         }
@@ -252,12 +281,35 @@
         changed
     }
 
-    /// Replaces the evacuated zones by a complete listing.
+    /// Keeps the evacuation of a zone for a while although a restored store lacks it.
+    pub fn keep_evacuation(&mut self, zone: ZoneId, now: Moment) {
+        if self.evacuated_zones.contains(&zone) {
+            self.kept_evacuations.entry(zone).or_insert(now + RESTORED_EVACUATION_GRACE);
+        }
+    }
+
+    /// Ends the kept evacuations that were not written again in time, and returns their zones.
+    pub fn expire_kept_evacuations(&mut self, now: Moment) -> Vec<ZoneId> {
+        let expired = self.kept_evacuations.iter().filter(|(_, until)| **until <= now);
+        let expired: Vec<ZoneId> = expired.map(|(zone, _)| zone.clone()).collect();
+        expired.into_iter().filter(|zone| self.set_evacuated(zone.clone(), false, now)).collect()
+    }
+
+    /// Replaces the evacuated zones by a complete listing. If the store was restored since the last
+    /// one, zones that the listing lacks stay evacuated for a while.
     pub fn apply_evacuation_listing(
         &mut self,
-        zones: BTreeSet<ZoneId>,
+        mut zones: BTreeSet<ZoneId>,
+        is_restored: bool,
         now: Moment,
     ) -> ZoneChanges {
+        if is_restored {
+            for zone in self.evacuated_zones.difference(&zones).cloned().collect::<Vec<_>>() {
+                self.keep_evacuation(zone, now);
+            }
+        }
+        self.kept_evacuations.retain(|zone, _| !zones.contains(zone));
+        zones.extend(self.kept_evacuations.keys().cloned());
         let changes = ZoneChanges {
             evacuated: zones.difference(&self.evacuated_zones).cloned().collect(),
             taken_back: self.evacuated_zones.difference(&zones).cloned().collect(),
@@ -271,6 +323,8 @@
 
     /// Adds or replaces one target. Returns whether more than the remaining cold time changed.
     pub fn apply_target(&mut self, entry: TargetEntry, region: RegionId, now: Moment) -> bool {
+        let entry = self.without_undone_leave(entry, &region);
+        self.removed_targets.remove(&entry.id);
         self.lapsed_targets.remove(&entry.id);
         let known = KnownTarget {
             cold_until: now + entry.cold_for,
@@ -303,10 +357,60 @@
             return Removal::Kept;
         }
         self.lapsed_targets.remove(id);
+        if let Some(known) = self.targets.get(id) {
+            self.removed_targets.insert(id.clone(), (known.entry.started, now));
+        }
         self.take_target(id);
         Removal::Gone
     }
 
+    /// Records that the targets come from a store that was restored from a copy. Entries that the copy
+    /// lacks may be written again, as after an outage; leaves that it lacks are not undone.
+    pub fn store_restored(&mut self, now: Moment) {
+        self.store_returned_at = Some(now);
+        let draining = self.targets.values().filter(|known| !known.entry.ready);
+        let draining = draining.map(|known| {
+            let started = known.entry.started;
+            (known.entry.id.clone(), LeftTarget { started, until: None, withheld: None })
+        });
+        self.left_targets.extend(draining.collect::<Vec<_>>());
+        for (id, (started, _)) in std::mem::take(&mut self.removed_targets) {
+            let until = Some(now + RESTORED_LEAVE_GRACE);
+            let left = LeftTarget { started, until, withheld: None };
+            self.left_targets.entry(id).or_insert(left);
+        }
+    }
+
+    /// The entry, not ready if it belongs to a target that left before the store was restored.
+    fn without_undone_leave(&mut self, mut entry: TargetEntry, region: &RegionId) -> TargetEntry {
+        let Some(left) = self.left_targets.get_mut(&entry.id) else { return entry };
+        if left.started != entry.started {
+            self.left_targets.remove(&entry.id);
+        } else if entry.ready {
+            left.withheld = Some((entry.clone(), region.clone()));
+            entry.ready = false;
+        }
+        entry
+    }
+
+    /// Uses the targets again whose leaves are no longer held against them, and forgets old removals.
+    /// Returns the targets that changed.
+    pub fn expire_leaves(&mut self, now: Moment) -> Vec<TargetId> {
+        self.removed_targets.retain(|_, (_, at)| now.saturating_sub(*at) < LEAVE_RETENTION);
+        let is_expired = |left: &LeftTarget| left.until.is_some_and(|until| until <= now);
+        let expired = self.left_targets.iter().filter(|(_, left)| is_expired(left));
+        let expired: Vec<TargetId> = expired.map(|(id, _)| id.clone()).collect();
+        let mut changed = Vec::new();
+        for id in expired {
+            let withheld = self.left_targets.remove(&id).and_then(|left| left.withheld);
+            let Some((entry, region)) = withheld else { continue };
+            if self.targets.contains_key(&id) && self.apply_target(entry, region, now) {
+                changed.push(id);
+            }
+        }
+        changed
+    }
+
     /// Records that the store answers. Returns whether an outage ended that was long enough for
     /// entries to lapse.
     pub fn store_answered(&mut self, now: Moment) -> bool {
@@ -349,7 +453,7 @@
                     changes.kept.push(id);
                 }
                 None => {
-                    self.take_target(&id);
+                    self.remove_target(&id, now);
                     changes.gone.push(id);
                 }
             }
--- a/src/entry/tests/known_state.rs
+++ b/src/entry/tests/known_state.rs
@@ -159,7 +159,8 @@
     let ways: [Return; 2] = [
         |known_state| assert!(known_state.set_evacuated("north-a".into(), false, secs(9.0))),
         |known_state| {
-            let changes = known_state.apply_evacuation_listing(Default::default(), secs(9.0));
+            let changes =
+                known_state.apply_evacuation_listing(Default::default(), false, secs(9.0));
             assert_eq!(changes.taken_back, [ZoneId::from("north-a")]);
         },
     ];
@@ -253,3 +254,72 @@
     backwards.apply_target(draining, region(), secs(1.0));
     assert_eq!(backwards.stamp(), known_state.stamp());
 }
+
+fn listed_as(id: &str, ready: bool, started: u64) -> (TargetEntry, RegionId) {
+    (TargetEntry { ready, started, ..target_entry(id, "north-a") }, region())
+}
+
+/// Guards against targets that are dropped because a restored store lacks their entries, however short
+/// its outage was.
+#[test]
+fn targets_that_a_restored_store_lacks_are_kept_for_a_grace_period() {
+    let mut known_state = KnownState::default();
+    known_state.apply_target_listing(listed(&["t-1", "t-2"]), secs(1.0));
+    known_state.store_restored(secs(10.0));
+    known_state.apply_target_listing(listed(&["t-1"]), secs(10.0));
+    assert_eq!(usable_ids(&mut known_state), ["t-1", "t-2"]);
+    known_state.expire_lapsed(secs(12.3));
+    assert_eq!(usable_ids(&mut known_state), ["t-1"]);
+}
+
+/// Guards against requests to a target that leaves, because a restored store holds its entry from
+/// before. It is used again once it has started again.
+#[test]
+fn a_restored_store_does_not_undo_the_leave_of_a_target() {
+    let mut known_state = KnownState::default();
+    let leaving = vec![listed_as("t-1", false, 1), listed_as("t-2", true, 1)];
+    known_state.apply_target_listing(leaving, secs(1.0));
+    known_state.store_restored(secs(10.0));
+    let copy = || vec![listed_as("t-1", true, 1), listed_as("t-2", true, 1)];
+    known_state.apply_target_listing(copy(), secs(10.0));
+    known_state.expire_leaves(secs(100.0));
+    known_state.apply_target_listing(copy(), secs(100.0));
+    assert_eq!(usable_ids(&mut known_state), ["t-2"]);
+    known_state.apply_target_listing(vec![listed_as("t-1", true, 2)], secs(101.0));
+    assert_eq!(usable_ids(&mut known_state), ["t-1"]);
+}
+
+/// Guards against requests to a target whose entry was removed and is back in the copy. A live target
+/// writes it again and is used after a while.
+#[test]
+fn a_removed_target_that_a_copy_lists_is_not_used_at_once() {
+    let mut known_state = KnownState::default();
+    known_state.apply_target_listing(listed(&["t-1", "t-2"]), secs(1.0));
+    assert_eq!(known_state.remove_target(&"t-1".into(), secs(5.0)), Removal::Gone);
+    known_state.store_restored(secs(10.0));
+    known_state.apply_target_listing(listed(&["t-1", "t-2"]), secs(10.0));
+    known_state.expire_leaves(secs(19.9));
+    assert_eq!(usable_ids(&mut known_state), ["t-2"]);
+    assert_eq!(known_state.expire_leaves(secs(20.1)), ["t-1".into()]);
+    assert_eq!(usable_ids(&mut known_state), ["t-1", "t-2"]);
+}
+
+/// Guards against requests to an evacuated zone that a restored store lacks: operators write the
+/// evacuation again within seconds, or do not want it any more.
+#[test]
+fn a_restored_store_does_not_end_an_evacuation_at_once() {
+    let zones = |zones: &[&str]| zones.iter().map(|zone| ZoneId::from(*zone)).collect();
+    for is_written_again in [false, true] {
+        let mut known_state = KnownState::default();
+        known_state.apply_evacuation_listing(zones(&["north-a"]), false, secs(1.0));
+        let changes = known_state.apply_evacuation_listing(zones(&[]), true, secs(10.0));
+        assert!(changes.taken_back.is_empty() && known_state.is_evacuated(&"north-a".into()));
+        if is_written_again {
+            known_state.set_evacuated("north-a".into(), true, secs(12.0));
+        }
+        assert!(known_state.expire_kept_evacuations(secs(14.9)).is_empty());
+        let ended = known_state.expire_kept_evacuations(secs(15.1));
+        assert_eq!(ended.is_empty(), is_written_again);
+        assert_eq!(known_state.is_evacuated(&"north-a".into()), is_written_again);
+    }
+}
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -22,6 +22,9 @@
     /// When the declaration was last confirmed to be the latest in the store; `None` if it never
     /// was, or another host knows a later one.
     pub declaration_checked_at: Option<Moment>,
+    /// Whether a later declaration is known to exist or may be lost, so that an unknown route may be a
+    /// new one.
+    pub is_declaration_behind: bool,
     /// Whether most of the other live hosts were running when this host started.
     pub peers_started_earlier: bool,
     /// Number of hosts that are live or may be partitioned, including this one.
--- a/src/event_log/event.rs
+++ b/src/event_log/event.rs
@@ -187,6 +187,12 @@
     StoreLost { part: StorePart, reason: Arc<str> },
     /// The store is answering again.
     StoreRegained { away_ms: u64, part: StorePart },
+    /// The store was restored from a copy since this host received one of its parts.
+    StoreRestored {
+        part: StorePart,
+        /// Number of restores that the store states.
+        restores: u64,
+    },
     /// The host became short of CPU time, or has enough again.
     StrainChanged { delay_ms: u64, is_strained: bool },
     /// A streamed response broke off after its head had been sent.
--- a/src/event_log/kind.rs
+++ b/src/event_log/kind.rs
@@ -85,6 +85,9 @@
             EventKind::Stopping => "a planned stop begins",
             EventKind::StoreLost => "the store does not answer",
             EventKind::StoreRegained => "the store answers again",
+            EventKind::StoreRestored => {
+                "the store came back from a copy that may lack the latest writes"
+            }
             EventKind::StrainChanged => {
                 "the host gets too little of its processor and leaves look-ups, or enough again"
             }
--- a/src/why/search.rs
+++ b/src/why/search.rs
@@ -171,6 +171,7 @@
             | Event::Reloaded { .. } => Some(Subject::Host),
             Event::StoreLost { .. }
             | Event::StoreRegained { .. }
+            | Event::StoreRestored { .. }
             | Event::HostUnanswering { .. }
             | Event::WatchBegun { .. }
             | Event::WatchEnded => Some(Subject::Store),
