Answer 503 to unknown routes while a later declaration is known or may be lost

A host that hears of a later declaration, or whose restored store lacks the one in force, cannot know that a route does not exist; it answered 404, after which callers do not come back. It now answers 503 with a Retry-After, which is true: the request has not run.

--- a/src/entry/request_handler.rs
+++ b/src/entry/request_handler.rs
@@ -75,7 +75,10 @@
     };
     version.set(declaration.version);
     let Some(route) = find_route(&declaration, &head) else {
-        return refuse(ErrorKind::ServiceUnknown, None);
+        return match view.is_declaration_behind {
+            true => refuse(ErrorKind::NoManifest, Some(RETRY_AFTER_DEFAULT)),
+            false => refuse(ErrorKind::ServiceUnknown, None),
+        };
     };
     let authorize = |view: &View| match check_access(&state, view, &route, &metadata.key) {
         Access::Granted(team) => Ok(team),
