--- a/src/platform/standin/fault_run.rs
+++ b/src/platform/standin/fault_run.rs
@@ -16,11 +16,12 @@
 use tokio::time::Instant;
 
 use super::{
-    ResponseMode, Statements, StoreStandin, TargetIdentity, TargetStandin, loopback_settings,
+    LinkMode, ResponseMode, Statements, StoreStandin, TargetIdentity, TargetLinks, TargetStandin,
+    loopback_settings,
 };
 use crate::{
     base::BootClock,
-    entry::{EntryHost, EntryParts, TcpConnector},
+    entry::{Connector, EntryHost, EntryParts, TcpConnector},
     event_log::NoEvents,
     platform::{ObjectStore, PlatformProtocol},
     prelude::*,
@@ -46,6 +47,18 @@
 const LIMIT_NOTICE_TIME: Duration = Duration::from_millis(1_500);
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 
+/// Position in `HOSTS` of the host whose links to all targets are cut for some time.
+const CUT_HOST: usize = 0;
+
+/// Time after the cut from which on first tries at that host have to be served, and their least
+/// number relative to those at the other hosts.
+const CUT_NOTICE_TIME: Duration = Duration::from_secs(4);
+const CUT_SERVED_RATIO: f64 = 2.0 / 3.0;
+
+/// Version of the declaration that is written after the store was restored, and its new route.
+const RESTORED_VERSION: u64 = 9;
+const ADDED_ROUTE: &str = "/added/";
+
 const HOST_NAME: &str = "counter.example";
 const CALLER_COUNT: usize = 8;
 const TARGETS: [(&str, &str); 6] = [
@@ -75,7 +88,7 @@
 impl FaultRunReport {
     /// Whether every guarantee was checked and none is violated.
     pub fn passed(&self) -> bool {
-        self.broken.is_empty() && self.checks.len() == 6 && self.checks.values().all(|n| 0 < *n)
+        self.broken.is_empty() && self.checks.len() == 8 && self.checks.values().all(|n| 0 < *n)
     }
 
     fn check(&mut self, guarantee: &'static str, holds: bool, detail: impl FnOnce() -> String) {
@@ -104,6 +117,8 @@
 
 /// A request and its response, as its caller saw them.
 struct CallerRecord {
+    at: Instant,
+    host: SocketAddr,
     attempt_id: String,
     booking: bool,
     /// Attempt id and body of a complete response with status 200.
@@ -114,6 +129,8 @@
 /// What the faults of a run leave to be checked at its end.
 #[derive(Default)]
 struct Observed {
+    /// When the links of a host to all targets were cut, and when they were opened again.
+    cut: Option<(Instant, Instant)>,
     /// When a target named its limit, and when it no longer did.
     limited: Option<(Instant, Instant)>,
     /// Number of requests that the drained target had received when its drain time ended.
@@ -123,6 +140,8 @@
 struct Cluster {
     hosts: Vec<Option<EntryHost>>,
     http: Client,
+    /// Links of `CUT_HOST` to all targets.
+    links: TargetLinks,
     store: StoreStandin,
     targets: Vec<TargetStandin>,
 }
@@ -163,10 +182,15 @@
         }
         store.put("config", "main", config(1));
         let mut hosts = Vec::new();
-        for (name, zone, region) in HOSTS {
-            hosts.push(Some(spawn_host(&store, name, zone, region).await?));
+        let links = TargetLinks::new(targets.iter().map(TargetStandin::addr));
+        for (at, (name, zone, region)) in HOSTS.into_iter().enumerate() {
+            let connector: Arc<dyn Connector> = match at {
+                CUT_HOST => Arc::new(links.clone()),
+                _ => Arc::new(TcpConnector),
+            };
+            hosts.push(Some(spawn_host(&store, connector, name, zone, region).await?));
         }
-        let cluster = Self { hosts, http: Client::new(), store, targets };
+        let cluster = Self { hosts, http: Client::new(), links, store, targets };
         for host in cluster.hosts.iter().flatten() {
             cluster.until_ready(host).await?;
         }
@@ -196,6 +220,8 @@
         let step_length = length / 40;
         let mut observed = Observed::default();
         let mut limited_at = Instant::now();
+        let mut cut_at = Instant::now();
+        let mut copy = self.store.copy();
         let drain_steps = (DRAIN_TIME.as_secs_f64() / step_length.as_secs_f64()).ceil() as u32;
         for step in 0..40_u32 {
             tokio::time::sleep(step_length).await;
@@ -220,6 +246,10 @@
             match step {
                 4 => self.store.put("config", "main", config(5)),
                 6 => self.store.put("servers", "t-1", self.targets[0].store_entry("draining", 1)),
+                8 => {
+                    self.links.set(LinkMode::Reset);
+                    cut_at = Instant::now();
+                }
                 10 => self.store.put("evacuations", "north-b", json!({})),
                 14 => self.store.remove("evacuations", "north-b"),
                 15 => {
@@ -227,9 +257,18 @@
                         .set_statements(Statements { limit: Some("2.0"), ..Statements::default() });
                     limited_at = Instant::now();
                 }
+                16 => copy = self.store.copy(),
+                17 => (6..RESTORED_VERSION)
+                    .for_each(|version| self.store.put("config", "main", config(version))),
                 18 => self.store.set_down(true),
                 24 => self.store.set_down(false),
-                26 => self.store.compact(),
+                25 => self.store.restore(&copy),
+                26 => {
+                    observed.cut = Some((cut_at, Instant::now()));
+                    self.links.set(LinkMode::Open);
+                    self.store.compact();
+                    self.store.put("config", "main", config(RESTORED_VERSION));
+                }
                 28 => {
                     observed.limited = Some((limited_at, Instant::now()));
                     self.targets[LIMITED_TARGET].set_statements(Statements::default());
@@ -244,6 +283,9 @@
                 }
                 _ => {}
             }
+            if step == 38 {
+                self.check_restored_declaration(report).await;
+            }
             if step == 6 + drain_steps {
                 observed.requests_before = self.targets[0].received().len();
             }
@@ -283,6 +325,7 @@
                 report.check("an answer is whole and the caller's own", own, detail);
             }
         }
+        self.check_cut(records, observed, report);
         self.check_limit(observed, report);
         let after = self.targets[0].received().len() - observed.requests_before;
         let detail = || format!("{after} requests after its drain time");
@@ -296,6 +339,43 @@
 }
 
 impl Cluster {
+    /// Checks that all hosts know the route that was added after the store was restored.
+    async fn check_restored_declaration(&self, report: &mut FaultRunReport) {
+        for host in self.hosts.iter().flatten() {
+            let url = format!("http://{}{ADDED_ROUTE}one", host.listen().callers);
+            let req = self.http.get(url).header("Host", HOST_NAME);
+            let record = send(req, host.listen().callers, "restored".into(), false).await;
+            let detail = || format!("{} answers {}", record.host, record.status);
+            report.check("a change after a restore is in force", record.status != 404, detail);
+        }
+    }
+
+    /// Checks that a host that reaches no target serves about as many requests as the others.
+    fn check_cut(
+        &self,
+        records: &[CallerRecord],
+        observed: &Observed,
+        report: &mut FaultRunReport,
+    ) {
+        let (Some((from, until)), Some(cut)) = (observed.cut, &self.hosts[CUT_HOST]) else {
+            return;
+        };
+        let during =
+            |record: &&CallerRecord| from + CUT_NOTICE_TIME <= record.at && record.at < until;
+        let addr = cut.listen().callers;
+        let (at_cut, at_others): (Vec<_>, Vec<_>) =
+            records.iter().filter(during).partition(|record| record.host == addr);
+        let served = |records: &[&CallerRecord]| {
+            let served = records.iter().filter(|record| record.status == 200).count();
+            served as f64 / records.len().max(1) as f64
+        };
+        let (at_cut, at_others) = (served(&at_cut), served(&at_others));
+        let holds = CUT_SERVED_RATIO * at_others <= at_cut;
+        report.check("a host without links to targets serves", holds, || {
+            format!("{at_cut:.2} of the first tries, {at_others:.2} at the others")
+        });
+    }
+
     fn check_limit(&self, observed: &Observed, report: &mut FaultRunReport) {
         let Some((from, until)) = observed.limited else { return };
         let times = self.targets[LIMITED_TARGET].received().into_iter().map(|request| request.at);
@@ -337,15 +417,21 @@
             .header("Lavenderplank-Attempt-Id", &attempt_id)
             .header("Lavenderplank-Time-Remaining", CALLER_TIMEOUT.as_millis().to_string())
             .header("Cookie", format!("Lavenderplank-Affinity-Key={object}"));
-        records.push(send(req, attempt_id, booking).await);
+        records.push(send(req, *host, attempt_id, booking).await);
     }
     records
 }
 
-async fn send(req: reqwest::RequestBuilder, attempt_id: String, booking: bool) -> CallerRecord {
+async fn send(
+    req: reqwest::RequestBuilder,
+    host: SocketAddr,
+    attempt_id: String,
+    booking: bool,
+) -> CallerRecord {
+    let at = Instant::now();
     let Ok(answer) = req.send().await else {
         // A stopped host refuses connections; the next request may go to another one.
-        return CallerRecord { attempt_id, booking, response: None, status: 0 };
+        return CallerRecord { at, host, attempt_id, booking, response: None, status: 0 };
     };
     let status = answer.status().as_u16();
     let echo = answer.headers().get("lavenderplank-attempt-id").cloned();
@@ -354,11 +440,12 @@
         Ok(body) if status == 200 => Some((echo, body)),
         _ => None,
     };
-    CallerRecord { attempt_id, booking, response, status }
+    CallerRecord { at, host, attempt_id, booking, response, status }
 }
 
 async fn spawn_host(
     store: &StoreStandin,
+    connector: Arc<dyn Connector>,
     name: &str,
     zone: &str,
     region: &str,
@@ -367,7 +454,7 @@
     let settings = loopback_settings(name, zone, region, &zones, store.addr());
     let store = Arc::new(ObjectStore::new(store.addr())?);
     let (clock, protocol) = (Arc::new(BootClock), Arc::new(PlatformProtocol));
-    let (connector, events) = (Arc::new(TcpConnector), Arc::new(NoEvents));
+    let events = Arc::new(NoEvents);
     Ok(EntryHost::spawn(EntryParts { clock, connector, events, protocol, settings, store }).await?)
 }
 
@@ -379,12 +466,16 @@
             "action": { "service": "desk", "timeout": "2000ms", "maxAttempts": 2 },
         })
     };
+    let mut rules = vec![rule("safe", "/reads/"), rule("unsafe", "/bookings/")];
+    if RESTORED_VERSION <= version {
+        rules.push(rule("safe", ADDED_ROUTE));
+    }
     json!({
         "version": format!("{version:08x}"),
         "limits": { "maxBodyBytes": 4096, "idleTimeout": "15000ms" },
         "listeners": [{
             "hostname": HOST_NAME,
-            "rules": [rule("safe", "/reads/"), rule("unsafe", "/bookings/")],
+            "rules": rules,
         }],
         "clusters": [{ "name": "desk", "maxConnections": 100, "coldPerS": 5.0 }],
     })
