Do not send relayed requests again with each round of probes

A host that is cut off probes targets each 0.3 s, and each round woke the requests that wait for other hosts: they took that for the news that the host had been cut off, and sent a hedge at once, so that most reads ran twice at the hosts that carried them. Only requests that wait at a target are sent on now, and waiting requests are woken only when the state changes. The new test fails before (two arrivals for one read) and passes now. A host that serves a relayed request leaves hedges to the sender, instead of having them denied by the limit of attempts.

--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -104,7 +104,8 @@
         let state = self.state.clone();
         let mut attempts = Attempts::new();
         let mut progress = CallProgress::default();
-        let mut may_hedge = self.route.idempotency == Idempotency::Idempotent;
+        let is_idempotent = self.route.idempotency == Idempotency::Idempotent;
+        let mut may_hedge = is_idempotent && self.relayed.is_none();
         let mean_work = self.state.mean_work(&self.request.service);
         let hedge_after = mean_work.mul_f64(HEDGE_DELAY_FACTOR).max(HEDGE_DELAY_MIN);
         let mut hedge_at = self.state.clock.now() + hedge_after;
@@ -141,14 +142,12 @@
                         return Some(self.log.record_answered(response, outcome));
                     }
                     // Not idempotent: a request that may have run must not be sent again.
-                    if progress.maybe_ran
-                        && self.route.idempotency == Idempotency::NonIdempotent
-                    {
+                    if progress.maybe_ran && !is_idempotent {
                         return Some(self.final_response(progress));
                     }
                 }
                 () = disconnect.closed() => return None,
-                () = reach_changed, if may_hedge => {
+                () = reach_changed, if may_hedge && self.asked_hosts.is_empty() => {
                     if self.state.is_cut_off() {
                         // The targets that were asked do not answer any more.
                         may_hedge = false;
--- a/src/entry/reach_probe.rs
+++ b/src/entry/reach_probe.rs
@@ -32,6 +32,7 @@
 impl TrafficState {
     /// Connects to some targets. Connections that are accepted are kept for requests.
     async fn probe_targets(&self, count: usize) {
+        let before = self.target_reach.borrow().reach();
         let targets = self.targets_to_probe(count);
         let mut probes: FuturesUnordered<_> = targets
             .iter()
@@ -53,7 +54,9 @@
         if let Some(change) = change {
             self.apply_reach_change(change, targets.len());
         }
-        self.reach_changed.notify_waiters();
+        if self.target_reach.borrow().reach() != before {
+            self.reach_changed.notify_waiters();
+        }
     }
 
     /// Random targets of all services, those without recent failures first.
--- a/src/entry/relay_attempt.rs
+++ b/src/entry/relay_attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt to have another host serve the request.
 
-use std::rc::Rc;
+use std::{collections::HashMap, rc::Rc};
 
 use bytes::Bytes;
 use http::{Request, Response, header};
@@ -75,8 +75,9 @@
 /// Requests that this host has other hosts serve.
 #[derive(Debug, Default)]
 pub struct Relays {
-    in_flight: std::collections::HashMap<HostId, u32>,
-    unanswered_at: std::collections::HashMap<HostId, Moment>,
+    in_flight: HashMap<HostId, u32>,
+    /// Hosts that did not answer, and when.
+    unanswered_at: HashMap<HostId, Moment>,
 }
 
 impl Relays {
--- a/tests/entry_cut_off.rs
+++ b/tests/entry_cut_off.rs
@@ -113,6 +113,19 @@
     });
 }
 
+/// Guards against relayed requests that are sent a second time with each round of probes.
+#[test]
+fn a_relayed_read_is_not_repeated_while_the_host_stays_cut_off() {
+    run(async {
+        let world = World::spawn(&["north-a", "north-a"]).await;
+        let (cut, _other, _third) = cut_off_host(&world).await;
+        world.targets.iter().for_each(|it| it.set_processing_time(Duration::from_millis(900)));
+        let before = world.arrivals();
+        let answer = world.ask(&cut, read("r-1")).await.expect("an answer");
+        assert_eq!((answer.status().as_u16(), world.arrivals() - before), (200, 1));
+    });
+}
+
 /// Guards against targets that go on working for a caller that has left, and against a response that
 /// looks complete though it was cut off.
 #[test]
