Keep what is known of left targets in a module of its own, and forget it

A target that left before a restore is forgotten once its entry is gone; it had been kept for as long as the process ran.

--- a/src/entry/known_state.rs
+++ b/src/entry/known_state.rs
@@ -2,7 +2,10 @@
 
 use std::collections::BTreeSet;
 
-use super::{Declaration, DeclarationVersion, KnownTarget, StorePart, TargetEntry, target};
+use super::{
+    Declaration, DeclarationVersion, KnownTarget, StorePart, TargetEntry,
+    left_targets::LeftTargets, target,
+};
 use xxhash_rust::xxh3::{Xxh3Default, xxh3_64_with_seed};
 
 use crate::prelude::*;
@@ -20,13 +23,6 @@
 /// write what was lost again; if they do not, the store is believed.
 const RESTORED_EVACUATION_GRACE: Duration = Duration::from_secs(5);
 
-/// Time after a restore of the store for which a target that had left, and is listed by the copy, is
-/// not used. The entry of a target that no longer writes lapses within it.
-const RESTORED_LEAVE_GRACE: Duration = Duration::from_secs(10);
-
-/// Time for which a target that left is remembered: longer than copies of the store are old.
-const LEAVE_RETENTION: Duration = Duration::from_secs(30);
-
 /// Time for which a target is treated as cold if the declaration names none.
 const DEFAULT_COLD_START: Duration = Duration::from_secs(3);
 
@@ -122,17 +118,6 @@
 /// only for services whose targets changed.
 pub type UsableTargets = BTreeMap<ServiceId, Arc<[Arc<KnownTarget>]>>;
 
-/// A target that left before the store was restored. An entry of the same start that says otherwise
-/// comes from the copy.
-#[derive(Clone, Debug)]
-struct LeftTarget {
-    started: u64,
-    /// Until when entries are not believed; `None` until the target starts again.
-    until: Option<Moment>,
-    /// The entry that was not believed.
-    withheld: Option<(TargetEntry, RegionId)>,
-}
-
 /// A host's copy of the store's objects.
 #[derive(Debug, Default)]
 pub struct KnownState {
@@ -142,10 +127,7 @@
     evacuated_zones: BTreeSet<ZoneId>,
     /// Evacuated zones that a restored store lacks, and until when they stay evacuated.
     kept_evacuations: BTreeMap<ZoneId, Moment>,
-    /// Targets that left before the store was restored.
-    left_targets: BTreeMap<TargetId, LeftTarget>,
-    /// Targets whose entries were removed lately: their start, and when that was.
-    removed_targets: BTreeMap<TargetId, (u64, Moment)>,
+    left_targets: LeftTargets,
     /// Targets whose entries are missing after an outage, and until when they are still used.
     lapsed_targets: BTreeMap<TargetId, Moment>,
     /// When the current outage of the store began.
@@ -323,8 +305,7 @@
 
     /// Adds or replaces one target. Returns whether more than the remaining cold time changed.
     pub fn apply_target(&mut self, entry: TargetEntry, region: RegionId, now: Moment) -> bool {
-        let entry = self.without_undone_leave(entry, &region);
-        self.removed_targets.remove(&entry.id);
+        let entry = self.left_targets.check(entry, &region);
         self.lapsed_targets.remove(&entry.id);
         let known = KnownTarget {
             cold_until: now + entry.cold_for,
@@ -358,7 +339,7 @@
         }
         self.lapsed_targets.remove(id);
         if let Some(known) = self.targets.get(id) {
-            self.removed_targets.insert(id.clone(), (known.entry.started, now));
+            self.left_targets.record_removal(&known.entry, now);
         }
         self.take_target(id);
         Removal::Gone
@@ -368,42 +349,17 @@
     /// lacks may be written again, as after an outage; leaves that it lacks are not undone.
     pub fn store_restored(&mut self, now: Moment) {
         self.store_returned_at = Some(now);
-        let draining = self.targets.values().filter(|known| !known.entry.ready);
-        let draining = draining.map(|known| {
-            let started = known.entry.started;
-            (known.entry.id.clone(), LeftTarget { started, until: None, withheld: None })
-        });
-        self.left_targets.extend(draining.collect::<Vec<_>>());
-        for (id, (started, _)) in std::mem::take(&mut self.removed_targets) {
-            let until = Some(now + RESTORED_LEAVE_GRACE);
-            let left = LeftTarget { started, until, withheld: None };
-            self.left_targets.entry(id).or_insert(left);
-        }
+        let entries = self.targets.values().map(|known| &known.entry);
+        self.left_targets.store_restored(entries.filter(|entry| !entry.ready), now);
     }
 
-    /// The entry, not ready if it belongs to a target that left before the store was restored.
-    fn without_undone_leave(&mut self, mut entry: TargetEntry, region: &RegionId) -> TargetEntry {
-        let Some(left) = self.left_targets.get_mut(&entry.id) else { return entry };
-        if left.started != entry.started {
-            self.left_targets.remove(&entry.id);
-        } else if entry.ready {
-            left.withheld = Some((entry.clone(), region.clone()));
-            entry.ready = false;
-        }
-        entry
-    }
-
-    /// Uses the targets again whose leaves are no longer held against them, and forgets old removals.
-    /// Returns the targets that changed.
+    /// Uses the targets again whose leaves are no longer held against them. Returns those that
+    /// changed.
     pub fn expire_leaves(&mut self, now: Moment) -> Vec<TargetId> {
-        self.removed_targets.retain(|_, (_, at)| now.saturating_sub(*at) < LEAVE_RETENTION);
-        let is_expired = |left: &LeftTarget| left.until.is_some_and(|until| until <= now);
-        let expired = self.left_targets.iter().filter(|(_, left)| is_expired(left));
-        let expired: Vec<TargetId> = expired.map(|(id, _)| id.clone()).collect();
+        let believed = self.left_targets.expire(|id| self.targets.contains_key(id), now);
         let mut changed = Vec::new();
-        for id in expired {
-            let withheld = self.left_targets.remove(&id).and_then(|left| left.withheld);
-            let Some((entry, region)) = withheld else { continue };
+        for (entry, region) in believed {
+            let id = entry.id.clone();
             if self.targets.contains_key(&id) && self.apply_target(entry, region, now) {
                 changed.push(id);
             }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -18,6 +18,7 @@
 mod demand;
 mod host;
 mod known_state;
+mod left_targets;
 mod listeners;
 mod lookup;
 mod peer_queries;
