Log from what a host knows of a target's limit, or that it has ended

target-limited told the responses that changed a limit, and all of them alike. It could not tell a limit that ended by the target's answer from one that ended by a response to another request, by another host's report, or because the hosts that had reported it were silent. It names the source now and is written for reports too. No decision changes.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -124,13 +124,13 @@
     state.target_reach.borrow_mut().record_response(state.clock.now());
     drop(waiting);
     let metadata = state.protocol.reply_metadata(response.status(), response.headers());
-    state.record_notices(&target, &metadata);
+    let is_mismatched = metadata.attempt_id != request.metadata.attempt_id;
+    state.record_notices(&target, &metadata, is_mismatched);
     let unknown = state.protocol.unknown_reply_headers(response.headers());
     state.unknown_headers.record(&unknown, response.headers(), &target.entry.id, &*state.events);
     if metadata.not_run || metadata.wrong_target {
         return guard.refused(&metadata, response, connection).await;
     }
-    let is_mismatched = metadata.attempt_id != request.metadata.attempt_id;
     if is_mismatched || (response.status().is_success() && !metadata.signed) {
         // A response to an earlier request, or one that no target sent. Later responses on this
         // connection cannot be matched to their requests either, so it is closed.
--- a/src/entry/target_statements.rs
+++ b/src/entry/target_statements.rs
@@ -4,7 +4,7 @@
 
 use super::{KnownTarget, ReplyMetadata, TrafficState, View, guards::InFlight};
 use crate::{
-    event_log::Event,
+    event_log::{Event, LimitSource},
     placement::{LimitChange, Rest, TargetIndex, TargetNotices, paced_rate, request_interval},
     prelude::*,
 };
@@ -20,7 +20,12 @@
 impl TrafficState {
     /// Records what a response says of its target. Every response has to pass here, whatever
     /// becomes of it, but those of another target at the same address.
-    pub(super) fn record_notices(&self, target: &KnownTarget, metadata: &ReplyMetadata) {
+    pub(super) fn record_notices(
+        &self,
+        target: &KnownTarget,
+        metadata: &ReplyMetadata,
+        is_mismatched: bool,
+    ) {
         if metadata.wrong_target {
             return;
         }
@@ -40,8 +45,12 @@
                 LimitChange::Limited(limit) => Some(limit),
                 LimitChange::Ended => None,
             };
+            let source = match metadata.signed && !is_mismatched {
+                true => LimitSource::Response,
+                false => LimitSource::UnmatchedResponse,
+            };
             let target = target.entry.id.clone();
-            self.events.record(None, Event::TargetLimited { per_second, target });
+            self.events.record(None, Event::TargetLimited { per_second, source, target });
         }
     }
 
@@ -52,7 +61,17 @@
         if notices.is_empty() && view.limits.is_empty() {
             return;
         }
-        notices.apply_reports(&view.limits, now);
+        for (tag, per_second) in notices.apply_reports(&view.limits, now) {
+            let source = match view.limits.contains_key(&tag) {
+                true => LimitSource::Report,
+                false => LimitSource::Silence,
+            };
+            let targets = view.targets.values().flat_map(|targets| targets.iter());
+            if let Some(target) = targets.into_iter().find(|target| target.tag == tag) {
+                let target = target.entry.id.clone();
+                self.events.record(None, Event::TargetLimited { per_second, source, target });
+            }
+        }
         self.limited_target_pacer.borrow_mut().retain(|tag| notices.limit(tag).is_some());
     }
 
--- a/src/entry/tests/target_statements.rs
+++ b/src/entry/tests/target_statements.rs
@@ -4,7 +4,7 @@
 use crate::{
     base::ManualClock,
     entry::{
-        LiveHost, ReplyMetadata, TrafficState, View,
+        KnownTarget, LiveHost, ReplyMetadata, TrafficState, View,
         target_statements::{Readiness, unusable_slots},
     },
     placement::{Forecast, NamedLimit, TargetIndex, TargetStatement},
@@ -35,6 +35,11 @@
     ReplyMetadata { statement, ..ReplyMetadata::default() }
 }
 
+/// Records the target's answer to a request of this host.
+fn answered(state: &TrafficState, target: &KnownTarget, reply: &ReplyMetadata) {
+    state.record_notices(target, reply, false);
+}
+
 fn resting(secs: u64) -> ReplyMetadata {
     let rest = Some(Duration::from_secs(secs));
     reply(TargetStatement { rest, ..TargetStatement::default() })
@@ -52,17 +57,17 @@
     let (state, target) = (state(clock.clone()), known_target("t-1", "north"));
     let placed = state.start_attempt(&target, 1, Forecast::default(), None);
     assert!(state.may_still_send(&target, &placed));
-    state.record_notices(&target, &resting(3));
+    answered(&state, &target, &resting(3));
     assert!(!state.may_still_send(&target, &placed));
     clock.advance(secs(3.0));
     assert!(state.may_still_send(&target, &placed), "the rest is over");
-    state.record_notices(&target, &limited(2.0));
+    answered(&state, &target, &limited(2.0));
     assert!(!state.may_still_send(&target, &placed), "the limit leaves no request yet");
     clock.advance(secs(10.0));
     assert!(state.may_still_send(&target, &placed));
     assert!(!state.may_still_send(&target, &placed), "the request took the only token");
     let leaving = reply(TargetStatement { is_leaving: true, ..TargetStatement::default() });
-    state.record_notices(&target, &leaving);
+    answered(&state, &target, &leaving);
     clock.advance(secs(10.0));
     assert!(!state.may_still_send(&target, &placed));
 }
@@ -71,7 +76,7 @@
 #[test]
 fn statements_of_another_target_do_not_count() {
     let (state, target) = (state(Arc::default()), known_target("t-1", "north"));
-    state.record_notices(&target, &ReplyMetadata { wrong_target: true, ..resting(3) });
+    answered(&state, &target, &ReplyMetadata { wrong_target: true, ..resting(3) });
     assert!(state.target_notices.borrow().is_empty());
 }
 
@@ -81,12 +86,12 @@
     let clock = Arc::new(ManualClock::default());
     let (state, target) = (state(clock.clone()), known_target("t-1", "north"));
     let view = state.view().expect("a view");
-    state.record_notices(&target, &resting(3));
+    answered(&state, &target, &resting(3));
     assert_eq!(state.readiness(&view, &target, 0), Readiness::Later(Some(secs(3.0))));
     clock.advance(secs(3.0));
     assert_eq!(state.readiness(&view, &target, 0), Readiness::Ready);
     assert_eq!(state.readiness(&view, &target, 1), Readiness::Later(None));
-    state.record_notices(&target, &ReplyMetadata::default());
+    answered(&state, &target, &ReplyMetadata::default());
     assert_eq!(state.readiness(&view, &target, 1), Readiness::Ready);
 }
 
@@ -98,10 +103,10 @@
     let targets: Vec<_> = (0..4).map(|at| known_target(&format!("t-{at}"), "north")).collect();
     let mut index = TargetIndex::default();
     index.update(&targets.clone().into());
-    state.record_notices(&targets[0], &resting(3));
-    state.record_notices(&targets[1], &limited(2.0));
+    answered(&state, &targets[0], &resting(3));
+    answered(&state, &targets[1], &limited(2.0));
     let leaving = reply(TargetStatement { is_leaving: true, ..TargetStatement::default() });
-    state.record_notices(&targets[2], &leaving);
+    answered(&state, &targets[2], &leaving);
     let notices = state.target_notices.borrow();
     let unusable = unusable_slots(&index, &notices, secs(0.5), Moment::ZERO);
     let north: f64 = unusable.values().sum();
--- a/src/event_log/event.rs
+++ b/src/event_log/event.rs
@@ -260,11 +260,14 @@
     },
     /// A target said in a response that it leaves.
     TargetLeaving { target: TargetId },
-    /// A target named a limit for the requests of all hosts together, changed it or ended it.
+    /// This host knows of another limit of a target for the requests of all hosts together, or of
+    /// none any more.
     TargetLimited {
         /// Requests per second; `None` if the limit has ended.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         per_second: Option<f64>,
+        #[serde(default)]
+        source: LimitSource,
         target: TargetId,
     },
     /// A target is paused: it gets no requests for `pause_ms`.
@@ -365,6 +368,21 @@
     Unreachable,
 }
 
+/// From what a host knows of a target's limit, or that there is none.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LimitSource {
+    /// A signed response of the target to the request that was sent.
+    #[default]
+    Response,
+    /// A response that lacks the target's signature or belongs to another request.
+    UnmatchedResponse,
+    /// A report of another host.
+    Report,
+    /// The hosts that had reported the limit report it no more.
+    Silence,
+}
+
 /// Outcome of an attempt to have another host serve a request.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, IntoStaticStr, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- a/src/event_log/kind.rs
+++ b/src/event_log/kind.rs
@@ -105,7 +105,9 @@
             EventKind::TargetKept => "a lapsed target is used a little longer",
             EventKind::TargetKnown => "a target's entry is new or has changed",
             EventKind::TargetLeaving => "a target said in an answer that it leaves",
-            EventKind::TargetLimited => "a target named a limit of requests, or ended it",
+            EventKind::TargetLimited => {
+                "what this host knows of a target's limit of requests has changed"
+            }
             EventKind::TargetPaused => "a target gets nothing for a while",
             EventKind::TargetResting => "a target refused a request and named a time to pause",
             EventKind::TargetTrusted => "a paused target answered again",
--- a/src/placement/target_notices.rs
+++ b/src/placement/target_notices.rs
@@ -188,8 +188,17 @@
         !std::mem::replace(&mut notice.is_leaving, true)
     }
 
-    /// Replaces the reports of other hosts by those that arrived at `now`.
-    pub fn apply_reports(&mut self, reports: &HashMap<TargetTag, LimitReport>, now: Moment) {
+    /// Replaces the reports of other hosts by those that arrived at `now`. Returns the limits that
+    /// have changed.
+    pub fn apply_reports(
+        &mut self,
+        reports: &HashMap<TargetTag, LimitReport>,
+        now: Moment,
+    ) -> Vec<(TargetTag, Option<f64>)> {
+        let reported_only = reports.keys().filter(|tag| !self.reported.contains_key(tag));
+        let tags = self.tags().chain(reported_only.copied());
+        let before: BTreeMap<TargetTag, Option<f64>> =
+            tags.map(|tag| (tag, self.limit(tag))).collect();
         let notice = |report: &LimitReport| {
             let age = Duration::from_millis(report.age_ms.into());
             let limit = report.limit.map(f64::from).filter(|limit| limit.is_finite());
@@ -203,6 +212,9 @@
             own.limit =
                 own.limit.filter(|own| reported.heard_at <= own.heard_at + MAX_REPORT_DELAY);
         }
+        let after = before.into_iter().map(|(tag, limit)| (tag, limit, self.limit(tag)));
+        let changes = after.filter(|(_, before, after)| before != after);
+        changes.map(|(tag, _, limit)| (tag, limit)).collect()
     }
 
     /// Requests per second that a target takes from all hosts together; `None` if it has no limit.
--- a/src/why/cause.rs
+++ b/src/why/cause.rs
@@ -314,7 +314,7 @@
             Event::TargetLeaving { target } if target == of => {
                 Some(format!("{target} said at {at} ms that it leaves"))
             }
-            Event::TargetLimited { per_second: Some(limit), target } if target == of => {
+            Event::TargetLimited { per_second: Some(limit), target, .. } if target == of => {
                 Some(format!("{target} limited its requests to {limit} a second at {at} ms"))
             }
             Event::TargetResting { rest_ms, target } if target == of => {
