Reproduce the forgotten limits in tests that fail on the present code

The model of limited targets gets busy small fleets, an overloaded target that takes up to 1.5 s, and three incidents: both senders lost, one response in twenty spoiled, halves of the hosts that know only themselves. A host that was told forgets when the reporters are silent (unit test); an older, failed, cut off or unsigned response without the limit ends it (over loopback); 50 of 50 attempts without a token may be sent. All are listed in KNOWN-RED.txt until their fixes.

--- a/src/entry/tests/target_statements.rs
+++ b/src/entry/tests/target_statements.rs
@@ -7,7 +7,7 @@
         KnownTarget, LiveHost, ReplyMetadata, TrafficState, View,
         target_statements::{Readiness, unusable_slots},
     },
-    placement::{Forecast, NamedLimit, TargetIndex, TargetStatement},
+    placement::{Forecast, LimitReport, NamedLimit, TargetIndex, TargetStatement},
     platform::standin::{loopback_settings, loopback_traffic},
     prelude::*,
 };
@@ -72,6 +72,37 @@
     assert!(!state.may_still_send(&target, &placed));
 }
 
+/// Guards against a limit that a told host forgets when the hosts that report it are gone.
+#[test]
+#[ignore = "known failure, see KNOWN-RED.txt"]
+fn a_limit_outlasts_the_hosts_that_report_it() {
+    let clock = Arc::new(ManualClock::default());
+    let (state, target) = (state(clock.clone()), known_target("t-1", "north"));
+    let view = state.view().expect("a view");
+    let is_limited = || state.readiness(&view, &target, 0) != Readiness::Ready;
+    answered(&state, &target, &limited(0.1));
+    clock.advance(secs(5.0));
+    let report = LimitReport { age_ms: 100, limit: Some(0.1) };
+    let reporting = View { limits: [(target.tag, report)].into(), ..View::clone(&view) };
+    state.update_notices(&reporting);
+    assert!(is_limited());
+    clock.advance(secs(2.0));
+    state.update_notices(&view);
+    assert!(is_limited(), "the reporters are silent, the target has said nothing else");
+}
+
+/// Guards against attempts that are taken for paced although the limit left no request for them.
+#[test]
+#[ignore = "known failure, see KNOWN-RED.txt"]
+fn an_attempt_without_a_token_is_not_sent() {
+    let (state, target) = (state(Arc::default()), known_target("t-1", "north"));
+    answered(&state, &target, &limited(1.0));
+    for fingerprint in 0..50 {
+        let placed = state.start_attempt(&target, fingerprint, Forecast::default(), None);
+        assert!(!state.may_still_send(&target, &placed));
+    }
+}
+
 /// Guards against statements of another target that has taken over the address.
 #[test]
 fn statements_of_another_target_do_not_count() {
--- a/src/placement/tests/limited_targets.rs
+++ b/src/placement/tests/limited_targets.rs
@@ -20,9 +20,12 @@
 
 const STEP: Duration = Duration::from_millis(50);
 
-/// Time between a request and its response.
+/// Time between a request and its response, at least.
 const RESPONSE_TIME: Duration = Duration::from_millis(100);
 
+/// Longest time that an overloaded target takes.
+const MAX_RESPONSE_TIME: Duration = Duration::from_millis(1_500);
+
 /// A host that passed on a limit is bound by it after this time.
 const NOTICE_PERIOD: Duration = Duration::from_millis(500);
 
@@ -45,6 +48,30 @@
     SharedBucket,
 }
 
+/// What befalls all hosts together, besides the trouble of single ones.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Incident {
+    None,
+    /// The two hosts that send, and so report, freeze. They are not counted.
+    SendersLost,
+    /// Some responses are not the target's own, or to another request, and name no limit.
+    Spoiled,
+    /// Two halves of the hosts know only themselves. All are counted.
+    Split,
+}
+
+/// What a response says of the limit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Reply {
+    Limited,
+    /// Names no limit, and is not the target's own answer to the request.
+    Spoiled,
+    Unlimited,
+}
+
+/// Fraction of the responses that are spoiled.
+const SPOILED_FRACTION: f64 = 0.05;
+
 /// What befalls a host. Those that are hit are not counted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Trouble {
@@ -60,6 +87,9 @@
 /// Requests for the service at each host, at least.
 const REQUESTS_PER_S: f64 = 0.5;
 
+/// Requests for the service at each host of a small fleet in an incident.
+const BUSY_REQUESTS_PER_S: f64 = 20.0;
+
 const TROUBLE_AT: Duration = Duration::from_secs(8);
 const TROUBLE_TIME: Duration = Duration::from_secs(5);
 
@@ -122,13 +152,16 @@
 }
 
 struct Model {
-    /// Whether each host may send to the target, by the list of all hosts and by that of the hosts
-    /// without trouble.
+    /// Whether each host may send to the target, by the list of all hosts and by those that hosts
+    /// have of each other during the trouble.
     senders: [Vec<bool>; 2],
     hosts: Vec<Host>,
+    incident: Incident,
     limit: f64,
-    /// Reports and counts of all hosts at past steps, the newest first.
-    past: VecDeque<(Reports, u32)>,
+    /// Reports of both halves of the hosts and counts of all at past steps, the newest first.
+    past: VecDeque<([Reports; 2], u32)>,
+    /// Responses on their way, with the hosts that get them.
+    responses: Vec<(Moment, usize, Reply)>,
     target: Arc<KnownTarget>,
     way: Way,
 }
@@ -136,7 +169,7 @@
 type Reports = HashMap<TargetTag, LimitReport>;
 
 impl Model {
-    fn new(way: Way, hosts: usize, limit: f64, rng: &mut ChaCha8Rng) -> Self {
+    fn new(way: Way, incident: Incident, hosts: usize, limit: f64, rng: &mut ChaCha8Rng) -> Self {
         let mut hosts: Vec<Host> = (0..hosts).map(|at| Host::new(at, rng)).collect();
         let team_limit = TeamLimit { burst: 0.0, rate: limit };
         let target = known("t-1", "north");
@@ -144,30 +177,58 @@
             let limits = [(target.tag, team_limit)].into_iter().collect();
             host.bucket.set_limits(&limits, Moment::ZERO);
         }
-        let all: Vec<LiveHost> = hosts.iter().map(|host| host.live.clone()).collect();
-        let is_reachable = |host: &&Host| !matches!(host.trouble, Trouble::Freeze | Trouble::Cut);
-        let reachable: Vec<LiveHost> =
-            hosts.iter().filter(is_reachable).map(|host| host.live.clone()).collect();
-        let senders = [all, reachable].map(|live| {
-            let sends = |host: &Host| is_paced_sender(&target, &host.live.host, &live);
-            hosts.iter().map(sends).collect()
-        });
-        Self { senders, hosts, limit, past: VecDeque::new(), target, way }
+        let live = |hosts: &[Host]| -> Vec<LiveHost> {
+            hosts.iter().map(|host| host.live.clone()).collect()
+        };
+        let all = live(&hosts);
+        let sends =
+            |host: &Host, live: &[LiveHost]| is_paced_sender(&target, &host.live.host, live);
+        let usual: Vec<bool> = hosts.iter().map(|host| sends(host, &all)).collect();
+        match incident {
+            Incident::SendersLost => {
+                for (host, _) in hosts.iter_mut().zip(&usual).filter(|(_, sends)| **sends) {
+                    host.trouble = Trouble::Freeze;
+                }
+            }
+            Incident::Split => hosts.iter_mut().for_each(|host| host.trouble = Trouble::None),
+            Incident::None | Incident::Spoiled => {}
+        }
+        let is_reachable = |host: &Host| !matches!(host.trouble, Trouble::Freeze | Trouble::Cut);
+        let known_to = |at: usize| -> Vec<LiveHost> {
+            let is_known = |(other, host): &(usize, &Host)| match incident {
+                Incident::Split => half(*other) == half(at),
+                _ => is_reachable(host),
+            };
+            let known = hosts.iter().enumerate().filter(is_known);
+            known.map(|(_, host)| host.live.clone()).collect()
+        };
+        let by_half = [known_to(0), known_to(1)];
+        let in_trouble =
+            hosts.iter().enumerate().map(|(at, host)| sends(host, &by_half[half(at)])).collect();
+        Self {
+            senders: [usual, in_trouble],
+            hosts,
+            incident,
+            limit,
+            past: VecDeque::new(),
+            responses: Vec::new(),
+            target,
+            way,
+        }
     }
 
     fn run(mut self, rng: &mut ChaCha8Rng) -> Outcome {
-        let demand = REQUESTS_PER_S.max(20.0 / self.hosts.len() as f64);
+        let demand = match self.incident {
+            Incident::None => REQUESTS_PER_S.max(20.0 / self.hosts.len() as f64),
+            _ => BUSY_REQUESTS_PER_S,
+        };
         // Without a limit, the target gets this part of the requests of each host.
         let usual_part = ((self.limit * 8.0).max(20.0) / demand / self.hosts.len() as f64).min(1.0);
         let mut counted: Vec<Moment> = Vec::new();
         let mut all: Vec<Moment> = Vec::new();
-        let mut responses: VecDeque<(Moment, usize, bool)> = VecDeque::new();
         let mut now = Moment::ZERO;
         while now < RUN_TIME {
-            while responses.front().is_some_and(|(at, ..)| *at <= now) {
-                let Some((_, host, limited)) = responses.pop_front() else { break };
-                self.deliver_response(host, limited, now);
-            }
+            self.deliver_responses(now);
             self.share_reports(now);
             for at in 0..self.hosts.len() {
                 let is_placed = rng.random::<f64>() < demand * STEP.as_secs_f64()
@@ -180,8 +241,8 @@
                         counted.push(now);
                     }
                     all.push(now);
-                    let limited = (NAMED_AT..ENDED_AT).contains(&now);
-                    responses.push_back((now + RESPONSE_TIME, at, limited));
+                    let response = self.response_to(at, rng, now);
+                    self.responses.push(response);
                 }
             }
             now += STEP;
@@ -202,26 +263,53 @@
         }
     }
 
-    fn deliver_response(&mut self, at: usize, limited: bool, now: Moment) {
-        let host = &mut self.hosts[at];
-        if limited {
-            host.told_at.get_or_insert(now);
+    /// The response to a request that a host sends now. An overloaded target takes its time.
+    fn response_to(&self, at: usize, rng: &mut ChaCha8Rng, now: Moment) -> (Moment, usize, Reply) {
+        let (max_time, spoiled) = match self.incident {
+            Incident::None => (RESPONSE_TIME, 0.0),
+            Incident::Spoiled => (MAX_RESPONSE_TIME, SPOILED_FRACTION),
+            Incident::SendersLost | Incident::Split => (MAX_RESPONSE_TIME, 0.0),
+        };
+        let took = RESPONSE_TIME.max(max_time.mul_f64(rng.random()));
+        let reply = match (NAMED_AT..ENDED_AT).contains(&(now + took)) {
+            true if rng.random_bool(spoiled) => Reply::Spoiled,
+            true => Reply::Limited,
+            false => Reply::Unlimited,
+        };
+        (now + took, at, reply)
+    }
+
+    fn deliver_responses(&mut self, now: Moment) {
+        let responses = std::mem::take(&mut self.responses);
+        let (due, later) = responses.into_iter().partition(|(at, ..)| *at <= now);
+        self.responses = later;
+        for (_, at, reply) in due {
+            let host = &mut self.hosts[at];
+            if reply == Reply::Limited {
+                host.told_at.get_or_insert(now);
+            }
+            let named = (reply == Reply::Limited).then_some(NamedLimit::PerSecond(self.limit));
+            host.notices.record_limit(self.target.tag, named, now);
         }
-        let named = limited.then_some(NamedLimit::PerSecond(self.limit));
-        host.notices.record_limit(self.target.tag, named, now);
     }
 
     /// Each host gets what all reported some time ago.
     fn share_reports(&mut self, now: Moment) {
-        let mut newest = Reports::new();
+        let mut newest = [Reports::new(), Reports::new()];
         let mut admitted = 0;
-        for host in &self.hosts {
+        let is_split = self.is_split(now);
+        for (at, host) in self.hosts.iter().enumerate() {
             if host.is_in_trouble(Trouble::Freeze, now) || host.is_in_trouble(Trouble::Cut, now) {
                 continue;
             }
-            for (tag, report) in host.notices.reports(now) {
-                let kept = newest.entry(tag).or_insert(report);
-                *kept = kept.newest(report);
+            for (half_of, newest) in newest.iter_mut().enumerate() {
+                if is_split && half_of != half(at) {
+                    continue;
+                }
+                for (tag, report) in host.notices.reports(now) {
+                    let kept = newest.entry(tag).or_insert(report);
+                    *kept = kept.newest(report);
+                }
             }
             if self.way != Way::SharedBucket {
                 continue;
@@ -232,7 +320,7 @@
         self.past.push_front((newest, admitted));
         self.past.truncate(64);
         let live_hosts = self.hosts.len();
-        for host in &mut self.hosts {
+        for (at, host) in self.hosts.iter_mut().enumerate() {
             if host.is_in_trouble(Trouble::Freeze, now) || host.is_in_trouble(Trouble::Cut, now) {
                 continue;
             }
@@ -240,7 +328,7 @@
                 (host.notices, host.pacer) = Default::default();
             }
             let Some((reports, admitted)) = self.past.get(host.delay) else { continue };
-            host.notices.apply_reports(reports, now);
+            host.notices.apply_reports(&reports[half(at)], now);
             if self.way != Way::SharedBucket {
                 continue;
             }
@@ -256,6 +344,10 @@
         }
     }
 
+    fn is_split(&self, now: Moment) -> bool {
+        self.incident == Incident::Split && (TROUBLE_AT..TROUBLE_AT + TROUBLE_TIME).contains(&now)
+    }
+
     /// Whether a request that a host places at the target is sent there.
     fn sends(&mut self, at: usize, rng: &mut ChaCha8Rng, now: Moment) -> bool {
         let is_sender = self.is_sender(at, now);
@@ -301,14 +393,40 @@
     }
 }
 
+/// The half of the hosts that one belongs to.
+fn half(at: usize) -> usize {
+    at / 3 % 2
+}
+
 const FLEETS: [usize; 5] = [2, 12, 69, 195, 985];
 const LIMITS: [f64; 5] = [0.2, 0.5, 2.2, 8.0, 20.0];
 
 fn outcome(way: Way, hosts: usize, limit: f64, seed: u64) -> Outcome {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    Model::new(way, hosts, limit, &mut rng).run(&mut rng)
+    Model::new(way, Incident::None, hosts, limit, &mut rng).run(&mut rng)
+}
+
+/// The runs of an incident that break the bound, with several sizes, limits and seeds.
+fn broken_runs(incident: Incident) -> Vec<(usize, f64, u64, f64)> {
+    let mut broken = Vec::new();
+    for hosts in [4, 12, 24, 69] {
+        for limit in [0.5, 2.2, 8.0, 20.0] {
+            for seed in 0..SEEDS {
+                let mut rng = ChaCha8Rng::seed_from_u64(seed);
+                let model = Model::new(Way::Senders, incident, hosts, limit, &mut rng);
+                let excess = model.run(&mut rng).excess;
+                if 0.0 < excess {
+                    broken.push((hosts, limit, seed, excess));
+                }
+            }
+        }
+    }
+    broken
 }
 
+/// Seeds of each run with an incident.
+const SEEDS: u64 = 20;
+
 /// Guards against a limit that each host keeps for itself: the sum over all hosts that were told
 /// stays within the bound at any size of the fleet, and some requests are served.
 #[test]
@@ -343,3 +461,24 @@
     assert!(1.5 < used(Way::EqualShares));
     assert!(1.5 < used(Way::SharedBucket));
 }
+
+/// Guards against a limit that told hosts forget when the hosts that report it are lost.
+#[test]
+#[ignore = "known failure, see KNOWN-RED.txt"]
+fn the_limit_is_kept_while_the_hosts_that_report_it_are_lost() {
+    assert_eq!(broken_runs(Incident::SendersLost), []);
+}
+
+/// Guards against a limit that ends by responses that are not the target's own.
+#[test]
+#[ignore = "known failure, see KNOWN-RED.txt"]
+fn the_limit_is_kept_while_responses_are_spoiled() {
+    assert_eq!(broken_runs(Incident::Spoiled), []);
+}
+
+/// Guards against more than two senders while the hosts do not agree on who is live.
+#[test]
+#[ignore = "known failure, see KNOWN-RED.txt"]
+fn the_limit_is_kept_while_halves_of_the_hosts_are_cut_off() {
+    assert_eq!(broken_runs(Incident::Split), []);
+}
--- a/tests/entry_limits.rs
+++ b/tests/entry_limits.rs
@@ -5,7 +5,10 @@
 
 use std::time::{Duration, Instant};
 
-use lavenderplank::{entry::EntryHost, platform::standin::Statements};
+use lavenderplank::{
+    entry::EntryHost,
+    platform::standin::{ResponseMode, Statements},
+};
 use support::{RESPONSES, World, booking, read, run, until};
 
 /// Time after which a host that passed on a limit is bound by it.
@@ -58,6 +61,35 @@
     });
 }
 
+/// Guards against a limit that ends by a response which is not the target's answer: refused, failed,
+/// cut off or unsigned, or by an answer to a request that was sent before the limit was known.
+#[test]
+#[ignore = "known failure, see KNOWN-RED.txt"]
+fn a_limit_outlasts_responses_that_do_not_speak_for_the_target() {
+    run(async {
+        for mode in RESPONSES.into_iter().filter(|mode| *mode != ResponseMode::NoLength) {
+            let world = World::spawn(&["north-a"]).await;
+            let host = world.host("a").await;
+            let target = &world.targets[0];
+            target.set_statements(Statements { limit: Some("0.1"), ..Statements::default() });
+            target.set_processing_time(Duration::from_millis(400));
+            target.queue_responses(&[ResponseMode::Serve, mode]);
+            let late = async {
+                tokio::time::sleep(Duration::from_millis(200)).await;
+                world.ask(&host, booking("late")).await.expect("an answer").bytes().await
+            };
+            let first = async {
+                world.ask(&host, booking("first")).await.expect("an answer");
+                target.set_statements(Statements::default());
+            };
+            let _ = futures::join!(late, first);
+            target.set_processing_time(Duration::ZERO);
+            let refused = world.ask(&host, booking("third")).await.expect("an answer");
+            assert_eq!((refused.status().as_u16(), world.arrivals()), (503, 2), "{mode:?}");
+        }
+    });
+}
+
 /// Guards against a limit that outlives its naming at hosts that send nothing to the target. Of four
 /// hosts only two may send while it holds.
 #[test]
