Ask a limited target in turns while nobody hears of it

What callers saw: a target that stayed unused after its limit had ended, where the two hosts that send to it are never asked for its service, or the host that knew of the end was lost; since limits outlast silent reporters, that would be for good. Cause: only the two senders ever ask whether a limit still holds. Why it works: when the last known response of any host is older than 3 s, or than the mean time between two requests if that is longer, the other hosts take turns of a second or that mean time, by their rank among the senders, and each may send one request in its turn. The sum stays bounded: one turn at a time, whatever the number of hosts.

--- a/src/entry/target_statements.rs
+++ b/src/entry/target_statements.rs
@@ -6,8 +6,8 @@
 use crate::{
     event_log::{Event, LimitSource},
     placement::{
-        LimitChange, Rest, TargetIndex, TargetNotices, TargetStatement, paced_rate,
-        request_interval,
+        LimitChange, Pace, Rest, SENDERS_PER_TARGET, TargetIndex, TargetNotices, TargetStatement,
+        paced_rate, request_interval,
     },
     prelude::*,
 };
@@ -121,15 +121,23 @@
     /// Whether the limit of a target, if it named one, leaves room for a request of this host. If
     /// not, another host may have it, so the wait is that for the next request of any host.
     fn limit_readiness(&self, view: &View, target: &KnownTarget) -> Readiness {
-        let Some(limit) = self.target_notices.borrow().limit(target.tag) else {
-            return Readiness::Ready;
-        };
-        let now = self.clock.now();
+        let Some(pace) = self.pace(view, target) else { return Readiness::Ready };
         let mut pacer = self.limited_target_pacer.borrow_mut();
-        if self.is_paced_sender(view, target) && pacer.has_token(target.tag, limit, now) {
-            return Readiness::Ready;
+        match pacer.may_send(target.tag, &pace, self.clock.now()) {
+            true => Readiness::Ready,
+            false => Readiness::Later(Some(request_interval(pace.limit))),
         }
-        Readiness::Later(Some(request_interval(limit)))
+    }
+
+    /// How fast this host may send to a target; `None` if the target has no limit.
+    fn pace(&self, view: &View, target: &KnownTarget) -> Option<Pace> {
+        let notices = self.target_notices.borrow();
+        Some(Pace {
+            confirmed_at: notices.limit_confirmed_at(target.tag)?,
+            hosts: view.hosts.len(),
+            limit: notices.limit(target.tag)?,
+            rank: self.paced_rank(view, target),
+        })
     }
 
     /// Whether a request that was placed at a target may still be sent to it. The target may have
@@ -143,19 +151,23 @@
         in_flight.is_paced || notices.limit(target.tag).is_none() || self.charge_limit(target)
     }
 
-    /// Whether this host may send to a target whose rate is limited for all hosts together.
+    /// Whether this host is one of those that send to a target whose rate is limited for all hosts
+    /// together.
     pub(super) fn is_paced_sender(&self, view: &View, target: &KnownTarget) -> bool {
+        self.paced_rank(view, target).is_some_and(|rank| rank < SENDERS_PER_TARGET)
+    }
+
+    fn paced_rank(&self, view: &View, target: &KnownTarget) -> Option<usize> {
         let mut senders = self.paced_senders.borrow_mut();
-        senders.is_sender(target, &self.settings.host, &view.hosts)
+        senders.rank(target, &self.settings.host, &view.hosts)
     }
 
     /// Charges a request to the limit of its target. False if there is no limit, or none that leaves
     /// room for the request.
     pub(super) fn charge_limit(&self, target: &KnownTarget) -> bool {
-        let (now, limit) = (self.clock.now(), self.target_notices.borrow().limit(target.tag));
-        let (Some(limit), Some(view)) = (limit, self.view()) else { return false };
+        let pace = self.view().and_then(|view| self.pace(&view, target));
         let mut pacer = self.limited_target_pacer.borrow_mut();
-        self.is_paced_sender(&view, target) && pacer.take_token(target.tag, limit, now)
+        pace.is_some_and(|pace| pacer.charge(target.tag, &pace, self.clock.now()))
     }
 }
 
--- a/src/entry/tests/targets.rs
+++ b/src/entry/tests/targets.rs
@@ -5,15 +5,22 @@
     admission::RetryBudget,
     base::ManualClock,
     entry::{
-        CrashSuspects, Idempotency, LiveHost, Route, TrafficState, traffic_state::retry_allowance,
-        unknown_headers::UnknownHeaders,
+        CrashSuspects, Idempotency, KnownTarget, LiveHost, Route, TrafficState,
+        traffic_state::retry_allowance, unknown_headers::UnknownHeaders,
     },
     event_log::{Event, EventSink, RequestKey},
-    placement::{ColdTargetLimiter, HealthSignal, SlowdownReport, TargetHealth, is_paced_sender},
+    placement::{
+        ColdTargetLimiter, HealthSignal, SENDERS_PER_TARGET, SlowdownReport, TargetHealth,
+        paced_rank,
+    },
     platform::standin::{loopback_settings, loopback_traffic},
     prelude::*,
 };
 
+fn is_sender(target: &KnownTarget, host: &HostId, hosts: &[LiveHost]) -> bool {
+    paced_rank(target, host, hosts).is_some_and(|rank| rank < SENDERS_PER_TARGET)
+}
+
 const WORK: Duration = Duration::from_millis(100);
 
 /// A target that fails twice in a row is paused, then probed with a single request. If that fails
@@ -119,8 +126,7 @@
     for tick in 0..10_000 {
         let now = secs(f64::from(tick) / 1000.0);
         for (host, limiter) in hosts.iter().zip(&mut limiters) {
-            if is_paced_sender(&target, &host.host, &hosts) && limiter.has_token(&target, 6.0, now)
-            {
+            if is_sender(&target, &host.host, &hosts) && limiter.has_token(&target, 6.0, now) {
                 limiter.take_token(&target);
                 sent.push(now);
             }
@@ -131,7 +137,7 @@
         .map(|from| sent.iter().filter(|at| *from <= **at && **at < *from + secs(1.0)).count());
     let peak = peak.max().unwrap_or_default();
     assert!((3..=6).contains(&peak), "{peak} in one second");
-    let senders = hosts.iter().filter(|host| is_paced_sender(&target, &host.host, &hosts));
+    let senders = hosts.iter().filter(|host| is_sender(&target, &host.host, &hosts));
     assert!(senders.clone().all(|host| &*host.region == "north"));
     assert_eq!(senders.count(), 2);
 }
@@ -150,7 +156,7 @@
         region: "south".into(),
         zone: "x".into(),
     };
-    assert!(is_paced_sender(&target, &"h".into(), &[far]));
+    assert!(is_sender(&target, &"h".into(), &[far]));
 }
 
 /// Guards against a cold or limited target that gets nothing because the hosts that may send to it
@@ -175,7 +181,7 @@
         (0..6).map(host).collect()
     };
     let senders = |hosts: &[LiveHost]| -> Vec<String> {
-        let senders = hosts.iter().filter(|host| is_paced_sender(&target, &host.host, hosts));
+        let senders = hosts.iter().filter(|host| is_sender(&target, &host.host, hosts));
         senders.map(|host| host.host.to_string()).collect()
     };
     let usual = senders(&hosts(&[]));
--- a/src/placement/paced_senders.rs
+++ b/src/placement/paced_senders.rs
@@ -13,46 +13,52 @@
 /// Hosts that may send to one such target. A single one could be cut off from it.
 pub const SENDERS_PER_TARGET: usize = 2;
 
-/// Whether this host is one of these hosts, for the targets asked about since the list of live hosts
-/// changed. With a thousand hosts, each answer takes as many hashes.
+/// Rank of this host among those that may send to a target, for the targets asked about since the list
+/// of live hosts changed. With a thousand hosts, each answer takes as many hashes.
 #[derive(Debug, Default)]
 pub struct PacedSenderCache {
     hosts: Arc<[LiveHost]>,
-    is_sender: HashMap<TargetTag, bool>,
+    ranks: HashMap<TargetTag, Option<usize>>,
 }
 
 impl PacedSenderCache {
-    /// See `is_paced_sender`.
-    pub fn is_sender(
+    /// See `paced_rank`.
+    pub fn rank(
         &mut self,
         target: &KnownTarget,
         host: &HostId,
         hosts: &Arc<[LiveHost]>,
-    ) -> bool {
+    ) -> Option<usize> {
         if !Arc::ptr_eq(&self.hosts, hosts) {
             self.hosts = hosts.clone();
-            self.is_sender.clear();
+            self.ranks.clear();
         }
-        *self.is_sender.entry(target.tag).or_insert_with(|| is_paced_sender(target, host, hosts))
+        *self.ranks.entry(target.tag).or_insert_with(|| paced_rank(target, host, hosts))
     }
 }
 
-/// Whether `host` is one of the two hosts that may send to a target whose rate is limited. Hosts that
-/// reach no target are left out unless all are such hosts. Hosts of the target's region have
-/// precedence; if there are none, hosts of all regions are eligible.
-pub fn is_paced_sender(target: &KnownTarget, host: &HostId, hosts: &[LiveHost]) -> bool {
+/// Rank of `host` among the hosts that may send to a target whose rate is limited. The first two
+/// send; others only take turns to ask a silent target. Hosts that reach no target have no rank
+/// unless all are such hosts. Hosts of the target's region come first, and if there are any, no other
+/// host is among the two.
+pub fn paced_rank(target: &KnownTarget, host: &HostId, hosts: &[LiveHost]) -> Option<usize> {
     let weight = |name: &HostId| xxh3_64_with_seed(name.as_bytes(), u64::from(target.tag));
     let own = weight(host);
     let none_reaches_targets = hosts.iter().all(|live| !live.reaches_targets);
     let reaches_target = |live: &&LiveHost| live.reaches_targets || none_reaches_targets;
     let is_local = |live: &LiveHost| live.region == target.region;
-    let has_local_hosts = hosts.iter().filter(reaches_target).any(is_local);
+    let local_hosts = hosts.iter().filter(reaches_target).filter(|live| is_local(live)).count();
+    let listed = hosts.iter().find(|live| live.host == *host);
+    if listed.is_some_and(|live| !reaches_target(&live)) {
+        return None;
+    }
+    let is_own_local = listed.is_some_and(is_local);
     let rivals = hosts.iter().filter(reaches_target).filter(|live| {
-        live.host != *host && (!has_local_hosts || is_local(live)) && own < weight(&live.host)
+        live.host != *host && is_local(live) == is_own_local && own < weight(&live.host)
     });
-    let may_send = match hosts.iter().find(|live| live.host == *host) {
-        Some(live) => reaches_target(&live) && (!has_local_hosts || is_local(live)),
-        None => !has_local_hosts,
+    let before = match is_own_local || local_hosts == 0 {
+        true => 0,
+        false => local_hosts.max(SENDERS_PER_TARGET),
     };
-    may_send && rivals.count() < SENDERS_PER_TARGET
+    Some(before + rivals.count())
 }
--- a/src/placement/target_limits.rs
+++ b/src/placement/target_limits.rs
@@ -199,6 +199,11 @@
         self.statements.get(&tag)?.limit.map(f64::from)
     }
 
+    /// When a response to any host last told the limit of a target, as far as this host knows.
+    pub fn confirmed_at(&self, tag: TargetTag) -> Option<Moment> {
+        Some(self.statements.get(&tag)?.confirmed_at)
+    }
+
     /// Whether the target should be asked again whether its limit still holds.
     pub fn is_recheck_due(&self, tag: TargetTag, now: Moment) -> bool {
         let limited = self.statements.get(&tag).filter(|it| it.limit.is_some());
--- a/src/placement/target_notices.rs
+++ b/src/placement/target_notices.rs
@@ -119,6 +119,11 @@
         self.limits.get(tag)
     }
 
+    /// When a response to any host last told the limit of a target, as far as this host knows.
+    pub fn limit_confirmed_at(&self, tag: TargetTag) -> Option<Moment> {
+        self.limits.confirmed_at(tag)
+    }
+
     /// All targets with a limit.
     pub fn limited_tags(&self) -> impl Iterator<Item = TargetTag> {
         self.limits.tags()
--- a/src/placement/tests.rs
+++ b/src/placement/tests.rs
@@ -5,6 +5,7 @@
 mod first_runs;
 mod learned;
 mod learning;
+mod limited_target_pacer;
 mod limited_targets;
 mod load_patterns;
 mod region_shares;
--- a/src/placement/tests/limited_targets.rs
+++ b/src/placement/tests/limited_targets.rs
@@ -14,8 +14,8 @@
 use crate::{
     entry::{KnownTarget, LiveHost, TeamLimit},
     placement::{
-        LimitReport, LimitedTargetPacer, NamedLimit, TargetNotices, TargetTag, is_paced_sender,
-        paced_rate,
+        LimitReport, LimitedTargetPacer, NamedLimit, Pace, SENDERS_PER_TARGET, TargetNotices,
+        TargetTag, paced_rank, paced_rate,
     },
     prelude::*,
     quota::{PeerState, Quota, SharedBuckets, Verdict},
@@ -59,6 +59,8 @@
     SendersLost,
     /// Some responses are not the target's own, or to another request, and name no limit.
     Spoiled,
+    /// The same, soon after the end of the limit and for good.
+    SendersLostAtEnd,
     /// Two halves of the hosts know only themselves until the limit ends. All are counted.
     Split,
 }
@@ -68,6 +70,7 @@
     fn period(self) -> Range<Moment> {
         match self {
             Self::None | Self::SendersLost | Self::Spoiled => TROUBLE_AT..TROUBLE_AT + TROUBLE_TIME,
+            Self::SendersLostAtEnd => ENDED_AT + Duration::from_secs(1)..RUN_TIME,
             Self::Split => TROUBLE_AT..ENDED_AT,
         }
     }
@@ -175,9 +178,8 @@
 }
 
 struct Model {
-    /// Whether each host may send to the target, by the list of all hosts and by those that hosts
-    /// have of each other during the trouble.
-    senders: [Vec<bool>; 2],
+    /// Rank of each host and length of its list of live hosts, usually and during the trouble.
+    ranks: [Vec<(Option<usize>, usize)>; 2],
     hosts: Vec<Host>,
     incident: Incident,
     limit: f64,
@@ -205,14 +207,16 @@
             hosts.iter().map(|host| host.live.clone()).collect()
         };
         let all = live(&hosts);
-        let sends =
-            |host: &Host, live: &[LiveHost]| is_paced_sender(&target, &host.live.host, live);
-        let usual: Vec<bool> = hosts.iter().map(|host| sends(host, &all)).collect();
+        let rank = |host: &Host, live: &[LiveHost]| {
+            (paced_rank(&target, &host.live.host, live), live.len())
+        };
+        let usual: Vec<(Option<usize>, usize)> =
+            hosts.iter().map(|host| rank(host, &all)).collect();
+        let is_sender = |rank: Option<usize>| rank.is_some_and(|it| it < SENDERS_PER_TARGET);
         match incident {
-            Incident::SendersLost => {
-                for (host, _) in hosts.iter_mut().zip(&usual).filter(|(_, sends)| **sends) {
-                    host.trouble = Trouble::Freeze;
-                }
+            Incident::SendersLost | Incident::SendersLostAtEnd => {
+                let senders = hosts.iter_mut().zip(&usual).filter(|(_, it)| is_sender(it.0));
+                senders.for_each(|(host, _)| host.trouble = Trouble::Freeze);
             }
             Incident::Split => hosts.iter_mut().for_each(|host| host.trouble = Trouble::None),
             Incident::None | Incident::Spoiled => {}
@@ -228,9 +232,9 @@
         };
         let by_half = [known_to(0), known_to(1)];
         let in_trouble =
-            hosts.iter().enumerate().map(|(at, host)| sends(host, &by_half[half(at)])).collect();
+            hosts.iter().enumerate().map(|(at, host)| rank(host, &by_half[half(at)])).collect();
         Self {
-            senders: [usual, in_trouble],
+            ranks: [usual, in_trouble],
             hosts,
             incident,
             limit,
@@ -380,7 +384,7 @@
 
     /// Whether a request that a host places at the target is sent there.
     fn sends(&mut self, at: usize, rng: &mut ChaCha8Rng, now: Moment) -> bool {
-        let is_sender = self.is_sender(at, now);
+        let (rank, live_hosts) = self.rank(at, now);
         let target = self.target.clone();
         let hosts = self.hosts.len() as f64;
         let host = &mut self.hosts[at];
@@ -389,7 +393,11 @@
         }
         let Some(limit) = host.notices.limit(target.tag) else { return true };
         match self.way {
-            Way::Senders => is_sender && host.pacer.take_token(target.tag, limit, now),
+            Way::Senders => {
+                let confirmed_at = host.notices.limit_confirmed_at(target.tag).unwrap_or(now);
+                let pace = Pace { confirmed_at, hosts: live_hosts, limit, rank };
+                host.pacer.charge(target.tag, &pace, now)
+            }
             Way::EqualShares => {
                 let (tokens, refilled_at) = host.share;
                 let gained =
@@ -405,15 +413,15 @@
         }
     }
 
-    /// Whether a host takes itself for one that may send to the target.
-    fn is_sender(&self, at: usize, now: Moment) -> bool {
+    /// A host's rank among the live hosts that it knows, and their number.
+    fn rank(&self, at: usize, now: Moment) -> (Option<usize>, usize) {
         let host = &self.hosts[at];
         if host.is_in_trouble(Trouble::Cut, now) {
-            return true;
+            return (Some(0), 1);
         }
         let known_at = now.saturating_sub(STEP * host.delay as u32);
         let has_trouble = self.incident.period().contains(&known_at);
-        self.senders[usize::from(has_trouble)][at]
+        self.ranks[usize::from(has_trouble)][at]
     }
 }
 
@@ -502,6 +510,16 @@
     assert_eq!(broken_runs(Incident::Spoiled), []);
 }
 
+/// Guards against hosts that spare a target for good when those that could tell them of the end of its
+/// limit are lost.
+#[test]
+fn all_hosts_learn_of_the_end_from_others_than_the_lost_senders() {
+    let runs = runs(Incident::SendersLostAtEnd).into_iter();
+    let holding_on = runs.filter(|(.., outcome)| 0 < outcome.holding_on);
+    let holding_on = holding_on.map(|(hosts, limit, seed, it)| (hosts, limit, seed, it.holding_on));
+    assert_eq!(holding_on.collect::<Vec<_>>(), []);
+}
+
 /// Guards against more than two senders while the hosts do not agree on who is live.
 #[test]
 fn the_limit_is_kept_while_halves_of_the_hosts_are_cut_off() {
--- a/src/placement/tests/simulation.rs
+++ b/src/placement/tests/simulation.rs
@@ -13,8 +13,8 @@
     entry::KnownTarget,
     placement::{
         CachedObjects, Candidate, Choice, FirstRunBudget, FirstRunRule, Forecast, HealthSignal,
-        LimitedTargetPacer, ObjectTag, PlacementQuery, ServiceEstimates, SlotUse, SlowdownReport,
-        TargetHealth, TargetTag, Tuning, choose,
+        LimitedTargetPacer, ObjectTag, Pace, PlacementQuery, ServiceEstimates, SlotUse,
+        SlowdownReport, TargetHealth, TargetTag, Tuning, choose,
     },
     prelude::*,
 };
@@ -90,6 +90,11 @@
     reported_slowdowns: [Option<SlowdownReport>; TARGETS],
 }
 
+/// The pace of one of two senders.
+fn sender_pace(limit: f64) -> Pace {
+    Pace { confirmed_at: Moment::ZERO, hosts: 2, limit, rank: Some(0) }
+}
+
 /// Simulated hosts and targets.
 pub struct Simulation {
     hosts: Vec<Host>,
@@ -186,7 +191,7 @@
                 depth: it.cached_objects.depth(self.known_targets[index].tag, object),
                 load: f64::from(it.in_flight[index] + it.reported_in_flight[index]),
                 unavailable: self.limits[index].is_some_and(|limit| {
-                    !it.pacer.has_token(self.known_targets[index].tag, limit, now)
+                    !it.pacer.may_send(self.known_targets[index].tag, &sender_pace(limit), now)
                 }),
                 slowdown: it.health[index].slowdown_with_report(it.reported_slowdowns[index], now),
                 target: &self.known_targets[index],
@@ -230,7 +235,7 @@
             round_trip: Duration::ZERO,
         };
         if let Some(limit) = self.limits[estimate.index] {
-            it.pacer.take_token(self.known_targets[estimate.index].tag, limit, now);
+            it.pacer.charge(self.known_targets[estimate.index].tag, &sender_pace(limit), now);
         }
         it.estimates.work.record_sent(estimate.work);
         it.cached_objects.record_use(self.known_targets[estimate.index].tag, object);
