Leave statements out of the stand-ins' spoiled responses, and check grants for cold targets

The stand-in for targets named its limit in every response, refused and spoiled ones too, so that no run had a response without one while the limit held. In the fault run it states its limit only in answers now. A granted slot of a target that is cold for this host is not used: its rate belongs to two hosts, as that of a limited one.

--- a/src/entry/slot_request.rs
+++ b/src/entry/slot_request.rs
@@ -127,7 +127,7 @@
         let targets = view.targets.get(&self.request.service)?;
         let target = targets.iter().find(|target| target.tag == grant.target)?;
         let is_ready = state.readiness(view, target) == Readiness::Ready;
-        if !self.request.allows(target) || !is_ready {
+        if !self.request.allows(target) || !is_ready || target.is_cold(state.clock.now()) {
             return None;
         }
         let expected = Duration::from_millis(grant.expected_ms.into());
--- a/src/platform/standin/fault_run.rs
+++ b/src/platform/standin/fault_run.rs
@@ -253,8 +253,11 @@
                 10 => self.store.put("evacuations", "north-b", json!({})),
                 14 => self.store.remove("evacuations", "north-b"),
                 15 => {
-                    self.targets[LIMITED_TARGET]
-                        .set_statements(Statements { limit: Some("2.0"), ..Statements::default() });
+                    self.targets[LIMITED_TARGET].set_statements(Statements {
+                        limit: Some("2.0"),
+                        in_answers_only: true,
+                        ..Statements::default()
+                    });
                     limited_at = Instant::now();
                 }
                 16 => copy = self.store.copy(),
--- a/src/platform/standin/target.rs
+++ b/src/platform/standin/target.rs
@@ -54,6 +54,8 @@
 pub struct Statements {
     /// Value of its limit of requests per second.
     pub limit: Option<&'static str>,
+    /// Responses that are refusals, failures, unsigned or cut off state nothing.
+    pub in_answers_only: bool,
     /// It leaves.
     pub is_leaving: bool,
     /// Time during which a host whose request it refuses must not send to it, in seconds.
@@ -61,7 +63,13 @@
 }
 
 impl Statements {
-    fn headers(&self, is_refusal: bool) -> String {
+    fn headers(&self, mode: ResponseMode) -> String {
+        let is_answer =
+            matches!(mode, ResponseMode::Serve | ResponseMode::Duplicate | ResponseMode::NoLength);
+        if self.in_answers_only && !is_answer {
+            return String::new();
+        }
+        let is_refusal = mode == ResponseMode::Shed;
         let limit = self.limit.map(|limit| format!("Server-Limit: {limit}\r\n"));
         let rest = self.rest.filter(|_| is_refusal);
         let rest = rest.map(|rest| format!("Retry-After: {rest}\r\n"));
@@ -290,7 +298,7 @@
     }
     let body = locked(&shared.response_body).clone();
     let length = body.len();
-    let statements = locked(&shared.statements).headers(mode == ResponseMode::Shed);
+    let statements = locked(&shared.statements).headers(mode);
     let head = |status: &str, headers: &str| {
         let own = format!("Lavenderplank-Attempt-Id: {attempt_id}\r\n{statements}");
         format!("HTTP/1.1 {status}\r\n{own}{headers}")
