Confirm the end of a rest when the target begins to answer

Since answers end what a target asked for, a rested target was confirmed only at the end of a streamed answer and got one request at a time until then. Its first signed response without failure, to a request sent after the rest, is enough.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -313,6 +313,9 @@
         let is_answer = metadata.signed && !status.is_server_error();
         let answer = is_answer
             .then_some(TargetAnswer { sent_at: self.sent_at, statement: metadata.statement });
+        if is_answer {
+            self.state.confirm_rested(&self.target, self.sent_at);
+        }
         let (mut head, body) = response.into_parts();
         let keep_alive = keep_alive_timeout(&head.headers);
         remove_hop_by_hop_headers(&mut head.headers);
--- a/src/entry/target_statements.rs
+++ b/src/entry/target_statements.rs
@@ -28,8 +28,8 @@
 
 impl TrafficState {
     /// Records what a response asks of the hosts. Every response has to pass here, whatever
-    /// becomes of it, but those of another target at the same address. Only `record_answer` ends
-    /// what was asked before.
+    /// becomes of it, but those of another target at the same address. Only answers end what was
+    /// asked before; see `confirm_rested` and `record_answer`.
     pub(super) fn record_notices(
         &self,
         target: &KnownTarget,
@@ -57,7 +57,12 @@
         self.record_limit_change(target, change, source);
     }
 
-    /// Records what a target's answer no longer asks of the hosts.
+    /// Records that a target began to answer a request that was sent at `sent_at`.
+    pub(super) fn confirm_rested(&self, target: &KnownTarget, sent_at: Moment) {
+        self.target_notices.borrow_mut().confirm_rested(target.tag, sent_at);
+    }
+
+    /// Records whether a target's answer still names a limit.
     pub(super) fn record_answer(&self, target: &KnownTarget, answer: &TargetAnswer) {
         let mut notices = self.target_notices.borrow_mut();
         if notices.is_empty() {
@@ -65,7 +70,6 @@
         }
         let (limit, sent_at) = (answer.statement.limit, Some(answer.sent_at));
         let change = notices.record_limit(target.tag, limit, sent_at, self.clock.now());
-        notices.confirm_rested(target.tag, answer.sent_at);
         self.record_limit_change(target, change, LimitSource::Response);
     }
 
--- a/src/entry/tests/target_statements.rs
+++ b/src/entry/tests/target_statements.rs
@@ -39,6 +39,7 @@
 fn answered(state: &TrafficState, target: &KnownTarget, reply: &ReplyMetadata) {
     state.record_notices(target, reply, false);
     let (sent_at, statement) = (state.clock.now(), reply.statement);
+    state.confirm_rested(target, sent_at);
     state.record_answer(target, &TargetAnswer { sent_at, statement });
 }
 
