--- a/src/placement/limited_target_pacer.rs
+++ b/src/placement/limited_target_pacer.rs
@@ -21,8 +21,8 @@
 /// and so could never end its limit.
 const MIN_SENDER_RATE: f64 = 0.05;
 
-/// Shortest time after the last known response in which the other hosts ask a target. Most reports
-/// take a few tenths of a second.
+/// Shortest time after the last known response before the other hosts ask a target, so that reports
+/// still on their way count.
 const MIN_SILENCE: Duration = Duration::from_secs(3);
 
 /// Shortest time for which it is the turn of one host.
