--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -192,6 +192,7 @@
         self.waiting = 0
         self.free = asyncio.Semaphore(slots)
         self.runs = []  # (time, attempt id, number of the connection)
+        self.paths = {}  # by attempt id
         self.refused = 0
         self.answers = 0
         self.connections = 0
@@ -295,6 +296,7 @@
                 pending += data
             pending = pending[head + length:]
             attempt = headers.get("lavenderplank-attempt-id", "")
+            endpoint.paths[attempt] = line.split(" ")[1]
             if headers.get("lavenderplank-expected-instance", endpoint.id) != endpoint.id:
                 self.write(answer(421, [("Lavenderplank-Attempt-Id", attempt),
                                         ("Lavenderplank-Not-Executed", "1"),
@@ -348,7 +350,7 @@
     def __init__(self, record, name, ip, zone, folder):
         self.record, self.name, self.ip, self.zone, self.folder = record, name, ip, zone, folder
         self.process = None
-        self.frontend = f"{ip}:8548"
+        self.disturbed_at = 0.0  # when it last was started or got a signal
 
     def settings(self, deployment):
         return {
@@ -375,11 +377,13 @@
         self.process = await asyncio.create_subprocess_exec(
             *words, cwd=ROOT, env=env, stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log)
         log.close()
+        self.disturbed_at = self.record.now()
         self.record.write(f"{self.name} starts")
 
     def signal(self, number):
         if self.process and self.process.returncode is None:
             self.record.write(f"{self.name} gets {signal.Signals(number).name}")
+            self.disturbed_at = self.record.now()
             self.process.send_signal(number)
 
     async def is_ready(self):
@@ -491,8 +495,16 @@
         self.random = random.Random(seed)
         self.idle = {}
         self.answers = {}  # attempt id -> (status or None, headers, body)
+        self.hosts = {}  # attempt id -> the host that it was sent to
         self.sent = 0
 
+    def content(self, number, attempt):
+        """Path and body of a request for one of 24 objects."""
+        return f"{self.path}{number}", f'{{"seats":2,"order":"{attempt}"}}'.encode()
+
+    def choose_host(self):
+        return self.random.choice(self.deployment.hosts)
+
     async def request(self):
         """One request, with its repeat. Returns the last status; None if there was no answer."""
         until = time.monotonic() + self.deadline_ms / 1000
@@ -509,8 +521,9 @@
 
     async def attempt(self, until, fresh):
         attempt = f"{self.random.getrandbits(64):016x}"
-        host = self.random.choice(self.deployment.hosts)
+        host = self.choose_host()
         self.sent += 1
+        self.hosts[attempt] = host
         self.record.write(f"client sends {attempt} to {host.name}")
         left = until - time.monotonic()
         try:
@@ -532,9 +545,9 @@
                 pair = None
         reader, writer = pair or await asyncio.open_connection(host.ip, 8548)
         try:
-            body = b'{"seats":2}'
             number = self.random.randrange(24)
-            lines = [f"{self.method} {self.path}{number} HTTP/1.1", f"Host: {self.hostname}",
+            path, body = self.content(number, attempt)
+            lines = [f"{self.method} {path} HTTP/1.1", f"Host: {self.hostname}",
                      f"Lavenderplank-Attempt-Id: {attempt}", f"Cookie: Lavenderplank-Affinity-Key={number}",
                      f"Lavenderplank-Time-Remaining: {int(left * 1000)}"]
             if self.method == "POST":
