Log the id in a response that belongs to another request

The log could not tell a refusal of the request from a refusal of another one: both end the attempt as `shed`.

`attempt-ended` has `response_to` now, and `why` says it.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -81,6 +81,7 @@
         connect_time: None,
         is_recorded: false,
         first_byte: None,
+        response_to: None,
     };
     let mut connection = match acquire_connection(&state, &target).await {
         Ok(connection) => connection,
@@ -129,6 +130,8 @@
     drop(waiting);
     let metadata = state.protocol.reply_metadata(response.status(), response.headers());
     let is_mismatched = metadata.attempt_id != request.metadata.attempt_id;
+    guard.response_to =
+        is_mismatched.then(|| metadata.attempt_id.clone().unwrap_or_else(|| "".into()));
     state.record_notices(&target, &metadata, is_mismatched);
     let unknown = state.protocol.unknown_reply_headers(response.headers());
     state.unknown_headers.record(&unknown, response.headers(), &target.entry.id, &*state.events);
@@ -201,6 +204,8 @@
     first_byte: Option<Duration>,
     request: Rc<OutboundRequest>,
     reservation: Option<ReservationId>,
+    /// Attempt id in the response if it is not the request's.
+    response_to: Option<Arc<str>>,
     /// When the request was last written to a connection.
     sent_at: Moment,
     started: Moment,
@@ -239,6 +244,7 @@
             end,
             first_byte_ms: self.first_byte.map(|took| took.as_millis() as u64),
             detail: detail.into(),
+            response_to: self.response_to.clone(),
             service: self.request.service.clone(),
             target: self.target.entry.id.clone(),
             took_ms: self.elapsed().as_millis() as u64,
--- a/src/event_log/event.rs
+++ b/src/event_log/event.rs
@@ -53,6 +53,9 @@
         first_byte_ms: Option<u64>,
         /// The target's status code, or the error.
         detail: Arc<str>,
+        /// Attempt id in the response if it is not the request's; empty if the response has none.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        response_to: Option<Arc<str>>,
         service: ServiceId,
         target: TargetId,
         took_ms: u64,
--- a/src/headroom/tests/logs.rs
+++ b/src/headroom/tests/logs.rs
@@ -61,6 +61,7 @@
         end: AttemptEnd::Answered,
         first_byte_ms: Some(took_ms),
         detail: "200".into(),
+        response_to: None,
         service: "desk".into(),
         target: target.into(),
         took_ms,
--- a/src/measure/slots/tests.rs
+++ b/src/measure/slots/tests.rs
@@ -84,6 +84,7 @@
         end,
         first_byte_ms: None,
         detail: "200".into(),
+        response_to: None,
         service: "desk".into(),
         target: target.into(),
         took_ms: 30,
--- a/src/why/cause.rs
+++ b/src/why/cause.rs
@@ -197,7 +197,9 @@
     let mut reasons = Vec::new();
     for event in request {
         match event {
-            Event::AttemptEnded { connect_ms, detail, end, target, took_ms, .. } => {
+            Event::AttemptEnded {
+                connect_ms, detail, end, response_to, target, took_ms, ..
+            } => {
                 let end = match end {
                     AttemptEnd::Answered => continue,
                     AttemptEnd::Cancelled => {
@@ -216,7 +218,12 @@
                     AttemptEnd::Withheld => "took no more requests",
                     AttemptEnd::WrongTarget => "is no longer at its address",
                 };
-                reasons.push(format!("{target} {end} after {took_ms} ms: {detail}"));
+                let other = match response_to.as_deref() {
+                    None => String::new(),
+                    Some("") => ", by a response that names no request".to_owned(),
+                    Some(id) => format!(", by a response to {id}"),
+                };
+                reasons.push(format!("{target} {end} after {took_ms} ms: {detail}{other}"));
                 reasons.extend(target_changes(lines, target));
             }
             Event::RelayEnded { detail, end, to, took_ms, .. } if *end != RelayEnd::Answered => {
