Check whose response it is before believing a refusal

Callers saw bookings run twice, and bookings refused with 503 that had run. A target may send a response a second time where the next response is expected. The id in it tells that it belongs to an earlier request, but a refusal was believed before the id was looked at, and so were a rest, a limit or the leaving of the target: the booking went to a second target while the first one ran it.

A response to another request now ends the attempt as lost before anything in it is used. So it promises nothing of this request, teaches nothing of the target, raises no suspicion of a crash, and its connection is closed.

Weighed: to read on for the request's own response, which mostly follows. It would save the callers of these bookings a 502; the client library pairs requests and responses by their order, so it needs a reader of our own.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http::{Request, Response, header, request::Parts};
+use http::{Request, Response, StatusCode, header, request::Parts};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
@@ -132,17 +132,17 @@
     let is_mismatched = metadata.attempt_id != request.metadata.attempt_id;
     guard.response_to =
         is_mismatched.then(|| metadata.attempt_id.clone().unwrap_or_else(|| "".into()));
-    state.record_notices(&target, &metadata, is_mismatched);
+    if is_mismatched {
+        return guard.mismatched(response.status());
+    }
+    state.record_notices(&target, &metadata);
     let unknown = state.protocol.unknown_reply_headers(response.headers());
     state.unknown_headers.record(&unknown, response.headers(), &target.entry.id, &*state.events);
     if metadata.not_run || metadata.wrong_target {
         return guard.refused(&metadata, response, connection).await;
     }
-    if is_mismatched || (response.status().is_success() && !metadata.signed) {
-        // A response to an earlier request, or one that no target sent. Later responses on this
-        // connection cannot be matched to their requests either, so it is closed.
-        return guard
-            .lost("the response belongs to another request, or lacks the target's signature");
+    if response.status().is_success() && !metadata.signed {
+        return guard.lost("the response lacks the target's signature");
     }
     guard.receive_response(metadata, response, connection, in_flight).await
 }
@@ -284,6 +284,15 @@
         AttemptOutcome::Lost(ErrorKind::DispatchLost)
     }
 
+    /// The response belongs to another request: whatever it says, it says nothing of this one, which
+    /// may run. Later responses on the connection cannot be matched to their requests either, so it
+    /// is closed.
+    fn mismatched(&mut self, status: StatusCode) -> AttemptOutcome {
+        let detail = format!("{}, a response to another request", status.as_str());
+        self.record_end(HealthSignal::Failed, AttemptEnd::Lost, &detail);
+        AttemptOutcome::Lost(ErrorKind::DispatchLost)
+    }
+
     async fn refused(
         &mut self,
         metadata: &ReplyMetadata,
--- a/src/entry/target_statements.rs
+++ b/src/entry/target_statements.rs
@@ -27,15 +27,11 @@
 }
 
 impl TrafficState {
-    /// Records what a response asks of the hosts. Every response has to pass here, whatever
-    /// becomes of it, but those of another target at the same address. Only answers end what was
-    /// asked before; see `confirm_rested` and `record_answer`.
-    pub(super) fn record_notices(
-        &self,
-        target: &KnownTarget,
-        metadata: &ReplyMetadata,
-        is_mismatched: bool,
-    ) {
+    /// Records what a response asks of the hosts. Every response to its own request has to pass
+    /// here, whatever becomes of it, but those of another target at the same address. One to another
+    /// request may be old: what it asked for may have ended. Only answers end what was asked before;
+    /// see `confirm_rested` and `record_answer`.
+    pub(super) fn record_notices(&self, target: &KnownTarget, metadata: &ReplyMetadata) {
         if metadata.wrong_target {
             return;
         }
@@ -50,7 +46,7 @@
             self.events.record(None, Event::TargetLeaving { target: target.entry.id.clone() });
         }
         let change = notices.record_limit(target.tag, metadata.statement.limit, None, now);
-        let source = match metadata.signed && !is_mismatched {
+        let source = match metadata.signed {
             true => LimitSource::Response,
             false => LimitSource::UnmatchedResponse,
         };
--- a/src/entry/tests/target_statements.rs
+++ b/src/entry/tests/target_statements.rs
@@ -37,7 +37,7 @@
 
 /// Records the target's answer to a request of this host.
 fn answered(state: &TrafficState, target: &KnownTarget, reply: &ReplyMetadata) {
-    state.record_notices(target, reply, false);
+    state.record_notices(target, reply);
     let (sent_at, statement) = (state.clock.now(), reply.statement);
     state.confirm_rested(target, sent_at);
     state.record_answer(target, &TargetAnswer { sent_at, statement });
--- a/src/platform/standin/target.rs
+++ b/src/platform/standin/target.rs
@@ -122,6 +122,9 @@
     response_modes: Mutex<VecDeque<ResponseMode>>,
     /// Number of connections that the peer closed while a request was being processed.
     disconnects: AtomicUsize,
+    /// Number of the next responses that are sent again.
+    late_copies: AtomicUsize,
+    late_copies_sent: AtomicUsize,
     received: Mutex<Vec<ReceivedRequest>>,
     processing_time: Mutex<Duration>,
     statements: Mutex<Statements>,
@@ -165,6 +168,17 @@
         locked(&self.shared.response_modes).extend(response_modes);
     }
 
+    /// Sends each of the next `count` responses again, whatever its kind, once the next request on
+    /// its connection was read.
+    pub fn send_late_copies(&self, count: usize) {
+        self.shared.late_copies.fetch_add(count, Ordering::Relaxed);
+    }
+
+    /// Returns how many responses were sent again.
+    pub fn late_copies_sent(&self) -> usize {
+        self.shared.late_copies_sent.load(Ordering::Relaxed)
+    }
+
     /// Sets the body of responses.
     pub fn set_response_body(&self, body: impl Into<Bytes>) {
         *locked(&self.shared.response_body) = body.into();
@@ -217,12 +231,20 @@
     shared: Arc<Shared>,
 ) {
     let mut buf = BytesMut::new();
+    let mut copy: Option<BytesMut> = None;
     loop {
         match read_request(&mut stream, &mut buf, number).await {
             Ok(Some(request)) => {
-                if !respond(&mut stream, id, request, &shared).await.unwrap_or(false) {
-                    return;
+                if let Some(copy) = copy.take() {
+                    shared.late_copies_sent.fetch_add(1, Ordering::Relaxed);
+                    if stream.write_all(&copy).await.is_err() {
+                        return;
+                    }
                 }
+                let Ok(Some(response)) = respond(&mut stream, id, request, &shared).await else {
+                    return;
+                };
+                copy = shared.takes_late_copy().then_some(response);
             }
             Ok(None) => return,
             Err(error) => return log::debug!("{id}: {error}"),
@@ -279,13 +301,20 @@
     Ok(Some(request))
 }
 
-/// Responds to one request; returns false if the connection must be closed.
+impl Shared {
+    fn takes_late_copy(&self) -> bool {
+        let take = |left: usize| left.checked_sub(1);
+        self.late_copies.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take).is_ok()
+    }
+}
+
+/// Responds to one request. Returns the response; `None` if the connection must be closed.
 async fn respond(
     stream: &mut TcpStream,
     id: &str,
     mut request: ReceivedRequest,
     shared: &Shared,
-) -> io::Result<bool> {
+) -> io::Result<Option<BytesMut>> {
     let mode = locked(&shared.response_modes).pop_front().unwrap_or_default();
     let attempt_id = request.attempt_id.clone();
     request.ran = !matches!(mode, ResponseMode::Shed | ResponseMode::WrongTarget);
@@ -294,7 +323,7 @@
     let duration = if mode == ResponseMode::Hang { Duration::MAX } else { duration };
     if !duration.is_zero() && !process(stream, duration).await {
         shared.disconnects.fetch_add(1, Ordering::Relaxed);
-        return Ok(false);
+        return Ok(None);
     }
     let body = locked(&shared.response_body).clone();
     let length = body.len();
@@ -318,7 +347,7 @@
             let headers = format!("{signature}Content-Length: 0\r\n\r\n");
             response.extend_from_slice(head("500 Internal Server Error", &headers).as_bytes());
         }
-        ResponseMode::Reset => return Ok(false),
+        ResponseMode::Reset => return Ok(None),
         ResponseMode::Shed => {
             let headers = "Lavenderplank-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
             response.extend_from_slice(head("503 Service Unavailable", headers).as_bytes());
@@ -345,7 +374,8 @@
         }
     }
     stream.write_all(&response).await?;
-    Ok(!matches!(mode, ResponseMode::Truncate | ResponseMode::NoLength))
+    let is_closed = matches!(mode, ResponseMode::Truncate | ResponseMode::NoLength);
+    Ok((!is_closed).then_some(response))
 }
 
 /// Simulates the processing of a request; returns false if the peer closes the connection before
