Send no two requests over one connection that ids cannot tell apart

A response is matched to its request by the id in it. Two requests without an id, or two with the same id (a caller that repeats it, a repeat at the same target), matched each other's responses: with the late copy of a refusal, a booking without an id that had run was answered with 503. The new test shows it while the rule is idle (503, not 200).

A connection now keeps the hashes of the ids that it has carried. It takes no request whose id is among them, and none without an id after any other; such a request gets another connection.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -83,7 +83,8 @@
         first_byte: None,
         response_to: None,
     };
-    let mut connection = match acquire_connection(&state, &target).await {
+    let id = request.metadata.attempt_id.as_ref();
+    let mut connection = match acquire_connection(&state, &target, id).await {
         Ok(connection) => connection,
         Err(error) => return guard.not_sent(&error),
     };
@@ -96,7 +97,7 @@
         return guard.withheld(connection);
     }
     guard.sent_at = state.clock.now();
-    let mut sent = connection.send(build_request(&state, &request, &target)).await;
+    let mut sent = connection.send(id, build_request(&state, &request, &target)).await;
     if let Err(SendError::NotSent(reason)) = &sent
         && connection.reused
     {
@@ -115,7 +116,7 @@
             return guard.withheld(connection);
         }
         guard.sent_at = state.clock.now();
-        sent = connection.send(build_request(&state, &request, &target)).await;
+        sent = connection.send(id, build_request(&state, &request, &target)).await;
     }
     let response = match sent {
         Ok(response) => response,
@@ -147,12 +148,13 @@
     guard.receive_response(metadata, response, connection, in_flight).await
 }
 
-/// Takes an idle connection to the target, or opens a new one.
+/// Takes an idle connection to the target that may carry a request with this id, or opens a new one.
 async fn acquire_connection(
     state: &TrafficState,
     target: &KnownTarget,
+    id: Option<&RequestId>,
 ) -> super::upstream::Result<TargetConnection> {
-    let idle = state.pool.borrow_mut().take(target.tag, state.clock.now());
+    let idle = state.pool.borrow_mut().take(target.tag, id, state.clock.now());
     match idle {
         Some(connection) => Ok(connection),
         None => connect(&*state.connector, target.entry.addr).await,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -13,6 +13,7 @@
 mod call_progress;
 mod caller_io;
 mod capacity_gauges;
+mod carried_ids;
 mod connector;
 mod control;
 mod crash_checks;
--- a/src/entry/relay_attempt.rs
+++ b/src/entry/relay_attempt.rs
@@ -126,7 +126,8 @@
         started: state.clock.now(),
         state: state.clone(),
     };
-    let idle = state.relay_pool.borrow_mut().take(host.addr, state.clock.now());
+    let id = request.metadata.attempt_id.as_ref();
+    let idle = state.relay_pool.borrow_mut().take(host.addr, id, state.clock.now());
     let connection = match idle {
         Some(connection) => Ok(connection),
         None => connect(&*state.connector, host.addr).await,
@@ -135,7 +136,7 @@
         Ok(connection) => connection,
         Err(error) => return guard.not_sent(&error),
     };
-    let mut sent = connection.send(build_request(&state, &request, relayed.clone())).await;
+    let mut sent = connection.send(id, build_request(&state, &request, relayed.clone())).await;
     if let Err(SendError::NotSent(_)) = &sent
         && connection.reused
     {
@@ -144,7 +145,7 @@
             Ok(connection) => connection,
             Err(error) => return guard.not_sent(&error),
         };
-        sent = connection.send(build_request(&state, &request, relayed)).await;
+        sent = connection.send(id, build_request(&state, &request, relayed)).await;
     }
     let mut response = match sent {
         Ok(response) => response,
--- a/src/entry/upstream.rs
+++ b/src/entry/upstream.rs
@@ -11,7 +11,7 @@
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 
-use super::Connector;
+use super::{Connector, carried_ids::CarriedIds};
 use crate::{base::with_root_cause, prelude::*};
 
 /// A round trip between regions takes 110 ms, and a lost packet is sent again after 200 ms or more.
@@ -46,6 +46,7 @@
 
 /// A connection to a target that is in use.
 pub struct TargetConnection {
+    carried: CarriedIds,
     sender: http1::SendRequest<Full<Bytes>>,
     /// Whether the connection was used for an earlier request.
     pub reused: bool,
@@ -63,17 +64,26 @@
 }
 
 struct IdleConnection {
-    sender: http1::SendRequest<Full<Bytes>>,
+    connection: TargetConnection,
     usable_until: Moment,
 }
 
 impl<K: Copy + Eq + Hash> ConnectionPool<K> {
-    /// Takes the most recently used connection that is still open.
-    pub fn take(&mut self, server: K, now: Moment) -> Option<TargetConnection> {
+    /// Takes the most recently used connection that is still open and may carry a request with this
+    /// id.
+    pub fn take(
+        &mut self,
+        server: K,
+        id: Option<&RequestId>,
+        now: Moment,
+    ) -> Option<TargetConnection> {
         let idle = self.idle.get_mut(&server)?;
-        while let Some(IdleConnection { sender, usable_until }) = idle.pop() {
-            if now < usable_until && sender.is_ready() {
-                return Some(TargetConnection { sender, reused: true });
+        for at in (0..idle.len()).rev() {
+            let IdleConnection { connection, usable_until } = &idle[at];
+            if *usable_until <= now || !connection.sender.is_ready() {
+                idle.remove(at);
+            } else if connection.carried.may_add(id) {
+                return Some(TargetConnection { reused: true, ..idle.remove(at).connection });
             }
         }
         None
@@ -92,14 +102,14 @@
         let idle = self.idle.entry(server).or_default();
         if idle.len() < MAX_IDLE_PER_SERVER && now < usable_until && !connection.sender.is_closed()
         {
-            idle.push(IdleConnection { sender: connection.sender, usable_until });
+            idle.push(IdleConnection { connection, usable_until });
         }
     }
 
     /// Closes expired connections, and all connections to servers that are no longer known.
     pub fn evict(&mut self, now: Moment, is_known: impl Fn(K) -> bool) {
         self.idle.retain(|server, idle| {
-            idle.retain(|idle| now < idle.usable_until && !idle.sender.is_closed());
+            idle.retain(|idle| now < idle.usable_until && !idle.connection.sender.is_closed());
             !idle.is_empty() && is_known(*server)
         });
     }
@@ -130,12 +140,17 @@
             log::debug!("connection to target {addr} failed: {error}");
         }
     });
-    Ok(TargetConnection { sender, reused: false })
+    Ok(TargetConnection { carried: CarriedIds::default(), sender, reused: false })
 }
 
 impl TargetConnection {
-    /// Sends a request and waits for the head of the response.
-    pub async fn send(&mut self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>> {
+    /// Sends a request with this id and waits for the head of the response.
+    pub async fn send(
+        &mut self,
+        id: Option<&RequestId>,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>> {
+        self.carried.add(id);
         if let Err(error) = self.sender.ready().await {
             return Err(SendError::NotSent(error.to_string().into()));
         }
--- a/src/platform/standin/target.rs
+++ b/src/platform/standin/target.rs
@@ -329,8 +329,11 @@
     let length = body.len();
     let statements = locked(&shared.statements).headers(mode);
     let head = |status: &str, headers: &str| {
-        let own = format!("Lavenderplank-Attempt-Id: {attempt_id}\r\n{statements}");
-        format!("HTTP/1.1 {status}\r\n{own}{headers}")
+        let echo = match &*attempt_id {
+            "" => String::new(),
+            id => format!("Lavenderplank-Attempt-Id: {id}\r\n"),
+        };
+        format!("HTTP/1.1 {status}\r\n{echo}{statements}{headers}")
     };
     let signature = "Lavenderplank-Server-Seal: 3e1b.07\r\n";
     let mut response = BytesMut::new();
--- a/tests/entry_other_responses.rs
+++ b/tests/entry_other_responses.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use lavenderplank::platform::standin::{ResponseMode, Statements};
-use support::{World, booking, run};
+use support::{HOST, World, booking, run};
+
+const ATTEMPT_ID: &str = "Lavenderplank-Attempt-Id";
 
 /// Time after which a target that refused a request is asked again.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(150);
@@ -56,6 +58,33 @@
     });
 }
 
+/// Guards against a late copy of a refusal that is taken for the response to the next booking because
+/// neither has an id, or both have the same one.
+#[test]
+fn requests_that_ids_cannot_tell_apart_share_no_connection() {
+    run(async {
+        for id in [None, Some("b-1")] {
+            let world = World::spawn(&["north-a"]).await;
+            let host = world.host("a").await;
+            let target = &world.targets[0];
+            target.queue_responses(&[ResponseMode::Shed]);
+            target.send_late_copies(1);
+            let url = format!("http://{}/bookings/one", host.listen().callers);
+            let send = async || {
+                let req = world.http.post(&url).header("Host", HOST);
+                let req = id.into_iter().fold(req, |req, id| req.header(ATTEMPT_ID, id));
+                req.send().await.expect("an answer").status().as_u16()
+            };
+            assert_eq!(send().await, 503, "{id:?}");
+            tokio::time::sleep(REFUSAL_PAUSE).await;
+            assert_eq!(send().await, 200, "{id:?}");
+            let connections: Vec<usize> =
+                target.received().iter().map(|it| it.connection).collect();
+            assert_ne!(connections[0], connections[1], "{id:?}");
+        }
+    });
+}
+
 /// How often targets ran a request.
 fn runs(world: &World, attempt: &str) -> usize {
     let received = world.targets.iter().flat_map(|target| target.received());
