Check whose response a relay has before reading what it states

The statement of the other host, with its refusal, was read before the id was compared, as it was for targets. Nothing of it was seen: the sender is one of the hosts, which send no response twice. There is no test of its own, since no stand-in plays a host; the tests of cut-off hosts pass.

--- a/src/entry/relay_attempt.rs
+++ b/src/entry/relay_attempt.rs
@@ -153,15 +153,17 @@
         Err(error) => return guard.not_sent(&error),
     };
     let metadata = state.protocol.reply_metadata(response.status(), response.headers());
+    if metadata.attempt_id != request.metadata.attempt_id {
+        return guard.lost("the response belongs to another request");
+    }
     let Some(statement) = RelayedResponse::take_from(response.headers_mut()) else {
         return guard.lost("the response does not state where it comes from");
     };
     if let Some(error) = statement.error {
         return guard.refused(error, statement.target, response, connection).await;
     }
-    let is_mismatched = metadata.attempt_id != request.metadata.attempt_id;
-    if is_mismatched || (response.status().is_success() && !metadata.signed) {
-        return guard.lost("the response belongs to another request, or lacks a signature");
+    if response.status().is_success() && !metadata.signed {
+        return guard.lost("the response lacks a target's signature");
     }
     guard.receive_response(statement.target, response, connection, in_flight).await
 }
