Bound the bodies of targets' responses in bytes and time

A target in trouble may send a body that never ends. A refused booking waited for the body and ended with 504, though the head says that it has not run. A streamed answer never ended if its caller went on reading, and its target was never spared.

Cause: bodies were collected without a bound, in attempts and relays alike, and a streamed answer counted as complete with its head.

- A refusal takes effect with its head.
Its body is read in the background, up to 64 KiB and 1 s; then the connection is closed and the target has failed.
- Of a failure, or another response that is no success, as much is buffered.
What is left is passed on as it arrives, or dropped when the request is repeated.
- A streamed body ends half a second after its caller's time.
It counts as answered when it has ended, and as a failure if its caller's time is over, unless the caller reads a body of known length too slowly.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header, request::Parts};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 
 use super::{
@@ -12,9 +12,9 @@
     body_memory::BodyReservation,
     guards::InFlight,
     reservations::Reservation,
-    response::{
-        CallerResponse, ResponseBody, StreamCompletion, StreamingBody, remove_hop_by_hop_headers,
-    },
+    response::{CallerResponse, ResponseBody, remove_hop_by_hop_headers},
+    response_body::{ReadBody, buffer_body},
+    streaming_body::{StreamCompletion, StreamingBody},
     target_statements::TargetAnswer,
     upstream::{SendError, TargetConnection, connect, keep_alive_timeout},
 };
@@ -26,11 +26,6 @@
     reservation::ReservationId,
 };
 
-/// Largest successful response that is buffered completely before its head goes to the caller, so
-/// that the request can be retried at another target if the response is cut off. Larger ones are
-/// streamed.
-pub(super) const MAX_BUFFERED_BYTES: u64 = 64 * 1024;
-
 /// Longest part of a target's Retry-After that is logged.
 const MAX_RETRY_AFTER_CHARS: usize = 32;
 
@@ -140,7 +135,7 @@
     let unknown = state.protocol.unknown_reply_headers(response.headers());
     state.unknown_headers.record(&unknown, response.headers(), &target.entry.id, &*state.events);
     if metadata.not_run || metadata.wrong_target {
-        return guard.refused(&metadata, response, connection).await;
+        return guard.refused(&metadata, response, connection);
     }
     if response.status().is_success() && !metadata.signed {
         return guard.lost("the response lacks the target's signature");
@@ -228,11 +223,6 @@
 }
 
 impl AttemptGuard {
-    /// The signal for an answered attempt. Its time leaves out that for opening a new connection.
-    fn answered_signal(&self) -> HealthSignal {
-        HealthSignal::Answered(self.elapsed().saturating_sub(self.connect_time.unwrap_or_default()))
-    }
-
     fn elapsed(&self) -> Duration {
         self.state.clock.now().saturating_sub(self.started)
     }
@@ -295,7 +285,7 @@
         AttemptOutcome::Lost(ErrorKind::DispatchLost)
     }
 
-    async fn refused(
+    fn refused(
         &mut self,
         metadata: &ReplyMetadata,
         response: Response<Incoming>,
@@ -312,10 +302,8 @@
         }
         self.record_end(HealthSignal::Full, AttemptEnd::Shed, &describe_refusal(&response));
         let keep_alive = keep_alive_timeout(response.headers());
-        if response.into_body().collect().await.is_ok() {
-            let now = self.state.clock.now();
-            self.state.pool.borrow_mut().put(self.target.tag, connection, keep_alive, now);
-        }
+        let body = response.into_body();
+        self.state.keep_after_refusal(&self.request, &self.target, (body, connection), keep_alive);
         AttemptOutcome::NotRun(ErrorKind::Shed)
     }
 
@@ -336,27 +324,24 @@
         let (mut head, body) = response.into_parts();
         let keep_alive = keep_alive_timeout(&head.headers);
         remove_hop_by_hop_headers(&mut head.headers);
-        let size = http_body::Body::size_hint(&body).exact();
-        if size.is_none_or(|size| MAX_BUFFERED_BYTES < size) && status.is_success() {
-            self.record_end(self.answered_signal(), AttemptEnd::Answered, status.as_str());
-            let completion = StreamCompletion {
-                state: self.state.clone(),
-                answer,
-                keep_alive,
-                connection,
-                key: self.request.key.clone(),
-                in_flight,
-                service: self.request.service.clone(),
-                target: self.target.clone(),
-            };
-            let body = StreamingBody { body, completion: Some(Box::new(completion)) };
-            return AttemptOutcome::Response(Response::from_parts(
-                head,
-                ResponseBody::Stream(body),
-            ));
-        }
-        let bytes = match body.collect().await {
-            Ok(bytes) => bytes.to_bytes(),
+        let bytes = match buffer_body(status, body).await {
+            Ok(ReadBody::Whole(bytes)) => bytes,
+            Ok(ReadBody::Unfinished { start, rest }) => {
+                let completion = StreamCompletion {
+                    state: self.state.clone(),
+                    answer,
+                    keep_alive,
+                    connection,
+                    key: self.request.key.clone(),
+                    in_flight,
+                    service: self.request.service.clone(),
+                    target: self.target.clone(),
+                };
+                let time_left = self.request.deadline.saturating_sub(self.state.clock.now());
+                let body = StreamingBody::new((start, rest), time_left, Box::new(completion));
+                let response = Response::from_parts(head, ResponseBody::Stream(body));
+                return self.answered(response, metadata.signed, HealthSignal::Began);
+            }
             Err(error) => {
                 return self
                     .lost(&format!("the response was cut off: {}", with_root_cause(&error)));
@@ -367,18 +352,31 @@
         if let Some(answer) = &answer {
             self.state.record_answer(&self.target, answer);
         }
-        let signal = self.answered_signal();
+        if !status.is_server_error() {
+            self.state.clear_crash_suspect(self.request.fingerprint);
+        }
         let response = Response::from_parts(head, ResponseBody::Whole(Full::new(bytes)));
+        self.answered(response, metadata.signed, HealthSignal::Answered)
+    }
+
+    /// The target answered with a success or an error. The time of its answer leaves out that for
+    /// opening a new connection.
+    fn answered(
+        &mut self,
+        response: CallerResponse,
+        is_signed: bool,
+        signal: fn(Duration) -> HealthSignal,
+    ) -> AttemptOutcome {
+        let status = response.status();
         if status.is_server_error() {
             self.record_end(HealthSignal::Failed, AttemptEnd::Failed, status.as_str());
-            return if metadata.signed {
-                AttemptOutcome::TargetError(response)
-            } else {
-                AttemptOutcome::Lost(ErrorKind::AnswerBroken)
+            return match is_signed {
+                true => AttemptOutcome::TargetError(response),
+                false => AttemptOutcome::Lost(ErrorKind::AnswerBroken),
             };
         }
-        self.record_end(signal, AttemptEnd::Answered, status.as_str());
-        self.state.clear_crash_suspect(self.request.fingerprint);
+        let took = self.elapsed().saturating_sub(self.connect_time.unwrap_or_default());
+        self.record_end(signal(took), AttemptEnd::Answered, status.as_str());
         AttemptOutcome::Response(response)
     }
 }
--- a/src/entry/relay_attempt.rs
+++ b/src/entry/relay_attempt.rs
@@ -4,15 +4,17 @@
 
 use bytes::Bytes;
 use http::{Request, Response, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 
 use super::{
     LiveHost, TrafficState,
-    attempt::{AttemptOutcome, MAX_BUFFERED_BYTES, OutboundRequest},
+    attempt::{AttemptOutcome, OutboundRequest},
     relay::{RelayedRequest, RelayedResponse},
     relay_host::{RelayQuery, choose_relay_host},
-    response::{CallerResponse, ResponseBody, StreamEnd, StreamingBody, remove_hop_by_hop_headers},
+    response::{CallerResponse, ResponseBody, remove_hop_by_hop_headers},
+    response_body::{ReadBody, buffer_body, read_within_bounds},
+    streaming_body::{StreamEnd, StreamingBody},
     upstream::{SendError, TargetConnection, connect, keep_alive_timeout},
 };
 use crate::{
@@ -160,7 +162,7 @@
         return guard.lost("the response does not state where it comes from");
     };
     if let Some(error) = statement.error {
-        return guard.refused(error, statement.target, response, connection).await;
+        return guard.refused(error, statement.target, response, connection);
     }
     if response.status().is_success() && !metadata.signed {
         return guard.lost("the response lacks a target's signature");
@@ -246,7 +248,7 @@
     }
 
     /// The host answered by itself. Its statement on whether the request ran holds here too.
-    async fn refused(
+    fn refused(
         &mut self,
         error: ErrorKind,
         target: Option<(TargetId, TargetTag)>,
@@ -258,9 +260,13 @@
         let retry_after = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
         let retry_after = retry_after.and_then(|secs| Duration::try_from_secs_f64(secs).ok());
         let keep_alive = keep_alive_timeout(response.headers());
-        if response.into_body().collect().await.is_ok() {
-            self.keep(connection, keep_alive);
-        }
+        let (state, addr, body) = (self.state.clone(), self.host.addr, response.into_body());
+        tokio::task::spawn_local(async move {
+            if let Ok(ReadBody::Whole(_)) = read_within_bounds(body).await {
+                let now = state.clock.now();
+                state.relay_pool.borrow_mut().put(addr, connection, keep_alive, now);
+            }
+        });
         let outcome = match error.response().ran {
             Ran::No => AttemptOutcome::NotRun(own_error(error)),
             _ => AttemptOutcome::Lost(error),
@@ -268,11 +274,6 @@
         RelayResult { outcome, retry_after, may_ask_another: is_of_host(error), target }
     }
 
-    fn keep(&self, connection: TargetConnection, keep_alive: Option<Duration>) {
-        let now = self.state.clock.now();
-        self.state.relay_pool.borrow_mut().put(self.host.addr, connection, keep_alive, now);
-    }
-
     async fn receive_response(
         &mut self,
         target: Option<(TargetId, TargetTag)>,
@@ -284,28 +285,29 @@
         let keep_alive = keep_alive_timeout(&head.headers);
         remove_hop_by_hop_headers(&mut head.headers);
         let is_failed = head.status.is_server_error();
-        let size = http_body::Body::size_hint(&body).exact();
-        let is_large = size.is_none_or(|size| MAX_BUFFERED_BYTES < size);
-        let body = if is_large && head.status.is_success() {
-            let completion = RelayStream {
-                connection,
-                host: self.host.clone(),
-                keep_alive,
-                request: self.request.clone(),
-                state: self.state.clone(),
-                _in_flight: in_flight,
-            };
-            ResponseBody::Stream(StreamingBody { body, completion: Some(Box::new(completion)) })
-        } else {
-            match body.collect().await {
-                Ok(bytes) => {
-                    self.keep(connection, keep_alive);
-                    ResponseBody::Whole(Full::new(bytes.to_bytes()))
-                }
-                Err(error) => {
-                    let reason = with_root_cause(&error);
-                    return self.lost(&format!("the response was cut off: {reason}"));
-                }
+        let body = match buffer_body(head.status, body).await {
+            Ok(ReadBody::Whole(bytes)) => {
+                let now = self.state.clock.now();
+                let mut pool = self.state.relay_pool.borrow_mut();
+                pool.put(self.host.addr, connection, keep_alive, now);
+                ResponseBody::Whole(Full::new(bytes))
+            }
+            Ok(ReadBody::Unfinished { start, rest }) => {
+                let completion = RelayStream {
+                    connection,
+                    host: self.host.clone(),
+                    keep_alive,
+                    request: self.request.clone(),
+                    state: self.state.clone(),
+                    _in_flight: in_flight,
+                };
+                let time_left = self.request.deadline.saturating_sub(self.state.clock.now());
+                let completion = Box::new(completion);
+                ResponseBody::Stream(StreamingBody::new((start, rest), time_left, completion))
+            }
+            Err(error) => {
+                let reason = with_root_cause(&error);
+                return self.lost(&format!("the response was cut off: {reason}"));
             }
         };
         self.record_end(RelayEnd::Answered, head.status.as_str());
--- a/src/entry/reservations.rs
+++ b/src/entry/reservations.rs
@@ -368,7 +368,7 @@
     /// Records what the end of a request says of its target.
     pub(super) fn set_reservation_end(&self, id: Option<ReservationId>, signal: HealthSignal) {
         let end = match signal {
-            HealthSignal::Answered(took) => {
+            HealthSignal::Answered(took) | HealthSignal::Began(took) => {
                 ReleasedEnd::Answered(took.as_millis().min(u128::from(u16::MAX)) as u16)
             }
             HealthSignal::Failed => ReleasedEnd::Failed,
--- a/src/entry/response.rs
+++ b/src/entry/response.rs
@@ -2,26 +2,20 @@
 
 use std::{
     pin::Pin,
-    rc::Rc,
-    task::{Context, Poll, ready},
+    task::{Context, Poll},
 };
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::Full;
-use hyper::body::Incoming;
 
 use super::{
-    CallerMetadata, KnownTarget, TrafficState, guards::InFlight, relay::RelayedResponse,
-    target_statements::TargetAnswer, upstream::TargetConnection,
-};
-use crate::{
-    base::Ran,
-    event_log::{Event, RequestKey},
-    placement::HealthSignal,
-    prelude::*,
+    CallerMetadata, TrafficState,
+    relay::RelayedResponse,
+    streaming_body::{BodyError, StreamingBody},
 };
+use crate::{base::Ran, prelude::*};
 
 /// A response to a caller.
 pub type CallerResponse = Response<ResponseBody>;
@@ -36,107 +30,32 @@
 
 impl Body for ResponseBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BodyError;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
             ResponseBody::Whole(body) => {
                 Pin::new(body).poll_frame(cx).map_err(|never| match never {})
             }
-            ResponseBody::Stream(stream) => stream.poll(cx),
+            ResponseBody::Stream(stream) => Pin::new(stream).poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             ResponseBody::Whole(body) => body.is_end_stream(),
-            ResponseBody::Stream(stream) => stream.body.is_end_stream(),
+            ResponseBody::Stream(stream) => stream.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             ResponseBody::Whole(body) => body.size_hint(),
-            ResponseBody::Stream(stream) => stream.body.size_hint(),
-        }
-    }
-}
-
-/// A target's response body that is passed on while it arrives. It is dropped before its end if the
-/// caller leaves; that closes the connection, so that the target stops working on the request.
-pub struct StreamingBody {
-    pub body: Incoming,
-    pub completion: Option<Box<dyn StreamEnd>>,
-}
-
-/// What is to be done once a streamed body ends.
-pub trait StreamEnd {
-    /// The body was received completely.
-    fn complete(self: Box<Self>);
-
-    /// The body broke off.
-    fn broken(self: Box<Self>, reason: &str);
-}
-
-/// A streamed response of a target.
-pub struct StreamCompletion {
-    pub state: Rc<TrafficState>,
-    /// `None` if the response does not speak for the target.
-    pub answer: Option<TargetAnswer>,
-    pub keep_alive: Option<Duration>,
-    pub key: RequestKey,
-    pub connection: TargetConnection,
-    pub in_flight: InFlight,
-    pub service: ServiceId,
-    pub target: Arc<KnownTarget>,
-}
-
-impl StreamingBody {
-    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
-        match &frame {
-            Some(Ok(_)) if !self.body.is_end_stream() => {}
-            Some(Err(error)) => {
-                if let Some(completion) = self.completion.take() {
-                    completion.broken(&error.to_string());
-                }
-            }
-            _ => {
-                if let Some(completion) = self.completion.take() {
-                    completion.complete();
-                }
-            }
-        }
-        Poll::Ready(frame)
-    }
-}
-
-impl StreamEnd for StreamCompletion {
-    fn complete(self: Box<Self>) {
-        if let Some(answer) = &self.answer {
-            self.state.record_answer(&self.target, answer);
+            ResponseBody::Stream(stream) => stream.size_hint(),
         }
-        let now = self.state.clock.now();
-        let mut pool = self.state.pool.borrow_mut();
-        pool.put(self.target.tag, self.connection, self.keep_alive, now);
-    }
-
-    fn broken(self: Box<Self>, reason: &str) {
-        let event = Event::StreamBroken {
-            reason: reason.into(),
-            service: self.service.clone(),
-            target: self.target.entry.id.clone(),
-        };
-        self.state.record(&self.key, event);
-        self.state.record_attempt_end(
-            &self.target,
-            &self.service,
-            &self.in_flight.forecast,
-            HealthSignal::Failed,
-        );
     }
 }
 
--- a/src/entry/traffic_state.rs
+++ b/src/entry/traffic_state.rs
@@ -275,7 +275,7 @@
         let may_learn = health.slowdown(now) < MAX_LEARNING_SLOWDOWN;
         let expected = state.estimates.expected_time(forecast);
         let change = health.record_attempt(ended, expected, now);
-        if let HealthSignal::Answered(took) = ended
+        if let Some(took) = ended.answer_time()
             && forecast.has_free_slot
         {
             health.record_run(took, expected, now);
@@ -283,7 +283,7 @@
         if let Some(change) = change {
             self.events.record(None, health_event(target, ended, change));
         }
-        if let HealthSignal::Answered(took) = ended
+        if let Some(took) = ended.answer_time()
             && may_learn
         {
             state.estimates.record_answer(forecast, took, self.tuning.learn_cache_capacity);
--- a/src/placement/target_health.rs
+++ b/src/placement/target_health.rs
@@ -34,6 +34,8 @@
 pub enum HealthSignal {
     /// A complete answer, after this time.
     Answered(Duration),
+    /// The head of an answer, after this time. Whether its body ends is open.
+    Began(Duration),
     /// The target reported a failure, or its answer was broken or lost.
     Failed,
     /// The target refused the request because it had no free capacity.
@@ -44,6 +46,16 @@
     Cancelled(Duration),
 }
 
+impl HealthSignal {
+    /// Time until the target answered, if it did.
+    pub fn answer_time(self) -> Option<Duration> {
+        match self {
+            HealthSignal::Answered(took) | HealthSignal::Began(took) => Some(took),
+            _ => None,
+        }
+    }
+}
+
 /// Change of a target's health caused by the end of an attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum HealthChange {
@@ -82,14 +94,10 @@
     ) -> Option<HealthChange> {
         match signal {
             HealthSignal::Answered(took) => {
-                let was_paused = 0 < self.consecutive_pauses;
-                self.consecutive_failures = 0;
-                self.consecutive_pauses = 0;
-                self.paused_until = Moment::ZERO;
-                self.record_failure_sample(0.0, now);
                 self.record_ratio(time_ratio(took, expected), now);
-                return was_paused.then_some(HealthChange::Recovered);
+                return self.record_complete(now);
             }
+            HealthSignal::Began(took) => self.record_ratio(time_ratio(took, expected), now),
             HealthSignal::Cancelled(took) if expected < took => {
                 self.record_ratio(time_ratio(took, expected), now)
             }
@@ -101,6 +109,16 @@
         None
     }
 
+    /// Records that an answer was received completely.
+    pub fn record_complete(&mut self, now: Moment) -> Option<HealthChange> {
+        let was_paused = 0 < self.consecutive_pauses;
+        self.consecutive_failures = 0;
+        self.consecutive_pauses = 0;
+        self.paused_until = Moment::ZERO;
+        self.record_failure_sample(0.0, now);
+        was_paused.then_some(HealthChange::Recovered)
+    }
+
     /// Forgets failures and pauses that this host caused itself.
     pub fn forget_failures(&mut self) {
         self.consecutive_failures = 0;
--- a/src/platform/standin/mod.rs
+++ b/src/platform/standin/mod.rs
@@ -6,6 +6,7 @@
 mod settings;
 mod store;
 mod target;
+mod unending;
 
 pub use self::{
     fault_run::{FaultRunReport, run_with_faults},
@@ -13,4 +14,5 @@
     settings::{loopback_settings, loopback_traffic},
     store::{StoreCopy, StoreStandin},
     target::{ReceivedRequest, ResponseMode, Statements, TargetIdentity, TargetStandin},
+    unending::{Unending, UnendingPart},
 };
--- a/src/platform/standin/target.rs
+++ b/src/platform/standin/target.rs
@@ -18,6 +18,7 @@
     time::Instant,
 };
 
+use super::Unending;
 use crate::prelude::*;
 
 /// Maximum number of headers of a request.
@@ -128,6 +129,9 @@
     received: Mutex<Vec<ReceivedRequest>>,
     processing_time: Mutex<Duration>,
     statements: Mutex<Statements>,
+    unending: Mutex<Option<Unending>>,
+    /// Number of unending responses that the peer broke off.
+    unending_closed: AtomicUsize,
 }
 
 impl TargetStandin {
@@ -194,6 +198,16 @@
         *locked(&self.shared.statements) = statements;
     }
 
+    /// Makes all responses from the next one on never end; `None` for whole ones.
+    pub fn set_unending(&self, unending: Option<Unending>) {
+        *locked(&self.shared.unending) = unending;
+    }
+
+    /// Returns how many unending responses the peer broke off.
+    pub fn unending_closed(&self) -> usize {
+        self.shared.unending_closed.load(Ordering::Relaxed)
+    }
+
     /// Returns the requests received so far.
     pub fn received(&self) -> Vec<ReceivedRequest> {
         locked(&self.shared.received).clone()
@@ -376,6 +390,12 @@
             response.extend_from_slice(&body);
         }
     }
+    let unending = *locked(&shared.unending);
+    if let Some(unending) = unending {
+        unending.send(stream, &response).await;
+        shared.unending_closed.fetch_add(1, Ordering::Relaxed);
+        return Ok(None);
+    }
     stream.write_all(&response).await?;
     let is_closed = matches!(mode, ResponseMode::Truncate | ResponseMode::NoLength);
     Ok((!is_closed).then_some(response))
