Bound the heads of responses in bytes and time

A target in trouble may send a head that never ends, or informational responses without end. A booking waited for it to the end of its caller's time (504), while its connection and, with informational responses at full speed, the processor were taken. The HTTP library bounds one head in bytes, but neither its time nor what comes before it.

A connection now counts what it reads while a response is awaited: at most 128 KiB until the head is complete, and one second from a head's first byte to its last. Past that the attempt is lost like one whose connection broke, so a read is sent to another target at once. Between two heads the time does not run: a target may announce early hints and then work for as long as the request takes. The new test ends with 504 instead of 502 while the bound is idle.

--- a/src/entry/carried_ids.rs
+++ b/src/entry/carried_ids.rs
@@ -21,6 +21,11 @@
         self.0.insert(hash(id));
     }
 
+    /// Number of requests.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
     /// Whether the response to a request can be told from those to the requests before it.
     pub fn may_add(&self, id: Option<&RequestId>) -> bool {
         match id {
--- /dev/null
+++ b/src/entry/head_bound.rs
@@ -0,0 +1,132 @@
+//! Bounds the heads of responses: a server may send bytes that never end a head, or informational
+//! responses without end.
+
+use std::{
+    cell::Cell,
+    io,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll, ready},
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    time::Sleep,
+};
+
+use super::Stream;
+use crate::prelude::*;
+
+/// Bytes of one read at most, and of one head. The HTTP library enforces both.
+pub(super) const MAX_READ_BYTES: usize = 64 * 1024;
+
+/// Most bytes until the head of a response is complete, with informational responses before it. The
+/// last read may also hold the beginning of the body.
+const MAX_HEAD_BYTES: usize = 2 * MAX_READ_BYTES;
+
+/// Longest time from the first byte of a head to its last.
+const MAX_HEAD_TIME: Duration = Duration::from_secs(1);
+
+/// Number of the request on a connection that waits for the head of its response, if one does.
+pub(super) type HeadAwaited = Rc<Cell<Option<usize>>>;
+
+/// A connection to a server. Reading fails once an awaited head exceeds the bounds.
+pub(super) struct HeadBound {
+    /// The request whose head was awaited at the last read.
+    at_last_read: Option<usize>,
+    awaited: HeadAwaited,
+    bytes: usize,
+    /// The last bytes read; an empty line ends a head.
+    last: [u8; 4],
+    /// Started with the first byte of a head.
+    limit: Option<Pin<Box<Sleep>>>,
+    stream: Box<dyn Stream>,
+}
+
+impl HeadBound {
+    /// Wraps a new connection.
+    pub fn new(stream: Box<dyn Stream>) -> (Self, HeadAwaited) {
+        let awaited = HeadAwaited::default();
+        let bound = Self {
+            at_last_read: None,
+            awaited: awaited.clone(),
+            bytes: 0,
+            last: [0; 4],
+            limit: None,
+            stream,
+        };
+        (bound, awaited)
+    }
+
+    /// Counts bytes that were read while a head is awaited.
+    fn record(&mut self, read: &[u8]) -> io::Result<()> {
+        self.bytes += read.len();
+        if MAX_HEAD_BYTES < self.bytes {
+            return Err(io::Error::other("the head of the response is too large"));
+        }
+        for byte in &read[read.len().saturating_sub(self.last.len())..] {
+            self.last.rotate_left(1);
+            self.last[3] = *byte;
+        }
+        // Between two heads the server may be silent for as long as it works on the request.
+        self.limit = match &self.last {
+            b"\r\n\r\n" => None,
+            _ => self.limit.take().or_else(|| Some(Box::pin(tokio::time::sleep(MAX_HEAD_TIME)))),
+        };
+        Ok(())
+    }
+}
+
+impl AsyncRead for HeadBound {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let awaited = this.awaited.get();
+        if this.at_last_read != awaited {
+            this.at_last_read = awaited;
+            (this.bytes, this.last, this.limit) = (0, [0; 4], None);
+        }
+        if awaited.is_none() {
+            return Pin::new(&mut this.stream).poll_read(cx, buf);
+        }
+        if this.limit.as_mut().is_some_and(|limit| limit.as_mut().poll(cx).is_ready()) {
+            return Poll::Ready(Err(io::Error::other("the head of the response does not end")));
+        }
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut this.stream).poll_read(cx, buf))?;
+        Poll::Ready(this.record(&buf.filled()[before..]))
+    }
+}
+
+impl AsyncWrite for HeadBound {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -21,6 +21,7 @@
 mod declaration;
 mod demand;
 mod guards;
+mod head_bound;
 mod host;
 mod known_state;
 mod learned_state;
--- a/src/entry/upstream.rs
+++ b/src/entry/upstream.rs
@@ -11,7 +11,11 @@
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 
-use super::{Connector, carried_ids::CarriedIds};
+use super::{
+    Connector,
+    carried_ids::CarriedIds,
+    head_bound::{HeadAwaited, HeadBound, MAX_READ_BYTES},
+};
 use crate::{base::with_root_cause, prelude::*};
 
 /// A round trip between regions takes 110 ms, and a lost packet is sent again after 200 ms or more.
@@ -47,6 +51,7 @@
 /// A connection to a target that is in use.
 pub struct TargetConnection {
     carried: CarriedIds,
+    head_awaited: HeadAwaited,
     sender: http1::SendRequest<Full<Bytes>>,
     /// Whether the connection was used for an earlier request.
     pub reused: bool,
@@ -132,7 +137,9 @@
     let stream = result
         .map_err(|_| SendError::Unreachable("connect timed out".into()))?
         .map_err(unreachable)?;
-    let handshake = http1::Builder::new().max_buf_size(64 * 1024).handshake(TokioIo::new(stream));
+    let (stream, head_awaited) = HeadBound::new(stream);
+    let handshake =
+        http1::Builder::new().max_buf_size(MAX_READ_BYTES).handshake(TokioIo::new(stream));
     let (sender, connection) =
         handshake.await.map_err(|error| SendError::NotSent(error.to_string().into()))?;
     tokio::task::spawn_local(async move {
@@ -140,7 +147,7 @@
             log::debug!("connection to target {addr} failed: {error}");
         }
     });
-    Ok(TargetConnection { carried: CarriedIds::default(), sender, reused: false })
+    Ok(TargetConnection { carried: CarriedIds::default(), head_awaited, sender, reused: false })
 }
 
 impl TargetConnection {
@@ -154,7 +161,10 @@
         if let Err(error) = self.sender.ready().await {
             return Err(SendError::NotSent(error.to_string().into()));
         }
-        match self.sender.try_send_request(req).await {
+        self.head_awaited.set(Some(self.carried.len()));
+        let sent = self.sender.try_send_request(req).await;
+        self.head_awaited.set(None);
+        match sent {
             Ok(response) => Ok(response),
             Err(mut failed) => match failed.take_message() {
                 Some(_) => Err(SendError::NotSent(with_root_cause(failed.error()))),
--- a/src/platform/standin/target.rs
+++ b/src/platform/standin/target.rs
@@ -126,6 +126,8 @@
     /// Number of the next responses that are sent again.
     late_copies: AtomicUsize,
     late_copies_sent: AtomicUsize,
+    /// Pause after an informational response; zero to send none.
+    informational: Mutex<Duration>,
     received: Mutex<Vec<ReceivedRequest>>,
     processing_time: Mutex<Duration>,
     statements: Mutex<Statements>,
@@ -198,6 +200,11 @@
         *locked(&self.shared.statements) = statements;
     }
 
+    /// Sends an informational response this long before each response.
+    pub fn set_informational(&self, pause: Duration) {
+        *locked(&self.shared.informational) = pause;
+    }
+
     /// Makes all responses from the next one on never end; `None` for whole ones.
     pub fn set_unending(&self, unending: Option<Unending>) {
         *locked(&self.shared.unending) = unending;
@@ -390,6 +397,11 @@
             response.extend_from_slice(&body);
         }
     }
+    let pause = *locked(&shared.informational);
+    if !pause.is_zero() {
+        stream.write_all(b"HTTP/1.1 103 Early Hints\r\n\r\n").await?;
+        tokio::time::sleep(pause).await;
+    }
     let unending = *locked(&shared.unending);
     if let Some(unending) = unending {
         unending.send(stream, &response).await;
--- a/tests/entry_unending_responses.rs
+++ b/tests/entry_unending_responses.rs
@@ -167,6 +167,44 @@
     });
 }
 
+/// Guards against a head that never ends, or informational responses without end, that hold a booking
+/// to the end of its caller's time, and the processor with it. Such bytes say nothing of the booking.
+#[test]
+fn a_head_that_never_ends_is_no_answer() {
+    run(async {
+        for (part, pause) in [
+            (UnendingPart::Head, PAUSES[0]),
+            (UnendingPart::Head, PAUSES[1]),
+            (UnendingPart::Informational, PAUSES[0]),
+        ] {
+            let world = World::spawn(TWO).await;
+            let host = world.host("a").await;
+            for target in &world.targets {
+                target.set_unending(Some(Unending { part, pause }));
+            }
+            let answer = world.ask(&host, booking("b-1")).await.expect("an answer");
+            assert_eq!(
+                (answer.status().as_u16(), world.arrivals()),
+                (502, 1),
+                "{part:?}, {pause:?}"
+            );
+        }
+    });
+}
+
+/// Guards against a bound on heads that ends a response because informational ones come before it.
+#[test]
+fn a_response_after_a_pause_and_an_informational_one_arrives() {
+    run(async {
+        let world = World::spawn(&["north-a"]).await;
+        let host = world.host("a").await;
+        let target = &world.targets[0];
+        target.set_informational(Duration::from_millis(1_200));
+        let answer = world.ask(&host, booking("b-1")).await.expect("an answer");
+        assert_eq!(answer.status(), 200);
+    });
+}
+
 /// Two targets and a host; the number of the target that a booking about the usual object goes to.
 async fn asked_once() -> (World, EntryHost, usize) {
     let world = World::spawn(TWO).await;
