Take no refusal from a status alone

A response with 408, 421, 429 or 503 went to the caller as it came if its target signed it and did not say that the request was refused. For the caller these statuses promise that the request has not run, which this target has not said: in the new test a booking that ran was answered with 429. Such an attempt is lost now, so a read is retried and a booking gets 502.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -29,6 +29,15 @@
 /// Longest part of a target's Retry-After that is logged.
 const MAX_RETRY_AFTER_CHARS: usize = 32;
 
+/// Statuses by which callers know that a request has not run and never will. A target refuses
+/// requests only by saying so in its own way.
+const PROMISES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// How an attempt ended.
 pub enum AttemptOutcome {
     /// The target's response, buffered or streaming.
@@ -368,6 +377,9 @@
         signal: fn(Duration) -> HealthSignal,
     ) -> AttemptOutcome {
         let status = response.status();
+        if PROMISES.contains(&status) {
+            return self.lost("the target did not say that it refused the request");
+        }
         if status.is_server_error() {
             self.record_end(HealthSignal::Failed, AttemptEnd::Failed, status.as_str());
             return match is_signed {
--- a/src/platform/standin/fault_run.rs
+++ b/src/platform/standin/fault_run.rs
@@ -17,7 +17,7 @@
 
 use super::{
     LinkMode, ResponseMode, Statements, StoreStandin, TargetIdentity, TargetLinks, TargetStandin,
-    loopback_settings,
+    Unending, UnendingPart, loopback_settings,
 };
 use crate::{
     base::BootClock,
@@ -43,6 +43,9 @@
 const LIMITED_TARGET: usize = 2;
 const LIMIT_PER_S: f64 = 2.0;
 
+/// Position in `TARGETS` of the target whose responses do not end for some time.
+const UNENDING_TARGET: usize = 4;
+
 /// Time after which all hosts know the limit, and time over which its requests are counted.
 const LIMIT_NOTICE_TIME: Duration = Duration::from_millis(1_500);
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
@@ -242,7 +245,17 @@
                     ]);
                     report.faults += 1;
                 }
+                if rng.random_bool(0.3) {
+                    target.send_late_copies(1);
+                    report.faults += 1;
+                }
             }
+            self.targets[UNENDING_TARGET].set_unending(
+                (20..24).contains(&step).then_some(Unending {
+                    part: UnendingPart::Body,
+                    pause: Duration::from_millis(1),
+                }),
+            );
             match step {
                 4 => self.store.put("config", "main", config(5)),
                 6 => self.store.put("servers", "t-1", self.targets[0].store_entry("draining", 1)),
--- a/src/platform/standin/target.rs
+++ b/src/platform/standin/target.rs
@@ -36,6 +36,8 @@
     Fail,
     /// Executes the request and never responds.
     Hang,
+    /// Executes the request and responds with a status that other targets refuse requests with.
+    FalseRefusal,
     /// Refuses the request as overloaded, without executing it.
     Shed,
     /// Executes the request and closes the connection without a response.
@@ -371,6 +373,10 @@
             let headers = format!("{signature}Content-Length: 0\r\n\r\n");
             response.extend_from_slice(head("500 Internal Server Error", &headers).as_bytes());
         }
+        ResponseMode::FalseRefusal => {
+            let headers = format!("{signature}Content-Length: 0\r\n\r\n");
+            response.extend_from_slice(head("429 Too Many Requests", &headers).as_bytes());
+        }
         ResponseMode::Reset => return Ok(None),
         ResponseMode::Shed => {
             let headers = "Lavenderplank-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
--- a/tests/entry_other_responses.rs
+++ b/tests/entry_other_responses.rs
@@ -85,6 +85,19 @@
     });
 }
 
+/// Guards against a status that promises its caller that a booking has not run, passed on from a
+/// target that did not say so.
+#[test]
+fn a_status_alone_is_no_refusal() {
+    run(async {
+        let world = World::spawn(&["north-a", "north-b"]).await;
+        let host = world.host("a").await;
+        world.targets.iter().for_each(|it| it.queue_responses(&[ResponseMode::FalseRefusal]));
+        let answer = world.ask(&host, booking("b-1")).await.expect("an answer");
+        assert_eq!((answer.status().as_u16(), runs(&world, "b-1")), (502, 1));
+    });
+}
+
 /// How often targets ran a request.
 fn runs(world: &World, attempt: &str) -> usize {
     let received = world.targets.iter().flat_map(|target| target.received());
