Bound bodies without a stated length to 16 MiB

A streamed body without a length went on at full speed to the end of its caller's time, at up to three connections of each target at fault, so that whoever shares a thread or a link with its caller waited. Such a body is cut after 16 MiB now, and its target has failed. Bodies of stated length are passed on whatever their length.

--- a/src/entry/streaming_body.rs
+++ b/src/entry/streaming_body.rs
@@ -20,12 +20,18 @@
 /// Time for which a body is passed on after the time for which its caller waits.
 const LATE_PERIOD: Duration = Duration::from_millis(500);
 
+/// Largest body whose length the server does not state.
+const MAX_UNSTATED_BYTES: usize = 16 * 1024 * 1024;
+
 /// Why a body ends before it is complete.
 #[derive(Debug, thiserror::Error)]
 pub enum BodyError {
     /// The server broke off.
     #[error(transparent)]
     Broken(#[from] hyper::Error),
+    /// The body has no stated length and does not end.
+    #[error("the body states no length and exceeds {MAX_UNSTATED_BYTES} bytes")]
+    TooLarge,
     /// The body did not end in time.
     #[error("the body did not end within the caller's time")]
     Late,
@@ -34,6 +40,8 @@
 /// A body that is passed on while it arrives. It is dropped before its end if the caller leaves; that
 /// closes the connection, so that the target stops working on the request.
 pub struct StreamingBody {
+    /// Bytes passed on.
+    bytes: usize,
     completion: Option<Box<dyn StreamEnd>>,
     /// The server stated the length of the body.
     has_length: bool,
@@ -64,6 +72,7 @@
         completion: Box<dyn StreamEnd>,
     ) -> Self {
         Self {
+            bytes: start.len(),
             completion: Some(completion),
             has_length: rest.size_hint().exact().is_some(),
             expected_by: Instant::now() + time_left,
@@ -79,6 +88,12 @@
             end(completion);
         }
     }
+
+    /// Ends a body that its server does not end.
+    fn give_up(&mut self, error: BodyError) -> BodyError {
+        self.end(|completion| completion.broken(&error.to_string()));
+        error
+    }
 }
 
 impl Body for StreamingBody {
@@ -94,12 +109,17 @@
             return Poll::Ready(Some(Ok(Frame::data(std::mem::take(&mut this.start)))));
         }
         if this.limit.as_mut().poll(cx).is_ready() {
-            this.end(|completion| completion.broken(&BodyError::Late.to_string()));
-            return Poll::Ready(Some(Err(BodyError::Late)));
+            return Poll::Ready(Some(Err(this.give_up(BodyError::Late))));
         }
         this.waits_for_server = true;
         let frame = ready!(Pin::new(&mut this.rest).poll_frame(cx));
         this.waits_for_server = false;
+        if let Some(Ok(frame)) = &frame {
+            this.bytes += frame.data_ref().map_or(0, Bytes::len);
+        }
+        if !this.has_length && MAX_UNSTATED_BYTES < this.bytes {
+            return Poll::Ready(Some(Err(this.give_up(BodyError::TooLarge))));
+        }
         match &frame {
             Some(Ok(_)) if !this.rest.is_end_stream() => {}
             Some(Err(error)) => this.end(|completion| completion.broken(&error.to_string())),
@@ -128,7 +148,7 @@
     fn drop(&mut self) {
         let is_servers = self.waits_for_server || !self.has_length;
         if is_servers && self.expected_by <= Instant::now() {
-            self.end(|completion| completion.broken(&BodyError::Late.to_string()));
+            self.give_up(BodyError::Late);
         }
     }
 }
--- a/tests/entry_unending_responses.rs
+++ b/tests/entry_unending_responses.rs
@@ -26,6 +26,9 @@
 /// Longest wait for the end of a body.
 const PATIENCE: Duration = Duration::from_secs(10);
 
+/// Largest body without a length that a host passes on.
+const MAX_UNSTATED_BYTES: usize = 16 * 1024 * 1024;
+
 /// Memory that a host may take up for responses that never end.
 const MAX_GROWTH_KB: usize = 64 * 1024;
 
@@ -147,6 +150,24 @@
     });
 }
 
+/// Guards against an answer without a length that takes the whole link and processor for as long as
+/// its caller waits.
+#[test]
+fn an_answer_without_a_length_is_bounded() {
+    run(async {
+        let world = World::spawn(&["north-a"]).await;
+        let host = world.host("a").await;
+        let unending = Unending { part: UnendingPart::Body, pause: PAUSES[0] };
+        world.targets[0].set_unending(Some(unending));
+        let mut answer = world.ask(&host, read("r-1")).await.expect("a head");
+        let mut bytes = 0;
+        while let Ok(chunk) = answer.chunk().await {
+            bytes += chunk.expect("a body that was cut looks whole").len();
+        }
+        assert!(bytes <= MAX_UNSTATED_BYTES, "{bytes} bytes");
+    });
+}
+
 /// Guards against a target that is asked again and again although none of its responses ends.
 #[test]
 fn a_target_whose_responses_never_end_is_spared() {
