Count a streamed failure as one, also when its body ends

A failure with a body of over 64 KiB is streamed since its body is bounded. The end of the body then counted as an answer, which cleared the failures of the target, so that it would never be paused. Found by reading; only the body of an answer counts as its end now. The stand-in's failures have a body, for the new test.

--- a/src/entry/streaming_body.rs
+++ b/src/entry/streaming_body.rs
@@ -170,8 +170,8 @@
     fn complete(self: Box<Self>) {
         if let Some(answer) = &self.answer {
             self.state.record_answer(&self.target, answer);
+            self.state.record_body_end(&self.target);
         }
-        self.state.record_body_end(&self.target);
         let now = self.state.clock.now();
         let mut pool = self.state.pool.borrow_mut();
         pool.put(self.target.tag, self.connection, self.keep_alive, now);
--- a/src/platform/standin/target.rs
+++ b/src/platform/standin/target.rs
@@ -370,8 +370,9 @@
             }
         }
         ResponseMode::Fail => {
-            let headers = format!("{signature}Content-Length: 0\r\n\r\n");
+            let headers = format!("{signature}Content-Length: {length}\r\n\r\n");
             response.extend_from_slice(head("500 Internal Server Error", &headers).as_bytes());
+            response.extend_from_slice(&body);
         }
         ResponseMode::FalseRefusal => {
             let headers = format!("{signature}Content-Length: 0\r\n\r\n");
--- a/tests/entry_unending_responses.rs
+++ b/tests/entry_unending_responses.rs
@@ -226,6 +226,24 @@
     });
 }
 
+/// Guards against a target that counts as sound because the long bodies of its failures end.
+#[test]
+fn a_target_whose_failures_are_long_is_spared() {
+    run(async {
+        let world = World::spawn(&["north-a"]).await;
+        let host = world.host("a").await;
+        let target = &world.targets[0];
+        target.set_response_body(vec![b'x'; 300_000]);
+        target.queue_responses(&[ResponseMode::Fail; 2]);
+        for attempt in ["b-1", "b-2"] {
+            let answer = world.ask(&host, booking(attempt)).await.expect("a head");
+            assert_eq!(answer.status(), 500);
+            assert_eq!(answer.bytes().await.expect("a whole body").len(), 300_000);
+        }
+        assert!(world.events.has(|event| matches!(event, Event::TargetPaused { .. })));
+    });
+}
+
 /// Two targets and a host; the number of the target that a booking about the usual object goes to.
 async fn asked_once() -> (World, EntryHost, usize) {
     let world = World::spawn(TWO).await;
