Test that a relayed response that never ends is bounded

A target whose responses never end, asked through another host: a success is cut, a failure and a refusal keep their status, and all connections are closed.

--- a/tests/entry_cut_off.rs
+++ b/tests/entry_cut_off.rs
@@ -8,9 +8,9 @@
 use lavenderplank::{
     entry::EntryHost,
     event_log::Event,
-    platform::standin::{LinkMode, ResponseMode},
+    platform::standin::{LinkMode, ResponseMode, Unending, UnendingPart},
 };
-use support::{World, booking, read, run, until};
+use support::{Ask, World, booking, read, run, until};
 
 /// Time after a cut from which on first tries have to be served.
 const STABILITY_WINDOW: Duration = Duration::from_secs(4);
@@ -78,6 +78,36 @@
     });
 }
 
+/// Guards against a target whose responses never end and that holds up, through the host that serves
+/// for it, also the one that reaches no target.
+#[test]
+fn a_relayed_response_that_never_ends_is_bounded() {
+    run(async {
+        for (mode, status) in
+            [(ResponseMode::Serve, 200), (ResponseMode::Fail, 500), (ResponseMode::Shed, 503)]
+        {
+            let world = World::spawn(&["north-a", "north-a"]).await;
+            let (cut, _other, _third) = cut_off_host(&world).await;
+            let before = world.arrivals();
+            for target in &world.targets {
+                target.queue_responses(&[mode; 4]);
+                let pause = Duration::ZERO;
+                target.set_unending(Some(Unending { part: UnendingPart::Body, pause }));
+            }
+            let ask = Ask { time_left: 1_000, ..booking("b-1") };
+            let mut answer = world.ask(&cut, ask).await.expect("a head");
+            assert_eq!(answer.status(), status, "{mode:?}");
+            while let Ok(Some(_)) = answer.chunk().await {}
+            until("the targets are left alone", async || {
+                let closed = world.targets.iter().map(|target| target.unending_closed());
+                before + closed.sum::<usize>() == world.arrivals()
+            })
+            .await;
+            assert!(before < world.arrivals(), "{mode:?}");
+        }
+    });
+}
+
 /// Guards against a booking that runs twice because the host that serves it for another loses the
 /// response.
 #[test]
