--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -305,7 +305,7 @@
 
     /// Whether another host knows a later declaration, or the store has lost the one in force.
     fn is_declaration_behind(&self, now: Moment) -> bool {
-        let own = self.known_state.stamp();
+        let own = self.known_state.stamp(self.objects.revisions());
         let mut sources = self.fleet.state_sources(now);
         self.store_is_behind
             || sources.any(|(_, source)| source.stamp.is_ahead_of(&own, StorePart::Declared))
@@ -326,7 +326,7 @@
 
     /// Whether this host has received the declaration and the targets.
     fn has_state(&self) -> bool {
-        let revisions = self.known_state.revisions();
+        let revisions = self.objects.revisions();
         revisions.declared != 0 && revisions.targets != 0
     }
 
@@ -369,7 +369,7 @@
         ] {
             let (store, clock) = (self.parts.store.clone(), self.parts.clock.clone());
             // A first listing that may be some seconds old must not replace newer objects.
-            let first_allows_stale = self.known_state.revisions().of(part) == 0;
+            let first_allows_stale = self.objects.revisions().of(part) == 0;
             let pace = FollowOptions { first_allows_stale, change_pause, ..FOLLOW_OPTIONS };
             let (tx, rx) = mpsc::channel(MAX_QUEUED_UPDATES);
             let follower = Follower::spawn(store, clock, prefix, pace, tx);
--- a/src/entry/control/handlers.rs
+++ b/src/entry/control/handlers.rs
@@ -120,7 +120,7 @@
         StateQuery(query): StateQuery,
         _: &mut xtra::Context<Self>,
     ) -> Self::Return {
-        let known = self.known_state.revisions();
+        let known = self.objects.revisions();
         let bytes_before = self.response_cache.compressed_bytes();
         let response = self.response_cache.response(&self.objects, known, &query);
         self.parts
@@ -149,10 +149,8 @@
         let mut differing = received.too_old.clone();
         for diff in &received.parts {
             let part = diff.part;
-            let known = self.known_state.revisions().of(part);
-            let is_compared = query.compares(part);
-            if known < diff.revision || (is_compared && known == diff.revision) {
-                self.apply_difference(diff);
+            if self.apply_difference(diff, &query) {
+                let is_compared = query.compares(part);
                 self.response_cache.cache_received(&received, part, &self.objects, &query);
                 let differs = self.objects.part(part).digest() != diff.digest;
                 if differs && is_compared {
--- a/src/entry/control/peering.rs
+++ b/src/entry/control/peering.rs
@@ -52,7 +52,7 @@
             load: Load::clone(&self.parts.load.load()),
             reaches_store: self.election.reaches_store(self.now()),
             reaches_targets: self.parts.reaches_targets.load(Ordering::Relaxed),
-            stamp: self.known_state.stamp(),
+            stamp: self.known_state.stamp(self.objects.revisions()),
             strained: self.parts.strained.load(Ordering::Relaxed),
         }
     }
@@ -87,7 +87,7 @@
 
     /// Whether a message shows that another host has newer data.
     pub(super) fn is_behind(&self, message: &Message) -> bool {
-        let own = self.known_state.stamp();
+        let own = self.known_state.stamp(self.objects.revisions());
         let is_newer =
             |stamp: &Stamp| StorePart::ALL.iter().any(|part| stamp.is_ahead_of(&own, *part));
         message.stamps().any(is_newer)
@@ -96,7 +96,7 @@
     /// Queries another host that has newer data, if a query is due.
     pub(super) fn query_peer(&mut self, own: &WeakAddress<Self>) {
         let now = self.now();
-        let own_stamp = self.known_state.stamp();
+        let own_stamp = self.known_state.stamp(self.objects.revisions());
         let region = &self.parts.settings.region;
         let is_watcher = !self.followers.is_empty();
         let sources = self.fleet.state_sources(now);
@@ -117,7 +117,7 @@
     ) {
         let digests = |part: &StorePart| (*part, self.objects.part(*part).digests());
         let digests = parts.iter().map(digests).collect();
-        let query = Query { since: self.known_state.revisions(), digests };
+        let query = Query { since: self.objects.revisions(), digests };
         self.peer_queries.record_sent(self.now());
         self.send_query(addr, query, own);
     }
--- a/src/entry/control/store_updates.rs
+++ b/src/entry/control/store_updates.rs
@@ -9,74 +9,77 @@
     entry::{
         Declaration, DecodeError, KnownTarget, StorePart,
         known_state::{LAPSED_TARGET_GRACE, Removal},
-        store_objects::RawObject,
-        sync::PartDiff,
+        merge::{ObjectChange, Statement},
+        store_objects::{RawObject, RemovedObject},
+        sync::{PartDiff, Query},
     },
     event_log::{Event, Source},
     prelude::*,
-    store::{Change, Entry, FollowEvent, Listing, PlatformError, StorePoint, Version},
+    store::{Change, Changes, Entry, FollowEvent, Listing, PlatformError, StorePoint, Version},
 };
 
 /// Period after a restore of the store over which hosts spread the writes of their records.
 const RECORD_REWRITE_PERIOD: Duration = Duration::from_secs(2);
 
 impl EntryControl {
-    /// Stores and decodes one object; returns whether the usable state changed.
+    /// Decodes one changed object; returns whether the usable state changed.
+    fn apply_change(&mut self, part: StorePart, change: ObjectChange, source: Source) -> bool {
+        match change {
+            ObjectChange::Removed(name) => self.apply_removal(part, &name, source),
+            ObjectChange::Written { name, bytes } => self.apply_object(part, &name, &bytes, source),
+        }
+    }
+
     fn apply_object(
         &mut self,
         part: StorePart,
-        key: &Arc<str>,
-        version: u64,
-        object: Bytes,
+        name: &Arc<str>,
+        object: &[u8],
         source: Source,
     ) -> bool {
-        self.objects.part_mut(part).insert(key.clone(), version, object.clone());
         match part {
-            StorePart::Declared => self.apply_declaration(key, &object, source),
+            StorePart::Declared => self.apply_declaration(name, object, source),
             StorePart::Evacuations => {
-                let is_new = self.known_state.set_evacuated(key.clone(), true, self.now());
+                let is_new = self.known_state.set_evacuated(name.clone(), true, self.now());
                 if is_new {
-                    self.record_zone_evacuated(key.clone(), source);
+                    self.record_zone_evacuated(name.clone(), source);
                 }
                 is_new
             }
-            StorePart::Targets => self.apply_target(key, &object, source),
+            StorePart::Targets => self.apply_target(name, object, source),
         }
     }
 
-    /// Applies what another host sent of one part; returns whether the usable state changed.
-    pub(super) fn apply_difference(&mut self, diff: &PartDiff) -> bool {
-        let (part, revision) = (diff.part, diff.revision);
+    /// Applies what another host sent of one part in response to a query, if it knows more than this
+    /// host. Returns whether it was applied.
+    pub(super) fn apply_difference(&mut self, diff: &PartDiff, query: &Query) -> bool {
+        let part = diff.part;
+        let known = self.objects.part(part).revision();
+        let compared = query.digests_of(part);
+        let Some(changes) = self.objects.part_mut(part).merge_difference(diff, compared) else {
+            return false;
+        };
         if part == StorePart::Targets {
             self.known_state.store_answered(self.now());
         }
-        let is_restored = self.note_restore(part, revision);
-        self.known_state.record_revision(part, revision);
-        let mut changed = false;
-        for key in self.objects.part(part).removed_by(&diff.difference) {
-            if is_restored && part == StorePart::Evacuations {
-                self.objects.part_mut(part).remove(&key, revision);
-                self.known_state.keep_evacuation(key, self.now());
-                continue;
-            }
-            changed |= self.apply_removal(part, &key, revision, Source::Host);
-        }
-        for object in &diff.difference.changed {
-            let RawObject { name, revision, bytes } = object;
-            if self.objects.part(part).revision_of(name) != Some(*revision) {
-                changed |= self.apply_object(part, name, *revision, bytes.clone(), Source::Host);
+        let is_restored = self.note_restore(part, known, diff.revision);
+        for change in changes {
+            match change {
+                ObjectChange::Removed(zone) if is_restored && part == StorePart::Evacuations => {
+                    self.known_state.keep_evacuation(zone, self.now());
+                }
+                change => _ = self.apply_change(part, change, Source::Host),
             }
         }
         if is_restored {
             self.check_restored_declaration(part);
         }
-        changed
+        true
     }
 
-    /// Notes that a part comes from a store that was restored since this host received it last.
-    /// Returns whether that is so.
-    fn note_restore(&mut self, part: StorePart, version: Version) -> bool {
-        let known = self.known_state.revisions().of(part);
+    /// Notes that a part comes from a store that was restored since this host received it last, when
+    /// it was known up to the version `known`. Returns whether that is so.
+    fn note_restore(&mut self, part: StorePart, known: Version, version: Version) -> bool {
         let restores = StorePoint::of(version).restores;
         if known == 0 || restores <= StorePoint::of(known).restores {
             return false;
@@ -109,6 +112,7 @@
         part: StorePart,
         key: &Arc<str>,
         object: Bytes,
+        source: Source,
     ) -> Option<Bytes> {
         if part != StorePart::Declared {
             return Some(object);
@@ -116,7 +120,7 @@
         match self.parts.protocol.replace_keys_by_digests(object) {
             Ok(object) => Some(object),
             Err(error) => {
-                self.record_unreadable_entry(part, key, &error.0, Source::Watch);
+                self.record_unreadable_entry(part, key, &error.0, source);
                 None
             }
         }
@@ -180,14 +184,7 @@
         true
     }
 
-    fn apply_removal(
-        &mut self,
-        part: StorePart,
-        key: &Arc<str>,
-        version: u64,
-        source: Source,
-    ) -> bool {
-        self.objects.part_mut(part).remove(key, version);
+    fn apply_removal(&mut self, part: StorePart, key: &Arc<str>, source: Source) -> bool {
         match part {
             StorePart::Declared => {
                 log::warn!(
@@ -206,41 +203,26 @@
         }
     }
 
-    /// Replaces all objects of a part by a listing of the store at `revision`; returns whether the
-    /// usable state changed.
-    fn apply_listing(
-        &mut self,
-        part: StorePart,
-        objects: Vec<(Arc<str>, u64, Bytes)>,
-        revision: u64,
-        is_restored: bool,
-    ) -> bool {
-        let stored = self.objects.part_mut(part);
-        for key in stored.missing_from(&objects) {
-            stored.remove(&key, revision);
-        }
-        for (key, version, object) in &objects {
-            if stored.revision_of(key) != Some(*version) {
-                stored.insert(key.clone(), *version, object.clone());
-            }
-        }
-        stored.restart_history(revision);
+    /// Decodes all objects of a part after a listing of the store; returns whether the usable state
+    /// changed.
+    fn apply_listed(&mut self, part: StorePart, is_restored: bool) -> bool {
+        let objects: Vec<RawObject> = self.objects.part(part).all().collect();
         match part {
-            StorePart::Declared => objects.iter().fold(false, |sum, (key, _, object)| {
-                self.apply_declaration(key, object, Source::Listing) || sum
-            }),
+            StorePart::Declared => {
+                let mut changed = false;
+                for object in &objects {
+                    changed |= self.apply_declaration(&object.name, &object.bytes, Source::Listing);
+                }
+                changed
+            }
             StorePart::Evacuations => self.apply_evacuation_listing(&objects, is_restored),
             StorePart::Targets => self.apply_target_listing(&objects),
         }
     }
 
-    fn apply_evacuation_listing(
-        &mut self,
-        objects: &[(Arc<str>, u64, Bytes)],
-        is_restored: bool,
-    ) -> bool {
+    fn apply_evacuation_listing(&mut self, objects: &[RawObject], is_restored: bool) -> bool {
         let source = Source::Listing;
-        let names: Vec<Arc<str>> = objects.iter().map(|(key, _, _)| key.clone()).collect();
+        let names: Vec<Arc<str>> = objects.iter().map(|object| object.name.clone()).collect();
         let zones: BTreeSet<ZoneId> = self.parts.protocol.evacuated_zones(&names);
         let changes = self.known_state.apply_evacuation_listing(zones, is_restored, self.now());
         let changed = !changes.evacuated.is_empty() || !changes.taken_back.is_empty();
@@ -253,17 +235,17 @@
         changed
     }
 
-    fn apply_target_listing(&mut self, objects: &[(Arc<str>, u64, Bytes)]) -> bool {
+    fn apply_target_listing(&mut self, objects: &[RawObject]) -> bool {
         let source = Source::Listing;
         let mut entries = Vec::new();
-        for (key, _, object) in objects {
-            match self.parts.protocol.decode_target(key, object) {
+        for RawObject { name, bytes, .. } in objects {
+            match self.parts.protocol.decode_target(name, bytes) {
                 Ok(entry) => {
                     let region = self.parts.settings.region_of(&entry.zone);
                     entries.push((entry, region));
                 }
                 Err(error) => {
-                    self.record_unreadable_entry(StorePart::Targets, key, &error.0, source)
+                    self.record_unreadable_entry(StorePart::Targets, name, &error.0, source)
                 }
             }
         }
@@ -281,23 +263,54 @@
         changed
     }
 
-    fn apply_changes(&mut self, part: StorePart, changes: Vec<Change>) -> bool {
+    /// Applies what a watch reported; returns whether the usable state changed.
+    fn apply_changes(&mut self, part: StorePart, Changes { changes, version }: Changes) -> bool {
+        if changes.is_empty() {
+            return false;
+        }
+        let statements =
+            changes.into_iter().filter_map(|change| self.statement(part, change)).collect();
         let mut changed = false;
-        // Another host may already have sent this change and later ones; applying it again would
-        // restore the old state.
-        let known_revision = self.known_state.revisions().of(part);
-        for change in changes.into_iter().filter(|change| known_revision < change.version) {
-            self.known_state.record_revision(part, change.version);
-            let key = object_name(&change.key);
-            changed |= match change.object {
-                Some(object) => match self.replace_keys_by_digests(part, &key, object.value) {
-                    Some(value) => {
-                        self.apply_object(part, &key, object.version, value, Source::Watch)
-                    }
-                    None => false,
-                },
-                None => self.apply_removal(part, &key, change.version, Source::Watch),
-            };
+        for change in self.objects.part_mut(part).merge_changes(statements, version) {
+            changed |= self.apply_change(part, change, Source::Watch);
+        }
+        changed
+    }
+
+    /// What a watch reported of one object; `None` for an invalid declaration.
+    fn statement(&self, part: StorePart, change: Change) -> Option<Statement> {
+        let name = object_name(&change.key);
+        match change.object {
+            Some(object) => {
+                let bytes =
+                    self.replace_keys_by_digests(part, &name, object.value, Source::Watch)?;
+                Some(Statement::Written(RawObject { name, revision: object.version, bytes }))
+            }
+            None => Some(Statement::Removed(RemovedObject { name, ended: change.version })),
+        }
+    }
+
+    /// Applies a listing of the store; returns whether the usable state changed.
+    fn apply_listing(&mut self, part: StorePart, Listing { entries, version }: Listing) -> bool {
+        let known = self.objects.part(part).revision();
+        let object = |entry: Entry| {
+            let (name, revision) = (object_name(&entry.key), entry.object.version);
+            let bytes =
+                self.replace_keys_by_digests(part, &name, entry.object.value, Source::Listing)?;
+            Some(RawObject { name, revision, bytes })
+        };
+        let objects = entries.into_iter().filter_map(object).collect();
+        if !self.objects.part_mut(part).merge_listing(objects, version) {
+            return false;
+        }
+        let is_restored = self.note_restore(part, known, version);
+        let changed = self.apply_listed(part, is_restored);
+        if is_restored {
+            self.check_restored_declaration(part);
+        }
+        // The first listing may be some seconds old.
+        if known != 0 {
+            self.record_declaration_check(part);
         }
         changed
     }
@@ -311,32 +324,9 @@
                 self.record_declaration_check(part);
                 changed
             }
-            FollowEvent::Listed(Listing { version, .. })
-                if version < self.known_state.revisions().of(part) =>
-            {
+            FollowEvent::Listed(listing) => {
                 self.store_answered(part);
-                false
-            }
-            FollowEvent::Listed(Listing { entries, version }) => {
-                self.store_answered(part);
-                // The first listing may be some seconds old.
-                let may_lag = self.known_state.revisions().of(part) == 0;
-                let is_restored = self.note_restore(part, version);
-                self.known_state.record_revision(part, version);
-                let object = |entry: Entry| {
-                    let name = object_name(&entry.key);
-                    let object = self.replace_keys_by_digests(part, &name, entry.object.value)?;
-                    Some((name, entry.object.version, object))
-                };
-                let objects = entries.into_iter().filter_map(object).collect();
-                let changed = self.apply_listing(part, objects, version, is_restored);
-                if is_restored {
-                    self.check_restored_declaration(part);
-                }
-                if !may_lag {
-                    self.record_declaration_check(part);
-                }
-                changed
+                self.apply_listing(part, listing)
             }
             FollowEvent::Failed(error) => {
                 self.store_failed(part, &error);
@@ -415,7 +405,7 @@
 
     /// The store's revision up to which a part is known, for the log.
     fn logged_revision(&self, part: StorePart) -> u64 {
-        StorePoint::of(self.known_state.revisions().of(part)).revision
+        StorePoint::of(self.objects.part(part).revision()).revision
     }
 
     fn record_target_kept(&self, target: TargetId) {
--- a/src/entry/known_state.rs
+++ b/src/entry/known_state.rs
@@ -55,14 +55,6 @@
             StorePart::Targets => self.targets,
         }
     }
-
-    fn of_mut(&mut self, part: StorePart) -> &mut u64 {
-        match part {
-            StorePart::Declared => &mut self.declared,
-            StorePart::Evacuations => &mut self.evacuations,
-            StorePart::Targets => &mut self.targets,
-        }
-    }
 }
 
 impl Stamp {
@@ -134,7 +126,6 @@
     store_lost_since: Option<Moment>,
     /// End of the last outage in which entries may have lapsed.
     store_returned_at: Option<Moment>,
-    revisions: Revisions,
     /// When the last evacuation of each zone ended.
     zones_taken_back: BTreeMap<ZoneId, Moment>,
     targets: BTreeMap<TargetId, Arc<KnownTarget>>,
@@ -217,20 +208,15 @@
         self.evacuated_zones.contains(zone)
     }
 
-    /// The store's revisions up to which each part is known.
-    pub fn revisions(&self) -> Revisions {
-        self.revisions
-    }
-
-    /// Summary of this state for other hosts.
-    pub fn stamp(&self) -> Stamp {
+    /// Summary for other hosts of this state, which contains the parts up to these revisions.
+    pub fn stamp(&self, revisions: Revisions) -> Stamp {
         let mut evacuations = Xxh3Default::new();
         self.evacuated_zones.iter().for_each(|zone| evacuations.update(zone.as_bytes()));
         Stamp {
             declared: self.declaration.as_ref().map_or(0, |declaration| declaration.version),
             evacuations: evacuations.digest(),
             targets: self.targets_digest,
-            revisions: self.revisions,
+            revisions,
         }
     }
 
@@ -438,12 +424,6 @@
         expired.retain(|id| self.take_target(id));
         expired
     }
-
-    /// Records the store's revision up to which a part is known.
-    pub fn record_revision(&mut self, part: StorePart, revision: u64) {
-        let known = self.revisions.of_mut(part);
-        *known = revision.max(*known);
-    }
 }
 
 /// Hash of one target's id, start and readiness.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -29,6 +29,7 @@
 mod listeners;
 mod load_report;
 mod lookup;
+mod merge;
 mod parts;
 mod peer_queries;
 mod pipelining;
--- a/src/entry/store_objects.rs
+++ b/src/entry/store_objects.rs
@@ -4,14 +4,14 @@
 //! Load pattern: each of a thousand hosts asks for the changes since its revision several times a
 //! second, of ten thousand objects. A history by revision makes an answer cost what has changed.
 //! It also holds removals; where it doesn't reach back far enough, digests of buckets of names
-//! find what differs.
+//! find what differs. `merge` has the rules by which a copy changes.
 
 use std::collections::BTreeSet;
 
 use bytes::Bytes;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::StorePart;
+use super::{Revisions, StorePart};
 use crate::prelude::*;
 
 /// Number of buckets into which the names of a part are divided. With ten thousand objects, one
@@ -34,14 +34,23 @@
     pub bytes: Bytes,
 }
 
+/// A removal of an object. It ends the states of the object up to a revision, and no later ones.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RemovedObject {
+    pub name: Arc<str>,
+    /// The store's revision of the last state that is known to have ended.
+    pub ended: u64,
+}
+
 /// What a host lacks of one part.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Difference {
     /// Objects that were written.
     pub changed: Vec<RawObject>,
-    /// Names of objects that were removed.
-    pub removed: Vec<Arc<str>>,
-    /// Buckets of which `changed` contains all objects; other objects in them have been removed.
+    /// Objects that were removed.
+    pub removed: Vec<RemovedObject>,
+    /// Buckets of which `changed` contains all objects. Others have been removed, unless they were
+    /// written after the revision up to which the sender knows the part.
     pub complete_buckets: Vec<u8>,
 }
 
@@ -54,8 +63,19 @@
     history: BTreeSet<(u64, Arc<str>)>,
     /// The history contains all removals after this revision.
     history_start: u64,
-    /// Removed objects, with the revision of the removal.
-    removed: BTreeMap<Arc<str>, u64>,
+    removed: BTreeMap<Arc<str>, Removal>,
+    /// The store's revision up to which this copy contains all changes.
+    revision: u64,
+}
+
+/// A remembered removal.
+#[derive(Clone, Copy, Debug)]
+struct Removal {
+    /// Revision of the last state that is known to have ended.
+    ended: u64,
+    /// Revision by which the removal had taken place. Hosts that know the part up to it lack
+    /// nothing.
+    known_at: u64,
 }
 
 impl Default for PartObjects {
@@ -66,11 +86,22 @@
             history: BTreeSet::new(),
             history_start: 0,
             removed: BTreeMap::new(),
+            revision: 0,
         }
     }
 }
 
 impl PartObjects {
+    /// The store's revision up to which this copy contains all changes.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Records that this copy contains all changes up to a revision.
+    pub fn record_revision(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
     /// Adds or replaces an object.
     pub fn insert(&mut self, name: Arc<str>, revision: u64, bytes: Bytes) {
         self.forget(&name);
@@ -79,11 +110,12 @@
         self.by_name.insert(name, (revision, bytes));
     }
 
-    /// Removes an object and remembers its removal.
-    pub fn remove(&mut self, name: &Arc<str>, revision: u64) {
+    /// Removes an object and remembers that its states up to `ended` no longer exist. That was so
+    /// at the revision `known_at`.
+    pub fn remove(&mut self, name: &Arc<str>, ended: u64, known_at: u64) {
         self.forget(name);
-        self.history.insert((revision, name.clone()));
-        self.removed.insert(name.clone(), revision);
+        self.history.insert((known_at, name.clone()));
+        self.removed.insert(name.clone(), Removal { ended, known_at });
         while MAX_REMOVALS < self.removed.len() {
             self.forget_oldest_removal();
         }
@@ -94,10 +126,15 @@
         self.by_name.get(name).map(|(revision, _)| *revision)
     }
 
-    /// Names of the objects that a complete listing lacks.
-    pub fn missing_from(&self, listed: &[(Arc<str>, u64, Bytes)]) -> Vec<Arc<str>> {
-        let listed: BTreeSet<&Arc<str>> = listed.iter().map(|(name, _, _)| name).collect();
-        self.by_name.keys().filter(|name| !listed.contains(name)).cloned().collect()
+    /// Revision up to which the states of an object are known to have ended; `None` if it exists or
+    /// its removal is not remembered.
+    pub fn ended_until(&self, name: &str) -> Option<u64> {
+        self.removed.get(name).map(|removal| removal.ended)
+    }
+
+    /// Names and revisions of all objects.
+    pub fn names(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
+        self.by_name.iter().map(|(name, (revision, _))| (name, *revision))
     }
 
     /// Records that removals up to `revision` may be missing from the history: a listing doesn't
@@ -106,21 +143,6 @@
         self.history_start = self.history_start.max(revision);
     }
 
-    /// Names of the objects that a difference removes from this copy.
-    pub fn removed_by(&self, difference: &Difference) -> Vec<Arc<str>> {
-        let exists = |name: &&Arc<str>| self.by_name.contains_key(*name);
-        let mut removed: Vec<Arc<str>> =
-            difference.removed.iter().filter(exists).cloned().collect();
-        if !difference.complete_buckets.is_empty() {
-            let kept: BTreeSet<&Arc<str>> =
-                difference.changed.iter().map(|object| &object.name).collect();
-            let is_complete = |name: &str| difference.complete_buckets.contains(&bucket(name));
-            let lacks = |name: &&Arc<str>| is_complete(name) && !kept.contains(name);
-            removed.extend(self.by_name.keys().filter(lacks).cloned());
-        }
-        removed
-    }
-
     /// What a host lacks that knows the changes up to `since`; `None` if the history doesn't reach
     /// back so far.
     pub fn changes_since(&self, since: u64) -> Option<Difference> {
@@ -137,7 +159,10 @@
                     let (name, revision, bytes) = (name.clone(), *revision, bytes.clone());
                     difference.changed.push(RawObject { name, revision, bytes });
                 }
-                None => difference.removed.push(name.clone()),
+                None => {
+                    let ended = self.ended_until(name).unwrap_or_default();
+                    difference.removed.push(RemovedObject { name: name.clone(), ended });
+                }
             }
         }
         Some(difference)
@@ -145,8 +170,7 @@
 
     /// What a host lacks whose buckets have these digests.
     pub fn difference_from(&self, digests: &[u32]) -> Difference {
-        let differs = |at: &usize| digests.get(*at) != Some(&self.digests[*at]);
-        let complete_buckets: Vec<u8> = (0..BUCKETS).filter(differs).map(|at| at as u8).collect();
+        let complete_buckets: Vec<u8> = self.changed_buckets(digests).collect();
         let is_complete = |name: &str| complete_buckets.binary_search(&bucket(name)).is_ok();
         let changed = self.all().filter(|object| is_complete(&object.name)).collect();
         Difference { changed, removed: Vec::new(), complete_buckets }
@@ -157,7 +181,8 @@
         Difference { changed: self.all().collect(), removed: Vec::new(), complete_buckets }
     }
 
-    fn all(&self) -> impl Iterator<Item = RawObject> {
+    /// All objects.
+    pub fn all(&self) -> impl Iterator<Item = RawObject> {
         self.by_name.iter().map(|(name, (revision, bytes))| RawObject {
             name: name.clone(),
             revision: *revision,
@@ -170,6 +195,11 @@
         self.digests.to_vec()
     }
 
+    /// Buckets whose digests are no longer these.
+    pub fn changed_buckets(&self, digests: &[u32]) -> impl Iterator<Item = u8> {
+        (0..BUCKETS).filter(|at| digests.get(*at) != Some(&self.digests[*at])).map(|at| at as u8)
+    }
+
     /// Digest of all objects. It is equal where all names and revisions are.
     pub fn digest(&self) -> u64 {
         let bytes: Vec<u8> = self.digests.iter().flat_map(|sum| sum.to_le_bytes()).collect();
@@ -188,17 +218,17 @@
             self.history.remove(&(revision, name.clone()));
             self.subtract_from_digest(name, revision);
         }
-        if let Some(revision) = self.removed.remove(name) {
-            self.history.remove(&(revision, name.clone()));
+        if let Some(removal) = self.removed.remove(name) {
+            self.history.remove(&(removal.known_at, name.clone()));
         }
     }
 
     fn forget_oldest_removal(&mut self) {
-        let oldest = self.removed.iter().min_by_key(|(_, revision)| **revision);
-        let oldest = oldest.map(|(name, revision)| (name.clone(), *revision));
-        let Some((name, revision)) = oldest else { return };
+        let oldest = self.removed.iter().min_by_key(|(_, removal)| removal.known_at);
+        let oldest = oldest.map(|(name, removal)| (name.clone(), removal.known_at));
+        let Some((name, known_at)) = oldest else { return };
         self.forget(&name);
-        self.restart_history(revision);
+        self.restart_history(known_at);
     }
 
     fn add_to_digest(&mut self, name: &str, revision: u64) {
@@ -212,7 +242,8 @@
     }
 }
 
-fn bucket(name: &str) -> u8 {
+/// The bucket of a name.
+pub fn bucket(name: &str) -> u8 {
     xxh3_64(name.as_bytes()) as u8
 }
 
@@ -229,6 +260,15 @@
 }
 
 impl StoreObjects {
+    /// The store's revisions up to which each part is known.
+    pub fn revisions(&self) -> Revisions {
+        Revisions {
+            declared: self.declared.revision,
+            evacuations: self.evacuations.revision,
+            targets: self.targets.revision,
+        }
+    }
+
     /// The objects of one part.
     pub fn part(&self, part: StorePart) -> &PartObjects {
         match part {
--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -47,7 +47,7 @@
 const MIN_COMPRESSED_BYTES: usize = 512;
 
 /// Version of the encoding of queries and responses. Others are rejected.
-const ENCODING: u32 = 0x6c70_0003;
+const ENCODING: u32 = 0x6c70_0004;
 
 /// Number of whole states that a host with a capacity in hundredths of a core sends concurrently.
 pub fn max_full_responses(capacity: u16) -> usize {
@@ -109,7 +109,8 @@
         if self.is_full() { FULL_QUERY_TIMEOUT } else { QUERY_TIMEOUT }
     }
 
-    fn digests_of(&self, part: StorePart) -> Option<&BucketDigests> {
+    /// The digests of a part of which the query wants all that differs.
+    pub fn digests_of(&self, part: StorePart) -> Option<&BucketDigests> {
         self.digests.iter().find(|(of, _)| *of == part).map(|(_, digests)| digests)
     }
 
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -8,6 +8,7 @@
 mod hosts;
 mod known_state;
 mod learned_state;
+mod merge;
 mod parts;
 mod pipelining;
 mod propagation;
--- a/src/entry/tests/known_state.rs
+++ b/src/entry/tests/known_state.rs
@@ -3,7 +3,7 @@
 use super::{secs, target_entry};
 use crate::{
     entry::{
-        Declaration, KnownState, KnownTarget, ServiceRules, TargetEntry,
+        Declaration, KnownState, KnownTarget, Revisions, ServiceRules, TargetEntry,
         known_state::{Removal, TargetChanges},
     },
     prelude::*,
@@ -35,7 +35,7 @@
     assert!(known_state.apply_declaration(of(4)));
     assert!(!known_state.apply_declaration(of(4)));
     assert!(!known_state.apply_declaration(of(3)));
-    assert_eq!(known_state.stamp().declared, 4);
+    assert_eq!(known_state.stamp(Revisions::default()).declared, 4);
     assert!(known_state.apply_declaration(of(9)));
 }
 
@@ -102,14 +102,14 @@
     let mut known_state = KnownState::default();
     known_state.apply_target_listing(listed(&["t-1"]), secs(1.0));
     known_state.apply_target(target_entry("t-2", "north-b"), region(), secs(1.0));
-    let before = known_state.stamp();
+    let before = known_state.stamp(Revisions::default());
     let draining = crate::entry::TargetEntry { ready: false, ..target_entry("t-1", "north-a") };
     assert!(known_state.apply_target(draining, region(), secs(2.0)));
     assert_eq!(usable_ids(&mut known_state), ["t-2"]);
     assert!(known_state.set_evacuated("north-b".into(), true, secs(1.0)));
     assert!(usable_ids(&mut known_state).is_empty());
-    assert_ne!(known_state.stamp().targets, before.targets);
-    assert_ne!(known_state.stamp().evacuations, before.evacuations);
+    assert_ne!(known_state.stamp(Revisions::default()).targets, before.targets);
+    assert_ne!(known_state.stamp(Revisions::default()).evacuations, before.evacuations);
     assert!(known_state.set_evacuated("north-b".into(), false, secs(2.0)));
     assert_eq!(usable_ids(&mut known_state), ["t-2"]);
 }
@@ -250,9 +250,9 @@
         region(),
         secs(1.0),
     );
-    assert_ne!(backwards.stamp(), known_state.stamp());
+    assert_ne!(backwards.stamp(Revisions::default()), known_state.stamp(Revisions::default()));
     backwards.apply_target(draining, region(), secs(1.0));
-    assert_eq!(backwards.stamp(), known_state.stamp());
+    assert_eq!(backwards.stamp(Revisions::default()), known_state.stamp(Revisions::default()));
 }
 
 fn listed_as(id: &str, ready: bool, started: u64) -> (TargetEntry, RegionId) {
--- /dev/null
+++ b/src/entry/tests/merge.rs
@@ -0,0 +1,359 @@
+//! Model of hosts that copy the store's objects, with the product's rules for merging and its
+//! exchange between hosts, under random faults.
+
+use std::collections::BTreeMap;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::{
+    entry::{
+        Revisions, StorePart,
+        merge::Statement,
+        store_objects::{PartObjects, RawObject, RemovedObject, StoreObjects},
+        sync::{PartDiff, Query, ReceivedState, ResponseCache},
+    },
+    prelude::*,
+    store::StorePoint,
+};
+
+const PART: StorePart = StorePart::Evacuations;
+const HOSTS: usize = 5;
+const NAMES: u32 = 4;
+const STEPS: u32 = 160;
+const SEEDS: u64 = 3_000;
+
+/// Number of rounds of watches and exchanges after the last fault, until all hosts are equal.
+const SETTLE_ROUNDS: u32 = 4;
+
+fn raw(name: &Arc<str>, revision: u64) -> RawObject {
+    RawObject { name: name.clone(), revision, bytes: revision.to_string().into() }
+}
+
+/// The store, with the states that each name has had.
+#[derive(Clone, Default)]
+struct Store {
+    now: StorePoint,
+    objects: BTreeMap<Arc<str>, u64>,
+    /// Writes and removals: the revision, and the state that was written or ended.
+    events: Vec<(u64, Statement)>,
+    compacted: u64,
+}
+
+impl Store {
+    fn advance(&mut self) -> u64 {
+        self.now.revision += 1;
+        self.now.version()
+    }
+
+    fn write(&mut self, name: &Arc<str>) {
+        let version = self.advance();
+        self.objects.insert(name.clone(), version);
+        self.events.push((version, Statement::Written(raw(name, version))));
+    }
+
+    fn remove(&mut self, name: &Arc<str>) {
+        let Some(ended) = self.objects.remove(name) else { return };
+        let version = self.advance();
+        let removed = RemovedObject { name: name.clone(), ended };
+        self.events.push((version, Statement::Removed(removed)));
+    }
+
+    /// The objects of a copy under the number of restores, as listings of the restored store state
+    /// them.
+    fn restored(copy: &Store, restores: u64) -> Store {
+        let moved = |version: u64| {
+            StorePoint { restores, revision: StorePoint::of(version).revision }.version()
+        };
+        let now = StorePoint { restores, ..copy.now };
+        let objects = copy.objects.iter().map(|(name, at)| (name.clone(), moved(*at))).collect();
+        Store { now, objects, events: Vec::new(), compacted: now.version() }
+    }
+
+    fn listing(&self) -> Message {
+        let objects = self.objects.iter().map(|(name, version)| raw(name, *version)).collect();
+        Message::Listing { objects, version: self.now.version() }
+    }
+
+    /// What a watch from `from` returns; `None` if its history is gone.
+    fn watch(&self, from: u64) -> Option<Message> {
+        if from < self.compacted || self.now.version() < from {
+            return None;
+        }
+        let since = self.events.iter().filter(|(version, _)| from < *version);
+        let statements = since
+            .map(|(_, statement)| match statement.clone() {
+                // As the client of the store has it: a removal is after the watched version.
+                Statement::Removed(RemovedObject { name, ended }) => {
+                    Statement::Removed(RemovedObject { name, ended: ended.max(from) })
+                }
+                written => written,
+            })
+            .collect();
+        Some(Message::Changes { statements, version: self.now.version() })
+    }
+}
+
+/// A message on its way to a host.
+#[derive(Clone)]
+enum Message {
+    Changes { statements: Vec<Statement>, version: u64 },
+    Listing { objects: Vec<RawObject>, version: u64 },
+    Response { from: usize, query: Query, received: ReceivedState },
+}
+
+#[derive(Default)]
+struct Host {
+    inbox: Vec<Message>,
+    objects: StoreObjects,
+    /// The store does not answer this host.
+    turned_away: bool,
+    /// Version from which its watch continues; `None` before a listing.
+    watched: Option<u64>,
+}
+
+impl Host {
+    fn part(&self) -> &PartObjects {
+        self.objects.part(PART)
+    }
+
+    fn state(&self) -> BTreeMap<Arc<str>, u64> {
+        self.part().names().map(|(name, revision)| (name.clone(), revision)).collect()
+    }
+}
+
+/// The place of the state that a host holds among those that a name has had. States that are absent
+/// count too, so that a host may only move on.
+#[derive(Default)]
+struct Progress {
+    /// For each name, all states in order: the version that existed, or `None`.
+    states: BTreeMap<Arc<str>, Vec<Option<u64>>>,
+    /// For each host and name, the first state that it can hold.
+    reached: BTreeMap<(usize, Arc<str>), usize>,
+}
+
+impl Progress {
+    fn record(&mut self, store: &Store, names: &[Arc<str>]) {
+        for name in names {
+            let state = store.objects.get(name).copied();
+            let states = self.states.entry(name.clone()).or_insert_with(|| vec![None]);
+            if states.last() != Some(&state) {
+                states.push(state);
+            }
+        }
+    }
+
+    /// Checks that no name went back at a host.
+    fn check(&mut self, at: usize, host: &Host, names: &[Arc<str>]) -> Result<(), String> {
+        for name in names {
+            let held = host.part().revision_of(name);
+            let reached = self.reached.entry((at, name.clone())).or_default();
+            let states = &self.states[name];
+            match states[*reached..].iter().position(|state| *state == held) {
+                Some(on) => *reached += on,
+                None => {
+                    let before = states[*reached];
+                    return Err(format!("host {at}: {name} went back from {before:?} to {held:?}"));
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+struct Model {
+    copy: Store,
+    hosts: Vec<Host>,
+    names: Vec<Arc<str>>,
+    progress: Progress,
+    rng: ChaCha8Rng,
+    store: Store,
+}
+
+impl Model {
+    fn new(seed: u64) -> Self {
+        let names: Vec<Arc<str>> = (0..NAMES).map(|at| format!("zone-{at}").into()).collect();
+        let store = Store { now: StorePoint { restores: 0, revision: 1 }, ..Store::default() };
+        let mut progress = Progress::default();
+        progress.record(&store, &names);
+        let hosts = (0..HOSTS).map(|_| Host::default()).collect();
+        let rng = ChaCha8Rng::seed_from_u64(seed);
+        Self { copy: store.clone(), hosts, names, progress, rng, store }
+    }
+
+    /// A host's next call to the store.
+    fn call_store(&mut self, at: usize) {
+        let host = &mut self.hosts[at];
+        if host.turned_away {
+            return;
+        }
+        let answer = host.watched.and_then(|from| self.store.watch(from));
+        let answer = answer.unwrap_or_else(|| self.store.listing());
+        host.watched = Some(self.store.now.version());
+        host.inbox.push(answer);
+    }
+
+    fn query(&mut self, at: usize, from: usize, query: Query) {
+        let other = &self.hosts[from];
+        let known = other.objects.revisions();
+        let encoded = ResponseCache::default().response(&other.objects, known, &query);
+        let received = ReceivedState::decode(&encoded.expect("it can be encoded"));
+        let received = received.expect("it can be decoded");
+        self.hosts[at].inbox.push(Message::Response { from, query, received });
+    }
+
+    /// Has a host ask another one that knows more, as their stamps show it.
+    fn exchange(&mut self, at: usize, from: usize) {
+        let (own, other) = (&self.hosts[at], &self.hosts[from]);
+        let is_ahead = own.part().revision() < other.part().revision();
+        if is_ahead && own.part().digest() != other.part().digest() {
+            self.query(at, from, Query::since(own.objects.revisions()));
+        }
+    }
+
+    fn receive(&mut self, at: usize, message: Message) {
+        let objects = self.hosts[at].objects.part_mut(PART);
+        match message {
+            Message::Changes { statements, version } => {
+                objects.merge_changes(statements, version);
+            }
+            Message::Listing { objects: listed, version } => {
+                objects.merge_listing(listed, version);
+            }
+            Message::Response { from, query, received } => {
+                let mut is_different = received.too_old.contains(&PART);
+                for diff in received.parts.iter().filter(|diff| diff.part == PART) {
+                    let PartDiff { digest, .. } = diff;
+                    let merged = objects.merge_difference(diff, query.digests_of(PART));
+                    is_different |=
+                        merged.is_some() && objects.digest() != *digest && !query.compares(PART);
+                }
+                if is_different {
+                    let digests = vec![(PART, objects.digests())];
+                    let since = self.hosts[at].objects.revisions();
+                    self.query(at, from, Query { since, digests });
+                }
+            }
+        }
+    }
+
+    fn receive_next(&mut self, at: usize) {
+        let inbox = &mut self.hosts[at].inbox;
+        if inbox.is_empty() {
+            return;
+        }
+        // Responses of the store come in order; those of hosts may overtake them.
+        let is_from_store = |message: &Message| !matches!(message, Message::Response { .. });
+        let responses: Vec<usize> =
+            (0..inbox.len()).filter(|at| !is_from_store(&inbox[*at])).collect();
+        let first = inbox.iter().position(is_from_store);
+        let choices: Vec<usize> = first.into_iter().chain(responses).collect();
+        let chosen = choices[self.rng.random_range(0..choices.len())];
+        let message = inbox.remove(chosen);
+        self.receive(at, message);
+    }
+
+    fn step(&mut self) {
+        let at = self.rng.random_range(0..HOSTS);
+        let name = self.names[self.rng.random_range(0..self.names.len())].clone();
+        match self.rng.random_range(0..100_u32) {
+            0..12 => self.store.write(&name),
+            12..22 => self.store.remove(&name),
+            22..26 => _ = self.store.advance(),
+            26..40 => self.call_store(at),
+            40..56 => {
+                let from = self.rng.random_range(0..HOSTS);
+                self.exchange(at, from);
+            }
+            56..86 => self.receive_next(at),
+            86..92 => self.hosts[at].turned_away ^= true,
+            92..94 => {
+                // Killed, and started again.
+                self.hosts[at] = Host::default();
+                self.progress.reached.retain(|(host, _), _| *host != at);
+            }
+            94..96 => {
+                self.store.compacted = self.store.now.version();
+                self.store.events.clear();
+            }
+            96..98 => self.copy = self.store.clone(),
+            98 => self.store = Store::restored(&self.copy, self.store.now.restores + 1),
+            _ => self.hosts[at].watched = None,
+        }
+    }
+
+    fn check_progress(&mut self) -> Result<(), String> {
+        self.progress.record(&self.store, &self.names);
+        for (at, host) in self.hosts.iter().enumerate() {
+            self.progress.check(at, host, &self.names)?;
+        }
+        Ok(())
+    }
+
+    /// Plays faults and their end; describes what is wrong.
+    fn run(&mut self) -> Result<(), String> {
+        for _ in 0..STEPS {
+            self.step();
+            self.check_progress()?;
+        }
+        for _ in 0..SETTLE_ROUNDS {
+            // Only two hosts watch; the others learn from them.
+            for at in 0..2 {
+                self.hosts[at].turned_away = false;
+                self.call_store(at);
+            }
+            for at in 0..HOSTS {
+                self.exchange(at, 0);
+                self.exchange(at, 1);
+                while !self.hosts[at].inbox.is_empty() {
+                    self.receive_next(at);
+                    self.check_progress()?;
+                }
+            }
+        }
+        for (at, host) in self.hosts.iter().enumerate() {
+            if host.state() != self.store.objects {
+                let (held, stored) = (host.state(), &self.store.objects);
+                return Err(format!("host {at} holds {held:?}, the store {stored:?}"));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Guards against hosts that go back from what they have applied, or differ from the store for good,
+/// because an older removal, write or listing reached them after a newer one.
+#[test]
+fn copies_never_go_back_and_become_equal() {
+    let failed: Vec<String> = (0..SEEDS)
+        .filter_map(|seed| Model::new(seed).run().err().map(|error| format!("{seed}: {error}")))
+        .collect();
+    assert!(failed.is_empty(), "{} of {SEEDS} seeds, first {:?}", failed.len(), failed.first());
+}
+
+/// Guards against a removal that ends an object which was created after it: a watch that continues
+/// late returns both, when another host has already sent the creation.
+#[test]
+fn an_older_removal_does_not_end_a_newer_object() {
+    let zone: Arc<str> = "north-b".into();
+    let mut objects = PartObjects::default();
+    objects.merge_listing(vec![raw(&zone, 5)], 5);
+    let diff = PartDiff {
+        part: PART,
+        revision: 9,
+        digest: 0,
+        difference: crate::entry::store_objects::Difference {
+            changed: vec![raw(&zone, 9)],
+            ..Default::default()
+        },
+    };
+    assert!(objects.merge_difference(&diff, None).is_some());
+    let removed = Statement::Removed(RemovedObject { name: zone.clone(), ended: 5 });
+    let changes = objects.merge_changes(vec![removed, Statement::Written(raw(&zone, 9))], 12);
+    assert_eq!(changes, []);
+    assert_eq!(objects.revision_of(&zone), Some(9));
+    assert_eq!(objects.revision(), 12);
+    let since = Revisions { evacuations: 9, ..Revisions::default() };
+    let difference = objects.changes_since(since.evacuations).expect("the history reaches back");
+    assert_eq!(difference, Default::default(), "there is nothing to spread");
+}
--- a/src/entry/tests/propagation.rs
+++ b/src/entry/tests/propagation.rs
@@ -74,7 +74,6 @@
     /// Arrival times of this host's responses that are in transit.
     response_arrivals: Vec<Moment>,
     objects: StoreObjects,
-    revisions: Revisions,
     /// The stamp in its last heartbeat.
     announced_stamp: Stamp,
     /// The host that was queried, and when; `None` if no query is in flight.
@@ -83,39 +82,24 @@
 
 impl Host {
     fn stamp(&self) -> Stamp {
-        let Revisions { declared, targets, .. } = self.revisions;
-        Stamp { declared, evacuations: 0, revisions: self.revisions, targets }
+        let revisions = self.objects.revisions();
+        let Revisions { declared, targets, .. } = revisions;
+        Stamp { declared, evacuations: 0, revisions, targets }
     }
 
     fn apply_change(&mut self, change: &Change) {
         let objects = self.objects.part_mut(change.part);
         objects.insert(change.name.clone(), change.revision, change.object.clone());
-        self.record_revision(change.part, change.revision);
-    }
-
-    fn record_revision(&mut self, part: StorePart, revision: u64) {
-        match part {
-            StorePart::Declared => self.revisions.declared = revision,
-            StorePart::Evacuations => self.revisions.evacuations = revision,
-            StorePart::Targets => self.revisions.targets = revision,
-        }
+        objects.record_revision(change.revision);
     }
 
     fn apply_response(&mut self, received: &ReceivedState, since: Revisions) {
         for diff in &received.parts {
-            let (part, revision) = (diff.part, diff.revision);
-            if revision <= self.revisions.of(part) {
+            let part = diff.part;
+            if self.objects.part_mut(part).merge_difference(diff, None).is_none() {
                 continue;
             }
-            let objects = self.objects.part_mut(part);
-            for name in objects.removed_by(&diff.difference) {
-                objects.remove(&name, revision);
-            }
-            for object in &diff.difference.changed {
-                objects.insert(object.name.clone(), object.revision, object.bytes.clone());
-            }
-            assert_eq!(objects.digest(), diff.digest);
-            self.record_revision(part, revision);
+            assert_eq!(self.objects.part(part).digest(), diff.digest);
             let query = StateQuery::since(since);
             self.response_cache.cache_received(received, part, &self.objects, &query);
         }
@@ -128,7 +112,7 @@
         let bytes_before = self.response_cache.compressed_bytes();
         let encoded = self
             .response_cache
-            .response(&self.objects, self.revisions, &StateQuery::since(query.since))
+            .response(&self.objects, self.objects.revisions(), &StateQuery::since(query.since))
             .expect("it can be encoded");
         let compress_s =
             (self.response_cache.compressed_bytes() - bytes_before) as f64 / COMPRESSED_BYTES_PER_S;
@@ -161,7 +145,6 @@
             queries: VecDeque::new(),
             peer_queries: PeerQueries::new(addr(at)),
             objects: StoreObjects::default(),
-            revisions: Revisions::default(),
             response_arrivals: Vec::new(),
             announced_stamp: Stamp::default(),
             pending: None,
@@ -206,7 +189,7 @@
             return;
         }
         for change in self.changes.iter().filter(|change| change.at <= until) {
-            if host.revisions.of(change.part) < change.revision {
+            if host.objects.revisions().of(change.part) < change.revision {
                 host.apply_change(change);
             }
         }
@@ -288,7 +271,8 @@
         while self.now < until {
             self.step();
             for change in self.changes.iter().filter(|change| change.at <= self.now) {
-                let is_known = |host: &Host| change.revision <= host.revisions.of(change.part);
+                let is_known =
+                    |host: &Host| change.revision <= host.objects.revisions().of(change.part);
                 if !self.hosts.iter().all(is_known) {
                     latest = latest.max(self.now - change.at);
                 }
--- a/src/entry/tests/sync.rs
+++ b/src/entry/tests/sync.rs
@@ -5,7 +5,7 @@
 use crate::{
     entry::{
         Revisions, StorePart,
-        store_objects::{PartObjects, StoreObjects},
+        store_objects::{PartObjects, RemovedObject, StoreObjects},
         sync::{PartDiff, Query, ReceivedState, ResponseCache},
     },
     prelude::*,
@@ -46,12 +46,7 @@
 }
 
 fn apply(objects: &mut PartObjects, diff: &PartDiff) {
-    for name in objects.removed_by(&diff.difference) {
-        objects.remove(&name, diff.revision);
-    }
-    for object in &diff.difference.changed {
-        objects.insert(object.name.clone(), object.revision, object.bytes.clone());
-    }
+    objects.merge_difference(diff, None).expect("it is newer");
 }
 
 /// Guards against removed objects that stay known, and objects that are sent although the querying
@@ -62,13 +57,13 @@
     let mut old = new.clone();
     let targets = new.part_mut(TARGETS);
     targets.insert(name(1), 6, "again".into());
-    targets.remove(&name(2), 7);
+    targets.remove(&name(2), 6, 7);
     targets.insert(name(9), 8, entry(9));
     let (received, _) = answer(&new, 8, &Query::since(at(5)));
     let [diff] = &*received.parts else { panic!("{received:?}") };
     let changed: Vec<&Arc<str>> = diff.difference.changed.iter().map(|it| &it.name).collect();
     assert_eq!(changed, [&name(1), &name(9)]);
-    assert_eq!(diff.difference.removed, [name(2)]);
+    assert_eq!(diff.difference.removed, [RemovedObject { name: name(2), ended: 6 }]);
     apply(old.part_mut(TARGETS), diff);
     assert_eq!(old.part(TARGETS).digest(), new.part(TARGETS).digest());
     assert_eq!(diff.digest, new.part(TARGETS).digest());
@@ -84,7 +79,7 @@
         let mut objects = objects_of_targets(targets);
         let before = u64::from(targets);
         objects.part_mut(TARGETS).insert(name(3), before + 1, entry(3));
-        objects.part_mut(TARGETS).remove(&name(4), before + 2);
+        objects.part_mut(TARGETS).remove(&name(4), before, before + 2);
         answer(&objects, before + 2, &Query::since(at(before))).1
     };
     let (few, many) = (size(12), size(12_000));
@@ -99,7 +94,7 @@
     let mut old = objects_of_targets(10_000);
     let mut new = old.clone();
     let targets = new.part_mut(TARGETS);
-    targets.remove(&name(77), 10_001);
+    targets.remove(&name(77), 10_000, 10_001);
     targets.insert(name(78), 10_002, "again".into());
     targets.restart_history(10_002);
     let (received, _) = answer(&new, 10_002, &Query::since(at(10_000)));
@@ -120,7 +115,7 @@
     let mut objects = objects_of_targets(5_000);
     let targets = objects.part_mut(TARGETS);
     for at in 0..4_500 {
-        targets.remove(&name(at), 5_001 + u64::from(at));
+        targets.remove(&name(at), 5_000, 5_001 + u64::from(at));
     }
     assert!(targets.changes_since(5_000).is_none(), "the first removals were dropped");
     let recent = targets.changes_since(9_000).expect("recent removals are known");
@@ -183,7 +178,7 @@
             }
             let revision = step as u64 + 1;
             match kind {
-                0 => new.part_mut(TARGETS).remove(&name(*object), revision),
+                0 => new.part_mut(TARGETS).remove(&name(*object), revision, revision),
                 _ => new.part_mut(TARGETS).insert(name(*object), revision, entry(step as u32)),
             }
             if step == restart {
--- a/src/platform/object_store.rs
+++ b/src/platform/object_store.rs
@@ -201,15 +201,16 @@
         let kind = prefix.trim_end_matches('/');
         let mut entries = Vec::new();
         let mut path = format!("{kind}?{query}");
-        // A watch must continue from the first page's version. From the last page's version, it
-        // would miss changes made while the pages were read.
-        let mut first_version = None;
+        // A watch must continue from the lowest version of a page. From a later one, it would miss
+        // changes made while the pages were read, or that a page out of date does not show.
+        let mut lowest = None;
         loop {
             let answer = self.call(CallKind::Read, Method::GET, &path, None, CALL_TIMEOUT).await?;
             let page: ListPage = json(&answer.body)?;
             let current = version(answer.restores, page.current_rev);
-            let first = *first_version.get_or_insert(current);
-            if StorePoint::of(first).restores != answer.restores {
+            let before = lowest.unwrap_or(current);
+            lowest = Some(current.min(before));
+            if StorePoint::of(before).restores != answer.restores {
                 return Err(unavailable("the store was restored during a listing", false));
             }
             for item in &page.items {
@@ -228,7 +229,7 @@
             }
         }
         entries.sort_by(|a, b| a.key.cmp(&b.key));
-        Ok(Listing { entries, version: first_version.unwrap_or_default() })
+        Ok(Listing { entries, version: lowest.unwrap_or_default() })
     }
 }
 
@@ -304,8 +305,12 @@
             let object = object
                 .inspect_err(|error| log::warn!("skipping an invalid change of {kind}: {error}"));
             let entry = entry(kind, &object.ok()?, &event.object, answer.restores);
-            // A delete event has no version of its own, so the version of the response is used.
-            let version = if event.deleted { current } else { entry.object.version };
+            // A delete event has no version of its own. It follows the watched version and the last
+            // state of its object. The version of the response may be that of a later creation.
+            let version = match event.deleted {
+                true => entry.object.version.max(from.version()),
+                false => entry.object.version,
+            };
             let object = (!event.deleted).then_some(entry.object);
             Some(Change { key: entry.key, object, version })
         };
--- a/src/platform/standin/mod.rs
+++ b/src/platform/standin/mod.rs
@@ -12,7 +12,7 @@
     fault_run::{FaultRunReport, run_with_faults},
     links::{LinkMode, TargetLinks},
     settings::{loopback_settings, loopback_traffic},
-    store::{StoreCopy, StoreStandin},
+    store::{StoreCopy, StoreDoor, StoreStandin},
     target::{ReceivedRequest, ResponseMode, Statements, TargetIdentity, TargetStandin},
     unending::{Unending, UnendingPart},
 };
--- a/src/platform/standin/store.rs
+++ b/src/platform/standin/store.rs
@@ -73,6 +73,14 @@
     revision: u64,
 }
 
+/// Another address of a store, at which it can turn callers away; stops when dropped.
+pub struct StoreDoor {
+    addr: SocketAddr,
+    is_closed: Arc<AtomicBool>,
+    shared: Arc<Shared>,
+    task: JoinHandle<()>,
+}
+
 /// A copy of a store's state, to which the store can be restored.
 pub struct StoreCopy(State);
 
@@ -82,10 +90,19 @@
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let addr = listener.local_addr()?;
         let shared = Arc::new(Shared::default());
-        let task = tokio::spawn(serve(listener, shared.clone()));
+        let task = tokio::spawn(serve(listener, shared.clone(), Arc::default()));
         Ok(Self { addr, shared, task })
     }
 
+    /// Opens another address of this store on a free port of loopback.
+    pub async fn open_door(&self) -> std::io::Result<StoreDoor> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let addr = listener.local_addr()?;
+        let (shared, is_closed) = (self.shared.clone(), Arc::<AtomicBool>::default());
+        let task = tokio::spawn(serve(listener, shared.clone(), is_closed.clone()));
+        Ok(StoreDoor { addr, is_closed, shared, task })
+    }
+
     /// Returns the address on which the store listens.
     pub fn addr(&self) -> SocketAddr {
         self.addr
@@ -152,6 +169,25 @@
     }
 }
 
+impl StoreDoor {
+    /// Returns the address of this door.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Sets whether calls through this door are answered with status 503.
+    pub fn set_closed(&self, is_closed: bool) {
+        self.is_closed.store(is_closed, Ordering::Relaxed);
+        self.shared.changed.notify_waiters();
+    }
+}
+
+impl Drop for StoreDoor {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
 impl Drop for StoreStandin {
     fn drop(&mut self) {
         self.task.abort();
@@ -196,14 +232,19 @@
         reply(200, &json!({ "items": items, "hasMore": false, "currentRev": revision }))
     }
 
-    async fn watch(&self, kind: &str, from: u64, wait: Duration) -> Reply {
+    /// Whether calls through a door are turned away, as all are while the store is down.
+    fn turns_away(&self, is_closed: &AtomicBool) -> bool {
+        self.down.load(Ordering::Relaxed) || is_closed.load(Ordering::Relaxed)
+    }
+
+    async fn watch(&self, kind: &str, from: u64, wait: Duration, is_closed: &AtomicBool) -> Reply {
         let until = tokio::time::Instant::now() + wait.min(MAX_WAIT);
         let _pending = PendingWatch::new(&self.pending_watches);
         loop {
             let changed = self.changed.notified();
             {
                 let state = self.state();
-                if self.down.load(Ordering::Relaxed) {
+                if self.turns_away(is_closed) {
                     return reply(503, &Value::Null);
                 }
                 if from < state.compacted_revision || state.revision < from {
@@ -226,15 +267,15 @@
     }
 
     /// Handles a call and states the number of restores in the response, whatever it is.
-    async fn handle(&self, req: Request<Incoming>) -> Reply {
-        let mut reply = self.handle_call(req).await;
+    async fn handle(&self, req: Request<Incoming>, is_closed: &AtomicBool) -> Reply {
+        let mut reply = self.handle_call(req, is_closed).await;
         let restores = self.state().restores;
         reply.headers_mut().insert(RESTORES_HEADER, HeaderValue::from(restores));
         reply
     }
 
-    async fn handle_call(&self, req: Request<Incoming>) -> Reply {
-        if self.down.load(Ordering::Relaxed) {
+    async fn handle_call(&self, req: Request<Incoming>, is_closed: &AtomicBool) -> Reply {
+        if self.turns_away(is_closed) {
             return reply(503, &Value::Null);
         }
         let (head, body) = req.into_parts();
@@ -246,7 +287,7 @@
             Method::GET if name.is_empty() => match number("watch") {
                 Some(from) => {
                     let wait = Duration::from_millis(number("waitMs").unwrap_or_default());
-                    self.watch(kind, from, wait).await
+                    self.watch(kind, from, wait, is_closed).await
                 }
                 None => self.list(kind, query(&head.uri, "staleOk") == Some("1")),
             },
@@ -278,13 +319,13 @@
     }
 }
 
-async fn serve(listener: TcpListener, shared: Arc<Shared>) {
+async fn serve(listener: TcpListener, shared: Arc<Shared>, is_closed: Arc<AtomicBool>) {
     while let Ok((stream, _)) = listener.accept().await {
-        let shared = shared.clone();
+        let (shared, is_closed) = (shared.clone(), is_closed.clone());
         tokio::spawn(async move {
             let service = service_fn(|req| {
-                let shared = shared.clone();
-                async move { Ok::<_, Infallible>(shared.handle(req).await) }
+                let (shared, is_closed) = (shared.clone(), is_closed.clone());
+                async move { Ok::<_, Infallible>(shared.handle(req, &is_closed).await) }
             });
             let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             if let Err(error) = served.await {
--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -9,7 +9,7 @@
 use backon::{BackoffBuilder, ExponentialBackoff, ExponentialBuilder};
 use tokio::{sync::mpsc, task::JoinHandle};
 
-use super::{Change, Changes, Entry, KeyVersion, Listing, Platform, PlatformError, Version};
+use super::{Changes, Entry, KeyVersion, Listing, Platform, PlatformError, Version};
 use crate::prelude::*;
 
 /// How a follower paces its calls.
@@ -49,7 +49,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum FollowEvent {
     /// Writes since the previous event; empty if a watch ended without any.
-    Changed(Vec<Change>),
+    Changed(Changes),
     /// All objects under the prefix; replaces everything sent before.
     Listed(Listing),
     /// A call failed; the state sent before remains valid but may be out of date.
@@ -228,14 +228,14 @@
             Step::Watch { from } => match platform.watch(&prefix, from, options.max_wait).await {
                 Ok(changes) => {
                     state.record_changes(&changes);
-                    Some(FollowEvent::Changed(changes.changes))
+                    Some(FollowEvent::Changed(changes))
                 }
                 Err(err) => Some(record_failure(&mut state, err)),
             },
         };
         let Some(event) = event else { continue };
         let pause = match &event {
-            FollowEvent::Changed(changes) if changes.is_empty() => Duration::ZERO,
+            FollowEvent::Changed(Changes { changes, .. }) if changes.is_empty() => Duration::ZERO,
             FollowEvent::Changed(_) => Duration::from_millis(change_pause.load(Ordering::Relaxed)),
             FollowEvent::Listed(_) => options.list_pause,
             FollowEvent::Failed(_) => Duration::ZERO,
--- a/src/store/model.rs
+++ b/src/store/model.rs
@@ -120,6 +120,8 @@
     pub key: Arc<str>,
     /// `None` after a delete.
     pub object: Option<VersionedObject>,
+    /// Version of the write. States of the object up to it have ended after a delete, whose own
+    /// version may be higher.
     pub version: Version,
 }
 
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -130,7 +130,9 @@
         fault(&standin);
         put("p/2").await.unwrap();
         let reports_write = |event: &FollowEvent| match event {
-            FollowEvent::Changed(changes) => changes.iter().any(|change| &*change.key == "p/2"),
+            FollowEvent::Changed(changes) => {
+                changes.changes.iter().any(|change| &*change.key == "p/2")
+            }
             FollowEvent::Listed(listing) => {
                 listing.entries.iter().any(|entry| &*entry.key == "p/2")
             }
--- a/tests/acceptance_lag.rs
+++ b/tests/acceptance_lag.rs
@@ -104,7 +104,7 @@
     while let Some(told) = rx.recv().await {
         let objects: Vec<_> = match told {
             FollowEvent::Changed(changes) => {
-                changes.into_iter().filter_map(|it| Some((it.key, it.object?))).collect()
+                changes.changes.into_iter().filter_map(|it| Some((it.key, it.object?))).collect()
             }
             FollowEvent::Listed(listing) => {
                 listing.entries.into_iter().map(|it| (it.key, it.object)).collect()
