List the store while no target is known

What is listed exists, whatever was said of its end.

tests/entry.rs: an entry is written again without a change that a watch could return; without the rule the host never serves it.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -28,6 +28,7 @@
 use super::{
     DeclarationVersion, EntrySettings, KnownState, LiveHost, MeasuredCell, Protocol, StorePart,
     View, ViewCell,
+    missing_targets::MissingTargets,
     peer_queries::PeerQueries,
     stale_records::StaleRecordTracker,
     store_objects::StoreObjects,
@@ -100,6 +101,7 @@
     fleet: Fleet,
     peer_client: PeerClient,
     known_state: KnownState,
+    missing_targets: MissingTargets,
     /// When the store last confirmed to this host that its declaration is the latest.
     declaration_checked_at: Option<Moment>,
     response_cache: ResponseCache,
@@ -161,6 +163,7 @@
             fleet,
             peer_client,
             known_state: KnownState::default(),
+            missing_targets: MissingTargets::default(),
             declaration_checked_at: None,
             response_cache: ResponseCache::default(),
             read_declaration: 0,
--- a/src/entry/control/handlers.rs
+++ b/src/entry/control/handlers.rs
@@ -86,6 +86,7 @@
         self.query_peer(&own);
         self.sync_host_records(&own);
         self.sync_learned_state(&own);
+        self.check_missing_targets(&own);
         self.publish_view();
     }
 }
--- a/src/entry/control/peering.rs
+++ b/src/entry/control/peering.rs
@@ -6,7 +6,7 @@
 
 use super::{
     EntryControl, HEARTBEAT_INTERVAL, HostRecordWritten, HostRecordsRead, PeerQueryResult,
-    unix_time_ms,
+    StoreUpdate, unix_time_ms,
 };
 use crate::{
     entry::{
@@ -16,7 +16,7 @@
     event_log::Event,
     fleet::{Load, Message, Outgoing, OwnState},
     prelude::*,
-    store::{Entry, Expect, Platform, PlatformError, new_operation_id},
+    store::{Entry, Expect, FollowEvent, Platform, PlatformError, new_operation_id},
 };
 
 /// Length of the time slots into which the wall clock is divided. The hosts of a zone take turns,
@@ -186,6 +186,33 @@
         }
     }
 
+    /// Lists the targets in the store while this host knows none. Most listings may be seconds old,
+    /// since these cost the store least.
+    pub(super) fn check_missing_targets(&mut self, own: &WeakAddress<Self>) {
+        let (now, known) = (self.now(), self.objects.part(StorePart::Targets).revision());
+        let is_listed = known != 0;
+        let has_targets = !is_listed || self.known_state.has_targets();
+        let Some(missing_for) = self.missing_targets.check(has_targets, now) else { return };
+        self.record_event(Event::TargetsMissing { for_ms: missing_for.as_millis() as u64 });
+        let prefix = self.parts.protocol.store_prefixes().targets;
+        let (store, own) = (self.parts.store.clone(), own.clone());
+        tokio::spawn(async move {
+            let listing = match store.list_allow_stale(prefix).await {
+                Ok(old) if !old.entries.is_empty() && old.version < known => {
+                    store.list(prefix).await
+                }
+                listing => listing,
+            };
+            match listing {
+                Ok(listing) => {
+                    let update = FollowEvent::Listed(listing);
+                    let _ = own.send(StoreUpdate(StorePart::Targets, update)).await;
+                }
+                Err(error) => log::info!("cannot list the targets in the store: {error}"),
+            }
+        });
+    }
+
     /// Removes records of hosts that have been silent for long, and has this host's record written
     /// again if it is missing.
     pub(super) fn reconcile_host_records(&mut self, records: &[HostRecord]) {
--- a/src/entry/known_state.rs
+++ b/src/entry/known_state.rs
@@ -198,6 +198,11 @@
         *since + rules.and_then(|rules| rules.cold_start).unwrap_or(DEFAULT_COLD_START)
     }
 
+    /// Whether any target is known, usable or not.
+    pub fn has_targets(&self) -> bool {
+        !self.targets.is_empty()
+    }
+
     /// The known target with this id.
     pub fn target(&self, id: &TargetId) -> Option<&KnownTarget> {
         self.targets.get(id).map(Arc::as_ref)
--- a/src/entry/merge.rs
+++ b/src/entry/merge.rs
@@ -57,8 +57,11 @@
         }
         let listed: BTreeSet<&Arc<str>> = objects.iter().map(|object| &object.name).collect();
         self.end_missing(|name| !listed.contains(name), revision);
-        for object in objects {
-            self.merge_write(object);
+        for RawObject { name, revision, bytes } in objects {
+            // What is listed exists, whatever was said of its end.
+            if self.revision_of(&name).is_none_or(|held| held < revision) {
+                self.insert(name, revision, bytes);
+            }
         }
         // A listing doesn't show objects that were created and removed since the one before.
         self.restart_history(revision);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -30,6 +30,7 @@
 mod load_report;
 mod lookup;
 mod merge;
+mod missing_targets;
 mod parts;
 mod peer_queries;
 mod pipelining;
--- a/src/event_log/event.rs
+++ b/src/event_log/event.rs
@@ -279,6 +279,8 @@
     TargetResting { rest_ms: u64, target: TargetId },
     /// A paused target answered and is in use again.
     TargetTrusted { target: TargetId },
+    /// This host has known no target for `for_ms` and lists those in the store.
+    TargetsMissing { for_ms: u64 },
     /// This host reaches targets again, after it had reached none.
     TargetsReachable {
         /// Time since it was found to reach none.
--- a/src/event_log/kind.rs
+++ b/src/event_log/kind.rs
@@ -111,6 +111,7 @@
             EventKind::TargetPaused => "a target gets nothing for a while",
             EventKind::TargetResting => "a target refused a request and named a time to pause",
             EventKind::TargetTrusted => "a paused target answered again",
+            EventKind::TargetsMissing => "this host knows no target and lists those in the store",
             EventKind::TargetsReachable => "this host reaches targets again",
             EventKind::TargetsUnreachable => "this host reaches no target at all",
             EventKind::UnknownHeader => {
--- a/src/platform/standin/store.rs
+++ b/src/platform/standin/store.rs
@@ -24,6 +24,9 @@
 /// Header with the number of times that the store was restored from a copy.
 const RESTORES_HEADER: &str = "store-era";
 
+/// Sent as bytes that are not UTF-8.
+const NOT_UTF8: char = '\u{e000}';
+
 type Objects = BTreeMap<(String, String), Value>;
 type Reply = Response<Full<Bytes>>;
 
@@ -118,6 +121,20 @@
         self.shared.put(kind, name, json!({ "spec": [1, "spoiled"] }));
     }
 
+    /// Writes an object with bytes that are not UTF-8.
+    pub fn put_not_utf8(&self, kind: &str, name: &str) {
+        self.shared.put(kind, name, json!({ "spec": { "address": NOT_UTF8.to_string() } }));
+    }
+
+    /// Writes an object without a change that watches could return.
+    pub fn put_unannounced(&self, kind: &str, name: &str, spec: Value) {
+        let mut state = self.shared.state();
+        state.revision += 1;
+        let metadata = json!({ "name": name, "revision": state.revision, "finalizers": [] });
+        let object = json!({ "metadata": metadata, "spec": spec });
+        state.objects.insert((kind.to_owned(), name.to_owned()), object);
+    }
+
     pub fn remove(&self, kind: &str, name: &str) {
         self.shared.remove(kind, name);
     }
@@ -341,7 +358,14 @@
 }
 
 fn reply(status: u16, body: &Value) -> Reply {
-    let mut reply = Response::new(Full::new(Bytes::from(body.to_string())));
+    let text = body.to_string();
+    let mut parts = text.split(NOT_UTF8).map(str::as_bytes);
+    let mut body = parts.next().unwrap_or_default().to_vec();
+    for part in parts {
+        body.extend([0xc3, 0x28, 0xff]);
+        body.extend(part);
+    }
+    let mut reply = Response::new(Full::new(Bytes::from(body)));
     *reply.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     reply
 }
--- a/src/why/search.rs
+++ b/src/why/search.rs
@@ -169,6 +169,7 @@
             Event::StoreLost { .. }
             | Event::StoreRegained { .. }
             | Event::StoreRestored { .. }
+            | Event::TargetsMissing { .. }
             | Event::HostUnanswering { .. }
             | Event::WatchBegun { .. }
             | Event::WatchEnded => Some(Subject::Store),
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -10,6 +10,7 @@
 
 use lavenderplank::{
     entry::{EntryHost, Revisions, Stamp},
+    event_log::Event,
     fleet::{Heartbeat, HostInfo, Load, Message, Purpose},
     platform::standin::{ResponseMode, StoreStandin},
 };
@@ -374,6 +375,28 @@
     });
 }
 
+/// Guards against a host that knows no target for good, because it missed that their entries were
+/// written again.
+#[test]
+fn a_host_without_targets_lists_the_store() {
+    run(async {
+        let world = World::spawn(ONE).await;
+        let host = world.host("a").await;
+        let target = &world.targets[0];
+        world.store.remove("servers", target.id());
+        let is_gone = |event: &Event| matches!(event, Event::TargetGone { .. });
+        until("the target is gone", async || world.events.has(is_gone)).await;
+        world.store.put_unannounced("servers", target.id(), target.store_entry("ready", 2));
+        until("it is used again", async || {
+            let answer = world.ask(&host, read("r-1")).await;
+            answer.is_ok_and(|answer| answer.status() == 200)
+        })
+        .await;
+        let is_missing = |event: &Event| matches!(event, Event::TargetsMissing { .. });
+        assert!(world.events.has(is_missing));
+    });
+}
+
 /// The store forgets its history while a configuration changes, then is away. The host lists anew,
 /// goes on serving meanwhile, and never takes an older configuration back.
 #[test]
