Decode each object of the store for itself, whatever its bytes

Cause: a page of a listing or a watch was read as one JSON text, and failed as a whole, for ever. Now such bytes are replaced, and an object that has some gets a value that nothing decodes; its name and revision hold.

An entry of a target without one of the fields that the platform defines (version, sequence, remaining cold time) names no target either. What can't be read is logged once for each entry and revision.

Tests: an_entry_that_is_not_utf8_hides_no_other, more rows in invalid_target_entry_is_refused.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -41,7 +41,7 @@
     metrics::{ControlGauges, EntryMetrics},
     placement::ServiceRegion,
     prelude::*,
-    store::{FollowEvent, FollowOptions, Follower, Platform},
+    store::{FollowEvent, FollowOptions, Follower, Platform, Version},
 };
 
 /// Number of messages that may be queued for the actor; further senders wait.
@@ -132,6 +132,8 @@
     read_records_at: Moment,
     /// When the store or another host last responded with the store's state.
     state_received_at: Moment,
+    /// Entries that can't be read, with the revision that was logged.
+    unreadable_entries: BTreeMap<(StorePart, Arc<str>), Version>,
     election: WatcherElection,
 }
 
@@ -181,6 +183,7 @@
             stale_records: StaleRecordTracker::default(),
             read_records_at: now + FIRST_READ_RECORDS_DELAY,
             state_received_at: now,
+            unreadable_entries: BTreeMap::new(),
             election: WatcherElection::new(now),
             parts,
         };
--- a/src/entry/control/store_updates.rs
+++ b/src/entry/control/store_updates.rs
@@ -15,7 +15,10 @@
     },
     event_log::{Event, Source},
     prelude::*,
-    store::{Change, Changes, Entry, FollowEvent, Listing, PlatformError, StorePoint, Version},
+    store::{
+        Change, Changes, Entry, FollowEvent, Listing, PlatformError, StorePoint, Version,
+        VersionedObject,
+    },
 };
 
 /// Period after a restore of the store over which hosts spread the writes of their records.
@@ -108,19 +111,20 @@
     /// Replaces the callers' keys in a declaration by digests, since hosts neither keep nor
     /// exchange keys. Returns other objects unchanged, and `None` for an invalid declaration.
     fn replace_keys_by_digests(
-        &self,
+        &mut self,
         part: StorePart,
         key: &Arc<str>,
-        object: Bytes,
+        object: VersionedObject,
         source: Source,
     ) -> Option<Bytes> {
         if part != StorePart::Declared {
-            return Some(object);
+            return Some(object.value);
         }
-        match self.parts.protocol.replace_keys_by_digests(object) {
+        let VersionedObject { value, version, .. } = object;
+        match self.parts.protocol.replace_keys_by_digests(value) {
             Ok(object) => Some(object),
             Err(error) => {
-                self.record_unreadable_entry(part, key, &error.0, source);
+                self.record_unreadable_entry(part, key, version, &error.0, source);
                 None
             }
         }
@@ -135,7 +139,8 @@
         let declaration = match checked {
             Ok(declaration) => declaration,
             Err(error) => {
-                self.record_unreadable_entry(StorePart::Declared, key, &error.0, source);
+                let revision = self.held_revision(StorePart::Declared, key);
+                self.record_unreadable_entry(StorePart::Declared, key, revision, &error.0, source);
                 return false;
             }
         };
@@ -169,7 +174,8 @@
                 changed
             }
             Err(error) => {
-                self.record_unreadable_entry(StorePart::Targets, key, &error.0, source);
+                let revision = self.held_revision(StorePart::Targets, key);
+                self.record_unreadable_entry(StorePart::Targets, key, revision, &error.0, source);
                 self.remove_target(key, source)
             }
         }
@@ -185,6 +191,7 @@
     }
 
     fn apply_removal(&mut self, part: StorePart, key: &Arc<str>, source: Source) -> bool {
+        self.unreadable_entries.remove(&(part, key.clone()));
         match part {
             StorePart::Declared => {
                 log::warn!(
@@ -238,14 +245,15 @@
     fn apply_target_listing(&mut self, objects: &[RawObject]) -> bool {
         let source = Source::Listing;
         let mut entries = Vec::new();
-        for RawObject { name, bytes, .. } in objects {
+        for RawObject { name, revision, bytes } in objects {
             match self.parts.protocol.decode_target(name, bytes) {
                 Ok(entry) => {
                     let region = self.parts.settings.region_of(&entry.zone);
                     entries.push((entry, region));
                 }
                 Err(error) => {
-                    self.record_unreadable_entry(StorePart::Targets, name, &error.0, source)
+                    let part = StorePart::Targets;
+                    self.record_unreadable_entry(part, name, *revision, &error.0, source);
                 }
             }
         }
@@ -278,13 +286,13 @@
     }
 
     /// What a watch reported of one object; `None` for an invalid declaration.
-    fn statement(&self, part: StorePart, change: Change) -> Option<Statement> {
+    fn statement(&mut self, part: StorePart, change: Change) -> Option<Statement> {
         let name = object_name(&change.key);
         match change.object {
             Some(object) => {
-                let bytes =
-                    self.replace_keys_by_digests(part, &name, object.value, Source::Watch)?;
-                Some(Statement::Written(RawObject { name, revision: object.version, bytes }))
+                let revision = object.version;
+                let bytes = self.replace_keys_by_digests(part, &name, object, Source::Watch)?;
+                Some(Statement::Written(RawObject { name, revision, bytes }))
             }
             None => Some(Statement::Removed(RemovedObject { name, ended: change.version })),
         }
@@ -295,8 +303,7 @@
         let known = self.objects.part(part).revision();
         let object = |entry: Entry| {
             let (name, revision) = (object_name(&entry.key), entry.object.version);
-            let bytes =
-                self.replace_keys_by_digests(part, &name, entry.object.value, Source::Listing)?;
+            let bytes = self.replace_keys_by_digests(part, &name, entry.object, Source::Listing)?;
             Some(RawObject { name, revision, bytes })
         };
         let objects = entries.into_iter().filter_map(object).collect();
@@ -372,13 +379,23 @@
         }
     }
 
+    fn held_revision(&self, part: StorePart, name: &str) -> Version {
+        self.objects.part(part).revision_of(name).unwrap_or_default()
+    }
+
+    /// Logs an entry that can't be read, once for each of its revisions.
     fn record_unreadable_entry(
-        &self,
+        &mut self,
         part: StorePart,
         name: &Arc<str>,
+        revision: Version,
         reason: &Arc<str>,
         source: Source,
     ) {
+        let logged = self.unreadable_entries.insert((part, name.clone()), revision);
+        if logged == Some(revision) {
+            return;
+        }
         let (name, reason) = (name.clone(), reason.clone());
         self.record_event(Event::EntryUnreadable { name, part, reason, source });
     }
--- a/src/platform/object_store.rs
+++ b/src/platform/object_store.rs
@@ -1,6 +1,6 @@
 //! Client of the platform's store.
 
-use std::sync::Mutex;
+use std::{borrow::Cow, sync::Mutex};
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -110,8 +110,13 @@
     revision: Option<Version>,
 }
 
+/// What stands for an object with bytes that are not UTF-8: none of the values that the platform
+/// defines.
+const NOT_UTF8: &str = r#""bytes that are not UTF-8""#;
+
 struct CallResponse {
     body: Bytes,
+    is_utf8: bool,
     /// Number of restores of the store that the response belongs to.
     restores: u64,
     status: StatusCode,
@@ -180,7 +185,8 @@
             }
             status if status.is_server_error() => Err(unavailable(status.as_str(), true)),
             status if status.is_success() || status == StatusCode::NOT_FOUND => {
-                Ok(CallResponse { body, restores, status })
+                let is_utf8 = std::str::from_utf8(&body).is_ok();
+                Ok(CallResponse { body, is_utf8, restores, status })
             }
             status => Err(refused(status.as_str())),
         }
@@ -206,7 +212,8 @@
         let mut lowest = None;
         loop {
             let answer = self.call(CallKind::Read, Method::GET, &path, None, CALL_TIMEOUT).await?;
-            let page: ListPage = json(&answer.body)?;
+            let text = answer.text();
+            let page: ListPage = json(text.as_bytes())?;
             let current = version(answer.restores, page.current_rev);
             let before = lowest.unwrap_or(current);
             lowest = Some(current.min(before));
@@ -216,7 +223,7 @@
             for item in &page.items {
                 // An object without a name is skipped, so that it does not block the others.
                 match serde_json::from_str::<Object>(item.get()) {
-                    Ok(object) => entries.push(entry(kind, &object, item, answer.restores)),
+                    Ok(object) => entries.push(entry(kind, &object, item, &answer)),
                     Err(error) => log::warn!("skipping an invalid object of {kind}: {error}"),
                 }
             }
@@ -253,9 +260,10 @@
         if answer.status == StatusCode::NOT_FOUND {
             return Ok(None);
         }
-        let object: Object = json(&answer.body)?;
-        let version = version(answer.restores, object.metadata.revision);
-        Ok(Some(versioned(answer.body, version)))
+        let text = answer.text();
+        let raw: Box<RawValue> = json(text.as_bytes())?;
+        let object: Object = json(text.as_bytes())?;
+        Ok(Some(entry("", &object, &raw, &answer).object))
     }
 
     async fn list(&self, prefix: &str) -> Result<Listing> {
@@ -298,13 +306,14 @@
             // The revision was given out again, and stands for another state than the watched one.
             return Err(PlatformError::TooOld { oldest: 0 });
         }
-        let response: WatchResponse = json(&answer.body)?;
+        let text = answer.text();
+        let response: WatchResponse = json(text.as_bytes())?;
         let current = version(answer.restores, response.current_rev);
         let change = |event: &Event| {
             let object = serde_json::from_str::<Object>(event.object.get());
             let object = object
                 .inspect_err(|error| log::warn!("skipping an invalid change of {kind}: {error}"));
-            let entry = entry(kind, &object.ok()?, &event.object, answer.restores);
+            let entry = entry(kind, &object.ok()?, &event.object, &answer);
             // A delete event has no version of its own. It follows the watched version and the last
             // state of its object. The version of the response may be that of a later creation.
             let version = match event.deleted {
@@ -323,10 +332,25 @@
     StorePoint { restores, revision }.version()
 }
 
-fn entry(kind: &str, object: &Object, raw: &RawValue, restores: u64) -> Entry {
-    let value = Bytes::copy_from_slice(raw.get().as_bytes());
+impl CallResponse {
+    /// The body as text. Bytes that are not UTF-8 are replaced, so that an object that has some does
+    /// not hide the others.
+    fn text(&self) -> Cow<'_, str> {
+        String::from_utf8_lossy(&self.body)
+    }
+
+    /// Whether an object of the text contains replaced bytes.
+    fn is_replaced(&self, object: &RawValue) -> bool {
+        !self.is_utf8 && object.get().contains(char::REPLACEMENT_CHARACTER)
+    }
+}
+
+/// An object of a response. One with bytes that are not UTF-8 has a value that nothing decodes.
+fn entry(kind: &str, object: &Object, raw: &RawValue, response: &CallResponse) -> Entry {
+    let value = if response.is_replaced(raw) { NOT_UTF8 } else { raw.get() };
     let key = format!("{kind}/{}", object.metadata.name).into();
-    Entry { key, object: versioned(value, version(restores, object.metadata.revision)) }
+    let version = version(response.restores, object.metadata.revision);
+    Entry { key, object: versioned(Bytes::copy_from_slice(value.as_bytes()), version) }
 }
 
 fn versioned(value: Bytes, version: Version) -> VersionedObject {
--- a/src/platform/server.rs
+++ b/src/platform/server.rs
@@ -1,5 +1,7 @@
 //! Decodes the objects that targets write into the store about themselves.
 
+use serde::de::IgnoredAny;
+
 use crate::{
     base::duration_text,
     entry::{DecodeError, TargetEntry},
@@ -26,14 +28,18 @@
 struct Info {
     service: ServiceId,
     slots: u32,
+    #[serde(rename = "version")]
+    _version: IgnoredAny,
     zone: ZoneId,
 }
 
-#[derive(Clone, Deserialize)]
+#[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Status {
-    #[serde(default, with = "duration_text::field")]
+    #[serde(with = "duration_text::field")]
     cold_remaining: Duration,
+    #[serde(rename = "sequence")]
+    _sequence: IgnoredAny,
     state: State,
 }
 
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -93,6 +93,9 @@
         ("/spec/born", json!("yesterday")),
         ("/status/state", json!("dreaming")),
         ("/status", Value::Null),
+        ("/status", json!({ "state": "ready", "sequence": 4 })),
+        ("/status", json!({ "state": "ready", "coldRemaining": "0ms" })),
+        ("/spec/info", json!({ "service": "desk", "zone": "north-a", "slots": 3 })),
         ("/status/coldRemaining", json!("soon")),
     ] {
         assert!(decode_with(pointer, value.clone()).is_err(), "{pointer} = {value}");
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -375,6 +375,34 @@
     });
 }
 
+/// Guards against an entry with bytes that are not UTF-8 that hides all others of its kind: a target
+/// that retires went on getting requests, and a host that started knew no target.
+#[test]
+fn an_entry_that_is_not_utf8_hides_no_other() {
+    run(async {
+        let world = World::spawn(TWO).await;
+        let host = world.host("a").await;
+        world.store.put_not_utf8("servers", "odd");
+        world.store.put("servers", "t-1", world.targets[0].store_entry("draining", 1));
+        let is_draining = |event: &Event| matches!(event, Event::TargetKnown { ready: false, .. });
+        until("the target is known to retire", async || world.events.has(is_draining)).await;
+        assert_eq!(world.ask(&host, read("r-1")).await.expect("an answer").status(), 200);
+        let unreadable = || {
+            let is_odd = |event: &Event| matches!(event, Event::EntryUnreadable { name, .. } if **name == *"odd");
+            world.events.count(is_odd)
+        };
+        assert_eq!(unreadable(), 1, "an entry is logged once");
+        world.store.compact();
+        let other = world.host("b").await;
+        until("the new host serves", async || {
+            let answer = world.ask(&other, read("r-2")).await;
+            answer.is_ok_and(|answer| answer.status() == 200)
+        })
+        .await;
+        assert_eq!(unreadable(), 2, "each host logs it once");
+    });
+}
+
 /// Guards against a host that knows no target for good, because it missed that their entries were
 /// written again.
 #[test]
