Let no listing undo a removal that is known from later

Found by the model (copies_never_go_back_and_become_equal) on the rule of that what is listed exists: a comparison with another host may have told of a removal after the listing without raising the revision. Now only removals that had taken place by the listing's revision give way.

--- a/src/entry/merge.rs
+++ b/src/entry/merge.rs
@@ -57,10 +57,11 @@
         }
         let listed: BTreeSet<&Arc<str>> = objects.iter().map(|object| &object.name).collect();
         self.end_missing(|name| !listed.contains(name), revision);
-        for RawObject { name, revision, bytes } in objects {
-            // What is listed exists, whatever was said of its end.
-            if self.revision_of(&name).is_none_or(|held| held < revision) {
-                self.insert(name, revision, bytes);
+        for RawObject { name, revision: written, bytes } in objects {
+            // What is listed exists, whatever was said earlier of its end.
+            let is_newer = self.revision_of(&name).is_none_or(|held| held < written);
+            if is_newer && !self.was_removed_after(&name, revision) {
+                self.insert(name, written, bytes);
             }
         }
         // A listing doesn't show objects that were created and removed since the one before.
--- a/src/entry/store_objects.rs
+++ b/src/entry/store_objects.rs
@@ -132,6 +132,11 @@
         self.removed.get(name).map(|removal| removal.ended)
     }
 
+    /// Whether an object may have been removed after a revision.
+    pub fn was_removed_after(&self, name: &str, revision: u64) -> bool {
+        self.removed.get(name).is_some_and(|removal| revision < removal.known_at)
+    }
+
     /// Names and revisions of all objects.
     pub fn names(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
         self.by_name.iter().map(|(name, (revision, _))| (name, *revision))
