Keep the crashes of targets that other hosts counted

Cause: a host counted what it saw itself, and took the counts of others from the loads of live hosts. When the host that counted was restarted, its counts were gone everywhere.

Ruled out: clearing by an answer without a crash; the request has none.

Now a crash is a report with an id of its own. Reports are sets, so that any host may pass on what it heard: every host keeps them for their 60 s, the one that counted reports them, and when nobody does, some of the others go on, so that hosts that start learn them too. That a request was answered without a crash, or that a host had only lost its own links, is told the same way; before, a host kept its counts although another had cleared them. The version of the datagrams rises.

Weighed: sums of counts with the largest one remembered; they can neither be told again nor taken back without counting twice. Reports by all hosts; with hundreds of hosts that takes a good part of each link.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -242,10 +242,7 @@
                 sum.0 = sum.0.saturating_add(*arrived);
                 sum.1 = sum.1.saturating_add(*admitted);
             }
-            for (fingerprint, crashes) in &load.crashes {
-                let sum = view.crashes.entry(*fingerprint).or_default();
-                *sum = sum.saturating_add(*crashes);
-            }
+            view.crashes.extend(&load.crashes);
         }
         view.known_hosts = self.fleet.known_hosts(now);
         view.peers_started_earlier = self.fleet.peers_started_earlier(now);
--- a/src/entry/crash_checks.rs
+++ b/src/entry/crash_checks.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use super::{KnownTarget, TrafficState, upstream::connect};
+use super::{KnownTarget, TrafficState, View, upstream::connect};
 use crate::{
     event_log::Event,
     placement::{Forecast, HealthSignal},
@@ -12,16 +12,17 @@
 impl TrafficState {
     /// Clears a request of crash suspicion after a target answered it without failing.
     pub fn clear_crash_suspect(&self, fingerprint: u64) {
-        let elsewhere = self.view().and_then(|view| view.crashes.get(&fingerprint).copied());
-        let elsewhere = elsewhere.unwrap_or_default();
-        if elsewhere == 0 && self.crash_suspects.borrow().is_empty() {
-            return;
-        }
-        let mut suspects = self.crash_suspects.borrow_mut();
-        if 0 < elsewhere || suspects.has_crashes(fingerprint) {
+        if self.crash_suspects.borrow_mut().clear(fingerprint) {
             self.events.record(None, Event::CrashCleared { fingerprint });
         }
-        suspects.clear(fingerprint, elsewhere, self.clock.now());
+    }
+
+    /// Takes over the crashes that other hosts report.
+    pub(super) fn update_crash_suspects(&self, view: &View) {
+        let now = self.clock.now();
+        let mut suspects = self.crash_suspects.borrow_mut();
+        suspects.learn(&view.crashes, now);
+        suspects.tick(now);
     }
 
     /// Probes a target in the background after a lost response. If it does not accept connections,
@@ -61,7 +62,8 @@
         }
         let now = self.clock.now();
         for fingerprint in fingerprints {
-            let crashes = self.crash_suspects.borrow_mut().record_crash(fingerprint, now);
+            let id = rand::random();
+            let crashes = self.crash_suspects.borrow_mut().record_crash(fingerprint, id, now);
             let target = target.entry.id.clone();
             self.events.record(None, Event::CrashCounted { crashes, fingerprint, target });
         }
--- a/src/entry/load_report.rs
+++ b/src/entry/load_report.rs
@@ -31,10 +31,12 @@
     }
 
     /// The load report for other hosts. While this host reaches no target, it leaves out what it
-    /// observes of targets.
+    /// observes of targets now.
     pub fn load(&self) -> Load {
+        let crashes = self.crash_suspects.borrow().reports(self.clock.now());
         if self.is_cut_off() {
             return Load {
+                crashes,
                 limits: self.target_notices.borrow().reports(self.clock.now()),
                 sent: self.sent_counter.borrow_mut().counts(self.clock.now()),
                 team_counts: self.quota.borrow().report(self.clock.now()),
@@ -52,7 +54,6 @@
             regions.map(|(region, slots)| ((name_tag(name), name_tag(region)), slots as f32))
         });
         let demand = demand.collect();
-        let crashes = self.crash_suspects.borrow().reported_crashes();
         let now = self.clock.now();
         let sent = self.sent_counter.borrow_mut().counts(now);
         let view = self.view();
--- a/src/entry/request_handler.rs
+++ b/src/entry/request_handler.rs
@@ -122,7 +122,7 @@
         state.count_arrival(&service, &route, team.as_deref());
     }
     let fingerprint = fingerprint(&head, &body);
-    if is_crash_suspect(&state, &view, fingerprint) {
+    if is_crash_suspect(&state, fingerprint) {
         return refuse(ErrorKind::Quarantined, None);
     }
     if let Some(path) = head.uri.path_and_query() {
@@ -227,9 +227,8 @@
     xxh3_64_with_seed(body, seed)
 }
 
-fn is_crash_suspect(state: &TrafficState, view: &View, fingerprint: u64) -> bool {
-    let elsewhere = view.crashes.get(&fingerprint).copied().unwrap_or_default();
-    !state.crash_suspects.borrow().may_run(fingerprint, elsewhere)
+fn is_crash_suspect(state: &TrafficState, fingerprint: u64) -> bool {
+    !state.crash_suspects.borrow().may_run(fingerprint)
 }
 
 /// Whether the process is likely to end before a new request is answered.
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -4,6 +4,7 @@
 mod body_memory;
 mod capacity_gauges;
 mod connector;
+mod crash_suspects;
 mod demand;
 mod hosts;
 mod known_state;
--- a/src/entry/tests/targets.rs
+++ b/src/entry/tests/targets.rs
@@ -5,8 +5,8 @@
     admission::RetryBudget,
     base::ManualClock,
     entry::{
-        CrashSuspects, Idempotency, KnownTarget, LiveHost, Route, TrafficState,
-        traffic_state::retry_allowance, unknown_headers::UnknownHeaders,
+        Idempotency, KnownTarget, LiveHost, Route, TrafficState, traffic_state::retry_allowance,
+        unknown_headers::UnknownHeaders,
     },
     event_log::{Event, EventSink, RequestKey},
     placement::{
@@ -192,17 +192,6 @@
     assert_eq!(senders(&hosts(&all)), usual, "someone has to find out when it is reached again");
 }
 
-/// Guards against requests that are refused everywhere because a host that lost its own links counted
-/// the broken connections as crashes of targets.
-#[test]
-fn crashes_counted_while_cut_off_are_forgotten() {
-    let mut crash_suspects = CrashSuspects::default();
-    crash_suspects.record_crash(7, secs(1.0));
-    crash_suspects.record_crash(8, secs(2.0));
-    crash_suspects.forget_since(secs(1.5));
-    assert_eq!(crash_suspects.reported_crashes(), [(7, 1)]);
-}
-
 /// Guards against a host that goes on refusing requests after its links are back, because the pauses
 /// of its targets have grown meanwhile.
 #[test]
@@ -216,36 +205,6 @@
     assert_eq!(health.slowdown(secs(4.1)), 1.0);
 }
 
-/// A request with three crashes, counted by all hosts together, is refused. A request that was
-/// merely running at the same time is cleared once it is answered.
-#[test]
-fn request_that_crashes_targets_is_refused() {
-    let mut crash_suspects = CrashSuspects::default();
-    crash_suspects.record_crash(7, secs(1.0));
-    crash_suspects.record_crash(7, secs(2.0));
-    assert!(crash_suspects.may_run(7, 0));
-    assert!(!crash_suspects.may_run(7, 1));
-    crash_suspects.record_crash(8, secs(2.0));
-    crash_suspects.clear(8, 2, secs(3.0));
-    assert!(crash_suspects.may_run(8, 2));
-    assert_eq!(crash_suspects.reported_crashes(), [(7, 2)]);
-    crash_suspects.record_crash(7, secs(3.0));
-    assert!(!crash_suspects.may_run(7, 0));
-    crash_suspects.tick(secs(70.0));
-    assert!(crash_suspects.may_run(7, 0) && crash_suspects.is_empty());
-}
-
-/// If more requests are suspected than can be kept, the oldest are removed, so that memory is
-/// bounded.
-#[test]
-fn number_of_crash_suspects_is_bounded() {
-    let mut crash_suspects = CrashSuspects::default();
-    for fingerprint in 0..2000 {
-        crash_suspects.record_crash(fingerprint, secs(fingerprint as f64 / 1000.0));
-    }
-    assert_eq!(crash_suspects.reported_crashes().len(), 512);
-}
-
 /// Load pattern: every request fails at every host. The retries of all hosts together stay within
 /// the configured ratio and slack, for various values of both.
 #[test]
--- a/src/entry/traffic_state.rs
+++ b/src/entry/traffic_state.rs
@@ -161,7 +161,7 @@
             open_connections: Cell::new(0),
             request_count: Cell::new(0),
             attempt_count: Cell::new(0),
-            crash_suspects: RefCell::default(),
+            crash_suspects: RefCell::new(CrashSuspects::new(&settings.host)),
             pool: RefCell::default(),
             relay_pool: RefCell::default(),
             relays: RefCell::default(),
@@ -317,7 +317,7 @@
         self.update_notices(&view);
         self.check_silence();
         self.recent_objects.borrow_mut().retain(|(at, _, _)| now < *at + RECENT_OBJECT_PERIOD);
-        self.crash_suspects.borrow_mut().tick(now);
+        self.update_crash_suspects(&view);
         self.update_sent_totals(&view, now);
         self.update_parts(&view);
         self.update_first_runs(&view, now);
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -6,6 +6,7 @@
 
 use super::{Declaration, UsableTargets};
 use crate::{
+    fleet::CrashReport,
     placement::{
         InitialState, LimitReport, NameTag, ObjectTag, SentTotals, ServiceRegion, SlowdownReport,
         TargetTag,
@@ -36,8 +37,8 @@
     pub in_flight_elsewhere: HashMap<u32, u32>,
     /// Slots that callers of other hosts need, by service and the region that has to serve them.
     pub demand: HashMap<ServiceRegion, f64>,
-    /// Crashes of targets that other hosts attribute to a request, by fingerprint of the request.
-    pub crashes: HashMap<u64, u8>,
+    /// Crashes of targets that other hosts hold against requests.
+    pub crashes: Vec<CrashReport>,
     /// What hosts learned earlier, read from the store at the start; `None` if there is nothing to
     /// begin from.
     pub learned: Option<Arc<InitialState>>,
--- a/src/fleet/load.rs
+++ b/src/fleet/load.rs
@@ -5,6 +5,7 @@
     hash::Hash,
 };
 
+use super::crash_report::{CrashReport, merge_crash_reports};
 use crate::{
     placement::{
         LimitReport, NameTag, ObjectTag, ServiceRegion, SlowdownReport, TargetTag, WindowCounts,
@@ -22,8 +23,8 @@
 /// Requests of one host, or the sum over all hosts of a zone.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Load {
-    /// Requests that crash targets: fingerprint, and number of crashes observed.
-    pub crashes: Vec<(u64, u8)>,
+    /// Crashes of targets that are held against requests.
+    pub crashes: Vec<CrashReport>,
     /// Number of busy slots that the requests of callers require, by service and the region that
     /// has to serve them.
     pub demand: Vec<(ServiceRegion, f32)>,
@@ -48,7 +49,7 @@
         let recent_objects: BTreeSet<_> =
             loads.clone().flat_map(|load| &load.recent_objects).copied().collect();
         Self {
-            crashes: sum_by_key(loads.clone().flat_map(|load| &load.crashes), u8::saturating_add),
+            crashes: merge_crash_reports(loads.clone().flat_map(|load| &load.crashes).copied()),
             demand: sum_by_key(loads.clone().flat_map(|load| &load.demand), |a, b| a + b),
             in_flight: sum_by_key(
                 loads.clone().flat_map(|load| &load.in_flight),
@@ -71,18 +72,16 @@
 }
 
 impl Load {
-    /// Removes one host's part from a sum that contains it. Recent objects and limits stay: to know
-    /// of one's own requests or responses twice changes nothing.
+    /// Removes one host's part from a sum that contains it. Crashes, recent objects and limits stay:
+    /// to know of one's own twice changes nothing.
     pub fn subtract(&mut self, part: &Load) {
         let pair =
             |a: (u32, u32), b: (u32, u32)| (a.0.saturating_sub(b.0), a.1.saturating_sub(b.1));
-        subtract_by_key(&mut self.crashes, &part.crashes, u8::saturating_sub);
         subtract_by_key(&mut self.demand, &part.demand, |a, b| (a - b).max(0.0));
         subtract_by_key(&mut self.in_flight, &part.in_flight, u16::saturating_sub);
         subtract_by_key(&mut self.sent, &part.sent, pair);
         subtract_by_key(&mut self.slow_targets, &part.slow_targets, SlowdownReport::without);
         subtract_by_key(&mut self.team_counts, &part.team_counts, pair);
-        self.crashes.retain(|(_, crashes)| 0 < *crashes);
         self.in_flight.retain(|(_, count)| 0 < *count);
         self.slow_targets.retain(|(_, report)| report.has_runs());
     }
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -11,7 +11,7 @@
 };
 
 /// First byte of each datagram. Hosts ignore datagrams with another version.
-const ENCODING: u8 = 0x13;
+const ENCODING: u8 = 0x14;
 
 /// One datagram.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 
 mod collection;
 mod contacts;
+mod crash_report;
 mod load;
 mod machine;
 mod members;
@@ -29,6 +30,7 @@
 pub use self::{
     collection::{Collection, MESH_HOSTS, Round},
     contacts::Contacts,
+    crash_report::{CrashReport, merge_crash_reports, truncate as truncate_crash_reports},
     load::Load,
     machine::{DeclarationCheck, Fleet, FleetConfig, Outgoing, OwnState, Received},
     members::Members,
--- a/src/fleet/tests/reports.rs
+++ b/src/fleet/tests/reports.rs
@@ -2,7 +2,7 @@
 
 use super::{addr, secs};
 use crate::{
-    fleet::{Delivery, Load, Members, Reports, Rotation, ZoneReport},
+    fleet::{CrashReport, Delivery, Load, Members, Reports, Rotation, ZoneReport},
     placement::{LimitReport, SlowdownReport},
     prelude::*,
 };
@@ -58,8 +58,9 @@
 /// Guards against sums that count a host twice or miss one, and against duplicate recent objects.
 #[test]
 fn loads_add_up_by_key() {
+    let crash = CrashReport { fingerprint: 1, id: 2, age_ms: 300, is_cleared: false };
     let one = Load {
-        crashes: vec![(1, 2)],
+        crashes: vec![crash],
         demand: vec![((5, 6), 0.5)],
         in_flight: vec![(7, 2), (8, 1)],
         limits: vec![(7, LimitReport { age_ms: 100, limit: Some(2.0), number: 1 })],
@@ -81,7 +82,7 @@
     );
     assert_eq!(
         (sum.crashes, sum.demand, sum.recent_objects),
-        (vec![(1, 4)], vec![((5, 6), 1.0)], vec![(7, 11)])
+        (vec![crash], vec![((5, 6), 1.0)], vec![(7, 11)])
     );
 }
 
