--- a/tests/lost_hosts.rs
+++ b/tests/lost_hosts.rs
@@ -119,7 +119,8 @@
         member.book_at(stays.http, key).header("lavender-binding", &new_binding)
     })
     .await;
-    assert_eq!(header(&taken_over.res, "lavender-ran"), "yes");
+    let (key, headers) = (&taken_over.key, taken_over.res.headers());
+    assert_eq!(header(&taken_over.res, "lavender-ran"), "yes", "{key}: {headers:?}");
 
     let resumed = wall_clock();
     pauses.signal(Signal::CONT);
@@ -136,7 +137,7 @@
         );
         let lapsed = &events[..regained.unwrap_or(events.len())];
         let sent = |kind: &EventKind| matches!(kind, EventKind::Dispatched { .. });
-        assert!(!lapsed.iter().any(|event| sent(&event.kind)), "sent without a right");
+        assert!(!lapsed.iter().any(|event| sent(&event.kind)), "sent without a right: {events:?}");
         regained.is_some()
     })
     .await;
