Log on which connection each attempt went out, when, and how many bytes of it

Of a booking that ran twice, or was refused and ran, the log could not tell five causes apart. It named the id in a response only if that differed, but not whether bytes had gone out of an attempt that ended as unreachable or withheld, nor which requests had shared a connection, nor how long a host had been held up between decision and dispatch; relays told neither.

`attempt-ended` and `relay-ended` name the connection, the number of the request on it and the bytes written of it; `attempt-ended` the time until dispatch; `relay-ended` the id in a response to another request. `why` shows them.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -16,7 +16,7 @@
     response_body::{ReadBody, buffer_body},
     streaming_body::{StreamCompletion, StreamingBody},
     target_statements::TargetAnswer,
-    upstream::{SendError, TargetConnection, connect, keep_alive_timeout},
+    upstream::{RequestUse, SendError, TargetConnection, connect, keep_alive_timeout},
 };
 use crate::{
     base::with_root_cause,
@@ -83,6 +83,8 @@
         started: in_flight.started,
         sent_at: in_flight.started,
         connect_time: None,
+        connection: None,
+        dispatched_after: None,
         is_recorded: false,
         first_byte: None,
         response_to: None,
@@ -100,7 +102,7 @@
     if !state.may_still_send(&target, &in_flight) {
         return guard.withheld(connection);
     }
-    guard.sent_at = state.clock.now();
+    guard.dispatch(&connection);
     let mut sent = connection.send(id, build_request(&state, &request, &target)).await;
     if let Err(SendError::NotSent(reason)) = &sent
         && connection.reused
@@ -119,7 +121,7 @@
         if !state.may_still_send(&target, &in_flight) {
             return guard.withheld(connection);
         }
-        guard.sent_at = state.clock.now();
+        guard.dispatch(&connection);
         sent = connection.send(id, build_request(&state, &request, &target)).await;
     }
     let response = match sent {
@@ -205,6 +207,10 @@
     state: Rc<TrafficState>,
     /// Time taken to open a new connection; `None` for a reused one.
     connect_time: Option<Duration>,
+    /// The connection that the request was last handed to.
+    connection: Option<RequestUse>,
+    /// Time until that.
+    dispatched_after: Option<Duration>,
     is_recorded: bool,
     /// Time until the head of the response arrived.
     first_byte: Option<Duration>,
@@ -236,11 +242,20 @@
         self.state.clock.now().saturating_sub(self.started)
     }
 
+    /// The request is handed to a connection.
+    fn dispatch(&mut self, connection: &TargetConnection) {
+        self.sent_at = self.state.clock.now();
+        self.dispatched_after = Some(self.elapsed());
+        self.connection = Some(connection.next_use());
+    }
+
     fn record_end(&mut self, signal: HealthSignal, end: AttemptEnd, detail: &str) {
         self.is_recorded = true;
         let time_left = self.request.deadline.saturating_sub(self.state.clock.now());
         let event = Event::AttemptEnded {
             connect_ms: self.connect_time.map(|took| took.as_millis() as u64),
+            connection: self.connection.as_ref().map(RequestUse::describe),
+            dispatch_ms: self.dispatched_after.map(|took| took.as_millis() as u64),
             left_ms: time_left.as_millis() as u64,
             end,
             first_byte_ms: self.first_byte.map(|took| took.as_millis() as u64),
--- a/src/entry/head_bound.rs
+++ b/src/entry/head_bound.rs
@@ -1,5 +1,5 @@
 //! Bounds the heads of responses: a server may send bytes that never end a head, or informational
-//! responses without end.
+//! responses without end. Counts the bytes that are written.
 
 use std::{
     cell::Cell,
@@ -27,35 +27,47 @@
 /// Longest time from the first byte of a head to its last.
 const MAX_HEAD_TIME: Duration = Duration::from_secs(1);
 
-/// Number of the request on a connection that waits for the head of its response, if one does.
-pub(super) type HeadAwaited = Rc<Cell<Option<usize>>>;
+/// What the sender of requests and the stream of its connection share.
+#[derive(Debug, Default)]
+pub(super) struct StreamState {
+    /// Number of the request that waits for the head of its response, if one does.
+    pub head_awaited: Cell<Option<usize>>,
+    /// Bytes written since the connection was opened.
+    pub written: Cell<u64>,
+}
 
 /// A connection to a server. Reading fails once an awaited head exceeds the bounds.
 pub(super) struct HeadBound {
     /// The request whose head was awaited at the last read.
     at_last_read: Option<usize>,
-    awaited: HeadAwaited,
     bytes: usize,
     /// The last bytes read; an empty line ends a head.
     last: [u8; 4],
     /// Started with the first byte of a head.
     limit: Option<Pin<Box<Sleep>>>,
+    state: Rc<StreamState>,
     stream: Box<dyn Stream>,
 }
 
 impl HeadBound {
     /// Wraps a new connection.
-    pub fn new(stream: Box<dyn Stream>) -> (Self, HeadAwaited) {
-        let awaited = HeadAwaited::default();
+    pub fn new(stream: Box<dyn Stream>) -> (Self, Rc<StreamState>) {
+        let state = Rc::<StreamState>::default();
         let bound = Self {
             at_last_read: None,
-            awaited: awaited.clone(),
             bytes: 0,
             last: [0; 4],
             limit: None,
+            state: state.clone(),
             stream,
         };
-        (bound, awaited)
+        (bound, state)
+    }
+
+    fn count_written(&self, written: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(bytes)) = written {
+            self.state.written.set(self.state.written.get() + *bytes as u64);
+        }
     }
 
     /// Counts bytes that were read while a head is awaited.
@@ -84,7 +96,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let this = self.get_mut();
-        let awaited = this.awaited.get();
+        let awaited = this.state.head_awaited.get();
         if this.at_last_read != awaited {
             this.at_last_read = awaited;
             (this.bytes, this.last, this.limit) = (0, [0; 4], None);
@@ -107,7 +119,10 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
+        let this = self.get_mut();
+        let written = Pin::new(&mut this.stream).poll_write(cx, buf);
+        this.count_written(&written);
+        written
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -123,7 +138,10 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, bufs)
+        let this = self.get_mut();
+        let written = Pin::new(&mut this.stream).poll_write_vectored(cx, bufs);
+        this.count_written(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/entry/relay_attempt.rs
+++ b/src/entry/relay_attempt.rs
@@ -15,7 +15,7 @@
     response::{CallerResponse, ResponseBody, remove_hop_by_hop_headers},
     response_body::{ReadBody, buffer_body, read_within_bounds},
     streaming_body::{StreamEnd, StreamingBody},
-    upstream::{SendError, TargetConnection, connect, keep_alive_timeout},
+    upstream::{RequestUse, SendError, TargetConnection, connect, keep_alive_timeout},
 };
 use crate::{
     base::{Ran, with_root_cause},
@@ -122,9 +122,11 @@
 ) -> RelayResult {
     let in_flight = RelayInFlight::new(&state, &host.host);
     let mut guard = RelayGuard {
+        connection: None,
         host: host.clone(),
         is_recorded: false,
         request: request.clone(),
+        response_to: None,
         started: state.clock.now(),
         state: state.clone(),
     };
@@ -138,6 +140,7 @@
         Ok(connection) => connection,
         Err(error) => return guard.not_sent(&error),
     };
+    guard.connection = Some(connection.next_use());
     let mut sent = connection.send(id, build_request(&state, &request, relayed.clone())).await;
     if let Err(SendError::NotSent(_)) = &sent
         && connection.reused
@@ -147,6 +150,7 @@
             Ok(connection) => connection,
             Err(error) => return guard.not_sent(&error),
         };
+        guard.connection = Some(connection.next_use());
         sent = connection.send(id, build_request(&state, &request, relayed)).await;
     }
     let mut response = match sent {
@@ -156,6 +160,7 @@
     };
     let metadata = state.protocol.reply_metadata(response.status(), response.headers());
     if metadata.attempt_id != request.metadata.attempt_id {
+        guard.response_to = Some(metadata.attempt_id.unwrap_or_else(|| "".into()));
         return guard.lost("the response belongs to another request");
     }
     let Some(statement) = RelayedResponse::take_from(response.headers_mut()) else {
@@ -191,9 +196,13 @@
 
 /// Records how the attempt ended; one that is dropped before its end is recorded as cancelled.
 struct RelayGuard {
+    /// The connection that the request was last handed to.
+    connection: Option<RequestUse>,
     host: RelayHost,
     is_recorded: bool,
     request: Rc<OutboundRequest>,
+    /// Attempt id in the response if it is not the request's.
+    response_to: Option<Arc<str>>,
     started: Moment,
     state: Rc<TrafficState>,
 }
@@ -211,8 +220,10 @@
         self.is_recorded = true;
         let took = self.state.clock.now().saturating_sub(self.started);
         let event = Event::RelayEnded {
+            connection: self.connection.as_ref().map(RequestUse::describe),
             end,
             detail: detail.into(),
+            response_to: self.response_to.clone(),
             service: self.request.service.clone(),
             to: self.host.host.clone(),
             took_ms: took.as_millis() as u64,
@@ -368,8 +379,10 @@
 
     fn broken(self: Box<Self>, reason: &str) {
         let event = Event::RelayEnded {
+            connection: None,
             end: RelayEnd::Lost,
             detail: reason.into(),
+            response_to: None,
             service: self.request.service.clone(),
             to: self.host.host.clone(),
             took_ms: 0,
--- a/src/entry/upstream.rs
+++ b/src/entry/upstream.rs
@@ -3,7 +3,13 @@
 //! Uses the connection-level client of `hyper` rather than `reqwest`, which hides whether a
 //! request's bytes were written, which connection carried it and what followed a response.
 
-use std::{collections::HashMap, hash::Hash, io};
+use std::{
+    collections::HashMap,
+    hash::Hash,
+    io,
+    rc::Rc,
+    sync::atomic::{AtomicU64, Ordering},
+};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response};
@@ -14,9 +20,9 @@
 use super::{
     Connector,
     carried_ids::CarriedIds,
-    head_bound::{HeadAwaited, HeadBound, MAX_READ_BYTES},
+    head_bound::{HeadBound, MAX_READ_BYTES, StreamState},
 };
-use crate::{base::with_root_cause, prelude::*};
+use crate::{base::with_root_cause, event_log::ConnectionUse, prelude::*};
 
 /// A round trip between regions takes 110 ms, and a lost packet is sent again after 200 ms or more.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(450);
@@ -31,6 +37,9 @@
 /// Most idle connections kept per server; more than a target's slots would never be used.
 const MAX_IDLE_PER_SERVER: usize = 4;
 
+/// Number of connections that this process has opened.
+static OPENED: AtomicU64 = AtomicU64::new(0);
+
 /// Result of connecting to a target or sending it a request.
 pub type Result<T> = std::result::Result<T, SendError>;
 
@@ -51,12 +60,33 @@
 /// A connection to a target that is in use.
 pub struct TargetConnection {
     carried: CarriedIds,
-    head_awaited: HeadAwaited,
+    /// Number of the connection in this process, from 1.
+    number: u64,
     sender: http1::SendRequest<Full<Bytes>>,
+    stream: Rc<StreamState>,
     /// Whether the connection was used for an earlier request.
     pub reused: bool,
 }
 
+/// The use of a connection for one request, to be logged at its end.
+pub struct RequestUse {
+    connection: u64,
+    request: u64,
+    stream: Rc<StreamState>,
+    written_before: u64,
+}
+
+impl RequestUse {
+    /// Describes the use so far.
+    pub fn describe(&self) -> ConnectionUse {
+        ConnectionUse {
+            number: self.connection,
+            request: self.request,
+            written: self.stream.written.get() - self.written_before,
+        }
+    }
+}
+
 /// Idle connections, by the tag of a target or the address of a host.
 pub struct ConnectionPool<K> {
     idle: HashMap<K, Vec<IdleConnection>>,
@@ -137,7 +167,7 @@
     let stream = result
         .map_err(|_| SendError::Unreachable("connect timed out".into()))?
         .map_err(unreachable)?;
-    let (stream, head_awaited) = HeadBound::new(stream);
+    let (stream, state) = HeadBound::new(stream);
     let handshake =
         http1::Builder::new().max_buf_size(MAX_READ_BYTES).handshake(TokioIo::new(stream));
     let (sender, connection) =
@@ -147,10 +177,22 @@
             log::debug!("connection to target {addr} failed: {error}");
         }
     });
-    Ok(TargetConnection { carried: CarriedIds::default(), head_awaited, sender, reused: false })
+    let number = 1 + OPENED.fetch_add(1, Ordering::Relaxed);
+    let carried = CarriedIds::default();
+    Ok(TargetConnection { carried, number, sender, stream: state, reused: false })
 }
 
 impl TargetConnection {
+    /// The use of the connection for the next request.
+    pub fn next_use(&self) -> RequestUse {
+        RequestUse {
+            connection: self.number,
+            request: 1 + self.carried.len() as u64,
+            stream: self.stream.clone(),
+            written_before: self.stream.written.get(),
+        }
+    }
+
     /// Sends a request with this id and waits for the head of the response.
     pub async fn send(
         &mut self,
@@ -161,9 +203,9 @@
         if let Err(error) = self.sender.ready().await {
             return Err(SendError::NotSent(error.to_string().into()));
         }
-        self.head_awaited.set(Some(self.carried.len()));
+        self.stream.head_awaited.set(Some(self.carried.len()));
         let sent = self.sender.try_send_request(req).await;
-        self.head_awaited.set(None);
+        self.stream.head_awaited.set(None);
         match sent {
             Ok(response) => Ok(response),
             Err(mut failed) => match failed.take_message() {
--- a/src/event_log/event.rs
+++ b/src/event_log/event.rs
@@ -45,6 +45,13 @@
         /// Time to establish the connection; `None` if one was reused or none was established.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         connect_ms: Option<u64>,
+        /// The connection that carried the request last; `None` if there was none.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        connection: Option<ConnectionUse>,
+        /// Time from the decision until the request was handed to its connection; `None` if it was
+        /// not.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        dispatch_ms: Option<u64>,
         /// Time left until the caller's deadline.
         left_ms: u64,
         end: AttemptEnd,
@@ -172,9 +179,15 @@
     },
     /// The attempt to have another host serve a request ended.
     RelayEnded {
+        /// The connection that carried the request last; `None` if there was none.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        connection: Option<ConnectionUse>,
         end: RelayEnd,
         /// The status code, or the error.
         detail: Arc<str>,
+        /// Attempt id in the response if it is not the request's; empty if the response has none.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        response_to: Option<Arc<str>>,
         service: ServiceId,
         to: HostId,
         took_ms: u64,
@@ -433,6 +446,17 @@
     Unanswered,
 }
 
+/// What a connection to a target or host carried for one request.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ConnectionUse {
+    /// Number of the connection in this process, from 1.
+    pub number: u64,
+    /// Number of the request on the connection, from 1.
+    pub request: u64,
+    /// Bytes of the request that were written.
+    pub written: u64,
+}
+
 fn is_false(value: &bool) -> bool {
     !value
 }
--- a/src/event_log/mod.rs
+++ b/src/event_log/mod.rs
@@ -19,8 +19,8 @@
 
 pub use self::{
     event::{
-        AttemptEnd, AttemptReason, End, Event, EventKind, LimitSource, PartNote, PauseReason,
-        RelayEnd, ReloadEnd, Source, WatchReason,
+        AttemptEnd, AttemptReason, ConnectionUse, End, Event, EventKind, LimitSource, PartNote,
+        PauseReason, RelayEnd, ReloadEnd, Source, WatchReason,
     },
     line::{Line, RequestKey},
     log_bridge::start_bridge,
--- a/src/headroom/tests/logs.rs
+++ b/src/headroom/tests/logs.rs
@@ -57,6 +57,8 @@
 fn ended(target: &str, took_ms: u64) -> Event {
     Event::AttemptEnded {
         connect_ms: None,
+        connection: None,
+        dispatch_ms: None,
         left_ms: 500,
         end: AttemptEnd::Answered,
         first_byte_ms: Some(took_ms),
--- a/src/measure/slots/tests.rs
+++ b/src/measure/slots/tests.rs
@@ -80,6 +80,8 @@
 fn ended(target: &str, end: AttemptEnd) -> Event {
     Event::AttemptEnded {
         connect_ms: Some(5),
+        connection: None,
+        dispatch_ms: None,
         left_ms: 1_500,
         end,
         first_byte_ms: None,
--- a/src/why/cause.rs
+++ b/src/why/cause.rs
@@ -3,7 +3,7 @@
 
 use super::HistoryEntry;
 use crate::{
-    event_log::{AttemptEnd, End, Event, PauseReason, RelayEnd},
+    event_log::{AttemptEnd, ConnectionUse, End, Event, PauseReason, RelayEnd},
     prelude::*,
 };
 
@@ -198,7 +198,15 @@
     for event in request {
         match event {
             Event::AttemptEnded {
-                connect_ms, detail, end, response_to, target, took_ms, ..
+                connect_ms,
+                connection,
+                detail,
+                dispatch_ms,
+                end,
+                response_to,
+                target,
+                took_ms,
+                ..
             } => {
                 let end = match end {
                     AttemptEnd::Answered => continue,
@@ -218,18 +226,21 @@
                     AttemptEnd::Withheld => "took no more requests",
                     AttemptEnd::WrongTarget => "is no longer at its address",
                 };
-                let other = match response_to.as_deref() {
-                    None => String::new(),
-                    Some("") => ", by a response that names no request".to_owned(),
-                    Some(id) => format!(", by a response to {id}"),
-                };
-                reasons.push(format!("{target} {end} after {took_ms} ms: {detail}{other}"));
+                let other = describe_other_response(response_to.as_deref());
+                let carried = describe_use(connection.as_ref(), *dispatch_ms);
+                reasons
+                    .push(format!("{target} {end} after {took_ms} ms: {detail}{other}{carried}"));
                 reasons.extend(target_changes(lines, target));
             }
-            Event::RelayEnded { detail, end, to, took_ms, .. } if *end != RelayEnd::Answered => {
+            Event::RelayEnded { connection, detail, end, response_to, to, took_ms, .. }
+                if *end != RelayEnd::Answered =>
+            {
                 let end: &str = end.into();
+                let other = describe_other_response(response_to.as_deref());
+                let carried = describe_use(connection.as_ref(), None);
                 reasons.push(format!(
-                    "this host reached no target; {to} was asked: {end} after {took_ms} ms: {detail}"
+                    "this host reached no target; {to} was asked: {end} after {took_ms} ms: \
+                     {detail}{other}{carried}"
                 ));
             }
             Event::RetryDenied { limit, sent, .. } => {
@@ -243,6 +254,23 @@
     reasons
 }
 
+fn describe_other_response(response_to: Option<&str>) -> String {
+    match response_to {
+        None => String::new(),
+        Some("") => ", by a response that names no request".to_owned(),
+        Some(id) => format!(", by a response to {id}"),
+    }
+}
+
+/// What was written of a request, on which connection and when.
+fn describe_use(connection: Option<&ConnectionUse>, dispatch_ms: Option<u64>) -> String {
+    let Some(ConnectionUse { number, request, written }) = connection else {
+        return String::new();
+    };
+    let at = dispatch_ms.map_or_else(String::new, |at| format!(" at {at} ms"));
+    format!("; dispatched{at} as request {request} on connection {number}, {written} bytes written")
+}
+
 /// Describes an attempt that was cancelled: the deadline passed, or another attempt was faster.
 fn describe_cancelled_attempt(
     request: &[&Event],
--- a/src/why/tests.rs
+++ b/src/why/tests.rs
@@ -73,6 +73,8 @@
 fn ended(target: &str, end: AttemptEnd) -> Event {
     Event::AttemptEnded {
         connect_ms: Some(5),
+        connection: None,
+        dispatch_ms: None,
         left_ms: 1_500,
         end,
         first_byte_ms: None,
--- a/tests/entry_log.rs
+++ b/tests/entry_log.rs
@@ -8,7 +8,7 @@
 use assert_matches::assert_matches;
 use lavenderplank::{
     base::{ErrorKind, Ran},
-    event_log::{AttemptEnd, End, Event},
+    event_log::{AttemptEnd, ConnectionUse, End, Event},
     platform::standin::ResponseMode,
 };
 use serde_json::json;
@@ -17,6 +17,43 @@
 const ONE: &[&str] = &["north-a"];
 const TWO: &[&str] = &["north-a", "north-b"];
 
+/// Guards against a log that cannot tell why a booking ran twice: what was written of each attempt, on
+/// which connection and as which request of it.
+#[test]
+fn the_log_tells_what_a_connection_carried_for_each_attempt() {
+    run(async {
+        let world = World::spawn(ONE).await;
+        let host = world.host("a").await;
+        world.ask(&host, booking("first")).await.expect("an answer");
+        world.ask(&host, booking("second")).await.expect("an answer");
+        let uses = ["first", "second"].map(|attempt| {
+            let mut events = world.events.of(attempt).into_iter();
+            let used = events.find_map(|event| match event {
+                Event::AttemptEnded { connection, dispatch_ms, .. } => connection.zip(dispatch_ms),
+                _ => None,
+            });
+            used.expect("the request was handed to a connection").0
+        });
+        let [first, second] = uses;
+        assert_eq!((first.request, second.request), (1, 2));
+        assert_eq!(first.number, second.number);
+        assert_matches!(first, ConnectionUse { written: 1.., .. });
+        assert!(second.written < 2 * first.written, "of one request each: {first:?}, {second:?}");
+
+        world.targets[0].queue_responses(&[ResponseMode::Reset]);
+        world.ask(&host, booking("third")).await.expect("an answer");
+        let third = world.events.of("third");
+        assert_matches!(
+            &third[2],
+            Event::AttemptEnded {
+                connection: Some(ConnectionUse { request: 3, written: 1.., .. }),
+                end: AttemptEnd::Lost,
+                ..
+            }
+        );
+    });
+}
+
 /// What the log tells of a request that was answered, one that nobody could take, and one whose
 /// target broke off: each step with the inputs that decided it.
 #[test]
