Play crowded targets that send any response again, in part, spoiled or not at all

The stand-ins could send a refusal a second time, but only one that a test had asked for, and no play had most responses refused while hosts ran as processes, as on the users' machines. `FaultPlan` draws for each response of a target, whatever its kind: copied at once or late, once or several times, with or without its id, cut, reset, joined with the next, after an informational response or after bytes that are none; targets have slots and a queue. tests/response_faults.rs plays this with hosts as processes, by default 5 s on two hosts and six targets at 420 bookings a second, more than there is room for, and checks at the targets that nothing ran twice, ran after a promise, was mixed or unasked.

--- a/src/platform/standin/mod.rs
+++ b/src/platform/standin/mod.rs
@@ -1,8 +1,11 @@
 //! Stand-ins for the users' platform, for tests and the demo on loopback: its store and its
 //! targets, as far as a host uses them.
 
+mod capacity;
 mod fault_run;
 mod links;
+mod received;
+mod response_faults;
 mod settings;
 mod store;
 mod target;
@@ -11,8 +14,10 @@
 pub use self::{
     fault_run::{FaultRunReport, run_with_faults},
     links::{LinkMode, TargetLinks},
+    received::ReceivedRequest,
+    response_faults::{FaultPlan, Rejections, ResponseFaults},
     settings::{loopback_settings, loopback_traffic},
     store::{StoreCopy, StoreDoor, StoreStandin},
-    target::{ReceivedRequest, ResponseMode, Statements, TargetIdentity, TargetStandin},
+    target::{ResponseMode, Statements, TargetIdentity, TargetStandin},
     unending::{Unending, UnendingPart},
 };
--- a/src/platform/standin/target.rs
+++ b/src/platform/standin/target.rs
@@ -4,26 +4,27 @@
     collections::VecDeque,
     io,
     sync::{
-        Mutex, MutexGuard,
+        Mutex, MutexGuard, OnceLock,
         atomic::{AtomicUsize, Ordering},
     },
 };
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 use serde_json::{Value, json};
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
+    io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
     task::JoinHandle,
-    time::Instant,
 };
 
-use super::Unending;
+use super::{
+    FaultPlan, ReceivedRequest, Unending,
+    capacity::{Capacity, Entry},
+    received::read_request,
+    response_faults::Sending,
+};
 use crate::prelude::*;
 
-/// Maximum number of headers of a request.
-const MAX_HEADERS: usize = 64;
-
 /// How a target responds to one request.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum ResponseMode {
@@ -38,6 +39,8 @@
     Hang,
     /// Executes the request and responds with a status that other targets refuse requests with.
     FalseRefusal,
+    /// Refuses the request with this status, without executing it.
+    Refuse(u16),
     /// Refuses the request as overloaded, without executing it.
     Shed,
     /// Executes the request and closes the connection without a response.
@@ -81,28 +84,6 @@
     }
 }
 
-/// A request received by the target.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ReceivedRequest {
-    pub at: Instant,
-    pub attempt_id: String,
-    pub body: Bytes,
-    /// Number of the connection, from 1 in order of acceptance.
-    pub connection: usize,
-    /// Whether the request contained a caller's key.
-    pub has_key: bool,
-    pub method: String,
-    /// Id of the target for which the request is intended.
-    pub expected_target: String,
-    pub path: String,
-    /// Whether the target executed the request.
-    pub ran: bool,
-    /// Team name in the request's header.
-    pub team: Option<String>,
-    /// Time for which the caller still waits, in milliseconds.
-    pub time_left: Option<u64>,
-}
-
 /// Identity that a target reports in its store entry.
 #[derive(Clone, Debug)]
 pub struct TargetIdentity {
@@ -121,10 +102,13 @@
 
 #[derive(Default)]
 struct Shared {
+    /// Without bounds if not set.
+    capacity: OnceLock<Capacity>,
     response_body: Mutex<Bytes>,
     response_modes: Mutex<VecDeque<ResponseMode>>,
     /// Number of connections that the peer closed while a request was being processed.
     disconnects: AtomicUsize,
+    fault_plan: Mutex<Option<FaultPlan>>,
     /// Number of the next responses that are sent again.
     late_copies: AtomicUsize,
     late_copies_sent: AtomicUsize,
@@ -182,6 +166,18 @@
         self.shared.late_copies.fetch_add(count, Ordering::Relaxed);
     }
 
+    /// Lets the target execute `slots` requests at a time and `queue` more wait; others are refused.
+    /// Cannot be changed later.
+    pub fn set_capacity(&self, slots: usize, queue: usize) {
+        let _ = self.shared.capacity.set(Capacity::new(slots, queue));
+    }
+
+    /// Draws how later requests and their responses are treated from a plan; `None` to serve all.
+    /// The bodies of responses name their requests while there is one.
+    pub fn set_fault_plan(&self, plan: Option<FaultPlan>) {
+        *locked(&self.shared.fault_plan) = plan;
+    }
+
     /// Returns how many responses were sent again.
     pub fn late_copies_sent(&self) -> usize {
         self.shared.late_copies_sent.load(Ordering::Relaxed)
@@ -254,20 +250,20 @@
     shared: Arc<Shared>,
 ) {
     let mut buf = BytesMut::new();
-    let mut copy: Option<BytesMut> = None;
+    let mut late: Vec<Bytes> = Vec::new();
     loop {
         match read_request(&mut stream, &mut buf, number).await {
             Ok(Some(request)) => {
-                if let Some(copy) = copy.take() {
+                for copy in late.drain(..) {
                     shared.late_copies_sent.fetch_add(1, Ordering::Relaxed);
                     if stream.write_all(&copy).await.is_err() {
                         return;
                     }
                 }
-                let Ok(Some(response)) = respond(&mut stream, id, request, &shared).await else {
+                let Ok(Some(more)) = respond(&mut stream, id, request, &shared).await else {
                     return;
                 };
-                copy = shared.takes_late_copy().then_some(response);
+                late = more;
             }
             Ok(None) => return,
             Err(error) => return log::debug!("{id}: {error}"),
@@ -275,80 +271,74 @@
     }
 }
 
-/// Reads one request.
-async fn read_request(
-    stream: &mut TcpStream,
-    buf: &mut BytesMut,
-    connection: usize,
-) -> io::Result<Option<ReceivedRequest>> {
-    loop {
-        if let Some(request) = parse(buf, connection)? {
-            return Ok(Some(request));
-        }
-        if stream.read_buf(buf).await? == 0 {
-            return Ok(None);
-        }
-    }
-}
-
-fn parse(buf: &mut BytesMut, connection: usize) -> io::Result<Option<ReceivedRequest>> {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut req = httparse::Request::new(&mut headers);
-    let httparse::Status::Complete(head) = req.parse(buf).map_err(io::Error::other)? else {
-        return Ok(None);
-    };
-    let text = |name: &str| {
-        let header = req.headers.iter().find(|header| header.name.eq_ignore_ascii_case(name));
-        header.map(|header| String::from_utf8_lossy(header.value).into_owned())
-    };
-    let length: usize =
-        text("content-length").and_then(|length| length.parse().ok()).unwrap_or_default();
-    if buf.len() < head + length {
-        return Ok(None);
-    }
-    let mut request = ReceivedRequest {
-        at: Instant::now(),
-        attempt_id: text("lavenderplank-attempt-id").unwrap_or_default(),
-        body: Bytes::new(),
-        connection,
-        has_key: text("lavenderplank-key").is_some(),
-        expected_target: text("lavenderplank-expected-instance").unwrap_or_default(),
-        method: req.method.unwrap_or_default().to_owned(),
-        path: req.path.unwrap_or_default().to_owned(),
-        ran: false,
-        team: text("lavenderplank-tenant"),
-        time_left: text("lavenderplank-time-remaining").and_then(|left| left.parse().ok()),
-    };
-    buf.advance(head);
-    request.body = buf.split_to(length).freeze();
-    Ok(Some(request))
-}
-
 impl Shared {
     fn takes_late_copy(&self) -> bool {
         let take = |left: usize| left.checked_sub(1);
         self.late_copies.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take).is_ok()
     }
+
+    fn next_mode(&self) -> ResponseMode {
+        let queued = locked(&self.response_modes).pop_front();
+        let drawn = || locked(&self.fault_plan).as_mut().map(FaultPlan::draw_mode);
+        queued.or_else(drawn).unwrap_or_default()
+    }
+
+    fn body_for(&self, id: &str, attempt_id: &str) -> Bytes {
+        match &*locked(&self.fault_plan) {
+            Some(_) => format!("answer of {id} to {attempt_id}").into(),
+            None => locked(&self.response_body).clone(),
+        }
+    }
+
+    fn sending(&self, response: Bytes) -> Sending {
+        let mut sending = match &mut *locked(&self.fault_plan) {
+            Some(plan) => plan.spoil(response.clone()),
+            None => Sending::whole(response.clone()),
+        };
+        if self.takes_late_copy() {
+            sending.late.push(response);
+        }
+        sending
+    }
 }
 
-/// Responds to one request. Returns the response; `None` if the connection must be closed.
+/// Responds to one request. Returns what is to be sent before the next response; `None` if the
+/// connection must be closed.
 async fn respond(
     stream: &mut TcpStream,
     id: &str,
     mut request: ReceivedRequest,
     shared: &Shared,
-) -> io::Result<Option<BytesMut>> {
-    let mode = locked(&shared.response_modes).pop_front().unwrap_or_default();
+) -> io::Result<Option<Vec<Bytes>>> {
+    let mut mode = shared.next_mode();
     let attempt_id = request.attempt_id.clone();
-    request.ran = !matches!(mode, ResponseMode::Shed | ResponseMode::WrongTarget);
+    let refuses = |mode| {
+        matches!(mode, ResponseMode::Refuse(_) | ResponseMode::Shed | ResponseMode::WrongTarget)
+    };
+    let mut is_immediate = matches!(mode, ResponseMode::Refuse(_));
+    let mut _slot = None;
+    if let Some(capacity) = shared.capacity.get().filter(|_| !refuses(mode)) {
+        match capacity.enter(stream).await {
+            Entry::Full => {
+                mode = ResponseMode::Shed;
+                is_immediate = true;
+            }
+            Entry::Left => {
+                locked(&shared.received).push(request);
+                return Ok(None);
+            }
+            Entry::Slot(slot) => _slot = Some(slot),
+        }
+    }
+    request.ran = !refuses(mode);
     locked(&shared.received).push(request);
-    let duration = *locked(&shared.processing_time);
+    let duration = if is_immediate { Duration::ZERO } else { *locked(&shared.processing_time) };
     let duration = if mode == ResponseMode::Hang { Duration::MAX } else { duration };
     if !duration.is_zero() && !process(stream, duration).await {
         shared.disconnects.fetch_add(1, Ordering::Relaxed);
         return Ok(None);
     }
-    let body = locked(&shared.response_body).clone();
+    let body = shared.body_for(id, &attempt_id);
     let length = body.len();
     let statements = locked(&shared.statements).headers(mode);
     let head = |status: &str, headers: &str| {
@@ -379,6 +369,11 @@
             response.extend_from_slice(head("429 Too Many Requests", &headers).as_bytes());
         }
         ResponseMode::Reset => return Ok(None),
+        ResponseMode::Refuse(status) => {
+            let headers = "Lavenderplank-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+            let head = head(&format!("{status} Refused"), headers);
+            response.extend_from_slice(head.as_bytes());
+        }
         ResponseMode::Shed => {
             let headers = "Lavenderplank-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
             response.extend_from_slice(head("503 Service Unavailable", headers).as_bytes());
@@ -415,9 +410,10 @@
         shared.unending_closed.fetch_add(1, Ordering::Relaxed);
         return Ok(None);
     }
-    stream.write_all(&response).await?;
-    let is_closed = matches!(mode, ResponseMode::Truncate | ResponseMode::NoLength);
-    Ok((!is_closed).then_some(response))
+    let sending = shared.sending(response.freeze());
+    stream.write_all(&sending.now).await?;
+    let closes = matches!(mode, ResponseMode::Truncate | ResponseMode::NoLength) || sending.closes;
+    Ok((!closes).then_some(sending.late))
 }
 
 /// Simulates the processing of a request; returns false if the peer closes the connection before
