Hedge no booking when its timer fires before its deadline

Callers' bookings ran at two targets, if the timer that waits for the deadline fired while the host's clock had not reached it. Found by the incident's review, by reading; not what the users saw, and not seen in a play: the boot clock doesn't lag the timers' clock in ordinary use.

Cause: the branch that waits for the hedge or the deadline, whichever is first, took a time before the deadline for that of the hedge, and asked neither whether the request may be hedged nor repeated. It asks now, and waits again. Test: a host whose clock runs at half the timers' speed; before, a booking at a silent target was received by two; now by one.

--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -140,6 +140,10 @@
                         progress.error = Some(ErrorKind::DispatchTimeout);
                         return Some(self.final_response(progress));
                     }
+                    // The timer may fire before the deadline has passed by the host's clock.
+                    if !may_hedge {
+                        continue;
+                    }
                     may_hedge = false;
                     hedge_at = self.request.deadline;
                     attempts.extend(self.launch_attempt(&mut progress, AttemptReason::Hedge));
