A response joined from two is no sign that its target is out of reach

The check of joined heads stood beside the connection's, so that an attempt that met one counted as a connection that broke: three targets with one each made a host take itself for cut off, and each had its address probed for a crash. A response has come, from the target's address: it is treated like one to another request now, which teaches nothing.

A status code must stand alone: `Via: HTTP/1.1 500px` is whole. Tests: which heads are joined, and which only name a protocol.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -11,6 +11,7 @@
     CallerMetadata, KnownTarget, ReplyMetadata, Team, TrafficState,
     body_memory::BodyReservation,
     guards::InFlight,
+    joined_heads::is_joined,
     reservations::Reservation,
     response::{CallerResponse, ResponseBody, remove_hop_by_hop_headers},
     response_body::{ReadBody, buffer_body},
@@ -140,7 +141,10 @@
     guard.response_to =
         is_mismatched.then(|| metadata.attempt_id.clone().unwrap_or_else(|| "".into()));
     if is_mismatched {
-        return guard.mismatched(response.status());
+        return guard.mismatched(response.status(), "a response to another request");
+    }
+    if is_joined(&response) {
+        return guard.mismatched(response.status(), "a response joined from two");
     }
     state.record_notices(&target, &metadata);
     let unknown = state.protocol.unknown_reply_headers(response.headers());
@@ -300,11 +304,11 @@
         AttemptOutcome::Lost(ErrorKind::DispatchLost)
     }
 
-    /// The response belongs to another request: whatever it says, it says nothing of this one, which
-    /// may run. Later responses on the connection cannot be matched to their requests either, so it
-    /// is closed.
-    fn mismatched(&mut self, status: StatusCode) -> AttemptOutcome {
-        let detail = format!("{}, a response to another request", status.as_str());
+    /// The response belongs to another request, in whole or in part: whatever it says, it says
+    /// nothing of this one, which may run. Later responses on the connection cannot be matched to
+    /// their requests either, so it is closed.
+    fn mismatched(&mut self, status: StatusCode, reason: &str) -> AttemptOutcome {
+        let detail = format!("{}, {reason}", status.as_str());
         self.record_end(HealthSignal::Failed, AttemptEnd::Lost, &detail);
         AttemptOutcome::Lost(ErrorKind::DispatchLost)
     }
--- a/src/entry/joined_heads.rs
+++ b/src/entry/joined_heads.rs
@@ -10,8 +10,8 @@
 /// Start of a status line, without the minor version.
 const VERSION: &[u8] = b"HTTP/1.";
 
-/// Length of a status line up to its status code.
-const STATUS_LINE_BYTES: usize = b"HTTP/1.1 200".len();
+/// Digits of a status code.
+const STATUS_DIGITS: usize = 3;
 
 /// Whether a status line follows inside the head, in its reason phrase or in a header.
 pub(super) fn is_joined<B>(response: &Response<B>) -> bool {
@@ -21,9 +21,11 @@
 }
 
 fn contains_status_line(text: &[u8]) -> bool {
-    text.windows(STATUS_LINE_BYTES).any(|line| match line.strip_prefix(VERSION) {
-        Some([minor, b' ', status @ ..]) => {
-            minor.is_ascii_digit() && status.iter().all(u8::is_ascii_digit)
+    let starts = (0..text.len()).filter_map(|at| text[at..].strip_prefix(VERSION));
+    starts.into_iter().any(|rest| match rest {
+        [minor, b' ', rest @ ..] if minor.is_ascii_digit() => {
+            let digits = rest.iter().take_while(|byte| byte.is_ascii_digit()).count();
+            digits == STATUS_DIGITS && matches!(rest.get(digits), None | Some(b' '))
         }
         _ => false,
     })
--- a/src/entry/relay_attempt.rs
+++ b/src/entry/relay_attempt.rs
@@ -10,6 +10,7 @@
 use super::{
     LiveHost, TrafficState,
     attempt::{AttemptOutcome, OutboundRequest},
+    joined_heads::is_joined,
     relay::{RelayedRequest, RelayedResponse},
     relay_host::{RelayQuery, choose_relay_host},
     response::{CallerResponse, ResponseBody, remove_hop_by_hop_headers},
@@ -163,6 +164,9 @@
         guard.response_to = Some(metadata.attempt_id.unwrap_or_else(|| "".into()));
         return guard.lost("the response belongs to another request");
     }
+    if is_joined(&response) {
+        return guard.lost("the response is joined from two");
+    }
     let Some(statement) = RelayedResponse::take_from(response.headers_mut()) else {
         return guard.lost("the response does not state where it comes from");
     };
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -7,6 +7,7 @@
 mod crash_suspects;
 mod demand;
 mod hosts;
+mod joined_heads;
 mod known_state;
 mod learned_state;
 mod merge;
--- a/src/entry/upstream.rs
+++ b/src/entry/upstream.rs
@@ -21,7 +21,6 @@
     Connector,
     carried_ids::CarriedIds,
     head_bound::{HeadBound, MAX_READ_BYTES, StreamState},
-    joined_heads::is_joined,
 };
 use crate::{base::with_root_cause, event_log::ConnectionUse, prelude::*};
 
@@ -208,9 +207,6 @@
         let sent = self.sender.try_send_request(req).await;
         self.stream.head_awaited.set(None);
         match sent {
-            Ok(response) if is_joined(&response) => {
-                Err(SendError::Lost("the response is joined from two".into()))
-            }
             Ok(response) => Ok(response),
             Err(mut failed) => match failed.take_message() {
                 Some(_) => Err(SendError::NotSent(with_root_cause(failed.error()))),
--- a/src/platform/standin/response_faults.rs
+++ b/src/platform/standin/response_faults.rs
@@ -28,8 +28,8 @@
     pub cut: f64,
     /// Comes after an informational response.
     pub hinted: f64,
-    /// A beginning of any length is sent again where the response to the next request is expected;
-    /// the connection stays open.
+    /// A beginning of its head is sent again where the response to the next request is expected; the
+    /// connection stays open.
     pub joined: f64,
     /// The connection closes without a response.
     pub reset: f64,
@@ -118,7 +118,8 @@
         } else if falls_to(faults.hinted) {
             sending.now = [b"HTTP/1.1 103 Early Hints\r\n\r\n", &*response].concat().into();
         } else if falls_to(faults.joined) {
-            sending.late = vec![self.beginning(&response)];
+            let head = position(&response, b"\r\n\r\n").unwrap_or(response.len());
+            sending.late = vec![self.beginning(&response.slice(..head))];
         } else if falls_to(faults.reset) {
             sending = Sending { closes: true, late: Vec::new(), now: Bytes::new() };
         } else if falls_to(faults.spoiled) {
