Take no promise from a relay's status alone

A host passed on a 408, 421, 429 or 503 that another host had relayed without saying that the request was refused. The status alone is lost now, as it is of a target. By the review's reading, and without a test of its own.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -32,7 +32,7 @@
 
 /// Statuses by which callers know that a request has not run and never will. A target refuses
 /// requests only by saying so in its own way.
-const PROMISES: [StatusCode; 4] = [
+pub(super) const PROMISES: [StatusCode; 4] = [
     StatusCode::REQUEST_TIMEOUT,
     StatusCode::MISDIRECTED_REQUEST,
     StatusCode::TOO_MANY_REQUESTS,
--- a/src/entry/relay_attempt.rs
+++ b/src/entry/relay_attempt.rs
@@ -9,7 +9,7 @@
 
 use super::{
     LiveHost, TrafficState,
-    attempt::{AttemptOutcome, OutboundRequest},
+    attempt::{AttemptOutcome, OutboundRequest, PROMISES},
     joined_heads::is_joined,
     relay::{RelayedRequest, RelayedResponse},
     relay_host::{RelayQuery, choose_relay_host},
@@ -176,6 +176,9 @@
     if response.status().is_success() && !metadata.signed {
         return guard.lost("the response lacks a target's signature");
     }
+    if PROMISES.contains(&response.status()) {
+        return guard.lost("the host did not say that the request was refused");
+    }
     guard.receive_response(statement.target, response, connection, in_flight).await
 }
 
