A host that stops starts no pipelined request behind a response that closes

Callers that sent several reads at once to a host that had begun to stop got one response, with `Connection: close`. Targets worked on those behind it, which were passed on and then cancelled.

Cause: pipelined requests were started early whether or not the host was stopping, though every response of a stopping host closes its connection.

`may_start_early` now refuses once the stop has begun. The requests stay behind a response that closes the connection, so that they count as not read and are sent again.

Evidence: requests_sent_after_the_stop_began_are_not_passed_on_early failed with the check idle: the target got all of `first`, `second`, `third` and `fourth`; callers had responses to the first two. It passes with the check. Requests that were passed on before the stop began are still cut.

--- a/src/entry/request_handler.rs
+++ b/src/entry/request_handler.rs
@@ -171,6 +171,10 @@
 
 /// Whether a pipelined request may be started before the ones ahead of it are answered.
 pub fn may_start_early(state: &TrafficState, head: &Parts) -> bool {
+    // While the host stops, a response ahead of the request closes the connection.
+    if state.shutdown_started_at.get().is_some() {
+        return false;
+    }
     let declaration = state.view().and_then(|view| view.declaration.clone());
     let route = declaration.and_then(|declaration| find_route(&declaration, head));
     route.is_some_and(|route| route.idempotency == Idempotency::Idempotent)
