A host that stops answers pipelined requests that it has passed on

Callers that had sent several reads at once to a host that then stopped got the response in service, with `Connection: close`, and the end of the connection. Targets had received the reads behind it and worked on them; the host cancelled those attempts.

Cause: every response of a stopping host closed its connection, also while requests behind it had been started early. 1.5 s after the stop began, `graceful_shutdown` had the same effect, whatever the response said.

A response now closes the connection only if no request behind it was started early, and `graceful_shutdown` is left out while there are such requests: the response to the last of them closes. Nothing new is started early since the stop began, so their number only falls, and a caller that keeps sending cannot hold the connection open. The grace period bounds the wait as before.

--- a/src/entry/listeners.rs
+++ b/src/entry/listeners.rs
@@ -96,7 +96,11 @@
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
         () = closing => {
-            connection.as_mut().graceful_shutdown();
+            // The library would close behind the next response. The one to the last early request
+            // closes the connection anyway.
+            if caller.early_requests.borrow().is_empty() {
+                connection.as_mut().graceful_shutdown();
+            }
             connection.await
         }
     };
@@ -121,7 +125,9 @@
         let statement = response.extensions_mut().remove::<RelayedResponse>();
         statement.unwrap_or_default().add_to(response.headers_mut());
     }
-    if state.shutdown_started_at.get().is_some() {
+    // The library sends nothing behind a response that closes the connection.
+    let is_last = caller.early_requests.borrow().is_empty();
+    if is_last && state.shutdown_started_at.get().is_some() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response)
--- a/tests/entry_pipelined_stop.rs
+++ b/tests/entry_pipelined_stop.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use lavenderplank::{entry::EntryHost, event_log::Event};
-use support::{HOST, World, run, until};
+use support::{HOST, World, config, run, until};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -17,7 +17,13 @@
 const MAX_HEADERS: usize = 32;
 
 /// Time for which a caller waits, above all processing times here.
-const CALLER_TIMEOUT: Duration = Duration::from_secs(2);
+const CALLER_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// How long a host that stops keeps connections open that are idle.
+const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(1_500);
+
+/// Pause between the requests of a caller that keeps sending.
+const SEND_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The body of the only target's responses.
 const BODY: &str = "answer of t-1";
@@ -40,6 +46,72 @@
     });
 }
 
+/// Guards against a stop that cuts requests at which targets work, behind the response to another.
+#[test]
+fn requests_passed_on_before_the_stop_are_answered_in_order() {
+    run(async {
+        let world = World::spawn(&["north-a"]).await;
+        let host = world.host("a").await;
+        let mut caller = Caller::connect(&host).await;
+        pass_on(&world, &mut caller, "first", Duration::from_millis(700)).await;
+        pass_on(&world, &mut caller, "second", Duration::from_millis(1_000)).await;
+        pass_on(&world, &mut caller, "third", Duration::from_millis(300)).await;
+        let stopping = begin_stop(&world, host).await;
+        caller.send(&["fourth", "fifth"]).await;
+        let expected = [served("first", false), served("second", false), served("third", true)];
+        assert_eq!(caller.read_to_end().await, expected);
+        assert_eq!(passed_on(&world), ["first", "second", "third"]);
+        stopping.await.expect("the host ends");
+    });
+}
+
+/// Guards against a stop that cuts them once connections without requests are closed.
+#[test]
+fn requests_passed_on_are_answered_after_idle_connections_are_closed() {
+    run(async {
+        let world = World::bare(&["north-a"]).await;
+        let mut patient = config(1);
+        for rule in patient["listeners"][0]["rules"].as_array_mut().expect("rules") {
+            rule["action"]["timeout"] = format!("{}ms", CALLER_TIMEOUT.as_millis()).into();
+        }
+        world.store.put("config", "main", patient);
+        world.enlist();
+        let host = world.host("a").await;
+        let mut caller = Caller::connect(&host).await;
+        for id in ["first", "second", "third"] {
+            pass_on(&world, &mut caller, id, IDLE_CLOSE_DELAY + Duration::from_millis(700)).await;
+        }
+        let stopping = begin_stop(&world, host).await;
+        let expected = [served("first", false), served("second", false), served("third", true)];
+        assert_eq!(caller.read_to_end().await, expected);
+        stopping.await.expect("the host ends");
+    });
+}
+
+/// Guards against a caller that holds a stopping host open with ever more requests.
+#[test]
+fn a_caller_that_keeps_sending_is_closed_behind_what_was_passed_on() {
+    run(async {
+        let world = World::spawn(&["north-a"]).await;
+        let host = world.host("a").await;
+        let mut caller = Caller::connect(&host).await;
+        pass_on(&world, &mut caller, "first", Duration::from_millis(300)).await;
+        pass_on(&world, &mut caller, "second", Duration::from_millis(300)).await;
+        let stopping = begin_stop(&world, host).await;
+        let keeps_sending = async {
+            while caller.try_send(&["later"]).await {
+                tokio::time::sleep(SEND_INTERVAL).await;
+            }
+        };
+        let closed = tokio::time::timeout(IDLE_CLOSE_DELAY, keeps_sending).await;
+        assert!(closed.is_ok(), "the connection stays open");
+        let expected = [served("first", false), served("second", true)];
+        assert_eq!(caller.read_to_end().await, expected);
+        assert_eq!(passed_on(&world), ["first", "second"]);
+        stopping.await.expect("the host ends");
+    });
+}
+
 struct Caller {
     received: Vec<u8>,
     stream: TcpStream,
@@ -65,6 +137,11 @@
 
     /// Sends one read for each attempt id, without waiting for responses.
     async fn send(&mut self, attempt_ids: &[&str]) {
+        assert!(self.try_send(attempt_ids).await, "the connection has ended");
+    }
+
+    /// The same; false if the connection has ended.
+    async fn try_send(&mut self, attempt_ids: &[&str]) -> bool {
         let timeout_ms = CALLER_TIMEOUT.as_millis();
         let requests = attempt_ids.iter().map(|id| {
             format!(
@@ -73,7 +150,7 @@
             )
         });
         let bytes = requests.collect::<String>();
-        self.stream.write_all(bytes.as_bytes()).await.expect("the connection is open");
+        self.stream.write_all(bytes.as_bytes()).await.is_ok()
     }
 
     /// Whether a response has arrived.
@@ -115,6 +192,14 @@
     }
 }
 
+/// Sends a read and waits until the target works on it.
+async fn pass_on(world: &World, caller: &mut Caller, id: &str, processing_time: Duration) {
+    world.targets[0].set_processing_time(processing_time);
+    caller.send(&[id]).await;
+    let arrived = async || passed_on(world).iter().any(|attempt_id| attempt_id == id);
+    until("the request is passed on", arrived).await;
+}
+
 /// Stops the host; returns once the stop has begun.
 async fn begin_stop(world: &World, host: EntryHost) -> JoinHandle<()> {
     let stopping = tokio::task::spawn_local(host.stop());
