Serve requests with more than 100 headers

Cause: the HTTP library parses at most 100 headers unless told otherwise, and nothing told it.

Now the number is stated: 1024 headers, and eight more from hosts.

The stand-in of a target took 64 headers at most; it takes 2048 now, or it would have hidden the fault.

--- a/src/entry/listeners.rs
+++ b/src/entry/listeners.rs
@@ -37,6 +37,13 @@
 /// Buffer size of one connection; larger than the largest head that a platform declares.
 const MAX_BUFFER_BYTES: usize = 32 * 1024;
 
+/// Most headers of a request. The HTTP parser allocates space for this many with each request, so
+/// that the number cannot follow from the size of a head alone.
+const MAX_HEADERS: usize = 1024;
+
+/// Most headers that a host adds to a request that another host serves for it.
+const MAX_RELAY_HEADERS: usize = 8;
+
 /// How long a caller may cache a look-up's response; the platform's own bound may lower it.
 const LOOKUP_TTL: Duration = Duration::from_secs(2);
 
@@ -82,11 +89,16 @@
     let early_requests = RefCell::default();
     let caller =
         Rc::new(CallerConnection { state: state.clone(), disconnect, early_requests, sender });
+    let max_headers = match sender {
+        Sender::Caller => MAX_HEADERS,
+        Sender::Host => MAX_HEADERS + MAX_RELAY_HEADERS,
+    };
     let service = service_fn(|req| handle(caller.clone(), req));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout)
         .max_buf_size(MAX_BUFFER_BYTES)
+        .max_headers(max_headers)
         .serve_connection(io, service);
     let mut connection = std::pin::pin!(connection);
     let closing = async {
--- a/src/platform/standin/target.rs
+++ b/src/platform/standin/target.rs
@@ -22,7 +22,7 @@
 use crate::prelude::*;
 
 /// Maximum number of headers of a request.
-const MAX_HEADERS: usize = 64;
+const MAX_HEADERS: usize = 2048;
 
 /// How a target responds to one request.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -292,7 +292,7 @@
 }
 
 fn parse(buf: &mut BytesMut, connection: usize) -> io::Result<Option<ReceivedRequest>> {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut headers = vec![httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut req = httparse::Request::new(&mut headers);
     let httparse::Status::Complete(head) = req.parse(buf).map_err(io::Error::other)? else {
         return Ok(None);
