--- a/src/entry/request_handler.rs
+++ b/src/entry/request_handler.rs
@@ -7,6 +7,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::{Request, header, request::Parts};
+use http_body::Body;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -14,7 +15,7 @@
 use super::{
     Access, CallerKey, Declaration, Idempotency, Route, TrafficState, View,
     attempt::OutboundRequest,
-    body_memory::BodyReservation,
+    body_memory::{BodyReservation, MAX_BODY_BYTES},
     call::Call,
     call_progress::{RETRY_AFTER_DEFAULT, RETRY_AFTER_MIN},
     caller_io::Disconnect,
@@ -197,7 +198,8 @@
     host.or_else(|| head.uri.host())
 }
 
-/// Reads the whole body, within the declared size limit and the memory limit of all bodies.
+/// Reads the whole body, within the declared size limit and the memory limit of all bodies. One that
+/// states its length and does not fit is refused before it is read.
 async fn read_body(
     state: &TrafficState,
     declaration: &Declaration,
@@ -205,12 +207,21 @@
 ) -> Result<(Bytes, BodyReservation), ErrorKind> {
     let mut reservation = state.body_memory.start_reservation();
     let RequestBody::Incoming(mut body) = body else { return Ok((Bytes::new(), reservation)) };
+    let max_bytes = declaration.max_body_bytes.min(MAX_BODY_BYTES);
+    // The least that will arrive, if the request states a length.
+    let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if max_bytes < announced {
+        return Err(ErrorKind::BodyTooLarge);
+    }
+    if !state.body_memory.has_room(announced) {
+        return Err(ErrorKind::HostBusy);
+    }
     let mut bytes_read = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| ErrorKind::BadRequest)?;
         // Trailers are hop-by-hop and are not forwarded.
         let Ok(bytes) = frame.into_data() else { continue };
-        if declaration.max_body_bytes < bytes_read.len() + bytes.len() {
+        if max_bytes < bytes_read.len() + bytes.len() {
             return Err(ErrorKind::BodyTooLarge);
         }
         if !reservation.grow(bytes.len()) {
