Let callers that still send a body get the answer that refuses it

What callers saw: a request whose body was refused (413, 503) or that was refused before its body was read ended in a reset connection instead of an answer. A closed connection promises nothing, so a booking that had not run could not be sent again.

Cause: the HTTP library closes a connection with unread bytes as soon as the answer is written, and the system resets it then; the caller's next write fails before it has read the answer.

A request with `Expect` is left as before: its caller may send another request in place of the body. That exception has no test of its own.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -37,6 +37,7 @@
 mod place;
 mod protocol;
 mod reach_probe;
+mod refused_body;
 mod relay;
 mod relay_attempt;
 mod relay_host;
--- a/src/entry/request_handler.rs
+++ b/src/entry/request_handler.rs
@@ -19,6 +19,7 @@
     call::Call,
     call_progress::{RETRY_AFTER_DEFAULT, RETRY_AFTER_MIN},
     caller_io::Disconnect,
+    refused_body,
     relay::RelayedRequest,
     request_log::RequestLog,
     response::{CallerResponse, host_response},
@@ -46,9 +47,27 @@
     disconnect: Disconnect,
     req: Request<RequestBody>,
     sender: Sender,
+) -> Option<CallerResponse> {
+    let (head, mut body) = req.into_parts();
+    // A caller that waits for permission may send another request in place of the body.
+    let waits_for_permission = head.headers.contains_key(header::EXPECT);
+    let response = respond(state, disconnect, head, &mut body, sender).await?;
+    if let RequestBody::Incoming(unread) = body
+        && !waits_for_permission
+    {
+        refused_body::discard(unread);
+    }
+    Some(response)
+}
+
+async fn respond(
+    state: Rc<TrafficState>,
+    disconnect: Disconnect,
+    mut head: Parts,
+    body: &mut RequestBody,
+    sender: Sender,
 ) -> Option<CallerResponse> {
     let accepted_at = state.clock.now();
-    let (mut head, body) = req.into_parts();
     let relayed = (sender == Sender::Host).then(|| RelayedRequest::take_from(&mut head.headers));
     let metadata = state.protocol.caller_metadata(&head.headers);
     let key = state.new_request_key(metadata.attempt_id.as_ref());
@@ -199,14 +218,15 @@
 }
 
 /// Reads the whole body, within the declared size limit and the memory limit of all bodies. One that
-/// states its length and does not fit is refused before it is read.
+/// states its length and does not fit is refused before it is read. `request_body` is none once it
+/// was read to its end.
 async fn read_body(
     state: &TrafficState,
     declaration: &Declaration,
-    body: RequestBody,
+    request_body: &mut RequestBody,
 ) -> Result<(Bytes, BodyReservation), ErrorKind> {
     let mut reservation = state.body_memory.start_reservation();
-    let RequestBody::Incoming(mut body) = body else { return Ok((Bytes::new(), reservation)) };
+    let RequestBody::Incoming(body) = request_body else { return Ok((Bytes::new(), reservation)) };
     let max_bytes = declaration.max_body_bytes.min(MAX_BODY_BYTES);
     // The least that will arrive, if the request states a length.
     let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
@@ -229,6 +249,7 @@
         }
         bytes_read.extend_from_slice(&bytes);
     }
+    *request_body = RequestBody::None;
     Ok((bytes_read.freeze(), reservation))
 }
 
--- a/tests/entry_large_requests.rs
+++ b/tests/entry_large_requests.rs
@@ -24,6 +24,9 @@
 /// Wait for a refusal while it is not known whether there is room.
 const REFUSAL_WAIT: Duration = Duration::from_millis(500);
 
+/// Refused bodies that are sent.
+const UPLOADS: usize = 20;
+
 /// Sends a request with `count` headers in all.
 async fn ask_with_headers(world: &World, host: &EntryHost, count: usize) -> Response {
     ask_with_values(world, host, count, "1").await
@@ -173,3 +176,16 @@
         .await;
     });
 }
+
+/// Guards against callers that are told nothing, since the connection is reset while they still send
+/// a body that is refused.
+#[test]
+fn a_caller_that_sends_a_refused_body_gets_the_answer() {
+    run(async {
+        let (world, host) = world_with_bodies(MIB).await;
+        for _ in 0..UPLOADS {
+            let answer = ask_with_body(&world, &host, 8 * MIB).await.expect("an answer");
+            assert_eq!(answer.status(), 413);
+        }
+    });
+}
