--- a/src/entry/request_handler.rs
+++ b/src/entry/request_handler.rs
@@ -7,6 +7,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::{Request, header, request::Parts};
+use http_body::Body;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -14,10 +15,11 @@
 use super::{
     Access, CallerKey, Declaration, Idempotency, Route, TrafficState, View,
     attempt::OutboundRequest,
-    body_memory::BodyReservation,
+    body_memory::{BodyReservation, MAX_BODY_BYTES},
     call::Call,
     call_progress::{RETRY_AFTER_DEFAULT, RETRY_AFTER_MIN},
     caller_io::Disconnect,
+    refused_body,
     relay::RelayedRequest,
     request_log::RequestLog,
     response::{CallerResponse, host_response},
@@ -45,9 +47,27 @@
     disconnect: Disconnect,
     req: Request<RequestBody>,
     sender: Sender,
+) -> Option<CallerResponse> {
+    let (head, mut body) = req.into_parts();
+    // A caller that waits for permission may send another request in place of the body.
+    let waits_for_permission = head.headers.contains_key(header::EXPECT);
+    let response = respond(state, disconnect, head, &mut body, sender).await?;
+    if let RequestBody::Incoming(unread) = body
+        && !waits_for_permission
+    {
+        refused_body::discard(unread);
+    }
+    Some(response)
+}
+
+async fn respond(
+    state: Rc<TrafficState>,
+    disconnect: Disconnect,
+    mut head: Parts,
+    body: &mut RequestBody,
+    sender: Sender,
 ) -> Option<CallerResponse> {
     let accepted_at = state.clock.now();
-    let (mut head, body) = req.into_parts();
     let relayed = (sender == Sender::Host).then(|| RelayedRequest::take_from(&mut head.headers));
     let metadata = state.protocol.caller_metadata(&head.headers);
     let key = state.new_request_key(metadata.attempt_id.as_ref());
@@ -201,20 +221,31 @@
     host.or_else(|| head.uri.host())
 }
 
-/// Reads the whole body, within the declared size limit and the memory limit of all bodies.
+/// Reads the whole body, within the declared size limit and the memory limit of all bodies. One that
+/// states its length and does not fit is refused before it is read. `request_body` is none once it
+/// was read to its end.
 async fn read_body(
     state: &TrafficState,
     declaration: &Declaration,
-    body: RequestBody,
+    request_body: &mut RequestBody,
 ) -> Result<(Bytes, BodyReservation), ErrorKind> {
     let mut reservation = state.body_memory.start_reservation();
-    let RequestBody::Incoming(mut body) = body else { return Ok((Bytes::new(), reservation)) };
+    let RequestBody::Incoming(body) = request_body else { return Ok((Bytes::new(), reservation)) };
+    let max_bytes = declaration.max_body_bytes.min(MAX_BODY_BYTES);
+    // The least that will arrive, if the request states a length.
+    let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if max_bytes < announced {
+        return Err(ErrorKind::BodyTooLarge);
+    }
+    if !state.body_memory.has_room(announced) {
+        return Err(ErrorKind::HostBusy);
+    }
     let mut bytes_read = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| ErrorKind::BadRequest)?;
         // Trailers are hop-by-hop and are not forwarded.
         let Ok(bytes) = frame.into_data() else { continue };
-        if declaration.max_body_bytes < bytes_read.len() + bytes.len() {
+        if max_bytes < bytes_read.len() + bytes.len() {
             return Err(ErrorKind::BodyTooLarge);
         }
         if !reservation.grow(bytes.len()) {
@@ -222,6 +253,7 @@
         }
         bytes_read.extend_from_slice(&bytes);
     }
+    *request_body = RequestBody::None;
     Ok((bytes_read.freeze(), reservation))
 }
 
--- a/src/platform/standin/received.rs
+++ b/src/platform/standin/received.rs
@@ -6,7 +6,7 @@
 use tokio::{io::AsyncReadExt, net::TcpStream, time::Instant};
 
 /// Maximum number of headers of a request.
-const MAX_HEADERS: usize = 64;
+const MAX_HEADERS: usize = 2048;
 
 /// A request received by the target.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -47,7 +47,7 @@
 }
 
 fn parse(buf: &mut BytesMut, connection: usize) -> io::Result<Option<ReceivedRequest>> {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut headers = vec![httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut req = httparse::Request::new(&mut headers);
     let httparse::Status::Complete(head) = req.parse(buf).map_err(io::Error::other)? else {
         return Ok(None);
