Bound the bytes of the store's responses

A store that sent a body without end filled a host's memory until the time of the call was over. The host serves from what it knows while the store is lost, so its callers saw nothing until the host ran out of memory, and then lost all requests in flight.

Cause: calls bounded their time and collected whatever came. The head was bounded already, by the HTTP library.

A body is read chunk by chunk and given up past 16 MiB. A write may have applied.

--- a/src/base/mod.rs
+++ b/src/base/mod.rs
@@ -1,6 +1,7 @@
 //! Types shared by all modules: identifiers, time, error kinds and bindings.
 
 mod binding;
+mod bounded_body;
 mod cause;
 mod clock;
 pub mod duration_text;
@@ -14,6 +15,7 @@
 
 pub use self::{
     binding::{Binding, BindingError},
+    bounded_body::{BodyError, read_bounded},
     cause::{root_cause, with_root_cause},
     clock::{BootClock, Clock, ManualClock, Moment},
     error_kind::{ErrorKind, ErrorResponse, Resend},
--- a/src/platform/object_store.rs
+++ b/src/platform/object_store.rs
@@ -10,7 +10,7 @@
 
 use super::restore_counter::RestoreCounter;
 use crate::{
-    base::BootClock,
+    base::{BodyError, BootClock, read_bounded},
     prelude::*,
     store::{
         CallKind, CallRateLimiter, Change, Changes, Entry, Expect, Listing, OperationId, Platform,
@@ -27,6 +27,10 @@
 /// broken.
 const WATCH_GRACE: Duration = Duration::from_millis(1_000);
 
+/// Size limit of a response. A page of a listing has up to 1 MB; the changes that a watch returns are
+/// not paged.
+const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+
 /// Pause after a call that the store refused with status 429.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -167,7 +171,11 @@
         let response = req.send().await.map_err(no_answer)?;
         let status = response.status();
         let stated = response.headers().get(RESTORES_HEADER).cloned();
-        let body = response.bytes().await.map_err(no_answer)?;
+        let body = read_bounded(response, MAX_RESPONSE_BYTES).await;
+        let body = body.map_err(|error| match error {
+            BodyError::Http(error) => no_answer(error),
+            error @ BodyError::TooLarge { .. } => unavailable(&error.to_string(), true),
+        })?;
         let restores = self.restores.record(stated.as_ref().and_then(|it| it.to_str().ok()))?;
         match status {
             StatusCode::TOO_MANY_REQUESTS => {
