Bound the bytes of other hosts' answers to state queries

A damaged host that answered a state query without end filled the memory of the host that queried it, for up to 3 s a query. Callers of that host lost their requests if it ran out of memory.

Cause: a query bounded its time and the size of a decompressed part, not the bytes that it collected before.

Evidence: a_state_that_never_ends_is_not_read_to_the_end_of_the_query failed with the limit idle (the query ended by its timeout) and passes with it.

Past 16 MiB the query fails, and another host is queried.

--- a/src/entry/sync.rs
+++ b/src/entry/sync.rs
@@ -14,7 +14,10 @@
     Revisions, StorePart,
     store_objects::{BucketDigests, Difference, PartObjects, StoreObjects},
 };
-use crate::prelude::*;
+use crate::{
+    base::{BodyError, read_bounded},
+    prelude::*,
+};
 
 /// Path of the state on the control listener.
 pub const STATE_PATH: &str = "/state";
@@ -40,6 +43,9 @@
 /// small hosts from a damaged response.
 const MAX_DECOMPRESSED_BYTES: u64 = 16 * 1024 * 1024;
 
+/// Size limit of an encoded response, with its parts as they are compressed.
+const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+
 /// Size limit of an encoded query. One with the digests of all parts takes 4 KiB.
 pub const MAX_QUERY_BYTES: usize = 16 * 1024;
 
@@ -65,6 +71,8 @@
     Busy,
     #[error("{0}")]
     Http(#[from] reqwest::Error),
+    #[error("{0}")]
+    Body(#[from] BodyError),
     #[error("cannot decode the response: {0}")]
     Decode(#[from] io::Error),
 }
@@ -345,6 +353,7 @@
             return Err(QueryError::Busy);
         }
         let response = response.error_for_status()?;
-        Ok(ReceivedState::decode(&response.bytes().await?)?)
+        let body = read_bounded(response, MAX_RESPONSE_BYTES).await?;
+        Ok(ReceivedState::decode(&body)?)
     }
 }
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -11,6 +11,7 @@
 mod learned_state;
 mod merge;
 mod parts;
+mod peer_client;
 mod pipelining;
 mod propagation;
 mod settings_file;
