Read a head that arrived while the host was frozen

A host that was frozen (SIGSTOP) while the head of a response arrived dropped the connection at wake-up: callers of bookings were told that the outcome is unknown, although the answer was there.

Cause: the time of a head was judged before the socket was read. After a freeze the timer has expired, whatever waits to be read.

Evidence: a_head_that_arrived_while_the_host_was_frozen_is_read and a_late_head_ends_with_the_bytes_that_wait failed before ("the head of the response does not end") and pass now. They stop the clock of the runtime; no process was stopped.

Only a head of which nothing is left to read is late. One without end still ends: by its bytes if they always wait, else at the first read that finds none.

--- a/src/entry/head_bound.rs
+++ b/src/entry/head_bound.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Waits until the time of the head is over; for ever if none has begun.
+    fn poll_limit(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        self.limit.as_mut().map_or(Poll::Pending, |limit| limit.as_mut().poll(cx))
+    }
+
     /// Counts bytes that were read while a head is awaited.
     fn record(&mut self, read: &[u8]) -> io::Result<()> {
         self.bytes += read.len();
@@ -104,12 +109,14 @@
         if awaited.is_none() {
             return Pin::new(&mut this.stream).poll_read(cx, buf);
         }
-        if this.limit.as_mut().is_some_and(|limit| limit.as_mut().poll(cx).is_ready()) {
-            return Poll::Ready(Err(io::Error::other("the head of the response does not end")));
-        }
         let before = buf.filled().len();
-        ready!(Pin::new(&mut this.stream).poll_read(cx, buf))?;
-        Poll::Ready(this.record(&buf.filled()[before..]))
+        if Pin::new(&mut this.stream).poll_read(cx, buf)?.is_ready() {
+            return Poll::Ready(this.record(&buf.filled()[before..]));
+        }
+        // If this process was frozen, the time may be over although the head has arrived. So only a
+        // head of which nothing is left to read is late.
+        ready!(this.poll_limit(cx));
+        Poll::Ready(Err(io::Error::other("the head of the response does not end")))
     }
 }
 
--- a/src/entry/tests.rs
+++ b/src/entry/tests.rs
@@ -6,6 +6,7 @@
 mod connector;
 mod crash_suspects;
 mod demand;
+mod head_bound;
 mod hosts;
 mod known_state;
 mod learned_state;
