Cut streamed bodies that drip without end

A target of `lavenderplank run` that sent a byte now and then kept a slot and a connection for ever, and its caller waiting: other callers of the service found its slots used.

Cause: only the silence between two chunks was bounded.

By design files may take longer than their caller's time, and callers may read slowly. So a body has a time for which its target may be slower than 1 KiB/s: what is left of its caller's time, and one silence. Only waiting for the target counts. What arrives earns time back, up to that limit.

--- a/src/forward/http_upstream.rs
+++ b/src/forward/http_upstream.rs
@@ -3,17 +3,17 @@
 use std::time::Instant;
 
 use async_trait::async_trait;
-use bytes::{Bytes, BytesMut};
-use futures::{Stream, StreamExt, stream};
-use reqwest::{Client, ClientBuilder, Response, redirect};
+use futures::StreamExt;
+use reqwest::{Client, ClientBuilder, redirect};
 
 use super::{
     Attempt, ForwardError, ForwardLimits, Result, TargetBody, TargetResponse, Upstream,
+    body_stream::BodyStream,
     connect_tracking::{ConnectTrackingLayer, track_connect},
     connection_limits::{ConnectionLimits, Permit},
     head,
 };
-use crate::prelude::*;
+use crate::base::read_bounded;
 
 /// Client for all targets and other hosts. It does not retry, follow redirects or use a proxy.
 ///
@@ -66,6 +66,7 @@
         attempt: &Attempt,
         permit: Permit,
     ) -> Result<TargetResponse> {
+        let started = Instant::now();
         let url = format!("http://{}{}", attempt.address, attempt.path);
         let req = client
             .request(attempt.method.clone(), url)
@@ -76,10 +77,12 @@
         head::check(attempt, status, response.headers())?;
         let headers = head::response_headers(attempt, response.headers());
         let body = if attempt.buffer_response {
-            TargetBody::Whole(read_whole(response, self.limits.whole_bytes).await?)
+            let body = read_bounded(response, self.limits.whole_bytes).await;
+            TargetBody::Whole(body.map_err(|_| ForwardError::InvalidResponse)?)
         } else {
-            let chunks = read_stream(response, self.limits.stream_silence, permit);
-            TargetBody::Stream(chunks.boxed())
+            let time_left = attempt.timeout.saturating_sub(started.elapsed());
+            let body = BodyStream::new(response, time_left, self.limits.stream_silence, permit);
+            TargetBody::Stream(body.into_chunks().boxed())
         };
         Ok(TargetResponse { body, headers, status })
     }
@@ -119,32 +122,3 @@
     }
     ForwardError::ConnectionLost
 }
-
-async fn read_whole(mut response: Response, limit: usize) -> Result<Bytes> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = response.chunk().await.map_err(|_| ForwardError::InvalidResponse)? {
-        if limit < body.len() + chunk.len() {
-            return Err(ForwardError::InvalidResponse);
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(body.freeze())
-}
-
-/// Returns the chunks of a body and holds the connection permit until the last one. The stream ends
-/// after an error.
-fn read_stream(
-    response: Response,
-    idle_timeout: Duration,
-    permit: Permit,
-) -> impl Stream<Item = Result<Bytes>> + Send + 'static {
-    stream::unfold(Some((response, permit)), move |state| async move {
-        let (mut response, permit) = state?;
-        match tokio::time::timeout(idle_timeout, response.chunk()).await {
-            Ok(Ok(Some(chunk))) => Some((Ok(chunk), Some((response, permit)))),
-            Ok(Ok(None)) => None,
-            Ok(Err(_)) => Some((Err(ForwardError::InvalidResponse), None)),
-            Err(_) => Some((Err(ForwardError::Timeout { sent: true }), None)),
-        }
-    })
-}
--- a/src/forward/mod.rs
+++ b/src/forward/mod.rs
@@ -5,6 +5,7 @@
 //! later error the request may have run, unless the target shed it.
 
 mod attempt;
+mod body_stream;
 mod connect_tracking;
 mod connection_limits;
 mod error;
