--- a/tests/entry_other_responses.rs
+++ b/tests/entry_other_responses.rs
@@ -1,5 +1,7 @@
 //! Responses of targets that belong to another request, end to end over loopback.
 
+#![expect(clippy::unwrap_used, reason = "a step of a test that fails, fails the test")]
+
 #[path = "support/raw_target.rs"]
 mod raw_target;
 #[path = "support/entry.rs"]
