--- a/tests/response_faults.rs
+++ b/tests/response_faults.rs
@@ -86,7 +86,7 @@
     }
 }
 
-/// The faults of one kind of play. Of each, as many responses are hit as in `review/1` and more.
+/// The faults of one kind of play.
 fn faults(kind: &str) -> ResponseFaults {
     const SHARE: f64 = 0.15;
     let late = ResponseFaults { copied_late: SHARE, late_copies: 1, ..ResponseFaults::default() };
