Take no response for whole that its head misdescribes

Callers got complete answers with a part of a body, with the framing of chunks or the rest of a head as the body, without a body (204, 205), or with a status that ends HTTP on the connection (101) or is none (600 and above).

Cause: the HTTP library reads as many bytes as a head states. It sees what follows only once the connection is idle, when the response is with the caller, and it takes any status from 100 to 999, a coding other than `chunked` as a body up to the end of the connection, and equal lengths as one. Nothing compared a head with the bytes behind it.

Ruled out: statuses that are no number from 100 to 999, lines that are no fields, names with a blank or a control byte, malformed lengths and chunk sizes.

The fix: a layer on each connection to targets and other hosts follows the responses in all bytes that are read. It judges a head in one place (status 200 to 599, one length or `chunked` alone, no body where the status allows none), and fails the read that ends a response if bytes follow that are not another response. The last bytes then never reach the library, so neither a buffered nor a streamed response is complete. A body without a length that turns out to be chunks, or to begin with the framing fields of a head, fails at its end. The attempt is lost, since a head that can't be relied on promises nothing, and the log tells why. A broken response is a sign of life for the host's own links, which it was not as long as it counted as no response.

Not told apart: a surplus that arrives after the response was passed on, and a body without a length that is cut on its way.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -13,7 +13,7 @@
     guards::InFlight,
     joined_heads::is_joined,
     reservations::Reservation,
-    response::{CallerResponse, ResponseBody, remove_hop_by_hop_headers},
+    response::{CallerResponse, ResponseBody, is_unconditional_304, remove_hop_by_hop_headers},
     response_body::{ReadBody, buffer_body},
     streaming_body::{StreamCompletion, StreamingBody},
     target_statements::TargetAnswer,
@@ -131,6 +131,10 @@
             state.record_unreachable(&target);
             return guard.lost(&reason);
         }
+        Err(SendError::Broken(broken)) => {
+            state.target_reach.borrow_mut().record_response(state.clock.now());
+            return guard.lost(&broken.to_string());
+        }
         Err(error) => return guard.not_sent(&error),
     };
     guard.first_byte = Some(guard.elapsed());
@@ -146,6 +150,9 @@
     if is_joined(&response) {
         return guard.mismatched(response.status(), "a response joined from two");
     }
+    if is_unconditional_304(&request.head.headers, response.status()) {
+        return guard.lost("the response has status 304, which the request did not ask for");
+    }
     state.record_notices(&target, &metadata);
     let unknown = state.protocol.unknown_reply_headers(response.headers());
     state.unknown_headers.record(&unknown, response.headers(), &target.entry.id, &*state.events);
--- a/src/entry/relay_attempt.rs
+++ b/src/entry/relay_attempt.rs
@@ -13,7 +13,7 @@
     joined_heads::is_joined,
     relay::{RelayedRequest, RelayedResponse},
     relay_host::{RelayQuery, choose_relay_host},
-    response::{CallerResponse, ResponseBody, remove_hop_by_hop_headers},
+    response::{CallerResponse, ResponseBody, is_unconditional_304, remove_hop_by_hop_headers},
     response_body::{ReadBody, buffer_body, read_within_bounds},
     streaming_body::{StreamEnd, StreamingBody},
     upstream::{RequestUse, SendError, TargetConnection, connect, keep_alive_timeout},
@@ -157,6 +157,7 @@
     let mut response = match sent {
         Ok(response) => response,
         Err(SendError::Lost(reason)) => return guard.lost(&reason),
+        Err(SendError::Broken(broken)) => return guard.lost(&broken.to_string()),
         Err(error) => return guard.not_sent(&error),
     };
     let metadata = state.protocol.reply_metadata(response.status(), response.headers());
@@ -167,6 +168,9 @@
     if is_joined(&response) {
         return guard.lost("the response is joined from two");
     }
+    if is_unconditional_304(&request.head.headers, response.status()) {
+        return guard.lost("the response has status 304, which the request did not ask for");
+    }
     let Some(statement) = RelayedResponse::take_from(response.headers_mut()) else {
         return guard.lost("the response does not state where it comes from");
     };
--- a/src/entry/response.rs
+++ b/src/entry/response.rs
@@ -92,6 +92,13 @@
     response
 }
 
+/// Whether a response says that the caller's copy is current although the request has no condition.
+pub fn is_unconditional_304(request: &HeaderMap, status: StatusCode) -> bool {
+    let has_condition = request.contains_key(header::IF_NONE_MATCH)
+        || request.contains_key(header::IF_MODIFIED_SINCE);
+    status == StatusCode::NOT_MODIFIED && !has_condition
+}
+
 /// Removes the headers that apply to a single connection only.
 pub fn remove_hop_by_hop_headers(headers: &mut HeaderMap) {
     let listed: Vec<HeaderName> = headers
--- a/src/entry/upstream.rs
+++ b/src/entry/upstream.rs
@@ -8,11 +8,11 @@
     hash::Hash,
     io,
     rc::Rc,
-    sync::atomic::{AtomicU64, Ordering},
+    sync::atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response};
+use http::{HeaderMap, Method, Request, Response};
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
@@ -22,7 +22,12 @@
     carried_ids::CarriedIds,
     head_bound::{HeadBound, MAX_READ_BYTES, StreamState},
 };
-use crate::{base::with_root_cause, event_log::ConnectionUse, prelude::*};
+use crate::{
+    base::with_root_cause,
+    event_log::ConnectionUse,
+    prelude::*,
+    response_framing::{BrokenResponse, CheckedStream},
+};
 
 /// A round trip between regions takes 110 ms, and a lost packet is sent again after 200 ms or more.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(450);
@@ -55,10 +60,15 @@
     /// The request may have run.
     #[error("no response after the request was sent: {0}")]
     Lost(Arc<str>),
+    /// The server has responded, but not with a response to rely on. The request may have run.
+    #[error("{0}")]
+    Broken(BrokenResponse),
 }
 
 /// A connection to a target that is in use.
 pub struct TargetConnection {
+    /// Tells the stream whether the next response answers a `HEAD` request.
+    answers_head: Arc<AtomicBool>,
     carried: CarriedIds,
     /// Number of the connection in this process, from 1.
     number: u64,
@@ -167,7 +177,9 @@
     let stream = result
         .map_err(|_| SendError::Unreachable("connect timed out".into()))?
         .map_err(unreachable)?;
-    let (stream, state) = HeadBound::new(stream);
+    let answers_head = Arc::<AtomicBool>::default();
+    let stream = CheckedStream::new(stream, answers_head.clone());
+    let (stream, state) = HeadBound::new(Box::new(stream));
     let handshake =
         http1::Builder::new().max_buf_size(MAX_READ_BYTES).handshake(TokioIo::new(stream));
     let (sender, connection) =
@@ -179,7 +191,7 @@
     });
     let number = 1 + OPENED.fetch_add(1, Ordering::Relaxed);
     let carried = CarriedIds::default();
-    Ok(TargetConnection { carried, number, sender, stream: state, reused: false })
+    Ok(TargetConnection { answers_head, carried, number, sender, stream: state, reused: false })
 }
 
 impl TargetConnection {
@@ -203,6 +215,7 @@
         if let Err(error) = self.sender.ready().await {
             return Err(SendError::NotSent(error.to_string().into()));
         }
+        self.answers_head.store(req.method() == Method::HEAD, Ordering::Relaxed);
         self.stream.head_awaited.set(Some(self.carried.len()));
         let sent = self.sender.try_send_request(req).await;
         self.stream.head_awaited.set(None);
@@ -210,7 +223,10 @@
             Ok(response) => Ok(response),
             Err(mut failed) => match failed.take_message() {
                 Some(_) => Err(SendError::NotSent(with_root_cause(failed.error()))),
-                None => Err(SendError::Lost(with_root_cause(failed.error()))),
+                None => Err(match BrokenResponse::find_in(failed.error()) {
+                    Some(broken) => SendError::Broken(broken),
+                    None => SendError::Lost(with_root_cause(failed.error())),
+                }),
             },
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod quarantine;
 pub mod quota;
 pub mod reservation;
+mod response_framing;
 pub mod routing;
 pub mod selection;
 pub mod settings;
--- a/src/platform/standin/mod.rs
+++ b/src/platform/standin/mod.rs
@@ -7,6 +7,7 @@
 mod links;
 mod received;
 mod response_faults;
+mod rewrite;
 mod settings;
 mod store;
 mod target;
@@ -18,6 +19,7 @@
     links::{LinkMode, TargetLinks},
     received::ReceivedRequest,
     response_faults::{FaultPlan, Rejections, ResponseFaults},
+    rewrite::Rewrite,
     settings::{loopback_settings, loopback_traffic},
     store::{StoreCopy, StoreStandin},
     target::{ResponseMode, Statements, TargetIdentity, TargetStandin},
--- a/src/platform/standin/response_faults.rs
+++ b/src/platform/standin/response_faults.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, SeedableRng, seq::IndexedRandom};
 use rand_chacha::ChaCha8Rng;
 
-use super::ResponseMode;
+use super::{ResponseMode, Rewrite};
 
 /// Statuses with which a target refuses a request.
 const REFUSALS: [u16; 4] = [503, 429, 421, 400];
@@ -31,6 +31,8 @@
     /// A beginning of its head is sent again where the response to the next request is expected; the
     /// connection stays open.
     pub joined: f64,
+    /// Its head states another length, coding or status than that of the response.
+    pub misframed: f64,
     /// The connection closes without a response.
     pub reset: f64,
     /// Comes after bytes that are not a response.
@@ -120,6 +122,9 @@
         } else if falls_to(faults.joined) {
             let head = position(&response, b"\r\n\r\n").unwrap_or(response.len());
             sending.late = vec![self.beginning(&response.slice(..head))];
+        } else if falls_to(faults.misframed) {
+            sending.now = self.misframed(&response);
+            sending.closes = self.rng.random_bool(0.5);
         } else if falls_to(faults.reset) {
             sending = Sending { closes: true, late: Vec::new(), now: Bytes::new() };
         } else if falls_to(faults.spoiled) {
@@ -128,6 +133,28 @@
         sending
     }
 
+    /// The response with a head that is wrong about its body.
+    fn misframed(&mut self, response: &[u8]) -> Bytes {
+        let length = stated_length(response);
+        let stated = format!("Content-Length: {length}");
+        let lost_coding = format!("Transfer-Encodin: chunked\r\n\r\n{length:x}\r\n");
+        let rewrites = [
+            Rewrite::new(&stated, format!("Content-Length: {}", length.saturating_sub(1))),
+            Rewrite::new(&stated, format!("Content-Length: {}", length.saturating_sub(5))),
+            Rewrite::new(&stated, format!("Content-Length: {}", length / 10)),
+            Rewrite::new(&stated, "Content-Length: 0"),
+            Rewrite::new(&stated, format!("{stated}, {length}")),
+            Rewrite::new(&stated, "Transfer-Encoding: chunkes"),
+            Rewrite::new(format!("{stated}\r\n\r\n"), lost_coding).with_end("\r\n0\r\n\r\n"),
+            Rewrite::new(" 200 OK", " 204 No Content"),
+            Rewrite::new(" 200 OK", " 101 Switching Protocols"),
+            Rewrite::new(" 200 OK", " 304 Not Modified"),
+            Rewrite::new(" 200 OK", " 700 OK"),
+            Rewrite::new(" 200 OK", " 000 OK"),
+        ];
+        rewrites.choose(&mut self.rng).map_or(Bytes::new(), |rewrite| rewrite.apply(response))
+    }
+
     /// The response without its last bytes.
     fn beginning(&mut self, response: &Bytes) -> Bytes {
         response.slice(..self.rng.random_range(0..response.len().max(1)))
@@ -151,6 +178,14 @@
     parts.concat().into()
 }
 
+/// The length that the head of the response states.
+fn stated_length(response: &[u8]) -> usize {
+    const FIELD: &[u8] = b"Content-Length: ";
+    let Some(start) = position(response, FIELD) else { return 0 };
+    let digits = response[start + FIELD.len()..].iter().take_while(|it| it.is_ascii_digit());
+    digits.fold(0, |length, digit| length * 10 + usize::from(digit - b'0'))
+}
+
 fn id_line(response: &[u8]) -> Option<Range<usize>> {
     let start = position(response, ID_LINE)?;
     let length = position(&response[start..], b"\r\n")?;
--- a/src/platform/standin/target.rs
+++ b/src/platform/standin/target.rs
@@ -18,7 +18,7 @@
 };
 
 use super::{
-    FaultPlan, ReceivedRequest, Unending,
+    FaultPlan, ReceivedRequest, Rewrite, Unending,
     capacity::{Capacity, Entry},
     received::read_request,
     response_faults::Sending,
@@ -115,6 +115,7 @@
     /// Pause after an informational response; zero to send none.
     informational: Mutex<Duration>,
     received: Mutex<Vec<ReceivedRequest>>,
+    rewrite: Mutex<Option<Rewrite>>,
     processing_time: Mutex<Duration>,
     statements: Mutex<Statements>,
     unending: Mutex<Option<Unending>>,
@@ -203,6 +204,11 @@
         *locked(&self.shared.informational) = pause;
     }
 
+    /// Rewrites all responses from the next one on; `None` to send them as they are.
+    pub fn set_rewrite(&self, rewrite: Option<Rewrite>) {
+        *locked(&self.shared.rewrite) = rewrite;
+    }
+
     /// Makes all responses from the next one on never end; `None` for whole ones.
     pub fn set_unending(&self, unending: Option<Unending>) {
         *locked(&self.shared.unending) = unending;
@@ -410,6 +416,11 @@
         shared.unending_closed.fetch_add(1, Ordering::Relaxed);
         return Ok(None);
     }
+    let rewrite = locked(&shared.rewrite).clone();
+    if let Some(rewrite) = rewrite {
+        let stays_open = rewrite.send(stream, &response).await?;
+        return Ok(stays_open.then(Vec::new));
+    }
     let sending = shared.sending(response.freeze());
     stream.write_all(&sending.now).await?;
     let closes = matches!(mode, ResponseMode::Truncate | ResponseMode::NoLength) || sending.closes;
--- a/tests/response_faults.rs
+++ b/tests/response_faults.rs
@@ -65,7 +65,7 @@
         reads_per_s: 0.0,
         seed: setting_of("PLAY_SEED", 1),
     };
-    let kinds: String = setting_of("PLAY_KINDS", "late-copies,all".to_owned());
+    let kinds: String = setting_of("PLAY_KINDS", "late-copies,all,misframed".to_owned());
     for kind in kinds.split(',') {
         let setting = Setting {
             faults: faults(kind),
@@ -106,12 +106,14 @@
                 ..ResponseFaults::default()
             }
         }
+        "misframed" => ResponseFaults { misframed: 2.0 * SHARE, ..ResponseFaults::default() },
         "all" => ResponseFaults {
             copied_at_once: 0.03,
             copied_late: 0.08,
             cut: 0.02,
             hinted: 0.02,
             joined: 0.05,
+            misframed: 0.05,
             reset: 0.02,
             spoiled: 0.02,
             late_copies: 2,
--- a/tests/support/entry.rs
+++ b/tests/support/entry.rs
@@ -139,6 +139,17 @@
         (host, links)
     }
 
+    /// A host that serves, with connections of its own.
+    pub async fn host_with_connector(
+        &self,
+        name: &str,
+        connector: Arc<dyn Connector>,
+    ) -> EntryHost {
+        let host = self.host_with(settings(name, self.store.addr()), connector).await;
+        self.until_ready(&host).await;
+        host
+    }
+
     async fn host_with(&self, settings: EntrySettings, connector: Arc<dyn Connector>) -> EntryHost {
         let store = Arc::new(ObjectStore::new(settings.store).expect("a client"));
         let clock = Arc::new(BootClock);
--- a/tests/support/fault_play.rs
+++ b/tests/support/fault_play.rs
@@ -172,6 +172,10 @@
         if matches!(status, 502 | 504) && !by.is_empty() {
             findings.run_untold += 1;
         }
+        // Targets serve, fail and refuse; none gives any other status.
+        if !matches!(status, 0 | 200 | 400..=599) {
+            findings.mixed.push(format!("{attempt}: status {status}, run by {by:?}"));
+        }
         if let Some((named, body)) = served {
             let is_own = by.iter().any(|id| *body == format!("answer of {id} to {attempt}"));
             if named != attempt || !is_own {
