State the host's own version in responses

Callers got `HTTP/1.0` if the target's response said so, over a connection that the host goes on using as HTTP/1.1. Cause: the head of a target's response was passed on with its version, which belongs to the connection that it came over. Evidence: a_response_states_the_hosts_own_version fails on (HTTP/1.0 in place of HTTP/1.1). The version is now set where the other properties of the connection are removed, for responses of targets and of other hosts.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -13,7 +13,10 @@
     guards::InFlight,
     joined_heads::is_joined,
     reservations::Reservation,
-    response::{CallerResponse, ResponseBody, is_unconditional_304, remove_hop_by_hop_headers},
+    response::{
+        CallerResponse, ResponseBody, is_unconditional_304, prepare_response_head,
+        remove_hop_by_hop_headers,
+    },
     response_body::{ReadBody, buffer_body},
     streaming_body::{StreamCompletion, StreamingBody},
     target_statements::TargetAnswer,
@@ -358,7 +361,7 @@
         }
         let (mut head, body) = response.into_parts();
         let keep_alive = keep_alive_timeout(&head.headers);
-        remove_hop_by_hop_headers(&mut head.headers);
+        prepare_response_head(&mut head);
         let bytes = match buffer_body(status, body).await {
             Ok(ReadBody::Whole(bytes)) => bytes,
             Ok(ReadBody::Unfinished { start, rest }) => {
--- a/src/entry/relay_attempt.rs
+++ b/src/entry/relay_attempt.rs
@@ -13,7 +13,10 @@
     joined_heads::is_joined,
     relay::{RelayedRequest, RelayedResponse},
     relay_host::{RelayQuery, choose_relay_host},
-    response::{CallerResponse, ResponseBody, is_unconditional_304, remove_hop_by_hop_headers},
+    response::{
+        CallerResponse, ResponseBody, is_unconditional_304, prepare_response_head,
+        remove_hop_by_hop_headers,
+    },
     response_body::{ReadBody, buffer_body, read_within_bounds},
     streaming_body::{StreamEnd, StreamingBody},
     upstream::{RequestUse, SendError, TargetConnection, connect, keep_alive_timeout},
@@ -305,7 +308,7 @@
     ) -> RelayResult {
         let (mut head, body) = response.into_parts();
         let keep_alive = keep_alive_timeout(&head.headers);
-        remove_hop_by_hop_headers(&mut head.headers);
+        prepare_response_head(&mut head);
         let is_failed = head.status.is_server_error();
         let body = match buffer_body(head.status, body).await {
             Ok(ReadBody::Whole(bytes)) => {
--- a/src/entry/response.rs
+++ b/src/entry/response.rs
@@ -6,7 +6,9 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Response, StatusCode, Version, header, response::Parts,
+};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::Full;
 
@@ -92,6 +94,12 @@
     response
 }
 
+/// Removes from the head of a response what applies to the connection that it came over.
+pub fn prepare_response_head(head: &mut Parts) {
+    head.version = Version::HTTP_11;
+    remove_hop_by_hop_headers(&mut head.headers);
+}
+
 /// Whether a response says that the caller's copy is current although the request has no condition.
 pub fn is_unconditional_304(request: &HeaderMap, status: StatusCode) -> bool {
     let has_condition = request.contains_key(header::IF_NONE_MATCH)
--- a/tests/entry_broken_responses.rs
+++ b/tests/entry_broken_responses.rs
@@ -213,6 +213,19 @@
     });
 }
 
+/// Guards against the version of a target's response, which is no matter of the caller's connection.
+#[test]
+fn a_response_states_the_hosts_own_version() {
+    run(async {
+        let plays = Plays::open().await;
+        plays.world.targets[0].set_rewrite(Some(Rewrite::new("HTTP/1.1", "HTTP/1.0")));
+        let (ask, _) = plays.next(Method::GET);
+        let answer = plays.world.ask(&plays.host, ask).await.expect("an answer");
+        assert_eq!((answer.status().as_u16(), answer.version()), (200, http::Version::HTTP_11));
+        assert_eq!(answer.text().await.expect("a body"), "hello world");
+    });
+}
+
 /// Guards against checks that reject responses which HTTP allows.
 #[test]
 fn sound_responses_of_all_forms_are_passed_on() {
