Check responses in `run` as entry hosts do

Callers of `lavenderplank run` got complete answers with a part of a body where a target's, or another host's, response stated too small a length, without the body (204), with 304 to requests without a condition, and with a status of 600 and above; equal lengths in one line, and a length beside an unknown coding, counted as a length. Same cause as in entry hosts: the HTTP library reads as many bytes as the head states.

Lines that are no fields were rejected before; a body whose length is stated nowhere was, too.

Requests to targets and other hosts, and so the probes of their load, go through a client whose connections are checked. It stands on the same pooled client of hyper-util that reqwest wraps, since reqwest lets nobody see the bytes of a connection. Connect timeout, idle connections, TCP keepalive and the Accept header stay as they were; creating a client cannot fail any more. HEAD has connections of its own, so that a connection knows which responses have no body.

--- a/src/base/mod.rs
+++ b/src/base/mod.rs
@@ -15,7 +15,7 @@
 
 pub use self::{
     binding::{Binding, BindingError},
-    bounded_body::{BodyError, read_bounded},
+    bounded_body::{BodyError, next_chunk, read_bounded, read_bounded_body},
     cause::{root_cause, with_root_cause},
     clock::{BootClock, Clock, ManualClock, Moment},
     error_kind::{ErrorKind, ErrorResponse, Resend},
--- a/src/forward/body_stream.rs
+++ b/src/forward/body_stream.rs
@@ -4,10 +4,10 @@
 
 use bytes::Bytes;
 use futures::{Stream, stream};
-use reqwest::Response;
+use hyper::body::Incoming;
 
 use super::{ForwardError, Result, connection_limits::Permit};
-use crate::prelude::*;
+use crate::{base, prelude::*};
 
 /// Rate in bytes per second below which a body counts as slow.
 const MIN_BYTES_PER_SEC: u32 = 1024;
@@ -20,7 +20,7 @@
     max_silence: Duration,
     /// Holds the connection until the last chunk.
     _permit: Permit,
-    response: Response,
+    rest: Incoming,
     slow_time: Duration,
     max_slow_time: Duration,
 }
@@ -28,13 +28,13 @@
 impl BodyStream {
     /// A body that may be slow for what is left of its caller's time and one silence.
     pub fn new(
-        response: Response,
+        rest: Incoming,
         callers_time: Duration,
         max_silence: Duration,
         permit: Permit,
     ) -> Self {
         let slow_time = callers_time + max_silence;
-        Self { max_silence, _permit: permit, response, slow_time, max_slow_time: slow_time }
+        Self { max_silence, _permit: permit, rest, slow_time, max_slow_time: slow_time }
     }
 
     /// Returns the chunks. The stream ends after an error.
@@ -51,7 +51,7 @@
     async fn next_chunk(&mut self) -> Result<Option<Bytes>> {
         let started = Instant::now();
         let wait = self.max_silence.min(self.slow_time);
-        let chunk = tokio::time::timeout(wait, self.response.chunk())
+        let chunk = tokio::time::timeout(wait, base::next_chunk(&mut self.rest))
             .await
             .map_err(|_| ForwardError::Timeout { sent: true })?
             .map_err(|_| ForwardError::InvalidResponse)?;
--- a/src/forward/head.rs
+++ b/src/forward/head.rs
@@ -45,6 +45,7 @@
     if let Ok(id) = HeaderValue::from_str(&attempt.request) {
         head.insert(HeaderName::from_static(REQUEST_ID), id);
     }
+    head.entry(header::ACCEPT).or_insert(HeaderValue::from_static("*/*"));
     let millis = u64::try_from(attempt.timeout.as_millis()).unwrap_or(u64::MAX);
     head.insert(HeaderName::from_static(DEADLINE), millis.into());
     head
@@ -73,20 +74,25 @@
     if status == 503 && head.get(SHED).is_some_and(|value| value == "1") {
         return Err(ForwardError::Shed { retry_after: retry_after(head) });
     }
-    if status < 200 || !has_detectable_end(attempt, status, head) {
+    if !has_detectable_end(attempt, status, head) || is_unconditional_304(attempt, status) {
         return Err(ForwardError::InvalidResponse);
     }
     Ok(())
 }
 
+/// Whether the response says that the caller's copy is current although the request has no condition.
+fn is_unconditional_304(attempt: &Attempt, status: u16) -> bool {
+    let has = |name| base::header(&attempt.headers, name).is_some();
+    status == 304 && !has("if-none-match") && !has("if-modified-since")
+}
+
 /// Whether the end of the body can be told from a lost connection. A body that is delimited only by
 /// the end of the connection may be truncated without any error.
 fn has_detectable_end(attempt: &Attempt, status: u16, head: &HeaderMap) -> bool {
     let without_body = attempt.method == Method::HEAD || status == 204 || status == 304;
-    let chunked = head.get(header::TRANSFER_ENCODING).is_some_and(|value| {
-        value.to_str().is_ok_and(|text| text.trim().eq_ignore_ascii_case("chunked"))
-    });
-    without_body || chunked || head.contains_key(header::CONTENT_LENGTH)
+    without_body
+        || head.contains_key(header::TRANSFER_ENCODING)
+        || head.contains_key(header::CONTENT_LENGTH)
 }
 
 fn retry_after(head: &HeaderMap) -> Option<std::time::Duration> {
--- a/src/forward/http_upstream.rs
+++ b/src/forward/http_upstream.rs
@@ -3,17 +3,26 @@
 use std::time::Instant;
 
 use async_trait::async_trait;
+use bytes::Bytes;
 use futures::StreamExt;
-use reqwest::{Client, ClientBuilder, redirect};
+use http::{Request, Uri};
+use http_body_util::Full;
+use hyper_util::client::legacy::{self, connect::Connect};
+use tower::Layer;
 
 use super::{
     Attempt, ForwardError, ForwardLimits, Result, TargetBody, TargetResponse, Upstream,
     body_stream::BodyStream,
-    connect_tracking::{ConnectTrackingLayer, track_connect},
+    connect_tracking::{ConnectTracker, ConnectTrackingLayer, track_connect},
     connection_limits::{ConnectionLimits, Permit},
     head,
 };
-use crate::base::read_bounded;
+use crate::{
+    base::read_bounded_body,
+    response_framing::{
+        BrokenResponse, CheckedClient, CheckedConnector, ConnectionOptions, Keepalive,
+    },
+};
 
 /// Client for all targets and other hosts. It does not retry, follow redirects or use a proxy.
 ///
@@ -22,26 +31,28 @@
 /// connection costs about 1 ms and avoids this ambiguity.
 #[derive(Debug)]
 pub struct HttpUpstream {
-    unpooled: Client,
+    unpooled: CheckedClient<ConnectTracker<CheckedConnector>>,
     connection_limits: ConnectionLimits,
     limits: ForwardLimits,
-    pooled: Client,
+    pooled: CheckedClient,
 }
 
 impl HttpUpstream {
     /// Creates the client. Connections are opened on first use.
-    pub fn new(limits: ForwardLimits) -> reqwest::Result<Self> {
-        let unpooled =
-            builder(&limits).pool_max_idle_per_host(0).connector_layer(ConnectTrackingLayer);
-        let pooled = builder(&limits)
-            .pool_idle_timeout(limits.idle_timeout)
-            .pool_max_idle_per_host(limits.idle_connections.max(1));
-        Ok(Self {
-            unpooled: unpooled.build()?,
+    pub fn new(limits: ForwardLimits) -> Self {
+        let pooled = ConnectionOptions {
+            connect_timeout: limits.connect_timeout,
+            idle_connections: limits.idle_connections.max(1),
+            idle_timeout: limits.idle_timeout,
+            keepalive: Keepalive::default(),
+        };
+        let unpooled = ConnectionOptions { idle_connections: 0, ..pooled };
+        Self {
+            unpooled: CheckedClient::with_layer(unpooled, |it| ConnectTrackingLayer.layer(it)),
             connection_limits: ConnectionLimits::default(),
             limits,
-            pooled: pooled.build()?,
-        })
+            pooled: CheckedClient::new(pooled),
+        }
     }
 
     async fn send_permitted(&self, attempt: Attempt, permit: Permit) -> Result<TargetResponse> {
@@ -60,34 +71,42 @@
         }
     }
 
-    async fn send_with(
+    async fn send_with<C: Connect + Clone + Send + Sync + 'static>(
         &self,
-        client: &Client,
+        client: &CheckedClient<C>,
         attempt: &Attempt,
         permit: Permit,
     ) -> Result<TargetResponse> {
         let started = Instant::now();
-        let url = format!("http://{}{}", attempt.address, attempt.path);
-        let req = client
-            .request(attempt.method.clone(), url)
-            .headers(head::request_headers(attempt))
-            .body(attempt.body.clone());
-        let response = req.send().await.map_err(|error| send_error(&error))?;
+        let response = client.send(build_request(attempt)?).await;
+        let response = response.map_err(|error| send_error(&error))?;
         let status = response.status().as_u16();
         head::check(attempt, status, response.headers())?;
         let headers = head::response_headers(attempt, response.headers());
         let body = if attempt.buffer_response {
-            let body = read_bounded(response, self.limits.whole_bytes).await;
+            let body = read_bounded_body(response.into_body(), self.limits.whole_bytes).await;
             TargetBody::Whole(body.map_err(|_| ForwardError::InvalidResponse)?)
         } else {
             let time_left = attempt.timeout.saturating_sub(started.elapsed());
-            let body = BodyStream::new(response, time_left, self.limits.stream_silence, permit);
+            let silence = self.limits.stream_silence;
+            let body = BodyStream::new(response.into_body(), time_left, silence, permit);
             TargetBody::Stream(body.into_chunks().boxed())
         };
         Ok(TargetResponse { body, headers, status })
     }
 }
 
+/// Builds the request; one that can't be sent fails as if its connection had.
+fn build_request(attempt: &Attempt) -> Result<Request<Full<Bytes>>> {
+    let uri = format!("http://{}{}", attempt.address, attempt.path);
+    let uri: Uri = uri.parse().map_err(|_| ForwardError::ConnectFailed)?;
+    let mut req = Request::new(Full::new(attempt.body.clone()));
+    *req.method_mut() = attempt.method.clone();
+    *req.uri_mut() = uri;
+    *req.headers_mut() = head::request_headers(attempt);
+    Ok(req)
+}
+
 #[async_trait]
 impl Upstream for HttpUpstream {
     async fn send(&self, mut attempt: Attempt) -> Result<TargetResponse> {
@@ -104,21 +123,13 @@
     }
 }
 
-fn builder(limits: &ForwardLimits) -> ClientBuilder {
-    Client::builder()
-        .connect_timeout(limits.connect_timeout)
-        .http1_only()
-        .no_proxy()
-        .redirect(redirect::Policy::none())
-        .referer(false)
-        .retry(reqwest::retry::never())
-        .tcp_nodelay(true)
-}
-
 /// Maps an error of the client. Only an error of the connector proves that no byte was written.
-fn send_error(error: &reqwest::Error) -> ForwardError {
-    if error.is_connect() || error.is_builder() {
+fn send_error(error: &legacy::Error) -> ForwardError {
+    if error.is_connect() {
         return ForwardError::ConnectFailed;
     }
-    ForwardError::ConnectionLost
+    match BrokenResponse::find_in(error) {
+        None | Some(BrokenResponse::Head(_)) => ForwardError::ConnectionLost,
+        Some(_) => ForwardError::InvalidResponse,
+    }
 }
--- a/src/platform/object_store.rs
+++ b/src/platform/object_store.rs
@@ -218,7 +218,7 @@
         let body = read_bounded(response, MAX_RESPONSE_BYTES).await;
         let body = body.map_err(|error| match error {
             BodyError::Http(error) => no_answer(error),
-            error @ BodyError::TooLarge { .. } => unavailable(&error.to_string(), true),
+            error => unavailable(&error.to_string(), true),
         })?;
         let restores = self.restores.record(stated.as_ref().and_then(|it| it.to_str().ok()))?;
         match status {
--- a/src/response_framing/mod.rs
+++ b/src/response_framing/mod.rs
@@ -9,6 +9,7 @@
 //! not count against it.
 
 mod chunks;
+mod client;
 mod error;
 mod head;
 mod parser;
@@ -18,6 +19,7 @@
 mod unstated_body;
 
 pub use self::{
+    client::{CheckedClient, CheckedConnector, ConnectionOptions, Keepalive},
     error::{BrokenResponse, Result},
     stream::CheckedStream,
 };
--- a/src/response_framing/stream.rs
+++ b/src/response_framing/stream.rs
@@ -7,6 +7,7 @@
     task::{Context, Poll, ready},
 };
 
+use hyper_util::client::legacy::connect::{Connected, Connection};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use super::{BrokenResponse, parser::ResponseParser};
@@ -131,3 +132,9 @@
         self.stream.is_write_vectored()
     }
 }
+
+impl<S: Connection> Connection for CheckedStream<S> {
+    fn connected(&self) -> Connected {
+        self.stream.connected()
+    }
+}
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -126,7 +126,7 @@
     ) -> eyre::Result<Daemon> {
         let platform = HttpPlatform::new(self.platform.address())?;
         let upstream = || -> eyre::Result<_> {
-            let upstream = HttpUpstream::new(ForwardLimits::default())?;
+            let upstream = HttpUpstream::new(ForwardLimits::default());
             Ok(Arc::new(Linked::new(upstream, self.links.clone(), place.clone())))
         };
         let daemon = Daemon::spawn(DaemonConfig {
--- a/tests/forward_unending_responses.rs
+++ b/tests/forward_unending_responses.rs
@@ -44,7 +44,7 @@
 /// Sends the request and reads the whole response.
 async fn body(attempt: Attempt) -> Result<Vec<u8>> {
     let limits = ForwardLimits { stream_silence: SILENCE, ..ForwardLimits::default() };
-    let client = HttpUpstream::new(limits).unwrap();
+    let client = HttpUpstream::new(limits);
     let mut chunks = match client.send(attempt).await?.body {
         TargetBody::Stream(chunks) => chunks,
         TargetBody::Whole(body) => return Ok(body.to_vec()),
--- a/tests/not_run.rs
+++ b/tests/not_run.rs
@@ -43,7 +43,7 @@
 
 fn client() -> Arc<HttpUpstream> {
     let limits = ForwardLimits { stream_silence: DEADLINE, ..ForwardLimits::default() };
-    Arc::new(HttpUpstream::new(limits).unwrap())
+    Arc::new(HttpUpstream::new(limits))
 }
 
 fn booking(address: SocketAddr) -> Attempt {
--- a/tests/support/hosts.rs
+++ b/tests/support/hosts.rs
@@ -130,7 +130,7 @@
         // No test waits for the silence limit: what ends a silent exchange is something else.
         let limits =
             ForwardLimits { stream_silence: Duration::from_secs(300), ..ForwardLimits::default() };
-        let upstream = || Arc::new(HttpUpstream::new(limits).unwrap());
+        let upstream = || Arc::new(HttpUpstream::new(limits));
         let host = Daemon::spawn(DaemonConfig {
             clock: self.clock.clone(),
             limits: RouterLimits::default(),
