--- a/src/base/bounded_body.rs
+++ b/src/base/bounded_body.rs
@@ -25,7 +25,7 @@
     Ok(body.freeze())
 }
 
-/// The same for a body that is read from its connection without a client library around it.
+/// The same for the body of a response that came over a checked connection.
 pub async fn read_bounded_body(
     mut incoming: Incoming,
     max_bytes: usize,
--- a/src/response_framing/client.rs
+++ b/src/response_framing/client.rs
@@ -58,7 +58,7 @@
     }
 }
 
-/// Client without proxies, redirects and retries. It repeats a request only if its connection was
+/// Client that follows no redirects, uses no proxies, and repeats a request only if its connection was
 /// closed before a byte was written.
 #[derive(Clone, Debug)]
 pub struct CheckedClient<C = CheckedConnector> {
--- a/src/response_framing/error.rs
+++ b/src/response_framing/error.rs
@@ -40,7 +40,7 @@
             if let Some(broken) = error.downcast_ref::<Self>() {
                 return Some(*broken);
             }
-            // An I/O error is not the source of what it wraps, but that of its source.
+            // The source of an I/O error is not what it wraps, but the source of that.
             let wrapped = error.downcast_ref::<io::Error>().and_then(io::Error::get_ref);
             cause = match wrapped {
                 Some(wrapped) => Some(wrapped),
--- a/src/response_framing/head.rs
+++ b/src/response_framing/head.rs
@@ -30,11 +30,11 @@
         return Ok(None);
     };
     let (status, version) = (head.code.unwrap_or_default(), head.version.unwrap_or_default());
-    let fields = StatedBody::of(head.headers)?;
-    Ok(Some((size, framing(status, version, &fields, answers_head)?)))
+    let stated = StatedBody::of(head.headers)?;
+    Ok(Some((size, framing(status, version, stated, answers_head)?)))
 }
 
-/// Whether these lines state how long a body is.
+/// Whether lines of a head state how long its body is.
 pub(super) fn state_body(lines: &[u8]) -> bool {
     let mut fields = [EMPTY_HEADER; MAX_FIELDS];
     match httparse::parse_headers(lines, &mut fields) {
@@ -79,7 +79,7 @@
     }
 }
 
-fn framing(status: u16, version: u8, stated: &StatedBody, answers_head: bool) -> Result<Framing> {
+fn framing(status: u16, version: u8, stated: StatedBody, answers_head: bool) -> Result<Framing> {
     if stated.is_chunked && version == 0 {
         return Err(BrokenResponse::TransferCoding);
     }
@@ -94,7 +94,7 @@
             _ if answers_head => Framing::Length(0),
             (204 | 304, _) => Framing::Length(0),
             (_, StatedBody { is_chunked: true, .. }) => Framing::Chunked,
-            (_, StatedBody { length: Some(length), .. }) => Framing::Length(*length),
+            (_, StatedBody { length: Some(length), .. }) => Framing::Length(length),
             _ => Framing::Unstated,
         }),
         _ => Err(BrokenResponse::Status(status)),
--- a/src/response_framing/tests.rs
+++ b/src/response_framing/tests.rs
@@ -89,7 +89,7 @@
     }
 }
 
-/// Guards against a response to a request that is checked as one to the `HEAD` request before it.
+/// Guards against a body that is awaited behind the response to a `HEAD` request.
 #[tokio::test]
 async fn responses_to_head_have_no_body() {
     let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
