Escape URLs as before in requests to the store and to targets

Since responses are checked, an object whose name has a space or another character that no request may contain ended the listing of its kind: the next page is asked for behind that name, and the request could not be built. reqwest escaped such names. Found by reading; the test of this commit fails on the commit before. URLs are parsed by the same library again, so that requests are the ones from before the change.

--- a/src/forward/http_upstream.rs
+++ b/src/forward/http_upstream.rs
@@ -5,7 +5,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use futures::StreamExt;
-use http::{Request, Uri};
+use http::Request;
 use http_body_util::Full;
 use hyper_util::client::legacy::{self, connect::Connect};
 use tower::Layer;
@@ -20,7 +20,7 @@
 use crate::{
     base::read_bounded_body,
     response_framing::{
-        BrokenResponse, CheckedClient, CheckedConnector, ConnectionOptions, Keepalive,
+        BrokenResponse, CheckedClient, CheckedConnector, ConnectionOptions, Keepalive, parse_url,
     },
 };
 
@@ -99,7 +99,7 @@
 /// Builds the request; one that can't be sent fails as if its connection had.
 fn build_request(attempt: &Attempt) -> Result<Request<Full<Bytes>>> {
     let uri = format!("http://{}{}", attempt.address, attempt.path);
-    let uri: Uri = uri.parse().map_err(|_| ForwardError::ConnectFailed)?;
+    let uri = parse_url(&uri).ok_or(ForwardError::ConnectFailed)?;
     let mut req = Request::new(Full::new(attempt.body.clone()));
     *req.method_mut() = attempt.method.clone();
     *req.uri_mut() = uri;
--- a/src/platform/object_store.rs
+++ b/src/platform/object_store.rs
@@ -13,7 +13,7 @@
 use crate::{
     base::{BootClock, read_bounded_body, with_root_cause},
     prelude::*,
-    response_framing::{CheckedClient, ConnectionOptions, Keepalive},
+    response_framing::{CheckedClient, ConnectionOptions, Keepalive, parse_url},
     store::{
         CallKind, CallRateLimiter, Change, Changes, Entry, Expect, Listing, OperationId, Platform,
         PlatformError, RateLimits, Result, StorePoint, Version, VersionedObject,
@@ -206,7 +206,7 @@
         let mut req = Request::new(Full::new(Bytes::new()));
         *req.method_mut() = method;
         let uri = format!("http://{}/api/objects/{path}", self.address);
-        *req.uri_mut() = uri.parse().map_err(|_| refused("invalid name of an object"))?;
+        *req.uri_mut() = parse_url(&uri).ok_or_else(|| refused("invalid name of an object"))?;
         if let Some(body) = body {
             *req.body_mut() = Full::new(body.into());
             let json = HeaderValue::from_static("application/json");
--- a/src/response_framing/client.rs
+++ b/src/response_framing/client.rs
@@ -58,6 +58,11 @@
     }
 }
 
+/// Parses a URL, and escapes the characters in it that requests may not contain.
+pub fn parse_url(url: &str) -> Option<Uri> {
+    reqwest::Url::parse(url).ok()?.as_str().parse().ok()
+}
+
 /// Client that follows no redirects, uses no proxies, and repeats a request only if its connection was
 /// closed before a byte was written.
 #[derive(Clone, Debug)]
--- a/src/response_framing/mod.rs
+++ b/src/response_framing/mod.rs
@@ -19,7 +19,7 @@
 mod unstated_body;
 
 pub use self::{
-    client::{CheckedClient, CheckedConnector, ConnectionOptions, Keepalive},
+    client::{CheckedClient, CheckedConnector, ConnectionOptions, Keepalive, parse_url},
     error::{BrokenResponse, Result},
     stream::CheckedStream,
 };
--- a/tests/broken_responses.rs
+++ b/tests/broken_responses.rs
@@ -154,6 +154,20 @@
     assert_eq!(listing.entries.len(), 1);
 }
 
+/// Guards against an object whose name hides all objects on the later pages of a listing.
+#[tokio::test]
+async fn a_listing_goes_on_behind_any_name() {
+    let store = standin().await;
+    let object = json!({ "metadata": { "name": "a b<c>\u{fffd}", "revision": 3 }, "spec": {} });
+    let page = json!({ "currentRev": 3, "hasMore": true, "items": [object] }).to_string();
+    store.set_response_body(page);
+    let client = ObjectStore::new(store.addr());
+    let list = tokio::time::timeout(TIMEOUT, client.list("servers"));
+    // The same page comes again and again.
+    let _ = list.await;
+    assert!(1 < store.received().len());
+}
+
 /// Guards against a write whose response can't be relied on, and that counts as refused: it may have
 /// been applied.
 #[tokio::test]
