List the store's stand-in in pages, and decode its URLs

Its lists had one page, and `after`, the escapes of a path and the fields of a query were not read, so that no test could show what a name does to a URL. Pages have a size and an order now: by name, or by creation with three responses to a name that no longer exists. URLs are decoded by the library that reads them elsewhere. Objects can be read and deleted by name, written as they are, and written with bytes that are no JSON.

--- a/src/platform/standin/mod.rs
+++ b/src/platform/standin/mod.rs
@@ -10,6 +10,7 @@
 mod rewrite;
 mod settings;
 mod store;
+mod store_pages;
 mod target;
 mod unending;
 
@@ -22,6 +23,7 @@
     rewrite::Rewrite,
     settings::{loopback_settings, loopback_traffic},
     store::{StoreCopy, StoreStandin},
+    store_pages::{BrokenValue, ListOrder, Paging, UnknownName},
     target::{ResponseMode, Statements, TargetIdentity, TargetStandin},
     unending::{Unending, UnendingPart},
 };
--- a/src/platform/standin/store.rs
+++ b/src/platform/standin/store.rs
@@ -6,13 +6,16 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderValue, Method, Request, Response, StatusCode, Uri};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use serde_json::{Value, json};
 use tokio::{net::TcpListener, sync::Notify, task::JoinHandle};
 
-use super::door::{DoorState, StoreDoor, serve};
+use super::{
+    door::{DoorState, StoreDoor, serve},
+    store_pages::{BrokenValue, CallTarget, Listed, Paging, encode},
+};
 use crate::prelude::*;
 
 /// Upper limit on the time for which a watch waits.
@@ -21,9 +24,6 @@
 /// Header with the number of times that the store was restored from a copy.
 const RESTORES_HEADER: &str = "store-era";
 
-/// Sent as bytes that are not UTF-8.
-const NOT_UTF8: char = '\u{e000}';
-
 type Objects = BTreeMap<(String, String), Value>;
 pub(super) type Reply = Response<Full<Bytes>>;
 
@@ -39,6 +39,8 @@
 pub(super) struct Shared {
     changed: Notify,
     down: AtomicBool,
+    /// Number of pages that were asked for.
+    listed_pages: AtomicUsize,
     state: Mutex<State>,
     /// Number of watches that are waiting for a change.
     pending_watches: AtomicUsize,
@@ -62,6 +64,8 @@
 
 #[derive(Clone, Default)]
 struct State {
+    /// Revision by which each object was created; orders listings.
+    created: BTreeMap<(String, String), u64>,
     /// Changes since the last compaction: revision, kind, object, whether it was deleted.
     events: Vec<(u64, String, Value, bool)>,
     /// Changes up to this revision are no longer available.
@@ -71,6 +75,7 @@
     /// Whether such reads state the present revision all the same.
     stale_states_present: bool,
     objects: Objects,
+    paging: Paging,
     /// Number of restores, which all responses state.
     restores: u64,
     revision: u64,
@@ -105,6 +110,16 @@
         self.shared.put(kind, name, json!({ "spec": spec }));
     }
 
+    /// Writes an object as it is, whatever `metadata` says. The object has this name all the same.
+    pub fn put_as_is(&self, kind: &str, name: &str, object: Value) {
+        self.shared.put_as_is(kind, name, object);
+    }
+
+    /// Writes an object with a value that breaks the JSON of each response that contains it.
+    pub fn put_broken(&self, kind: &str, name: &str, value: BrokenValue) {
+        self.shared.put(kind, name, json!({ "spec": { "address": value.placeholder() } }));
+    }
+
     /// Writes an object that can't be decoded.
     pub fn put_undecodable(&self, kind: &str, name: &str) {
         self.shared.put(kind, name, json!({ "spec": [1, "spoiled"] }));
@@ -112,7 +127,7 @@
 
     /// Writes an object with bytes that are not UTF-8.
     pub fn put_not_utf8(&self, kind: &str, name: &str) {
-        self.shared.put(kind, name, json!({ "spec": { "address": NOT_UTF8.to_string() } }));
+        self.put_broken(kind, name, BrokenValue::NotUtf8);
     }
 
     /// Writes an object without a change that watches could return.
@@ -121,7 +136,22 @@
         state.revision += 1;
         let metadata = json!({ "name": name, "revision": state.revision, "finalizers": [] });
         let object = json!({ "metadata": metadata, "spec": spec });
-        state.objects.insert((kind.to_owned(), name.to_owned()), object);
+        state.insert(kind, name, object);
+    }
+
+    /// Sets how objects are listed from now on.
+    pub fn set_paging(&self, paging: Paging) {
+        self.shared.state().paging = paging;
+    }
+
+    /// Returns the number of pages that were asked for.
+    pub fn listed_pages(&self) -> usize {
+        self.shared.listed_pages.load(Ordering::Relaxed)
+    }
+
+    /// Whether an object exists.
+    pub fn has_object(&self, kind: &str, name: &str) -> bool {
+        self.shared.state().objects.contains_key(&(kind.to_owned(), name.to_owned()))
     }
 
     pub fn remove(&self, kind: &str, name: &str) {
@@ -196,16 +226,25 @@
         state.revision += 1;
         let revision = state.revision;
         object["metadata"] = json!({ "name": name, "revision": revision, "finalizers": [] });
-        state.objects.insert((kind.to_owned(), name.to_owned()), object.clone());
-        state.events.push((revision, kind.to_owned(), object.clone(), false));
+        state.write(kind, name, object.clone());
         drop(state);
         self.changed.notify_waiters();
         object
     }
 
+    fn put_as_is(&self, kind: &str, name: &str, object: Value) {
+        let mut state = self.state();
+        state.revision += 1;
+        state.write(kind, name, object);
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
     fn remove(&self, kind: &str, name: &str) {
         let mut state = self.state();
-        if let Some(object) = state.objects.remove(&(kind.to_owned(), name.to_owned())) {
+        let key = (kind.to_owned(), name.to_owned());
+        if let Some(object) = state.objects.remove(&key) {
+            state.created.remove(&key);
             state.revision += 1;
             let revision = state.revision;
             state.events.push((revision, kind.to_owned(), object, true));
@@ -214,7 +253,9 @@
         self.changed.notify_waiters();
     }
 
-    fn list(&self, kind: &str, allow_stale: bool) -> Reply {
+    fn list(&self, kind: &str, target: &CallTarget) -> Reply {
+        self.listed_pages.fetch_add(1, Ordering::Relaxed);
+        let allow_stale = target.query("staleOk") == Some("1");
         let state = self.state();
         let stale = state.stale.as_ref().filter(|_| allow_stale);
         let (objects, mut revision) = stale
@@ -223,8 +264,11 @@
             revision = state.revision;
         }
         let of_kind = objects.iter().filter(|((object_kind, _), _)| object_kind == kind);
-        let items: Vec<&Value> = of_kind.map(|(_, object)| object).collect();
-        reply(200, &json!({ "items": items, "hasMore": false, "currentRev": revision }))
+        let listed = of_kind.map(|(key, object)| {
+            let created = state.created.get(key).copied().unwrap_or_default();
+            Listed { created, name: &key.1, object }
+        });
+        state.paging.page(listed.collect(), target.query("after"), revision)
     }
 
     async fn watch(&self, kind: &str, from: u64, wait: Duration) -> Reply {
@@ -270,28 +314,45 @@
         }
         let (head, body) = req.into_parts();
         let body = body.collect().await.map(|body| body.to_bytes()).unwrap_or_default();
-        let path = head.uri.path().trim_start_matches("/api/objects/").to_owned();
-        let (kind, name) = path.split_once('/').unwrap_or((&path, ""));
-        let number = |name| query(&head.uri, name).and_then(|text| text.parse::<u64>().ok());
+        let Some(target) = CallTarget::decode(&head.uri) else { return reply(404, &Value::Null) };
+        let (kind, name) = (&*target.kind, &*target.name);
         match head.method {
-            Method::GET if name.is_empty() => match number("watch") {
+            Method::GET if name.is_empty() => match target.number("watch") {
                 Some(from) => {
-                    let wait = Duration::from_millis(number("waitMs").unwrap_or_default());
-                    self.watch(kind, from, wait).await
+                    let wait = target.number("waitMs").unwrap_or_default();
+                    self.watch(kind, from, Duration::from_millis(wait)).await
                 }
-                None => self.list(kind, query(&head.uri, "staleOk") == Some("1")),
+                None => self.list(kind, &target),
             },
+            Method::GET => self.get(kind, name),
             Method::POST => self.create(kind, &body),
             Method::PUT => self.replace(kind, name, &body),
+            Method::DELETE => self.delete(kind, name, target.number("revision")),
             _ => reply(404, &Value::Null),
         }
     }
 
+    fn object(&self, kind: &str, name: &str) -> Option<Value> {
+        self.state().objects.get(&(kind.to_owned(), name.to_owned())).cloned()
+    }
+
+    fn get(&self, kind: &str, name: &str) -> Reply {
+        self.object(kind, name).map_or_else(|| reply(404, &Value::Null), |it| reply(200, &it))
+    }
+
+    fn delete(&self, kind: &str, name: &str, revision: Option<u64>) -> Reply {
+        let Some(object) = self.object(kind, name) else { return reply(404, &Value::Null) };
+        if revision.is_some_and(|revision| object["metadata"]["revision"] != revision) {
+            return reply(409, &object);
+        }
+        self.remove(kind, name);
+        reply(200, &Value::Null)
+    }
+
     fn create(&self, kind: &str, body: &[u8]) -> Reply {
         let draft: Value = serde_json::from_slice(body).unwrap_or_default();
         let name = draft["metadata"]["name"].as_str().unwrap_or_default().to_owned();
-        let existing = self.state().objects.get(&(kind.to_owned(), name.clone())).cloned();
-        match existing {
+        match self.object(kind, &name) {
             Some(object) => reply(409, &object),
             None => reply(200, &self.put(kind, &name, json!({ "spec": draft["spec"] }))),
         }
@@ -299,8 +360,7 @@
 
     fn replace(&self, kind: &str, name: &str, body: &[u8]) -> Reply {
         let draft: Value = serde_json::from_slice(body).unwrap_or_default();
-        let existing = self.state().objects.get(&(kind.to_owned(), name.to_owned())).cloned();
-        let Some(object) = existing else { return reply(404, &Value::Null) };
+        let Some(object) = self.object(kind, name) else { return reply(404, &Value::Null) };
         let wanted = &draft["metadata"]["revision"];
         if !wanted.is_null() && *wanted != object["metadata"]["revision"] {
             return reply(409, &object);
@@ -309,20 +369,22 @@
     }
 }
 
-fn query<'a>(uri: &'a Uri, name: &str) -> Option<&'a str> {
-    let mut pairs = uri.query().unwrap_or_default().split('&');
-    pairs.find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+impl State {
+    /// Writes an object, with an event.
+    fn write(&mut self, kind: &str, name: &str, object: Value) {
+        self.insert(kind, name, object.clone());
+        self.events.push((self.revision, kind.to_owned(), object, false));
+    }
+
+    fn insert(&mut self, kind: &str, name: &str, object: Value) {
+        let key = (kind.to_owned(), name.to_owned());
+        self.created.entry(key.clone()).or_insert(self.revision);
+        self.objects.insert(key, object);
+    }
 }
 
 pub(super) fn reply(status: u16, body: &Value) -> Reply {
-    let text = body.to_string();
-    let mut parts = text.split(NOT_UTF8).map(str::as_bytes);
-    let mut body = parts.next().unwrap_or_default().to_vec();
-    for part in parts {
-        body.extend([0xc3, 0x28, 0xff]);
-        body.extend(part);
-    }
-    let mut reply = Response::new(Full::new(Bytes::from(body)));
+    let mut reply = Response::new(Full::new(Bytes::from(encode(body))));
     *reply.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     reply
 }
