--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -18,7 +18,7 @@
 
 pub use self::messages::{
     Datagram, HostRecordWritten, HostRecordsRead, LearnedStateRead, LearnedStateWritten, Leave,
-    PeerQueryResult, Reload, StateQuery, StoreUpdate, Tick,
+    ListedHosts, PeerQueryResult, Reload, StateQuery, StoreUpdate, Tick,
 };
 
 use self::{
@@ -41,7 +41,7 @@
     metrics::{ControlGauges, EntryMetrics},
     placement::ServiceRegion,
     prelude::*,
-    store::{FollowEvent, FollowOptions, Follower, Platform, Version},
+    store::{FollowEvent, FollowOptions, Follower, Platform, Scope, Version},
 };
 
 /// Number of messages that may be queued for the actor; further senders wait.
@@ -132,6 +132,8 @@
     read_records_at: Moment,
     /// When the store or another host last responded with the store's state.
     state_received_at: Moment,
+    /// Parts of which a listing ended early, and when a watch must have shown the rest.
+    unlisted_expiry: BTreeMap<StorePart, Moment>,
     /// Entries that can't be read, with the revision that was logged.
     unreadable_entries: BTreeMap<(StorePart, Arc<str>), Version>,
     election: WatcherElection,
@@ -183,6 +185,7 @@
             stale_records: StaleRecordTracker::default(),
             read_records_at: now + FIRST_READ_RECORDS_DELAY,
             state_received_at: now,
+            unlisted_expiry: BTreeMap::new(),
             unreadable_entries: BTreeMap::new(),
             election: WatcherElection::new(now),
             parts,
@@ -333,6 +336,19 @@
         revisions.declared != 0 && revisions.targets != 0
     }
 
+    /// The objects of a part, with their keys where the settings tell them.
+    fn scope(&self, part: StorePart) -> Scope {
+        let prefixes = self.parts.protocol.store_prefixes();
+        let prefix = prefixes.of(part);
+        let zones = self.parts.settings.zones.keys();
+        let keys = match part {
+            StorePart::Declared => vec![prefixes.declaration.into()],
+            StorePart::Evacuations => zones.map(|zone| format!("{prefix}{zone}").into()).collect(),
+            StorePart::Targets => Vec::new(),
+        };
+        Scope { keys, prefix: prefix.into() }
+    }
+
     /// Starts or stops following the store: a host follows it while it is elected as a watcher, or
     /// while hosts with newer data do not answer its queries.
     fn update_followers(&mut self, own: &WeakAddress<Self>) {
@@ -364,18 +380,13 @@
         }
         let reason = if is_unanswered { WatchReason::Unanswered } else { WatchReason::Elected };
         self.record_event(Event::WatchBegun { reason });
-        let prefixes = self.parts.protocol.store_prefixes();
-        for (part, prefix) in [
-            (StorePart::Declared, prefixes.declared),
-            (StorePart::Targets, prefixes.targets),
-            (StorePart::Evacuations, prefixes.evacuations),
-        ] {
+        for part in [StorePart::Declared, StorePart::Targets, StorePart::Evacuations] {
             let (store, clock) = (self.parts.store.clone(), self.parts.clock.clone());
             // A first listing that may be some seconds old must not replace newer objects.
             let first_allows_stale = self.objects.revisions().of(part) == 0;
             let pace = FollowOptions { first_allows_stale, change_pause, ..FOLLOW_OPTIONS };
             let (tx, rx) = mpsc::channel(MAX_QUEUED_UPDATES);
-            let follower = Follower::spawn(store, clock, prefix, pace, tx);
+            let follower = Follower::spawn(store, clock, self.scope(part), pace, tx);
             let forwarder = tokio::spawn(forward_updates(part, rx, own.clone())).abort_handle();
             self.followers.push(FollowTask { follower, forwarder });
         }
--- a/src/entry/control/handlers.rs
+++ b/src/entry/control/handlers.rs
@@ -121,7 +121,7 @@
         StateQuery(query): StateQuery,
         _: &mut xtra::Context<Self>,
     ) -> Self::Return {
-        let known = self.objects.revisions();
+        let known = self.objects.served_revisions();
         let bytes_before = self.response_cache.compressed_bytes();
         let response = self.response_cache.response(&self.objects, known, &query);
         self.parts
@@ -173,14 +173,18 @@
 
     async fn handle(
         &mut self,
-        HostRecordsRead(records): HostRecordsRead,
+        HostRecordsRead(listed): HostRecordsRead,
         _: &mut xtra::Context<Self>,
     ) {
-        match records {
-            Some(records) => {
+        match listed {
+            Some(listed) => {
                 let now = self.now();
-                self.fleet.replace_contacts(records.iter().map(|record| record.gossip), now);
-                self.reconcile_host_records(&records);
+                let contacts = listed.records.iter().map(|record| record.gossip);
+                match listed.is_complete {
+                    true => self.fleet.replace_contacts(contacts, now),
+                    false => self.fleet.add_listed_contacts(contacts, now),
+                }
+                self.reconcile_host_records(&listed);
             }
             None => self.read_records_at = self.now() + RECORD_RETRY_PAUSE,
         }
--- a/src/entry/control/learned.rs
+++ b/src/entry/control/learned.rs
@@ -12,7 +12,7 @@
     fleet::Peer,
     placement::{InitialState, LearnedState, LearnedWrites, ReadState, is_learned_writer},
     prelude::*,
-    store::{Expect, PlatformError, Version, new_operation_id},
+    store::{Expect, Platform, PlatformError, Result, Version, VersionedObject, new_operation_id},
 };
 
 /// Interval at which a host looks whether a write is due. With a thousand hosts, the election of
@@ -87,12 +87,9 @@
         let prefix = self.parts.protocol.store_prefixes().learned;
         let (store, own) = (self.parts.store.clone(), own.clone());
         tokio::spawn(async move {
-            let listing = store.list_allow_stale(prefix).await;
-            let result = listing.map(|listing| {
-                let entry = listing.entries.into_iter().find(|entry| *entry.key == *key)?;
-                Some((entry.object.value, entry.object.version))
-            });
-            let _ = own.send(LearnedStateRead(result)).await;
+            let result = read_learned_object(&*store, prefix, &key).await;
+            let read = result.map(|object| object.map(|object| (object.value, object.version)));
+            let _ = own.send(LearnedStateRead(read)).await;
         });
     }
 
@@ -161,6 +158,20 @@
     }
 }
 
+/// Reads an object by a listing; by its key if the listing ended before it.
+async fn read_learned_object(
+    store: &dyn Platform,
+    prefix: &str,
+    key: &str,
+) -> Result<Option<VersionedObject>> {
+    let listing = store.list_allow_stale(prefix).await?;
+    let listed = listing.entries.into_iter().find(|entry| *entry.key == *key);
+    match (listed, listing.gap) {
+        (None, Some(_)) => store.get(key).await,
+        (listed, _) => Ok(listed.map(|entry| entry.object)),
+    }
+}
+
 impl Handler<LearnedStateRead> for EntryControl {
     type Return = ();
 
--- a/src/entry/control/messages.rs
+++ b/src/entry/control/messages.rs
@@ -41,7 +41,14 @@
 }
 
 /// Records of all hosts in the store; `None` if they could not be read.
-pub struct HostRecordsRead(pub Option<Vec<HostRecord>>);
+pub struct HostRecordsRead(pub Option<ListedHosts>);
+
+/// Records of hosts in the store.
+pub struct ListedHosts {
+    /// Whether these are all records.
+    pub is_complete: bool,
+    pub records: Vec<HostRecord>,
+}
 
 /// Whether this host's record was written to the store.
 pub struct HostRecordWritten(pub bool);
--- a/src/entry/control/peering.rs
+++ b/src/entry/control/peering.rs
@@ -5,8 +5,8 @@
 use xtra::WeakAddress;
 
 use super::{
-    EntryControl, HEARTBEAT_INTERVAL, HostRecordWritten, HostRecordsRead, PeerQueryResult,
-    StoreUpdate, unix_time_ms,
+    EntryControl, HEARTBEAT_INTERVAL, HostRecordWritten, HostRecordsRead, ListedHosts,
+    PeerQueryResult, StoreUpdate, unix_time_ms,
 };
 use crate::{
     entry::{
@@ -52,7 +52,7 @@
             load: Load::clone(&self.parts.load.load()),
             reaches_store: self.election.reaches_store(self.now()),
             reaches_targets: self.parts.reaches_targets.load(Ordering::Relaxed),
-            stamp: self.known_state.stamp(self.objects.revisions()),
+            stamp: self.known_state.stamp(self.objects.served_revisions()),
             strained: self.parts.strained.load(Ordering::Relaxed),
         }
     }
@@ -179,9 +179,11 @@
                     log::info!("cannot read the records of hosts from the store: {error}");
                 }
                 let record = |entry: &Entry| decode_record(&*protocol, entry);
-                let hosts =
-                    hosts.ok().map(|hosts| hosts.entries.iter().filter_map(record).collect());
-                let _ = own.send(HostRecordsRead(hosts)).await;
+                let records = hosts.ok().map(|hosts| ListedHosts {
+                    is_complete: hosts.gap.is_none(),
+                    records: hosts.entries.iter().filter_map(record).collect(),
+                });
+                let _ = own.send(HostRecordsRead(records)).await;
             });
         }
     }
@@ -215,10 +217,11 @@
 
     /// Removes records of hosts that have been silent for long, and has this host's record written
     /// again if it is missing.
-    pub(super) fn reconcile_host_records(&mut self, records: &[HostRecord]) {
+    pub(super) fn reconcile_host_records(&mut self, listed: &ListedHosts) {
+        let ListedHosts { is_complete, records } = listed;
         let now = self.now();
         let own = self.parts.settings.listen.gossip;
-        if !records.iter().any(|record| record.gossip == own) {
+        if *is_complete && !records.iter().any(|record| record.gossip == own) {
             self.write_record_at.get_or_insert(now);
         }
         let live = self.fleet.live(now).map(|peer| peer.info.gossip).collect();
@@ -227,8 +230,8 @@
             tokio::spawn(async move {
                 let expect = Expect::Version(record.version);
                 match store.delete(&record.key, expect, new_operation_id()).await {
-                    Ok(_) => log::info!("removed the record {} of a silent host", record.key),
-                    Err(error) => log::info!("cannot remove the record {}: {error}", record.key),
+                    Ok(_) => log::info!("removed the record {:?} of a silent host", record.key),
+                    Err(error) => log::info!("cannot remove the record {:?}: {error}", record.key),
                 }
             });
         }
@@ -242,7 +245,7 @@
             Some(HostRecord { gossip, key: entry.key.clone(), version: entry.object.version })
         }
         Err(error) => {
-            log::warn!("ignoring the host record {}: {error}", entry.key);
+            log::warn!("ignoring the host record {:?}: {error}", entry.key);
             None
         }
     }
--- a/src/entry/control/store_updates.rs
+++ b/src/entry/control/store_updates.rs
@@ -24,6 +24,10 @@
 /// Period after a restore of the store over which hosts spread the writes of their records.
 const RECORD_REWRITE_PERIOD: Duration = Duration::from_secs(2);
 
+/// Time after a listing that ended early until a watch has shown all objects that are still written.
+/// Targets write theirs every few seconds.
+const UNLISTED_PERIOD: Duration = Duration::from_secs(15);
+
 impl EntryControl {
     /// Decodes one changed object; returns whether the usable state changed.
     fn apply_change(&mut self, part: StorePart, change: ObjectChange, source: Source) -> bool {
@@ -273,6 +277,7 @@
 
     /// Applies what a watch reported; returns whether the usable state changed.
     fn apply_changes(&mut self, part: StorePart, Changes { changes, version }: Changes) -> bool {
+        self.expire_unlisted(part);
         if changes.is_empty() {
             return false;
         }
@@ -299,7 +304,8 @@
     }
 
     /// Applies a listing of the store; returns whether the usable state changed.
-    fn apply_listing(&mut self, part: StorePart, Listing { entries, version }: Listing) -> bool {
+    fn apply_listing(&mut self, part: StorePart, listing: Listing) -> bool {
+        let Listing { entries, gap, version } = listing;
         let known = self.objects.part(part).revision();
         let object = |entry: Entry| {
             let (name, revision) = (object_name(&entry.key), entry.object.version);
@@ -308,6 +314,12 @@
         };
         let objects: Vec<RawObject> = entries.into_iter().filter_map(object).collect();
         let count = objects.len();
+        if let Some(gap) = gap {
+            let reason = gap.to_string().into();
+            self.record_event(Event::ListingIncomplete { objects: count, part, reason });
+            return self.apply_partial_listing(part, objects, version);
+        }
+        self.unlisted_expiry.remove(&part);
         let is_applied = self.objects.part_mut(part).merge_listing(objects, version);
         let store_version = StorePoint::of(version).revision;
         self.record_event(Event::StoreListed { is_applied, objects: count, part, store_version });
@@ -326,6 +338,30 @@
         changed
     }
 
+    /// Applies a listing that ended early; returns whether the usable state changed.
+    fn apply_partial_listing(
+        &mut self,
+        part: StorePart,
+        objects: Vec<RawObject>,
+        version: Version,
+    ) -> bool {
+        self.unlisted_expiry.insert(part, self.now() + UNLISTED_PERIOD);
+        let mut changed = false;
+        for change in self.objects.part_mut(part).merge_partial_listing(objects, version) {
+            changed |= self.apply_change(part, change, Source::Listing);
+        }
+        changed
+    }
+
+    /// Takes a part for complete once the watch must have shown what a listing could not read.
+    fn expire_unlisted(&mut self, part: StorePart) {
+        let now = self.now();
+        if self.unlisted_expiry.get(&part).is_some_and(|until| *until <= now) {
+            self.unlisted_expiry.remove(&part);
+            self.objects.part_mut(part).forget_unlisted();
+        }
+    }
+
     /// Applies an update from the store; returns whether the usable state changed.
     pub(super) fn apply_update(&mut self, part: StorePart, update: FollowEvent) -> bool {
         match update {
--- a/src/entry/merge.rs
+++ b/src/entry/merge.rs
@@ -62,7 +62,26 @@
             Statement::Written(object) => self.merge_write(object),
         };
         let changes = statements.into_iter().enumerate().filter_map(change).collect();
-        self.record_revision(until);
+        self.record_changes_until(until);
+        changes
+    }
+
+    /// Applies a listing of the store at `revision` that ended early: what it lacks stays. Returns what
+    /// changed.
+    pub fn merge_partial_listing(
+        &mut self,
+        objects: Vec<RawObject>,
+        revision: u64,
+    ) -> Vec<ObjectChange> {
+        if revision < self.revision() {
+            return Vec::new();
+        }
+        let changes = objects
+            .into_iter()
+            .filter_map(|object| self.merge_existing(object, revision))
+            .collect();
+        self.record_unlisted(revision);
+        self.restart_history(revision);
         changes
     }
 
--- a/src/entry/protocol.rs
+++ b/src/entry/protocol.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, StatusCode, Uri};
 
-use super::{CallerKey, Declaration, TargetEntry};
+use super::{CallerKey, Declaration, StorePart, TargetEntry};
 use crate::{placement::TargetStatement, prelude::*};
 
 /// Result of decoding a stored object.
@@ -58,6 +58,8 @@
 /// Key prefixes of the platform's store.
 #[derive(Clone, Copy, Debug)]
 pub struct StorePrefixes {
+    /// Key of the declaration.
+    pub declaration: &'static str,
     /// Prefix of the declaration, which is a single object.
     pub declared: &'static str,
     pub evacuations: &'static str,
@@ -67,6 +69,17 @@
     pub targets: &'static str,
 }
 
+impl StorePrefixes {
+    /// The prefix of the keys of one part.
+    pub fn of(&self, part: StorePart) -> &'static str {
+        match part {
+            StorePart::Declared => self.declared,
+            StorePart::Evacuations => self.evacuations,
+            StorePart::Targets => self.targets,
+        }
+    }
+}
+
 /// Decodes and encodes the platform's formats.
 pub trait Protocol: Send + Sync {
     /// Reads the metadata of a request.
--- a/src/entry/store_objects.rs
+++ b/src/entry/store_objects.rs
@@ -66,6 +66,9 @@
     removed: BTreeMap<Arc<str>, Removal>,
     /// The store's revision up to which this copy contains all changes.
     revision: u64,
+    /// Revision of the last listing that ended early; 0 if there is none. While it is above `revision`,
+    /// objects may be missing that were written between the two.
+    unlisted_until: u64,
 }
 
 /// A remembered removal.
@@ -87,6 +90,7 @@
             history_start: 0,
             removed: BTreeMap::new(),
             revision: 0,
+            unlisted_until: 0,
         }
     }
 }
@@ -102,6 +106,30 @@
         self.revision = self.revision.max(revision);
     }
 
+    /// Records that this copy contains all changes since the last ones that it received, up to a
+    /// revision.
+    pub fn record_changes_until(&mut self, revision: u64) {
+        if !self.lacks_objects() {
+            self.record_revision(revision);
+        }
+    }
+
+    /// Whether objects may be missing, because a listing ended early. Until they are known, the revision
+    /// stays, and other hosts get nothing of the part: they would take the missing ones for removed.
+    pub fn lacks_objects(&self) -> bool {
+        self.revision < self.unlisted_until
+    }
+
+    /// Records that a listing at a revision ended early.
+    pub fn record_unlisted(&mut self, revision: u64) {
+        self.unlisted_until = self.unlisted_until.max(revision);
+    }
+
+    /// Records that a watch must have shown by now what listings could not read.
+    pub fn forget_unlisted(&mut self) {
+        self.unlisted_until = 0;
+    }
+
     /// Adds or replaces an object.
     pub fn insert(&mut self, name: Arc<str>, revision: u64, bytes: Bytes) {
         self.forget(&name);
@@ -280,6 +308,17 @@
         }
     }
 
+    /// The revisions up to which other hosts can get each part from this one; 0 for a part that lacks
+    /// objects.
+    pub fn served_revisions(&self) -> Revisions {
+        let served = |part: &PartObjects| if part.lacks_objects() { 0 } else { part.revision };
+        Revisions {
+            declared: served(&self.declared),
+            evacuations: served(&self.evacuations),
+            targets: served(&self.targets),
+        }
+    }
+
     /// The objects of one part.
     pub fn part(&self, part: StorePart) -> &PartObjects {
         match part {
--- a/src/entry/tests/merge.rs
+++ b/src/entry/tests/merge.rs
@@ -26,6 +26,9 @@
 /// Share of the responses of hosts that are lost.
 const LOST_SHARE: f64 = 0.1;
 
+/// Share of the listings that end early, where the store has entries that lead to it.
+const PARTIAL_SHARE: f64 = 0.5;
+
 /// Number of rounds of watches and exchanges after the last fault, until all hosts are equal.
 const SETTLE_ROUNDS: u32 = 4;
 
@@ -100,9 +103,24 @@
 /// A message on its way to a host.
 #[derive(Clone)]
 enum Message {
-    Changes { statements: Vec<Statement>, version: u64 },
-    Listing { objects: Vec<RawObject>, version: u64 },
-    Response { from: usize, query: Query, received: ReceivedState },
+    Changes {
+        statements: Vec<Statement>,
+        version: u64,
+    },
+    Listing {
+        objects: Vec<RawObject>,
+        version: u64,
+    },
+    /// A listing that ended early.
+    PartialListing {
+        objects: Vec<RawObject>,
+        version: u64,
+    },
+    Response {
+        from: usize,
+        query: Query,
+        received: ReceivedState,
+    },
 }
 
 #[derive(Default)]
@@ -172,6 +190,8 @@
     /// Share of the responses of hosts that are lost.
     lost: f64,
     names: Vec<Arc<str>>,
+    /// Share of the listings that end early.
+    partial: f64,
     progress: Progress,
     rng: ChaCha8Rng,
     store: Store,
@@ -186,24 +206,36 @@
         let hosts = (0..HOSTS).map(|_| Host::default()).collect();
         let rng = ChaCha8Rng::seed_from_u64(seed);
         let lost = LOST_SHARE;
-        Self { copy: store.clone(), hosts, lost, names, progress, rng, store }
+        let partial = 0.0;
+        Self { copy: store.clone(), hosts, lost, names, partial, progress, rng, store }
+    }
+
+    /// A listing, which may end early.
+    fn listing(&mut self) -> Message {
+        let listing = self.store.listing();
+        let Message::Listing { mut objects, version } = listing else { return listing };
+        if self.partial == 0.0 || !self.rng.random_bool(self.partial) {
+            return Message::Listing { objects, version };
+        }
+        objects.retain(|_| self.rng.random_bool(0.5));
+        Message::PartialListing { objects, version }
     }
 
     /// A host's next call to the store.
     fn call_store(&mut self, at: usize) {
-        let host = &mut self.hosts[at];
-        if host.turned_away {
+        if self.hosts[at].turned_away {
             return;
         }
-        let answer = host.watched.and_then(|from| self.store.watch(from));
-        let answer = answer.unwrap_or_else(|| self.store.listing());
+        let answer = self.hosts[at].watched.and_then(|from| self.store.watch(from));
+        let answer = answer.unwrap_or_else(|| self.listing());
+        let host = &mut self.hosts[at];
         host.watched = Some(self.store.now.version());
         host.inbox.push(answer);
     }
 
     fn query(&mut self, at: usize, from: usize, query: Query) {
         let other = &mut self.hosts[from];
-        let known = other.objects.revisions();
+        let known = other.objects.served_revisions();
         let encoded = other.cache.response(&other.objects, known, &query);
         let received = ReceivedState::decode(&encoded.expect("it can be encoded"));
         let received = received.expect("it can be decoded");
@@ -213,7 +245,7 @@
     /// Has a host ask another one that knows more, as their stamps show it.
     fn exchange(&mut self, at: usize, from: usize) {
         let (own, other) = (&self.hosts[at], &self.hosts[from]);
-        let is_ahead = own.part().revision() < other.part().revision();
+        let is_ahead = own.part().revision() < other.objects.served_revisions().of(PART);
         if is_ahead && own.part().digest() != other.part().digest() {
             self.query(at, from, Query::since(own.objects.revisions()));
         }
@@ -229,6 +261,9 @@
             Message::Listing { objects: listed, version } => {
                 objects.merge_listing(listed, version);
             }
+            Message::PartialListing { objects: listed, version } => {
+                objects.merge_partial_listing(listed, version);
+            }
             Message::Response { from, query, received } => {
                 let mut is_different = received.too_old.contains(&PART);
                 for diff in received.parts.iter().filter(|diff| diff.part == PART) {
@@ -313,6 +348,11 @@
             self.check_progress()?;
         }
         self.lost = 0.0;
+        if 0.0 < self.partial {
+            // What stood in the way of the listings is gone.
+            self.partial = 0.0;
+            self.hosts.iter_mut().for_each(|host| host.watched = None);
+        }
         for _ in 0..SETTLE_ROUNDS {
             // Only two hosts watch; the others learn from them.
             for at in 0..2 {
@@ -348,6 +388,36 @@
     assert!(failed.is_empty(), "{} of {SEEDS} seeds, first {:?}", failed.len(), failed.first());
 }
 
+/// Guards against hosts that end objects which a listing could not read, at themselves or at others.
+#[test]
+fn copies_never_go_back_by_listings_that_end_early() {
+    let run = |seed| Model { partial: PARTIAL_SHARE, ..Model::new(seed) }.run();
+    let failed: Vec<String> = (0..SEEDS)
+        .filter_map(|seed| run(seed).err().map(|error| format!("{seed}: {error}")))
+        .collect();
+    assert!(failed.is_empty(), "{} of {SEEDS} seeds, first {:?}", failed.len(), failed.first());
+}
+
+/// Guards against a host that states its copy to others as complete although it lacks objects, or that
+/// never does so again.
+#[test]
+fn a_copy_that_lacks_objects_does_not_count_as_complete() {
+    let (listed, unlisted): (Arc<str>, Arc<str>) = ("t-1".into(), "t-2".into());
+    let mut objects = PartObjects::default();
+    let changes = objects.merge_partial_listing(vec![raw(&listed, 3)], 9);
+    assert_eq!((changes.len(), objects.revision()), (1, 0));
+    let changes = objects.merge_changes(vec![Statement::Written(raw(&unlisted, 12))], 12);
+    assert_eq!((changes.len(), objects.revision()), (1, 0));
+    objects.forget_unlisted();
+    objects.merge_changes(Vec::new(), 14);
+    assert_eq!(objects.revision(), 14);
+    // What was known before stays, and so does the revision up to which it was.
+    assert_eq!(objects.merge_partial_listing(Vec::new(), 20), []);
+    assert_eq!((objects.names().count(), objects.revision()), (2, 14));
+    assert!(objects.merge_listing(vec![raw(&listed, 3)], 21));
+    assert_eq!((objects.names().count(), objects.revision()), (1, 21));
+}
+
 /// Guards against a host that takes its copy for complete after another host sent what had changed:
 /// if the comparison that finds the rest fails, it never asks again and lacks an evacuation for good.
 #[test]
--- a/src/event_log/event.rs
+++ b/src/event_log/event.rs
@@ -115,6 +115,13 @@
     },
     /// Number of lines dropped since the previous event of this kind, by kind of event.
     LinesDropped { counts: BTreeMap<Arc<str>, u64> },
+    /// A listing of the store ended early. The objects that it lacks count as unknown, not as removed.
+    ListingIncomplete {
+        /// Number of objects that were read.
+        objects: usize,
+        part: StorePart,
+        reason: Arc<str>,
+    },
     /// A message logged through the `log` macros, by this crate or by a library.
     Note { level: Arc<str>, module: Arc<str>, text: Arc<str> },
     /// No target could take a request.
--- a/src/event_log/kind.rs
+++ b/src/event_log/kind.rs
@@ -77,6 +77,9 @@
             EventKind::LearnedUnwritten => "learned values could not be written to the store",
             EventKind::LearnedWritten => "learned values were written to the store",
             EventKind::LinesDropped => "lines of this log that were dropped, by kind",
+            EventKind::ListingIncomplete => {
+                "a listing of the store ended early, and what was read is used"
+            }
             EventKind::Note => "a line of a library",
             EventKind::NotPlaced => "no target could take a request in time",
             EventKind::OwnerSilent => "the owner of a group of targets did not answer",
--- a/src/fleet/contacts.rs
+++ b/src/fleet/contacts.rs
@@ -43,6 +43,17 @@
         self.by_addr = contacts.collect();
     }
 
+    /// Adds addresses in the store's host records, of which not all could be read.
+    pub fn add_listed(&mut self, addrs: impl Iterator<Item = SocketAddr>, now: Moment) {
+        for addr in addrs {
+            if let Some(contact) = self.by_addr.get_mut(&addr) {
+                contact.last_reported = now;
+            } else if self.by_addr.len() < MAX_CONTACTS {
+                self.by_addr.insert(addr, Contact { last_reported: now, zone: None });
+            }
+        }
+    }
+
     /// Removes addresses that were last reported longer than `CONTACT_TTL` ago.
     pub fn remove_expired(&mut self, now: Moment) {
         self.by_addr.retain(|_, contact| now.saturating_sub(contact.last_reported) < CONTACT_TTL);
--- a/src/fleet/machine.rs
+++ b/src/fleet/machine.rs
@@ -212,6 +212,11 @@
         self.contacts.replace(gossip, now);
     }
 
+    /// Adds the addresses in some of the store's host records to the contacts.
+    pub fn add_listed_contacts(&mut self, gossip: impl Iterator<Item = SocketAddr>, now: Moment) {
+        self.contacts.add_listed(gossip, now);
+    }
+
     /// Loads of other hosts, with their regions: one sum for each zone, and one for each host of a
     /// small own zone.
     pub fn loads(&self, now: Moment) -> impl Iterator<Item = (&RegionId, &Load)> {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -8,7 +8,10 @@
 mod config;
 mod headers;
 mod keys;
+mod listing;
 mod object_store;
+mod object_urls;
+mod page_cursor;
 mod protocol;
 mod restore_counter;
 mod server;
--- a/src/platform/object_store.rs
+++ b/src/platform/object_store.rs
@@ -9,11 +9,11 @@
 use hyper_util::client::legacy;
 use serde_json::value::RawValue;
 
-use super::restore_counter::RestoreCounter;
+use super::{listing::Reading, object_urls::split_key, restore_counter::RestoreCounter};
 use crate::{
     base::{BootClock, read_bounded_body, with_root_cause},
     prelude::*,
-    response_framing::{CheckedClient, ConnectionOptions, Keepalive, parse_url},
+    response_framing::{CheckedClient, ConnectionOptions, Keepalive},
     store::{
         CallKind, CallRateLimiter, Change, Changes, Entry, Expect, Listing, OperationId, Platform,
         PlatformError, RateLimits, Result, StorePoint, Version, VersionedObject,
@@ -23,7 +23,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Timeout of a call, from its start to the last byte of the response. The store normally answers
 /// within milliseconds, and within a few hundred when it is slow.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Time added to the requested wait for the timeout of a watch. A watch that stays silent longer is
 /// broken.
@@ -43,9 +43,6 @@
 /// Header of all responses with the number of times that the store was restored from a copy.
 const RESTORES_HEADER: &str = "store-era";
 
-/// Query of a listing that may be seconds old.
-const STALE_OK_QUERY: &str = "staleOk=1";
-
 /// Idle connections that are kept, and time after which one is closed.
 const IDLE_CONNECTIONS: usize = 4;
 const IDLE_TIMEOUT: Duration = Duration::from_secs(90);
@@ -69,24 +66,15 @@
 }
 
 #[derive(Deserialize)]
-struct Metadata {
+pub(super) struct Metadata {
     name: Arc<str>,
     #[serde(default)]
-    revision: Version,
-}
-
-#[derive(Deserialize)]
-struct Object {
-    metadata: Metadata,
+    pub revision: Version,
 }
 
 #[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct ListPage {
-    current_rev: Version,
-    #[serde(default)]
-    has_more: bool,
-    items: Vec<Box<RawValue>>,
+pub(super) struct Object {
+    pub metadata: Metadata,
 }
 
 #[derive(Deserialize)]
@@ -117,63 +105,18 @@
     revision: Option<Version>,
 }
 
-/// How a listing is read.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Reading {
-    Current,
-    /// It may be seconds old. It costs a tenth of a current one and does not count towards the store's
-    /// rate limit.
-    MayBeStale,
-}
-
 /// What stands for an object with bytes that are not UTF-8: none of the values that the platform
 /// defines.
 const NOT_UTF8: &str = r#""bytes that are not UTF-8""#;
 
-struct CallResponse {
+pub(super) struct CallResponse {
     body: Bytes,
     is_utf8: bool,
     /// Number of restores of the store that the response belongs to.
-    restores: u64,
+    pub restores: u64,
     status: StatusCode,
 }
 
-impl ListPage {
-    /// The objects of the page. Those without a name are skipped, so that they do not block the
-    /// others.
-    fn objects(&self, kind: &str) -> Vec<(Object, &RawValue)> {
-        let decode = |item: &RawValue| {
-            serde_json::from_str::<Object>(item.get())
-                .inspect_err(|error| log::warn!("skipping an invalid object of {kind}: {error}"))
-        };
-        let objects = self.items.iter().map(|item| (decode(item), &**item));
-        objects.filter_map(|(object, item)| Some((object.ok()?, item))).collect()
-    }
-}
-
-impl Reading {
-    fn query(self) -> &'static str {
-        match self {
-            Self::Current => "",
-            Self::MayBeStale => STALE_OK_QUERY,
-        }
-    }
-
-    /// The revision up to which a page shows all changes; 0 if nothing tells.
-    ///
-    /// A page that is old may state the store's present revision all the same. Whatever its age, it
-    /// shows all changes up to that of its newest object.
-    fn complete_until(self, page: &ListPage, objects: &[(Object, &RawValue)]) -> u64 {
-        match self {
-            Self::Current => page.current_rev,
-            Self::MayBeStale => {
-                let newest = objects.iter().map(|(object, _)| object.metadata.revision).max();
-                newest.unwrap_or_default().min(page.current_rev)
-            }
-        }
-    }
-}
-
 impl ObjectStore {
     /// Returns a client of the store at `address`. Sends nothing yet.
     pub fn new(address: SocketAddr) -> Self {
@@ -188,7 +131,8 @@
         Self { address, limiter, client, clock, restores: RestoreCounter::default() }
     }
 
-    async fn call(
+    /// Makes a call; `path` is escaped.
+    pub(super) async fn call(
         &self,
         kind: CallKind,
         method: Method,
@@ -206,7 +150,7 @@
         let mut req = Request::new(Full::new(Bytes::new()));
         *req.method_mut() = method;
         let uri = format!("http://{}/api/objects/{path}", self.address);
-        *req.uri_mut() = parse_url(&uri).ok_or_else(|| refused("invalid name of an object"))?;
+        *req.uri_mut() = uri.parse().map_err(|_| refused("invalid name of an object"))?;
         if let Some(body) = body {
             *req.body_mut() = Full::new(body.into());
             let json = HeaderValue::from_static("application/json");
@@ -250,6 +194,11 @@
         Ok((head, body.map_err(|error| unavailable(&with_root_cause(&error), true))?))
     }
 
+    /// Number of restores of the store, as its responses state it.
+    pub(super) fn latest_restores(&self) -> u64 {
+        self.restores.latest()
+    }
+
     /// The revision of an object that a write expects. After a restore it may stand for another write,
     /// so the call fails as it would for an object that has changed.
     fn current_revision(&self, expected: Version) -> Result<u64> {
@@ -259,40 +208,6 @@
             false => Err(PlatformError::Conflict { current: None }),
         }
     }
-
-    /// Reads all pages of a listing.
-    async fn list_pages(&self, prefix: &str, reading: Reading) -> Result<Listing> {
-        let kind = prefix.trim_end_matches('/');
-        let query = reading.query();
-        let mut entries = Vec::new();
-        let mut path = format!("{kind}?{query}");
-        // A watch must continue from the lowest version of a page. From a later one, it would miss
-        // changes made while the pages were read, or that a page out of date does not show.
-        let mut lowest = None;
-        loop {
-            let answer = self.call(CallKind::Read, Method::GET, &path, None, CALL_TIMEOUT).await?;
-            let text = answer.text();
-            let page: ListPage = json(text.as_bytes())?;
-            let objects = page.objects(kind);
-            let current = version(answer.restores, reading.complete_until(&page, &objects));
-            let before = lowest.unwrap_or(current);
-            lowest = Some(current.min(before));
-            if StorePoint::of(before).restores != answer.restores {
-                return Err(unavailable("the store was restored during a listing", false));
-            }
-            let listed = objects.iter().map(|(object, item)| entry(kind, object, item, &answer));
-            entries.extend(listed);
-            match entries.last() {
-                Some(last) if page.has_more && !page.items.is_empty() => {
-                    let name = last.key.rsplit('/').next().unwrap_or_default();
-                    path = format!("{kind}?after={name}&{query}");
-                }
-                _ => break,
-            }
-        }
-        entries.sort_by(|a, b| a.key.cmp(&b.key));
-        Ok(Listing { entries, version: lowest.unwrap_or_default() })
-    }
 }
 
 #[async_trait]
@@ -340,19 +255,21 @@
         let spec: &RawValue = json(&value)?;
         let (method, path, revision) = match expect {
             Expect::Absent => {
-                (Method::POST, key.trim_end_matches(name).trim_end_matches('/'), None)
+                (Method::POST, key.trim_end_matches(name).trim_end_matches('/').to_owned(), None)
+            }
+            Expect::Version(version) => {
+                (Method::PUT, key.to_owned(), Some(self.current_revision(version)?))
             }
-            Expect::Version(version) => (Method::PUT, key, Some(self.current_revision(version)?)),
         };
         let object = WriteBody { metadata: WriteMetadata { name, revision }, spec };
         let body = serde_json::to_vec(&object).map_err(|error| refused(&error.to_string()))?;
-        let answer = self.call(CallKind::Write, method, path, Some(body), CALL_TIMEOUT).await?;
+        let answer = self.call(CallKind::Write, method, &path, Some(body), CALL_TIMEOUT).await?;
         let written = json::<Object>(&answer.body);
         Ok(written.map_or(0, |object| version(answer.restores, object.metadata.revision)))
     }
 
     async fn watch(&self, prefix: &str, from: Version, wait: Duration) -> Result<Changes> {
-        let kind = prefix.trim_end_matches('/');
+        let (kind, _) = split_key(prefix);
         let from = StorePoint::of(from);
         let path = format!("{kind}?watch={}&waitMs={}", from.revision, wait.as_millis());
         let timeout = wait + WATCH_GRACE;
@@ -383,25 +300,25 @@
     }
 }
 
-fn version(restores: u64, revision: u64) -> Version {
+pub(super) fn version(restores: u64, revision: u64) -> Version {
     StorePoint { restores, revision }.version()
 }
 
 impl CallResponse {
     /// The body as text. Bytes that are not UTF-8 are replaced, so that an object that has some does
     /// not hide the others.
-    fn text(&self) -> Cow<'_, str> {
+    pub(super) fn text(&self) -> Cow<'_, str> {
         String::from_utf8_lossy(&self.body)
     }
 
     /// Whether an object of the text contains replaced bytes.
-    fn is_replaced(&self, object: &RawValue) -> bool {
+    pub(super) fn is_replaced(&self, object: &RawValue) -> bool {
         !self.is_utf8 && object.get().contains(char::REPLACEMENT_CHARACTER)
     }
 }
 
 /// An object of a response. One with bytes that are not UTF-8 has a value that nothing decodes.
-fn entry(kind: &str, object: &Object, raw: &RawValue, response: &CallResponse) -> Entry {
+pub(super) fn entry(kind: &str, object: &Object, raw: &RawValue, response: &CallResponse) -> Entry {
     let value = if response.is_replaced(raw) { NOT_UTF8 } else { raw.get() };
     let key = format!("{kind}/{}", object.metadata.name).into();
     let version = version(response.restores, object.metadata.revision);
@@ -412,14 +329,14 @@
     VersionedObject { operation: "".into(), value, version }
 }
 
-fn json<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T> {
+pub(super) fn json<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T> {
     serde_json::from_slice(bytes).map_err(|error| refused(&error.to_string()))
 }
 
-fn refused(detail: &str) -> PlatformError {
+pub(super) fn refused(detail: &str) -> PlatformError {
     PlatformError::Refused { detail: detail.into() }
 }
 
-fn unavailable(detail: &str, may_have_applied: bool) -> PlatformError {
+pub(super) fn unavailable(detail: &str, may_have_applied: bool) -> PlatformError {
     PlatformError::Unavailable { detail: detail.into(), may_have_applied }
 }
--- a/src/platform/protocol.rs
+++ b/src/platform/protocol.rs
@@ -23,6 +23,7 @@
 /// Prefixes of the keys in the store. Only `hosts` and `learned` are specific to this project; the
 /// platform defines the others.
 const STORE_PREFIXES: StorePrefixes = StorePrefixes {
+    declaration: "config/main",
     declared: "config/",
     evacuations: "evacuations/",
     hosts: "lavenderplank-hosts/",
--- a/src/standin/platform/store.rs
+++ b/src/standin/platform/store.rs
@@ -68,7 +68,7 @@
             .take_while(|(key, _)| key.starts_with(prefix))
             .map(|(key, object)| Entry { key: key.clone(), object: object.clone() })
             .collect();
-        Listing { entries, version: self.version }
+        Listing { entries, gap: None, version: self.version }
     }
 
     /// Writes an object.
--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -50,12 +50,37 @@
 pub enum FollowEvent {
     /// Writes since the previous event; empty if a watch ended without any.
     Changed(Changes),
-    /// All objects under the prefix; replaces everything sent before.
+    /// All objects under the prefix; replaces everything sent before, unless the listing has a gap.
     Listed(Listing),
     /// A call failed; the state sent before remains valid but may be out of date.
     Failed(PlatformError),
 }
 
+impl FollowEvent {
+    /// Why the listing will be read again.
+    fn failed_page(&self) -> Option<&PlatformError> {
+        match self {
+            Self::Listed(listing) => listing.gap.as_ref().filter(|gap| gap.is_transient()),
+            _ => None,
+        }
+    }
+}
+
+/// What a follower follows.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Scope {
+    /// Keys of all objects that the caller uses, if these are known. Those that a listing could not
+    /// read are read one by one.
+    pub keys: Vec<Arc<str>>,
+    pub prefix: Arc<str>,
+}
+
+impl From<&str> for Scope {
+    fn from(prefix: &str) -> Self {
+        Self { keys: Vec::new(), prefix: prefix.into() }
+    }
+}
+
 /// A running follower; stops when dropped.
 pub struct Follower {
     /// In milliseconds.
@@ -64,17 +89,17 @@
 }
 
 impl Follower {
-    /// Follows the objects under `prefix` until dropped or until `tx` is closed.
+    /// Follows the objects of `scope` until dropped or until `tx` is closed.
     pub fn spawn(
         platform: Arc<dyn Platform>,
         clock: Arc<dyn Clock>,
-        prefix: &str,
+        scope: impl Into<Scope>,
         options: FollowOptions,
         tx: mpsc::Sender<FollowEvent>,
     ) -> Self {
         let change_pause = Arc::new(AtomicU64::new(options.change_pause.as_millis() as u64));
-        let prefix = prefix.to_owned();
-        let task = tokio::spawn(follow(platform, clock, prefix, options, change_pause.clone(), tx));
+        let scope = scope.into();
+        let task = tokio::spawn(follow(platform, clock, scope, options, change_pause.clone(), tx));
         Self { change_pause, task }
     }
 
@@ -133,8 +158,9 @@
         }
     }
 
-    /// Records a listing, and returns whether a watch can continue from it. It can't if the listing
-    /// may be old and nothing shows how old; the next one is current.
+    /// Records a listing, and returns whether it can be used. It can't if it may be old and nothing
+    /// shows how old; the next one is current. A watch continues from it, unless reading it again may
+    /// fill its gap.
     pub(super) fn record_listing(&mut self, listing: &Listing, now: Moment) -> bool {
         let known = |entry: &Entry| (entry.key.clone(), entry.object.version);
         let may_be_old = self.is_first && self.options.first_allows_stale;
@@ -142,9 +168,14 @@
         if may_be_old && StorePoint::of(listing.version).revision == 0 {
             return false;
         }
+        self.compared_at = now;
+        if let Some(gap) = listing.gap.as_ref().filter(|gap| gap.is_transient()) {
+            self.version = None;
+            self.record_failure(gap);
+            return true;
+        }
         self.known = listing.entries.iter().map(known).collect();
         self.version = Some(listing.version);
-        self.compared_at = now;
         self.backoff = retry_delays(self.seed);
         true
     }
@@ -200,15 +231,16 @@
 async fn follow(
     platform: Arc<dyn Platform>,
     clock: Arc<dyn Clock>,
-    prefix: String,
+    scope: Scope,
     options: FollowOptions,
     change_pause: Arc<AtomicU64>,
     tx: mpsc::Sender<FollowEvent>,
 ) {
+    let prefix = &*scope.prefix;
     let mut state = FollowState::new(rand::random(), options);
     loop {
         let event = match state.next(clock.now()) {
-            Step::Compare => match platform.keys(&prefix).await {
+            Step::Compare => match platform.keys(prefix).await {
                 Ok(keys) => {
                     state.record_versions(&keys, clock.now());
                     None
@@ -217,13 +249,16 @@
             },
             Step::List { allow_stale } => {
                 let listing = match allow_stale {
-                    true => platform.list_allow_stale(&prefix).await,
-                    false => platform.list(&prefix).await,
+                    true => platform.list_allow_stale(prefix).await,
+                    false => platform.list(prefix).await,
                 };
                 match listing {
-                    Ok(listing) => state
-                        .record_listing(&listing, clock.now())
-                        .then_some(FollowEvent::Listed(listing)),
+                    Ok(mut listing) => {
+                        read_missing(&*platform, &scope, &mut listing).await;
+                        state
+                            .record_listing(&listing, clock.now())
+                            .then_some(FollowEvent::Listed(listing))
+                    }
                     Err(err) => Some(record_failure(&mut state, err)),
                 }
             }
@@ -231,7 +266,7 @@
                 tokio::time::sleep(pause).await;
                 None
             }
-            Step::Watch { from } => match platform.watch(&prefix, from, options.max_wait).await {
+            Step::Watch { from } => match platform.watch(prefix, from, options.max_wait).await {
                 Ok(changes) => {
                     state.record_changes(&changes);
                     Some(FollowEvent::Changed(changes))
@@ -246,15 +281,40 @@
             FollowEvent::Listed(_) => options.list_pause,
             FollowEvent::Failed(_) => Duration::ZERO,
         };
+        let failure = event.failed_page().cloned();
         if tx.send(event).await.is_err() {
             return;
         }
+        if let Some(error) = failure {
+            let _ = tx.send(FollowEvent::Failed(error)).await;
+            continue;
+        }
         if !pause.is_zero() {
             tokio::time::sleep(pause).await;
         }
     }
 }
 
+/// Completes a listing that ended early, if the keys of all objects are known.
+async fn read_missing(platform: &dyn Platform, scope: &Scope, listing: &mut Listing) {
+    let is_lasting = listing.gap.as_ref().is_some_and(|gap| !gap.is_transient());
+    if !is_lasting || scope.keys.is_empty() {
+        return;
+    }
+    for key in &scope.keys {
+        if listing.entries.iter().any(|entry| entry.key == *key) {
+            continue;
+        }
+        match platform.get(key).await {
+            Ok(Some(object)) => listing.entries.push(Entry { key: key.clone(), object }),
+            Ok(None) => {}
+            Err(error) => return listing.gap = Some(error),
+        }
+    }
+    listing.entries.sort_by(|a, b| a.key.cmp(&b.key));
+    listing.gap = None;
+}
+
 fn record_failure(state: &mut FollowState, err: PlatformError) -> FollowEvent {
     state.record_failure(&err);
     FollowEvent::Failed(err)
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -22,7 +22,7 @@
     circuit_breaker::{BreakerState, CircuitBreaker},
     confirmed_put::{PutOutcome, put_confirmed},
     error::{PlatformError, Result},
-    follow::{FollowEvent, FollowOptions, Follower},
+    follow::{FollowEvent, FollowOptions, Follower, Scope},
     http::{HttpPlatform, PlatformClientState},
     model::{
         Change, Changes, Entry, Expect, KeyVersion, Listing, MAX_KEY_BYTES, MAX_RESTORES,
--- a/src/store/model.rs
+++ b/src/store/model.rs
@@ -4,6 +4,8 @@
 
 use bytes::Bytes;
 
+use super::PlatformError;
+
 /// Largest value, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1024 * 1024;
 
@@ -110,6 +112,8 @@
 pub struct Listing {
     /// Sorted by key.
     pub entries: Vec<Entry>,
+    /// Why objects may be missing; `None` if the listing is complete.
+    pub gap: Option<PlatformError>,
     /// The store's version; a watch continues from here.
     pub version: Version,
 }
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -61,14 +61,15 @@
     let versioned =
         |version| VersionedObject { operation: "op".into(), value: "x".into(), version };
     let entry = |version| Entry { key: "a".into(), object: versioned(version) };
-    state.record_listing(&Listing { entries: vec![entry(4)], version: 9 }, SECOND);
+    state.record_listing(&Listing { entries: vec![entry(4)], gap: None, version: 9 }, SECOND);
     assert_eq!(state.next(SECOND), Step::Watch { from: 9 });
     assert_eq!(state.next(10 * SECOND), Step::Compare);
     state.record_versions(&[KeyVersion { key: "a".into(), version: 4 }], 10 * SECOND);
     assert_eq!(state.next(10 * SECOND), Step::Watch { from: 9 });
     state.record_versions(&[KeyVersion { key: "a".into(), version: 11 }], 20 * SECOND);
     assert_eq!(state.next(20 * SECOND), Step::List { allow_stale: false });
-    state.record_listing(&Listing { entries: vec![entry(11)], version: 12 }, 20 * SECOND);
+    state
+        .record_listing(&Listing { entries: vec![entry(11)], gap: None, version: 12 }, 20 * SECOND);
     state.record_failure(&PlatformError::TooOld { oldest: 20 });
     assert_matches!(state.next(20 * SECOND), Step::Pause(_));
     assert_eq!(state.next(20 * SECOND), Step::List { allow_stale: false });
@@ -83,7 +84,7 @@
     let options = FollowOptions { first_allows_stale: true, ..FollowOptions::STANDALONE };
     let mut state = FollowState::new(1, options);
     assert_eq!(state.next(SECOND), Step::List { allow_stale: true });
-    state.record_listing(&Listing { entries: Vec::new(), version: 9 }, SECOND);
+    state.record_listing(&Listing { entries: Vec::new(), gap: None, version: 9 }, SECOND);
     state.record_failure(&PlatformError::TooOld { oldest: 20 });
     assert_matches!(state.next(SECOND), Step::Pause(_));
     assert_eq!(state.next(SECOND), Step::List { allow_stale: false });
@@ -102,13 +103,28 @@
 fn a_first_listing_without_a_revision_is_read_again() {
     let options = FollowOptions { first_allows_stale: true, ..FollowOptions::STANDALONE };
     let mut state = FollowState::new(1, options);
-    let empty = |version| Listing { entries: Vec::new(), version };
+    let empty = |version| Listing { entries: Vec::new(), gap: None, version };
     assert!(!state.record_listing(&empty(0), SECOND));
     assert_eq!(state.next(SECOND), Step::List { allow_stale: false });
     assert!(state.record_listing(&empty(9), SECOND));
     assert_eq!(state.next(SECOND), Step::Watch { from: 9 });
 }
 
+/// Guards against a follower that lists for ever where no listing can be complete, and against one that
+/// does not list again after a page was lost.
+#[test]
+fn a_listing_with_a_gap_is_read_again_only_if_that_may_help() {
+    let gap = |error| Listing { entries: Vec::new(), gap: Some(error), version: 9 };
+    let mut state = FollowState::new(1, FollowOptions::STANDALONE);
+    assert!(state.record_listing(&gap(PlatformError::Refused { detail: "odd".into() }), SECOND));
+    assert_eq!(state.next(SECOND), Step::Watch { from: 9 });
+    let mut state = FollowState::new(1, FollowOptions::STANDALONE);
+    let lost = PlatformError::Unavailable { detail: "down".into(), may_have_applied: false };
+    assert!(state.record_listing(&gap(lost), SECOND));
+    assert_matches!(state.next(SECOND), Step::Pause(_));
+    assert_eq!(state.next(SECOND), Step::List { allow_stale: false });
+}
+
 /// Clock that follows tokio's time, which a test can pause.
 struct TokioClock(tokio::time::Instant);
 
@@ -213,7 +229,7 @@
     }
 
     async fn list(&self, _: &str) -> Result<Listing> {
-        Ok(Listing { entries: Vec::new(), version: 1 })
+        Ok(Listing { entries: Vec::new(), gap: None, version: 1 })
     }
 
     async fn put(&self, _: &str, _: Expect, _: Bytes, _: OperationId) -> Result<Version> {
--- a/src/store/wire.rs
+++ b/src/store/wire.rs
@@ -90,7 +90,7 @@
             Some(Entry { key: change.key, object })
         };
         let entries = changes.changes.into_iter().filter_map(entry).collect();
-        Some(Listing { entries, version: changes.version })
+        Some(Listing { entries, gap: None, version: changes.version })
     }
 }
 
--- a/src/why/search.rs
+++ b/src/why/search.rs
@@ -167,6 +167,7 @@
             | Event::TargetsUnreachable { .. }
             | Event::Reloaded { .. } => Some(Subject::Host),
             Event::StoreLost { .. }
+            | Event::ListingIncomplete { .. }
             | Event::StoreListed { .. }
             | Event::StoreRegained { .. }
             | Event::StoreRestored { .. }
--- /dev/null
+++ b/tests/entry_odd_entries.rs
@@ -0,0 +1,203 @@
+//! Entries of the platform's store that another writer named or wrote oddly, beside running hosts.
+
+#[path = "support/entry.rs"]
+mod support;
+
+use std::time::Duration;
+
+use lavenderplank::{
+    entry::{EntryHost, StorePart},
+    event_log::Event,
+    platform::standin::{ListOrder, Paging, UnknownName},
+};
+use serde_json::json;
+
+use support::{Ask, World, config, read, run, until};
+
+const ONE_ZONE: &[&str] = &["north-a"; 4];
+const PAGE_SIZE: usize = 2;
+
+/// Orders in which stores list objects.
+const ORDERS: [ListOrder; 4] = [
+    ListOrder::Name,
+    ListOrder::Creation(UnknownName::EmptyPage),
+    ListOrder::Creation(UnknownName::FirstPage),
+    ListOrder::Creation(UnknownName::Refusal),
+];
+
+const NAMES: [&str; 12] = [
+    "&",
+    "+",
+    "#",
+    "%",
+    "%7a",
+    " ",
+    "?",
+    "/",
+    "/t-3",
+    "\u{1}",
+    "&watch=1&waitMs=30000",
+    "&after=z",
+];
+
+/// Time over which the calls of settled hosts are counted.
+const SETTLED_TIME: Duration = Duration::from_millis(500);
+
+/// What another writer writes into a list, and the order of the list.
+struct OddEntries<'a> {
+    count: usize,
+    kind: &'a str,
+    order: ListOrder,
+    write: &'a dyn Fn(&World, &str),
+}
+
+/// An empty store that lists in pages, and its targets.
+async fn world(zones: &[&'static str], order: ListOrder) -> World {
+    let world = World::bare(zones).await;
+    world.store.set_paging(Paging { order, size: PAGE_SIZE });
+    world
+}
+
+/// Writes the entries of some targets, as they do themselves at intervals.
+fn enlist(world: &World, targets: std::ops::Range<usize>) {
+    for target in &world.targets[targets] {
+        world.store.put("servers", target.id(), target.store_entry("ready", 1));
+    }
+}
+
+/// Asks a host until each target has served requests; no request fails.
+async fn all_targets_serve(world: &World, host: &EntryHost) {
+    let before: Vec<usize> = world.targets.iter().map(|target| target.received().len()).collect();
+    let mut asked = 0;
+    until("all targets serve", async || {
+        asked += 1;
+        let object = asked.to_string();
+        let ask = Ask { object: Some(&*object), ..read("r-1") };
+        assert_eq!(world.ask(host, ask).await.expect("an answer").status(), 200);
+        world.targets.iter().zip(&before).all(|(target, before)| *before < target.received().len())
+    })
+    .await;
+}
+
+/// Guards against hosts that ask for the same page again and again.
+async fn no_more_pages_are_read(world: &World) {
+    let before = world.store.listed_pages();
+    tokio::time::sleep(SETTLED_TIME).await;
+    // Hosts list their records every few seconds.
+    let read = world.store.listed_pages() - before;
+    assert!(read <= 4, "{read} pages");
+}
+
+/// Starts two hosts with odd entries between the pages of the others, and checks that both use all
+/// targets.
+async fn restart_with(odd: OddEntries<'_>) {
+    let world = world(ONE_ZONE, odd.order).await;
+    enlist(&world, 0..2);
+    (0..odd.count).for_each(|at| (odd.write)(&world, &format!("t-2{at:02}")));
+    world.store.put("config", "main", config(1));
+    enlist(&world, 2..4);
+    for host in [world.host("a").await, world.host("b").await] {
+        all_targets_serve(&world, &host).await;
+    }
+    no_more_pages_are_read(&world).await;
+    assert!(
+        !world.events.has(|event| matches!(event, Event::ListingIncomplete { .. })),
+        "{}",
+        odd.kind
+    );
+}
+
+/// Guards against an outage after all hosts were restarted while the list of targets, which has several
+/// pages, held entries with odd names.
+#[test]
+fn odd_names_between_the_targets_keep_none_from_use() {
+    run(async {
+        for order in ORDERS {
+            for count in [1, 3 * PAGE_SIZE] {
+                let write = |world: &World, place: &str| {
+                    for name in NAMES {
+                        world.store.put("servers", &format!("{place}{name}"), json!({}));
+                    }
+                };
+                restart_with(OddEntries { count, kind: "servers", order, write: &write }).await;
+            }
+        }
+    });
+}
+
+/// Guards against an outage after all hosts were restarted while odd entries stood before the
+/// configuration.
+#[test]
+fn odd_entries_before_the_configuration_do_not_hide_it() {
+    run(async {
+        for order in ORDERS {
+            for name in ["&", "/main", "+"] {
+                let write = |world: &World, place: &str| {
+                    world.store.put("config", &format!("a{place}{name}"), json!({}));
+                };
+                let odd = OddEntries { count: 3 * PAGE_SIZE, kind: "config", order, write: &write };
+                restart_with(odd).await;
+            }
+            let write = |world: &World, place: &str| {
+                world.store.put_as_is("config", &format!("a{place}"), json!({ "spec": {} }));
+            };
+            let odd = OddEntries { count: 3 * PAGE_SIZE, kind: "config", order, write: &write };
+            restart_with(odd).await;
+        }
+    });
+}
+
+/// Guards against hosts that take the targets which a listing could not read for removed, and against
+/// hosts that spread it: a list that can't go on is used as far as it goes.
+#[test]
+fn a_list_that_cannot_go_on_ends_no_target() {
+    run(async {
+        for order in ORDERS {
+            let world = world(ONE_ZONE, order).await;
+            world.store.put("config", "main", config(1));
+            enlist(&world, 0..2);
+            for at in 0..5 * PAGE_SIZE {
+                world.store.put_as_is("servers", &format!("t-2{at:02}"), json!({ "spec": {} }));
+            }
+            enlist(&world, 2..4);
+            let first = world.host("a").await;
+            let is_cut = |event: &Event| {
+                matches!(
+                    event,
+                    Event::ListingIncomplete { objects: 2, part: StorePart::Targets, .. }
+                )
+            };
+            until("the listing ends early", async || world.events.has(is_cut)).await;
+            assert_eq!(world.ask(&first, read("r-1")).await.expect("an answer").status(), 200);
+            enlist(&world, 2..4);
+            all_targets_serve(&world, &first).await;
+            let second = world.host("b").await;
+            all_targets_serve(&world, &first).await;
+            enlist(&world, 2..4);
+            all_targets_serve(&world, &second).await;
+            all_targets_serve(&world, &first).await;
+            no_more_pages_are_read(&world).await;
+            assert!(!world.events.has(|event| matches!(event, Event::TargetGone { .. })));
+        }
+    });
+}
+
+/// Guards against hosts with all targets that lose some, because a host that started since could not
+/// list them all.
+#[test]
+fn a_host_that_cannot_list_all_targets_gets_them_from_others() {
+    run(async {
+        let world = world(ONE_ZONE, ListOrder::Name).await;
+        world.store.put("config", "main", config(1));
+        enlist(&world, 0..4);
+        let first = world.host("a").await;
+        all_targets_serve(&world, &first).await;
+        for at in 0..5 * PAGE_SIZE {
+            world.store.put_as_is("servers", &format!("t-2{at:02}"), json!({ "spec": {} }));
+        }
+        let second = world.host("b").await;
+        all_targets_serve(&world, &second).await;
+        all_targets_serve(&world, &first).await;
+        assert!(!world.events.has(|event| matches!(event, Event::TargetGone { .. })));
+    });
+}
