Take the whole rest of a key for an object's name

In the same way `config/x/main` stood for the configuration, and `evacuations/x/ZONE` evacuated a zone.

Cause: the name of an object was what stands behind the last slash of its key. Names are any text, and contain slashes; a kind contains none.

Now a name is the key without the prefix of its kind, in what hosts keep and in what they write.

--- a/src/entry/control/store_updates.rs
+++ b/src/entry/control/store_updates.rs
@@ -290,9 +290,15 @@
         changed
     }
 
+    /// The name of an object: its key without the prefix.
+    fn object_name(&self, part: StorePart, key: &Arc<str>) -> Option<Arc<str>> {
+        let prefix = self.parts.protocol.store_prefixes().of(part);
+        key.strip_prefix(prefix).map(Arc::from)
+    }
+
     /// What a watch reported of one object; `None` for an invalid declaration.
     fn statement(&mut self, part: StorePart, change: Change) -> Option<Statement> {
-        let name = object_name(&change.key);
+        let name = self.object_name(part, &change.key)?;
         match change.object {
             Some(object) => {
                 let revision = object.version;
@@ -308,7 +314,7 @@
         let Listing { entries, gap, version } = listing;
         let known = self.objects.part(part).revision();
         let object = |entry: Entry| {
-            let (name, revision) = (object_name(&entry.key), entry.object.version);
+            let (name, revision) = (self.object_name(part, &entry.key)?, entry.object.version);
             let bytes = self.replace_keys_by_digests(part, &name, entry.object, Source::Listing)?;
             Some(RawObject { name, revision, bytes })
         };
@@ -487,8 +493,3 @@
 fn route_count(declaration: &Declaration) -> usize {
     declaration.routes.values().map(Vec::len).sum()
 }
-
-/// Name of an object: its key without the prefix.
-fn object_name(key: &Arc<str>) -> Arc<str> {
-    key.rsplit_once('/').map_or_else(|| key.clone(), |(_, name)| name.into())
-}
--- a/src/platform/object_store.rs
+++ b/src/platform/object_store.rs
@@ -251,12 +251,10 @@
         value: Bytes,
         _: OperationId,
     ) -> Result<Version> {
-        let name = key.rsplit('/').next().unwrap_or(key);
+        let (kind, name) = split_key(key);
         let spec: &RawValue = json(&value)?;
         let (method, path, revision) = match expect {
-            Expect::Absent => {
-                (Method::POST, key.trim_end_matches(name).trim_end_matches('/').to_owned(), None)
-            }
+            Expect::Absent => (Method::POST, kind.to_owned(), None),
             Expect::Version(version) => {
                 (Method::PUT, key.to_owned(), Some(self.current_revision(version)?))
             }
--- a/tests/entry_odd_entries.rs
+++ b/tests/entry_odd_entries.rs
@@ -10,11 +10,12 @@
     event_log::Event,
     platform::standin::{ListOrder, Paging, UnknownName},
 };
-use serde_json::json;
+use serde_json::{Value, json};
 
 use support::{Ask, World, config, read, run, until};
 
 const ONE_ZONE: &[&str] = &["north-a"; 4];
+const TWO_ZONES: &[&str] = &["north-a", "north-a", "north-b", "north-b"];
 const PAGE_SIZE: usize = 2;
 
 /// Orders in which stores list objects.
@@ -147,6 +148,36 @@
     });
 }
 
+/// Guards against entries whose names end in the name of a target: they replaced and ended it, after a
+/// restart and live.
+#[test]
+fn entries_that_repeat_the_name_of_a_target_leave_it_alone() {
+    run(async {
+        for order in ORDERS {
+            let world = world(ONE_ZONE, order).await;
+            world.store.put("config", "main", config(1));
+            enlist(&world, 0..4);
+            let running = world.host("a").await;
+            all_targets_serve(&world, &running).await;
+            let odd = |target: usize| format!("x/{}", world.targets[target].id());
+            (0..4)
+                .for_each(|at| world.store.put("servers", &odd(at), json!({ "address": "none" })));
+            let started = world.host("b").await;
+            all_targets_serve(&world, &running).await;
+            all_targets_serve(&world, &started).await;
+            (0..4).for_each(|at| world.store.remove("servers", &odd(at)));
+            // A change behind the removals shows that the hosts have received them.
+            world.store.put("evacuations", "x/north-a", json!({}));
+            world.store.put("evacuations", "seen", json!({}));
+            let is_seen = |event: &Event| matches!(event, Event::ZoneEvacuated { zone, .. } if **zone == *"seen");
+            until("the change is known", async || world.events.has(is_seen)).await;
+            all_targets_serve(&world, &running).await;
+            all_targets_serve(&world, &started).await;
+            assert!(!world.events.has(|event| matches!(event, Event::TargetGone { .. })));
+        }
+    });
+}
+
 /// Guards against hosts that take the targets which a listing could not read for removed, and against
 /// hosts that spread it: a list that can't go on is used as far as it goes.
 #[test]
@@ -201,3 +232,48 @@
         assert!(!world.events.has(|event| matches!(event, Event::TargetGone { .. })));
     });
 }
+
+/// Guards against evacuations that are not obeyed, because odd entries stand before them, and against
+/// an entry with another name that evacuates a zone.
+#[test]
+fn evacuations_are_read_behind_odd_entries() {
+    run(async {
+        let odd: [(&str, Value); 2] = [
+            ("&", json!({ "metadata": { "name": "a&", "revision": 1 }, "spec": {} })),
+            ("", json!({ "spec": {} })),
+        ];
+        for order in ORDERS {
+            for (name, object) in &odd {
+                let world = world(TWO_ZONES, order).await;
+                world.store.put("evacuations", "a/north-a", json!({}));
+                for at in 0..3 * PAGE_SIZE {
+                    let mut object = object.clone();
+                    if !name.is_empty() {
+                        object["metadata"]["name"] = json!(format!("a{at}{name}"));
+                    }
+                    world.store.put_as_is("evacuations", &format!("a{at}{name}"), object);
+                }
+                world.store.put("evacuations", "north-b", json!({}));
+                world.store.put("config", "main", config(1));
+                enlist(&world, 0..4);
+                let host = world.host("a").await;
+                let is_evacuated = |of: &'static str| move |event: &Event| matches!(event, Event::ZoneEvacuated { zone, .. } if **zone == *of);
+                until("it is known", async || world.events.has(is_evacuated("north-b"))).await;
+                assert!(!world.events.has(is_evacuated("north-a")));
+                let before = world.arrivals();
+                for _ in 0..20 {
+                    assert_eq!(
+                        world.ask(&host, read("r-1")).await.expect("an answer").status(),
+                        200
+                    );
+                }
+                let evacuated = &world.targets[2..];
+                assert_eq!(
+                    evacuated.iter().map(|target| target.received().len()).sum::<usize>(),
+                    0
+                );
+                assert!(before < world.arrivals());
+            }
+        }
+    });
+}
