Escape the names of objects in paths

What could be seen: a call about one object was a call about another one. Of the record `lavenderplank-hosts/edge-1#x` of a silent host, the removal deleted `edge-1`, whatever its revision, since the condition stood behind the `#`; `lavenderplank-hosts/../servers/i-1` was `servers/i-1`. Entries of both forms can be written by any member.

Cause: keys were put into paths as they are.

Now the name is one segment of the path, escaped. `.`, `..` and an empty name are refused before a call is made: servers resolve them, however they are escaped. So are names that make the URL longer than servers read.

--- a/src/platform/object_store.rs
+++ b/src/platform/object_store.rs
@@ -9,7 +9,11 @@
 use hyper_util::client::legacy;
 use serde_json::value::RawValue;
 
-use super::{listing::Reading, object_urls::split_key, restore_counter::RestoreCounter};
+use super::{
+    listing::Reading,
+    object_urls::{object_path, split_key},
+    restore_counter::RestoreCounter,
+};
 use crate::{
     base::{BootClock, read_bounded_body, with_root_cause},
     prelude::*,
@@ -218,7 +222,7 @@
                 return Err(refused("a delete needs the version of an existing object"));
             }
             Expect::Version(version) => {
-                format!("{key}?revision={}", self.current_revision(version)?)
+                format!("{}?revision={}", path_of(key)?, self.current_revision(version)?)
             }
         };
         self.call(CallKind::Write, Method::DELETE, &path, None, CALL_TIMEOUT).await?;
@@ -226,7 +230,8 @@
     }
 
     async fn get(&self, key: &str) -> Result<Option<VersionedObject>> {
-        let answer = self.call(CallKind::Read, Method::GET, key, None, CALL_TIMEOUT).await?;
+        let path = path_of(key)?;
+        let answer = self.call(CallKind::Read, Method::GET, &path, None, CALL_TIMEOUT).await?;
         if answer.status == StatusCode::NOT_FOUND {
             return Ok(None);
         }
@@ -256,7 +261,7 @@
         let (method, path, revision) = match expect {
             Expect::Absent => (Method::POST, kind.to_owned(), None),
             Expect::Version(version) => {
-                (Method::PUT, key.to_owned(), Some(self.current_revision(version)?))
+                (Method::PUT, path_of(key)?, Some(self.current_revision(version)?))
             }
         };
         let object = WriteBody { metadata: WriteMetadata { name, revision }, spec };
@@ -331,6 +336,11 @@
     serde_json::from_slice(bytes).map_err(|error| refused(&error.to_string()))
 }
 
+/// The path of an object for a call about it alone.
+fn path_of(key: &str) -> Result<String> {
+    object_path(key).ok_or_else(|| refused("no URL can name this object"))
+}
+
 pub(super) fn refused(detail: &str) -> PlatformError {
     PlatformError::Refused { detail: detail.into() }
 }
--- a/src/platform/object_urls.rs
+++ b/src/platform/object_urls.rs
@@ -16,6 +16,16 @@
     key.split_once('/').unwrap_or((key, ""))
 }
 
+/// The path of an object; `None` if no URL can name the object.
+pub fn object_path(key: &str) -> Option<String> {
+    let (kind, name) = split_key(key);
+    // Servers resolve the names of folders, escaped or not, and take no name for the whole kind.
+    if matches!(name, "" | "." | "..") {
+        return None;
+    }
+    Some(format!("{kind}/{}", escape(name)?))
+}
+
 /// A name as part of a URL; `None` if the URL would be too long.
 pub fn escape(name: &str) -> Option<String> {
     if MAX_ESCAPED_NAME_BYTES < name.len() {
--- a/tests/store_odd_entries.rs
+++ b/tests/store_odd_entries.rs
@@ -4,12 +4,13 @@
 use std::collections::BTreeSet;
 
 use assert_matches::assert_matches;
+use bytes::Bytes;
 use lavenderplank::{
     platform::{
         ObjectStore,
         standin::{ListOrder, Paging, StoreStandin, UnknownName},
     },
-    store::{Listing, Platform, PlatformError},
+    store::{Expect, Listing, Platform, PlatformError},
 };
 use serde_json::{Value, json};
 
@@ -197,3 +198,41 @@
         }
     }
 }
+
+/// Guards against a call about one object that reads, replaces or deletes another one, because its
+/// name is read as part of a URL.
+#[tokio::test]
+async fn calls_about_an_object_are_about_no_other() {
+    for name in NAMES {
+        for name in [name.to_owned(), format!("i-1{name}"), format!("{name}i-1")] {
+            let store = store(ListOrder::Name).await;
+            write_rest(&store);
+            store.put("evacuations", "north-a", json!({}));
+            let client = ObjectStore::new(store.addr());
+            let key = format!("{KIND}{name}");
+            let value = Bytes::from_static(b"{\"a\":1}");
+            let operation = || "w-1".into();
+            let written = client.put(&key, Expect::Absent, value.clone(), operation()).await;
+            let version = written.expect("a new object");
+            assert!(store.has_object("servers", &name), "{name:?}");
+            if matches!(&*name, "." | "..") {
+                // Servers resolve these names, however they are escaped.
+                client.get(&key).await.expect_err("no URL");
+                let delete = client.delete(&key, Expect::Version(version), operation()).await;
+                delete.expect_err("no URL");
+            } else {
+                let read = client.get(&key).await.expect("a response").expect("an object");
+                assert_eq!(read.version, version, "{name:?}");
+                let written = client.put(&key, Expect::Version(version), value, operation()).await;
+                let version = written.expect("a replaced object");
+                let deleted = client.delete(&key, Expect::Version(version), operation()).await;
+                deleted.expect("a deleted object");
+                assert!(!store.has_object("servers", &name), "{name:?}");
+                assert_eq!(client.get(&key).await, Ok(None), "{name:?}");
+            }
+            let listing = client.list(KIND).await.expect("a listing");
+            assert!(sound_keys().is_subset(&keys(&listing)), "{name:?}");
+            assert!(store.has_object("evacuations", "north-a"), "{name:?}");
+        }
+    }
+}
