Read the sound objects of a response that one object makes invalid

What callers saw: after a restart, no request was served while the list of targets held one entry whose bytes make the JSON of its page invalid: a control byte that is not escaped, half of an escape, NaN. Written while hosts run, it hid all later changes of its kind that a watch returned with it.

Cause: a page and the changes of a watch were decoded as a whole.

Now a response that is no JSON as a whole is split at the commas of its list, outside of strings and brackets, and the elements that are no JSON are left out. A response that is JSON is decoded as before.

Ruled out: replacing the bytes, which would make up values. A backslash that makes a text swallow the end of its object still hides the whole response.

--- a/src/platform/listing.rs
+++ b/src/platform/listing.rs
@@ -5,10 +5,11 @@
 
 use super::{
     object_store::{
-        CALL_TIMEOUT, CallResponse, Object, ObjectStore, entry, json, refused, unavailable, version,
+        CALL_TIMEOUT, CallResponse, Object, ObjectStore, entry, refused, unavailable, version,
     },
     object_urls::split_key,
     page_cursor::PageCursor,
+    salvage,
 };
 use crate::{
     prelude::*,
@@ -176,7 +177,8 @@
     /// Reads one page. Returns whether it is the last one.
     async fn list_page(&self, path: &str, listed: &mut ListedPages<'_>) -> Result<bool> {
         let response = self.call(CallKind::Read, Method::GET, path, None, CALL_TIMEOUT).await?;
-        let page: ListPage = json(response.text().as_bytes())?;
+        let page = salvage::decode(&response.text(), "items");
+        let page: ListPage = page.map_err(|error| refused(&error.to_string()))?;
         listed.record(&page, &response)
     }
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -14,6 +14,7 @@
 mod page_cursor;
 mod protocol;
 mod restore_counter;
+mod salvage;
 mod server;
 pub mod standin;
 #[cfg(test)]
--- a/src/platform/object_store.rs
+++ b/src/platform/object_store.rs
@@ -13,6 +13,7 @@
     listing::Reading,
     object_urls::{object_path, split_key},
     restore_counter::RestoreCounter,
+    salvage,
 };
 use crate::{
     base::{BootClock, read_bounded_body, with_root_cause},
@@ -281,8 +282,8 @@
             // The revision was given out again, and stands for another state than the watched one.
             return Err(PlatformError::TooOld { oldest: 0 });
         }
-        let text = answer.text();
-        let response: WatchResponse = json(text.as_bytes())?;
+        let response = salvage::decode(&answer.text(), "events");
+        let response: WatchResponse = response.map_err(|error| refused(&error.to_string()))?;
         let current = version(answer.restores, response.current_rev);
         let change = |event: &Event| {
             let object = serde_json::from_str::<Object>(event.object.get());
@@ -332,7 +333,7 @@
     VersionedObject { operation: "".into(), value, version }
 }
 
-pub(super) fn json<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T> {
+fn json<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T> {
     serde_json::from_slice(bytes).map_err(|error| refused(&error.to_string()))
 }
 
--- a/tests/entry_odd_entries.rs
+++ b/tests/entry_odd_entries.rs
@@ -8,7 +8,7 @@
 use lavenderplank::{
     entry::{EntryHost, StorePart},
     event_log::Event,
-    platform::standin::{ListOrder, Paging, UnknownName},
+    platform::standin::{BrokenValue, ListOrder, Paging, UnknownName},
 };
 use serde_json::{Value, json};
 
@@ -126,6 +126,23 @@
     });
 }
 
+/// Guards against an outage after all hosts were restarted while a list held an entry whose bytes are
+/// no JSON.
+#[test]
+fn an_entry_that_is_no_json_keeps_no_target_from_use() {
+    run(async {
+        for order in ORDERS {
+            for value in
+                [BrokenValue::ControlByte, BrokenValue::HalfEscape, BrokenValue::NotANumber]
+            {
+                let write =
+                    |world: &World, place: &str| world.store.put_broken("servers", place, value);
+                restart_with(OddEntries { count: 1, kind: "servers", order, write: &write }).await;
+            }
+        }
+    });
+}
+
 /// Guards against an outage after all hosts were restarted while odd entries stood before the
 /// configuration.
 #[test]
@@ -277,3 +294,19 @@
         }
     });
 }
+
+/// Guards against changes that a host never learns of, because a watch returned them with an entry
+/// whose bytes are no JSON.
+#[test]
+fn changes_beside_an_entry_that_is_no_json_take_effect() {
+    run(async {
+        let world = world(ONE_ZONE, ListOrder::Name).await;
+        world.store.put("config", "main", config(1));
+        enlist(&world, 0..1);
+        let host = world.host("a").await;
+        assert_eq!(world.ask(&host, read("r-1")).await.expect("an answer").status(), 200);
+        world.store.put_broken("servers", "odd", BrokenValue::ControlByte);
+        enlist(&world, 1..4);
+        all_targets_serve(&world, &host).await;
+    });
+}
--- a/tests/store_odd_entries.rs
+++ b/tests/store_odd_entries.rs
@@ -1,14 +1,14 @@
 //! Entries of the platform's store that another writer named or wrote oddly, as the store's client
 //! reads them.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use assert_matches::assert_matches;
 use bytes::Bytes;
 use lavenderplank::{
     platform::{
         ObjectStore,
-        standin::{ListOrder, Paging, StoreStandin, UnknownName},
+        standin::{BrokenValue, ListOrder, Paging, StoreStandin, UnknownName},
     },
     store::{Expect, Listing, Platform, PlatformError},
 };
@@ -199,6 +199,35 @@
     }
 }
 
+/// Guards against an entry whose bytes are no JSON and that hides all others of its page, and all
+/// changes that a watch returns with it.
+#[tokio::test]
+async fn an_entry_that_is_no_json_hides_no_other() {
+    const VALUES: [BrokenValue; 4] = [
+        BrokenValue::ControlByte,
+        BrokenValue::HalfEscape,
+        BrokenValue::NotANumber,
+        BrokenValue::NotUtf8,
+    ];
+    for order in ORDERS {
+        for value in VALUES {
+            let store = store(order).await;
+            let client = ObjectStore::new(store.addr());
+            let before = client.list(KIND).await.expect("a listing");
+            store.put_broken("servers", "i-4x", value);
+            write_rest(&store);
+            let listing = client.list(KIND).await.expect("a listing");
+            let odd = format!("{KIND}i-4x");
+            let listed: BTreeSet<String> =
+                keys(&listing).into_iter().filter(|it| *it != odd).collect();
+            assert_eq!((listed, listing.gap), (sound_keys(), None), "{order:?}, {value:?}");
+            let changes = client.watch(KIND, before.version, Duration::ZERO).await;
+            let changes = changes.expect("changes").changes.into_iter();
+            assert_eq!(changes.filter(|change| *change.key != *odd).count(), 5, "{value:?}");
+        }
+    }
+}
+
 /// Guards against a call about one object that reads, replaces or deletes another one, because its
 /// name is read as part of a URL.
 #[tokio::test]
