Take only its own entry for the configuration

What callers saw: an entry of another name in the configuration's kind, that can be decoded and has a later version, replaced the routes of all hosts, and stayed in force when it was removed.

Cause: every object of the kind was decoded as the configuration.

Now only the object with the configuration's key is; hosts neither keep the others nor pass them on.

Evidence: only_the_entry_of_the_configuration_takes_effect fails on the commit before.

--- a/src/entry/control/store_updates.rs
+++ b/src/entry/control/store_updates.rs
@@ -135,6 +135,9 @@
     }
 
     fn apply_declaration(&mut self, key: &Arc<str>, object: &[u8], source: Source) -> bool {
+        if !self.is_declaration(key) {
+            return false;
+        }
         let checked = self.parts.protocol.decode_declaration(object).and_then(|declaration| {
             let is_region = |region: &RegionId| self.parts.settings.has_region(region);
             let regions = declaration.teams.check_regions(is_region);
@@ -290,13 +293,22 @@
         changed
     }
 
-    /// The name of an object: its key without the prefix.
+    /// The name of an object: its key without the prefix. `None` for an object of which hosts use
+    /// nothing.
     fn object_name(&self, part: StorePart, key: &Arc<str>) -> Option<Arc<str>> {
-        let prefix = self.parts.protocol.store_prefixes().of(part);
-        key.strip_prefix(prefix).map(Arc::from)
+        let prefixes = self.parts.protocol.store_prefixes();
+        let name: Arc<str> = key.strip_prefix(prefixes.of(part))?.into();
+        (part != StorePart::Declared || self.is_declaration(&name)).then_some(name)
+    }
+
+    /// Whether an object is the declaration. Other objects beside it have no effect.
+    fn is_declaration(&self, name: &str) -> bool {
+        let prefixes = self.parts.protocol.store_prefixes();
+        prefixes.declaration.strip_prefix(prefixes.declared) == Some(name)
     }
 
-    /// What a watch reported of one object; `None` for an invalid declaration.
+    /// What a watch reported of one object; `None` for an invalid declaration and for an object of
+    /// which hosts use nothing.
     fn statement(&mut self, part: StorePart, change: Change) -> Option<Statement> {
         let name = self.object_name(part, &change.key)?;
         match change.object {
--- a/tests/entry_odd_entries.rs
+++ b/tests/entry_odd_entries.rs
@@ -12,7 +12,7 @@
 };
 use serde_json::{Value, json};
 
-use support::{Ask, World, config, read, run, until};
+use support::{Ask, World, config, config_with, read, run, until};
 
 const ONE_ZONE: &[&str] = &["north-a"; 4];
 const TWO_ZONES: &[&str] = &["north-a", "north-a", "north-b", "north-b"];
@@ -165,6 +165,29 @@
     });
 }
 
+/// Guards against an entry of another name that replaces the configuration.
+#[test]
+fn only_the_entry_of_the_configuration_takes_effect() {
+    run(async {
+        for name in ["x/main", "main/", "other", "main\u{1}"] {
+            let world = World::spawn(ONE_ZONE).await;
+            let running = world.host("a").await;
+            world.store.put("config", name, config_with(9, "elsewhere", json!([])));
+            let started = world.host("b").await;
+            let (odd, main) = (read("r-1"), read("r-2"));
+            assert_eq!(world.ask(&started, odd.clone()).await.expect("an answer").status(), 200);
+            assert_eq!(world.ask(&running, odd).await.expect("an answer").status(), 200);
+            world.store.remove("config", name);
+            world.store.put("config", "main", config_with(2, "elsewhere", json!([])));
+            for host in [&running, &started] {
+                let status =
+                    async || world.ask(host, main.clone()).await.expect("an answer").status();
+                until("the new configuration is in force", async || status().await == 503).await;
+            }
+        }
+    });
+}
+
 /// Guards against entries whose names end in the name of a target: they replaced and ended it, after a
 /// restart and live.
 #[test]
