Refuse targets whose id no header can hold

What could be seen: a target whose name has a control byte got requests that do not name it, so that another target that has taken over its address would have run them.

Cause: the header that names the target was left out if it could not hold the id.

Now such an entry names no target, and is logged like others that can't be read. The same for an empty id and one of more than 1,024 bytes.

--- a/src/platform/server.rs
+++ b/src/platform/server.rs
@@ -1,5 +1,6 @@
 //! Decodes the objects that targets write into the store about themselves.
 
+use http::HeaderValue;
 use serde::de::IgnoredAny;
 
 use crate::{
@@ -8,6 +9,9 @@
     prelude::*,
 };
 
+/// Longest id of a target. Each request names its target in a header.
+const MAX_ID_BYTES: usize = 1_024;
+
 #[derive(Deserialize)]
 struct Object {
     spec: Option<Server>,
@@ -61,6 +65,9 @@
     if server.info.slots == 0 {
         return Err(invalid("`slots` is 0".into()));
     }
+    if !(1..=MAX_ID_BYTES).contains(&id.len()) || HeaderValue::from_str(id).is_err() {
+        return Err(invalid("no header can hold the name".into()));
+    }
     Ok(TargetEntry {
         addr: server.address,
         cold_for: status.cold_remaining,
--- a/src/platform/tests.rs
+++ b/src/platform/tests.rs
@@ -103,6 +103,18 @@
     assert!(PlatformProtocol.decode_target("i-1", b"\xff\x00").is_err());
 }
 
+/// Guards against requests that do not name their target, because no header can hold its id.
+#[test]
+fn a_target_whose_id_no_header_can_hold_is_refused() {
+    let decode = |id: &str| PlatformProtocol.decode_target(id, &bytes(&server()));
+    for id in ["a b", "a&b", "a+b", "a#b", "a%7a", "x/i-1", "é"] {
+        assert!(decode(id).is_ok(), "{id:?}");
+    }
+    for id in ["", "i\n1", "i\u{1}", "i\u{7f}", &"i".repeat(100_000)] {
+        assert!(decode(id).is_err(), "{id:?}");
+    }
+}
+
 #[test]
 fn configuration_is_decoded() {
     let declaration =
