Read the sound objects beside an invalid one in `run`

What could be seen: an object that another client had written without an operation id, or one object with a wrong type, made hosts of `run` refuse each listing and each watch of its prefix.

Cause: a response was decoded as a whole.

Now objects that can't be read are skipped, one without an operation is read, and a value that is not base64 counts as empty, which no reader of values accepts. Keys need no escaping there: the API allows none with odd characters, and refuses them when they are written. Listings have one page.

Found by reading.

--- a/src/store/http.rs
+++ b/src/store/http.rs
@@ -208,7 +208,7 @@
     async fn list(&self, prefix: &str) -> Result<Listing> {
         let answer = self.read(&format!("list?prefix={prefix}")).await?;
         let objects: wire::ObjectsResponse = answer.json()?;
-        objects.into_listing().ok_or_else(|| refused("the response has a value that is not base64"))
+        Ok(objects.into_listing())
     }
 
     async fn put(
@@ -232,7 +232,7 @@
         let req = self.request(Method::GET, &path, Bytes::new())?;
         let answer = self.call(CallKind::Watch, req, wait + WATCH_GRACE).await?;
         let objects: wire::ObjectsResponse = answer.json()?;
-        objects.into_changes().ok_or_else(|| refused("the response has a value that is not base64"))
+        Ok(objects.into_changes())
     }
 }
 
--- a/src/store/wire.rs
+++ b/src/store/wire.rs
@@ -2,6 +2,8 @@
 //! (`standin::platform`). `docs/PLATFORM.md` describes the protocol.
 
 use base64::{Engine, engine::general_purpose::STANDARD};
+use serde::Deserializer;
+use serde_json::value::RawValue;
 
 use super::{Change, Changes, Entry, Listing, Version, VersionedObject};
 use crate::prelude::*;
@@ -33,6 +35,7 @@
 /// Response to a listing or a watch.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ObjectsResponse {
+    #[serde(deserialize_with = "readable_objects")]
     pub objects: Vec<ObjectRecord>,
     /// The store's version.
     pub version: Version,
@@ -74,37 +77,46 @@
     }
 }
 
+/// The objects of a response. Those that can't be read are skipped, so that they do not hide the
+/// others.
+fn readable_objects<'de, D: Deserializer<'de>>(response: D) -> Result<Vec<ObjectRecord>, D::Error> {
+    let objects: Vec<Box<RawValue>> = Vec::deserialize(response)?;
+    let decode = |object: &RawValue| {
+        serde_json::from_str(object.get())
+            .inspect_err(|error| log::warn!("skipping an invalid object of the store: {error}"))
+    };
+    Ok(objects.iter().filter_map(|object| decode(object).ok()).collect())
+}
+
 impl ObjectsResponse {
-    /// Converts into changes; `None` if a value can't be decoded.
-    pub fn into_changes(self) -> Option<Changes> {
-        let changes =
-            self.objects.into_iter().map(ObjectRecord::into_change).collect::<Option<_>>()?;
-        Some(Changes { changes, version: self.version })
+    /// Converts into changes.
+    pub fn into_changes(self) -> Changes {
+        let changes = self.objects.into_iter().map(ObjectRecord::into_change).collect();
+        Changes { changes, version: self.version }
     }
 
-    /// Converts into a listing; `None` if a value can't be decoded.
-    pub fn into_listing(self) -> Option<Listing> {
-        let changes = self.into_changes()?;
+    /// Converts into a listing.
+    pub fn into_listing(self) -> Listing {
+        let changes = self.into_changes();
         let entry = |change: Change| {
             let object = change.object?;
             Some(Entry { key: change.key, object })
         };
         let entries = changes.changes.into_iter().filter_map(entry).collect();
-        Some(Listing { entries, gap: None, version: changes.version })
+        Listing { entries, gap: None, version: changes.version }
     }
 }
 
 impl ObjectRecord {
-    fn into_change(self) -> Option<Change> {
-        let version = self.version;
-        let object = match self.value {
-            None => None,
-            Some(value) => Some(VersionedObject {
-                operation: self.operation?,
-                value: STANDARD.decode(value).ok()?.into(),
-                version,
-            }),
-        };
-        Some(Change { key: self.key, object, version })
+    /// Converts into a change. An object that another client wrote may have no operation, and a value
+    /// that is not base64 counts as empty, which no reader of values accepts.
+    fn into_change(self) -> Change {
+        let Self { key, operation, value, version } = self;
+        let object = value.map(|value| VersionedObject {
+            operation: operation.unwrap_or_default(),
+            value: STANDARD.decode(value).unwrap_or_default().into(),
+            version,
+        });
+        Change { key, object, version }
     }
 }
--- a/tests/store_odd_entries.rs
+++ b/tests/store_odd_entries.rs
@@ -8,9 +8,12 @@
 use lavenderplank::{
     platform::{
         ObjectStore,
-        standin::{BrokenValue, ListOrder, Paging, StoreStandin, UnknownName},
+        standin::{
+            BrokenValue, ListOrder, Paging, StoreStandin, TargetIdentity, TargetStandin,
+            UnknownName,
+        },
     },
-    store::{Expect, Listing, Platform, PlatformError},
+    store::{Expect, HttpPlatform, Listing, Platform, PlatformError},
 };
 use serde_json::{Value, json};
 
@@ -265,3 +268,36 @@
         }
     }
 }
+
+/// Guards against a listing or watch that one object makes unreadable, such as one that another client
+/// wrote without an operation id.
+#[tokio::test]
+async fn an_invalid_object_hides_no_other() {
+    let identity = TargetIdentity { id: "store", service: "store", zone: "north-a" };
+    let store = TargetStandin::spawn(identity).await.expect("a free port");
+    let sound = json!({ "key": "a/b", "operation": "w-1", "value": "eHg=", "version": 3 });
+    let unsigned = json!({ "key": "a/c", "operation": null, "value": "eHg=", "version": 4 });
+    for odd in [
+        json!({ "key": "a/d", "operation": "w-2", "value": "no base64!", "version": 5 }),
+        json!({ "key": "a/d", "operation": "w-2", "value": 7, "version": 5 }),
+        json!({ "key": 7, "operation": "w-2", "value": "eHg=", "version": 5 }),
+        json!({ "key": "a/d", "operation": "w-2", "value": "eHg=", "version": "5" }),
+        json!({ "operation": "w-2" }),
+        json!(null),
+    ] {
+        let objects = json!({ "version": 9, "objects": [sound, odd, unsigned] });
+        store.set_response_body(objects.to_string());
+        let client = HttpPlatform::new(store.addr());
+        let listing = client.list("a/").await.expect("a listing");
+        let value = |key: &str| {
+            let entry = listing.entries.iter().find(|entry| &*entry.key == key);
+            entry.map(|entry| entry.object.value.clone())
+        };
+        assert_eq!(value("a/b").as_deref(), Some(&b"xx"[..]), "{odd}");
+        assert_eq!(value("a/c").as_deref(), Some(&b"xx"[..]), "{odd}");
+        assert!(value("a/d").is_none_or(|value| value.is_empty()), "{odd}");
+        let changes = client.watch("a/", 1, Duration::ZERO).await.expect("changes");
+        assert!(2 <= changes.changes.len() && changes.version == 9, "{odd}");
+        assert!(2 <= client.keys("a/").await.expect("keys").len(), "{odd}");
+    }
+}
