Escape control characters in what `why` prints

What could be seen: a name in the store that holds control characters acted on the operator's terminal, or looked like lines of the history.

Cause: the fields of events were printed as they are.

Evidence: control_characters_of_names_are_escaped fails on the commit before. Events in the log are JSON, which escapes them, and the HTML of `timeline` escapes markup (both by reading).

--- a/src/why/render.rs
+++ b/src/why/render.rs
@@ -18,7 +18,7 @@
             "{:>9} {mark}{:<18} {}",
             entry.after_ms,
             entry.line.host,
-            format_event(entry)
+            without_controls(&format_event(entry))
         );
     }
     if !history.dropped.is_empty() {
@@ -26,9 +26,9 @@
             history.dropped.iter().map(|(kind, count)| format!("{kind} {count}")).collect();
         let _ = writeln!(text, "\ndropped lines: {}", counts.join(", "));
     }
-    let _ = write!(text, "\ncause: {}\n", history.cause.what);
+    let _ = write!(text, "\ncause: {}\n", without_controls(&history.cause.what));
     for reason in &history.cause.behind {
-        let _ = writeln!(text, "  - {reason}");
+        let _ = writeln!(text, "  - {}", without_controls(reason));
     }
     if history.lines.iter().any(|entry| !entry.is_request) {
         text.push_str(
@@ -38,6 +38,16 @@
     text
 }
 
+/// Escapes control characters. Names in the store are those that another writer chose, and must not
+/// act on the terminal or look like lines of their own.
+fn without_controls(text: &str) -> String {
+    let escape = |c: char| match c.is_control() {
+        true => c.escape_default().to_string(),
+        false => c.to_string(),
+    };
+    text.chars().map(escape).collect()
+}
+
 /// Formats an event: its kind, then its fields as in the log.
 fn format_event(entry: &HistoryEntry) -> String {
     let event: &Event = &entry.line.event;
--- a/src/why/tests.rs
+++ b/src/why/tests.rs
@@ -203,6 +203,23 @@
     assert!(behind.contains("north-b was evacuated at -4100 ms"), "{behind}");
 }
 
+/// Guards against names in the store that act on the operator's terminal or forge lines.
+#[test]
+fn control_characters_of_names_are_escaped() {
+    let zone: ZoneId = "north\u{1b}[2J\ncause: none\u{9b}".into();
+    let evacuated =
+        Event::ZoneEvacuated { source: Source::Watch, store_version: 7, zone: zone.clone() };
+    let log = LogFile::of(&[
+        line("a", 900, None, evacuated),
+        line("a", 5_000, Some("r-1"), taken()),
+        line("a", 5_000, Some("r-1"), not_placed()),
+        line("a", 5_001, Some("r-1"), answered(End::Refused, Some(ErrorKind::NoSlots))),
+    ]);
+    let text = render_text(&history("r-1", &[&log]));
+    assert!(text.contains("north\\u{1b}[2J\\ncause: none\\u{9b}"), "{text}");
+    assert!(text.chars().all(|c| c == '\n' || !c.is_control()), "{text}");
+}
+
 /// Copies of a request reach two hosts. The files are merged by time, whatever their order, and
 /// lines that a collector has prefixed with a name are parsed.
 #[test]
