--- a/src/platform/standin/fault_run.rs
+++ b/src/platform/standin/fault_run.rs
@@ -16,8 +16,8 @@
 use tokio::time::Instant;
 
 use super::{
-    DoorMode, LinkMode, ResponseMode, Statements, StoreDoor, StoreStandin, TargetIdentity,
-    TargetLinks, TargetStandin, Unending, UnendingPart, loopback_settings,
+    DoorMode, LinkMode, ListOrder, Paging, ResponseMode, Statements, StoreDoor, StoreStandin,
+    TargetIdentity, TargetLinks, TargetStandin, Unending, UnendingPart, loopback_settings,
 };
 use crate::{
     base::BootClock,
@@ -67,6 +67,9 @@
 const RESTORED_VERSION: u64 = 9;
 const ADDED_ROUTE: &str = "/added/";
 
+/// Objects on a page of the store's listings, which hold entries of other writers too.
+const LIST_PAGE_SIZE: usize = 2;
+
 const HOST_NAME: &str = "counter.example";
 const CALLER_COUNT: usize = 8;
 const TARGETS: [(&str, &str); 6] = [
@@ -190,9 +193,14 @@
             let target = TargetStandin::spawn(TargetIdentity { id, service: "desk", zone }).await?;
             target.set_processing_time(Duration::from_millis(8));
             store.put("servers", id, target.store_entry("ready", 1));
+            store.put("servers", &format!("{id}&watch=1"), json!({}));
+            store.put("servers", &format!("other/{id}"), json!({}));
             targets.push(target);
         }
+        store.put("config", "a+b#c", json!({}));
         store.put("config", "main", config(1));
+        store.put("evacuations", "other/north-a", json!({}));
+        store.set_paging(Paging { order: ListOrder::Name, size: LIST_PAGE_SIZE });
         let (mut doors, mut hosts) = (Vec::new(), Vec::new());
         let links = TargetLinks::new(targets.iter().map(TargetStandin::addr));
         for (at, (name, zone, region)) in HOSTS.into_iter().enumerate() {
