--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -3,6 +3,7 @@
 
 mod handlers;
 mod learned;
+mod listings;
 mod messages;
 mod peering;
 mod store_updates;
--- a/src/entry/control/store_updates.rs
+++ b/src/entry/control/store_updates.rs
@@ -1,7 +1,5 @@
 //! Applies updates from the store and from other hosts to this host's copy of the store's objects.
 
-use std::collections::BTreeSet;
-
 use bytes::Bytes;
 
 use super::EntryControl;
@@ -15,22 +13,20 @@
     },
     event_log::{Event, Source},
     prelude::*,
-    store::{
-        Change, Changes, Entry, FollowEvent, Listing, PlatformError, StorePoint, Version,
-        VersionedObject,
-    },
+    store::{Change, Changes, FollowEvent, PlatformError, StorePoint, Version, VersionedObject},
 };
 
 /// Period after a restore of the store over which hosts spread the writes of their records.
 const RECORD_REWRITE_PERIOD: Duration = Duration::from_secs(2);
 
-/// Time after a listing that ended early until a watch has shown all objects that are still written.
-/// Targets write theirs every few seconds.
-const UNLISTED_PERIOD: Duration = Duration::from_secs(15);
-
 impl EntryControl {
     /// Decodes one changed object; returns whether the usable state changed.
-    fn apply_change(&mut self, part: StorePart, change: ObjectChange, source: Source) -> bool {
+    pub(super) fn apply_change(
+        &mut self,
+        part: StorePart,
+        change: ObjectChange,
+        source: Source,
+    ) -> bool {
         match change {
             ObjectChange::Removed(name) => self.apply_removal(part, &name, source),
             ObjectChange::Written { name, bytes } => self.apply_object(part, &name, &bytes, source),
@@ -86,7 +82,12 @@
 
     /// Notes that a part comes from a store that was restored since this host received it last, when
     /// it was known up to the version `known`. Returns whether that is so.
-    fn note_restore(&mut self, part: StorePart, known: Version, version: Version) -> bool {
+    pub(super) fn note_restore(
+        &mut self,
+        part: StorePart,
+        known: Version,
+        version: Version,
+    ) -> bool {
         let restores = StorePoint::of(version).restores;
         if known == 0 || restores <= StorePoint::of(known).restores {
             return false;
@@ -105,7 +106,7 @@
     }
 
     /// After a restore, notes whether the store lacks the declaration that is in force.
-    fn check_restored_declaration(&mut self, part: StorePart) {
+    pub(super) fn check_restored_declaration(&mut self, part: StorePart) {
         let in_force = self.known_state.declaration().map_or(0, |it| it.version);
         if part == StorePart::Declared && self.read_declaration < in_force {
             self.store_is_behind = true;
@@ -114,7 +115,7 @@
 
     /// Replaces the callers' keys in a declaration by digests, since hosts neither keep nor
     /// exchange keys. Returns other objects unchanged, and `None` for an invalid declaration.
-    fn replace_keys_by_digests(
+    pub(super) fn replace_keys_by_digests(
         &mut self,
         part: StorePart,
         key: &Arc<str>,
@@ -134,7 +135,12 @@
         }
     }
 
-    fn apply_declaration(&mut self, key: &Arc<str>, object: &[u8], source: Source) -> bool {
+    pub(super) fn apply_declaration(
+        &mut self,
+        key: &Arc<str>,
+        object: &[u8],
+        source: Source,
+    ) -> bool {
         if !self.is_declaration(key) {
             return false;
         }
@@ -217,67 +223,6 @@
         }
     }
 
-    /// Decodes all objects of a part after a listing of the store; returns whether the usable state
-    /// changed.
-    fn apply_listed(&mut self, part: StorePart, is_restored: bool) -> bool {
-        let objects: Vec<RawObject> = self.objects.part(part).all().collect();
-        match part {
-            StorePart::Declared => {
-                let mut changed = false;
-                for object in &objects {
-                    changed |= self.apply_declaration(&object.name, &object.bytes, Source::Listing);
-                }
-                changed
-            }
-            StorePart::Evacuations => self.apply_evacuation_listing(&objects, is_restored),
-            StorePart::Targets => self.apply_target_listing(&objects),
-        }
-    }
-
-    fn apply_evacuation_listing(&mut self, objects: &[RawObject], is_restored: bool) -> bool {
-        let source = Source::Listing;
-        let names: Vec<Arc<str>> = objects.iter().map(|object| object.name.clone()).collect();
-        let zones: BTreeSet<ZoneId> = self.parts.protocol.evacuated_zones(&names);
-        let changes = self.known_state.apply_evacuation_listing(zones, is_restored, self.now());
-        let changed = !changes.evacuated.is_empty() || !changes.taken_back.is_empty();
-        for zone in changes.evacuated {
-            self.record_zone_evacuated(zone, source);
-        }
-        for zone in changes.taken_back {
-            self.record_zone_taken_back(zone, source);
-        }
-        changed
-    }
-
-    fn apply_target_listing(&mut self, objects: &[RawObject]) -> bool {
-        let source = Source::Listing;
-        let mut entries = Vec::new();
-        for RawObject { name, revision, bytes } in objects {
-            match self.parts.protocol.decode_target(name, bytes) {
-                Ok(entry) => {
-                    let region = self.parts.settings.region_of(&entry.zone);
-                    entries.push((entry, region));
-                }
-                Err(error) => {
-                    let part = StorePart::Targets;
-                    self.record_unreadable_entry(part, name, *revision, &error.0, source);
-                }
-            }
-        }
-        let changes = self.known_state.apply_target_listing(entries, self.now());
-        let changed = !changes.gone.is_empty() || !changes.known.is_empty();
-        for target in &changes.known {
-            self.record_target_known(target, source);
-        }
-        for target in changes.gone {
-            self.record_target_gone(target, source);
-        }
-        for target in changes.kept {
-            self.record_target_kept(target);
-        }
-        changed
-    }
-
     /// Applies what a watch reported; returns whether the usable state changed.
     fn apply_changes(&mut self, part: StorePart, Changes { changes, version }: Changes) -> bool {
         self.expire_unlisted(part);
@@ -295,7 +240,7 @@
 
     /// The name of an object: its key without the prefix. `None` for an object of which hosts use
     /// nothing.
-    fn object_name(&self, part: StorePart, key: &Arc<str>) -> Option<Arc<str>> {
+    pub(super) fn object_name(&self, part: StorePart, key: &Arc<str>) -> Option<Arc<str>> {
         let prefixes = self.parts.protocol.store_prefixes();
         let name: Arc<str> = key.strip_prefix(prefixes.of(part))?.into();
         (part != StorePart::Declared || self.is_declaration(&name)).then_some(name)
@@ -321,65 +266,6 @@
         }
     }
 
-    /// Applies a listing of the store; returns whether the usable state changed.
-    fn apply_listing(&mut self, part: StorePart, listing: Listing) -> bool {
-        let Listing { entries, gap, version } = listing;
-        let known = self.objects.part(part).revision();
-        let object = |entry: Entry| {
-            let (name, revision) = (self.object_name(part, &entry.key)?, entry.object.version);
-            let bytes = self.replace_keys_by_digests(part, &name, entry.object, Source::Listing)?;
-            Some(RawObject { name, revision, bytes })
-        };
-        let objects: Vec<RawObject> = entries.into_iter().filter_map(object).collect();
-        let count = objects.len();
-        if let Some(gap) = gap {
-            let reason = gap.to_string().into();
-            self.record_event(Event::ListingIncomplete { objects: count, part, reason });
-            return self.apply_partial_listing(part, objects, version);
-        }
-        self.unlisted_expiry.remove(&part);
-        let is_applied = self.objects.part_mut(part).merge_listing(objects, version);
-        let store_version = StorePoint::of(version).revision;
-        self.record_event(Event::StoreListed { is_applied, objects: count, part, store_version });
-        if !is_applied {
-            return false;
-        }
-        let is_restored = self.note_restore(part, known, version);
-        let changed = self.apply_listed(part, is_restored);
-        if is_restored {
-            self.check_restored_declaration(part);
-        }
-        // The first listing may be some seconds old.
-        if known != 0 {
-            self.record_declaration_check(part);
-        }
-        changed
-    }
-
-    /// Applies a listing that ended early; returns whether the usable state changed.
-    fn apply_partial_listing(
-        &mut self,
-        part: StorePart,
-        objects: Vec<RawObject>,
-        version: Version,
-    ) -> bool {
-        self.unlisted_expiry.insert(part, self.now() + UNLISTED_PERIOD);
-        let mut changed = false;
-        for change in self.objects.part_mut(part).merge_partial_listing(objects, version) {
-            changed |= self.apply_change(part, change, Source::Listing);
-        }
-        changed
-    }
-
-    /// Takes a part for complete once the watch must have shown what a listing could not read.
-    fn expire_unlisted(&mut self, part: StorePart) {
-        let now = self.now();
-        if self.unlisted_expiry.get(&part).is_some_and(|until| *until <= now) {
-            self.unlisted_expiry.remove(&part);
-            self.objects.part_mut(part).forget_unlisted();
-        }
-    }
-
     /// Applies an update from the store; returns whether the usable state changed.
     pub(super) fn apply_update(&mut self, part: StorePart, update: FollowEvent) -> bool {
         match update {
@@ -402,7 +288,7 @@
 
     /// Records that the store has just returned its latest declaration or confirmed that there is
     /// no later one. Ignores other parts, and a restored store that holds an older declaration.
-    fn record_declaration_check(&mut self, part: StorePart) {
+    pub(super) fn record_declaration_check(&mut self, part: StorePart) {
         if part == StorePart::Declared && !self.store_is_behind {
             self.declaration_checked_at = Some(self.now());
         }
@@ -442,7 +328,7 @@
     }
 
     /// Logs an entry that can't be read, once for each of its revisions.
-    fn record_unreadable_entry(
+    pub(super) fn record_unreadable_entry(
         &mut self,
         part: StorePart,
         name: &Arc<str>,
@@ -483,14 +369,14 @@
         StorePoint::of(self.objects.part(part).revision()).revision
     }
 
-    fn record_target_kept(&self, target: TargetId) {
+    pub(super) fn record_target_kept(&self, target: TargetId) {
         self.record_event(Event::TargetKept {
             for_ms: LAPSED_TARGET_GRACE.as_millis() as u64,
             target,
         });
     }
 
-    fn record_zone_evacuated(&self, zone: ZoneId, source: Source) {
+    pub(super) fn record_zone_evacuated(&self, zone: ZoneId, source: Source) {
         let store_version = self.logged_revision(StorePart::Evacuations);
         self.record_event(Event::ZoneEvacuated { source, store_version, zone });
     }
