--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,6 +3,7 @@
 
 mod lab;
 mod smuggled;
+mod tenant;
 
 use std::{path::PathBuf, process::exit};
 
@@ -18,6 +19,7 @@
     let record = Record::new();
     let run = match case.as_str() {
         "smuggled" => smuggled::run,
+        "tenant" => tenant::run,
         _ => {
             eprintln!("no such case: {case}");
             exit(2);
