--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,6 +2,7 @@
 //! held, and 2 if the case could not run.
 
 mod lab;
+mod slow_reader;
 mod smuggled;
 mod tenant;
 
@@ -18,6 +19,7 @@
     limit_time(ms(115_000));
     let record = Record::new();
     let run = match case.as_str() {
+        "slow-reader" => slow_reader::run,
         "smuggled" => smuggled::run,
         "tenant" => tenant::run,
         _ => {
