--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,6 +2,7 @@
 //! held, and 2 if the case could not run.
 
 mod lab;
+mod new_region;
 mod slow_reader;
 mod smuggled;
 mod tenant;
@@ -19,6 +20,7 @@
     limit_time(ms(115_000));
     let record = Record::new();
     let run = match case.as_str() {
+        "new-region" => new_region::run,
         "slow-reader" => slow_reader::run,
         "smuggled" => smuggled::run,
         "tenant" => tenant::run,
