--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,6 +1,7 @@
 //! The cases of the second review that are scripts. Exits with 1 if the rule was broken, 0 if it
 //! held, and 2 if the case could not run.
 
+mod joined;
 mod lab;
 mod slow_reader;
 mod smuggled;
@@ -18,6 +19,7 @@
     limit_time(ms(115_000));
     let record = Record::new();
     let run = match case.as_str() {
+        "joined" => joined::run,
         "slow-reader" => slow_reader::run,
         "smuggled" => smuggled::run,
         _ => {
