Review, case 5: one entry that can't be read hides all endpoints

A text that ends with a backslash takes in what follows its object, so that listings and watches of all entries fail.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,6 +3,7 @@
 
 mod joined;
 mod lab;
+mod odd_entry;
 mod slow_reader;
 mod smuggled;
 
@@ -20,6 +21,7 @@
     let record = Record::new();
     let run = match case.as_str() {
         "joined" => joined::run,
+        "odd-entry" => odd_entry::run,
         "slow-reader" => slow_reader::run,
         "smuggled" => smuggled::run,
         _ => {
