Read the objects behind one that is no JSON

Cause: where an unreadable object ends was told by counting quotes and brackets from the left. A text that swallows its end, a bracket too few or too many, or an object that breaks off shifts the count for all that follows; the response was refused as a whole, at each try. Ruled out: the entry's name (no page was asked for twice) and its decoding (no entry-unreadable event); store-lost gave the parser's error with the same column each time.

Fix: nothing relies on the end of an unreadable object. What stands in front of the first one is used as before. What looks like an object behind it is asked for by name, and the listing goes on behind it; an object inside an unreadable one names none that the store has. Bounded: 64 such calls a listing, 16 a watch.

--- a/src/platform/listing.rs
+++ b/src/platform/listing.rs
@@ -1,5 +1,7 @@
 //! Listings of the store's objects, which come in pages.
 
+use std::collections::BTreeSet;
+
 use http::Method;
 use serde_json::value::RawValue;
 
@@ -7,13 +9,15 @@
     object_store::{
         CALL_TIMEOUT, CallResponse, Object, ObjectStore, entry, refused, unavailable, version,
     },
-    object_urls::split_key,
+    object_urls::{object_path, split_key},
     page_cursor::PageCursor,
-    salvage,
 };
 use crate::{
     prelude::*,
-    store::{CallKind, Entry, Listing, PlatformError, Result, StorePoint, Version},
+    store::{
+        CallKind, Entry, Listing, PlatformError, Result, StorePoint, Version,
+        damaged_list::{self, Damage, Decoded},
+    },
 };
 
 /// Query of a listing that may be seconds old.
@@ -23,8 +27,7 @@
 #[serde(rename_all = "camelCase")]
 struct ListPage {
     current_rev: Version,
-    #[serde(default)]
-    has_more: bool,
+    has_more: Option<bool>,
     items: Vec<Box<RawValue>>,
 }
 
@@ -48,15 +51,40 @@
     MayBeStale,
 }
 
+/// How a listing goes on behind a page.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum PageEnd {
+    Last,
+    More,
+    /// The page begins with an object that is no JSON.
+    Unreadable {
+        /// Whether no other page follows.
+        is_last: bool,
+        /// Names that unreadable objects may have.
+        names: Vec<Arc<str>>,
+    },
+}
+
+/// Most objects of one listing that are read by name, to find out whether they exist.
+const MAX_CONFIRMATIONS: usize = 64;
+
 /// What was read of a listing so far.
 struct ListedPages<'a> {
+    /// Names of the objects that the store was asked for.
+    confirmations: BTreeSet<Arc<str>>,
     cursor: PageCursor,
     entries: BTreeMap<Arc<str>, Entry>,
+    /// Whether the store has just shown that the object exists behind which the next page begins.
+    is_behind_confirmed: bool,
     kind: &'a str,
     /// A watch must continue from the lowest version of a page. From a later one, it would miss
     /// changes made while the pages were read, or that a page out of date does not show.
     lowest: Option<Version>,
+    /// Whether objects may be missing although a last page was read.
+    may_lack_objects: bool,
     reading: Reading,
+    /// Names that stand behind objects that are no JSON. The one to be confirmed next is the last.
+    unconfirmed: Vec<Arc<str>>,
 }
 
 impl ListPage {
@@ -106,12 +134,26 @@
 
 impl<'a> ListedPages<'a> {
     fn new(kind: &'a str, reading: Reading) -> Self {
-        let (cursor, entries) = (PageCursor::default(), BTreeMap::new());
-        Self { cursor, entries, kind, lowest: None, reading }
+        Self {
+            confirmations: BTreeSet::new(),
+            cursor: PageCursor::default(),
+            entries: BTreeMap::new(),
+            is_behind_confirmed: false,
+            kind,
+            lowest: None,
+            may_lack_objects: false,
+            reading,
+            unconfirmed: Vec::new(),
+        }
     }
 
-    /// Records a page. Returns whether it is the last one.
-    fn record(&mut self, page: &ListPage, response: &CallResponse) -> Result<bool> {
+    /// Records a page.
+    fn record(
+        &mut self,
+        page: &ListPage,
+        damage: Option<&Damage<'_>>,
+        response: &CallResponse,
+    ) -> Result<PageEnd> {
         let objects = page.objects(self.kind);
         let current = version(response.restores, self.reading.complete_until(page, &objects));
         let before = self.lowest.unwrap_or(current);
@@ -119,13 +161,69 @@
             return Err(unavailable("the store was restored during a listing", false));
         }
         // Behind a name that the store does not know, it may end the listing.
-        let is_cut_off = self.lowest.is_some() && page.items.is_empty();
+        let is_cut_off =
+            self.lowest.is_some() && page.items.is_empty() && !self.is_behind_confirmed;
         self.lowest = Some(current.min(before));
         for (object, item) in &objects {
             self.record_entry(entry(self.kind, object, item, response));
         }
         self.cursor.record_page(page.names(response));
-        Ok(!page.has_more && !is_cut_off)
+        let has_more = page.has_more.unwrap_or_default();
+        match damage {
+            Some(damage) => Ok(self.record_damage(page, damage)),
+            None if has_more || is_cut_off => Ok(PageEnd::More),
+            None => Ok(PageEnd::Last),
+        }
+    }
+
+    /// Records what may stand behind the objects of a page that has one that is no JSON.
+    fn record_damage(&mut self, page: &ListPage, damage: &Damage<'_>) -> PageEnd {
+        let named = |object: &RawValue| serde_json::from_str::<NamedObject>(object.get()).ok();
+        let objects = damage.unconfirmed();
+        let names = objects.into_iter().rev().filter_map(|it| Some(named(it)?.metadata.name));
+        self.unconfirmed.extend(names);
+        if !page.items.is_empty() {
+            return PageEnd::More;
+        }
+        let is_last = page.has_more == Some(false) && !damage.may_be_cut;
+        PageEnd::Unreadable { is_last, names: damage.names() }
+    }
+
+    /// Whether the store may be asked for an object: it was not, and the object was not listed.
+    fn may_confirm(&mut self, key: &str, name: &Arc<str>) -> bool {
+        if self.entries.contains_key(key) || self.confirmations.contains(name) {
+            return false;
+        }
+        if self.confirmations.len() == MAX_CONFIRMATIONS {
+            self.may_lack_objects = true;
+            return false;
+        }
+        self.confirmations.insert(name.clone())
+    }
+
+    /// Records an object that the store returned when asked for it by name.
+    fn record_confirmed(
+        &mut self,
+        key: Arc<str>,
+        name: Arc<str>,
+        response: &CallResponse,
+    ) -> Result<()> {
+        let read_from = self.lowest.map(|version| StorePoint::of(version).restores);
+        if read_from.is_some_and(|restores| restores != response.restores) {
+            return Err(unavailable("the store was restored during a listing", false));
+        }
+        if let Ok(object) = response.object() {
+            self.record_entry(Entry { key, object });
+        }
+        self.cursor.record_page(std::iter::once(name));
+        self.is_behind_confirmed = true;
+        Ok(())
+    }
+
+    /// Goes on behind names of which the store knows none, since others may follow them in its order.
+    fn go_on_behind_any(&mut self, names: Vec<Arc<str>>) {
+        self.may_lack_objects = true;
+        self.cursor.record_page(names.into_iter());
     }
 
     /// Records an object, which may stand on several pages.
@@ -137,6 +235,7 @@
     }
 
     fn finish(self, gap: Option<PlatformError>) -> Listing {
+        let gap = gap.or_else(|| self.may_lack_objects.then_some(PlatformError::NoNextPage));
         let entries = self.entries.into_values().collect();
         Listing { entries, gap, version: self.lowest.unwrap_or_default() }
     }
@@ -173,11 +272,60 @@
         read_from == Some(self.latest_restores())
     }
 
-    /// Reads one page. Returns whether it is the last one.
+    /// Reads one page, and what tells how to go on behind it. Returns whether the listing is complete.
     async fn list_page(&self, path: &str, listed: &mut ListedPages<'_>) -> Result<bool> {
         let response = self.call(CallKind::Read, Method::GET, path, None, CALL_TIMEOUT).await?;
-        let page = salvage::decode(&response.text(), "items");
-        let page: ListPage = page.map_err(|error| refused(&error.to_string()))?;
-        listed.record(&page, &response)
+        let text = response.text();
+        let decoded = damaged_list::decode::<ListPage>(&text, "items");
+        let Decoded { damage, response: page } =
+            decoded.map_err(|error| refused(&error.to_string()))?;
+        let end = listed.record(&page, damage.as_ref(), &response)?;
+        listed.is_behind_confirmed = false;
+        match end {
+            PageEnd::More => Ok(false),
+            PageEnd::Last => Ok(!self.confirm_next(listed).await?),
+            PageEnd::Unreadable { is_last, names } => {
+                let is_confirmed = self.confirm_next(listed).await?;
+                if is_confirmed || is_last {
+                    return Ok(!is_confirmed);
+                }
+                if !self.confirm_last(&names, listed).await? {
+                    listed.go_on_behind_any(names);
+                }
+                Ok(false)
+            }
+        }
+    }
+
+    /// Finds the next object that stands behind an unreadable one, by asking the store for it. Returns
+    /// whether there is one; the listing goes on behind it.
+    async fn confirm_next(&self, listed: &mut ListedPages<'_>) -> Result<bool> {
+        while let Some(name) = listed.unconfirmed.pop() {
+            if self.confirm(name, listed).await? {
+                return Ok(true);
+            }
+        }
+        Ok(false)
+    }
+
+    /// Finds the last object of these names in the same way.
+    async fn confirm_last(&self, names: &[Arc<str>], listed: &mut ListedPages<'_>) -> Result<bool> {
+        for name in names.iter().rev() {
+            if self.confirm(name.clone(), listed).await? {
+                return Ok(true);
+            }
+        }
+        Ok(false)
+    }
+
+    /// Asks the store for an object that was not listed. Returns whether it exists.
+    async fn confirm(&self, name: Arc<str>, listed: &mut ListedPages<'_>) -> Result<bool> {
+        let key: Arc<str> = format!("{}/{name}", listed.kind).into();
+        if object_path(&key).is_none() || !listed.may_confirm(&key, &name) {
+            return Ok(false);
+        }
+        let Some(response) = self.get_response(&key).await? else { return Ok(false) };
+        listed.record_confirmed(key, name, &response)?;
+        Ok(true)
     }
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -14,7 +14,6 @@
 mod page_cursor;
 mod protocol;
 mod restore_counter;
-mod salvage;
 mod server;
 pub mod standin;
 #[cfg(test)]
--- a/src/platform/object_store.rs
+++ b/src/platform/object_store.rs
@@ -1,6 +1,6 @@
 //! Client of the platform's store.
 
-use std::{borrow::Cow, sync::Mutex};
+use std::{borrow::Cow, collections::BTreeSet, sync::Mutex};
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -13,7 +13,6 @@
     listing::Reading,
     object_urls::{object_path, split_key},
     restore_counter::RestoreCounter,
-    salvage,
 };
 use crate::{
     base::{BootClock, read_bounded_body, with_root_cause},
@@ -22,6 +21,7 @@
     store::{
         CallKind, CallRateLimiter, Change, Changes, Entry, Expect, Listing, OperationId, Platform,
         PlatformError, RateLimits, Result, StorePoint, Version, VersionedObject,
+        damaged_list::{self, Damage},
     },
 };
 
@@ -110,9 +110,12 @@
     revision: Option<Version>,
 }
 
-/// What stands for an object with bytes that are not UTF-8: none of the values that the platform
+/// What stands for an object with bytes that can't be read: none of the values that the platform
 /// defines.
-const NOT_UTF8: &str = r#""bytes that are not UTF-8""#;
+const UNREADABLE: &str = r#""bytes that can't be read""#;
+
+/// Most objects of one watch that are read by name; a listing reads more of them with fewer calls.
+const MAX_CONFIRMED_CHANGES: usize = 16;
 
 pub(super) struct CallResponse {
     body: Bytes,
@@ -199,6 +202,44 @@
         Ok((head, body.map_err(|error| unavailable(&with_root_cause(&error), true))?))
     }
 
+    /// Asks for one object; `None` if it does not exist.
+    pub(super) async fn get_response(&self, key: &str) -> Result<Option<CallResponse>> {
+        let path = path_of(key)?;
+        let response = self.call(CallKind::Read, Method::GET, &path, None, CALL_TIMEOUT).await?;
+        Ok((response.status != StatusCode::NOT_FOUND).then_some(response))
+    }
+
+    /// Reads the objects of changes that stand behind one that is no JSON, as they are now.
+    async fn confirmed_changes(
+        &self,
+        kind: &str,
+        damage: &Damage<'_>,
+        current: Version,
+    ) -> Result<Vec<Change>> {
+        let key = |event: &RawValue| {
+            let event = serde_json::from_str::<Event>(event.get()).ok()?;
+            let object = serde_json::from_str::<Object>(event.object.get()).ok()?;
+            Some(format!("{kind}/{}", object.metadata.name).into())
+        };
+        let keys: BTreeSet<Arc<str>> = damage.unconfirmed().into_iter().filter_map(key).collect();
+        if MAX_CONFIRMED_CHANGES < keys.len() {
+            return Err(PlatformError::TooOld { oldest: 0 });
+        }
+        let mut changes = Vec::new();
+        for key in keys {
+            let object = match self.get_response(&key).await? {
+                Some(response) => match response.object() {
+                    Ok(object) => Some(object),
+                    Err(_) => continue,
+                },
+                None => None,
+            };
+            let version = object.as_ref().map_or(current, |object| object.version);
+            changes.push(Change { key, object, version });
+        }
+        Ok(changes)
+    }
+
     /// Number of restores of the store, as its responses state it.
     pub(super) fn latest_restores(&self) -> u64 {
         self.restores.latest()
@@ -231,15 +272,8 @@
     }
 
     async fn get(&self, key: &str) -> Result<Option<VersionedObject>> {
-        let path = path_of(key)?;
-        let answer = self.call(CallKind::Read, Method::GET, &path, None, CALL_TIMEOUT).await?;
-        if answer.status == StatusCode::NOT_FOUND {
-            return Ok(None);
-        }
-        let text = answer.text();
-        let raw: Box<RawValue> = json(text.as_bytes())?;
-        let object: Object = json(text.as_bytes())?;
-        Ok(Some(entry("", &object, &raw, &answer).object))
+        let response = self.get_response(key).await?;
+        response.map(|response| response.object()).transpose()
     }
 
     async fn list(&self, prefix: &str) -> Result<Listing> {
@@ -282,8 +316,10 @@
             // The revision was given out again, and stands for another state than the watched one.
             return Err(PlatformError::TooOld { oldest: 0 });
         }
-        let response = salvage::decode(&answer.text(), "events");
-        let response: WatchResponse = response.map_err(|error| refused(&error.to_string()))?;
+        let text = answer.text();
+        let decoded = damaged_list::decode::<WatchResponse>(&text, "events");
+        let damaged_list::Decoded { damage, response } =
+            decoded.map_err(|error| refused(&error.to_string()))?;
         let current = version(answer.restores, response.current_rev);
         let change = |event: &Event| {
             let object = serde_json::from_str::<Object>(event.object.get());
@@ -299,7 +335,10 @@
             let object = (!event.deleted).then_some(entry.object);
             Some(Change { key: entry.key, object, version })
         };
-        let changes = response.events.iter().filter_map(change).collect();
+        let mut changes: Vec<Change> = response.events.iter().filter_map(change).collect();
+        if let Some(damage) = damage {
+            changes.extend(self.confirmed_changes(kind, &damage, current).await?);
+        }
         Ok(Changes { changes, version: current })
     }
 }
@@ -315,6 +354,14 @@
         String::from_utf8_lossy(&self.body)
     }
 
+    /// The object that the response consists of.
+    pub(super) fn object(&self) -> Result<VersionedObject> {
+        let text = self.text();
+        let raw: &RawValue = json(text.as_bytes())?;
+        let object: Object = json(text.as_bytes())?;
+        Ok(entry("", &object, raw, self).object)
+    }
+
     /// Whether an object of the text contains replaced bytes.
     pub(super) fn is_replaced(&self, object: &RawValue) -> bool {
         !self.is_utf8 && object.get().contains(char::REPLACEMENT_CHARACTER)
@@ -323,7 +370,7 @@
 
 /// An object of a response. One with bytes that are not UTF-8 has a value that nothing decodes.
 pub(super) fn entry(kind: &str, object: &Object, raw: &RawValue, response: &CallResponse) -> Entry {
-    let value = if response.is_replaced(raw) { NOT_UTF8 } else { raw.get() };
+    let value = if response.is_replaced(raw) { UNREADABLE } else { raw.get() };
     let key = format!("{kind}/{}", object.metadata.name).into();
     let version = version(response.restores, object.metadata.revision);
     Entry { key, object: versioned(Bytes::copy_from_slice(value.as_bytes()), version) }
--- a/src/platform/standin/mod.rs
+++ b/src/platform/standin/mod.rs
@@ -23,7 +23,7 @@
     rewrite::Rewrite,
     settings::{loopback_settings, loopback_traffic},
     store::{StoreCopy, StoreStandin},
-    store_pages::{BrokenValue, ListOrder, Paging, UnknownName},
+    store_pages::{BrokenValue, ListOrder, ListPlace, Paging, UnknownName},
     target::{ResponseMode, Statements, TargetIdentity, TargetStandin},
     unending::{Unending, UnendingPart},
 };
--- a/src/platform/standin/store.rs
+++ b/src/platform/standin/store.rs
@@ -14,7 +14,7 @@
 
 use super::{
     door::{DoorState, StoreDoor, serve},
-    store_pages::{BrokenValue, CallTarget, Listed, Paging, encode},
+    store_pages::{BrokenValue, CallTarget, ListPlace, Listed, Paging, encode, raw_object},
 };
 use crate::prelude::*;
 
@@ -41,6 +41,8 @@
     down: AtomicBool,
     /// Number of pages that were asked for.
     listed_pages: AtomicUsize,
+    /// Number of objects that were asked for by name.
+    read_objects: AtomicUsize,
     state: Mutex<State>,
     /// Number of watches that are waiting for a change.
     pending_watches: AtomicUsize,
@@ -74,6 +76,7 @@
     stale: Option<(Objects, u64)>,
     /// Whether such reads state the present revision all the same.
     stale_states_present: bool,
+    list_place: ListPlace,
     objects: Objects,
     paging: Paging,
     /// Number of restores, which all responses state.
@@ -125,6 +128,11 @@
         self.shared.put(kind, name, json!({ "spec": [1, "spoiled"] }));
     }
 
+    /// Writes an object that is sent as this text, whether it is JSON or not.
+    pub fn put_raw(&self, kind: &str, name: &str, text: &str) {
+        self.shared.put_as_is(kind, name, raw_object(text));
+    }
+
     /// Writes an object with bytes that are not UTF-8.
     pub fn put_not_utf8(&self, kind: &str, name: &str) {
         self.put_broken(kind, name, BrokenValue::NotUtf8);
@@ -144,6 +152,16 @@
         self.shared.state().paging = paging;
     }
 
+    /// Sets where responses have their list from now on.
+    pub fn set_list_place(&self, place: ListPlace) {
+        self.shared.state().list_place = place;
+    }
+
+    /// Returns the number of calls about one object that were received.
+    pub fn read_objects(&self) -> usize {
+        self.shared.read_objects.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of pages that were asked for.
     pub fn listed_pages(&self) -> usize {
         self.shared.listed_pages.load(Ordering::Relaxed)
@@ -268,7 +286,7 @@
             let created = state.created.get(key).copied().unwrap_or_default();
             Listed { created, name: &key.1, object }
         });
-        state.paging.page(listed.collect(), target.query("after"), revision)
+        state.paging.page(listed.collect(), target.query("after"), revision, state.list_place)
     }
 
     async fn watch(&self, kind: &str, from: u64, wait: Duration) -> Reply {
@@ -292,8 +310,8 @@
                     |(_, _, object, deleted)| json!({ "object": object, "deleted": deleted });
                 let events: Vec<Value> = new.cloned().map(event).collect();
                 if !events.is_empty() || until <= tokio::time::Instant::now() {
-                    let response = json!({ "events": events, "currentRev": state.revision });
-                    return reply(200, &response);
+                    let fields = json!({ "currentRev": state.revision });
+                    return state.list_place.reply("events", &events, &fields);
                 }
             }
             let _ = tokio::time::timeout_at(until, changed).await;
@@ -337,6 +355,7 @@
     }
 
     fn get(&self, kind: &str, name: &str) -> Reply {
+        self.read_objects.fetch_add(1, Ordering::Relaxed);
         self.object(kind, name).map_or_else(|| reply(404, &Value::Null), |it| reply(200, &it))
     }
 
@@ -384,7 +403,11 @@
 }
 
 pub(super) fn reply(status: u16, body: &Value) -> Reply {
-    let mut reply = Response::new(Full::new(Bytes::from(encode(body))));
+    reply_text(status, &body.to_string())
+}
+
+pub(super) fn reply_text(status: u16, text: &str) -> Reply {
+    let mut reply = Response::new(Full::new(Bytes::from(encode(text))));
     *reply.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     reply
 }
--- a/src/platform/standin/store_pages.rs
+++ b/src/platform/standin/store_pages.rs
@@ -5,7 +5,7 @@
 use reqwest::Url;
 use serde_json::{Value, json};
 
-use super::store::{Reply, reply};
+use super::store::{Reply, reply, reply_text};
 
 /// Sizes and order of the pages of a listing. The platform leaves both to the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -58,7 +58,13 @@
 
 impl Paging {
     /// The page behind the object `after`, or the first one.
-    pub(super) fn page(self, mut listed: Vec<Listed<'_>>, after: Option<&str>, rev: u64) -> Reply {
+    pub(super) fn page(
+        self,
+        mut listed: Vec<Listed<'_>>,
+        after: Option<&str>,
+        rev: u64,
+        place: ListPlace,
+    ) -> Reply {
         if let ListOrder::Creation(_) = self.order {
             listed.sort_by_key(|it| it.created);
         }
@@ -77,10 +83,10 @@
             }
             (Some(None), _) => 0,
         };
-        let items: Vec<&Value> =
-            listed.iter().skip(start).take(self.size).map(|it| it.object).collect();
+        let items: Vec<Value> =
+            listed.iter().skip(start).take(self.size).map(|it| it.object.clone()).collect();
         let has_more = start + items.len() < listed.len();
-        reply(200, &json!({ "items": items, "hasMore": has_more, "currentRev": rev }))
+        place.reply("items", &items, &json!({ "hasMore": has_more, "currentRev": rev }))
     }
 }
 
@@ -140,9 +146,56 @@
     }
 }
 
-/// The bytes of a response, with broken values in place of what stands for them.
-pub(super) fn encode(body: &Value) -> Vec<u8> {
-    let mut bytes = body.to_string().into_bytes();
+/// First character of what stands for an object until it is sent as the text behind it.
+const RAW_MARK: char = '\u{e010}';
+
+/// What stands for an object that is sent as it is, whether JSON or not.
+pub(super) fn raw_object(text: &str) -> Value {
+    let digits: String = text.bytes().map(|byte| format!("{byte:02x}")).collect();
+    Value::String(format!("{RAW_MARK}{digits}"))
+}
+
+/// Replaces what stands for raw objects.
+fn insert_raw_objects(text: &str) -> Vec<u8> {
+    let mark = format!("\"{RAW_MARK}");
+    let mut parts = text.split(&*mark);
+    let mut bytes = parts.next().unwrap_or_default().as_bytes().to_vec();
+    for part in parts {
+        let (digits, rest) = part.split_once('"').unwrap_or((part, ""));
+        let byte = |at| u8::from_str_radix(&digits[at..at + 2], 16).unwrap_or_default();
+        bytes.extend((0..digits.len()).step_by(2).map(byte));
+        bytes.extend(rest.as_bytes());
+    }
+    bytes
+}
+
+/// Where a response has its list.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum ListPlace {
+    /// In front of the other fields.
+    #[default]
+    First,
+    /// Behind the other fields.
+    Last,
+}
+
+impl ListPlace {
+    /// A response with a list of objects.
+    pub(super) fn reply(self, list: &str, objects: &[Value], fields: &Value) -> Reply {
+        let objects = Value::from(objects);
+        let fields = fields.to_string();
+        let fields = fields.trim_start_matches('{').trim_end_matches('}');
+        let text = match self {
+            Self::First => format!("{{\"{list}\":{objects},{fields}}}"),
+            Self::Last => format!("{{{fields},\"{list}\":{objects}}}"),
+        };
+        reply_text(200, &text)
+    }
+}
+
+/// The bytes of a response, with raw objects and broken values in place of what stands for them.
+pub(super) fn encode(text: &str) -> Vec<u8> {
+    let mut bytes = insert_raw_objects(text);
     for value in BrokenValue::ALL {
         let placeholder = format!("\"{}\"", value.placeholder());
         bytes = replace(&bytes, placeholder.as_bytes(), value.bytes());
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -5,6 +5,7 @@
 
 mod circuit_breaker;
 mod confirmed_put;
+pub(crate) mod damaged_list;
 mod error;
 mod follow;
 mod http;
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -1,3 +1,5 @@
+mod damaged_list;
+
 use assert_matches::assert_matches;
 
 use super::{
--- a/tests/entry_odd_entries.rs
+++ b/tests/entry_odd_entries.rs
@@ -41,6 +41,20 @@
     "&after=z",
 ];
 
+/// Ends of entries whose text does not show where they end. The last one holds what looks like another
+/// entry.
+const ENDLESS: [&str; 4] = [
+    r#"{"address":"x\"},"status":null}"#,
+    r#"{"a":[1,2},"status":null}"#,
+    r#"{}}}}}"#,
+    r#"{"a":[1,{"metadata":{"name":"north-a","revision":9},"spec":{}},{"metadata":{"name":"t-0","revision":9},"spec":{}}"#,
+];
+
+/// The text of such an entry.
+fn endless(name: &str, end: &str) -> String {
+    format!(r#"{{"metadata":{{"name":"{name}","revision":1}},"spec":{end}"#)
+}
+
 /// Time over which the calls of settled hosts are counted.
 const SETTLED_TIME: Duration = Duration::from_millis(500);
 
@@ -145,6 +159,25 @@
     });
 }
 
+/// Guards against an outage after all hosts were restarted while a list held an entry whose text
+/// swallows what stands behind it.
+#[test]
+fn an_entry_without_an_end_keeps_none_from_use() {
+    run(async {
+        for (order, end) in ORDERS.into_iter().zip(ENDLESS) {
+            for (kind, prefix) in [("servers", ""), ("config", "a")] {
+                for count in [1, 3 * PAGE_SIZE] {
+                    let write = |world: &World, place: &str| {
+                        let name = format!("{prefix}{place}");
+                        world.store.put_raw(kind, &name, &endless(&name, end));
+                    };
+                    restart_with(OddEntries { count, kind, order, write: &write }).await;
+                }
+            }
+        }
+    });
+}
+
 /// Guards against an outage after all hosts were restarted while odd entries stood before the
 /// configuration.
 #[test]
@@ -320,6 +353,59 @@
     });
 }
 
+/// Guards against evacuations that are not obeyed, or obeyed though none was written, because an entry
+/// without an end stands before them.
+#[test]
+fn evacuations_are_read_behind_an_entry_without_an_end() {
+    run(async {
+        for order in ORDERS {
+            for end in ENDLESS {
+                let world = world(TWO_ZONES, order).await;
+                for at in 0..3 {
+                    let name = format!("a{at}");
+                    world.store.put_raw("evacuations", &name, &endless(&name, end));
+                }
+                world.store.put("evacuations", "north-b", json!({}));
+                world.store.put("config", "main", config(1));
+                enlist(&world, 0..4);
+                let host = world.host("a").await;
+                let is_evacuated = |of: &'static str| move |event: &Event| matches!(event, Event::ZoneEvacuated { zone, .. } if **zone == *of);
+                until("it is known", async || world.events.has(is_evacuated("north-b"))).await;
+                assert_eq!(world.ask(&host, read("r-1")).await.expect("an answer").status(), 200);
+                assert!(!world.events.has(is_evacuated("north-a")));
+            }
+        }
+    });
+}
+
+/// Guards against a target that is used on after it said that it leaves, because the watch returned
+/// that beside an entry without an end.
+#[test]
+fn a_target_that_leaves_beside_an_entry_without_an_end_is_left_alone() {
+    run(async {
+        for end in ENDLESS {
+            let world = world(ONE_ZONE, ListOrder::Name).await;
+            world.store.put("config", "main", config(1));
+            enlist(&world, 0..4);
+            let host = world.host("a").await;
+            all_targets_serve(&world, &host).await;
+            for at in 0..3 {
+                let name = format!("odd-{at}");
+                world.store.put_raw("servers", &name, &endless(&name, end));
+            }
+            let leaving = &world.targets[3];
+            world.store.put("servers", leaving.id(), leaving.store_entry("draining", 2));
+            let is_left = |event: &Event| matches!(event, Event::TargetKnown { target, ready: false, .. } if **target == *leaving.id());
+            until("it is known", async || world.events.has(is_left)).await;
+            let before = leaving.received().len();
+            for _ in 0..20 {
+                assert_eq!(world.ask(&host, read("r-1")).await.expect("an answer").status(), 200);
+            }
+            assert_eq!(leaving.received().len(), before);
+        }
+    });
+}
+
 /// Guards against changes that a host never learns of, because a watch returned them with an entry
 /// whose bytes are no JSON.
 #[test]
--- a/tests/odd_entry_processes.rs
+++ b/tests/odd_entry_processes.rs
@@ -71,8 +71,19 @@
     Nameless,
     NoJson(BrokenValue),
     TooLong,
+    /// The text does not show where the entry ends.
+    WithoutEnd(&'static str),
 }
 
+/// Ends of such entries.
+const ENDS: [&str; 5] = [
+    r#"{"address":"x\"},"status":null}"#,
+    r#"{"a":[1,2},"status":null}"#,
+    r#"{"a":1"#,
+    r#"{}}}}}"#,
+    r#"{"a":[{"metadata":{"name":"m-none","revision":9},"spec":{}}],"address":"x\"}}"#,
+];
+
 struct Play {
     store: StoreStandin,
     targets: Vec<TargetStandin>,
@@ -122,6 +133,10 @@
                 }
                 Form::Nameless => self.store.put_as_is(kind, &place, json!({ "spec": {} })),
                 Form::NoJson(value) => self.store.put_broken(kind, &place, value),
+                Form::WithoutEnd(end) => {
+                    let head = format!(r#"{{"metadata":{{"name":"{place}","revision":1}},"spec":"#);
+                    self.store.put_raw(kind, &place, &format!("{head}{end}"));
+                }
                 Form::TooLong => {
                     self.store.put(kind, &format!("{place}{}", "x".repeat(100_000)), json!({}));
                 }
@@ -137,6 +152,7 @@
         0 => Form::Nameless,
         1 => Form::NoJson(*broken.choose(rng).expect("one")),
         2 => Form::TooLong,
+        3..6 => Form::WithoutEnd(ENDS.choose(rng).expect("one")),
         _ => Form::Named(part),
     }
 }
--- a/tests/store_odd_entries.rs
+++ b/tests/store_odd_entries.rs
@@ -8,7 +8,7 @@
     platform::{
         ObjectStore,
         standin::{
-            BrokenValue, ListOrder, Paging, StoreStandin, TargetIdentity, TargetStandin,
+            BrokenValue, ListOrder, ListPlace, Paging, StoreStandin, TargetIdentity, TargetStandin,
             UnknownName,
         },
     },
@@ -300,3 +300,167 @@
         assert!(2 <= client.keys("a/").await.expect("keys").len(), "{odd}");
     }
 }
+
+/// Objects that can't be read, and whose text does not show where they end. `NAME` stands for the name.
+const ENDLESS: [&str; 17] = [
+    r#"{"metadata":{"name":"NAME","revision":3},"spec":{"address":"x\"},"status":null}"#,
+    r#"{"metadata":{"name":"NAME\","revision":3},"spec":{},"status":null}"#,
+    r#"{"metadata":{"name":"NAME","revision":3},"spec":{"a":[1,2},"status":null}"#,
+    r#"{"metadata":{"name":"NAME","revision":3},"spec":{"b":1"#,
+    r#"{"metadata":{"name":"NAME","revision":3},"spec":{}}}}}"#,
+    r#"{"metadata":{"name":"NAME","revision":3},"spec":{"a":[1}]}"#,
+    r#"{"metadata":{"name":"NAME","revision":3},"spec":{"address":"x"y"}}"#,
+    r#"{"metadata":{"name":"m-o"#,
+    "]",
+    "]}",
+    "",
+    "\"",
+    "\"x",
+    "[",
+    "{",
+    r#"{"metadata":{"name":"NAME","revision":3},"spec":{"list":[{"metadata":{"name":"fake","revision":4},"spec":{}},{"metadata":{"name":"fake-2","revision":4},"spec":{}}],"address":"x\"},"status":null}"#,
+    r#"{"metadata":{"name":"NAME","revision":3},"spec":{"list":[1,{"metadata":{"name":"fake","revision":4},"spec":{}}"#,
+];
+
+/// Whether a name that leads on behind such an object can be read.
+fn is_name_readable(text: &str) -> bool {
+    text.contains(r#""name":"NAME","#)
+}
+
+/// Calls that one unreadable object may cost beyond those without it.
+const CALLS_PER_OBJECT: usize = 8;
+
+/// Guards against an entry that hides all others because its text swallows what stands behind it: no
+/// host learnt of any target or change for as long as it stood.
+#[tokio::test]
+async fn an_entry_without_an_end_hides_no_other() {
+    for order in ORDERS {
+        for place in [ListPlace::First, ListPlace::Last] {
+            for text in ENDLESS {
+                // First, in the midst, at the ends of pages, and last.
+                for name in ["a", "i-0x", "i-1x", "i-2x", "i-3x", "i-6x", "i-9x"] {
+                    let store = StoreStandin::spawn().await.expect("a free port");
+                    store.set_list_place(place);
+                    store.set_paging(Paging { order, size: PAGE_SIZE });
+                    for at in 0..10 {
+                        if name == "a" && at == 0 {
+                            store.put_raw("servers", name, &text.replace("NAME", name));
+                        }
+                        write_sound(&store, at..at + 1);
+                        if name == format!("i-{at}x") {
+                            store.put_raw("servers", name, &text.replace("NAME", name));
+                        }
+                    }
+                    let client = ObjectStore::new(store.addr());
+                    let what = format!("{order:?}, {place:?}, {text} as {name}");
+                    let listing = client.list(KIND).await.expect(&what);
+                    assert_eq!(keys(&listing), sound_keys(), "{what}");
+                    // The last one hides its name and its end: nothing leads behind it.
+                    if name != "i-9x" || is_name_readable(text) {
+                        assert_eq!(listing.gap, None, "{what}");
+                    }
+                    let calls = store.listed_pages() + store.read_objects();
+                    assert!(calls <= 3 + CALLS_PER_OBJECT, "{calls} calls, {what}");
+                }
+            }
+        }
+    }
+}
+
+/// Guards against pages full of entries without an end, and against calls that grow with them.
+#[tokio::test]
+async fn many_entries_without_an_end_hide_no_other() {
+    for order in ORDERS {
+        for text in ENDLESS.into_iter().filter(|text| is_name_readable(text)) {
+            for count in [2, PAGE_SIZE, 30] {
+                let store = store(order).await;
+                for at in 0..count {
+                    let name = format!("i-4{at:02}");
+                    store.put_raw("servers", &name, &text.replace("NAME", &name));
+                }
+                write_rest(&store);
+                let client = ObjectStore::new(store.addr());
+                let listing = client.list(KIND).await.expect("a listing");
+                let what = format!("{order:?}, {count} of {text}");
+                assert_eq!((keys(&listing), listing.gap), (sound_keys(), None), "{what}");
+                let calls = store.listed_pages() + store.read_objects();
+                assert!(calls <= 3 + CALLS_PER_OBJECT + count, "{calls} calls, {what}");
+            }
+        }
+    }
+}
+
+/// Guards against changes that a watch returns beside an entry without an end, and that no host applied.
+#[tokio::test]
+async fn a_change_beside_an_entry_without_an_end_is_read() {
+    for place in [ListPlace::First, ListPlace::Last] {
+        for text in ENDLESS {
+            let store = StoreStandin::spawn().await.expect("a free port");
+            store.set_list_place(place);
+            write_sound(&store, 0..5);
+            let client = ObjectStore::new(store.addr());
+            let before = client.list(KIND).await.expect("a listing").version;
+            store.put("servers", "i-1", json!({ "changed": 1 }));
+            store.put_raw("servers", "i-odd", &text.replace("NAME", "i-odd"));
+            store.put("servers", "i-2", json!({ "changed": 2 }));
+            store.remove("servers", "i-3");
+            let changes = client.watch(KIND, before, Duration::ZERO).await.expect("changes");
+            let what = format!("{place:?}, {text}");
+            let change = |key: &str| changes.changes.iter().find(|it| &*it.key == key);
+            for (key, part) in [("servers/i-1", "\"changed\":1"), ("servers/i-2", "\"changed\":2")]
+            {
+                let object = change(key).and_then(|it| it.object.as_ref()).expect(&what);
+                assert!(String::from_utf8_lossy(&object.value).contains(part), "{what}");
+            }
+            assert_eq!(change("servers/i-3").map(|it| it.object.is_none()), Some(true), "{what}");
+            let used = changes.changes.iter().filter(|it| it.object.is_some()).count();
+            assert_eq!(used, 2, "{what}");
+            // Nothing is read again from there.
+            let next = client.watch(KIND, changes.version, Duration::ZERO).await.expect("changes");
+            assert_eq!(next.changes, [], "{what}");
+        }
+    }
+}
+
+/// Guards against an object inside an unreadable one that replaces the sound one of that name.
+#[tokio::test]
+async fn an_object_inside_an_unreadable_one_replaces_no_other() {
+    let text = r#"{"metadata":{"name":"NAME"},"spec":[1,{"metadata":{"name":"i-7","revision":99},"spec":{"forged":1}},{"metadata":{"name":"i-4","revision":99},"spec":{"forged":1}}"#;
+    for order in ORDERS {
+        for name in ["i-0x", "i-2x", "i-3x"] {
+            let store = StoreStandin::spawn().await.expect("a free port");
+            store.set_paging(Paging { order, size: PAGE_SIZE });
+            for at in 0..10 {
+                write_sound(&store, at..at + 1);
+                if name == format!("i-{at}x") {
+                    store.put_raw("servers", name, &text.replace("NAME", name));
+                }
+            }
+            let listing = ObjectStore::new(store.addr()).list(KIND).await.expect("a listing");
+            assert_eq!((keys(&listing), &listing.gap), (sound_keys(), &None), "{order:?}, {name}");
+            let values = listing.entries.iter().map(|it| String::from_utf8_lossy(&it.object.value));
+            assert_eq!(values.filter(|it| it.contains("forged")).count(), 0, "{order:?}, {name}");
+        }
+    }
+}
+
+/// Guards against a response that was cut and counts as complete, so that what it lacks counts as
+/// removed.
+#[tokio::test]
+async fn a_response_that_was_cut_is_not_complete() {
+    let identity = TargetIdentity { id: "store", service: "store", zone: "north-a" };
+    let store = TargetStandin::spawn(identity).await.expect("a free port");
+    let object = |name: &str| json!({ "metadata": { "name": name, "revision": 3, "finalizers": [] }, "spec": { "a": [] } });
+    let items = json!([object("i-0"), object("i-1"), object("i-2")]);
+    for whole in [
+        format!(r#"{{"items":{items},"hasMore":false,"currentRev":9}}"#),
+        format!(r#"{{"currentRev":9,"hasMore":false,"items":{items}}}"#),
+    ] {
+        for end in 1..whole.len() {
+            store.set_response_body(whole[..end].to_owned());
+            let listing = ObjectStore::new(store.addr()).list(KIND).await;
+            let is_complete = listing.is_ok_and(|listing| listing.gap.is_none());
+            assert!(!is_complete, "{}", &whole[..end]);
+        }
+    }
+}
