Start nothing early behind a head that can be read in several ways

Cause: the scanner of pipelined requests took the first Content-Length and started what it found behind it before the HTTP library had read, and rejected, the head in front. Ruled out: the library finding the end of the body elsewhere (it never handed the hidden request over) and the outer request being passed on with its body (the hidden id was sent by itself).

Fix: one place says where a request ends, for heads that all readers understand alike; behind any other, and behind one that closes the connection, nothing is started early.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -42,6 +42,7 @@
 mod relay;
 mod relay_attempt;
 mod relay_host;
+mod request_framing;
 mod request_handler;
 mod request_log;
 mod reservations;
--- a/src/entry/pipelining.rs
+++ b/src/entry/pipelining.rs
@@ -8,7 +8,9 @@
 use std::collections::VecDeque;
 
 use bytes::{Buf, Bytes, BytesMut};
-use http::{HeaderName, HeaderValue, Method, Request, Uri, header};
+use http::{HeaderName, HeaderValue, Method, Request, Uri};
+
+use super::request_framing::RequestFraming;
 
 /// Most headers of a request that can be started early.
 const MAX_HEADERS: usize = 64;
@@ -31,8 +33,8 @@
 /// Scans the bytes received on one connection for request heads.
 #[derive(Debug, Default)]
 pub struct PipelineScanner {
-    /// Scanning has stopped, because the bounds of further requests are not known.
-    is_disabled: bool,
+    /// Scanning has stopped, because the bounds of further requests are not certain, or none follow.
+    is_stopped: bool,
     waiting: VecDeque<ScannedRequest>,
     /// Bytes of the current request's body that have not arrived yet.
     body_bytes_left: usize,
@@ -42,7 +44,7 @@
 impl PipelineScanner {
     /// Scans the next bytes.
     pub fn feed(&mut self, mut bytes: &[u8]) {
-        if self.is_disabled {
+        if self.is_stopped {
             return;
         }
         let body = self.body_bytes_left.min(bytes.len());
@@ -65,10 +67,16 @@
         self.waiting.iter()
     }
 
-    /// Stops scanning for good: all further requests are served in turn.
+    /// Stops scanning for good, and forgets the requests found so far: all further ones are served in
+    /// turn.
     pub fn disable(&mut self) {
-        self.is_disabled = true;
+        self.stop();
         self.waiting.clear();
+    }
+
+    /// Stops scanning for good: nothing behind the requests found so far is started early.
+    fn stop(&mut self) {
+        self.is_stopped = true;
         self.buffer = BytesMut::new();
     }
 
@@ -81,40 +89,28 @@
             Ok(httparse::Status::Partial) => return false,
             Err(_) => {
                 // The HTTP library rejects the request in its turn and closes the connection.
-                self.disable();
+                self.stop();
                 return false;
             }
         };
-        let find = |name: HeaderName| {
-            req.headers.iter().find(|header| header.name.eq_ignore_ascii_case(name.as_str()))
-        };
-        let unsupported = [header::TRANSFER_ENCODING, header::UPGRADE, header::EXPECT];
-        if unsupported.into_iter().any(|name| find(name).is_some()) {
-            self.disable();
+        let Some(framing) = RequestFraming::of(&req) else {
+            self.stop();
             return false;
-        }
-        let length = find(header::CONTENT_LENGTH);
-        let length = length.map(|header| std::str::from_utf8(header.value));
-        let length: usize = match length {
-            None => 0,
-            Some(text) => match text.ok().and_then(|text| text.trim().parse().ok()) {
-                Some(length) => length,
-                None => {
-                    self.disable();
-                    return false;
-                }
-            },
         };
-        let must_wait = req.method != Some("GET") || 0 < length;
+        let must_wait = req.method != Some("GET") || 0 < framing.body_bytes;
         let head = self.buffer.split_to(size).freeze();
-        let body = length.min(self.buffer.len());
-        self.buffer.advance(body);
-        self.body_bytes_left = length - body;
         self.waiting.push_back(if must_wait {
             ScannedRequest::InTurn
         } else {
             ScannedRequest::Startable(head)
         });
+        if framing.is_last {
+            self.stop();
+            return false;
+        }
+        let body = framing.body_bytes.min(self.buffer.len());
+        self.buffer.advance(body);
+        self.body_bytes_left = framing.body_bytes - body;
         if self.buffer.is_empty() {
             // Free the memory: most connections are idle most of the time.
             self.buffer = BytesMut::new();
