Refuse requests with several hosts

A request with two Host headers was served for the first one, and passed on with both; a target may take the other one (RFC 9112, section 3.2, asks for 400). Its test fails on the code before with 200.

--- a/src/entry/request_framing.rs
+++ b/src/entry/request_framing.rs
@@ -5,7 +5,7 @@
 //! reader could understand differently (RFC 9112, sections 3.2, 6.3 and 9.3) therefore bound nothing
 //! here: the library alone decides on them, in their turn.
 
-use http::{HeaderName, header};
+use http::{HeaderMap, HeaderName, header};
 use httparse::Header;
 
 /// Headers that change how the bytes behind a head are read.
@@ -49,6 +49,11 @@
     }
 }
 
+/// Whether a request names more than one host. Readers differ in which one they take.
+pub fn has_several_hosts(headers: &HeaderMap) -> bool {
+    1 < headers.get_all(header::HOST).iter().count()
+}
+
 /// Reads a length: digits alone, as the standard defines it.
 fn parse_length(value: &[u8]) -> Option<usize> {
     if !value.iter().all(u8::is_ascii_digit) {
--- a/src/entry/request_handler.rs
+++ b/src/entry/request_handler.rs
@@ -21,6 +21,7 @@
     caller_io::Disconnect,
     refused_body,
     relay::RelayedRequest,
+    request_framing::has_several_hosts,
     request_log::RequestLog,
     response::{CallerResponse, host_response},
     served_relay::{Sender, ServedRelay},
@@ -86,6 +87,9 @@
         state.record(&key, event);
         Some(response)
     };
+    if has_several_hosts(&head.headers) {
+        return refuse(ErrorKind::BadRequest, None);
+    }
     let served_relay = relayed.is_some().then(|| ServedRelay::start(&state));
     if let Some(None) = served_relay {
         return refuse(ErrorKind::HostBusy, Some(RETRY_AFTER_DEFAULT));
--- a/tests/entry_pipelined_bodies.rs
+++ b/tests/entry_pipelined_bodies.rs
@@ -80,6 +80,26 @@
     });
 }
 
+/// Guards against a request with two hosts that is served for the first one.
+#[test]
+fn a_request_with_two_hosts_is_refused() {
+    run(async {
+        let world = World::spawn(&["north-a"]).await;
+        let host = world.host("a").await;
+        let mut stream = TcpStream::connect(host.listen().callers).await.expect("the host listens");
+        let text = request("two", "Host: other.example\r\n");
+        stream.write_all(text.as_bytes()).await.expect("the connection is open");
+        let mut received = Vec::new();
+        until("the response arrives", async || {
+            stream.read_buf(&mut received).await.expect("the connection is open");
+            received.ends_with(b"\r\n\r\n") || 12 < received.len()
+        })
+        .await;
+        assert!(received.starts_with(b"HTTP/1.1 400 "), "{}", String::from_utf8_lossy(&received));
+        assert_eq!(passed_on(&world), [""; 0]);
+    });
+}
+
 /// Guards against pipelined requests that wait for those ahead of them: they are started early.
 #[test]
 fn plain_pipelined_requests_run_side_by_side() {
