Share among followers what is heard of the store

Cause: each watch judged the store by itself. A response lost in the silence was missed when it was due; the watch, sent again into the silence, was missed 6 s later once more. The first response about targets, which may be the one that reports a leave, was taken for the end of the outage, and the target used for the 2.2 s of lapsed entries.

Fix: any response shows that the store answers; after 3.25 s without one, or a failed call, it is asked by a cheap call each second. Watches sent before the end of an outage are sent again, and the grace runs from the first response to any call. Followers do not repeat their own calls meanwhile.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -42,7 +42,7 @@
     metrics::{ControlGauges, EntryMetrics},
     placement::ServiceRegion,
     prelude::*,
-    store::{FollowEvent, FollowOptions, Follower, Platform, Scope, Version},
+    store::{FollowEvent, FollowOptions, Follower, Platform, Probes, Scope, StoreContact, Version},
 };
 
 /// Number of messages that may be queued for the actor; further senders wait.
@@ -72,6 +72,7 @@
     first_allows_stale: true,
     change_pause: Duration::from_millis(300),
     max_wait: Duration::from_secs(5),
+    end_phase: None,
 };
 
 /// Pause of a standby watcher after a change. In a large fleet targets change all the time, and the
@@ -114,6 +115,8 @@
     store_is_behind: bool,
     /// When this host's record is to be written; `None` once it is.
     write_record_at: Option<Moment>,
+    /// Whether the store answers this host while it watches it.
+    contact: Arc<StoreContact>,
     /// The tasks that follow the store; empty while this host does not watch it.
     followers: Vec<FollowTask>,
     /// When the gauges were last set.
@@ -127,6 +130,8 @@
     lost_parts: BTreeMap<StorePart, Moment>,
     parts: ControlParts,
     peer_queries: PeerQueries,
+    /// Asks the store whether it answers; none while this host does not watch it.
+    probes: Option<Probes>,
     objects: StoreObjects,
     stale_records: StaleRecordTracker,
     /// When the records of all hosts are to be read next.
@@ -163,6 +168,7 @@
     /// Starts the actor on the current runtime.
     pub fn spawn(parts: ControlParts, peer_client: PeerClient) -> Address<Self> {
         let now = parts.clock.now();
+        let contact = StoreContact::new(parts.clock.clone());
         let fleet = Fleet::new(fleet_config(&parts.settings));
         let control = Self {
             fleet,
@@ -175,6 +181,7 @@
             record_restores: 0,
             store_is_behind: false,
             write_record_at: Some(now + FIRST_WRITE_RECORD_DELAY),
+            contact,
             followers: Vec::new(),
             gauges_set_at: Moment::ZERO,
             learned: parts.measured.clone().map(|measured| LearnedRecord::new(measured, now)),
@@ -182,6 +189,7 @@
             live_hosts: None,
             lost_parts: BTreeMap::new(),
             peer_queries: PeerQueries::new(parts.settings.listen.control),
+            probes: None,
             objects: StoreObjects::default(),
             stale_records: StaleRecordTracker::default(),
             read_records_at: now + FIRST_READ_RECORDS_DELAY,
@@ -375,19 +383,30 @@
             return;
         }
         self.followers.clear();
+        self.probes = None;
         if !should_watch {
             self.lost_parts.clear();
             return self.record_event(Event::WatchEnded);
         }
         let reason = if is_unanswered { WatchReason::Unanswered } else { WatchReason::Elected };
         self.record_event(Event::WatchBegun { reason });
+        self.contact.restart();
+        self.probes = Some(self.contact.spawn_probes(self.parts.store.clone()));
         for part in [StorePart::Declared, StorePart::Targets, StorePart::Evacuations] {
             let (store, clock) = (self.parts.store.clone(), self.parts.clock.clone());
             // A first listing that may be some seconds old must not replace newer objects.
             let first_allows_stale = self.objects.revisions().of(part) == 0;
-            let pace = FollowOptions { first_allows_stale, change_pause, ..FOLLOW_OPTIONS };
+            let end_phase = match part {
+                StorePart::Declared => Some(now),
+                StorePart::Evacuations => Some(now + FOLLOW_OPTIONS.max_wait / 2),
+                // They change often, so that phases would cost calls.
+                StorePart::Targets => None,
+            };
+            let pace =
+                FollowOptions { first_allows_stale, change_pause, end_phase, ..FOLLOW_OPTIONS };
             let (tx, rx) = mpsc::channel(MAX_QUEUED_UPDATES);
-            let follower = Follower::spawn(store, clock, self.scope(part), pace, tx);
+            let (contact, scope) = (self.contact.clone(), self.scope(part));
+            let follower = Follower::spawn_with_contact(store, clock, contact, scope, pace, tx);
             let forwarder = tokio::spawn(forward_updates(part, rx, own.clone())).abort_handle();
             self.followers.push(FollowTask { follower, forwarder });
         }
--- a/src/entry/control/store_updates.rs
+++ b/src/entry/control/store_updates.rs
@@ -63,7 +63,10 @@
             return false;
         };
         if part == StorePart::Targets {
-            self.known_state.store_answered(self.now());
+            match self.contact.is_lost() {
+                true => _ = self.known_state.store_answered(self.now()),
+                false => self.record_store_reached(),
+            }
         }
         let is_restored = self.note_restore(part, known, diff.revision);
         for change in changes {
@@ -299,7 +302,7 @@
         let now = self.now();
         self.state_received_at = now;
         if part == StorePart::Targets {
-            self.known_state.store_answered(now);
+            self.record_store_reached();
         }
         if let Some(since) = self.lost_parts.remove(&part) {
             let away_ms = now.saturating_sub(since).as_millis() as u64;
@@ -307,6 +310,13 @@
         }
     }
 
+    /// Records that this host's calls to the store succeed, and when they did so after an outage. The
+    /// first response about targets may come much later.
+    fn record_store_reached(&mut self) {
+        let ended = self.contact.last_outage().map(|outage| outage.ended);
+        self.known_state.store_reached(ended);
+    }
+
     fn store_failed(&mut self, part: StorePart, error: &PlatformError) {
         if matches!(error, PlatformError::TooOld { .. }) {
             log::info!("the store no longer has the watched version of {part:?}; listing it again");
--- a/src/entry/known_state.rs
+++ b/src/entry/known_state.rs
@@ -371,6 +371,13 @@
         is_outage_over
     }
 
+    /// Records that calls to the store succeed, and when they first did so after the last outage. Entries
+    /// are written again within a time of that moment, not of that at which their absence is seen.
+    pub fn store_reached(&mut self, outage_ended: Option<Moment>) {
+        self.store_lost_since = None;
+        self.store_returned_at = self.store_returned_at.max(outage_ended);
+    }
+
     /// Until when targets with missing entries are still used; `None` without a recent outage.
     fn lapsed_use_until(&self, now: Moment) -> Option<Moment> {
         self.store_returned_at.map(|at| at + LAPSED_TARGET_GRACE).filter(|until| now < *until)
--- a/src/entry/tests/known_state.rs
+++ b/src/entry/tests/known_state.rs
@@ -217,6 +217,23 @@
     assert_eq!(known_state.remove_target(&"t-1".into(), secs(21.0)), Removal::Gone);
 }
 
+/// Guards against targets that are used on after they left: the first response about targets since an
+/// outage came long after the store's return, and reported a removal that had nothing to do with it.
+#[test]
+fn the_grace_of_lapsed_entries_runs_from_the_return_of_the_store() {
+    let mut known_state = KnownState::default();
+    known_state.apply_target_listing(listed(&["t-1", "t-2", "t-3"]), secs(1.0));
+    known_state.store_failed(secs(10.0));
+    known_state.store_reached(Some(secs(12.0)));
+    assert_eq!(known_state.remove_target(&"t-1".into(), secs(14.1)), Removal::Kept);
+    assert_eq!(known_state.remove_target(&"t-2".into(), secs(14.3)), Removal::Gone);
+    assert_eq!(known_state.expire_lapsed(secs(14.3)), [TargetId::from("t-1")]);
+    // Single calls that failed are no outage, however late the next response comes.
+    known_state.store_failed(secs(20.0));
+    known_state.store_reached(Some(secs(12.0)));
+    assert_eq!(known_state.remove_target(&"t-3".into(), secs(25.0)), Removal::Gone);
+}
+
 /// A host reads the lists of hundreds of targets ten times a second. Rebuilding and hashing all of
 /// them each time would take most of a small host's CPU time, so after a change of one target all
 /// other targets must be reused.
--- a/src/platform/object_store.rs
+++ b/src/platform/object_store.rs
@@ -114,6 +114,10 @@
 /// defines.
 const UNREADABLE: &str = r#""bytes that can't be read""#;
 
+/// Path of a call that only shows whether the store answers: an object that does not exist, by a read
+/// that may be old, which is the cheapest one.
+const PROBE_PATH: &str = "lavenderplank-hosts/-?staleOk=1";
+
 /// Most objects of one watch that are read by name; a listing reads more of them with fewer calls.
 const MAX_CONFIRMED_CHANGES: usize = 16;
 
@@ -284,6 +288,10 @@
         self.list_pages(prefix, Reading::MayBeStale).await
     }
 
+    async fn probe(&self) -> Result<()> {
+        self.call(CallKind::Read, Method::GET, PROBE_PATH, None, CALL_TIMEOUT).await.map(drop)
+    }
+
     async fn put(
         &self,
         key: &str,
--- a/src/store/follow.rs
+++ b/src/store/follow.rs
@@ -9,7 +9,10 @@
 use backon::{BackoffBuilder, ExponentialBackoff, ExponentialBuilder};
 use tokio::{sync::mpsc, task::JoinHandle};
 
-use super::{Changes, Entry, KeyVersion, Listing, Platform, PlatformError, StorePoint, Version};
+use super::{
+    Changes, Entry, KeyVersion, Listing, Platform, PlatformError, Result, StoreContact, StorePoint,
+    Version,
+};
 use crate::prelude::*;
 
 /// How a follower paces its calls.
@@ -27,6 +30,10 @@
     pub change_pause: Duration,
     /// Longest time for which one watch waits for a change.
     pub max_wait: Duration,
+    /// Moment, in each interval of `max_wait`, at which a watch without changes ends. `None`: it ends
+    /// `max_wait` after it began. Watches of several prefixes that end in turn show soon that the store
+    /// does not answer.
+    pub end_phase: Option<Duration>,
 }
 
 impl FollowOptions {
@@ -39,7 +46,16 @@
         first_allows_stale: false,
         change_pause: Duration::ZERO,
         max_wait: Duration::from_secs(4),
+        end_phase: None,
     };
+
+    /// How long a watch that begins now waits for a change.
+    pub(super) fn wait(&self, now: Moment) -> Duration {
+        let Some(phase) = self.end_phase else { return self.max_wait };
+        let interval = self.max_wait.as_nanos().max(1);
+        let since_end = (now.as_nanos() + interval - phase.as_nanos() % interval) % interval;
+        Duration::from_nanos((interval - since_end) as u64)
+    }
 }
 
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -96,10 +112,23 @@
         scope: impl Into<Scope>,
         options: FollowOptions,
         tx: mpsc::Sender<FollowEvent>,
+    ) -> Self {
+        let contact = StoreContact::new(clock.clone());
+        Self::spawn_with_contact(platform, clock, contact, scope, options, tx)
+    }
+
+    /// Does the same, and shares with other followers whether the store answers.
+    pub fn spawn_with_contact(
+        platform: Arc<dyn Platform>,
+        clock: Arc<dyn Clock>,
+        contact: Arc<StoreContact>,
+        scope: impl Into<Scope>,
+        options: FollowOptions,
+        tx: mpsc::Sender<FollowEvent>,
     ) -> Self {
         let change_pause = Arc::new(AtomicU64::new(options.change_pause.as_millis() as u64));
-        let scope = scope.into();
-        let task = tokio::spawn(follow(platform, clock, scope, options, change_pause.clone(), tx));
+        let store = Store { clock, contact, platform };
+        let task = tokio::spawn(follow(store, scope.into(), options, change_pause.clone(), tx));
         Self { change_pause, task }
     }
 
@@ -228,50 +257,86 @@
         .build()
 }
 
-async fn follow(
-    platform: Arc<dyn Platform>,
+/// The store as a follower sees it.
+struct Store {
     clock: Arc<dyn Clock>,
+    contact: Arc<StoreContact>,
+    platform: Arc<dyn Platform>,
+}
+
+impl Store {
+    /// Makes a call, and records whether the store answered.
+    async fn call<T>(&self, wait: Duration, call: impl Future<Output = Result<T>>) -> Result<T> {
+        let sent = self.clock.now();
+        let outcome = call.await;
+        self.contact.record(&outcome, sent, wait);
+        outcome
+    }
+
+    /// Watches a prefix. `None` if an outage ended meanwhile: a response may have been lost in it.
+    async fn watch(
+        &self,
+        prefix: &str,
+        from: Version,
+        options: &FollowOptions,
+    ) -> Option<Result<Changes>> {
+        let mut outages = self.contact.outages();
+        let wait = options.wait(self.clock.now());
+        tokio::select! {
+            biased;
+            changes = self.call(wait, self.platform.watch(prefix, from, wait)) => Some(changes),
+            _ = outages.changed() => None,
+        }
+    }
+}
+
+async fn follow(
+    store: Store,
     scope: Scope,
     options: FollowOptions,
     change_pause: Arc<AtomicU64>,
     tx: mpsc::Sender<FollowEvent>,
 ) {
     let prefix = &*scope.prefix;
+    let platform = &*store.platform;
     let mut state = FollowState::new(rand::random(), options);
     loop {
-        let event = match state.next(clock.now()) {
-            Step::Compare => match platform.keys(prefix).await {
+        let event = match state.next(store.clock.now()) {
+            Step::Compare => match store.call(Duration::ZERO, platform.keys(prefix)).await {
                 Ok(keys) => {
-                    state.record_versions(&keys, clock.now());
+                    state.record_versions(&keys, store.clock.now());
                     None
                 }
                 Err(err) => Some(record_failure(&mut state, err)),
             },
             Step::List { allow_stale } => {
-                let listing = match allow_stale {
-                    true => platform.list_allow_stale(prefix).await,
-                    false => platform.list(prefix).await,
+                let listing = async {
+                    match allow_stale {
+                        true => platform.list_allow_stale(prefix).await,
+                        false => platform.list(prefix).await,
+                    }
                 };
-                match listing {
+                match store.call(Duration::ZERO, listing).await {
                     Ok(mut listing) => {
-                        read_missing(&*platform, &scope, &mut listing).await;
+                        read_missing(platform, &scope, &mut listing).await;
                         state
-                            .record_listing(&listing, clock.now())
+                            .record_listing(&listing, store.clock.now())
                             .then_some(FollowEvent::Listed(listing))
                     }
                     Err(err) => Some(record_failure(&mut state, err)),
                 }
             }
             Step::Pause(pause) => {
-                tokio::time::sleep(pause).await;
+                store.contact.pause(pause).await;
                 None
             }
-            Step::Watch { from } => match platform.watch(prefix, from, options.max_wait).await {
-                Ok(changes) => {
+            Step::Watch { from } => match store.watch(prefix, from, &options).await {
+                Some(Ok(changes)) => {
                     state.record_changes(&changes);
                     Some(FollowEvent::Changed(changes))
                 }
-                Err(err) => Some(record_failure(&mut state, err)),
+                Some(Err(err)) => Some(record_failure(&mut state, err)),
+                None => None,
             },
         };
         let Some(event) = event else { continue };
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -5,6 +5,7 @@
 
 mod circuit_breaker;
 mod confirmed_put;
+mod contact;
 pub(crate) mod damaged_list;
 mod error;
 mod follow;
@@ -22,6 +23,7 @@
 pub use self::{
     circuit_breaker::{BreakerState, CircuitBreaker},
     confirmed_put::{PutOutcome, put_confirmed},
+    contact::{Outage, Probes, StoreContact},
     error::{PlatformError, Result},
     follow::{FollowEvent, FollowOptions, Follower, Scope},
     http::{HttpPlatform, PlatformClientState},
@@ -60,6 +62,11 @@
         self.list(prefix).await
     }
 
+    /// Makes a cheap call, to find out whether the store answers.
+    async fn probe(&self) -> Result<()> {
+        self.keys("probe/").await.map(drop)
+    }
+
     /// Writes an object if it meets the precondition `expect`, and returns its new version.
     /// `operation` is stored with the object, so that a writer can recognise its own write.
     async fn put(
--- a/src/store/tests.rs
+++ b/src/store/tests.rs
@@ -1,3 +1,4 @@
+mod contact;
 mod damaged_list;
 
 use assert_matches::assert_matches;
