Believe an empty page only behind a name that it was asked for

A confirmed name that the listing had read before is not asked for again, so the next page begins behind another one, which the store may not know. By reading; not seen in a run.

--- a/src/platform/listing.rs
+++ b/src/platform/listing.rs
@@ -74,7 +74,7 @@
     confirmations: BTreeSet<Arc<str>>,
     cursor: PageCursor,
     entries: BTreeMap<Arc<str>, Entry>,
-    /// Whether the store has just shown that the object exists behind which the next page begins.
+    /// Whether the next page begins behind an object that the store has just confirmed.
     is_behind_confirmed: bool,
     kind: &'a str,
     /// A watch must continue from the lowest version of a page. From a later one, it would miss
@@ -215,8 +215,7 @@
         if let Ok(object) = response.object() {
             self.record_entry(Entry { key, object });
         }
-        self.cursor.record_page(std::iter::once(name));
-        self.is_behind_confirmed = true;
+        self.is_behind_confirmed = self.cursor.record_page(std::iter::once(name));
         Ok(())
     }
 
--- a/src/platform/page_cursor.rs
+++ b/src/platform/page_cursor.rs
@@ -19,8 +19,9 @@
 }
 
 impl PageCursor {
-    /// Records the names on a page. Some may belong to objects that can't be used.
-    pub fn record_page(&mut self, names: impl Iterator<Item = Arc<str>>) {
+    /// Records the names on a page. Some may belong to objects that can't be used. Returns whether any is
+    /// new.
+    pub fn record_page(&mut self, names: impl Iterator<Item = Arc<str>>) -> bool {
         let read_before = self.read.len();
         for name in names {
             let escaped = object_urls::escape(&name).filter(|escaped| !escaped.is_empty());
@@ -28,10 +29,12 @@
                 self.untried.extend(escaped);
             }
         }
-        match read_before < self.read.len() {
+        let has_new = read_before < self.read.len();
+        match has_new {
             true => self.fruitless = 0,
             false => self.record_failure(),
         }
+        has_new
     }
 
     /// Records that a page could not be read.
